Hold the callers' interface to golden files and to an OpenAI client

Cause: nothing checked what callers see word for word. The golden exchanges showed unknown paths without the documented error shape and a passed deadline without the name of its limit; the client library showed that a model without an endpoint waited for its deadline instead of a 503.

Conclusion: the interface is now fixed by files that a person can read.

--- /dev/null
+++ b/packages/bench/src/integration/command-line.test.ts
@@ -0,0 +1,148 @@
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import { planSite, writeConfiguration } from '@poplarpick/stand-ins';
+
+const PROGRAM = fileURLToPath(new URL('../../../../dist/poplarpick.cjs', import.meta.url));
+
+interface CommandOutput {
+  code: number | null;
+  stdout: string;
+  stderr: string;
+}
+
+async function runCommand(...args: string[]): Promise<CommandOutput> {
+  const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+  const output = { stdout: '', stderr: '' };
+  child.stdout.on('data', (bytes: Buffer) => (output.stdout += bytes.toString()));
+  child.stderr.on('data', (bytes: Buffer) => (output.stderr += bytes.toString()));
+  const code = await new Promise<number | null>((resolve) => child.once('close', resolve));
+  return { code, ...output };
+}
+
+function routerSettings(changes: Record<string, string> = {}): string {
+  const { callers = '127.0.0.1:0', links = '127.0.0.1:0', extra = '' } = changes;
+  return [
+    'fleet = "izvor"',
+    'host = "entry-1"',
+    'data_centre = "brasov"',
+    extra,
+    '[platform]',
+    'configuration = "http://127.0.0.1:1"',
+    'hosts = "http://127.0.0.1:1"',
+    '[callers]',
+    `address = "${callers}"`,
+    '[links]',
+    `address = "${links}"`,
+    '[operators]',
+    'address = "127.0.0.1:0"',
+  ].join('\n');
+}
+
+describe('the command line', () => {
+  let folder: string;
+
+  before(() => {
+    folder = mkdtempSync(join(tmpdir(), 'poplarpick-cli-'));
+  });
+
+  after(() => {
+    rmSync(folder, { recursive: true });
+  });
+
+  function write(name: string, text: string): string {
+    const file = join(folder, name);
+    writeFileSync(file, text);
+    return file;
+  }
+
+  it('accepts good settings and a good fleet configuration', async () => {
+    const settings = await runCommand('config', 'check', write('good.toml', routerSettings()));
+    expect(settings).to.deep.include({ code: 0, stderr: '' });
+    const document = writeConfiguration(planSite(), { revision: 1 });
+    const fleet = await runCommand('config', 'check', '--json', write('fleet.toml', document));
+    expect(JSON.parse(fleet.stdout)).to.include({ kind: 'fleet', valid: true });
+  });
+
+  it('names the line of a syntax error', async () => {
+    const file = write('syntax.toml', `${routerSettings()}\nbroken =`);
+    const { code, stderr } = await runCommand('config', 'check', file);
+    expect(code).to.equal(2);
+    expect(stderr).to.include(`${file}: line 14: `);
+  });
+
+  it('names the key path of an unknown key', async () => {
+    const file = write('unknown.toml', routerSettings({ extra: 'colour = "red"' }));
+    const { code, stderr } = await runCommand('config', 'check', file);
+    expect(code).to.equal(2);
+    expect(stderr).to.include('unknown key colour');
+  });
+
+  it('names a value with the wrong unit or type', async () => {
+    const document = writeConfiguration(planSite(), { revision: 1 }).replace(
+      /\nwatts = [\d.]+/,
+      '\nwatts = "3 kW"',
+    );
+    const { code, stderr } = await runCommand('config', 'check', write('unit.toml', document));
+    expect(code).to.equal(2);
+    expect(stderr).to.match(/presets\[0\]\.caps\[0\]\.watts: .*expected number/);
+  });
+
+  it('names a duplicate address', async () => {
+    const file = write(
+      'duplicate.toml',
+      routerSettings({ callers: '127.0.0.1:8080', links: '127.0.0.1:8080' }),
+    );
+    const { code, stderr } = await runCommand('config', 'check', file);
+    expect(code).to.equal(2);
+    expect(stderr).to.include('links.address: duplicate address 127.0.0.1:8080');
+  });
+
+  it('names a missing file', async () => {
+    const { code, stderr } = await runCommand('router', '--settings', join(folder, 'nowhere.toml'));
+    expect(code).to.equal(2);
+    expect(stderr).to.include('nowhere.toml: no such file');
+  });
+
+  it('starts nothing when a part cannot start', async () => {
+    const blocker = createServer();
+    await new Promise<void>((resolve) => blocker.listen(0, '127.0.0.1', resolve));
+    const { port } = blocker.address() as AddressInfo;
+    const file = write('taken.toml', routerSettings({ callers: `127.0.0.1:${port}` }));
+    const { code, stderr } = await runCommand('router', '--settings', file);
+    blocker.close();
+    expect(code).to.equal(1);
+    expect(stderr).to.include('EADDRINUSE').and.to.include('event=process.stopped');
+    expect(stderr).to.not.include('event=process.started');
+  });
+
+  it('says with its exit code that a process cannot be reached', async () => {
+    const { code, stderr } = await runCommand('status', '--at', 'http://127.0.0.1:1', '--key', 'k');
+    expect(code).to.equal(3);
+    expect(stderr).to.include('http://127.0.0.1:1');
+  });
+
+  it('refuses unknown flags and commands', async () => {
+    expect((await runCommand('version', '--loud')).code).to.equal(2);
+    expect((await runCommand('dance')).code).to.equal(2);
+  });
+
+  it('ends the demo with one line of JSON', async () => {
+    const { code, stdout } = await runCommand('demo', '--duration', '3', '--json');
+    expect(code).to.equal(0);
+    expect(stdout).to.match(/curl .*http:\/\/127\.0\.0\.1:\d+.*Authorization: Bearer \S+/);
+    const result: unknown = JSON.parse(stdout.trim().split('\n').at(-1) ?? '');
+    expect(result).to.include({ lost: 0, doubled: 0, wrongAnswer: 0 });
+    expect(result).to.include.keys(
+      'fairnessGap',
+      'utilisation',
+      'controlBytesPerNodeSecond',
+      'requests',
+    );
+  });
+});
--- /dev/null
+++ b/packages/bench/src/integration/golden-file.ts
@@ -0,0 +1,69 @@
+/**
+ * Golden files: the text of a whole exchange as it was agreed on. With `UPDATE_GOLDEN=1` a run writes
+ * them anew, for a person to look at the difference.
+ */
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import { request } from 'undici';
+
+/** A request of a golden exchange. */
+export interface GoldenRequest {
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  url: string;
+  headers?: Record<string, string>;
+  body?: string;
+}
+
+/** Headers that depend on the machine or the moment. */
+const HEADERS_LEFT_OUT = new Set(['date', 'connection', 'keep-alive', 'transfer-encoding']);
+
+const UUID = /[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}/g;
+
+/** Makes a request and returns the exchange as text, without what differs from run to run. */
+export async function recordExchange(sent: GoldenRequest): Promise<string> {
+  const response = await request(sent.url, {
+    method: sent.method,
+    headers: sent.headers ?? {},
+    ...(sent.body === undefined ? {} : { body: sent.body }),
+  });
+  const body = await response.body.text();
+  const { pathname } = new URL(sent.url);
+  const lines = [
+    `> ${sent.method} ${pathname}`,
+    ...Object.entries(sent.headers ?? {}).map(([name, value]) => `> ${name}: ${value}`),
+    ...(sent.body === undefined ? [] : ['>', `> ${shorten(sent.body)}`]),
+    `< ${response.statusCode}`,
+    ...describeHeaders(response.headers),
+    '<',
+    ...body
+      .trimEnd()
+      .split('\n')
+      .map((line) => `< ${line}`.trimEnd()),
+  ];
+  return `${normalize(lines.join('\n'))}\n`;
+}
+
+/** Compares a text with the golden file of that name. */
+export function expectGolden(name: string, text: string): void {
+  const file = fileURLToPath(new URL(`golden/${name}.golden`, import.meta.url));
+  if (process.env['UPDATE_GOLDEN'] === '1') writeFileSync(file, text);
+  expect(existsSync(file), `golden file ${name} exists`).to.equal(true);
+  expect(text).to.equal(readFileSync(file, 'utf8'));
+}
+
+function describeHeaders(headers: Record<string, string | string[] | undefined>): string[] {
+  return Object.entries(headers)
+    .filter(([name]) => !HEADERS_LEFT_OUT.has(name))
+    .map(([name, value]) => `< ${name}: ${String(value)}`)
+    .sort();
+}
+
+function normalize(text: string): string {
+  return text.replace(UUID, '<uuid>').replace(/"created":\d+/g, '"created":0');
+}
+
+function shorten(text: string): string {
+  const limit = 300;
+  return text.length <= limit ? text : `${text.slice(0, limit)}… (${text.length} characters)`;
+}
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -87,6 +87,7 @@
         { pattern: '* /apps/:service', handler: call },
         { pattern: '* /apps/:service/*path', handler: call },
       ],
+      onMissing: refuseUnknownPath,
     });
     return Promise.resolve();
   }
@@ -227,7 +228,10 @@
   const { caller, request, response, dispatcher, job, sink } = options;
   const id = caller.requestId;
   const deadlineMs = readDeadline(request.headers, options.settings.callers.default_deadline_ms);
-  const pin = pinEndpoint(caller.configuration, job);
+  const candidates = findCandidates(caller.configuration, job);
+  if (candidates.length === 0)
+    throw refuseForNow(`no endpoint serves ${job.pool}`, ErrorCode.NoEndpoint);
+  const pin = pinEndpoint(candidates, job);
   response.on('close', () => {
     if (!response.writableFinished)
       dispatcher.post({ kind: DispatcherMessageKind.Abandon, request: id });
@@ -238,15 +242,28 @@
   });
 }
 
-/** A request with an idempotency key always goes to the same endpoint, whose sidecar remembers it. */
-function pinEndpoint(configuration: FleetConfiguration, job: Job): string | undefined {
-  if (job.idempotencyKey === undefined) return undefined;
-  const names = configuration.endpoints
+/** Names of the endpoints that can run a job, by the configuration. */
+function findCandidates(configuration: FleetConfiguration, job: Job): string[] {
+  return configuration.endpoints
     .filter((line) =>
       line.kind === EndpointKind.Model ? line.models.includes(job.pool) : line.service === job.pool,
     )
     .map((line) => line.name);
-  return pickByRendezvous(job.idempotencyKey, names);
+}
+
+/** A request with an idempotency key always goes to the same endpoint, whose sidecar remembers it. */
+function pinEndpoint(candidates: readonly string[], job: Job): string | undefined {
+  if (job.idempotencyKey === undefined) return undefined;
+  return pickByRendezvous(job.idempotencyKey, candidates);
+}
+
+function refuseUnknownPath(response: ServerResponse): void {
+  const options = { code: ErrorCode.PathNotFound, verdict: Verdict.NotRun };
+  sendRequestError(
+    response,
+    new RequestError('there is nothing at this path', options),
+    makeUuid(),
+  );
 }
 
 function refuseForNow(message: string, code: ErrorCode): RequestError {
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -15,6 +15,7 @@
 import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
+import { DEADLINE_HEADER } from '../callers/request-headers.ts';
 import { NoticeMethod } from '../messages.ts';
 import type {
   AttemptReference,
@@ -385,7 +386,11 @@
     this.release(request);
     this.fail(
       request,
-      new RequestError('the deadline has passed', { code: ErrorCode.DeadlineExceeded, verdict }),
+      new RequestError('the deadline has passed', {
+        code: ErrorCode.DeadlineExceeded,
+        verdict,
+        limit: DEADLINE_HEADER,
+      }),
     );
   }
 
--- a/packages/stand-ins/src/site/site-plan.ts
+++ b/packages/stand-ins/src/site/site-plan.ts
@@ -167,10 +167,10 @@
 }
 
 function capsOf(plan: SitePlan, preset: SitePreset) {
-  return plan.dataCentres.map((dataCentre) => {
+  return plan.dataCentres.flatMap((dataCentre) => {
     const endpoints = plan.endpoints.filter((line) => line.dataCentre === dataCentre);
     const full = endpoints.reduce((sum, line) => sum + IDLE_WATTS + line.slots * WATTS_PER_SLOT, 0);
-    return { data_centre: dataCentre, watts: full * POWER_SHARE[preset] };
+    return full === 0 ? [] : [{ data_centre: dataCentre, watts: full * POWER_SHARE[preset] }];
   });
 }
 
