Link routers with a bounded set of computed neighbours

Routers had no links between them, so a revision passed between routers only by way of sidecars, and every sidecar dialled every router whatever the size. Routers now keep links to two neighbours in each of three hash-ordered rings, and a sidecar to at most eight routers. A link that is no longer wanted stays while work on it is unfinished, so a leaving router cuts nothing.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
 export * from './configuration/toml.ts';
 export * from './fair-share/fair-share.ts';
 export * from './fair-share/service-ledger.ts';
+export * from './membership/overlay.ts';
 export * from './rendezvous/rendezvous.ts';
 export * from './request/request-queues.ts';
 export * from './power/slot-budget.ts';
--- /dev/null
+++ b/packages/decisions/src/membership/overlay.ts
@@ -0,0 +1,80 @@
+/**
+ * Which processes keep links to which. Routers form several rings, each in the order of another hash
+ * of their names; a router is linked to its two neighbours in every ring. The degree is constant, any
+ * one ring already connects all routers, and their union has a diameter that grows with the logarithm
+ * of the number of routers. A sidecar is linked to the routers that rank first for its name.
+ */
+import murmurhash from 'murmurhash';
+import { rankByRendezvous } from '../rendezvous/rendezvous.ts';
+
+/** Rings of routers; a router has at most two neighbours in each. */
+export const OVERLAY_RINGS = 3;
+
+/** Most routers that a sidecar is linked to; in a fleet with no more routers it is linked to all. */
+export const SIDECAR_ROUTER_LIMIT = 8;
+
+/** Routers to which the router `self` keeps links, among all known ones. */
+export function selectNeighbours(
+  self: string,
+  routers: readonly string[],
+  rings = OVERLAY_RINGS,
+): Set<string> {
+  const others = routers.filter((name) => name !== self);
+  if (others.length <= 2 * rings) return new Set(others);
+  const chosen = new Set<string>();
+  for (let ring = 0; ring < rings; ring += 1) {
+    const { next, previous } = findAdjacent(self, others, ring);
+    chosen.add(next);
+    chosen.add(previous);
+  }
+  return chosen;
+}
+
+/** Routers to which the sidecar on the host `self` keeps links. */
+export function selectRouters(
+  self: string,
+  routers: readonly string[],
+  limit = SIDECAR_ROUTER_LIMIT,
+): Set<string> {
+  if (routers.length <= limit) return new Set(routers);
+  return new Set(rankByRendezvous(self, routers).slice(0, limit));
+}
+
+/** The names right after and right before `self` on a ring that holds at least one other name. */
+function findAdjacent(
+  self: string,
+  others: readonly string[],
+  ring: number,
+): { next: string; previous: string } {
+  const own = { name: self, position: placeOnRing(self, ring) };
+  const places = others.map((name) => ({ name, position: placeOnRing(name, ring) }));
+  const after = places.filter((place) => comparePlaces(place, own) > 0);
+  const before = places.filter((place) => comparePlaces(place, own) < 0);
+  // The ring closes: past the last place comes the first.
+  const next = (after.length > 0 ? after : places).reduce(pickEarlier);
+  const previous = (before.length > 0 ? before : places).reduce(pickLater);
+  return { next: next.name, previous: previous.name };
+}
+
+interface Place {
+  name: string;
+  position: number;
+}
+
+function pickEarlier(a: Place, b: Place): Place {
+  return comparePlaces(a, b) < 0 ? a : b;
+}
+
+function pickLater(a: Place, b: Place): Place {
+  return comparePlaces(a, b) > 0 ? a : b;
+}
+
+function comparePlaces(a: Place, b: Place): number {
+  if (a.position !== b.position) return a.position - b.position;
+  if (a.name === b.name) return 0;
+  return a.name < b.name ? -1 : 1;
+}
+
+function placeOnRing(name: string, ring: number): number {
+  return murmurhash.v3(`${name}\u0000ring ${ring}`);
+}
--- a/packages/fleet/src/link/app.ts
+++ b/packages/fleet/src/link/app.ts
@@ -1,7 +1,12 @@
-/** Plug-in that owns the links: routers listen, sidecars dial every router that the host list shows. */
-import { describeError, Plugin, registerPlugin, Role } from '@poplarpick/kernel';
+/**
+ * Plug-in that owns the links: routers listen and dial their neighbours among the routers, sidecars
+ * dial the routers that are theirs, as the host list shows them.
+ */
+import { selectNeighbours, selectRouters } from '@poplarpick/decisions';
+import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel, Timer } from '@poplarpick/kernel';
 import {
+  hostDirectoryKey,
   identityKey,
   linkHubKey,
   routerSettingsKey,
@@ -9,13 +14,14 @@
   statusBoardKey,
   trafficKey,
 } from '../parts.ts';
-import { HostState, readHosts } from '../platform/host-list-client.ts';
+import { HostDirectory, listLiveRouters } from '../platform/host-directory.ts';
 import type { Host } from '../platform/host-list-client.ts';
 import { LinkHub } from './link-hub.ts';
+import type { DialTarget } from './link-hub.ts';
 import { LinkListener } from './link-listener.ts';
 
-/** Time between two looks at the host list. */
-const HOST_LIST_PERIOD_MS = 1_000;
+/** Time between two looks at links that are no longer wanted. */
+const RETIRE_PERIOD_MS = 1_000;
 
 class LinksPlugin extends Plugin {
   override readonly name = 'links';
@@ -23,6 +29,7 @@
   override readonly requires = ['status'];
   private kernel: Kernel | undefined;
   private hub: LinkHub | undefined;
+  private directory: HostDirectory | undefined;
   private listener: LinkListener | undefined;
   private timer: Timer | undefined;
 
@@ -40,6 +47,7 @@
       peers: hub.peers().map((peer) => peer.host),
       ...traffic,
     }));
+    this.directory = this.followHosts(kernel, hub);
     this.kernel = kernel;
     return Promise.resolve();
   }
@@ -48,10 +56,11 @@
     const { kernel, hub } = this;
     if (kernel === undefined || hub === undefined) return;
     if (kernel.role === Role.Router) await this.listen(kernel, hub);
-    else this.followHosts(kernel, hub);
+    this.directory?.start();
   }
 
   override async stop(): Promise<void> {
+    this.directory?.stop();
     this.timer?.stop();
     this.listener?.close();
     this.hub?.close();
@@ -65,24 +74,30 @@
     kernel.part(statusBoardKey).add('address.links', () => address);
   }
 
-  private followHosts(kernel: Kernel, hub: LinkHub): void {
-    const url = kernel.part(sidecarSettingsKey).platform.hosts;
-    const look = (): void => {
-      readHosts(url)
-        .then((hosts) => hub.dialOnly(routerAddresses(hosts)))
-        .catch((error: unknown) => {
-          kernel.log.warn({ event: 'host_list.unavailable', error: describeError(error) });
-        });
-    };
-    look();
-    this.timer = kernel.clock.every(HOST_LIST_PERIOD_MS, look);
+  private followHosts(kernel: Kernel, hub: LinkHub): HostDirectory {
+    const { clock, log, role, host } = kernel;
+    const { platform } =
+      role === Role.Router ? kernel.part(routerSettingsKey) : kernel.part(sidecarSettingsKey);
+    const directory = new HostDirectory({ url: platform.hosts, clock, log });
+    let targets: DialTarget[] = [];
+    directory.onChange((hosts) => {
+      targets = chooseTargets(role, host, hosts);
+      hub.dialOnly(targets);
+    });
+    this.timer = clock.every(RETIRE_PERIOD_MS, () => hub.dialOnly(targets));
+    kernel.provide(hostDirectoryKey, directory);
+    return directory;
   }
 }
 
-/** Addresses of the live routers in a host list. */
-export function routerAddresses(hosts: readonly Host[]): Set<string> {
-  const live = hosts.filter((host) => host.role === Role.Router && host.state === HostState.Live);
-  return new Set(live.flatMap((host) => host.address ?? []));
+/** The routers that a process dials, given the host list. */
+export function chooseTargets(role: Role, self: string, hosts: readonly Host[]): DialTarget[] {
+  const routers = listLiveRouters(hosts);
+  const names = routers.map((router) => router.id);
+  const chosen = role === Role.Router ? selectNeighbours(self, names) : selectRouters(self, names);
+  return routers
+    .filter((router) => chosen.has(router.id))
+    .map(({ id, address }) => ({ host: id, address }));
 }
 
 registerPlugin(() => new LinksPlugin());
--- a/packages/fleet/src/link/link-dialler.ts
+++ b/packages/fleet/src/link/link-dialler.ts
@@ -21,6 +21,8 @@
   /** Called with each new link, before anything has arrived on it. */
   onOpen: (link: Link) => void;
   onClose: (link: Link, reason: string) => void;
+  /** Whether a link is missing; while it is not, the dialler waits. */
+  isNeeded?: () => boolean;
   /** Random number in [0, 1) for jitter. */
   random?: () => number;
 }
@@ -40,6 +42,24 @@
     this.dial();
   }
 
+  /** Whether the link that this dialler made is open. */
+  get isLinked(): boolean {
+    return this.link !== undefined;
+  }
+
+  /** Dials no more; an open link stays open until its owner closes it. */
+  retire(): void {
+    this.stopped = true;
+    this.retry?.stop();
+  }
+
+  /** Dials again, where it had been told not to. */
+  revive(): void {
+    if (!this.stopped) return;
+    this.stopped = false;
+    if (this.link === undefined) this.dialLater();
+  }
+
   /** Closes the link and dials no more. */
   stop(): void {
     this.stopped = true;
@@ -48,6 +68,10 @@
   }
 
   private dial(): void {
+    if (this.options.isNeeded?.() === false) {
+      this.dialLater();
+      return;
+    }
     const { ip, port } = parseAddress(this.options.address);
     const socket = connect({ host: ip, port });
     const timeout = this.options.clock.after(CONNECT_TIMEOUT_MS, () => socket.destroy());
--- a/packages/fleet/src/link/link-hub.ts
+++ b/packages/fleet/src/link/link-hub.ts
@@ -1,7 +1,8 @@
 /**
  * The links of one process and the peers behind them. Plug-ins register handlers for every link and
  * listeners for peers; a peer is known once the hello has passed. A later link of the same host
- * replaces the earlier one, which may have gone silent without either end noticing.
+ * replaces the earlier one, which may have gone silent without either end noticing; where two hosts
+ * have dialled each other at the same time, both keep the link of the one whose name comes first.
  */
 import type { Socket } from 'node:net';
 import type { Clock, Logger, Metrics, Role } from '@poplarpick/kernel';
@@ -15,6 +16,8 @@
 /** A process at the other end of a link. */
 export interface Peer extends Hello {
   link: Link;
+  /** Whether this process has dialled the link. */
+  dialled: boolean;
 }
 
 /** A process of another fleet has said hello. */
@@ -28,6 +31,13 @@
 type LinkSetup = (link: Link) => void;
 type PeerListener = (peer: Peer) => void;
 type LossListener = (peer: Peer, reason: string) => void;
+type LinkUse = (peer: Peer) => boolean;
+
+/** A host to dial. */
+export interface DialTarget {
+  host: string;
+  address: string;
+}
 
 /** Options of a `LinkHub`. */
 export interface LinkHubOptions {
@@ -44,7 +54,8 @@
   private readonly setups: LinkSetup[] = [];
   private readonly joinListeners: PeerListener[] = [];
   private readonly lossListeners: LossListener[] = [];
-  private readonly diallers = new Map<string, LinkDialler>();
+  private readonly uses: LinkUse[] = [];
+  private readonly diallers = new Map<string, { host: string; dialler: LinkDialler }>();
   private readonly peersByLink = new Map<Link, Peer>();
   private readonly peersByHost = new Map<string, Peer>();
   private readonly open = new Set<Link>();
@@ -81,15 +92,24 @@
     return this.peersByHost.get(host);
   }
 
-  /** Dials exactly these addresses; links to others that were dialled are closed. */
-  dialOnly(addresses: ReadonlySet<string>): void {
-    for (const [address, dialler] of this.diallers) {
-      if (addresses.has(address)) continue;
-      this.diallers.delete(address);
-      dialler.stop();
+  /** Registers a reason to keep the link to a peer open although it is not to be dialled any more. */
+  onUse(use: LinkUse): void {
+    this.uses.push(use);
+  }
+
+  /**
+   * Dials exactly these hosts. Links to others that were dialled are closed once no use of them is
+   * left, so a call repeated from time to time closes them in the end.
+   */
+  dialOnly(targets: readonly DialTarget[]): void {
+    const wanted = new Map(targets.map(({ host, address }) => [address, host]));
+    for (const [address, { host, dialler }] of this.diallers) {
+      if (wanted.get(address) === host) dialler.revive();
+      else this.retire(address, host, dialler);
     }
-    for (const address of addresses) {
-      if (!this.diallers.has(address)) this.diallers.set(address, this.makeDialler(address));
+    for (const [address, host] of wanted) {
+      if (this.diallers.has(address)) continue;
+      this.diallers.set(address, { host, dialler: this.makeDialler(address, host) });
     }
   }
 
@@ -109,11 +129,20 @@
 
   /** Closes all links. */
   close(): void {
-    this.dialOnly(new Set());
+    for (const { dialler } of this.diallers.values()) dialler.stop();
+    this.diallers.clear();
     for (const link of [...this.open]) link.close('process is stopping');
   }
 
-  private makeDialler(address: string): LinkDialler {
+  private retire(address: string, host: string, dialler: LinkDialler): void {
+    const peer = this.peersByHost.get(host);
+    dialler.retire();
+    if (peer !== undefined && dialler.isLinked && this.uses.some((use) => use(peer))) return;
+    this.diallers.delete(address);
+    dialler.stop();
+  }
+
+  private makeDialler(address: string, host: string): LinkDialler {
     const { clock, log, traffic } = this.options;
     return new LinkDialler({
       address,
@@ -122,6 +151,7 @@
       traffic,
       onOpen: (link) => this.introduce(link),
       onClose: (link, reason) => this.lose(link, reason),
+      isNeeded: () => !this.peersByHost.has(host),
     });
   }
 
@@ -129,7 +159,7 @@
     this.prepare(link);
     link
       .call(CallMethod.Hello, this.options.hello)
-      .then((hello) => this.join({ ...hello, link }))
+      .then((hello) => this.join({ ...hello, link, dialled: true }))
       .catch((error: unknown) => {
         this.options.log.warn({
           event: 'link.hello_failed',
@@ -145,7 +175,7 @@
       this.options.log.warn({ event: 'link.wrong_fleet', remote: link.remote, fleet: hello.fleet });
       throw new WrongFleetError(hello.fleet, this.options.hello.fleet);
     }
-    this.join({ ...hello, link });
+    this.join({ ...hello, link, dialled: false });
     return this.options.hello;
   }
 
@@ -156,13 +186,26 @@
 
   private join(peer: Peer): void {
     if (peer.link.isClosed) return;
-    this.peersByHost.get(peer.host)?.link.close('replaced by a newer link');
+    const earlier = this.peersByHost.get(peer.host);
+    if (earlier !== undefined && this.isKept(earlier, peer)) {
+      peer.link.close('the other link between these hosts is kept');
+      return;
+    }
+    earlier?.link.close('replaced by a newer link');
     this.peersByHost.set(peer.host, peer);
     this.peersByLink.set(peer.link, peer);
     this.options.log.info({ event: 'peer.joined', peer: peer.host, role: peer.role });
     this.joinListeners.forEach((listener) => listener(peer));
   }
 
+  /** Whether the earlier of two links stays: both hosts have dialled, and this one's dialler comes first. */
+  private isKept(earlier: Peer, later: Peer): boolean {
+    if (earlier.incarnation !== later.incarnation || earlier.dialled === later.dialled)
+      return false;
+    const ownComesFirst = this.options.hello.host < later.host;
+    return earlier.dialled === ownComesFirst;
+  }
+
   private lose(link: Link, reason: string): void {
     this.open.delete(link);
     const peer = this.peersByLink.get(link);
--- a/packages/fleet/src/parts.ts
+++ b/packages/fleet/src/parts.ts
@@ -4,6 +4,7 @@
 import type { Admission } from './sidecar/admission.ts';
 import type { ConfigurationTask } from './configuration/configuration-task.ts';
 import type { Dispatcher } from './router/dispatcher.ts';
+import type { HostDirectory } from './platform/host-directory.ts';
 import type { LinkHub } from './link/link-hub.ts';
 import type { LinkTraffic } from './link/link.ts';
 import type { StatusBoard } from './operators/status-board.ts';
@@ -23,6 +24,7 @@
 export const trafficKey = createPartKey<LinkTraffic>('link traffic');
 export const statusBoardKey = createPartKey<StatusBoard>('status board');
 export const configurationKey = createPartKey<ConfigurationTask>('configuration');
+export const hostDirectoryKey = createPartKey<HostDirectory>('host directory');
 export const linkHubKey = createPartKey<LinkHub>('link hub');
 export const dispatcherKey = createPartKey<Dispatcher>('dispatcher');
 export const admissionKey = createPartKey<Admission>('admission');
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -122,6 +122,11 @@
     return { slots, running, claiming, kept: this.executions.size, draining };
   }
 
+  /** Whether an answer runs or waits to be settled that a router is still to receive. */
+  holdsWorkOf(router: string): boolean {
+    return [...this.executions.values()].some((execution) => execution.router === router);
+  }
+
   /** Refuses new work and resolves when nothing runs. */
   async drain(): Promise<void> {
     this.post({ kind: AdmissionMessageKind.Drain });
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -108,6 +108,7 @@
       admission.post({ kind: AdmissionMessageKind.Settle, reference }),
     );
   });
+  hub.onUse((peer) => admission.holdsWorkOf(peer.host));
   hub.onJoin((peer) => {
     if (peer.role === Role.Router) admission.post({ kind: AdmissionMessageKind.Join, peer });
   });
