Keep the life of a request as plain data

A request that was queued again after an attempt that may have run was failed as not-run when its deadline passed or its next attempt was refused. The life now remembers such attempts. A sidecar that may have forgotten an attempt is no longer taken as proof that it never ran, an end no longer overtakes the frames that are resumed, and a claim that times out closes its link, since its grant would be waited for until the deadline. A sidecar cancels what a router granted before it restarted.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -8,3 +8,4 @@
 export * from './request/request-queues.ts';
 export * from './power/slot-budget.ts';
 export * from './request/lost-attempt.ts';
+export * from './request/request-life.ts';
--- a/packages/decisions/src/request/lost-attempt.test.ts
+++ b/packages/decisions/src/request/lost-attempt.test.ts
@@ -4,11 +4,13 @@
 import { AttemptLoss, decideLostAttempt, LossAction } from './lost-attempt.ts';
 
 const losses = fc.record({
-  loss: fc.constantFrom(AttemptLoss.NeverStarted, AttemptLoss.SidecarGone),
+  loss: fc.constantFrom(...Object.values(AttemptLoss)),
   repeatable: fc.boolean(),
   delivered: fc.boolean(),
   attempts: fc.integer({ min: 1, max: 5 }),
   attemptLimit: fc.constant(3),
+  mayHaveRunBefore: fc.boolean(),
+  retryAllowed: fc.boolean(),
 });
 
 describe('decideLostAttempt', () => {
@@ -22,11 +24,12 @@
     );
   });
 
-  it('says not-run only where the sidecar never started it', () => {
+  it('says not-run only where no attempt can have run', () => {
     fc.assert(
       fc.property(losses, (lost) => {
         if (decideLostAttempt(lost).verdict !== Verdict.NotRun) return;
         expect(lost.loss).to.equal(AttemptLoss.NeverStarted);
+        expect(lost.mayHaveRunBefore).to.equal(false);
       }),
     );
   });
@@ -38,6 +41,8 @@
       delivered: false,
       attempts: 3,
       attemptLimit: 3,
+      mayHaveRunBefore: false,
+      retryAllowed: true,
     });
     expect(decision.action).to.equal(LossAction.Fail);
   });
--- a/packages/decisions/src/request/lost-attempt.ts
+++ b/packages/decisions/src/request/lost-attempt.ts
@@ -11,6 +11,8 @@
   NeverStarted = 'never-started',
   /** The sidecar restarted or stayed away: it may have run. */
   SidecarGone = 'sidecar-gone',
+  /** The endpoint failed in a way that leaves open whether it ran the request. */
+  EndpointFailed = 'endpoint-failed',
 }
 
 /** What to do with the request. */
@@ -29,6 +31,10 @@
   attempts: number;
   /** Most attempts of one request. */
   attemptLimit: number;
+  /** Whether an earlier attempt may have run. */
+  mayHaveRunBefore: boolean;
+  /** Whether the retry budget and the deadline leave room for another attempt. */
+  retryAllowed: boolean;
 }
 
 /** The decision, with the failure that the caller is told where there is one. */
@@ -44,12 +50,18 @@
   const code = lost.delivered ? ErrorCode.Incomplete : ErrorCode.ConnectionLost;
   const mayRunAgain = verdict === Verdict.NotRun || (lost.repeatable && !lost.delivered);
   if (!mayRunAgain) return { action: LossAction.Fail, code, verdict };
-  if (lost.attempts >= lost.attemptLimit)
-    return { action: LossAction.Fail, code: ErrorCode.NoEndpoint, verdict };
+  if (lost.attempts >= lost.attemptLimit || !lost.retryAllowed)
+    return { action: LossAction.Fail, code: codeOfLastAttempt(lost), verdict };
   return { action: LossAction.Requeue, code, verdict };
 }
 
 function verdictOf(lost: LostAttempt): Verdict {
   if (lost.delivered) return Verdict.Ran;
-  return lost.loss === AttemptLoss.NeverStarted ? Verdict.NotRun : Verdict.MayHaveRun;
+  if (lost.loss !== AttemptLoss.NeverStarted || lost.mayHaveRunBefore) return Verdict.MayHaveRun;
+  return Verdict.NotRun;
+}
+
+function codeOfLastAttempt(lost: LostAttempt): ErrorCode {
+  if (lost.loss === AttemptLoss.EndpointFailed) return ErrorCode.EndpointFailed;
+  return ErrorCode.NoEndpoint;
 }
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -5,11 +5,15 @@
  */
 import {
   AttemptLoss,
-  decideLostAttempt,
+  classifyMissing,
+  endLife,
   EndpointKind,
+  joinVerdict,
   keyOf,
   LossAction,
   RequestQueues,
+  settleAttempt,
+  verdictOfUnfinished,
 } from '@poplarpick/decisions';
 import type { FleetConfiguration, LineCount, QueueLine } from '@poplarpick/decisions';
 import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
@@ -26,15 +30,12 @@
   Refusal,
   ResumeAnswer,
 } from '../messages.ts';
-import { EndCheck, RequestPhase, RoutedRequest } from './routed-request.ts';
+import { EndCheck, RoutedRequest } from './routed-request.ts';
 import type { Submission } from './routed-request.ts';
 
 /** Time for which a lost sidecar may come back before its requests are settled without it. */
 export const SIDECAR_GRACE_MS = 8_000;
 
-/** Most attempts of one request. */
-const ATTEMPT_LIMIT = 3;
-
 /** Period of the look at deadlines and lost sidecars. */
 const TICK_MS = 50;
 
@@ -243,8 +244,10 @@
   private settleMissing(peer: Peer, kept: ReadonlySet<string>): void {
     for (const request of this.heldBy(peer.host)) {
       if (kept.has(request.id)) continue;
-      const sameProcess = request.holder?.incarnation === peer.incarnation;
-      this.settleLoss(request, sameProcess ? AttemptLoss.NeverStarted : AttemptLoss.SidecarGone);
+      const now = this.clock.monotonic();
+      const grantAgeMs = now - request.grantedAt;
+      const missing = { sender: peer, grantAgeMs, expired: now >= request.deadlineAt };
+      this.settleLoss(request, classifyMissing(request.life, missing));
     }
   }
 
@@ -259,8 +262,8 @@
     const request = this.takeFirst(peer, claim);
     if (request === undefined) return {};
     this.markDirty(request.line);
-    request.grantTo({ host: peer.host, incarnation: peer.incarnation });
     const now = this.clock.monotonic();
+    request.grantTo({ host: peer.host, incarnation: peer.incarnation }, now);
     this.metrics.timing(Metric.QueueMs, now - request.arrivedAt);
     this.log.debug({
       event: 'request.granted',
@@ -300,7 +303,8 @@
     if (request === undefined) return;
     if (end.failure !== undefined) {
       const { message, ...failure } = end.failure;
-      this.fail(request, new RequestError(message, failure));
+      const verdict = joinVerdict(request.life, failure.verdict);
+      this.fail(request, new RequestError(message, { ...failure, verdict }));
       return;
     }
     if (request.check(end) === EndCheck.Damaged) {
@@ -336,18 +340,14 @@
       this.settleLoss(request, AttemptLoss.NeverStarted);
       return;
     }
-    const { code, verdict, message } = refusal;
+    const { code, message } = refusal;
+    const verdict = joinVerdict(request.life, refusal.verdict);
     this.fail(request, new RequestError(message, { code, verdict }));
   }
 
   private settleLoss(request: RoutedRequest, loss: AttemptLoss): void {
-    const decision = decideLostAttempt({
-      loss,
-      repeatable: request.job.repeatable,
-      delivered: request.delivered,
-      attempts: request.attempt,
-      attemptLimit: ATTEMPT_LIMIT,
-    });
+    const { life, decision } = settleAttempt(request.life, loss);
+    request.life = life;
     if (decision.action === LossAction.Fail) {
       const { code, verdict } = decision;
       this.fail(
@@ -362,8 +362,6 @@
       attempt: request.attempt,
       loss,
     });
-    request.phase = RequestPhase.Queued;
-    request.holder = undefined;
     this.queues.putBack(request);
     this.markDirty(request.line);
   }
@@ -381,7 +379,7 @@
   }
 
   private expire(request: RoutedRequest): void {
-    const verdict = verdictOfUnfinished(request);
+    const verdict = verdictOfUnfinished(request.life);
     this.release(request);
     this.fail(
       request,
@@ -404,7 +402,7 @@
   }
 
   private end(request: RoutedRequest): void {
-    request.phase = RequestPhase.Ended;
+    request.life = endLife(request.life);
     this.requests.delete(request.id);
     if (this.requests.size > 0) return;
     this.onIdle?.();
@@ -418,11 +416,7 @@
   /** The request if `reference` names its current attempt and `peer` holds it. */
   private findAttempt(peer: Peer, reference: AttemptReference): RoutedRequest | undefined {
     const request = this.requests.get(reference.request);
-    if (request?.phase !== RequestPhase.HandedOver || request.attempt !== reference.attempt)
-      return undefined;
-    const { holder } = request;
-    if (holder?.host !== peer.host || holder.incarnation !== peer.incarnation) return undefined;
-    return request;
+    return request?.isHeldBy(peer, reference.attempt) === true ? request : undefined;
   }
 
   private queueLimit(workspace: string): number {
@@ -478,12 +472,6 @@
   }
 }
 
-/** What can be said of a request that ends before its answer does. */
-function verdictOfUnfinished(request: RoutedRequest): Verdict {
-  if (request.delivered) return Verdict.Ran;
-  return request.phase === RequestPhase.Queued ? Verdict.NotRun : Verdict.MayHaveRun;
-}
-
 function asBuffer(data: Uint8Array): Buffer {
   return Buffer.isBuffer(data) ? data : Buffer.from(data.buffer, data.byteOffset, data.byteLength);
 }
--- a/packages/fleet/src/router/routed-request.ts
+++ b/packages/fleet/src/router/routed-request.ts
@@ -1,24 +1,11 @@
 /** One request as its router knows it, from its arrival to its end. */
 import { createHash } from 'node:crypto';
 import type { Hash } from 'node:crypto';
-import type { QueueEntry, QueueLine } from '@poplarpick/decisions';
+import { createLife, grantAttempt, isCurrentAttempt, noteDelivery } from '@poplarpick/decisions';
+import type { Holder, QueueEntry, QueueLine, RequestLife } from '@poplarpick/decisions';
 import type { End, Frame, Job } from '../messages.ts';
 import type { AnswerSink } from './answer-sink.ts';
 
-/** Where a request stands. */
-export enum RequestPhase {
-  Queued = 'queued',
-  /** Granted to a sidecar, which may or may not have received it. */
-  HandedOver = 'handed-over',
-  Ended = 'ended',
-}
-
-/** The sidecar to which a request is granted. */
-export interface Holder {
-  host: string;
-  incarnation: string;
-}
-
 /** A request that a caller's connection submits. */
 export interface Submission {
   /** UUIDv7. */
@@ -47,13 +34,11 @@
   readonly arrivedAt: number;
   /** Monotonic time of the caller's deadline. */
   readonly deadlineAt: number;
-  phase = RequestPhase.Queued;
-  holder: Holder | undefined;
-  attempt = 0;
+  life: RequestLife;
+  /** Monotonic time of the latest grant. */
+  grantedAt = 0;
   /** Frames of this attempt that arrived in order. */
   frames = 0;
-  /** Whether a frame has reached the caller. */
-  delivered = false;
   private bytes = 0;
   private hash: Hash = createHash('sha256');
 
@@ -66,28 +51,42 @@
       workspace: submission.job.workspace,
       pin: submission.pin,
     };
+    this.life = createLife(submission.job.repeatable);
     this.arrivedAt = now;
     this.deadlineAt = now + submission.deadlineMs;
   }
 
+  /** Counts the grants so far. */
+  get attempt(): number {
+    return this.life.attempt;
+  }
+
+  /** The sidecar that has the request. */
+  get holder(): Holder | undefined {
+    return this.life.holder;
+  }
+
   /** Hands the request to a sidecar as a new attempt. */
-  grantTo(holder: Holder): void {
-    this.phase = RequestPhase.HandedOver;
-    this.holder = holder;
-    this.attempt += 1;
+  grantTo(holder: Holder, now: number): void {
+    this.life = grantAttempt(this.life, holder);
+    this.grantedAt = now;
     this.frames = 0;
     this.bytes = 0;
     this.hash = createHash('sha256');
   }
 
-  /** Takes a frame if it is the next of this attempt; says whether it was. */
+  /** Whether a message of a sidecar is about the current attempt. */
+  isHeldBy(sender: Holder, attempt: number): boolean {
+    return isCurrentAttempt(this.life, sender, attempt);
+  }
+
+  /** Takes a frame of the current attempt if it is the next; says whether it was. */
   accept(frame: Frame): boolean {
-    if (this.phase !== RequestPhase.HandedOver || frame.attempt !== this.attempt) return false;
     if (frame.sequence !== this.frames) return false;
     this.frames += 1;
     this.bytes += frame.data.length;
     this.hash.update(frame.data);
-    this.delivered = true;
+    this.life = noteDelivery(this.life);
     return true;
   }
 
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -3,7 +3,7 @@
  * least service for its weight across the fleet; what is granted runs at once. Answers are kept until
  * their router has settled them, so that a lost link costs nothing.
  */
-import { computeSlotBudget, FairShare, findWeight } from '@poplarpick/decisions';
+import { computeSlotBudget, EXECUTION_KEEP_MS, FairShare, findWeight } from '@poplarpick/decisions';
 import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
@@ -23,9 +23,6 @@
 import { Execution } from './execution.ts';
 import { ServiceMeter } from './service-meter.ts';
 
-/** Time for which an answer that no router settles is kept. */
-const ANSWER_KEEP_MS = 60_000;
-
 /** Time after which a repeatable run is cancelled if its router stays away. */
 const ORPHAN_MS = 20_000;
 
@@ -98,6 +95,8 @@
   private readonly fairShare = new FairShare();
   private readonly backlog = new BacklogView();
   private readonly routers = new Map<string, Peer>();
+  /** Routers that have answered the resumption on their link; before, nothing is sent to them. */
+  private readonly resumed = new Set<Peer>();
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
@@ -196,6 +195,7 @@
   }
 
   private join(peer: Peer): void {
+    this.cancelOrphans(peer);
     const held = [...this.executions.values()]
       .filter((execution) => execution.router === peer.host)
       .filter((execution) => execution.routerIncarnation === peer.incarnation)
@@ -207,7 +207,18 @@
       .catch(() => peer.link.close('resume failed'));
   }
 
+  /** Cancels what an earlier process of a router granted: its callers' connections ended with it. */
+  private cancelOrphans(peer: Peer): void {
+    for (const execution of [...this.executions.values()]) {
+      if (execution.router !== peer.host || execution.routerIncarnation === peer.incarnation)
+        continue;
+      this.cancel({ request: execution.id, attempt: execution.grant.attempt });
+    }
+  }
+
   private resume(peer: Peer, answer: ResumeAnswer): void {
+    if (this.routers.get(peer.host) !== peer) return;
+    this.resumed.add(peer);
     for (const reference of answer.drop) this.cancel(reference);
     for (const { request, attempt, from } of answer.resume) {
       const execution = this.find({ request, attempt });
@@ -218,6 +229,7 @@
   }
 
   private lose(peer: Peer): void {
+    this.resumed.delete(peer);
     if (this.routers.get(peer.host) !== peer) return;
     this.routers.delete(peer.host);
     this.outbox.delete(peer.host);
@@ -254,7 +266,11 @@
     peer.link
       .call(CallMethod.Claim, { lines })
       .then(answered)
-      .catch(() => answered({}));
+      .catch(() => {
+        // A grant that is still under way must not be taken later, nor be waited for by the router.
+        peer.link.close('claim failed');
+        answered({});
+      });
   }
 
   private acceptAnswer(peer: Peer, lines: ClaimLine[], { grant }: ClaimAnswer): void {
@@ -320,7 +336,7 @@
     if (execution.end !== undefined) return;
     const frame = execution.append(data, cost);
     this.options.meter.charge(execution.grant.job.workspace, cost);
-    if (!this.routers.has(execution.router)) return;
+    if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
     this.outbox.set(execution.router, waiting);
@@ -332,8 +348,7 @@
     const end = execution.finish(this.options.clock.monotonic(), cost, error);
     this.options.meter.charge(execution.grant.job.workspace, cost);
     this.flush();
-    const peer = this.routers.get(execution.router);
-    if (peer?.incarnation === execution.routerIncarnation) peer.link.notify(NoticeMethod.End, end);
+    this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
     this.freeSlot(execution);
   }
 
@@ -384,7 +399,7 @@
   private tick(): void {
     const now = this.options.clock.monotonic();
     for (const execution of [...this.executions.values()]) {
-      if (execution.end !== undefined && now - execution.endedAt > ANSWER_KEEP_MS) {
+      if (execution.end !== undefined && now - execution.endedAt > EXECUTION_KEEP_MS) {
         this.executions.delete(execution.id);
       } else if (execution.end === undefined && now > execution.deadlineAt + ORPHAN_MS) {
         this.cancel({ request: execution.id, attempt: execution.grant.attempt });
@@ -393,6 +408,13 @@
     this.schedule();
   }
 
+  /** The router of an execution, if it is linked and knows from where the answer goes on. */
+  private findRouter(execution: Execution): Peer | undefined {
+    const peer = this.routers.get(execution.router);
+    if (peer?.incarnation !== execution.routerIncarnation) return undefined;
+    return this.resumed.has(peer) ? peer : undefined;
+  }
+
   private find({ request, attempt }: AttemptReference): Execution | undefined {
     const execution = this.executions.get(request);
     return execution?.grant.attempt === attempt ? execution : undefined;
