Move claiming out of the admission

Claims, the backlog view and the fair choice become a module of their own, so that execution and claiming can change apart. No change of behaviour.

--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -3,25 +3,18 @@
  * least service for its weight across the fleet; what is granted runs at once. Answers are kept until
  * their router has settled them, so that a lost link costs nothing.
  */
-import { computeSlotBudget, FairShare, findWeight } from '@poplarpick/decisions';
+import { computeSlotBudget } from '@poplarpick/decisions';
 import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
-import type {
-  AttemptReference,
-  Backlog,
-  ClaimAnswer,
-  ClaimLine,
-  Frame,
-  Grant,
-  ResumeAnswer,
-} from '../messages.ts';
-import { BacklogView } from './backlog-view.ts';
+import type { AttemptReference, Backlog, Frame, Grant, ResumeAnswer } from '../messages.ts';
+import { Claimer } from './claimer.ts';
+import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
-import { ServiceMeter } from './service-meter.ts';
+import type { ServiceMeter } from './service-meter.ts';
 
 /** Time for which an answer that no router settles is kept. */
 const ANSWER_KEEP_MS = 60_000;
@@ -57,7 +50,7 @@
   | { kind: AdmissionMessageKind.Resumed; peer: Peer; answer: ResumeAnswer }
   | { kind: AdmissionMessageKind.Lose; peer: Peer }
   | { kind: AdmissionMessageKind.Backlog; peer: Peer; backlog: Backlog }
-  | { kind: AdmissionMessageKind.Answered; peer: Peer; lines: ClaimLine[]; answer: ClaimAnswer }
+  | { kind: AdmissionMessageKind.Answered; claim: AnsweredClaim }
   | { kind: AdmissionMessageKind.Totals; totals: ServiceEntry[] }
   | { kind: AdmissionMessageKind.Cancel; reference: AttemptReference }
   | { kind: AdmissionMessageKind.Settle; reference: AttemptReference }
@@ -95,16 +88,13 @@
 /** Admits requests to one endpoint. */
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
-  private readonly fairShare = new FairShare();
-  private readonly backlog = new BacklogView();
+  private readonly claimer: Claimer;
   private readonly routers = new Map<string, Peer>();
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
-  private configuration: FleetConfiguration | undefined;
   private slots = 0;
   private running = 0;
-  private claiming = 0;
   private draining = false;
   private flushing = false;
   private onIdle: (() => void) | undefined;
@@ -112,14 +102,18 @@
   constructor(options: AdmissionOptions) {
     super('admission', options.log);
     this.options = options;
+    this.claimer = new Claimer({
+      meter: options.meter,
+      onAnswer: (claim) => this.post({ kind: AdmissionMessageKind.Answered, claim }),
+    });
     this.ticker = options.clock.every(TICK_MS, () =>
       this.post({ kind: AdmissionMessageKind.Tick }),
     );
   }
 
   readStatus(): AdmissionStatus {
-    const { slots, running, claiming, draining } = this;
-    return { slots, running, claiming, kept: this.executions.size, draining };
+    const { slots, running, draining } = this;
+    return { slots, running, claiming: this.claimer.count, kept: this.executions.size, draining };
   }
 
   /** Refuses new work and resolves when nothing runs. */
@@ -149,11 +143,11 @@
         this.lose(message.peer);
         return;
       case AdmissionMessageKind.Backlog:
-        this.backlog.update(message.peer.host, message.backlog);
+        this.claimer.updateBacklog(message.peer, message.backlog);
         this.schedule();
         return;
       case AdmissionMessageKind.Answered:
-        this.acceptAnswer(message.peer, message.lines, message.answer);
+        this.acceptAnswer(message.claim);
         return;
       case AdmissionMessageKind.Totals:
         this.options.meter.setTotals(message.totals);
@@ -183,7 +177,7 @@
 
   private configure(configuration: FleetConfiguration): void {
     const { endpoint, host, metrics, log } = this.options;
-    this.configuration = configuration;
+    this.claimer.configure(configuration);
     this.slots = computeSlotBudget(configuration, endpoint);
     const leaving = configuration.planned_stops.some(
       ({ target }) => target === endpoint || target === host,
@@ -201,6 +195,7 @@
       .filter((execution) => execution.routerIncarnation === peer.incarnation)
       .map((execution) => ({ request: execution.id, attempt: execution.grant.attempt }));
     this.routers.set(peer.host, peer);
+    this.claimer.join(peer);
     peer.link
       .call(CallMethod.Resume, { held })
       .then((answer) => this.post({ kind: AdmissionMessageKind.Resumed, peer, answer }))
@@ -218,58 +213,20 @@
   }
 
   private lose(peer: Peer): void {
+    this.claimer.lose(peer);
     if (this.routers.get(peer.host) !== peer) return;
     this.routers.delete(peer.host);
     this.outbox.delete(peer.host);
-    this.backlog.remove(peer.host);
   }
 
   /** Claims requests for all free slots. */
   private schedule(): void {
-    while (!this.draining && this.running + this.claiming < this.slots) {
-      if (!this.claimOne()) return;
-    }
-  }
-
-  /** Claims for the least served workspace; false where nothing waits. */
-  private claimOne(): boolean {
-    this.fairShare.setBacklogged(this.backlog.workspaces(), (workspace) =>
-      this.serviceOf(workspace),
-    );
-    for (const workspace of this.fairShare.rank((name) => this.serviceOf(name))) {
-      const found = this.backlog.findRouter(workspace);
-      const peer = found === undefined ? undefined : this.routers.get(found.router);
-      if (found === undefined || peer === undefined) continue;
-      this.sendClaim(peer, found.lines);
-      return true;
-    }
-    return false;
+    if (!this.draining) this.claimer.claim(this.slots - this.running);
   }
 
-  private sendClaim(peer: Peer, lines: ClaimLine[]): void {
-    const answered = (answer: ClaimAnswer): void =>
-      this.post({ kind: AdmissionMessageKind.Answered, peer, lines, answer });
-    this.claiming += 1;
-    lines.forEach((line) => this.backlog.noteClaim(peer.host, line, 1));
-    peer.link
-      .call(CallMethod.Claim, { lines })
-      .then(answered)
-      .catch(() => answered({}));
-  }
-
-  private acceptAnswer(peer: Peer, lines: ClaimLine[], { grant }: ClaimAnswer): void {
-    this.claiming -= 1;
-    lines.forEach((line) => this.backlog.noteClaim(peer.host, line, -1));
-    // After the link is lost the router counts the grant as not started, so it must not start here.
-    const current = this.routers.get(peer.host) === peer;
-    if (current && grant !== undefined) {
-      const { pool, workspace } = grant.job;
-      const line = lines.find((entry) => entry.pool === pool && entry.workspace === workspace);
-      if (line !== undefined) this.backlog.noteGrant(peer.host, line);
-      this.admit(peer, grant);
-    } else if (current) {
-      this.backlog.noteEmpty(peer.host, lines);
-    }
+  private acceptAnswer(claim: AnsweredClaim): void {
+    const grant = this.claimer.settle(claim);
+    if (grant !== undefined) this.admit(claim.peer, grant);
     this.schedule();
   }
 
@@ -397,9 +354,4 @@
     const execution = this.executions.get(request);
     return execution?.grant.attempt === attempt ? execution : undefined;
   }
-
-  private serviceOf(workspace: string): number {
-    const weight = this.configuration === undefined ? 1 : findWeight(this.configuration, workspace);
-    return this.options.meter.total(workspace) / weight;
-  }
 }
