Tell automatic repairs by one log line and one count

Cause: what the fleet repairs by itself was scattered over log events without a common name or counter. tellRepair writes event=repair.<kind> with cause and subject and counts Metric.Repairs; the link hub tells replaced links.

--- a/packages/fleet/src/link/link-hub.ts
+++ b/packages/fleet/src/link/link-hub.ts
@@ -5,7 +5,7 @@
  */
 import type { Socket } from 'node:net';
 import type { Clock, Logger, Metrics, Role } from '@poplarpick/kernel';
-import { describeError, Metric } from '@poplarpick/kernel';
+import { describeError, Metric, RepairKind, tellRepair } from '@poplarpick/kernel';
 import { CallMethod } from '../messages.ts';
 import type { Hello } from '../messages.ts';
 import { Link } from './link.ts';
@@ -25,6 +25,9 @@
   }
 }
 
+/** Most absent hosts whose loss is remembered. */
+const LOSS_REASON_LIMIT = 4_096;
+
 type LinkSetup = (link: Link) => void;
 type PeerListener = (peer: Peer) => void;
 type LossListener = (peer: Peer, reason: string) => void;
@@ -48,6 +51,8 @@
   private readonly peersByLink = new Map<Link, Peer>();
   private readonly peersByHost = new Map<string, Peer>();
   private readonly open = new Set<Link>();
+  /** Why the last link of each absent host was lost. */
+  private readonly lossReasons = new Map<string, string>();
 
   constructor(options: LinkHubOptions) {
     this.options = options;
@@ -160,15 +165,25 @@
     this.peersByHost.set(peer.host, peer);
     this.peersByLink.set(peer.link, peer);
     this.options.log.info({ event: 'peer.joined', peer: peer.host, role: peer.role });
+    this.tellReplacement(peer);
     this.joinListeners.forEach((listener) => listener(peer));
   }
 
+  private tellReplacement(peer: Peer): void {
+    const cause = this.lossReasons.get(peer.host);
+    if (cause === undefined) return;
+    this.lossReasons.delete(peer.host);
+    tellRepair(this.options, { kind: RepairKind.LinkReplaced, cause, subject: peer.host });
+  }
+
   private lose(link: Link, reason: string): void {
     this.open.delete(link);
     const peer = this.peersByLink.get(link);
     if (peer === undefined) return;
     this.peersByLink.delete(link);
     if (this.peersByHost.get(peer.host) === peer) this.peersByHost.delete(peer.host);
+    if (this.lossReasons.size >= LOSS_REASON_LIMIT) this.lossReasons.clear();
+    this.lossReasons.set(peer.host, reason);
     this.options.metrics.increment(Metric.LinksReplaced, 1, { peer: peer.host });
     this.options.log.info({ event: 'peer.lost', peer: peer.host, reason });
     this.lossListeners.forEach((listener) => listener(peer, reason));
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -3,5 +3,6 @@
 export * from './kernel.ts';
 export * from './log.ts';
 export * from './metrics.ts';
+export * from './repair.ts';
 export * from './request-error.ts';
 export * from './task.ts';
--- /dev/null
+++ b/packages/kernel/src/repair.test.ts
@@ -0,0 +1,31 @@
+import { expect } from 'chai';
+import type { LogEvent } from './log.ts';
+import { Metric, SilentMetrics } from './metrics.ts';
+import type { MetricTags } from './metrics.ts';
+import { RepairKind, tellRepair } from './repair.ts';
+
+class CountedMetrics extends SilentMetrics {
+  readonly counts: { metric: Metric; by: number; tags: MetricTags }[] = [];
+
+  override increment(metric: Metric = Metric.Repairs, by = 1, tags: MetricTags = {}): void {
+    this.counts.push({ metric, by, tags });
+  }
+}
+
+describe('tellRepair', () => {
+  it('writes one line and counts once, both with the cause', () => {
+    const lines: LogEvent[] = [];
+    const write = (line: LogEvent): void => void lines.push(line);
+    const metrics = new CountedMetrics();
+    tellRepair(
+      { log: { debug: write, info: write, warn: write, error: write }, metrics },
+      { kind: RepairKind.LinkReplaced, cause: 'silent', subject: 'router-1' },
+    );
+    expect(lines).to.deep.equal([
+      { event: 'repair.link_replaced', cause: 'silent', subject: 'router-1' },
+    ]);
+    expect(metrics.counts).to.deep.equal([
+      { metric: Metric.Repairs, by: 1, tags: { kind: 'link_replaced', cause: 'silent' } },
+    ]);
+  });
+});
