--- a/packages/decisions/src/membership/overlay.test.ts
+++ b/packages/decisions/src/membership/overlay.test.ts
@@ -28,33 +28,34 @@
 }
 
 describe('selectNeighbours', () => {
+  const routers = nameRouters(DESIGN_ROUTERS);
+  const large = buildOverlay(routers);
+
   it('is symmetric, bounded and connected for any names', () => {
     const names = fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 1, maxLength: 40 });
     fc.assert(
-      fc.property(names, (routers) => {
-        const overlay = buildOverlay(routers);
+      fc.property(names, (few) => {
+        const overlay = buildOverlay(few);
         for (const [name, neighbours] of overlay) {
           expect(neighbours.size).to.be.at.most(2 * OVERLAY_RINGS);
           for (const neighbour of neighbours)
             expect(overlay.get(neighbour)?.has(name)).to.equal(true);
         }
-        expect(countHops(overlay, new Set(routers))).to.have.length(routers.length);
+        expect(countHops(overlay, new Set(few))).to.have.length(few.length);
       }),
       { seed: 6 },
     );
   });
 
   it('reaches every router of the design size within eight hops', () => {
-    const routers = nameRouters(DESIGN_ROUTERS);
-    const hops = countHops(buildOverlay(routers), new Set(routers));
+    const hops = countHops(large, new Set(routers));
     expect(hops).to.have.length(DESIGN_ROUTERS);
     expect(Math.max(...hops)).to.be.at.most(8);
   });
 
   it('keeps the rest connected when a seventh of the routers is lost at once', () => {
-    const routers = nameRouters(DESIGN_ROUTERS);
     const live = new Set(routers.filter((_, index) => index % 7 !== 0));
-    expect(countHops(buildOverlay(routers), live)).to.have.length(live.size);
+    expect(countHops(large, live)).to.have.length(live.size);
   });
 
   it('changes few links when one router comes', () => {
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -3,28 +3,18 @@
  * least service for its weight across the fleet; what is granted runs at once. Answers are kept until
  * their router has settled them, so that a lost link costs nothing.
  */
-import { computeSlotBudget, FairShare, findWeight } from '@poplarpick/decisions';
+import { computeSlotBudget, EXECUTION_KEEP_MS } from '@poplarpick/decisions';
 import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
-import type {
-  AttemptReference,
-  Backlog,
-  ClaimAnswer,
-  ClaimLine,
-  Frame,
-  Grant,
-  ResumeAnswer,
-} from '../messages.ts';
-import { BacklogView } from './backlog-view.ts';
+import type { AttemptReference, Backlog, Frame, Grant, ResumeAnswer } from '../messages.ts';
+import { Claimer } from './claimer.ts';
+import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
-import { ServiceMeter } from './service-meter.ts';
-
-/** Time for which an answer that no router settles is kept. */
-const ANSWER_KEEP_MS = 60_000;
+import type { ServiceMeter } from './service-meter.ts';
 
 /** Time after which a repeatable run is cancelled if its router stays away. */
 const ORPHAN_MS = 20_000;
@@ -57,7 +47,7 @@
   | { kind: AdmissionMessageKind.Resumed; peer: Peer; answer: ResumeAnswer }
   | { kind: AdmissionMessageKind.Lose; peer: Peer }
   | { kind: AdmissionMessageKind.Backlog; peer: Peer; backlog: Backlog }
-  | { kind: AdmissionMessageKind.Answered; peer: Peer; lines: ClaimLine[]; answer: ClaimAnswer }
+  | { kind: AdmissionMessageKind.Answered; claim: AnsweredClaim }
   | { kind: AdmissionMessageKind.Totals; totals: ServiceEntry[] }
   | { kind: AdmissionMessageKind.Cancel; reference: AttemptReference }
   | { kind: AdmissionMessageKind.Settle; reference: AttemptReference }
@@ -95,16 +85,15 @@
 /** Admits requests to one endpoint. */
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
-  private readonly fairShare = new FairShare();
-  private readonly backlog = new BacklogView();
+  private readonly claimer: Claimer;
   private readonly routers = new Map<string, Peer>();
+  /** Routers that have answered the resumption on their link; before, nothing is sent to them. */
+  private readonly resumed = new Set<Peer>();
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
-  private configuration: FleetConfiguration | undefined;
   private slots = 0;
   private running = 0;
-  private claiming = 0;
   private draining = false;
   private flushing = false;
   private onIdle: (() => void) | undefined;
@@ -112,14 +101,18 @@
   constructor(options: AdmissionOptions) {
     super('admission', options.log);
     this.options = options;
+    this.claimer = new Claimer({
+      meter: options.meter,
+      onAnswer: (claim) => this.post({ kind: AdmissionMessageKind.Answered, claim }),
+    });
     this.ticker = options.clock.every(TICK_MS, () =>
       this.post({ kind: AdmissionMessageKind.Tick }),
     );
   }
 
   readStatus(): AdmissionStatus {
-    const { slots, running, claiming, draining } = this;
-    return { slots, running, claiming, kept: this.executions.size, draining };
+    const { slots, running, draining } = this;
+    return { slots, running, claiming: this.claimer.count, kept: this.executions.size, draining };
   }
 
   /** Whether an answer runs or waits to be settled that a router is still to receive. */
@@ -154,11 +147,11 @@
         this.lose(message.peer);
         return;
       case AdmissionMessageKind.Backlog:
-        this.backlog.update(message.peer.host, message.backlog);
+        this.claimer.updateBacklog(message.peer, message.backlog);
         this.schedule();
         return;
       case AdmissionMessageKind.Answered:
-        this.acceptAnswer(message.peer, message.lines, message.answer);
+        this.acceptAnswer(message.claim);
         return;
       case AdmissionMessageKind.Totals:
         this.options.meter.setTotals(message.totals);
@@ -188,7 +181,7 @@
 
   private configure(configuration: FleetConfiguration): void {
     const { endpoint, host, metrics, log } = this.options;
-    this.configuration = configuration;
+    this.claimer.configure(configuration);
     this.slots = computeSlotBudget(configuration, endpoint);
     const leaving = configuration.planned_stops.some(
       ({ target }) => target === endpoint || target === host,
@@ -201,18 +194,31 @@
   }
 
   private join(peer: Peer): void {
+    this.cancelOrphans(peer);
     const held = [...this.executions.values()]
       .filter((execution) => execution.router === peer.host)
       .filter((execution) => execution.routerIncarnation === peer.incarnation)
       .map((execution) => ({ request: execution.id, attempt: execution.grant.attempt }));
     this.routers.set(peer.host, peer);
+    this.claimer.join(peer);
     peer.link
       .call(CallMethod.Resume, { held })
       .then((answer) => this.post({ kind: AdmissionMessageKind.Resumed, peer, answer }))
       .catch(() => peer.link.close('resume failed'));
   }
 
+  /** Cancels what an earlier process of a router granted: its callers' connections ended with it. */
+  private cancelOrphans(peer: Peer): void {
+    for (const execution of [...this.executions.values()]) {
+      if (execution.router !== peer.host || execution.routerIncarnation === peer.incarnation)
+        continue;
+      this.cancel({ request: execution.id, attempt: execution.grant.attempt });
+    }
+  }
+
   private resume(peer: Peer, answer: ResumeAnswer): void {
+    if (this.routers.get(peer.host) !== peer) return;
+    this.resumed.add(peer);
     for (const reference of answer.drop) this.cancel(reference);
     for (const { request, attempt, from } of answer.resume) {
       const execution = this.find({ request, attempt });
@@ -223,58 +229,21 @@
   }
 
   private lose(peer: Peer): void {
+    this.resumed.delete(peer);
+    this.claimer.lose(peer);
     if (this.routers.get(peer.host) !== peer) return;
     this.routers.delete(peer.host);
     this.outbox.delete(peer.host);
-    this.backlog.remove(peer.host);
   }
 
   /** Claims requests for all free slots. */
   private schedule(): void {
-    while (!this.draining && this.running + this.claiming < this.slots) {
-      if (!this.claimOne()) return;
-    }
+    if (!this.draining) this.claimer.claim(this.slots - this.running);
   }
 
-  /** Claims for the least served workspace; false where nothing waits. */
-  private claimOne(): boolean {
-    this.fairShare.setBacklogged(this.backlog.workspaces(), (workspace) =>
-      this.serviceOf(workspace),
-    );
-    for (const workspace of this.fairShare.rank((name) => this.serviceOf(name))) {
-      const found = this.backlog.findRouter(workspace);
-      const peer = found === undefined ? undefined : this.routers.get(found.router);
-      if (found === undefined || peer === undefined) continue;
-      this.sendClaim(peer, found.lines);
-      return true;
-    }
-    return false;
-  }
-
-  private sendClaim(peer: Peer, lines: ClaimLine[]): void {
-    const answered = (answer: ClaimAnswer): void =>
-      this.post({ kind: AdmissionMessageKind.Answered, peer, lines, answer });
-    this.claiming += 1;
-    lines.forEach((line) => this.backlog.noteClaim(peer.host, line, 1));
-    peer.link
-      .call(CallMethod.Claim, { lines })
-      .then(answered)
-      .catch(() => answered({}));
-  }
-
-  private acceptAnswer(peer: Peer, lines: ClaimLine[], { grant }: ClaimAnswer): void {
-    this.claiming -= 1;
-    lines.forEach((line) => this.backlog.noteClaim(peer.host, line, -1));
-    // After the link is lost the router counts the grant as not started, so it must not start here.
-    const current = this.routers.get(peer.host) === peer;
-    if (current && grant !== undefined) {
-      const { pool, workspace } = grant.job;
-      const line = lines.find((entry) => entry.pool === pool && entry.workspace === workspace);
-      if (line !== undefined) this.backlog.noteGrant(peer.host, line);
-      this.admit(peer, grant);
-    } else if (current) {
-      this.backlog.noteEmpty(peer.host, lines);
-    }
+  private acceptAnswer(claim: AnsweredClaim): void {
+    const grant = this.claimer.settle(claim);
+    if (grant !== undefined) this.admit(claim.peer, grant);
     this.schedule();
   }
 
@@ -325,7 +294,7 @@
     if (execution.end !== undefined) return;
     const frame = execution.append(data, cost);
     this.options.meter.charge(execution.grant.job.workspace, cost);
-    if (!this.routers.has(execution.router)) return;
+    if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
     this.outbox.set(execution.router, waiting);
@@ -337,8 +306,7 @@
     const end = execution.finish(this.options.clock.monotonic(), cost, error);
     this.options.meter.charge(execution.grant.job.workspace, cost);
     this.flush();
-    const peer = this.routers.get(execution.router);
-    if (peer?.incarnation === execution.routerIncarnation) peer.link.notify(NoticeMethod.End, end);
+    this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
     this.freeSlot(execution);
   }
 
@@ -389,7 +357,7 @@
   private tick(): void {
     const now = this.options.clock.monotonic();
     for (const execution of [...this.executions.values()]) {
-      if (execution.end !== undefined && now - execution.endedAt > ANSWER_KEEP_MS) {
+      if (execution.end !== undefined && now - execution.endedAt > EXECUTION_KEEP_MS) {
         this.executions.delete(execution.id);
       } else if (execution.end === undefined && now > execution.deadlineAt + ORPHAN_MS) {
         this.cancel({ request: execution.id, attempt: execution.grant.attempt });
@@ -398,13 +366,15 @@
     this.schedule();
   }
 
+  /** The router of an execution, if it is linked and knows from where the answer goes on. */
+  private findRouter(execution: Execution): Peer | undefined {
+    const peer = this.routers.get(execution.router);
+    if (peer?.incarnation !== execution.routerIncarnation) return undefined;
+    return this.resumed.has(peer) ? peer : undefined;
+  }
+
   private find({ request, attempt }: AttemptReference): Execution | undefined {
     const execution = this.executions.get(request);
     return execution?.grant.attempt === attempt ? execution : undefined;
   }
-
-  private serviceOf(workspace: string): number {
-    const weight = this.configuration === undefined ? 1 : findWeight(this.configuration, workspace);
-    return this.options.meter.total(workspace) / weight;
-  }
 }
