--- a/packages/bench/src/integration/command-line.test.ts
+++ b/packages/bench/src/integration/command-line.test.ts
@@ -2,6 +2,8 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import { createInterface } from 'node:readline';
+import type { Readable } from 'node:stream';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -44,6 +46,13 @@
   ].join('\n');
 }
 
+async function findLine(stream: Readable, matches: (line: string) => boolean): Promise<string> {
+  for await (const line of createInterface({ input: stream })) {
+    if (matches(line)) return line;
+  }
+  throw new Error('the output has ended');
+}
+
 describe('the command line', () => {
   let folder: string;
 
@@ -132,6 +141,25 @@
     expect((await runCommand('dance')).code).to.equal(2);
   });
 
+  it('keeps the demo up, with a line that can be pasted for a first request', async () => {
+    const child = spawn(process.execPath, [PROGRAM, 'demo'], {
+      stdio: ['ignore', 'pipe', 'ignore'],
+    });
+    const ended = new Promise<number | null>((resolve) => child.once('exit', resolve));
+    const line = await findLine(child.stdout, (text) => text.startsWith('curl '));
+    const [, url = '', authorization = '', body = ''] =
+      /(http:\S+) -H 'Authorization: ([^']+)'.* -d '([^']+)'/.exec(line) ?? [];
+    const answer = await fetch(url, {
+      method: 'POST',
+      headers: { authorization, 'content-type': 'application/json' },
+      body,
+    });
+    expect(await answer.text()).to.match(/data: \[DONE\]\n\n$/);
+    child.stdout.resume();
+    child.kill('SIGTERM');
+    expect(await ended).to.equal(0);
+  });
+
   it('ends the demo with one line of JSON', async () => {
     const { code, stdout } = await runCommand('demo', '--duration', '3', '--json');
     expect(code).to.equal(0);
--- a/packages/cli/src/demo/demo-fleet.ts
+++ b/packages/cli/src/demo/demo-fleet.ts
@@ -3,6 +3,7 @@
 import {
   admissionKey,
   configurationKey,
+  dispatcherKey,
   HostState,
   linkHubKey,
   startRouter,
@@ -97,6 +98,15 @@
     };
   }
 
+  /** Requests for the model that wait in the routers' queues. */
+  backlog(): number {
+    const { model } = this.site.plan;
+    return this.routers
+      .flatMap((router) => router.part(dispatcherKey).readStatus().backlog)
+      .filter(({ line }) => line.pool === model)
+      .reduce((sum, { count }) => sum + count, 0);
+  }
+
   /** Control bytes sent so far, by all processes. */
   controlBytes(): number {
     return this.kernels().reduce((sum, kernel) => sum + kernel.part(trafficKey).controlBytes, 0);
--- a/packages/cli/src/demo/demo-load.ts
+++ b/packages/cli/src/demo/demo-load.ts
@@ -35,9 +35,12 @@
 const SAMPLE_PERIOD_MS = 100;
 const LEAST_TOKENS = 8;
 const MOST_TOKENS = 160;
-/** Requests a second of one workspace, and of the one that floods. */
-const ORDINARY_RATE = 1.5;
-const FLOOD_RATE = 12;
+/** Requests a second of an ordinary workspace, of a busy one, and of the one that floods. */
+const ORDINARY_RATE = 0.8;
+const BUSY_RATE = 8;
+const FLOOD_RATE = 40;
+/** The first workspace floods, and so many after it are busy. */
+const BUSY_WORKSPACES = 3;
 const BOOKING_RATE = 4;
 
 interface WorkspaceLoad {
@@ -81,9 +84,7 @@
     }));
     this.controlBytesAtStart = fleet.controlBytes();
     this.sampler = setInterval(() => this.sample(), SAMPLE_PERIOD_MS);
-    this.loads.forEach((load, index) =>
-      this.arrive(index === 0 ? FLOOD_RATE : ORDINARY_RATE, () => this.chat(load)),
-    );
+    this.loads.forEach((load, index) => this.arrive(rateOf(index), () => this.chat(load)));
     this.arrive(BOOKING_RATE, () => this.book());
   }
 
@@ -186,9 +187,15 @@
         backlogged: waiting > 0,
       })),
     );
-    if (this.loads.every((load) => load.waiting === 0)) return;
+    if (this.fleet.backlog() === 0) return;
     const { busy, available } = this.fleet.modelSlots();
     this.busySlots += busy;
     this.availableSlots += available;
   }
 }
+
+/** Requests a second of the workspace at an index. */
+function rateOf(index: number): number {
+  if (index === 0) return FLOOD_RATE;
+  return index <= BUSY_WORKSPACES ? BUSY_RATE : ORDINARY_RATE;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -37,6 +37,8 @@
   });
   await run(process.argv.slice(2), config);
   await flush();
+  // Kept-alive connections would hold the process for seconds after its work is done.
+  process.exit();
 }
 
 main().catch(async (error: unknown) => handle(error as Error));
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -60,6 +60,8 @@
   clock?: Clock;
   log?: Logger;
   metrics?: Metrics;
+  /** Plug-ins to choose from; all that are registered by default. */
+  plugins?: readonly PluginMaker[];
 }
 
 /** One process of the system (a test or the demo may run several in one process). */
@@ -71,6 +73,7 @@
   readonly metrics: Metrics;
   readonly broker: ServiceBroker;
   private readonly parts = new Map<symbol, unknown>();
+  private readonly pluginMakers: readonly PluginMaker[];
   private started: Plugin[] = [];
 
   constructor(options: KernelOptions) {
@@ -79,6 +82,7 @@
     this.clock = options.clock ?? new SystemClock();
     this.log = options.log ?? createLogger({ host: options.host });
     this.metrics = options.metrics ?? new SilentMetrics();
+    this.pluginMakers = options.plugins ?? pluginMakers;
     this.broker = new ServiceBroker({
       nodeID: options.host,
       logger: false,
@@ -100,10 +104,11 @@
 
   /** Starts the plug-ins of this kernel's role, then the broker. */
   async start(): Promise<void> {
-    const plugins = pluginMakers.map((make) => make()).filter((p) => p.roles.includes(this.role));
-    for (const plugin of orderPlugins(plugins)) {
-      await plugin.start(this);
+    const plugins = this.pluginMakers.map((make) => make());
+    for (const plugin of orderPlugins(plugins.filter(({ roles }) => roles.includes(this.role)))) {
+      // Noted first, so that a plug-in that fails half-way is stopped too.
       this.started.push(plugin);
+      await plugin.start(this);
     }
     await this.broker.start();
     for (const plugin of this.started) await plugin.open();
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -55,5 +55,14 @@
 
 function formatLine(json: string): string {
   const { ts, level, ...rest } = JSON.parse(json) as Record<string, unknown>;
-  return logfmt.stringify({ ts, level, ...rest });
+  const values = Object.entries({ ts, level, ...rest }).map(([name, value]) => [
+    name,
+    escapeBreaks(value),
+  ]);
+  return logfmt.stringify(Object.fromEntries(values) as Record<string, unknown>);
+}
+
+/** A stack has line breaks, but an event is one line. */
+function escapeBreaks(value: unknown): unknown {
+  return typeof value === 'string' ? value.replaceAll('\n', '\\n') : value;
 }
