Let computed readers follow the service and peers pass documents on

Every router watched the service and adopted whatever came first after a start, so the calls grew with the fleet and a restarted router could begin with an older revision than the one in force before. Now three routers of each data centre, computed from the host list, wait in watches; all other processes check in a period that keeps them under 600 checks a second in all. Versions are ordered by revision and digest; a document crosses each process once, as a difference where the peer knows the earlier one; a starting process hears its peers before it puts a document in force.

--- /dev/null
+++ b/packages/decisions/src/configuration/fetch-plan.ts
@@ -0,0 +1,82 @@
+/**
+ * From which peer to fetch the next document. Peers offer versions; at most one document is fetched at
+ * a time, the newest on offer, so a large one crosses each process's links once. A peer that fails
+ * is asked again only for another offer.
+ */
+import { compareVersions, isNewer, NO_VERSION } from './document-version.ts';
+import type { DocumentVersion } from './document-version.ts';
+
+/** A document to fetch from a peer. */
+export interface Fetch<Peer> {
+  peer: Peer;
+  version: DocumentVersion;
+}
+
+/** Plans the fetches of one process. */
+export class FetchPlan<Peer> {
+  private readonly offers = new Map<Peer, DocumentVersion>();
+  private readonly refused = new Set<string>();
+  private known: DocumentVersion = NO_VERSION;
+  private current: Fetch<Peer> | undefined;
+
+  /** The newest version that this process holds. */
+  get newest(): DocumentVersion {
+    return this.known;
+  }
+
+  get isFetching(): boolean {
+    return this.current !== undefined;
+  }
+
+  /** A peer says that it has a version. */
+  offer(peer: Peer, version: DocumentVersion): void {
+    this.offers.set(peer, version);
+  }
+
+  /** A peer is gone, and a fetch from it with it. */
+  forget(peer: Peer): void {
+    this.offers.delete(peer);
+    if (this.current?.peer === peer) this.current = undefined;
+  }
+
+  /** This process holds a version, from wherever. */
+  hold(version: DocumentVersion): void {
+    if (isNewer(version, this.known)) this.known = version;
+  }
+
+  /** This process has refused a version, will not fetch it again, and goes on with `inForce`. */
+  refuse(version: DocumentVersion, inForce: DocumentVersion): void {
+    this.refused.add(keyOfVersion(version));
+    if (compareVersions(this.known, version) === 0) this.known = inForce;
+  }
+
+  isRefused(version: DocumentVersion): boolean {
+    return this.refused.has(keyOfVersion(version));
+  }
+
+  /** The next fetch to start; undefined where nothing newer is on offer or a fetch is under way. */
+  next(): Fetch<Peer> | undefined {
+    if (this.current !== undefined) return undefined;
+    let best: Fetch<Peer> | undefined;
+    for (const [peer, version] of this.offers) {
+      if (!isNewer(version, this.known) || this.isRefused(version)) continue;
+      if (best === undefined || compareVersions(version, best.version) > 0)
+        best = { peer, version };
+    }
+    this.current = best;
+    return best;
+  }
+
+  /** A fetch has ended; a failed offer counts no more. */
+  finish(fetch: Fetch<Peer>, succeeded: boolean): void {
+    if (this.current === fetch) this.current = undefined;
+    const offered = this.offers.get(fetch.peer);
+    if (!succeeded && offered !== undefined && compareVersions(offered, fetch.version) === 0) {
+      this.offers.delete(fetch.peer);
+    }
+  }
+}
+
+function keyOfVersion({ revision, digest }: DocumentVersion): string {
+  return `${revision} ${digest}`;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,10 @@
 /** Pure decisions of the fleet: no I/O, no clock of their own; the time is passed in. */
+export * from './configuration/document-delta.ts';
+export * from './configuration/document-version.ts';
+export * from './configuration/fetch-plan.ts';
 export * from './configuration/fleet-configuration.ts';
+export * from './configuration/readers.ts';
+export * from './configuration/start-gate.ts';
 export * from './configuration/settings.ts';
 export * from './configuration/toml.ts';
 export * from './fair-share/fair-share.ts';
--- a/packages/fleet/src/configuration/app.ts
+++ b/packages/fleet/src/configuration/app.ts
@@ -1,113 +1,115 @@
 /**
- * Plug-in that keeps the configuration in force: routers watch the configuration service, and every
- * process passes what it has to its peers, which fetch a revision that is higher than their own.
+ * Plug-in that keeps the configuration in force: a few routers of each data centre watch the
+ * configuration service, every process passes what it has to its peers, and a process that has just
+ * started hears its peers before it puts a document in force.
  */
-import { Plugin, registerPlugin, Role, describeError } from '@poplarpick/kernel';
-import type { Kernel } from '@poplarpick/kernel';
-import type { Link } from '../link/link.ts';
-import type { LinkHub } from '../link/link-hub.ts';
-import { CallMethod, NoticeMethod } from '../messages.ts';
-import { configurationKey, linkHubKey, routerSettingsKey, statusBoardKey } from '../parts.ts';
+import { ASSUMED_PROCESSES, isStartComplete, selectReaders } from '@poplarpick/decisions';
+import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
+import type { Kernel, Timer } from '@poplarpick/kernel';
+import {
+  configurationKey,
+  hostDirectoryKey,
+  identityKey,
+  linkHubKey,
+  routerSettingsKey,
+  sidecarSettingsKey,
+  statusBoardKey,
+} from '../parts.ts';
 import { ConfigurationClient } from '../platform/configuration-client.ts';
-import { ConfigurationTask } from './configuration-task.ts';
+import { listLiveRouters } from '../platform/host-directory.ts';
+import type { HostDirectory } from '../platform/host-directory.ts';
+import { ConfigurationMessageKind, ConfigurationTask } from './configuration-task.ts';
+import { PeerExchange } from './peer-exchange.ts';
+import { ServiceFollower } from './service-follower.ts';
 
-const FIRST_RETRY_MS = 100;
-const LONGEST_RETRY_MS = 2_000;
+/** Period of the look at whether the peers have been heard. */
+const START_LOOK_MS = 20;
 
 class ConfigurationPlugin extends Plugin {
   override readonly name = 'configuration';
   override readonly roles = [Role.Router, Role.Sidecar];
   override readonly requires = ['links', 'status'];
   private kernel: Kernel | undefined;
-  private readonly stopping = new AbortController();
+  private exchange: PeerExchange | undefined;
+  private follower: ServiceFollower | undefined;
+  private startTimer: Timer | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
-    const task = new ConfigurationTask(kernel.log, kernel.metrics);
+    const { clock, log, metrics } = kernel;
+    const task = new ConfigurationTask(log, metrics);
     kernel.provide(configurationKey, task);
-    const hub = kernel.part(linkHubKey);
+    this.kernel = kernel;
+    this.exchange = new PeerExchange({ task, hub: kernel.part(linkHubKey), log });
+    const { platform } =
+      kernel.role === Role.Router
+        ? kernel.part(routerSettingsKey)
+        : kernel.part(sidecarSettingsKey);
+    this.follower = new ServiceFollower({
+      client: new ConfigurationClient(platform.configuration),
+      task,
+      clock,
+      log,
+      isReader: () => isReader(kernel),
+      countProcesses: () => countProcesses(kernel.part(hostDirectoryKey), task),
+    });
     kernel.part(statusBoardKey).add('configuration', () => ({
       revision: task.revision,
+      digest: task.version.digest,
       preset: task.current?.configuration.preset ?? null,
       refused: task.lastRefusal ?? null,
+      reader: isReader(kernel),
     }));
-    shareWithPeers(kernel, task, hub);
-    this.kernel = kernel;
     return Promise.resolve();
   }
 
   override async open(): Promise<void> {
     const { kernel } = this;
-    if (kernel?.role === Role.Router) {
-      const client = new ConfigurationClient(kernel.part(routerSettingsKey).platform.configuration);
-      void this.followService(kernel, kernel.part(configurationKey), client);
-    }
+    if (kernel === undefined) return;
+    const startedAt = kernel.clock.monotonic();
+    this.startTimer = kernel.clock.every(START_LOOK_MS, () => {
+      if (!this.hasHeardPeers(kernel, startedAt)) return;
+      this.startTimer?.stop();
+      kernel.part(configurationKey).post({ kind: ConfigurationMessageKind.Open });
+      void this.follower?.run();
+    });
     return Promise.resolve();
   }
 
   override async stop(): Promise<void> {
-    this.stopping.abort();
+    this.startTimer?.stop();
+    this.follower?.stop();
     return Promise.resolve();
   }
 
-  private async followService(
-    kernel: Kernel,
-    task: ConfigurationTask,
-    client: ConfigurationClient,
-  ): Promise<void> {
-    const { signal } = this.stopping;
-    let retryMs = FIRST_RETRY_MS;
-    while (!signal.aborted) {
-      try {
-        const document = await client.watch(task.revision, signal);
-        if (document !== undefined) task.post({ document, source: 'service' });
-        // A stale or refused revision is answered at once, so the next call waits a little.
-        if (document !== undefined && document.revision > task.revision)
-          await pause(kernel, retryMs);
-        retryMs = FIRST_RETRY_MS;
-      } catch (error) {
-        if (signal.aborted) return;
-        kernel.log.warn({
-          event: 'configuration.service_unavailable',
-          error: describeError(error),
-        });
-        await pause(kernel, retryMs);
-        retryMs = Math.min(retryMs * 2, LONGEST_RETRY_MS);
-      }
-    }
+  private hasHeardPeers(kernel: Kernel, startedAt: number): boolean {
+    const directory = kernel.part(hostDirectoryKey);
+    return isStartComplete({
+      elapsedMs: kernel.clock.monotonic() - startedAt,
+      hostsKnown: directory.isRead,
+      expected: kernel.part(linkHubKey).dialledHosts,
+      heard: this.exchange?.heard ?? 0,
+      isFetching: this.exchange?.isFetching ?? false,
+    });
   }
 }
 
-function shareWithPeers(kernel: Kernel, task: ConfigurationTask, hub: LinkHub): void {
-  const fetch = (link: Link): void => {
-    link
-      .call(CallMethod.FetchConfiguration, { revision: task.revision })
-      .then((document) => task.post({ document, source: hub.peerOf(link)?.host ?? link.remote }))
-      .catch((error: unknown) => {
-        kernel.log.warn({
-          event: 'configuration.fetch_failed',
-          remote: link.remote,
-          error: describeError(error),
-        });
-      });
-  };
-  hub.onLink((link) => {
-    link.handleCall(
-      CallMethod.FetchConfiguration,
-      () => task.current?.document ?? { revision: 0, text: '' },
-    );
-    link.handleNotice(NoticeMethod.Revision, ({ revision }) => {
-      if (revision > task.revision) fetch(link);
-    });
-  });
-  hub.onJoin((peer) => peer.link.notify(NoticeMethod.Revision, { revision: task.revision }));
-  task.onChange(({ document }) => {
-    for (const peer of hub.peers())
-      peer.link.notify(NoticeMethod.Revision, { revision: document.revision });
-  });
+/** Whether this process is one of the readers of its data centre. */
+function isReader(kernel: Kernel): boolean {
+  if (kernel.role !== Role.Router) return false;
+  const { host, dataCentre } = kernel.part(identityKey);
+  const routers = listLiveRouters(kernel.part(hostDirectoryKey).hosts)
+    .filter((router) => router.dataCentre === dataCentre)
+    .map((router) => router.id);
+  return selectReaders(dataCentre, [...new Set([...routers, host])]).has(host);
 }
 
-async function pause(kernel: Kernel, delayMs: number): Promise<void> {
-  return new Promise((resolve) => void kernel.clock.after(delayMs, resolve));
+/** Processes of the fleet: those listed, or as many sidecars as endpoints if more. */
+function countProcesses(directory: HostDirectory, task: ConfigurationTask): number {
+  if (!directory.isRead) return ASSUMED_PROCESSES;
+  const routers = directory.hosts.filter((host) => host.role === Role.Router).length;
+  const sidecars = directory.hosts.length - routers;
+  const endpoints = task.current?.configuration.endpoints.length ?? 0;
+  return routers + Math.max(sidecars, endpoints);
 }
 
 registerPlugin(() => new ConfigurationPlugin());
--- a/packages/fleet/src/configuration/configuration-task.ts
+++ b/packages/fleet/src/configuration/configuration-task.ts
@@ -1,16 +1,27 @@
 /**
- * The configuration in force in one process. It only ever moves to a higher revision; a document
- * that fails its checks is refused whole and the last good one stays in force.
+ * The configuration in force in one process. It only ever moves to a newer version; a document that
+ * fails its checks is refused whole and the last good one stays in force. Documents that arrive while
+ * the process is starting are kept until it has heard its peers, and the newest is put in force.
  */
-import { ConfigurationError, parseFleetConfiguration } from '@poplarpick/decisions';
-import type { FleetConfiguration } from '@poplarpick/decisions';
+import { createHash } from 'node:crypto';
+import {
+  ConfigurationError,
+  isNewer,
+  NO_VERSION,
+  parseFleetConfiguration,
+} from '@poplarpick/decisions';
+import type { DocumentVersion, FleetConfiguration } from '@poplarpick/decisions';
 import { Metric, Task } from '@poplarpick/kernel';
 import type { Logger, Metrics } from '@poplarpick/kernel';
 import type { ConfigurationDocument } from '../messages.ts';
 
-/** A revision in force. */
+const DIGEST_LENGTH = 16;
+
+/** A document in force. */
 export interface ConfigurationInForce {
   document: ConfigurationDocument;
+  version: DocumentVersion;
+  /** Frozen, so that a decision works on one revision from its begin to its end. */
   configuration: FleetConfiguration;
 }
 
@@ -21,21 +32,37 @@
   problems: readonly string[];
 }
 
-/** A document has arrived. */
-export interface DocumentOffer {
-  document: ConfigurationDocument;
-  /** Where it came from: the service or a host. */
-  source: string;
+/** Kinds of messages to the configuration task. */
+export enum ConfigurationMessageKind {
+  /** A document has arrived. */
+  Offer,
+  /** The process has heard its peers. */
+  Open,
 }
 
+/** Messages to the configuration task. */
+export type ConfigurationMessage =
+  | {
+      kind: ConfigurationMessageKind.Offer;
+      document: ConfigurationDocument;
+      /** Where it came from: the service or a host. */
+      source: string;
+    }
+  | { kind: ConfigurationMessageKind.Open };
+
 type ChangeListener = (inForce: ConfigurationInForce) => void;
+type RefusalListener = (version: DocumentVersion) => void;
 
-/** Holds the highest good revision seen. */
-export class ConfigurationTask extends Task<DocumentOffer> {
+/** Holds the newest good document seen. */
+export class ConfigurationTask extends Task<ConfigurationMessage> {
   private readonly metrics: Metrics;
   private readonly listeners: ChangeListener[] = [];
+  private readonly refusalListeners: RefusalListener[] = [];
+  private early: { document: ConfigurationDocument; source: string }[] = [];
+  private opened = false;
   private inForce: ConfigurationInForce | undefined;
   private refusal: ConfigurationRefusal | undefined;
+  private highestSeen = 0;
 
   constructor(log: Logger, metrics: Metrics) {
     super('configuration', log);
@@ -48,7 +75,22 @@
 
   /** Revision in force; 0 before the first. */
   get revision(): number {
-    return this.inForce?.document.revision ?? 0;
+    return this.version.revision;
+  }
+
+  /** Version in force. */
+  get version(): DocumentVersion {
+    return this.inForce?.version ?? NO_VERSION;
+  }
+
+  /** Highest revision that has arrived, refused ones included. */
+  get seenRevision(): number {
+    return this.highestSeen;
+  }
+
+  /** Whether the process has heard its peers, so that it may put documents in force. */
+  get isOpen(): boolean {
+    return this.opened;
   }
 
   /** The last document that was refused. */
@@ -56,38 +98,68 @@
     return this.refusal;
   }
 
-  /** Calls `listener` now, if a revision is in force, and at every change. */
+  /** Calls `listener` now, if a document is in force, and at every change. */
   onChange(listener: ChangeListener): void {
     this.listeners.push(listener);
     if (this.inForce !== undefined) listener(this.inForce);
   }
 
-  protected override handle(offer: DocumentOffer): void {
-    const { document, source } = offer;
-    if (document.revision <= this.revision || document.revision === this.refusal?.revision) return;
+  onRefusal(listener: RefusalListener): void {
+    this.refusalListeners.push(listener);
+  }
+
+  protected override handle(message: ConfigurationMessage): void {
+    switch (message.kind) {
+      case ConfigurationMessageKind.Offer:
+        this.accept(message.document, message.source);
+        return;
+      case ConfigurationMessageKind.Open:
+        this.open();
+    }
+  }
+
+  private open(): void {
+    this.opened = true;
+    const waiting = this.early.sort((a, b) => b.document.revision - a.document.revision);
+    this.early = [];
+    for (const { document, source } of waiting) this.accept(document, source);
+  }
+
+  private accept(document: ConfigurationDocument, source: string): void {
+    this.highestSeen = Math.max(this.highestSeen, document.revision);
+    if (!this.opened) {
+      this.early.push({ document, source });
+      return;
+    }
+    const version = versionOf(document);
+    if (!isNewer(version, this.version)) return;
     try {
-      this.adopt(document, source);
+      this.adopt(document, version, source);
     } catch (error) {
       if (!(error instanceof ConfigurationError)) throw error;
-      this.refuse(document, source, error.problems);
+      this.refuse(document, version, source, error.problems);
     }
   }
 
-  private adopt(document: ConfigurationDocument, source: string): void {
-    const configuration = parseFleetConfiguration(document.text, `revision ${document.revision}`);
-    if (configuration.revision !== document.revision) {
-      const problem = `revision: is ${configuration.revision}, but the service says ${document.revision}`;
-      throw new ConfigurationError(`revision ${document.revision}`, [problem]);
+  private adopt(document: ConfigurationDocument, version: DocumentVersion, source: string): void {
+    const { revision } = document;
+    const configuration = parseFleetConfiguration(document.text, `revision ${revision}`);
+    if (configuration.revision !== revision) {
+      const problem = `revision: is ${configuration.revision}, but the service says ${revision}`;
+      throw new ConfigurationError(`revision ${revision}`, [problem]);
     }
-    this.inForce = { document, configuration };
-    this.metrics.gauge(Metric.ConfigurationRevision, document.revision);
+    if (revision === this.revision) this.log.warn({ event: 'configuration.conflict', revision });
+    this.inForce = { document, version, configuration: freezeDeep(configuration) };
+    this.metrics.gauge(Metric.ConfigurationRevision, revision);
     const { preset } = configuration;
-    this.log.info({ event: 'configuration.in_force', revision: document.revision, preset, source });
+    const { digest } = version;
+    this.log.info({ event: 'configuration.in_force', revision, digest, preset, source });
     for (const listener of this.listeners) listener(this.inForce);
   }
 
   private refuse(
     document: ConfigurationDocument,
+    version: DocumentVersion,
     source: string,
     problems: readonly string[],
   ): void {
@@ -98,5 +170,18 @@
       source,
       problems: problems.join('; '),
     });
+    for (const listener of this.refusalListeners) listener(version);
   }
 }
+
+/** The version of a document; its digest is computed. */
+export function versionOf({ revision, text }: ConfigurationDocument): DocumentVersion {
+  const digest = createHash('sha256').update(text).digest('hex').slice(0, DIGEST_LENGTH);
+  return { revision, digest };
+}
+
+function freezeDeep<Value>(value: Value): Value {
+  if (typeof value !== 'object' || value === null || Object.isFrozen(value)) return value;
+  Object.values(value).forEach(freezeDeep);
+  return Object.freeze(value);
+}
--- /dev/null
+++ b/packages/fleet/src/configuration/peer-exchange.ts
@@ -0,0 +1,141 @@
+/**
+ * Exchange of documents between peers: each tells the others the version that it has in force, and
+ * fetches a newer one, once, from one of those that offer it. A peer that knows the version which the
+ * asking one has sends only the difference.
+ */
+import {
+  applyDelta,
+  compareVersions,
+  encodeDelta,
+  FetchPlan,
+  NO_VERSION,
+} from '@poplarpick/decisions';
+import type { DocumentVersion, Fetch } from '@poplarpick/decisions';
+import { describeError, Role } from '@poplarpick/kernel';
+import type { Logger } from '@poplarpick/kernel';
+import type { Link } from '../link/link.ts';
+import type { LinkHub } from '../link/link-hub.ts';
+import { CallMethod, NoticeMethod } from '../messages.ts';
+import type { ConfigurationDocument, FetchAnswer } from '../messages.ts';
+import { ConfigurationMessageKind, versionOf } from './configuration-task.ts';
+import type { ConfigurationTask } from './configuration-task.ts';
+
+/** Earlier documents that a process keeps, to answer with differences. */
+const KEPT_DOCUMENTS = 3;
+
+interface KeptDocument {
+  version: DocumentVersion;
+  text: string;
+}
+
+/** A peer has sent something else than it offered. */
+export class FetchError extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = 'FetchError';
+  }
+}
+
+/** Options of a `PeerExchange`. */
+export interface PeerExchangeOptions {
+  task: ConfigurationTask;
+  hub: LinkHub;
+  log: Logger;
+}
+
+/** Shares the document in force with the peers of one process. */
+export class PeerExchange {
+  private readonly task: ConfigurationTask;
+  private readonly hub: LinkHub;
+  private readonly log: Logger;
+  private readonly plan = new FetchPlan<Link>();
+  private readonly heardFrom = new Set<Link>();
+  private kept: KeptDocument[] = [];
+
+  constructor({ task, hub, log }: PeerExchangeOptions) {
+    this.task = task;
+    this.hub = hub;
+    this.log = log;
+    hub.onLink((link) => this.prepare(link));
+    hub.onJoin(({ link }) => link.notify(NoticeMethod.Revision, this.task.version));
+    hub.onLoss(({ link }) => this.forget(link));
+    task.onChange(({ document, version }) => this.announce(document, version));
+    task.onRefusal((version) => this.plan.refuse(version, task.version));
+  }
+
+  /** Linked routers that have told their version. */
+  get heard(): number {
+    return this.hub.peers(Role.Router).filter(({ link }) => this.heardFrom.has(link)).length;
+  }
+
+  get isFetching(): boolean {
+    return this.plan.isFetching;
+  }
+
+  private prepare(link: Link): void {
+    link.handleCall(CallMethod.FetchConfiguration, (have) => this.answer(have));
+    link.handleNotice(NoticeMethod.Revision, (version) => {
+      this.heardFrom.add(link);
+      this.plan.offer(link, version);
+      this.fetchNext();
+    });
+  }
+
+  private forget(link: Link): void {
+    this.heardFrom.delete(link);
+    this.plan.forget(link);
+    this.fetchNext();
+  }
+
+  private announce(document: ConfigurationDocument, version: DocumentVersion): void {
+    this.plan.hold(version);
+    this.kept = [{ version, text: document.text }, ...this.kept].slice(0, KEPT_DOCUMENTS);
+    for (const { link } of this.hub.peers()) link.notify(NoticeMethod.Revision, version);
+  }
+
+  private answer(have: DocumentVersion): FetchAnswer {
+    const { current } = this.task;
+    if (current === undefined) return { version: NO_VERSION };
+    const { version, document } = current;
+    const base = this.findKept(have);
+    if (base === undefined) return { version, text: document.text };
+    return { version, delta: encodeDelta(base.text, document.text) };
+  }
+
+  private findKept(version: DocumentVersion): KeptDocument | undefined {
+    return this.kept.find((entry) => compareVersions(entry.version, version) === 0);
+  }
+
+  private fetchNext(): void {
+    const fetch = this.plan.next();
+    if (fetch === undefined) return;
+    this.fetch(fetch)
+      .then(() => this.plan.finish(fetch, true))
+      .catch((error: unknown) => {
+        this.plan.finish(fetch, false);
+        const remote = fetch.peer.remote;
+        this.log.warn({ event: 'configuration.fetch_failed', remote, error: describeError(error) });
+      })
+      .finally(() => this.fetchNext());
+  }
+
+  private async fetch({ peer }: Fetch<Link>): Promise<void> {
+    const answer = await peer.call(CallMethod.FetchConfiguration, this.task.version);
+    const document = this.readAnswer(answer);
+    const version = versionOf(document);
+    if (compareVersions(version, answer.version) !== 0) {
+      throw new FetchError('the document does not have the digest that the peer named');
+    }
+    if (!this.task.isOpen) this.plan.hold(version);
+    const source = this.hub.peerOf(peer)?.host ?? peer.remote;
+    this.task.post({ kind: ConfigurationMessageKind.Offer, document, source });
+  }
+
+  private readAnswer({ version, text, delta }: FetchAnswer): ConfigurationDocument {
+    const { revision } = version;
+    if (text !== undefined) return { revision, text };
+    const base = this.task.current?.document.text;
+    if (delta === undefined || base === undefined) throw new FetchError('the peer has no document');
+    return { revision, text: applyDelta(base, delta) };
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/configuration/service-follower.ts
@@ -0,0 +1,106 @@
+/**
+ * Follows the configuration service: a reader waits in watches, any other process checks from time to
+ * time. Failures are retried with jittered, growing delays.
+ */
+import { checkPeriodMs } from '@poplarpick/decisions';
+import { describeError } from '@poplarpick/kernel';
+import type { Clock, Logger } from '@poplarpick/kernel';
+import type { ConfigurationClient } from '../platform/configuration-client.ts';
+import { ConfigurationMessageKind } from './configuration-task.ts';
+import type { ConfigurationTask } from './configuration-task.ts';
+
+const FIRST_RETRY_MS = 100;
+
+/** Pause after an answer that was no news, so that a stale service is not asked in a tight loop. */
+const NO_NEWS_PAUSE_MS = 100;
+
+/** Options of a `ServiceFollower`. */
+export interface ServiceFollowerOptions {
+  client: ConfigurationClient;
+  task: ConfigurationTask;
+  clock: Clock;
+  log: Logger;
+  /** Whether this process is a reader now. */
+  isReader: () => boolean;
+  /** Processes of the fleet, as far as known. */
+  countProcesses: () => number;
+  /** Random number in [0, 1) for jitter. */
+  random?: () => number;
+}
+
+/** Brings the service's documents to the configuration task. */
+export class ServiceFollower {
+  private readonly options: ServiceFollowerOptions;
+  private readonly random: () => number;
+  private readonly stopping = new AbortController();
+  private failures = 0;
+
+  constructor(options: ServiceFollowerOptions) {
+    this.options = options;
+    this.random = options.random ?? Math.random;
+  }
+
+  /** Follows the service until stopped. */
+  async run(): Promise<void> {
+    if (!this.options.isReader()) await this.pause(this.periodMs() * this.random());
+    while (!this.stopping.signal.aborted) await this.follow();
+  }
+
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  private async follow(): Promise<void> {
+    const isReader = this.options.isReader();
+    try {
+      await this.ask(isReader);
+      this.failures = 0;
+    } catch (error) {
+      await this.backOff(error);
+      return;
+    }
+    // Half to one and a half periods, so that processes that started together do not ask together.
+    if (!isReader) await this.pause(this.periodMs() * (0.5 + this.random()));
+  }
+
+  private async ask(isReader: boolean): Promise<void> {
+    const { client, task } = this.options;
+    const { signal } = this.stopping;
+    const after = task.seenRevision;
+    const document = isReader
+      ? await client.watch(after, signal)
+      : await client.check(after, signal);
+    if (document === undefined) return;
+    if (document.revision <= after) await this.pause(NO_NEWS_PAUSE_MS);
+    task.post({ kind: ConfigurationMessageKind.Offer, document, source: 'service' });
+  }
+
+  private async backOff(error: unknown): Promise<void> {
+    if (this.stopping.signal.aborted) return;
+    const { log } = this.options;
+    log.warn({ event: 'configuration.service_unavailable', error: describeError(error) });
+    const longest = Math.min(this.periodMs(), FIRST_RETRY_MS * 2 ** this.failures);
+    this.failures += 1;
+    await this.pause(longest * (0.5 + this.random()));
+  }
+
+  private periodMs(): number {
+    return checkPeriodMs(this.options.countProcesses());
+  }
+
+  private async pause(delayMs: number): Promise<void> {
+    const { signal } = this.stopping;
+    if (signal.aborted) return;
+    await new Promise<void>((resolve) => {
+      const timer = this.options.clock.after(delayMs, resolve);
+      signal.addEventListener(
+        'abort',
+        () => {
+          timer.stop();
+          resolve();
+        },
+        { once: true },
+      );
+    });
+  }
+}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -2,7 +2,13 @@
  * Messages between the processes of the system, carried by JSON-RPC 2.0 over links. Calls expect a
  * result; notices do not. Durations are relative, since the clocks of two hosts may differ.
  */
-import type { EndpointKind, ServiceRow, ServiceEntry } from '@poplarpick/decisions';
+import type {
+  DocumentDelta,
+  DocumentVersion,
+  EndpointKind,
+  ServiceRow,
+  ServiceEntry,
+} from '@poplarpick/decisions';
 import type { ErrorCode, Role, Verdict } from '@poplarpick/kernel';
 
 /** Methods of calls. */
@@ -15,7 +21,7 @@
   Claim = 'claim',
   /** Sidecar to the router that holds the ledger shard. */
   Report = 'report',
-  /** Any process to any other: the highest configuration that the other knows. */
+  /** Any process to any other: the document in force; carries the version that the sender has. */
   FetchConfiguration = 'configuration.fetch',
 }
 
@@ -34,7 +40,7 @@
   Cancel = 'cancel',
   /** Router to sidecar: the end has arrived, so the answer need not be kept. */
   Settle = 'settle',
-  /** Either way: the sender has this configuration revision in force. */
+  /** Either way: the sender has this version of the configuration in force. */
   Revision = 'revision',
 }
 
@@ -198,11 +204,6 @@
   totals: ServiceEntry[];
 }
 
-/** A configuration revision. */
-export interface RevisionNotice {
-  revision: number;
-}
-
 /** A published configuration document. */
 export interface ConfigurationDocument {
   /** 0 where none is known. */
@@ -211,13 +212,20 @@
   text: string;
 }
 
+/** The document that a process has in force, whole or against the one that the asking process has. */
+export interface FetchAnswer {
+  version: DocumentVersion;
+  text?: string | undefined;
+  delta?: DocumentDelta | undefined;
+}
+
 /** Parameters and results of the calls. */
 export interface Calls {
   [CallMethod.Hello]: { params: Hello; result: Hello };
   [CallMethod.Resume]: { params: Resume; result: ResumeAnswer };
   [CallMethod.Claim]: { params: Claim; result: ClaimAnswer };
   [CallMethod.Report]: { params: Report; result: ReportAnswer };
-  [CallMethod.FetchConfiguration]: { params: RevisionNotice; result: ConfigurationDocument };
+  [CallMethod.FetchConfiguration]: { params: DocumentVersion; result: FetchAnswer };
 }
 
 /** Parameters of the notices. */
@@ -229,7 +237,7 @@
   [NoticeMethod.Refuse]: Refusal;
   [NoticeMethod.Cancel]: AttemptReference;
   [NoticeMethod.Settle]: AttemptReference;
-  [NoticeMethod.Revision]: RevisionNotice;
+  [NoticeMethod.Revision]: DocumentVersion;
 }
 
 /** Messages that carry requests and answers; all others are control traffic. */
