Run test files side by side

The first run side by side then found a test that asked a restarted router before it had its configuration: the test waits for it now, and says so when its long request ends early.

Conclusion: kept, with at most four files at a time.

--- a/packages/bench/src/integration/callers-exchange.test.ts
+++ b/packages/bench/src/integration/callers-exchange.test.ts
@@ -69,7 +69,8 @@
     const started = new Promise<void>((resolve) => (onStart = resolve));
     const call = { url, key: workspaces[1]?.key ?? '', model, prompt: 'long', outputTokens: 5_000 };
     const running = callChat({ ...call, signal: abort.signal, onToken: () => onStart() });
-    await started;
+    const early = await Promise.race([started, running]);
+    if (early !== undefined) throw new Error(`the long request ended: ${JSON.stringify(early)}`);
     await action();
     abort.abort();
     await running;
@@ -177,6 +178,7 @@
     const [router] = fleet.routers;
     if (router === undefined) throw new Error('there is no router');
     await fleet.restartRouter(router);
+    await router.process.waitFor('configuration.in_force');
     await router.process.waitForEvent((event) => event['event'] === 'peer.joined', 'the sidecar');
     await whileBusy(async () => {
       router.process.signal('SIGTERM');
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,11 +1,16 @@
 // Runs the tests and ends with the line `N passed, N failed, N skipped`. A failure that KNOWN-RED.txt
 // lists is printed and passed over; a listed test that passes is an error, since the list is then out of date.
 import { existsSync, globSync, readFileSync } from 'node:fs';
+import { availableParallelism } from 'node:os';
 import Mocha from 'mocha';
 
 const KNOWN_RED = 'KNOWN-RED.txt';
 const TEST_LIMIT_MS = 120_000;
 
+// A file with a fleet of real processes keeps a few cores busy.
+const CORES_PER_JOB = 3;
+const MOST_JOBS = 4;
+
 function readKnownRed() {
   if (!existsSync(KNOWN_RED)) return new Set();
   const titles = readFileSync(KNOWN_RED, 'utf8')
@@ -18,9 +23,16 @@
 const patterns = process.argv.slice(2);
 const files = globSync(patterns.length > 0 ? patterns : ['packages/*/src/**/*.test.ts']).sort();
 const known = readKnownRed();
-const mocha = new Mocha({ timeout: TEST_LIMIT_MS, forbidOnly: true, reporter: 'spec' });
+const jobs = Math.max(1, Math.min(MOST_JOBS, Math.floor(availableParallelism() / CORES_PER_JOB)));
+const mocha = new Mocha({
+  timeout: TEST_LIMIT_MS,
+  forbidOnly: true,
+  reporter: 'spec',
+  parallel: files.length > 1,
+  jobs,
+});
 files.forEach((file) => mocha.addFile(file));
-await mocha.loadFilesAsync();
+if (files.length === 1) await mocha.loadFilesAsync();
 
 const counts = { passed: 0, failed: 0, skipped: 0 };
 const knownFailures = [];
