Heed planned stops from the configuration and the host list

A mark was heeded only by the sidecar and only from the configuration, a router that was marked went on taking connections, and a SIGTERM drain could be undone by the next revision. Now a mark from either source stops claims at the sidecar and grants at the routers; a marked router closes its listening socket and finishes its streams; each process says when nothing is left, and poplarpick drain watch follows it. Integration tests mark under load by both sources, with the service down and with processes cut off from it.

--- /dev/null
+++ b/packages/bench/src/integration/planned-stop.test.ts
@@ -0,0 +1,146 @@
+import { execFile } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { expect } from 'chai';
+import { request } from 'undici';
+import { callChat, CallOutcome } from '@poplarpick/load';
+import type { ChatResult } from '@poplarpick/load';
+import { expectedAnswer, Fault, ServiceCondition } from '@poplarpick/stand-ins';
+import { chatBody } from '@poplarpick/load';
+import { hostOf, ProcessFleet } from '../process-fleet/process-fleet.ts';
+
+const PROGRAM = fileURLToPath(new URL('../../../../dist/poplarpick.cjs', import.meta.url));
+const runProgram = promisify(execFile);
+
+/** Time after a mark within which the last new work may begin. */
+const BOUND_MS = 3_000;
+
+/** Time over which no work may begin once the bound has passed. */
+const QUIET_MS = 1_000;
+
+describe('planned stops with real processes', () => {
+  let fleet: ProcessFleet;
+  let revision = 1;
+
+  before(async () => {
+    fleet = await ProcessFleet.start({ serviceProxies: true });
+  });
+
+  after(async () => {
+    await fleet.stop();
+  });
+
+  function publish(plannedStops: string[]): void {
+    revision += 1;
+    fleet.site.publish({ revision, plannedStops });
+  }
+
+  function engineRuns(endpoint: string): number {
+    return fleet.site.modelEngines.get(endpoint)?.runs ?? 0;
+  }
+
+  function call(index: number, outputTokens = 20) {
+    const { workspaces, model } = fleet.site.plan;
+    const url = fleet.routerUrls[index % fleet.routerUrls.length] ?? '';
+    const key = workspaces[index % workspaces.length]?.key ?? '';
+    return { url, key, model, prompt: `question ${index}`, outputTokens };
+  }
+
+  /** Keeps every slot busy until `done` resolves, and returns all results. */
+  async function loadUntil(done: Promise<void>): Promise<ChatResult[]> {
+    const results: ChatResult[] = [];
+    let ended = false;
+    const loop = async (lane: number): Promise<void> => {
+      for (let index = lane; !ended; index += 40) results.push(await callChat(call(index)));
+    };
+    const lanes = Array.from({ length: 40 }, (_, lane) => loop(lane));
+    await done;
+    ended = true;
+    await Promise.all(lanes);
+    return results;
+  }
+
+  /** Marks by `mark` under load and checks the endpoint's stop. */
+  async function expectStop(endpoint: string, mark: () => void): Promise<void> {
+    const watched = async (): Promise<void> => {
+      await pause(500);
+      expect(engineRuns(endpoint)).to.be.above(0);
+      mark();
+      await pause(BOUND_MS);
+      const runs = engineRuns(endpoint);
+      await pause(QUIET_MS);
+      expect(engineRuns(endpoint)).to.equal(runs);
+    };
+    const results = await loadUntil(watched());
+    expect(results.filter(({ outcome }) => outcome !== CallOutcome.Whole)).to.deep.equal([]);
+    await fleet.findSidecar(endpoint).process.waitFor('drain.done');
+  }
+
+  it('gives a marked endpoint no new work, cuts nothing, and says when the host can be taken', async () => {
+    await expectStop('model-1', () => publish(['model-1']));
+    const { operators } = fleet.findSidecar('model-1');
+    const args = [
+      'drain',
+      'watch',
+      '--at',
+      `http://${operators}`,
+      '--key',
+      fleet.site.plan.operatorKey,
+      '--json',
+    ];
+    const { stdout } = await runProgram(process.execPath, [PROGRAM, ...args]);
+    const answer = JSON.parse(stdout) as { done: boolean; hosts: { host: string }[] };
+    expect(answer.done).to.equal(true);
+    expect(answer.hosts[0]?.host).to.equal(hostOf('model-1'));
+  });
+
+  it('heeds a mark of the host list while the configuration service is down', async () => {
+    fleet.site.configuration.condition = ServiceCondition.Down;
+    await expectStop('model-2', () => fleet.publishHosts([hostOf('model-2')]));
+    fleet.site.configuration.condition = ServiceCondition.Normal;
+    fleet.publishHosts();
+  });
+
+  it('holds when the sidecar and one router are cut off from the configuration service', async () => {
+    const cutOff = [hostOf('model-3'), fleet.routers[0]?.host ?? ''];
+    cutOff.forEach((host) => (fleet.serviceProxy(host).fault = Fault.Cut));
+    await expectStop('model-3', () => publish(['model-3']));
+    cutOff.forEach((host) => (fleet.serviceProxy(host).fault = Fault.None));
+  });
+
+  it('gives work again when the mark is withdrawn', async () => {
+    publish([]);
+    const before = engineRuns('model-1');
+    const served = async (): Promise<void> => {
+      while (engineRuns('model-1') === before) await pause(20);
+    };
+    await loadUntil(served());
+  });
+
+  it('refuses new connections at a marked router, finishes its streams, and says when it is done', async () => {
+    const [router] = fleet.routers;
+    if (router === undefined) throw new Error('no router');
+    const long = call(0, 300);
+    let stream: Promise<ChatResult> | undefined;
+    await new Promise<void>((resolve) => {
+      stream = callChat({ ...long, onToken: resolve });
+    });
+    publish([router.host]);
+    await router.process.waitFor('drain.marked');
+    const refusal = await request(`http://${router.callers}/v1/models`).catch(
+      (error: unknown) => error,
+    );
+    expect(refusal).to.have.property('code').that.is.oneOf(['ECONNREFUSED', 'ECONNRESET']);
+    const result = await stream;
+    expect(result?.outcome).to.equal(CallOutcome.Whole);
+    expect(result?.text).to.equal(expectedAnswer(chatBody(long)));
+    await router.process.waitFor('drain.done');
+    publish([]);
+    await router.process.waitFor('drain.cleared');
+    expect((await callChat(call(0))).outcome).to.equal(CallOutcome.Whole);
+  });
+});
+
+async function pause(delayMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -25,6 +25,8 @@
   /** The harness reads events of level info, so no level above it. */
   logLevel?: 'debug' | 'info';
   nodeOptions?: string[];
+  /** Whether each process reaches the configuration service through a fault proxy of its own. */
+  serviceProxies?: boolean;
 }
 
 /** A router process with its addresses, which stay the same over restarts. */
@@ -56,6 +58,7 @@
   readonly routers: RouterNode[] = [];
   readonly sidecars: SidecarNode[] = [];
   private readonly options: ProcessFleetOptions;
+  private readonly serviceProxies = new Map<string, FaultProxy>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'poplarpick-'));
 
   private constructor(site: Site, options: ProcessFleetOptions) {
@@ -105,16 +108,31 @@
     await this.noteSidecarStart(sidecar);
   }
 
-  /** Shows the routers in the host list, all live but those named. */
+  /** The fault proxy between a process and the configuration service. Throws where there is none. */
+  serviceProxy(host: string): FaultProxy {
+    const found = this.serviceProxies.get(host);
+    if (found === undefined) throw new Error(`no service proxy of ${host}`);
+    return found;
+  }
+
+  /** Shows the hosts in the host list, all live but those named. */
   publishHosts(leaving: readonly string[] = []): void {
-    const hosts: Host[] = this.routers.map((router) => ({
+    const stateOf = (id: string): HostState =>
+      leaving.includes(id) ? HostState.Leaving : HostState.Live;
+    const routers: Host[] = this.routers.map((router) => ({
       id: router.host,
       role: Role.Router,
       dataCentre: router.dataCentre,
       address: router.proxy.address,
-      state: leaving.includes(router.host) ? HostState.Leaving : HostState.Live,
+      state: stateOf(router.host),
+    }));
+    const sidecars: Host[] = this.site.plan.endpoints.map(({ name, dataCentre }) => ({
+      id: hostOf(name),
+      role: Role.Sidecar,
+      dataCentre,
+      state: stateOf(hostOf(name)),
     }));
-    this.site.hosts.set(hosts);
+    this.site.hosts.set([...routers, ...sidecars]);
   }
 
   /** Kills all processes and stops the stand-ins. */
@@ -122,6 +140,7 @@
     const nodes = [...this.routers, ...this.sidecars];
     await Promise.all(nodes.map((node) => node.process.kill()));
     nodes.forEach((node) => node.proxy.stop());
+    this.serviceProxies.forEach((proxy) => proxy.stop());
     await this.site.stop();
     rmSync(this.folder, { recursive: true, force: true });
   }
@@ -152,7 +171,14 @@
     }
   }
 
+  private async addServiceProxy(host: string): Promise<void> {
+    if (this.options.serviceProxies !== true) return;
+    const target = this.site.configuration.url.replace('http://', '');
+    this.serviceProxies.set(host, await new FaultProxy({ target }).start());
+  }
+
   private async startRouter(host: string, dataCentre: string): Promise<void> {
+    await this.addServiceProxy(host);
     const process = this.spawnRouter(host, dataCentre);
     const callers = (await process.waitFor('callers.listening'))['address'] ?? '';
     const operators = (await process.waitFor('operators.listening'))['address'] ?? '';
@@ -163,10 +189,11 @@
   }
 
   private async startSidecar(endpoint: string, dataCentre: string): Promise<void> {
+    await this.addServiceProxy(hostOf(endpoint));
     const proxy = await new FaultProxy({
       target: this.site.endpointUrl(endpoint).replace('http://', ''),
     }).start();
-    const node = { host: `host-of-${endpoint}`, endpoint, dataCentre, operators: '', proxy };
+    const node = { host: hostOf(endpoint), endpoint, dataCentre, operators: '', proxy };
     const sidecar = { ...node, process: this.spawnSidecar(node) };
     this.sidecars.push(sidecar);
     await this.noteSidecarStart(sidecar);
@@ -206,12 +233,19 @@
 
   private commonSettings(host: string, dataCentre: string) {
     const { configuration, hosts } = this.site;
+    const proxy = this.serviceProxies.get(host);
+    const service = proxy === undefined ? configuration.url : `http://${proxy.address}`;
     return {
       fleet: FLEET,
       host,
       data_centre: dataCentre,
-      platform: { configuration: configuration.url, hosts: hosts.url },
+      platform: { configuration: service, hosts: hosts.url },
       log: { level: this.options.logLevel ?? 'info' },
     };
   }
 }
+
+/** Name of the host beside an endpoint. */
+export function hostOf(endpoint: string): string {
+  return `host-of-${endpoint}`;
+}
--- /dev/null
+++ b/packages/cli/src/commands/drain-watch.ts
@@ -0,0 +1,103 @@
+/** `poplarpick drain watch`: follows planned stops until the hosts can be taken. */
+import { Command, Flags } from '@oclif/core';
+import { ExitCode } from '../exit-code.ts';
+import { fetchStatus } from '../operator-client.ts';
+import type { ProcessStatus } from '../operator-client.ts';
+
+const MILLISECONDS = 1_000;
+const DEFAULT_PERIOD_MS = 500;
+const DEFAULT_LIMIT_SECONDS = 600;
+
+/** The planned stop of one process, as its status tells. */
+interface DrainSection {
+  marked: boolean;
+  source: string | null;
+  inFlight: number;
+  unsettled: number;
+  done: boolean;
+}
+
+/** What the command says of one process. */
+export interface DrainProgress extends DrainSection {
+  host: string;
+}
+
+export class DrainWatchCommand extends Command {
+  static override description =
+    'Follow the planned stop of hosts until nothing is in flight and they can be taken. Ends with 0 when all can be taken, 1 when the time is up or a host is not marked, 3 when a process cannot be reached.';
+  static override enableJsonFlag = true;
+  static override flags = {
+    at: Flags.string({
+      required: true,
+      multiple: true,
+      description: "base URL of a process's operators address",
+    }),
+    key: Flags.string({
+      required: true,
+      env: 'POPLARPICK_OPERATOR_KEY',
+      description: 'operator key',
+    }),
+    'limit-seconds': Flags.integer({
+      default: DEFAULT_LIMIT_SECONDS,
+      description: 'time after which to give up',
+    }),
+    'mark-seconds': Flags.integer({
+      default: 10,
+      description: 'time within which each host must know that it is marked',
+    }),
+  };
+
+  override async run(): Promise<{ done: boolean; hosts: DrainProgress[] }> {
+    const { flags } = await this.parse(DrainWatchCommand);
+    const startedAt = performance.now();
+    let shown = '';
+    for (;;) {
+      const hosts = await Promise.all(flags.at.map((url) => this.read(url, flags.key)));
+      const text = hosts.map(formatProgress).join('\n');
+      if (text !== shown) this.log(text);
+      shown = text;
+      if (hosts.every((host) => host.done)) return { done: true, hosts };
+      const seconds = (performance.now() - startedAt) / MILLISECONDS;
+      this.checkTime(hosts, seconds, flags['mark-seconds'], flags['limit-seconds']);
+      await new Promise((resolve) => setTimeout(resolve, DEFAULT_PERIOD_MS));
+    }
+  }
+
+  private checkTime(
+    hosts: readonly DrainProgress[],
+    seconds: number,
+    markSeconds: number,
+    limitSeconds: number,
+  ): void {
+    const unmarked = hosts.filter((host) => !host.marked).map((host) => host.host);
+    if (unmarked.length > 0 && seconds > markSeconds)
+      this.error(`not marked for a planned stop: ${unmarked.join(', ')}`, {
+        exit: ExitCode.Failure,
+      });
+    if (seconds < limitSeconds) return;
+    const busy = hosts.filter((host) => !host.done).map((host) => host.host);
+    this.error(`still busy: ${busy.join(', ')}`, { exit: ExitCode.Failure });
+  }
+
+  private async read(url: string, key: string): Promise<DrainProgress> {
+    try {
+      return readProgress(await fetchStatus(url, key));
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return this.error(`${url}: ${reason}`, { exit: ExitCode.Unreachable });
+    }
+  }
+}
+
+function readProgress(status: ProcessStatus): DrainProgress {
+  const section = status['drain'] as DrainSection | undefined;
+  if (section === undefined) throw new Error('the process tells nothing of planned stops');
+  return { host: status.process.host, ...section };
+}
+
+function formatProgress(progress: DrainProgress): string {
+  const { host, marked, source, inFlight, unsettled, done } = progress;
+  if (!marked) return `${host}: not marked yet`;
+  if (done) return `${host}: can be taken`;
+  return `${host}: draining (mark from ${source ?? '-'}), ${inFlight} in flight, ${unsettled} answers not yet delivered`;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -15,6 +15,7 @@
     commands: { strategy: 'explicit', target: 'bundled', identifier: 'COMMANDS' },
     topics: {
       config: { description: 'Check settings and fleet configurations.' },
+      drain: { description: 'Follow planned stops.' },
       'stand-in': { description: 'Run small stand-ins of outside systems, for trials.' },
     },
   },
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './fair-share/fair-share.ts';
 export * from './fair-share/service-ledger.ts';
 export * from './membership/overlay.ts';
+export * from './membership/planned-stop.ts';
 export * from './rendezvous/rendezvous.ts';
 export * from './request/request-queues.ts';
 export * from './power/slot-budget.ts';
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -2,7 +2,7 @@
 import type { Server, ServerResponse } from 'node:http';
 import type { Service } from 'moleculer';
 import { v7 as makeUuid } from 'uuid';
-import { EndpointKind, pickByRendezvous } from '@poplarpick/decisions';
+import { EndpointKind, findStop, pickByRendezvous } from '@poplarpick/decisions';
 import type { FleetConfiguration, RouterSettings } from '@poplarpick/decisions';
 import {
   ErrorCode,
@@ -14,10 +14,17 @@
   Verdict,
 } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
+import { parseAddress } from '../address.ts';
 import { createGateway, listenGateway, sendJson } from '../http-gateway.ts';
 import type { GatewayRequest } from '../http-gateway.ts';
 import type { Job } from '../messages.ts';
-import { configurationKey, dispatcherKey, routerSettingsKey, statusBoardKey } from '../parts.ts';
+import {
+  configurationKey,
+  dispatcherKey,
+  plannedStopsKey,
+  routerSettingsKey,
+  statusBoardKey,
+} from '../parts.ts';
 import type { AnswerSink } from '../router/answer-sink.ts';
 import { DispatcherMessageKind } from '../router/dispatcher.ts';
 import type { Dispatcher } from '../router/dispatcher.ts';
@@ -57,11 +64,13 @@
 class CallersPlugin extends Plugin {
   override readonly name = 'callers';
   override readonly roles = [Role.Router];
-  override readonly requires = ['router', 'configuration'];
+  override readonly requires = ['router', 'configuration', 'planned-stops'];
   private server: Server | undefined;
   private kernel: Kernel | undefined;
   private service: Service | undefined;
   private draining = false;
+  private marked = false;
+  private boundAddress: string | undefined;
   private configuration: FleetConfiguration | undefined;
   private keys: WorkspaceKeys | undefined;
 
@@ -72,6 +81,9 @@
       this.configuration = configuration;
       this.keys = new WorkspaceKeys(configuration);
     });
+    kernel.part(plannedStopsKey).onChange((marks) => {
+      this.mark(findStop(marks, { host: kernel.host }) !== undefined);
+    });
     const chat = this.guard((caller, request, response) =>
       serveChat(caller, request, response, settings, dispatcher),
     );
@@ -102,6 +114,8 @@
       receiveTimeoutMs: settings.callers.receive_timeout_ms,
     });
     this.server = bound.server;
+    this.boundAddress = bound.address;
+    if (this.marked) this.server.close();
     kernel.part(statusBoardKey).add('address.callers', () => bound.address);
     kernel.log.info({ event: 'callers.listening', address: bound.address });
   }
@@ -119,6 +133,23 @@
     return Promise.resolve();
   }
 
+  /** Refuses new connections while the router is marked for a planned stop; open ones finish. */
+  private mark(marked: boolean): void {
+    if (this.marked === marked) return;
+    this.marked = marked;
+    const { server, boundAddress } = this;
+    if (server === undefined || boundAddress === undefined || this.draining) return;
+    if (marked) {
+      server.close();
+      return;
+    }
+    const { ip, port } = parseAddress(boundAddress);
+    server.once('error', (error) => {
+      this.kernel?.log.error({ event: 'callers.not_listening', error: error.message });
+    });
+    server.listen(port, ip);
+  }
+
   /** Wraps a handler with the checks that every request passes and with the answer to its errors. */
   private guard(handler: CallerHandler) {
     return async (request: GatewayRequest, response: ServerResponse): Promise<void> => {
@@ -126,6 +157,7 @@
       try {
         await handler(this.identify(request, requestId), request, response);
       } catch (error) {
+        if (this.draining || this.marked) response.shouldKeepAlive = false;
         sendRequestError(response, toRequestError(error, Verdict.NotRun), requestId);
       }
     };
@@ -133,7 +165,8 @@
 
   private identify(request: GatewayRequest, requestId: string): Caller {
     const { configuration, keys } = this;
-    if (this.draining) throw refuseForNow('this router is draining', ErrorCode.Draining);
+    if (this.draining || this.marked)
+      throw refuseForNow('this router is draining', ErrorCode.Draining);
     if (configuration === undefined || keys === undefined) {
       throw refuseForNow('this router has no configuration yet', ErrorCode.NoEndpoint);
     }
--- /dev/null
+++ b/packages/fleet/src/planned-stop/drain-watch.ts
@@ -0,0 +1,71 @@
+/** Follows the planned stop of this process: what is left to finish, and when the host can be taken. */
+import { findStop, isStopDone } from '@poplarpick/decisions';
+import type { RemainingWork, StopMarks, StopSource, StopSubject } from '@poplarpick/decisions';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+
+/** Period of the look at what is left. */
+const LOOK_PERIOD_MS = 100;
+
+/** What operators see of a planned stop. */
+export interface DrainStatus extends RemainingWork {
+  marked: boolean;
+  /** Where the mark comes from. */
+  source: StopSource | null;
+  /** Whether the host can be taken. */
+  done: boolean;
+}
+
+/** Options of a `DrainWatch`. */
+export interface DrainWatchOptions {
+  subject: StopSubject;
+  clock: Clock;
+  log: Logger;
+  readWork: () => RemainingWork;
+}
+
+/** Logs the begin, the end and the withdrawal of a planned stop. */
+export class DrainWatch {
+  private readonly options: DrainWatchOptions;
+  private stop: StopSource | undefined;
+  private timer: Timer | undefined;
+
+  constructor(options: DrainWatchOptions) {
+    this.options = options;
+  }
+
+  read(): DrainStatus {
+    const work = this.options.readWork();
+    const { stop } = this;
+    return {
+      marked: stop !== undefined,
+      source: stop ?? null,
+      ...work,
+      done: isStopDone(stop, work),
+    };
+  }
+
+  /** Takes changed marks in. */
+  update(marks: StopMarks): void {
+    const { subject, log, clock } = this.options;
+    const earlier = this.stop;
+    this.stop = findStop(marks, subject);
+    if (earlier === this.stop) return;
+    this.timer?.stop();
+    if (this.stop === undefined) {
+      log.info({ event: 'drain.cleared' });
+      return;
+    }
+    log.info({ event: 'drain.marked', source: this.stop, ...this.options.readWork() });
+    this.timer = clock.every(LOOK_PERIOD_MS, () => this.look());
+  }
+
+  close(): void {
+    this.timer?.stop();
+  }
+
+  private look(): void {
+    if (!this.read().done) return;
+    this.timer?.stop();
+    this.options.log.info({ event: 'drain.done' });
+  }
+}
--- a/packages/fleet/src/router/app.ts
+++ b/packages/fleet/src/router/app.ts
@@ -5,13 +5,19 @@
 import type { LinkHub, Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
 import type { ClaimAnswer, ResumeAnswer } from '../messages.ts';
-import { configurationKey, dispatcherKey, linkHubKey, statusBoardKey } from '../parts.ts';
+import {
+  configurationKey,
+  dispatcherKey,
+  linkHubKey,
+  plannedStopsKey,
+  statusBoardKey,
+} from '../parts.ts';
 import { Dispatcher, DispatcherMessageKind } from './dispatcher.ts';
 
 class RouterPlugin extends Plugin {
   override readonly name = 'router';
   override readonly roles = [Role.Router];
-  override readonly requires = ['links', 'configuration'];
+  override readonly requires = ['links', 'configuration', 'planned-stops'];
   private dispatcher: Dispatcher | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
@@ -23,6 +29,9 @@
     kernel.part(configurationKey).onChange(({ configuration }) => {
       dispatcher.post({ kind: DispatcherMessageKind.Configure, configuration });
     });
+    kernel.part(plannedStopsKey).onChange((marks) => {
+      dispatcher.post({ kind: DispatcherMessageKind.PlannedStops, marks });
+    });
     connectLinks(kernel.part(linkHubKey), dispatcher);
     return Promise.resolve();
   }
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -14,8 +14,10 @@
   RequestQueues,
   settleAttempt,
   verdictOfUnfinished,
+  findStop,
+  NO_STOP_MARKS,
 } from '@poplarpick/decisions';
-import type { FleetConfiguration, LineCount, QueueLine } from '@poplarpick/decisions';
+import type { FleetConfiguration, LineCount, QueueLine, StopMarks } from '@poplarpick/decisions';
 import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
@@ -46,6 +48,7 @@
 /** Kinds of messages to the dispatcher. */
 export enum DispatcherMessageKind {
   Configure,
+  PlannedStops,
   Submit,
   Abandon,
   Resume,
@@ -61,6 +64,7 @@
 /** Messages to the dispatcher. */
 export type DispatcherMessage =
   | { kind: DispatcherMessageKind.Configure; configuration: FleetConfiguration }
+  | { kind: DispatcherMessageKind.PlannedStops; marks: StopMarks }
   | { kind: DispatcherMessageKind.Submit; submission: Submission }
   | { kind: DispatcherMessageKind.Abandon; request: string }
   | {
@@ -113,6 +117,7 @@
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
   private readonly ticker: Timer;
   private announcement: Timer | undefined;
+  private stops = NO_STOP_MARKS;
   private configuration: FleetConfiguration | undefined;
   private onIdle: (() => void) | undefined;
 
@@ -145,6 +150,9 @@
       case DispatcherMessageKind.Configure:
         this.configuration = message.configuration;
         return;
+      case DispatcherMessageKind.PlannedStops:
+        this.stops = message.marks;
+        return;
       case DispatcherMessageKind.Submit:
         this.submit(message.submission);
         return;
@@ -260,6 +268,8 @@
 
   private claim(peer: Peer, claim: Claim): ClaimAnswer {
     if (this.sidecars.get(peer.host) !== peer) return {};
+    // The sidecar refuses by itself, but may not have heard of its mark yet.
+    if (findStop(this.stops, peer) !== undefined) return {};
     const request = this.takeFirst(peer, claim);
     if (request === undefined) return {};
     this.markDirty(request.line);
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -25,6 +25,7 @@
 /** Kinds of messages to the admission. */
 export enum AdmissionMessageKind {
   Configure,
+  PlannedStop,
   Join,
   Resumed,
   Lose,
@@ -43,6 +44,7 @@
 /** Messages to the admission. */
 export type AdmissionMessage =
   | { kind: AdmissionMessageKind.Configure; configuration: FleetConfiguration }
+  | { kind: AdmissionMessageKind.PlannedStop; marked: boolean }
   | { kind: AdmissionMessageKind.Join; peer: Peer }
   | { kind: AdmissionMessageKind.Resumed; peer: Peer; answer: ResumeAnswer }
   | { kind: AdmissionMessageKind.Lose; peer: Peer }
@@ -94,7 +96,10 @@
   private readonly ticker: Timer;
   private slots = 0;
   private running = 0;
-  private draining = false;
+  /** Marked for a planned stop, which may be withdrawn. */
+  private marked = false;
+  /** The process has been told to end. */
+  private stopping = false;
   private flushing = false;
   private onIdle: (() => void) | undefined;
 
@@ -111,7 +116,7 @@
   }
 
   readStatus(): AdmissionStatus {
-    const { slots, running, draining } = this;
+    const { slots, running, isDraining: draining } = this;
     return { slots, running, claiming: this.claimer.count, kept: this.executions.size, draining };
   }
 
@@ -137,6 +142,9 @@
       case AdmissionMessageKind.Configure:
         this.configure(message.configuration);
         return;
+      case AdmissionMessageKind.PlannedStop:
+        this.mark(message.marked);
+        return;
       case AdmissionMessageKind.Join:
         this.join(message.peer);
         return;
@@ -175,20 +183,23 @@
         this.tick();
         return;
       case AdmissionMessageKind.Drain:
-        this.draining = true;
+        this.stopping = true;
     }
   }
 
+  private get isDraining(): boolean {
+    return this.marked || this.stopping;
+  }
+
+  private mark(marked: boolean): void {
+    this.marked = marked;
+    this.schedule();
+  }
+
   private configure(configuration: FleetConfiguration): void {
-    const { endpoint, host, metrics, log } = this.options;
+    const { endpoint, metrics } = this.options;
     this.claimer.configure(configuration);
     this.slots = computeSlotBudget(configuration, endpoint);
-    const leaving = configuration.planned_stops.some(
-      ({ target }) => target === endpoint || target === host,
-    );
-    if (leaving !== this.draining)
-      log.info({ event: leaving ? 'sidecar.draining' : 'sidecar.serving', endpoint });
-    this.draining = leaving;
     metrics.gauge(Metric.SlotsBudget, this.slots, { endpoint });
     this.schedule();
   }
@@ -238,7 +249,7 @@
 
   /** Claims requests for all free slots. */
   private schedule(): void {
-    if (!this.draining) this.claimer.claim(this.slots - this.running);
+    if (!this.isDraining) this.claimer.claim(this.slots - this.running);
   }
 
   private acceptAnswer(claim: AnsweredClaim): void {
@@ -249,7 +260,7 @@
 
   private admit(peer: Peer, grant: Grant): void {
     const reference = { request: grant.request, attempt: grant.attempt };
-    if (this.draining) {
+    if (this.isDraining) {
       this.refuse(peer, reference, ErrorCode.Draining, 'the endpoint is draining', true);
       return;
     }
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -1,5 +1,5 @@
 /** Plug-in that runs a sidecar's admission and connects it with the links and the configuration. */
-import { EndpointKind, pickByRendezvous } from '@poplarpick/decisions';
+import { EndpointKind, findStop, pickByRendezvous } from '@poplarpick/decisions';
 import { describeError, Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel, Timer } from '@poplarpick/kernel';
 import type { Link } from '../link/link.ts';
@@ -10,6 +10,7 @@
   configurationKey,
   identityKey,
   linkHubKey,
+  plannedStopsKey,
   sidecarSettingsKey,
   statusBoardKey,
 } from '../parts.ts';
@@ -27,7 +28,7 @@
 class SidecarPlugin extends Plugin {
   override readonly name = 'sidecar';
   override readonly roles = [Role.Sidecar];
-  override readonly requires = ['links', 'configuration'];
+  override readonly requires = ['links', 'configuration', 'planned-stops'];
   private admission: Admission | undefined;
   private client: EndpointClient | undefined;
   private reporter: Timer | undefined;
@@ -57,6 +58,10 @@
     kernel.part(configurationKey).onChange(({ configuration }) => {
       admission.post({ kind: AdmissionMessageKind.Configure, configuration });
     });
+    kernel.part(plannedStopsKey).onChange((marks) => {
+      const marked = findStop(marks, { host, endpoint: endpoint.name }) !== undefined;
+      admission.post({ kind: AdmissionMessageKind.PlannedStop, marked });
+    });
     const hub = kernel.part(linkHubKey);
     connectLinks(hub, admission);
     this.reporter = clock.every(REPORT_PERIOD_MS, () => report(kernel, hub, meter, admission));
