Answer requests that the HTTP parser refuses in the documented shape

Cause: headers over the limit, slow callers and bytes that are no HTTP were answered by the library's own bare status lines, without code, verdict or limit. The golden files for them failed first (431 without a body). Links that lost against one dialled from the other side were logged as warnings at every start.

Conclusion: every refusal of the callers' address now has one shape.

--- a/packages/bench/src/integration/callers-exchange.test.ts
+++ b/packages/bench/src/integration/callers-exchange.test.ts
@@ -1,10 +1,11 @@
+import { connect } from 'node:net';
 import { expect } from 'chai';
 import { callChat } from '@poplarpick/load';
 import { EndpointKind } from '@poplarpick/decisions';
 import { planSite } from '@poplarpick/stand-ins';
 import type { SitePlan } from '@poplarpick/stand-ins';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
-import { expectGolden, recordExchange } from './golden-file.ts';
+import { expectGolden, normalizeText, recordExchange } from './golden-file.ts';
 import type { GoldenRequest } from './golden-file.ts';
 
 /** One engine with one slot, so that a second request waits and a third finds the queue full. */
@@ -128,6 +129,22 @@
     return expectExchange('refused-size', send('/v1/chat/completions', { body }));
   });
 
+  it('refuses headers over the limit', () => {
+    const headers = { 'x-long': 'x'.repeat(20_000) };
+    return expectExchange('refused-headers', send('/v1/models', { headers }));
+  });
+
+  it('refuses what is no HTTP, and a body that is sent two ways at once', async () => {
+    const sent = [
+      'HELLO\r\n\r\n',
+      'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    ];
+    const answers = await Promise.all(
+      sent.map((text) => sendRaw(fleet.routers[0]?.callers ?? '', text)),
+    );
+    expectGolden('refused-http', answers.join('\n'));
+  });
+
   it('refuses a deadline that is no number', () => {
     const headers = { 'x-request-timeout-ms': 'soon' };
     return expectExchange(
@@ -189,6 +206,16 @@
   });
 });
 
+/** Sends bytes on a bare connection and returns all that comes back until it is closed. */
+async function sendRaw(address: string, text: string): Promise<string> {
+  const [host, port] = address.split(':');
+  const socket = connect({ host, port: Number(port) });
+  socket.write(text);
+  let answer = '';
+  for await (const bytes of socket as AsyncIterable<Buffer>) answer += bytes.toString();
+  return `${normalizeText(answer)}\n`;
+}
+
 async function waitForBacklog(fleet: ProcessFleet): Promise<void> {
   for (;;) {
     const status = await fleet.status(fleet.routers[0]?.operators ?? '');
--- a/packages/bench/src/integration/golden-file.ts
+++ b/packages/bench/src/integration/golden-file.ts
@@ -31,7 +31,7 @@
   const { pathname } = new URL(sent.url);
   const lines = [
     `> ${sent.method} ${pathname}`,
-    ...Object.entries(sent.headers ?? {}).map(([name, value]) => `> ${name}: ${value}`),
+    ...Object.entries(sent.headers ?? {}).map(([name, value]) => `> ${name}: ${shorten(value)}`),
     ...(sent.body === undefined ? [] : ['>', `> ${shorten(sent.body)}`]),
     `< ${response.statusCode}`,
     ...describeHeaders(response.headers),
@@ -41,7 +41,7 @@
       .split('\n')
       .map((line) => `< ${line}`.trimEnd()),
   ];
-  return `${normalize(lines.join('\n'))}\n`;
+  return `${normalizeText(lines.join('\n'))}\n`;
 }
 
 /** Compares a text with the golden file of that name. */
@@ -59,7 +59,8 @@
     .sort();
 }
 
-function normalize(text: string): string {
+/** Replaces what differs from run to run. */
+export function normalizeText(text: string): string {
   return text.replace(UUID, '<uuid>').replace(/"created":\d+/g, '"created":0');
 }
 
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -42,6 +42,7 @@
   parseChatRequest,
 } from './chat-completions.ts';
 import { readBody } from './read-body.ts';
+import { refuseUnreadable } from './unreadable-request.ts';
 import { readDeadline, readIdempotencyKey, readOnceFlag } from './request-headers.ts';
 
 /** What a caller must wait before it asks a router that has no configuration yet. */
@@ -112,6 +113,7 @@
       address: settings.callers.address,
       headerLimitBytes: settings.callers.header_limit_bytes,
       receiveTimeoutMs: settings.callers.receive_timeout_ms,
+      onUnreadable: refuseUnreadable,
     });
     this.server = bound.server;
     this.boundAddress = bound.address;
--- /dev/null
+++ b/packages/fleet/src/callers/unreadable-request.ts
@@ -0,0 +1,48 @@
+/**
+ * Refusals of requests that the HTTP parser could not take in: headers over the limit, a caller that
+ * sends too slowly, or bytes that are no HTTP. They have the shape of all other errors.
+ */
+import { STATUS_CODES } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { v7 as makeUuid } from 'uuid';
+import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import { describeRequestError, REQUEST_ID_HEADER } from './api-errors.ts';
+import { invalidRequest } from './request-headers.ts';
+
+/** Codes of the HTTP parser. */
+const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
+const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/** Answers on the bare connection, and closes it: what follows on it cannot be told apart any more. */
+export function refuseUnreadable(socket: Duplex, error: NodeJS.ErrnoException): void {
+  const refusal = describeParserError(error);
+  const requestId = makeUuid();
+  const body = JSON.stringify(describeRequestError(refusal, requestId));
+  const head = [
+    `HTTP/1.1 ${refusal.status} ${STATUS_CODES[refusal.status] ?? ''}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `${REQUEST_ID_HEADER}: ${requestId}`,
+    'connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
+/** Turns an error of the HTTP parser into a refusal. */
+export function describeParserError(error: NodeJS.ErrnoException): RequestError {
+  if (error.code === HEADER_OVERFLOW) {
+    return new RequestError('the headers are over the limit', {
+      code: ErrorCode.HeadersTooLarge,
+      verdict: Verdict.NotRun,
+      limit: 'header_limit_bytes',
+    });
+  }
+  if (error.code === REQUEST_TIMEOUT) {
+    return new RequestError('the request did not arrive in time', {
+      code: ErrorCode.ReceiveTimeout,
+      verdict: Verdict.NotRun,
+      limit: 'receive_timeout_ms',
+    });
+  }
+  return invalidRequest('the request is not valid HTTP', error);
+}
--- a/packages/fleet/src/http-gateway.ts
+++ b/packages/fleet/src/http-gateway.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { Service, ServiceBroker } from 'moleculer';
 import webGateway from 'moleculer-web';
 import { parseAddress } from './address.ts';
@@ -42,6 +43,8 @@
   headerLimitBytes: number;
   /** Time within which a request must have arrived whole. */
   receiveTimeoutMs: number;
+  /** Answers what the HTTP parser refuses; by default the connection is closed. */
+  onUnreadable?: (socket: Duplex, error: NodeJS.ErrnoException) => void;
 }
 
 /** A server that listens. */
@@ -89,6 +92,11 @@
     connectionsCheckingInterval: 500,
   };
   const server = createServer(serverOptions, gateway.express());
+  const { onUnreadable } = options;
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (onUnreadable === undefined || !socket.writable) socket.destroy();
+    else onUnreadable(socket, error);
+  });
   const { ip, port } = parseAddress(options.address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/fleet/src/link/link-hub.ts
+++ b/packages/fleet/src/link/link-hub.ts
@@ -171,7 +171,9 @@
       .call(CallMethod.Hello, this.options.hello)
       .then((hello) => this.join({ ...hello, link, dialled: true }))
       .catch((error: unknown) => {
-        this.options.log.warn({
+        // A link that the other side closed may just have lost against one dialled from there.
+        const report = link.isClosed ? 'debug' : 'warn';
+        this.options.log[report]({
           event: 'link.hello_failed',
           remote: link.remote,
           error: describeError(error),
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -146,6 +146,8 @@
 
   private dispatch(payload: unknown): void {
     this.rpc.receiveAndSend(payload as JSONRPCRequest | JSONRPCResponse).catch((error: unknown) => {
+      // An answer that finds its link closed is no fault of the message.
+      if (this.closed) return;
       this.log.warn({
         event: 'link.bad_message',
         remote: this.remote,
