Measure runs, answers and verdicts under seeded faults

Real processes behind fault proxies run seeded schedules: each kind of fault alone, with another, and twice. Callers send again through the next router where that is safe; every answer is checked, and the verdicts against the engines' own records. The fault proxy now keeps the order of bytes whatever fault comes or goes, and what a silence held back arrives late, as on a real network; before, a healed latency let later bytes overtake earlier ones. Sidecars can be put into groups that are parted from each other.

--- /dev/null
+++ b/packages/bench/src/faults/app.ts
@@ -0,0 +1,91 @@
+/**
+ * `faults`: seeded schedules of faults against fleets of real processes, each request judged against
+ * the engines' own records. The exit code is 1 where a request was doubled, lost, answered wrongly or
+ * called not run though it ran.
+ */
+import { parseArgs } from 'node:util';
+import { FaultMode } from './fault-kind.ts';
+import { runSchedules } from './schedule-run.ts';
+import type { ScheduleResult } from './schedule-run.ts';
+import { addTally, createTally } from './schedule-tally.ts';
+
+/** The command's entry in the bench. */
+export const faultsCommand = {
+  name: 'faults',
+  summary:
+    'once, whole and truthful under faults  [--seed S] [--schedules N] [--first I] [--fleets F] [--json]',
+  run: runFaults,
+};
+
+async function runFaults(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      seed: { type: 'string', default: '1' },
+      schedules: { type: 'string', default: '300' },
+      first: { type: 'string', default: '0' },
+      fleets: { type: 'string', default: '4' },
+      json: { type: 'boolean', default: false },
+    },
+  });
+  const seed = Number(values.seed);
+  const first = Number(values.first);
+  const count = Number(values.schedules);
+  let handedOut = 0;
+  const next = (): number | undefined => {
+    if (handedOut >= count) return undefined;
+    handedOut += 1;
+    return first + handedOut - 1;
+  };
+  const summary = new Summary(seed, !values.json);
+  const fleets = Math.min(Number(values.fleets), count);
+  const onResult = (result: ScheduleResult): void => summary.add(result);
+  await Promise.all(Array.from({ length: fleets }, () => runSchedules({ seed, next, onResult })));
+  summary.print();
+}
+
+/** Adds results up. */
+class Summary {
+  private readonly seed: number;
+  private readonly verbose: boolean;
+  private readonly total = createTally();
+  private readonly faults = new Map<string, number>();
+  private readonly modes = new Map<FaultMode, number>();
+  private schedules = 0;
+
+  constructor(seed: number, verbose: boolean) {
+    this.seed = seed;
+    this.verbose = verbose;
+  }
+
+  add({ schedule, tally, problems }: ScheduleResult): void {
+    this.schedules += 1;
+    addTally(this.total, tally);
+    this.modes.set(schedule.mode, (this.modes.get(schedule.mode) ?? 0) + 1);
+    for (const { kind } of schedule.faults) {
+      this.faults.set(kind, (this.faults.get(kind) ?? 0) + 1);
+    }
+    problems.forEach((problem) => console.error(problem));
+    if (!this.verbose) return;
+    const kinds = schedule.faults.map(({ kind }) => kind).join('+');
+    const { requests, runs, doubled, lost, wrongAnswer, falseNotRun, mayHaveRun } = tally;
+    console.log(
+      `schedule=${schedule.index} mode=${schedule.mode} faults=${kinds} requests=${requests} runs=${runs} ` +
+        `doubled=${doubled} lost=${lost} wrong=${wrongAnswer} false_not_run=${falseNotRun} may_have_run=${mayHaveRun}`,
+    );
+  }
+
+  print(): void {
+    const { doubled, lost, wrongAnswer, falseNotRun } = this.total;
+    console.log(
+      JSON.stringify({
+        seed: this.seed,
+        schedules: this.schedules,
+        modes: Object.fromEntries(this.modes),
+        faults: Object.fromEntries(this.faults),
+        ...this.total,
+      }),
+    );
+    if (doubled + lost + wrongAnswer + falseNotRun > 0) process.exitCode = 1;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/faults/fault-injector.ts
@@ -0,0 +1,150 @@
+/** Brings faults about in a fleet of real processes and ends them. */
+import { Fault, ServiceCondition } from '@poplarpick/stand-ins';
+import type { FaultProxy } from '@poplarpick/stand-ins';
+import type { ProcessFleet, RouterNode, SidecarNode } from '../process-fleet/process-fleet.ts';
+import { FaultKind } from './fault-kind.ts';
+import type { PlannedFault } from './fault-kind.ts';
+
+/** Ends a fault. */
+type Heal = () => void | Promise<void>;
+
+/** Faults of the path between routers and sidecars. */
+const LINK_FAULTS: Partial<Record<FaultKind, Fault>> = {
+  [FaultKind.LinkLatency]: Fault.Latency,
+  [FaultKind.LinkDrip]: Fault.Drip,
+  [FaultKind.LinkCut]: Fault.Cut,
+  [FaultKind.LinkReset]: Fault.Reset,
+  [FaultKind.LinkHalfOpen]: Fault.HalfOpen,
+  [FaultKind.LinkSilence]: Fault.Silence,
+  [FaultKind.LinkSilenceToRouter]: Fault.SilenceForward,
+  [FaultKind.LinkSilenceToSidecar]: Fault.SilenceBackward,
+};
+
+/** Faults of the path between a sidecar and its endpoint. */
+const ENDPOINT_FAULTS: Partial<Record<FaultKind, Fault>> = {
+  [FaultKind.EndpointCut]: Fault.Cut,
+  [FaultKind.EndpointReset]: Fault.Reset,
+  [FaultKind.EndpointHalfOpen]: Fault.HalfOpen,
+  [FaultKind.EndpointLatency]: Fault.Latency,
+  [FaultKind.EndpointDrip]: Fault.Drip,
+};
+
+/** Injects the faults of one schedule. */
+export class FaultInjector {
+  private readonly fleet: ProcessFleet;
+  private readonly abandonCallers: () => void;
+  /** Makes the faults that concern no single path. */
+  private readonly makers: Partial<Record<FaultKind, (fault: PlannedFault) => Heal>> = {
+    [FaultKind.PartitionGroup]: (fault) => spoil(this.pickGroup(fault), Fault.Silence),
+    [FaultKind.KillRouter]: (fault) => this.killRouter(this.pickRouter(fault)),
+    [FaultKind.KillSidecar]: (fault) => this.killSidecar(this.pickSidecar(fault)),
+    [FaultKind.PauseRouter]: (fault) => stopProcess(this.pickRouter(fault)),
+    [FaultKind.LongPauseRouter]: (fault) => stopProcess(this.pickRouter(fault)),
+    [FaultKind.PauseSidecar]: (fault) => stopProcess(this.pickSidecar(fault)),
+    [FaultKind.LongPauseSidecar]: (fault) => stopProcess(this.pickSidecar(fault)),
+    [FaultKind.ConfigurationDown]: () => this.stopConfiguration(),
+    [FaultKind.CallersGone]: () => this.loseCallers(),
+  };
+  /** Restarts under way, so that two faults do not restart one process at once. */
+  private readonly restarts = new Map<string, Promise<void>>();
+
+  constructor(fleet: ProcessFleet, abandonCallers: () => void) {
+    this.fleet = fleet;
+    this.abandonCallers = abandonCallers;
+  }
+
+  /** Performs a fault from its start to its end. */
+  async perform(fault: PlannedFault): Promise<void> {
+    await pause(fault.startMs);
+    const heal = this.inject(fault);
+    await pause(fault.durationMs);
+    await heal();
+  }
+
+  private inject(fault: PlannedFault): Heal {
+    const { kind } = fault;
+    const linkFault = LINK_FAULTS[kind];
+    if (linkFault !== undefined) return spoil(this.pickLinks(fault), linkFault);
+    const endpointFault = ENDPOINT_FAULTS[kind];
+    if (endpointFault !== undefined) return spoil([this.pickSidecar(fault).proxy], endpointFault);
+    const make = this.makers[kind];
+    if (make !== undefined) return make(fault);
+    throw new Error(`no way to bring about ${kind}`);
+  }
+
+  private killRouter(router: RouterNode): Heal {
+    router.process.signal('SIGKILL');
+    return () => this.restartOnce(router.host, () => this.fleet.restartRouter(router));
+  }
+
+  private killSidecar(sidecar: SidecarNode): Heal {
+    sidecar.process.signal('SIGKILL');
+    return () => this.restartOnce(sidecar.host, () => this.fleet.restartSidecar(sidecar));
+  }
+
+  private async restartOnce(host: string, restart: () => Promise<void>): Promise<void> {
+    const earlier = this.restarts.get(host) ?? Promise.resolve();
+    const all = earlier.then(restart);
+    this.restarts.set(host, all);
+    await all;
+  }
+
+  private stopConfiguration(): Heal {
+    this.fleet.site.configuration.condition = ServiceCondition.Down;
+    return () => {
+      this.fleet.site.configuration.condition = ServiceCondition.Normal;
+    };
+  }
+
+  private loseCallers(): Heal {
+    this.abandonCallers();
+    return () => undefined;
+  }
+
+  private pickRouter({ victim }: PlannedFault): RouterNode {
+    return pickFrom(this.fleet.routers, victim);
+  }
+
+  private pickSidecar({ victim }: PlannedFault): SidecarNode {
+    return pickFrom(this.fleet.sidecars, victim);
+  }
+
+  /** One path of a router and a group, or all paths. */
+  private pickLinks({ victim }: PlannedFault): FaultProxy[] {
+    const all = this.fleet.routers.flatMap((router) => router.proxies);
+    return victim % 2 === 0 ? all : [pickFrom(all, victim)];
+  }
+
+  private pickGroup({ victim }: PlannedFault): FaultProxy[] {
+    return this.fleet.routers.map((router) => pickFrom(router.proxies, victim));
+  }
+}
+
+/** Ends whatever may still spoil a path of the fleet. */
+export function healPaths(fleet: ProcessFleet): void {
+  const links = fleet.routers.flatMap((router) => router.proxies);
+  const endpoints = fleet.sidecars.map((sidecar) => sidecar.proxy);
+  [...links, ...endpoints].forEach((proxy) => (proxy.fault = Fault.None));
+}
+
+function spoil(proxies: readonly FaultProxy[], fault: Fault): Heal {
+  proxies.forEach((proxy) => (proxy.fault = fault));
+  return () => proxies.forEach((proxy) => (proxy.fault = Fault.None));
+}
+
+function stopProcess(node: RouterNode | SidecarNode): Heal {
+  const { process } = node;
+  process.signal('SIGSTOP');
+  return () => process.signal('SIGCONT');
+}
+
+function pickFrom<Item>(items: readonly Item[], index: number): Item {
+  const item = items[index % items.length];
+  if (item === undefined) throw new Error('the fleet is empty');
+  return item;
+}
+
+/** Waits for a time in milliseconds. */
+export async function pause(delayMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/bench/src/faults/fault-kind.ts
@@ -0,0 +1,98 @@
+/** The faults of the `faults` command and how they are combined into schedules. */
+import { Random } from '@poplarpick/load';
+
+/** Kinds of faults. */
+export enum FaultKind {
+  LinkLatency = 'link-latency',
+  LinkDrip = 'link-drip',
+  LinkCut = 'link-cut',
+  LinkReset = 'link-reset',
+  LinkHalfOpen = 'link-half-open',
+  LinkSilence = 'link-silence',
+  LinkSilenceToRouter = 'link-silence-to-router',
+  LinkSilenceToSidecar = 'link-silence-to-sidecar',
+  /** A group of sidecars is parted from all routers. */
+  PartitionGroup = 'partition-group',
+  KillRouter = 'kill-router',
+  KillSidecar = 'kill-sidecar',
+  PauseRouter = 'pause-router',
+  PauseSidecar = 'pause-sidecar',
+  /** Paused past every timeout of the fleet. */
+  LongPauseRouter = 'long-pause-router',
+  LongPauseSidecar = 'long-pause-sidecar',
+  EndpointCut = 'endpoint-cut',
+  EndpointReset = 'endpoint-reset',
+  EndpointHalfOpen = 'endpoint-half-open',
+  EndpointLatency = 'endpoint-latency',
+  EndpointDrip = 'endpoint-drip',
+  ConfigurationDown = 'configuration-down',
+  CallersGone = 'callers-gone',
+}
+
+/** How the faults of a schedule meet. */
+export enum FaultMode {
+  Single = 'single',
+  /** Two kinds at once. */
+  Together = 'together',
+  /** The same kind twice. */
+  Twice = 'twice',
+}
+
+/** One fault of a schedule. */
+export interface PlannedFault {
+  kind: FaultKind;
+  /** Time from the start of the schedule, in milliseconds. */
+  startMs: number;
+  durationMs: number;
+  /** Picks the victim among those that the kind can have. */
+  victim: number;
+}
+
+/** The faults of one schedule. */
+export interface FaultSchedule {
+  index: number;
+  mode: FaultMode;
+  faults: PlannedFault[];
+}
+
+/** Longer than every timeout and grace time of the fleet. */
+const LONG_PAUSE_MS = 10_500;
+const LONGEST_PAUSE_MS = 3_000;
+const LONGEST_FAULT_MS = 2_500;
+const SHORTEST_FAULT_MS = 100;
+const LATEST_START_MS = 600;
+const LONGEST_BREAK_MS = 800;
+
+const LONG_PAUSES = new Set([FaultKind.LongPauseRouter, FaultKind.LongPauseSidecar]);
+const PAUSES = new Set([FaultKind.PauseRouter, FaultKind.PauseSidecar]);
+
+/** Plans a schedule from the seed and its index alone. Each kind comes in each mode in turn. */
+export function planSchedule(seed: number, index: number): FaultSchedule {
+  const random = new Random(mixSeed(seed, index));
+  const modes = Object.values(FaultMode);
+  const kinds = Object.values(FaultKind);
+  const mode = modes[index % modes.length] ?? FaultMode.Single;
+  const kind = kinds[Math.floor(index / modes.length) % kinds.length] ?? FaultKind.LinkCut;
+  const first = planFault(random, kind, random.integer(LATEST_START_MS));
+  if (mode === FaultMode.Single) return { index, mode, faults: [first] };
+  if (mode === FaultMode.Together) {
+    const other = random.pick(kinds.filter((entry) => entry !== kind));
+    const startMs = first.startMs + random.integer(first.durationMs);
+    return { index, mode, faults: [first, planFault(random, other, startMs)] };
+  }
+  const startMs = first.startMs + first.durationMs + random.integer(LONGEST_BREAK_MS);
+  return { index, mode, faults: [first, planFault(random, kind, startMs)] };
+}
+
+/** A seed for one of many sequences; neighbouring ones must not begin alike. */
+export function mixSeed(seed: number, index: number): number {
+  const mixed = Math.imul(seed + 1, 0x9e3779b1) ^ Math.imul(index + 1, 0x85ebca6b);
+  return Math.imul(mixed ^ (mixed >>> 15), 0xc2b2ae35);
+}
+
+function planFault(random: Random, kind: FaultKind, startMs: number): PlannedFault {
+  const longest = PAUSES.has(kind) ? LONGEST_PAUSE_MS : LONGEST_FAULT_MS;
+  const drawn = SHORTEST_FAULT_MS + random.integer(longest - SHORTEST_FAULT_MS);
+  const durationMs = LONG_PAUSES.has(kind) ? LONG_PAUSE_MS : drawn;
+  return { kind, startMs, durationMs, victim: random.integer(1_000) };
+}
--- /dev/null
+++ b/packages/bench/src/faults/schedule-caller.ts
@@ -0,0 +1,140 @@
+/**
+ * A caller within a schedule: it sends one request, and sends it again through the next router where
+ * that is safe, as the operators' page advises.
+ */
+import { callApplication, callChat, CallOutcome, chatBody } from '@poplarpick/load';
+import { expectedAnswer } from '@poplarpick/stand-ins';
+import type { SitePlan } from '@poplarpick/stand-ins';
+
+/** Kinds of requests of a schedule. */
+export enum CallKind {
+  Chat = 'chat',
+  KeyedChat = 'keyed-chat',
+  /** A call that may be repeated. */
+  Lookup = 'lookup',
+  /** A call that must run once, without a key. */
+  Once = 'once',
+  KeyedOnce = 'keyed-once',
+}
+
+/** A request of a schedule. */
+export interface PlannedCall {
+  kind: CallKind;
+  /** Business key, unique over all schedules. */
+  name: string;
+  startMs: number;
+  outputTokens: number;
+  router: number;
+  workspace: number;
+  /** UUIDv7 of a keyed call. */
+  key: string | undefined;
+}
+
+/** What one submission of a request came to. */
+export interface Submission {
+  router: number;
+  outcome: CallOutcome;
+  verdict: string | undefined;
+  code: string | undefined;
+  requestId: string | undefined;
+  /** Whether the answer, as far as it came, is that of this request. */
+  right: boolean;
+  /** Number of the run that a service answered with. */
+  run: number | undefined;
+  abandoned: boolean;
+}
+
+/** What became of a request. */
+export interface CallRecord {
+  call: PlannedCall;
+  startedAt: number;
+  endedAt: number;
+  submissions: Submission[];
+}
+
+/** Options of `performCall`. */
+export interface PerformOptions {
+  plan: SitePlan;
+  urls: readonly string[];
+  signal: AbortSignal;
+}
+
+const SUBMISSION_LIMIT = 5;
+const PATIENCE_MS = 9_000;
+const DEADLINE_MS = 8_000;
+const RETRY_PAUSE_MS = 250;
+
+/** Sends a request until it is answered or may not be sent again. */
+export async function performCall(call: PlannedCall, options: PerformOptions): Promise<CallRecord> {
+  await pauseMs(call.startMs);
+  const startedAt = performance.now();
+  const submissions: Submission[] = [];
+  while (submissions.length < SUBMISSION_LIMIT) {
+    const router = (call.router + submissions.length) % options.urls.length;
+    const submission = await submit(call, router, options);
+    submissions.push(submission);
+    if (!maySendAgain(call, submission)) break;
+    await pauseMs(RETRY_PAUSE_MS * (0.5 + Math.random()));
+  }
+  return { call, startedAt, endedAt: performance.now(), submissions };
+}
+
+function maySendAgain(
+  call: PlannedCall,
+  { outcome, verdict, code, abandoned }: Submission,
+): boolean {
+  if (abandoned || outcome === CallOutcome.Whole) return false;
+  if (code === 'idempotency_key_expired' || code === 'idempotency_key_conflict') return false;
+  if (call.key !== undefined) return true;
+  return verdict === 'not-run' || call.kind === CallKind.Lookup || call.kind === CallKind.Chat;
+}
+
+async function submit(
+  call: PlannedCall,
+  router: number,
+  options: PerformOptions,
+): Promise<Submission> {
+  const patience = AbortSignal.timeout(PATIENCE_MS);
+  const signal = AbortSignal.any([patience, options.signal]);
+  const headers = {
+    'x-request-timeout-ms': String(DEADLINE_MS),
+    ...(call.key === undefined ? {} : { 'idempotency-key': call.key }),
+  };
+  const { workspaces, model } = options.plan;
+  const key = workspaces[call.workspace % workspaces.length]?.key ?? '';
+  const common = { url: options.urls[router] ?? '', key, headers, signal };
+  const isChat = call.kind === CallKind.Chat || call.kind === CallKind.KeyedChat;
+  const result = isChat
+    ? await submitChat({ ...common, model, prompt: call.name, outputTokens: call.outputTokens })
+    : await submitToService(call, common, options.plan);
+  return { ...result, router, abandoned: options.signal.aborted };
+}
+
+type Answer = Omit<Submission, 'router' | 'abandoned'>;
+
+async function submitChat(chat: Parameters<typeof callChat>[0]): Promise<Answer> {
+  const { outcome, verdict, code, requestId, text } = await callChat(chat);
+  const expected = expectedAnswer(chatBody(chat));
+  const right = outcome === CallOutcome.Whole ? text === expected : expected.startsWith(text);
+  return { outcome, verdict, code, requestId, right, run: undefined };
+}
+
+async function submitToService(
+  call: PlannedCall,
+  common: { url: string; key: string; headers: Record<string, string>; signal: AbortSignal },
+  plan: SitePlan,
+): Promise<Answer> {
+  const path = call.kind === CallKind.Lookup ? '/lookups' : plan.oncePath;
+  const body = { key: call.name };
+  const result = await callApplication({ ...common, service: plan.service, path, body });
+  const { outcome, verdict, code, requestId } = result;
+  if (outcome !== CallOutcome.Whole) {
+    return { outcome, verdict, code, requestId, right: true, run: undefined };
+  }
+  const answer = result.body as { key?: string; run?: number };
+  return { outcome, verdict, code, requestId, right: answer.key === call.name, run: answer.run };
+}
+
+async function pauseMs(delayMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/bench/src/faults/schedule-run.ts
@@ -0,0 +1,112 @@
+/** Runs schedules of faults one after another on a fleet of its own. */
+import { Random } from '@poplarpick/load';
+import { planSite } from '@poplarpick/stand-ins';
+import type { SitePlan } from '@poplarpick/stand-ins';
+import { v7 as makeUuid } from 'uuid';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import { FaultInjector, healPaths, pause } from './fault-injector.ts';
+import { mixSeed, planSchedule } from './fault-kind.ts';
+import type { FaultSchedule } from './fault-kind.ts';
+import { CallKind, performCall } from './schedule-caller.ts';
+import type { CallRecord, PlannedCall } from './schedule-caller.ts';
+import { judgeSchedule } from './schedule-tally.ts';
+import type { ScheduleTally } from './schedule-tally.ts';
+
+/** A schedule that was run. */
+export interface ScheduleResult {
+  schedule: FaultSchedule;
+  tally: ScheduleTally;
+  problems: string[];
+}
+
+/** Options of `runSchedules`. */
+export interface RunOptions {
+  seed: number;
+  /** Hands out the index of the next schedule, or undefined when there is none. */
+  next: () => number | undefined;
+  onResult: (result: ScheduleResult) => void;
+}
+
+const ROUTERS = 2;
+const SIDECAR_GROUPS = 2;
+const ENGINES_PER_KIND = 2;
+const CALLS = 14;
+const CALL_SPREAD_MS = 900;
+const WORK_MS = 150;
+const SETTLE_MS = 250;
+
+/** A site with two endpoints of each kind. */
+export function planSmallSite(): SitePlan {
+  const plan = planSite({ workspaces: 4, slotsPerEngine: 4 });
+  const endpoints = plan.endpoints.filter(
+    (line) =>
+      plan.endpoints.filter(({ kind }) => kind === line.kind).indexOf(line) < ENGINES_PER_KIND,
+  );
+  const used = new Set(endpoints.map(({ dataCentre }) => dataCentre));
+  return { ...plan, endpoints, dataCentres: plan.dataCentres.filter((name) => used.has(name)) };
+}
+
+/** Starts a fleet and runs schedules on it until there are no more. */
+export async function runSchedules(options: RunOptions): Promise<void> {
+  const fleet = await ProcessFleet.start({
+    plan: planSmallSite(),
+    routers: ROUTERS,
+    sidecarGroups: SIDECAR_GROUPS,
+    site: { applicationWorkMs: WORK_MS },
+  });
+  try {
+    for (let index = options.next(); index !== undefined; index = options.next()) {
+      options.onResult(await runSchedule(fleet, planSchedule(options.seed, index), options.seed));
+    }
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runSchedule(
+  fleet: ProcessFleet,
+  schedule: FaultSchedule,
+  seed: number,
+): Promise<ScheduleResult> {
+  const gone = new AbortController();
+  const injector = new FaultInjector(fleet, () => gone.abort());
+  const options = { plan: fleet.site.plan, urls: fleet.routerUrls, signal: gone.signal };
+  const calls = planCalls(seed, schedule.index);
+  const [records] = await Promise.all([
+    Promise.all(calls.map((call) => performCall(call, options))),
+    ...schedule.faults.map((fault) => injector.perform(fault)),
+  ]);
+  healPaths(fleet);
+  await pause(SETTLE_MS);
+  const problems: string[] = [];
+  const tally = judgeSchedule(fleet.site, schedule, records, (problem, record) =>
+    problems.push(describeProblem(problem, schedule, record)),
+  );
+  return { schedule, tally, problems };
+}
+
+function planCalls(seed: number, index: number): PlannedCall[] {
+  const random = new Random(mixSeed(-seed, index));
+  const kinds = Object.values(CallKind);
+  return Array.from({ length: CALLS }, (_, position) => {
+    const kind = kinds[position % kinds.length] ?? CallKind.Chat;
+    const isKeyed = kind === CallKind.KeyedChat || kind === CallKind.KeyedOnce;
+    const startMs = random.integer(CALL_SPREAD_MS);
+    return {
+      kind,
+      name: `${seed}-${index}-${position}`,
+      startMs,
+      outputTokens: 10 + random.integer(50),
+      router: random.integer(ROUTERS),
+      workspace: random.integer(4),
+      key: isKeyed ? makeUuid({ msecs: Date.now() + startMs }) : undefined,
+    };
+  });
+}
+
+function describeProblem(problem: string, schedule: FaultSchedule, record: CallRecord): string {
+  const faults = schedule.faults.map(
+    ({ kind, startMs, durationMs }) => `${kind}@${startMs}+${durationMs}`,
+  );
+  return `${problem} schedule=${schedule.index} faults=${faults.join(',')} ${JSON.stringify(record)}`;
+}
--- /dev/null
+++ b/packages/bench/src/faults/schedule-tally.ts
@@ -0,0 +1,157 @@
+/** Judges what became of the requests of a schedule against the engines' own records. */
+import { CallOutcome } from '@poplarpick/load';
+import type { Site } from '@poplarpick/stand-ins';
+import { FaultKind } from './fault-kind.ts';
+import type { FaultSchedule } from './fault-kind.ts';
+import { CallKind } from './schedule-caller.ts';
+import type { CallRecord, Submission } from './schedule-caller.ts';
+
+/** Counts over the requests of one or more schedules. */
+export interface ScheduleTally {
+  requests: number;
+  /** Submissions, of which a request may have several. */
+  submissions: number;
+  /** Runs of service calls, by the engines' own records. */
+  runs: number;
+  /** Requests that must run once and ran more often. */
+  doubled: number;
+  /** Requests without a whole answer or an explicit failure though their router lived. */
+  lost: number;
+  /** Answers that were wrong, short or another's. */
+  wrongAnswer: number;
+  falseNotRun: number;
+  mayHaveRun: number;
+  /** Requests open during a fault that left all sidecars alive and their endpoints in reach. */
+  touched: number;
+  /** Those of them that were told `may-have-run` in the end. */
+  touchedMayHaveRun: number;
+  /** Requests whose last submission was a whole answer. */
+  whole: number;
+}
+
+const ONCE_KINDS = new Set([CallKind.Once, CallKind.KeyedOnce]);
+const SERVICE_KINDS = new Set([CallKind.Lookup, ...ONCE_KINDS]);
+
+/** Faults that break a caller's connection without a word. */
+const ROUTER_FAULTS = new Set([
+  FaultKind.KillRouter,
+  FaultKind.PauseRouter,
+  FaultKind.LongPauseRouter,
+]);
+
+/** Faults after which the outcome at the endpoint can be unknown to everyone. */
+const ENDPOINT_LOST = new Set([
+  FaultKind.KillSidecar,
+  FaultKind.LongPauseSidecar,
+  FaultKind.EndpointCut,
+  FaultKind.EndpointReset,
+  FaultKind.EndpointHalfOpen,
+]);
+
+/** An empty tally. */
+export function createTally(): ScheduleTally {
+  return {
+    requests: 0,
+    submissions: 0,
+    runs: 0,
+    doubled: 0,
+    lost: 0,
+    wrongAnswer: 0,
+    falseNotRun: 0,
+    mayHaveRun: 0,
+    touched: 0,
+    touchedMayHaveRun: 0,
+    whole: 0,
+  };
+}
+
+/** Adds the counts of one tally to another. */
+export function addTally(total: ScheduleTally, tally: ScheduleTally): void {
+  for (const field of Object.keys(total) as (keyof ScheduleTally)[]) total[field] += tally[field];
+}
+
+/** Judges the requests of a schedule; `describe` is called with each that went wrong. */
+export function judgeSchedule(
+  site: Site,
+  schedule: FaultSchedule,
+  records: readonly CallRecord[],
+  describe: (problem: string, record: CallRecord) => void,
+): ScheduleTally {
+  const tally = createTally();
+  const runs = site.countRuns();
+  for (const record of records) {
+    const count = runs.get(record.call.name) ?? 0;
+    const problems = findProblems(site, schedule, record, count);
+    problems.forEach((problem) => describe(problem, record));
+    addTally(tally, {
+      ...createTally(),
+      ...countProblems(problems),
+      requests: 1,
+      submissions: record.submissions.length,
+      runs: count,
+      mayHaveRun: endsUnknown(record) ? 1 : 0,
+      touched: isTouched(schedule, record) ? 1 : 0,
+      touchedMayHaveRun: isTouched(schedule, record) && endsUnknown(record) ? 1 : 0,
+      whole: record.submissions.at(-1)?.outcome === CallOutcome.Whole ? 1 : 0,
+    });
+  }
+  return tally;
+}
+
+type Problem = 'doubled' | 'lost' | 'wrongAnswer' | 'falseNotRun';
+
+function countProblems(problems: readonly Problem[]): Partial<ScheduleTally> {
+  return Object.fromEntries(problems.map((problem) => [problem, 1]));
+}
+
+function findProblems(
+  site: Site,
+  schedule: FaultSchedule,
+  record: CallRecord,
+  runs: number,
+): Problem[] {
+  const problems: Problem[] = [];
+  if (ONCE_KINDS.has(record.call.kind) && runs > 1) problems.push('doubled');
+  if (isLost(schedule, record, runs)) problems.push('lost');
+  if (hasWrongAnswer(record)) problems.push('wrongAnswer');
+  if (hasFalseNotRun(site, record, runs)) problems.push('falseNotRun');
+  return problems;
+}
+
+function isLost(schedule: FaultSchedule, { call, submissions }: CallRecord, runs: number): boolean {
+  const last = submissions.at(-1);
+  if (last === undefined) return true;
+  if (last.outcome === CallOutcome.Whole) return SERVICE_KINDS.has(call.kind) && runs === 0;
+  if (last.abandoned || last.verdict !== undefined) return false;
+  return !schedule.faults.some(({ kind }) => ROUTER_FAULTS.has(kind));
+}
+
+function hasWrongAnswer({ call, submissions }: CallRecord): boolean {
+  if (submissions.some(({ right }) => !right)) return true;
+  if (!ONCE_KINDS.has(call.kind)) return false;
+  return submissions.some(({ outcome, run }) => outcome === CallOutcome.Whole && run !== 1);
+}
+
+/** A submission that was refused as not run must not show in an engine's record. */
+function hasFalseNotRun(site: Site, { submissions, call }: CallRecord, runs: number): boolean {
+  if (submissions.some((submission) => isFalseNotRun(site, submission))) return true;
+  const allNotRun = submissions.every(({ verdict }) => verdict === 'not-run');
+  return allNotRun && SERVICE_KINDS.has(call.kind) && runs > 0;
+}
+
+function isFalseNotRun(site: Site, { verdict, requestId }: Submission): boolean {
+  return verdict === 'not-run' && requestId !== undefined && site.hasRun(requestId);
+}
+
+function endsUnknown({ submissions }: CallRecord): boolean {
+  return submissions.at(-1)?.verdict === 'may-have-run';
+}
+
+function isTouched(schedule: FaultSchedule, { startedAt, endedAt, call }: CallRecord): boolean {
+  if (schedule.faults.some(({ kind }) => ENDPOINT_LOST.has(kind))) return false;
+  const start = startedAt - call.startMs;
+  return schedule.faults.some(
+    (fault) =>
+      start + fault.startMs <= endedAt && startedAt <= start + fault.startMs + fault.durationMs,
+  );
+}
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -10,7 +10,7 @@
 import { Role } from '@poplarpick/kernel';
 import { fetchStatus } from '@poplarpick/cli';
 import type { ProcessStatus } from '@poplarpick/cli';
-import { FaultProxy, planSite, Site } from '@poplarpick/stand-ins';
+import { FaultProxy, HostList, planSite, Site } from '@poplarpick/stand-ins';
 import type { SiteOptions, SitePlan } from '@poplarpick/stand-ins';
 import { stringify } from 'smol-toml';
 import { FleetProcess } from './fleet-process.ts';
@@ -22,6 +22,11 @@
   plan?: SitePlan;
   site?: SiteOptions;
   routers?: number;
+  /**
+   * Groups of sidecars, in turn of the endpoints. Each group reaches the routers through proxies of its own, so that
+   * groups can be parted from each other.
+   */
+  sidecarGroups?: number;
   /** The harness reads events of level info, so no level above it. */
   logLevel?: 'debug' | 'info';
   nodeOptions?: string[];
@@ -35,8 +40,10 @@
   callers: string;
   operators: string;
   links: string;
-  /** Stands before the router's link address. */
+  /** Stands before the router's link address, for the first group of sidecars. */
   proxy: FaultProxy;
+  /** The proxies of all groups, the first included. */
+  proxies: FaultProxy[];
 }
 
 /** A sidecar process. */
@@ -44,6 +51,7 @@
   host: string;
   endpoint: string;
   dataCentre: string;
+  group: number;
   process: FleetProcess;
   operators: string;
   /** Stands before the endpoint. */
@@ -56,11 +64,15 @@
   readonly routers: RouterNode[] = [];
   readonly sidecars: SidecarNode[] = [];
   private readonly options: ProcessFleetOptions;
+  /** Host lists of the groups of sidecars after the first. */
+  private readonly groupHosts: HostList[];
   private readonly folder = mkdtempSync(join(tmpdir(), 'poplarpick-'));
 
   private constructor(site: Site, options: ProcessFleetOptions) {
     this.site = site;
     this.options = options;
+    const groups = options.sidecarGroups ?? 1;
+    this.groupHosts = Array.from({ length: groups - 1 }, () => new HostList());
   }
 
   /** Starts stand-ins, routers and sidecars, and waits until all are linked and configured. */
@@ -107,27 +119,35 @@
 
   /** Shows the routers in the host list, all live but those named. */
   publishHosts(leaving: readonly string[] = []): void {
-    const hosts: Host[] = this.routers.map((router) => ({
-      id: router.host,
-      role: Role.Router,
-      dataCentre: router.dataCentre,
-      address: router.proxy.address,
-      state: leaving.includes(router.host) ? HostState.Leaving : HostState.Live,
-    }));
-    this.site.hosts.set(hosts);
+    [this.site.hosts, ...this.groupHosts].forEach((list, group) => {
+      list.set(this.routers.map((router) => this.describeRouter(router, group, leaving)));
+    });
   }
 
   /** Kills all processes and stops the stand-ins. */
   async stop(): Promise<void> {
     const nodes = [...this.routers, ...this.sidecars];
     await Promise.all(nodes.map((node) => node.process.kill()));
-    nodes.forEach((node) => node.proxy.stop());
+    this.sidecars.forEach((node) => node.proxy.stop());
+    this.routers.forEach((node) => node.proxies.forEach((proxy) => proxy.stop()));
+    await Promise.all(this.groupHosts.map((list) => list.stop()));
     await this.site.stop();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  private describeRouter(router: RouterNode, group: number, leaving: readonly string[]): Host {
+    return {
+      id: router.host,
+      role: Role.Router,
+      dataCentre: router.dataCentre,
+      address: router.proxies[group]?.address ?? router.proxy.address,
+      state: leaving.includes(router.host) ? HostState.Leaving : HostState.Live,
+    };
+  }
+
   private async startAll(): Promise<void> {
     const { dataCentres, endpoints } = this.site.plan;
+    await Promise.all(this.groupHosts.map((list) => list.start()));
     const count = this.options.routers ?? 2;
     await Promise.all(
       Array.from({ length: count }, (_, index) =>
@@ -158,7 +178,9 @@
     const operators = (await process.waitFor('operators.listening'))['address'] ?? '';
     const links = (await process.waitFor('links.listening'))['address'] ?? '';
     const proxy = await new FaultProxy({ target: links }).start();
-    this.routers.push({ host, dataCentre, process, callers, operators, links, proxy });
+    const others = this.groupHosts.map(() => new FaultProxy({ target: links }).start());
+    const proxies = [proxy, ...(await Promise.all(others))];
+    this.routers.push({ host, dataCentre, process, callers, operators, links, proxy, proxies });
     await process.waitFor('configuration.in_force');
   }
 
@@ -166,7 +188,9 @@
     const proxy = await new FaultProxy({
       target: this.site.endpointUrl(endpoint).replace('http://', ''),
     }).start();
-    const node = { host: `host-of-${endpoint}`, endpoint, dataCentre, operators: '', proxy };
+    const index = this.site.plan.endpoints.findIndex(({ name }) => name === endpoint);
+    const group = index % (this.groupHosts.length + 1);
+    const node = { host: `host-of-${endpoint}`, endpoint, dataCentre, group, operators: '', proxy };
     const sidecar = { ...node, process: this.spawnSidecar(node) };
     this.sidecars.push(sidecar);
     await this.noteSidecarStart(sidecar);
@@ -188,7 +212,7 @@
 
   private spawnSidecar(node: Omit<SidecarNode, 'process'>): FleetProcess {
     const settings = {
-      ...this.commonSettings(node.host, node.dataCentre),
+      ...this.commonSettings(node.host, node.dataCentre, node.group),
       operators: { address: node.operators === '' ? '127.0.0.1:0' : node.operators },
       endpoint: { name: node.endpoint, url: `http://${node.proxy.address}` },
     };
@@ -204,8 +228,9 @@
     });
   }
 
-  private commonSettings(host: string, dataCentre: string) {
-    const { configuration, hosts } = this.site;
+  private commonSettings(host: string, dataCentre: string, group = 0) {
+    const { configuration } = this.site;
+    const hosts = this.groupHosts[group - 1] ?? this.site.hosts;
     return {
       fleet: FLEET,
       host,
--- a/packages/stand-ins/src/application-engine.ts
+++ b/packages/stand-ins/src/application-engine.ts
@@ -23,6 +23,7 @@
 export class ApplicationEngine extends StandIn {
   private readonly workMs: number;
   private readonly runs = new Map<string, number>();
+  private readonly requests = new Set<string>();
 
   constructor(options: ApplicationEngineOptions = {}) {
     super('application-engine');
@@ -34,6 +35,11 @@
     return Object.fromEntries(this.runs);
   }
 
+  /** Whether a call with this request id has run. */
+  hasRun(requestId: string): boolean {
+    return this.requests.has(requestId);
+  }
+
   protected override routes(): StandInRoute[] {
     return [
       {
@@ -48,6 +54,7 @@
     const key = readBusinessKey(await readText(request));
     const run = (this.runs.get(key) ?? 0) + 1;
     this.runs.set(key, run);
+    this.requests.add(String(request.headers['x-request-id'] ?? ''));
     await new Promise((resolve) => setTimeout(resolve, this.workMs));
     sendJson(response, 200, { key, run, method: request.method, path: request.originalUrl });
   }
--- a/packages/stand-ins/src/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy.ts
@@ -45,66 +45,125 @@
 const DRIP_PERIOD_MS = 20;
 const CLOSING_FAULTS = new Set([Fault.Cut, Fault.Reset]);
 
+/** Bytes under way, or the end of the stream where there are none. */
+interface Parcel {
+  bytes: Buffer | undefined;
+  releaseAt: number;
+}
+
+/** What a lane needs to know of its proxy. */
+interface LaneOptions {
+  from: Socket;
+  to: Socket;
+  direction: Direction;
+  faultNow: () => Fault;
+  latencyMs: number;
+}
+
+/**
+ * One direction of a connection. Bytes keep their order whatever fault comes or goes, as TCP keeps it:
+ * what a silence holds back arrives late when the silence ends, and the end of the stream after it.
+ */
+class Lane {
+  /** Set for good by a half-open fault. */
+  silenced = false;
+  private readonly options: LaneOptions;
+  private queue: Parcel[] = [];
+  private lastReleaseAt = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(options: LaneOptions) {
+    const { from, to } = options;
+    this.options = options;
+    from.on('data', (bytes: Buffer) => this.accept(bytes));
+    from.on('error', () => undefined);
+    from.on('close', () => this.enqueue(undefined, 0));
+    to.on('drain', () => from.resume());
+  }
+
+  /** Passes on what may pass now. */
+  pump(): void {
+    clearTimeout(this.timer);
+    const { to, direction, faultNow } = this.options;
+    if (this.silenced || isSilent(faultNow(), direction)) return;
+    const now = performance.now();
+    while (this.queue[0] !== undefined && this.queue[0].releaseAt <= now) {
+      this.deliver(this.queue.shift(), to);
+    }
+    const next = this.queue[0];
+    if (next !== undefined) this.timer = setTimeout(() => this.pump(), next.releaseAt - now);
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+    this.queue = [];
+  }
+
+  private accept(bytes: Buffer): void {
+    const fault = this.options.faultNow();
+    if (fault === Fault.Drip) this.drip(bytes);
+    else this.enqueue(bytes, fault === Fault.Latency ? this.options.latencyMs : 0);
+  }
+
+  private drip(bytes: Buffer): void {
+    for (let start = 0; start < bytes.length; start += DRIP_BYTES) {
+      this.lastReleaseAt = Math.max(this.lastReleaseAt, performance.now()) + DRIP_PERIOD_MS;
+      this.enqueue(bytes.subarray(start, start + DRIP_BYTES), 0);
+    }
+  }
+
+  private enqueue(bytes: Buffer | undefined, delayMs: number): void {
+    this.lastReleaseAt = Math.max(performance.now() + delayMs, this.lastReleaseAt);
+    this.queue.push({ bytes, releaseAt: this.lastReleaseAt });
+    this.pump();
+  }
+
+  private deliver(parcel: Parcel | undefined, to: Socket): void {
+    if (parcel?.bytes === undefined) {
+      to.destroySoon();
+      return;
+    }
+    if (to.destroyed) return;
+    if (!to.write(parcel.bytes)) this.options.from.pause();
+  }
+}
+
 /** One connection through the proxy. */
 class ProxiedConnection {
   readonly near: Socket;
   readonly far: Socket;
-  /** Set for good by a half-open fault. */
-  silenced = false;
-  private readonly faultNow: () => Fault;
-  private readonly latencyMs: number;
-  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly lanes: Lane[];
 
   constructor(near: Socket, far: Socket, faultNow: () => Fault, latencyMs: number) {
     this.near = near;
     this.far = far;
-    this.faultNow = faultNow;
-    this.latencyMs = latencyMs;
-    this.pipe(near, far, Direction.Forward);
-    this.pipe(far, near, Direction.Backward);
+    const common = { faultNow, latencyMs };
+    this.lanes = [
+      new Lane({ ...common, from: near, to: far, direction: Direction.Forward }),
+      new Lane({ ...common, from: far, to: near, direction: Direction.Backward }),
+    ];
+  }
+
+  /** Goes silent both ways for good. */
+  silence(): void {
+    this.lanes.forEach((lane) => (lane.silenced = true));
+  }
+
+  pump(): void {
+    this.lanes.forEach((lane) => lane.pump());
   }
 
   close(): void {
-    this.timers.forEach((timer) => clearTimeout(timer));
+    this.lanes.forEach((lane) => lane.stop());
     this.near.destroy();
     this.far.destroy();
   }
 
   reset(): void {
+    this.lanes.forEach((lane) => lane.stop());
     this.near.resetAndDestroy();
     this.far.resetAndDestroy();
   }
-
-  private pipe(from: Socket, to: Socket, direction: Direction): void {
-    from.on('data', (bytes: Buffer) => this.pass(bytes, to, direction));
-    from.on('error', () => undefined);
-    from.on('close', () => {
-      if (!this.silenced && !isSilent(this.faultNow(), direction)) to.destroy();
-    });
-  }
-
-  private pass(bytes: Buffer, to: Socket, direction: Direction): void {
-    const fault = this.faultNow();
-    if (this.silenced || isSilent(fault, direction)) return;
-    if (fault === Fault.Latency) this.later(this.latencyMs, () => to.write(bytes));
-    else if (fault === Fault.Drip) this.drip(bytes, to);
-    else to.write(bytes);
-  }
-
-  private drip(bytes: Buffer, to: Socket): void {
-    for (let start = 0; start < bytes.length; start += DRIP_BYTES) {
-      const part = bytes.subarray(start, start + DRIP_BYTES);
-      this.later((start / DRIP_BYTES) * DRIP_PERIOD_MS, () => to.write(part));
-    }
-  }
-
-  private later(delayMs: number, action: () => void): void {
-    const timer = setTimeout(() => {
-      this.timers.delete(timer);
-      action();
-    }, delayMs);
-    this.timers.add(timer);
-  }
 }
 
 /** Forwards connections to a target and spoils them on demand. */
@@ -135,9 +194,10 @@
     for (const connection of this.connections) {
       if (fault === Fault.Cut) connection.close();
       if (fault === Fault.Reset) connection.reset();
-      if (fault === Fault.HalfOpen) connection.silenced = true;
+      if (fault === Fault.HalfOpen) connection.silence();
     }
     if (fault === Fault.Reset || fault === Fault.HalfOpen) this.current = Fault.None;
+    this.connections.forEach((connection) => connection.pump());
   }
 
   async start(): Promise<this> {
--- a/packages/stand-ins/src/model-engine/model-engine.ts
+++ b/packages/stand-ins/src/model-engine/model-engine.ts
@@ -80,6 +80,7 @@
   private reported: LoadReport = { running: 0, waiting: 0, stepMs: 0 };
   private sampler: NodeJS.Timeout | undefined;
   private started = 0;
+  private readonly requests = new Set<string>();
 
   constructor(options: ModelEngineOptions) {
     super('model-engine');
@@ -101,6 +102,11 @@
     return this.started;
   }
 
+  /** Whether a generation with this request id was started. */
+  hasRun(requestId: string): boolean {
+    return this.requests.has(requestId);
+  }
+
   /** Sequences that run now. */
   get running(): number {
     return this.batch.runningCount;
@@ -171,6 +177,7 @@
     const id = typeof header === 'string' ? header : randomUUID();
     const stream = new TokenStream(id, body, countTokens(prompt.slice(cached)));
     this.started += 1;
+    this.requests.add(id);
     this.streams.set(id, stream);
     this.serve(stream, response, 0);
     this.batch.add(stream);
--- a/packages/stand-ins/src/site/site.ts
+++ b/packages/stand-ins/src/site/site.ts
@@ -73,6 +73,12 @@
     return total;
   }
 
+  /** Whether an engine has run the request with this id. */
+  hasRun(requestId: string): boolean {
+    const engines = [...this.modelEngines.values(), ...this.applicationEngines.values()];
+    return engines.some((engine) => engine.hasRun(requestId));
+  }
+
   private standIns(): StandIn[] {
     return [
       this.configuration,
