--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -30,6 +30,8 @@
   /** The harness reads events of level info, so no level above it. */
   logLevel?: 'debug' | 'info';
   nodeOptions?: string[];
+  /** Whether each process reaches the configuration service through a fault proxy of its own. */
+  serviceProxies?: boolean;
 }
 
 /** A router process with its addresses, which stay the same over restarts. */
@@ -64,8 +66,12 @@
   readonly routers: RouterNode[] = [];
   readonly sidecars: SidecarNode[] = [];
   private readonly options: ProcessFleetOptions;
+<<<<<<< HEAD
   /** Host lists of the groups of sidecars after the first. */
   private readonly groupHosts: HostList[];
+=======
+  private readonly serviceProxies = new Map<string, FaultProxy>();
+>>>>>>> main
   private readonly folder = mkdtempSync(join(tmpdir(), 'poplarpick-'));
 
   private constructor(site: Site, options: ProcessFleetOptions) {
@@ -117,20 +123,51 @@
     await this.noteSidecarStart(sidecar);
   }
 
-  /** Shows the routers in the host list, all live but those named. */
+  /** The fault proxy between a process and the configuration service. Throws where there is none. */
+  serviceProxy(host: string): FaultProxy {
+    const found = this.serviceProxies.get(host);
+    if (found === undefined) throw new Error(`no service proxy of ${host}`);
+    return found;
+  }
+
+  /** Shows the hosts in the host list, all live but those named. */
   publishHosts(leaving: readonly string[] = []): void {
+<<<<<<< HEAD
     [this.site.hosts, ...this.groupHosts].forEach((list, group) => {
       list.set(this.routers.map((router) => this.describeRouter(router, group, leaving)));
     });
+=======
+    const stateOf = (id: string): HostState =>
+      leaving.includes(id) ? HostState.Leaving : HostState.Live;
+    const routers: Host[] = this.routers.map((router) => ({
+      id: router.host,
+      role: Role.Router,
+      dataCentre: router.dataCentre,
+      address: router.proxy.address,
+      state: stateOf(router.host),
+    }));
+    const sidecars: Host[] = this.site.plan.endpoints.map(({ name, dataCentre }) => ({
+      id: hostOf(name),
+      role: Role.Sidecar,
+      dataCentre,
+      state: stateOf(hostOf(name)),
+    }));
+    this.site.hosts.set([...routers, ...sidecars]);
+>>>>>>> main
   }
 
   /** Kills all processes and stops the stand-ins. */
   async stop(): Promise<void> {
     const nodes = [...this.routers, ...this.sidecars];
     await Promise.all(nodes.map((node) => node.process.kill()));
+<<<<<<< HEAD
     this.sidecars.forEach((node) => node.proxy.stop());
     this.routers.forEach((node) => node.proxies.forEach((proxy) => proxy.stop()));
     await Promise.all(this.groupHosts.map((list) => list.stop()));
+=======
+    nodes.forEach((node) => node.proxy.stop());
+    this.serviceProxies.forEach((proxy) => proxy.stop());
+>>>>>>> main
     await this.site.stop();
     rmSync(this.folder, { recursive: true, force: true });
   }
@@ -172,7 +209,14 @@
     }
   }
 
+  private async addServiceProxy(host: string): Promise<void> {
+    if (this.options.serviceProxies !== true) return;
+    const target = this.site.configuration.url.replace('http://', '');
+    this.serviceProxies.set(host, await new FaultProxy({ target }).start());
+  }
+
   private async startRouter(host: string, dataCentre: string): Promise<void> {
+    await this.addServiceProxy(host);
     const process = this.spawnRouter(host, dataCentre);
     const callers = (await process.waitFor('callers.listening'))['address'] ?? '';
     const operators = (await process.waitFor('operators.listening'))['address'] ?? '';
@@ -185,12 +229,17 @@
   }
 
   private async startSidecar(endpoint: string, dataCentre: string): Promise<void> {
+    await this.addServiceProxy(hostOf(endpoint));
     const proxy = await new FaultProxy({
       target: this.site.endpointUrl(endpoint).replace('http://', ''),
     }).start();
+<<<<<<< HEAD
     const index = this.site.plan.endpoints.findIndex(({ name }) => name === endpoint);
     const group = index % (this.groupHosts.length + 1);
     const node = { host: `host-of-${endpoint}`, endpoint, dataCentre, group, operators: '', proxy };
+=======
+    const node = { host: hostOf(endpoint), endpoint, dataCentre, operators: '', proxy };
+>>>>>>> main
     const sidecar = { ...node, process: this.spawnSidecar(node) };
     this.sidecars.push(sidecar);
     await this.noteSidecarStart(sidecar);
@@ -228,15 +277,27 @@
     });
   }
 
+<<<<<<< HEAD
   private commonSettings(host: string, dataCentre: string, group = 0) {
     const { configuration } = this.site;
     const hosts = this.groupHosts[group - 1] ?? this.site.hosts;
+=======
+  private commonSettings(host: string, dataCentre: string) {
+    const { configuration, hosts } = this.site;
+    const proxy = this.serviceProxies.get(host);
+    const service = proxy === undefined ? configuration.url : `http://${proxy.address}`;
+>>>>>>> main
     return {
       fleet: FLEET,
       host,
       data_centre: dataCentre,
-      platform: { configuration: configuration.url, hosts: hosts.url },
+      platform: { configuration: service, hosts: hosts.url },
       log: { level: this.options.logLevel ?? 'info' },
     };
   }
 }
+
+/** Name of the host beside an endpoint. */
+export function hostOf(endpoint: string): string {
+  return `host-of-${endpoint}`;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -15,6 +15,7 @@
     commands: { strategy: 'explicit', target: 'bundled', identifier: 'COMMANDS' },
     topics: {
       config: { description: 'Check settings and fleet configurations.' },
+      drain: { description: 'Follow planned stops.' },
       'stand-in': { description: 'Run small stand-ins of outside systems, for trials.' },
     },
   },
@@ -37,6 +38,8 @@
   });
   await run(process.argv.slice(2), config);
   await flush();
+  // Kept-alive connections would hold the process for seconds after its work is done.
+  process.exit();
 }
 
 main().catch(async (error: unknown) => handle(error as Error));
