--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -66,12 +66,9 @@
   readonly routers: RouterNode[] = [];
   readonly sidecars: SidecarNode[] = [];
   private readonly options: ProcessFleetOptions;
-<<<<<<< HEAD
   /** Host lists of the groups of sidecars after the first. */
   private readonly groupHosts: HostList[];
-=======
   private readonly serviceProxies = new Map<string, FaultProxy>();
->>>>>>> main
   private readonly folder = mkdtempSync(join(tmpdir(), 'poplarpick-'));
 
   private constructor(site: Site, options: ProcessFleetOptions) {
@@ -132,42 +129,26 @@
 
   /** Shows the hosts in the host list, all live but those named. */
   publishHosts(leaving: readonly string[] = []): void {
-<<<<<<< HEAD
-    [this.site.hosts, ...this.groupHosts].forEach((list, group) => {
-      list.set(this.routers.map((router) => this.describeRouter(router, group, leaving)));
-    });
-=======
-    const stateOf = (id: string): HostState =>
-      leaving.includes(id) ? HostState.Leaving : HostState.Live;
-    const routers: Host[] = this.routers.map((router) => ({
-      id: router.host,
-      role: Role.Router,
-      dataCentre: router.dataCentre,
-      address: router.proxy.address,
-      state: stateOf(router.host),
-    }));
     const sidecars: Host[] = this.site.plan.endpoints.map(({ name, dataCentre }) => ({
       id: hostOf(name),
       role: Role.Sidecar,
       dataCentre,
-      state: stateOf(hostOf(name)),
+      state: leaving.includes(hostOf(name)) ? HostState.Leaving : HostState.Live,
     }));
-    this.site.hosts.set([...routers, ...sidecars]);
->>>>>>> main
+    [this.site.hosts, ...this.groupHosts].forEach((list, group) => {
+      const routers = this.routers.map((router) => this.describeRouter(router, group, leaving));
+      list.set([...routers, ...sidecars]);
+    });
   }
 
   /** Kills all processes and stops the stand-ins. */
   async stop(): Promise<void> {
     const nodes = [...this.routers, ...this.sidecars];
     await Promise.all(nodes.map((node) => node.process.kill()));
-<<<<<<< HEAD
     this.sidecars.forEach((node) => node.proxy.stop());
     this.routers.forEach((node) => node.proxies.forEach((proxy) => proxy.stop()));
     await Promise.all(this.groupHosts.map((list) => list.stop()));
-=======
-    nodes.forEach((node) => node.proxy.stop());
     this.serviceProxies.forEach((proxy) => proxy.stop());
->>>>>>> main
     await this.site.stop();
     rmSync(this.folder, { recursive: true, force: true });
   }
@@ -233,13 +214,9 @@
     const proxy = await new FaultProxy({
       target: this.site.endpointUrl(endpoint).replace('http://', ''),
     }).start();
-<<<<<<< HEAD
     const index = this.site.plan.endpoints.findIndex(({ name }) => name === endpoint);
     const group = index % (this.groupHosts.length + 1);
-    const node = { host: `host-of-${endpoint}`, endpoint, dataCentre, group, operators: '', proxy };
-=======
-    const node = { host: hostOf(endpoint), endpoint, dataCentre, operators: '', proxy };
->>>>>>> main
+    const node = { host: hostOf(endpoint), endpoint, dataCentre, group, operators: '', proxy };
     const sidecar = { ...node, process: this.spawnSidecar(node) };
     this.sidecars.push(sidecar);
     await this.noteSidecarStart(sidecar);
@@ -277,16 +254,11 @@
     });
   }
 
-<<<<<<< HEAD
   private commonSettings(host: string, dataCentre: string, group = 0) {
     const { configuration } = this.site;
     const hosts = this.groupHosts[group - 1] ?? this.site.hosts;
-=======
-  private commonSettings(host: string, dataCentre: string) {
-    const { configuration, hosts } = this.site;
     const proxy = this.serviceProxies.get(host);
     const service = proxy === undefined ? configuration.url : `http://${proxy.address}`;
->>>>>>> main
     return {
       fleet: FLEET,
       host,
