Find lost members by probes through others and suspicions that can be refuted

A lost host stayed in the overlay until the host list dropped it. Lost routers are dialled now and then, so partitions heal. The test of the second signal now waits until the restarted router has a configuration in force: it asked before and hung on the refusal, once in two runs of the whole suite.

--- a/packages/bench/src/integration/callers-exchange.test.ts
+++ b/packages/bench/src/integration/callers-exchange.test.ts
@@ -178,6 +178,7 @@
     if (router === undefined) throw new Error('there is no router');
     await fleet.restartRouter(router);
     await router.process.waitForEvent((event) => event['event'] === 'peer.joined', 'the sidecar');
+    await router.process.waitFor('configuration.in_force');
     await whileBusy(async () => {
       router.process.signal('SIGTERM');
       await router.process.waitFor('process.draining');
--- /dev/null
+++ b/packages/decisions/src/membership/member-table.ts
@@ -0,0 +1,155 @@
+/**
+ * The members that one process knows. It merges what others say, turns suspicions that nobody refutes
+ * into losses, refutes what is said of itself, and compares tables with another process by buckets, so
+ * that only what differs is sent.
+ */
+import murmurhash from 'murmurhash';
+import { FlapDamper } from './flap-damper.ts';
+import { isFresher, isUp, MemberState } from './member-record.ts';
+import type { MemberRecord } from './member-record.ts';
+
+/** Time within which a suspect must refute. */
+export const SUSPICION_MS = 2_000;
+
+/** Time after which a member that is gone is forgotten. */
+export const FORGET_MS = 600_000;
+
+/** Buckets of a table's summary. */
+const BUCKETS = 64;
+
+/** What a merge has led to. */
+export interface Merge {
+  /** Records that are new here and are to be passed on. */
+  news: MemberRecord[];
+  /** Records that are fresher here than what was said; for whoever said it. */
+  corrections: MemberRecord[];
+}
+
+/** Options of a `MemberTable`. */
+export interface MemberTableOptions {
+  /** The process itself; its version starts at 1. */
+  self: Omit<MemberRecord, 'version' | 'state'>;
+}
+
+interface Entry {
+  record: MemberRecord;
+  changedAt: number;
+}
+
+/** Holds one record for each member. */
+export class MemberTable {
+  private readonly entries = new Map<string, Entry>();
+  private readonly damper = new FlapDamper();
+  private own: MemberRecord;
+
+  constructor({ self }: MemberTableOptions) {
+    this.own = { ...self, version: 1, state: MemberState.Alive };
+    this.entries.set(self.host, { record: this.own, changedAt: 0 });
+  }
+
+  /** The record of the process itself. */
+  get self(): MemberRecord {
+    return this.own;
+  }
+
+  find(host: string): MemberRecord | undefined {
+    return this.entries.get(host)?.record;
+  }
+
+  records(): MemberRecord[] {
+    return [...this.entries.values()].map(({ record }) => record);
+  }
+
+  /** Whether a host may carry messages and duties: not known as gone, and not damped. */
+  isUsable(host: string, now: number): boolean {
+    const record = this.find(host);
+    return (record === undefined || isUp(record)) && !this.damper.isDamped(host, now);
+  }
+
+  /** Hosts that are damped. */
+  damped(now: number): string[] {
+    return this.damper.list(now);
+  }
+
+  /** Takes records of others in. */
+  merge(records: readonly MemberRecord[], now: number): Merge {
+    const merge: Merge = { news: [], corrections: [] };
+    for (const record of records) this.mergeOne(record, now, merge);
+    return merge;
+  }
+
+  /** Begins the suspicion of a host; returns what is to be passed on. */
+  suspect(host: string, now: number): MemberRecord[] {
+    const record = this.find(host);
+    if (record?.state !== MemberState.Alive || host === this.own.host) return [];
+    return [this.put({ ...record, state: MemberState.Suspect }, now)];
+  }
+
+  /** Says that the process itself stops; returns what is to be passed on. */
+  leave(now: number): MemberRecord[] {
+    this.own = { ...this.own, version: this.own.version + 1, state: MemberState.Left };
+    return [this.put(this.own, now)];
+  }
+
+  /** Turns suspicions that have lasted into losses and forgets what is long gone. */
+  tick(now: number): MemberRecord[] {
+    const lost: MemberRecord[] = [];
+    for (const [host, { record, changedAt }] of this.entries) {
+      if (record.state === MemberState.Suspect && now - changedAt >= SUSPICION_MS) {
+        lost.push(this.put({ ...record, state: MemberState.Down }, now));
+      } else if (!isUp(record) && now - changedAt >= FORGET_MS) this.entries.delete(host);
+    }
+    return lost;
+  }
+
+  /** Hash of the records of each bucket; two tables with the same records have the same summary. */
+  summarise(): number[] {
+    const buckets = new Array<number>(BUCKETS).fill(0);
+    for (const { record } of this.entries.values()) {
+      const bucket = bucketOf(record.host);
+      buckets[bucket] = ((buckets[bucket] ?? 0) ^ hashRecord(record)) >>> 0;
+    }
+    return buckets;
+  }
+
+  /** The records of the buckets in which another table differs. */
+  difference(summary: readonly number[]): MemberRecord[] {
+    const own = this.summarise();
+    const differs = own.map((hash, bucket) => hash !== summary[bucket]);
+    return this.records().filter((record) => differs[bucketOf(record.host)] === true);
+  }
+
+  private mergeOne(record: MemberRecord, now: number, merge: Merge): void {
+    if (record.host === this.own.host) {
+      this.mergeOwn(record, now, merge);
+      return;
+    }
+    const known = this.find(record.host);
+    if (known === undefined || isFresher(record, known)) merge.news.push(this.put(record, now));
+    else if (isFresher(known, record)) merge.corrections.push(known);
+  }
+
+  /** Refutes anything but the truth about the process itself. */
+  private mergeOwn(record: MemberRecord, now: number, merge: Merge): void {
+    if (!isFresher(record, this.own)) return;
+    this.own = { ...this.own, version: record.version + 1 };
+    merge.news.push(this.put(this.own, now));
+  }
+
+  private put(record: MemberRecord, now: number): MemberRecord {
+    const earlier = this.find(record.host);
+    this.entries.set(record.host, { record, changedAt: now });
+    if (earlier === undefined) return record;
+    const isAnotherRun = earlier.incarnation !== record.incarnation;
+    if (isAnotherRun || record.state === MemberState.Down) this.damper.note(record.host, now);
+    return record;
+  }
+}
+
+function bucketOf(host: string): number {
+  return murmurhash.v3(host) % BUCKETS;
+}
+
+function hashRecord({ host, incarnation, version, state }: MemberRecord): number {
+  return murmurhash.v3(`${host} ${incarnation} ${version} ${state}`);
+}
--- a/packages/fleet/src/configuration/app.ts
+++ b/packages/fleet/src/configuration/app.ts
@@ -11,6 +11,7 @@
   hostDirectoryKey,
   identityKey,
   linkHubKey,
+  linkPlanKey,
   routerSettingsKey,
   sidecarSettingsKey,
   statusBoardKey,
@@ -23,7 +24,7 @@
 import { ServiceFollower } from './service-follower.ts';
 
 /** Period of the look at whether the peers have been heard. */
-const START_LOOK_MS = 20;
+const START_LOOK_MS = 5;
 
 class ConfigurationPlugin extends Plugin {
   override readonly name = 'configuration';
@@ -86,7 +87,7 @@
     return isStartComplete({
       elapsedMs: kernel.clock.monotonic() - startedAt,
       hostsKnown: directory.isRead,
-      expected: kernel.part(linkHubKey).dialledHosts,
+      expected: kernel.part(linkPlanKey).neighbours,
       heard: this.exchange?.heard ?? 0,
       isFetching: this.exchange?.isFetching ?? false,
     });
@@ -97,8 +98,10 @@
 function isReader(kernel: Kernel): boolean {
   if (kernel.role !== Role.Router) return false;
   const { host, dataCentre } = kernel.part(identityKey);
-  const routers = listLiveRouters(kernel.part(hostDirectoryKey).hosts)
-    .filter((router) => router.dataCentre === dataCentre)
+  const { hosts } = kernel.part(hostDirectoryKey);
+  const usable = new Set(kernel.part(linkPlanKey).usableRouters());
+  const routers = listLiveRouters(hosts)
+    .filter((router) => router.dataCentre === dataCentre && usable.has(router.id))
     .map((router) => router.id);
   return selectReaders(dataCentre, [...new Set([...routers, host])]).has(host);
 }
--- a/packages/fleet/src/link/app.ts
+++ b/packages/fleet/src/link/app.ts
@@ -2,27 +2,23 @@
  * Plug-in that owns the links: routers listen and dial their neighbours among the routers, sidecars
  * dial the routers that are theirs, as the host list shows them.
  */
-import { selectNeighbours, selectRouters } from '@poplarpick/decisions';
 import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
-import type { Kernel, Timer } from '@poplarpick/kernel';
+import type { Kernel } from '@poplarpick/kernel';
 import {
   hostDirectoryKey,
   identityKey,
   linkHubKey,
+  linkPlanKey,
   routerSettingsKey,
   sidecarSettingsKey,
   statusBoardKey,
   trafficKey,
 } from '../parts.ts';
-import { HostDirectory, listLiveRouters } from '../platform/host-directory.ts';
-import type { Host } from '../platform/host-list-client.ts';
+import { HostDirectory } from '../platform/host-directory.ts';
 import { LinkHub } from './link-hub.ts';
-import type { DialTarget } from './link-hub.ts';
+import { LinkPlan } from './link-plan.ts';
 import { LinkListener } from './link-listener.ts';
 
-/** Time between two looks at links that are no longer wanted. */
-const RETIRE_PERIOD_MS = 1_000;
-
 class LinksPlugin extends Plugin {
   override readonly name = 'links';
   override readonly roles = [Role.Router, Role.Sidecar];
@@ -31,7 +27,7 @@
   private hub: LinkHub | undefined;
   private directory: HostDirectory | undefined;
   private listener: LinkListener | undefined;
-  private timer: Timer | undefined;
+  private plan: LinkPlan | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
     const identity = kernel.part(identityKey);
@@ -61,7 +57,7 @@
 
   override async stop(): Promise<void> {
     this.directory?.stop();
-    this.timer?.stop();
+    this.plan?.stop();
     this.listener?.close();
     this.hub?.close();
     return Promise.resolve();
@@ -79,25 +75,11 @@
     const { platform } =
       role === Role.Router ? kernel.part(routerSettingsKey) : kernel.part(sidecarSettingsKey);
     const directory = new HostDirectory({ url: platform.hosts, clock, log });
-    let targets: DialTarget[] = [];
-    directory.onChange((hosts) => {
-      targets = chooseTargets(role, host, hosts);
-      hub.dialOnly(targets);
-    });
-    this.timer = clock.every(RETIRE_PERIOD_MS, () => hub.dialOnly(targets));
+    this.plan = new LinkPlan({ role, host, hub, directory, clock });
     kernel.provide(hostDirectoryKey, directory);
+    kernel.provide(linkPlanKey, this.plan);
     return directory;
   }
 }
 
-/** The routers that a process dials, given the host list. */
-export function chooseTargets(role: Role, self: string, hosts: readonly Host[]): DialTarget[] {
-  const routers = listLiveRouters(hosts);
-  const names = routers.map((router) => router.id);
-  const chosen = role === Role.Router ? selectNeighbours(self, names) : selectRouters(self, names);
-  return routers
-    .filter((router) => chosen.has(router.id))
-    .map(({ id, address }) => ({ host: id, address }));
-}
-
 registerPlugin(() => new LinksPlugin());
--- a/packages/fleet/src/link/link-hub.ts
+++ b/packages/fleet/src/link/link-hub.ts
@@ -82,11 +82,6 @@
     this.lossListeners.push(listener);
   }
 
-  /** Number of hosts that this process dials. */
-  get dialledHosts(): number {
-    return this.diallers.size;
-  }
-
   /** All peers with a live link. */
   peers(role?: Role): Peer[] {
     return [...this.peersByHost.values()].filter(
--- /dev/null
+++ b/packages/fleet/src/link/link-plan.ts
@@ -0,0 +1,99 @@
+/**
+ * Which hosts this process dials: its neighbours among the usable routers, and for a while such hosts
+ * as others want to be reached. It follows the host list and what membership says.
+ */
+import { selectNeighbours, selectRouters } from '@poplarpick/decisions';
+import { Role } from '@poplarpick/kernel';
+import type { Clock, Timer } from '@poplarpick/kernel';
+import { listLiveRouters } from '../platform/host-directory.ts';
+import type { HostDirectory } from '../platform/host-directory.ts';
+import type { DialTarget, LinkHub } from './link-hub.ts';
+
+/** Time between two looks at links that are no longer wanted. */
+const LOOK_PERIOD_MS = 1_000;
+
+/** Options of a `LinkPlan`. */
+export interface LinkPlanOptions {
+  role: Role;
+  host: string;
+  hub: LinkHub;
+  directory: HostDirectory;
+  clock: Clock;
+}
+
+/** Keeps the dialled hosts in step with what is known. */
+export class LinkPlan {
+  private readonly options: LinkPlanOptions;
+  private readonly timer: Timer;
+  /** Time until which a host is dialled that is no neighbour. */
+  private readonly bridges = new Map<string, number>();
+  private isUsable: (host: string) => boolean = () => true;
+  private targets: DialTarget[] = [];
+
+  constructor(options: LinkPlanOptions) {
+    this.options = options;
+    options.directory.onChange(() => this.replan());
+    this.timer = options.clock.every(LOOK_PERIOD_MS, () => this.look());
+  }
+
+  /** Hosts dialled as neighbours. */
+  get neighbours(): number {
+    return this.targets.length;
+  }
+
+  /** Live routers of the host list that are usable, this process included. */
+  usableRouters(): string[] {
+    return listLiveRouters(this.options.directory.hosts)
+      .map((router) => router.id)
+      .filter((id) => id === this.options.host || this.isUsable(id));
+  }
+
+  /** Lets membership decide which hosts are usable. */
+  setUsable(isUsable: (host: string) => boolean): void {
+    this.isUsable = isUsable;
+    this.replan();
+  }
+
+  /** Dials a router for a while although it is no neighbour. */
+  bridge(host: string, forMs: number): void {
+    this.bridges.set(host, this.options.clock.monotonic() + forMs);
+    this.dial();
+  }
+
+  /** Computes the neighbours anew. */
+  replan(): void {
+    const { role, host, directory } = this.options;
+    const names = this.usableRouters();
+    const chosen =
+      role === Role.Router ? selectNeighbours(host, names) : selectRouters(host, names);
+    this.targets = listLiveRouters(directory.hosts)
+      .filter((router) => chosen.has(router.id))
+      .map(({ id, address }) => ({ host: id, address }));
+    this.dial();
+  }
+
+  stop(): void {
+    this.timer.stop();
+  }
+
+  private look(): void {
+    const now = this.options.clock.monotonic();
+    for (const [host, until] of this.bridges) {
+      if (now >= until) this.bridges.delete(host);
+    }
+    this.dial();
+  }
+
+  private dial(): void {
+    const { hub, directory } = this.options;
+    if (this.bridges.size === 0) {
+      hub.dialOnly(this.targets);
+      return;
+    }
+    const extra = listLiveRouters(directory.hosts)
+      .filter(({ id }) => this.bridges.has(id))
+      .filter(({ id }) => !this.targets.some((target) => target.host === id))
+      .map(({ id, address }) => ({ host: id, address }));
+    hub.dialOnly([...this.targets, ...extra]);
+  }
+}
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -76,6 +76,11 @@
     this.listen();
   }
 
+  /** Time since anything has arrived. */
+  get silentMs(): number {
+    return this.clock.monotonic() - this.lastArrival;
+  }
+
   get isClosed(): boolean {
     return this.closed;
   }
--- /dev/null
+++ b/packages/fleet/src/membership/app.ts
@@ -0,0 +1,134 @@
+/**
+ * Plug-in for membership: it connects the member table with the links, the failure detector and the
+ * plan of links, and lets a router reach out to hosts that are known as lost, so that the two sides of
+ * a partition find each other again.
+ */
+import { MemberTable } from '@poplarpick/decisions';
+import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
+import type { Kernel, Timer } from '@poplarpick/kernel';
+import { CallMethod, NoticeMethod } from '../messages.ts';
+import {
+  hostDirectoryKey,
+  identityKey,
+  linkHubKey,
+  linkPlanKey,
+  membershipKey,
+  statusBoardKey,
+} from '../parts.ts';
+import { listLiveRouters } from '../platform/host-directory.ts';
+import { FailureDetector } from './failure-detector.ts';
+import { Membership, MembershipMessageKind } from './membership.ts';
+
+/** Period of the look at suspicions. */
+const TICK_MS = 100;
+
+/** Time between two comparisons of the table with a peer's. */
+const COMPARE_PERIOD_MS = 10_000;
+
+/** Time between two attempts to reach a host that is known as lost. */
+const BRIDGE_PERIOD_MS = 2_000;
+
+/** Time for which a lost host is dialled in one attempt. */
+const BRIDGE_MS = 1_500;
+
+class MembershipPlugin extends Plugin {
+  override readonly name = 'membership';
+  override readonly roles = [Role.Router, Role.Sidecar];
+  override readonly requires = ['links', 'status'];
+  private readonly timers: Timer[] = [];
+  private membership: Membership | undefined;
+  private detector: FailureDetector | undefined;
+
+  override async start(kernel: Kernel): Promise<void> {
+    const membership = this.createMembership(kernel);
+    this.membership = membership;
+    kernel.provide(membershipKey, membership);
+    kernel.part(statusBoardKey).add('membership', () => membership.readStatus());
+    if (kernel.role === Role.Router) this.watchOthers(kernel, membership);
+    this.connectLinks(kernel, membership);
+    return Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    this.timers.forEach((timer) => timer.stop());
+    this.detector?.stop();
+    this.membership?.post({ kind: MembershipMessageKind.Leave });
+    this.membership?.stop();
+    return Promise.resolve();
+  }
+
+  private createMembership(kernel: Kernel): Membership {
+    const { host, dataCentre, incarnation } = kernel.part(identityKey);
+    const { role, clock, log } = kernel;
+    const table = new MemberTable({ self: { host, role, dataCentre, incarnation } });
+    const plan = kernel.part(linkPlanKey);
+    return new Membership({
+      table,
+      role,
+      hub: kernel.part(linkHubKey),
+      clock,
+      log,
+      onChange: (record) => {
+        if (!this.membership?.isUsable(record.host)) this.detector?.forget(record.host);
+        if (record.role === Role.Router && role === Role.Router) plan.replan();
+      },
+    });
+  }
+
+  private watchOthers(kernel: Kernel, membership: Membership): void {
+    const { clock, log } = kernel;
+    const hub = kernel.part(linkHubKey);
+    const plan = kernel.part(linkPlanKey);
+    plan.setUsable((host) => membership.isUsable(host));
+    this.detector = new FailureDetector({
+      hub,
+      plan,
+      clock,
+      log,
+      onUnreachable: (host) => membership.post({ kind: MembershipMessageKind.Unreachable, host }),
+    });
+    this.timers.push(
+      clock.every(TICK_MS, () => membership.post({ kind: MembershipMessageKind.Tick })),
+      clock.every(COMPARE_PERIOD_MS, () =>
+        membership.post({ kind: MembershipMessageKind.Compare }),
+      ),
+      clock.every(BRIDGE_PERIOD_MS, () => bridgeToOne(kernel, membership)),
+    );
+  }
+
+  private connectLinks(kernel: Kernel, membership: Membership): void {
+    const hub = kernel.part(linkHubKey);
+    hub.onLink((link) => {
+      link.handleNotice(NoticeMethod.Members, ({ records }) =>
+        membership.post({ kind: MembershipMessageKind.Records, records, link }),
+      );
+      link.handleCall(CallMethod.CompareMembers, ({ summary }) => ({
+        records: membership.difference(summary),
+      }));
+      link.handleCall(CallMethod.Probe, async ({ host }) => ({
+        reached: await this.answerProbe(kernel, host),
+      }));
+    });
+    hub.onJoin((peer) => membership.post({ kind: MembershipMessageKind.Join, peer }));
+  }
+
+  private async answerProbe(kernel: Kernel, host: string): Promise<boolean> {
+    const peer = kernel.part(linkHubKey).findPeer(host);
+    if (this.detector === undefined) return peer !== undefined;
+    const role = this.membership?.find(host)?.role ?? Role.Router;
+    return this.detector.reach(host, role);
+  }
+}
+
+/** Dials one of the routers that are listed as live but known as lost. */
+function bridgeToOne(kernel: Kernel, membership: Membership): void {
+  const down = new Set(membership.listDown());
+  if (down.size === 0) return;
+  const listed = listLiveRouters(kernel.part(hostDirectoryKey).hosts).filter(({ id }) =>
+    down.has(id),
+  );
+  const chosen = listed[Math.floor(Math.random() * listed.length)];
+  if (chosen !== undefined) kernel.part(linkPlanKey).bridge(chosen.id, BRIDGE_MS);
+}
+
+registerPlugin(() => new MembershipPlugin());
--- /dev/null
+++ b/packages/fleet/src/membership/membership.ts
@@ -0,0 +1,175 @@
+/**
+ * Keeps the member table of one process in step with its peers: changes are passed on over all links
+ * at once, and from time to time the table is compared with that of one peer. Sidecars keep only
+ * their own record, which they send and defend.
+ */
+import { MemberState, MemberTable } from '@poplarpick/decisions';
+import type { MemberRecord } from '@poplarpick/decisions';
+import { describeError, Role, Task } from '@poplarpick/kernel';
+import type { Clock, Logger } from '@poplarpick/kernel';
+import type { Link } from '../link/link.ts';
+import type { LinkHub, Peer } from '../link/link-hub.ts';
+import { CallMethod, NoticeMethod } from '../messages.ts';
+
+/** Kinds of messages to the membership task. */
+export enum MembershipMessageKind {
+  Join,
+  Records,
+  Unreachable,
+  Tick,
+  Compare,
+  Leave,
+}
+
+/** Messages to the membership task. */
+export type MembershipMessage =
+  | { kind: MembershipMessageKind.Join; peer: Peer }
+  | { kind: MembershipMessageKind.Records; records: MemberRecord[]; link: Link }
+  | { kind: MembershipMessageKind.Unreachable; host: string }
+  | { kind: MembershipMessageKind.Tick }
+  | { kind: MembershipMessageKind.Compare }
+  | { kind: MembershipMessageKind.Leave };
+
+/** What operators see of the membership. */
+export interface MembershipStatus {
+  alive: number;
+  suspect: string[];
+  down: string[];
+  damped: string[];
+  /** Equal where two processes know the same members. */
+  digest: string;
+}
+
+/** Options of a `Membership`. */
+export interface MembershipOptions {
+  table: MemberTable;
+  role: Role;
+  hub: LinkHub;
+  clock: Clock;
+  log: Logger;
+  /** Called after every change of a member's state. */
+  onChange: (record: MemberRecord) => void;
+}
+
+/** Owns the member table. */
+export class Membership extends Task<MembershipMessage> {
+  private readonly options: MembershipOptions;
+  private readonly table: MemberTable;
+
+  constructor(options: MembershipOptions) {
+    super('membership', options.log);
+    this.options = options;
+    this.table = options.table;
+  }
+
+  /** Whether a host may carry messages and duties. */
+  isUsable(host: string): boolean {
+    return this.table.isUsable(host, this.now());
+  }
+
+  find(host: string): MemberRecord | undefined {
+    return this.table.find(host);
+  }
+
+  /** Hosts that are known as lost. */
+  listDown(): string[] {
+    return this.hostsIn(MemberState.Down);
+  }
+
+  readStatus(): MembershipStatus {
+    const digest = this.table.summarise().reduce((sum, bucket) => (sum * 31 + bucket) >>> 0, 7);
+    return {
+      alive: this.hostsIn(MemberState.Alive).length,
+      suspect: this.hostsIn(MemberState.Suspect),
+      down: this.listDown(),
+      damped: this.table.damped(this.now()),
+      digest: digest.toString(16),
+    };
+  }
+
+  /** The records in which this table differs from another. */
+  difference(summary: readonly number[]): MemberRecord[] {
+    return this.table.difference(summary);
+  }
+
+  protected override handle(message: MembershipMessage): void {
+    switch (message.kind) {
+      case MembershipMessageKind.Join:
+        this.join(message.peer);
+        return;
+      case MembershipMessageKind.Records:
+        this.merge(message.records, message.link);
+        return;
+      case MembershipMessageKind.Unreachable:
+        this.passOn(this.table.suspect(message.host, this.now()));
+        return;
+      case MembershipMessageKind.Tick:
+        this.passOn(this.table.tick(this.now()));
+        return;
+      case MembershipMessageKind.Compare:
+        this.compareWithOne();
+        return;
+      case MembershipMessageKind.Leave:
+        this.passOn(this.table.leave(this.now()));
+    }
+  }
+
+  private join({ link, role }: Peer): void {
+    link.notify(NoticeMethod.Members, { records: [this.table.self] });
+    if (role === Role.Router && this.options.role === Role.Router) this.compare(link);
+  }
+
+  private merge(records: MemberRecord[], link: Link): void {
+    const isSidecar = this.options.role === Role.Sidecar;
+    const own = this.table.self.host;
+    const relevant = isSidecar ? records.filter((record) => record.host === own) : records;
+    const { news, corrections } = this.table.merge(relevant, this.now());
+    this.passOn(news, link);
+    // What the process says of itself goes back as well, since the sender is the one to correct.
+    const answer = [...corrections, ...news.filter((record) => record.host === own)];
+    if (answer.length > 0) link.notify(NoticeMethod.Members, { records: answer });
+  }
+
+  private passOn(records: readonly MemberRecord[], except?: Link): void {
+    if (records.length === 0) return;
+    for (const peer of this.options.hub.peers()) {
+      if (peer.link === except) continue;
+      const relevant =
+        peer.role === Role.Router ? records : records.filter(({ host }) => host === peer.host);
+      if (relevant.length > 0) peer.link.notify(NoticeMethod.Members, { records: [...relevant] });
+    }
+    for (const record of records) this.tellChange(record);
+  }
+
+  private tellChange(record: MemberRecord): void {
+    const { host, state, version } = record;
+    this.options.log.info({ event: `membership.${state}`, peer: host, version });
+    this.options.onChange(record);
+  }
+
+  private compareWithOne(): void {
+    const routers = this.options.hub.peers(Role.Router);
+    const peer = routers[Math.floor(Math.random() * routers.length)];
+    if (peer !== undefined) this.compare(peer.link);
+  }
+
+  private compare(link: Link): void {
+    link
+      .call(CallMethod.CompareMembers, { summary: this.table.summarise() })
+      .then(({ records }) => this.post({ kind: MembershipMessageKind.Records, records, link }))
+      .catch((error: unknown) => {
+        this.options.log.debug({ event: 'membership.compare_failed', error: describeError(error) });
+      });
+  }
+
+  private hostsIn(state: MemberState): string[] {
+    return this.table
+      .records()
+      .filter((record) => record.state === state)
+      .map(({ host }) => host);
+  }
+
+  private now(): number {
+    return this.options.clock.monotonic();
+  }
+}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -5,6 +5,7 @@
 import type {
   DocumentDelta,
   DocumentVersion,
+  MemberRecord,
   EndpointKind,
   ServiceRow,
   ServiceEntry,
@@ -23,6 +24,10 @@
   Report = 'report',
   /** Any process to any other: the document in force; carries the version that the sender has. */
   FetchConfiguration = 'configuration.fetch',
+  /** Any process to any other: whether it reaches a host. */
+  Probe = 'membership.probe',
+  /** Router to router: which records of members differ. */
+  CompareMembers = 'membership.compare',
 }
 
 /** Methods of notices. */
@@ -42,6 +47,8 @@
   Settle = 'settle',
   /** Either way: the sender has this version of the configuration in force. */
   Revision = 'revision',
+  /** Either way: news of members. */
+  Members = 'members',
 }
 
 /** Introduces the process that dialled a link; the other side answers with its own. */
@@ -219,6 +226,26 @@
   delta?: DocumentDelta | undefined;
 }
 
+/** Asks whether the other process reaches a host. */
+export interface Probe {
+  host: string;
+}
+
+/** Whether it does. */
+export interface ProbeAnswer {
+  reached: boolean;
+}
+
+/** Summary of a member table: a hash for each bucket. */
+export interface MemberSummary {
+  summary: number[];
+}
+
+/** Records of members. */
+export interface MemberNews {
+  records: MemberRecord[];
+}
+
 /** Parameters and results of the calls. */
 export interface Calls {
   [CallMethod.Hello]: { params: Hello; result: Hello };
@@ -226,6 +253,8 @@
   [CallMethod.Claim]: { params: Claim; result: ClaimAnswer };
   [CallMethod.Report]: { params: Report; result: ReportAnswer };
   [CallMethod.FetchConfiguration]: { params: DocumentVersion; result: FetchAnswer };
+  [CallMethod.Probe]: { params: Probe; result: ProbeAnswer };
+  [CallMethod.CompareMembers]: { params: MemberSummary; result: MemberNews };
 }
 
 /** Parameters of the notices. */
@@ -238,6 +267,7 @@
   [NoticeMethod.Cancel]: AttemptReference;
   [NoticeMethod.Settle]: AttemptReference;
   [NoticeMethod.Revision]: DocumentVersion;
+  [NoticeMethod.Members]: MemberNews;
 }
 
 /** Messages that carry requests and answers; all others are control traffic. */
--- a/packages/fleet/src/parts.ts
+++ b/packages/fleet/src/parts.ts
@@ -8,6 +8,8 @@
 import type { LinkHub } from './link/link-hub.ts';
 import type { LinkTraffic } from './link/link.ts';
 import type { PlannedStops } from './planned-stop/planned-stops.ts';
+import type { LinkPlan } from './link/link-plan.ts';
+import type { Membership } from './membership/membership.ts';
 import type { StatusBoard } from './operators/status-board.ts';
 
 /** Identity of a running process. */
@@ -28,5 +30,7 @@
 export const hostDirectoryKey = createPartKey<HostDirectory>('host directory');
 export const linkHubKey = createPartKey<LinkHub>('link hub');
 export const plannedStopsKey = createPartKey<PlannedStops>('planned stops');
+export const linkPlanKey = createPartKey<LinkPlan>('link plan');
+export const membershipKey = createPartKey<Membership>('membership');
 export const dispatcherKey = createPartKey<Dispatcher>('dispatcher');
 export const admissionKey = createPartKey<Admission>('admission');
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -15,6 +15,7 @@
 import { identityKey, routerSettingsKey, sidecarSettingsKey, trafficKey } from './parts.ts';
 import './link/app.ts';
 import './configuration/app.ts';
+import './membership/app.ts';
 import './planned-stop/app.ts';
 import './router/app.ts';
 import './callers/app.ts';
