--- a/packages/bench/src/integration/callers-exchange.test.ts
+++ b/packages/bench/src/integration/callers-exchange.test.ts
@@ -197,6 +197,7 @@
     await fleet.restartRouter(router);
     await router.process.waitFor('configuration.in_force');
     await router.process.waitForEvent((event) => event['event'] === 'peer.joined', 'the sidecar');
+    await router.process.waitFor('configuration.in_force');
     await whileBusy(async () => {
       router.process.signal('SIGTERM');
       await router.process.waitFor('process.draining');
