--- /dev/null
+++ b/packages/bench/src/documents/documents.test.ts
@@ -0,0 +1,39 @@
+import { existsSync, globSync, readFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import { ErrorCode } from '@poplarpick/kernel';
+
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+const LINK = /\]\((?!https?:)([^)#\s]+)(#[^)]*)?\)/g;
+
+function readPages(): string[] {
+  return ['README.md', ...globSync('{docs,release-notes}/**/*.md', { cwd: ROOT })];
+}
+
+function brokenLinks(page: string): string[] {
+  const text = readFileSync(join(ROOT, page), 'utf8');
+  const targets = [...text.matchAll(LINK)].map((match) => match[1] ?? '');
+  return targets
+    .filter((target) => !existsSync(join(ROOT, dirname(page), target)))
+    .map((target) => `${page}: ${target}`);
+}
+
+describe('the documents', () => {
+  it('link only to what is there', () => {
+    expect(readPages().flatMap(brokenLinks)).to.deep.equal([]);
+  });
+
+  it('lead from the README to every operators page and design note', () => {
+    const index = readFileSync(join(ROOT, 'docs/README.md'), 'utf8');
+    const pages = globSync('{design,operators}/*.md', { cwd: join(ROOT, 'docs') });
+    const missing = pages.filter((page) => !index.includes(`(${page})`));
+    expect(missing).to.deep.equal([]);
+  });
+
+  it('tell callers of every error code', () => {
+    const page = readFileSync(join(ROOT, 'docs/callers.md'), 'utf8');
+    const missing = Object.values(ErrorCode).filter((code) => !page.includes(`\`${code}\``));
+    expect(missing).to.deep.equal([]);
+  });
+});
