Measure fairness, utilisation and floods on real processes

The bench sends seeded arrivals through routers and sidecars and replays the same arrivals and true costs offline under one global queue with perfect knowledge, first-come-first-served, fairness per router and round robin push. Service is what callers received.

--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,5 +1,8 @@
 /** The commands of the bench, by name. */
+import { fairnessCommand } from './fairness/app.ts';
+import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -10,5 +13,5 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [latencyCommand];
+  return [latencyCommand, fairnessCommand, utilisationCommand, floodCommand];
 }
--- /dev/null
+++ b/packages/bench/src/fairness/app.ts
@@ -0,0 +1,127 @@
+/**
+ * `fairness`: the gap in service between backlogged workspaces, of the fleet and of each baseline on
+ * the same arrivals and costs, in units of the largest request's cost.
+ */
+import { parseArgs } from 'node:util';
+import { Demand, planArrivals } from './arrivals.ts';
+import { modelSlots, planRunSite, runLive, STEP_MS } from './live-run.ts';
+import type { LiveRun } from './live-run.ts';
+import { replayArrivals, ReplayPolicy, replayUtilisation } from './replay.ts';
+import type { Replay } from './replay.ts';
+import { largestCost, measureGaps, measureService } from './run-trace.ts';
+import type { RunTrace, Span } from './run-trace.ts';
+
+const MS_PER_SECOND = 1_000;
+const WARM_UP_MS = 4_000;
+const QUEUE_LIMIT = 100_000;
+
+/** The command's entry in the bench. */
+export const fairnessCommand = {
+  name: 'fairness',
+  summary:
+    'gap in service between workspaces  [--size izvor|trinacria] [--routers N] [--seed N] [--seconds N] [--json]',
+  run: runFairness,
+};
+
+/** Options that the measures of fairness share. */
+export function readRunOptions(args: string[]) {
+  const { values } = parseArgs({
+    args,
+    options: {
+      size: { type: 'string', default: 'izvor' },
+      routers: { type: 'string', default: '4' },
+      seed: { type: 'string', default: '1' },
+      seconds: { type: 'string', default: '45' },
+      json: { type: 'boolean', default: false },
+    },
+  });
+  const { size, json } = values;
+  const durationMs = Number(values.seconds) * MS_PER_SECOND;
+  return { size, json, durationMs, routers: Number(values.routers), seed: Number(values.seed) };
+}
+
+/** Gaps of one run in units of the largest request's cost. */
+interface GapRow {
+  max: number;
+  p99: number;
+  lateToEarly: number;
+}
+
+/** Runs the usual arrivals through a fleet and replays them globally. */
+export async function runUsualLoad(options: ReturnType<typeof readRunOptions>) {
+  const { size, routers, seed, durationMs } = options;
+  const plan = planRunSite(size, QUEUE_LIMIT);
+  const engines = [...modelSlots(plan).values()].map((slots) => ({ slots }));
+  const slots = engines.reduce((sum, engine) => sum + engine.slots, 0);
+  const tokensPerSecond = (slots * MS_PER_SECOND) / STEP_MS;
+  const planned = planArrivals({ plan, seed, routers, durationMs, tokensPerSecond });
+  const span = { fromMs: WARM_UP_MS, toMs: durationMs };
+  const live = await runLive({ plan, routers, arrivals: planned, span });
+  const arrivals = live.trace.requests.map(({ arrival }) => arrival).sort((a, b) => a.at - b.at);
+  const replay = (policy: ReplayPolicy): Replay =>
+    replayArrivals({ arrivals, engines, policy, stepMs: STEP_MS, weights: live.trace.weights });
+  return { live, span, engines, replay };
+}
+
+async function runFairness(args: string[]): Promise<void> {
+  const options = readRunOptions(args);
+  const { live, span, engines, replay } = await runUsualLoad(options);
+  const ideal = replay(ReplayPolicy.GlobalQueue);
+  const unit = largestCost(live.trace);
+  const rows: Record<string, GapRow> = { fleet: readGaps(live.trace, span, unit) };
+  for (const policy of Object.values(ReplayPolicy))
+    rows[policy] = readGaps(replay(policy), span, unit);
+  const fleetRow = rows['fleet'] ?? emptyRow();
+  const idealRow = rows[ReplayPolicy.GlobalQueue] ?? emptyRow();
+  const idealUtilisation = replayUtilisation(ideal, engines, span);
+  if (!options.json) printTables(rows, live, ideal, span);
+  console.log(
+    JSON.stringify({
+      fairnessGapMax: fleetRow.max,
+      fairnessGapP99: fleetRow.p99,
+      gapRatioToGlobalQueue: fleetRow.max / idealRow.max,
+      gapP99RatioToGlobalQueue: fleetRow.p99 / idealRow.p99,
+      gapLateToEarly: fleetRow.lateToEarly,
+      gapLateToEarlyOfGlobalQueue: idealRow.lateToEarly,
+      utilisation: live.utilisation,
+      utilisationOfIdeal: live.utilisation / idealUtilisation,
+      controlBytesPerNodeSecond: live.control.bytesPerNodeSecond,
+      controlMessagesPerNodeSecond: live.control.messagesPerNodeSecond,
+      controlBytesSentByBusiestPerSecond: live.control.sentByBusiestPerSecond,
+      requests: live.trace.requests.length,
+      refusals: live.refusals,
+      ...options,
+    }),
+  );
+}
+
+function readGaps(trace: RunTrace, span: Span, unit: number): GapRow {
+  const quarter = (span.toMs - span.fromMs) / 4;
+  const part = (index: number): number => {
+    const fromMs = span.fromMs + quarter * index;
+    return measureGaps(trace, { fromMs, toMs: fromMs + quarter }).max;
+  };
+  const { max, p99 } = measureGaps(trace, span);
+  return { max: max / unit, p99: p99 / unit, lateToEarly: part(3) / part(1) };
+}
+
+function emptyRow(): GapRow {
+  return { max: 0, p99: 0, lateToEarly: 0 };
+}
+
+function printTables(rows: Record<string, GapRow>, live: LiveRun, ideal: Replay, span: Span): void {
+  const fleetService = measureService(live.trace, span);
+  const idealService = measureService(ideal, span);
+  const demands = new Map(
+    live.trace.requests.map(({ arrival }) => [arrival.workspace, arrival.demand]),
+  );
+  const lines = [...live.trace.weights].map(([workspace, weight]) => ({
+    workspace,
+    demand: demands.get(workspace) ?? Demand.Light,
+    weight,
+    fleet: Math.round(fleetService.get(workspace) ?? 0),
+    globalQueue: Math.round(idealService.get(workspace) ?? 0),
+  }));
+  console.table(rows);
+  console.table(lines);
+}
--- /dev/null
+++ b/packages/bench/src/fairness/arrivals.ts
@@ -0,0 +1,121 @@
+/**
+ * Seeded arrivals for the measures of fairness: workspaces that stay backlogged, one that floods,
+ * some that come in bursts and some that ask little, each spread unevenly over the routers. Costs are
+ * heavy-tailed; the hint that goes with a request is too high by a factor that differs each time.
+ */
+import { Random } from '@poplarpick/load';
+import type { SitePlan } from '@poplarpick/stand-ins';
+
+/** How a workspace sends its requests. */
+export enum Demand {
+  /** Many times its share. */
+  Flooding = 'flooding',
+  /** More than its share all the time. */
+  Backlogged = 'backlogged',
+  /** Groups of requests with pauses between them. */
+  Bursty = 'bursty',
+  /** Less than its share. */
+  Light = 'light',
+}
+
+/** One request to be sent. */
+export interface Arrival {
+  id: number;
+  workspace: string;
+  demand: Demand;
+  /** Index of the router. */
+  router: number;
+  /** Milliseconds from the start of the run. */
+  at: number;
+  outputTokens: number;
+  /** Limit that the caller gives, which is all that the fleet knows beforehand. */
+  hint: number;
+}
+
+/** Options of `planArrivals`. */
+export interface ArrivalOptions {
+  plan: SitePlan;
+  seed: number;
+  routers: number;
+  durationMs: number;
+  /** Output tokens per second of all slots together. */
+  tokensPerSecond: number;
+  /** Demand of each kind, as a multiple of the workspace's share. */
+  demand?: Partial<Record<Demand, number>>;
+  /** Kind of each workspace by its index. */
+  kindOf?: (index: number) => Demand;
+}
+
+const LEAST_TOKENS = 12;
+const MOST_TOKENS = 120;
+/** Mean of the heavy-tailed lengths before the workspace's factor. */
+const MEAN_TOKENS = 28;
+const HINT_FACTOR_MOST = 4;
+const BURST_PERIOD_MS = 4_000;
+/** Share of a workspace's requests that go to its own router. */
+const HOME_SHARE = 0.75;
+
+const DEFAULT_DEMAND: Record<Demand, number> = {
+  [Demand.Flooding]: 4,
+  [Demand.Backlogged]: 1.6,
+  [Demand.Bursty]: 1,
+  [Demand.Light]: 0.3,
+};
+
+/** The usual mix: the first floods, ten in all stay backlogged, three are bursty, three light. */
+function usualKind(index: number): Demand {
+  if (index === 0) return Demand.Flooding;
+  if (index < 10) return Demand.Backlogged;
+  return index < 13 ? Demand.Bursty : Demand.Light;
+}
+
+/** Plans all arrivals of a run, in the order of their time. */
+export function planArrivals(options: ArrivalOptions): Arrival[] {
+  const { plan, seed } = options;
+  const weights = plan.workspaces.reduce((sum, { weight }) => sum + weight, 0);
+  const arrivals = plan.workspaces.flatMap(({ name, weight }, index) => {
+    const demand = (options.kindOf ?? usualKind)(index);
+    const multiple = { ...DEFAULT_DEMAND, ...options.demand }[demand];
+    const factor = 0.7 + (index % 4) * 0.25;
+    const tokensPerSecond = (options.tokensPerSecond * multiple * weight) / weights;
+    const perSecond = tokensPerSecond / (MEAN_TOKENS * factor);
+    const random = new Random(seed * 1_000 + index);
+    return arrivalTimes(random, demand, perSecond, options.durationMs).map((at) =>
+      makeArrival({ random, workspace: name, demand, at, factor, home: index, options }),
+    );
+  });
+  return arrivals
+    .sort((a, b) => a.at - b.at || (a.workspace < b.workspace ? -1 : 1))
+    .map((arrival, id) => ({ ...arrival, id }));
+}
+
+function arrivalTimes(random: Random, demand: Demand, perSecond: number, untilMs: number) {
+  const times: number[] = [];
+  for (let at = random.interarrivalMs(perSecond); at < untilMs;) {
+    times.push(at);
+    at += random.interarrivalMs(perSecond);
+  }
+  if (demand !== Demand.Bursty) return times;
+  return times.map((at) => Math.floor(at / BURST_PERIOD_MS) * BURST_PERIOD_MS);
+}
+
+interface ArrivalDraft {
+  random: Random;
+  workspace: string;
+  demand: Demand;
+  at: number;
+  factor: number;
+  /** Index that the workspace's own router follows from. */
+  home: number;
+  options: ArrivalOptions;
+}
+
+function makeArrival(draft: ArrivalDraft): Arrival {
+  const { random, workspace, demand, at, factor, home, options } = draft;
+  const drawn = random.heavyTailed(LEAST_TOKENS, MOST_TOKENS) * factor;
+  const outputTokens = Math.max(1, Math.round(drawn));
+  const hint = Math.ceil(outputTokens * (1 + random.uniform() * (HINT_FACTOR_MOST - 1)));
+  const isHome = random.uniform() < HOME_SHARE;
+  const router = (isHome ? home : random.integer(options.routers)) % options.routers;
+  return { id: 0, workspace, demand, router, at, outputTokens, hint };
+}
--- /dev/null
+++ b/packages/bench/src/fairness/control-traffic.ts
@@ -0,0 +1,66 @@
+/**
+ * Control traffic of a fleet over a while, from the link counters of all processes. Every byte that
+ * one node sends another receives, so a node's traffic in both directions is, on average, twice what
+ * the nodes send.
+ */
+import type { ProcessFleet } from '../process-fleet/process-fleet.ts';
+
+/** Rates of control traffic. */
+export interface ControlRates {
+  /** Both directions, mean over all nodes. */
+  bytesPerNodeSecond: number;
+  messagesPerNodeSecond: number;
+  /** Sent by the node that sends most. */
+  sentByBusiestPerSecond: number;
+}
+
+interface LinkCounters {
+  controlBytes: number;
+  controlMessages: number;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Measures between `begin` and `end`. */
+export class ControlTraffic {
+  private readonly fleet: ProcessFleet;
+  private before: LinkCounters[] = [];
+  private startedAt = 0;
+
+  constructor(fleet: ProcessFleet) {
+    this.fleet = fleet;
+  }
+
+  async begin(): Promise<void> {
+    this.before = await this.read();
+    this.startedAt = performance.now();
+  }
+
+  async end(): Promise<ControlRates> {
+    const after = await this.read();
+    const seconds = (performance.now() - this.startedAt) / MS_PER_SECOND;
+    const bytes = after.map((line, i) => line.controlBytes - (this.before[i]?.controlBytes ?? 0));
+    const messages = after.map(
+      (line, i) => line.controlMessages - (this.before[i]?.controlMessages ?? 0),
+    );
+    return {
+      bytesPerNodeSecond: (2 * sum(bytes)) / after.length / seconds,
+      messagesPerNodeSecond: (2 * sum(messages)) / after.length / seconds,
+      sentByBusiestPerSecond: Math.max(...bytes) / seconds,
+    };
+  }
+
+  private async read(): Promise<LinkCounters[]> {
+    const nodes = [...this.fleet.routers, ...this.fleet.sidecars];
+    return Promise.all(
+      nodes.map(async ({ operators }) => {
+        const status = (await this.fleet.status(operators)) as unknown as { links: LinkCounters };
+        return status.links;
+      }),
+    );
+  }
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/packages/bench/src/fairness/live-run.ts
@@ -0,0 +1,171 @@
+/** A run of planned arrivals through a fleet of real processes. */
+import { computeSlotBudget, EndpointKind, parseFleetConfiguration } from '@poplarpick/decisions';
+import { callChat, CallOutcome } from '@poplarpick/load';
+import type { ChatResult } from '@poplarpick/load';
+import { planSite, SiteSize, writeConfiguration } from '@poplarpick/stand-ins';
+import type { SitePlan } from '@poplarpick/stand-ins';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import type { Arrival } from './arrivals.ts';
+import { ControlTraffic } from './control-traffic.ts';
+import type { ControlRates } from './control-traffic.ts';
+import type { RunTrace, Span, TracedRequest } from './run-trace.ts';
+
+/** Time of one step of every engine, whatever its batch; slower than an engine, to spare the machine. */
+export const STEP_MS = 20;
+
+/** Deadline of every request: longer than any run. */
+const DEADLINE_MS = 600_000;
+
+const UTILISATION_PERIOD_MS = 5;
+
+/** Time after the last arrival for which requests may still end. */
+const SETTLE_MS = 2_000;
+
+/** Options of `runLive`. */
+export interface LiveRunOptions {
+  plan: SitePlan;
+  routers: number;
+  arrivals: readonly Arrival[];
+  /** The measured part. */
+  span: Span;
+}
+
+/** What a live run gave. */
+export interface LiveRun {
+  trace: RunTrace;
+  results: { arrival: Arrival; result: ChatResult }[];
+  /** Busy share of the slots while work waited. */
+  utilisation: number;
+  control: ControlRates;
+  /** Requests that were refused, by code. */
+  refusals: Record<string, number>;
+}
+
+/** The plan of a site for a run, with queues that hold all that may wait. */
+export function planRunSite(size: string, queueLimit: number): SitePlan {
+  const found = Object.values(SiteSize).find((entry) => entry === size);
+  if (found === undefined) throw new Error(`--size must be izvor or trinacria, not ${size}`);
+  return planSite({ size: found, queueLimit });
+}
+
+/** Slots of the model engines under the power cap, by endpoint. */
+export function modelSlots(plan: SitePlan): Map<string, number> {
+  const text = writeConfiguration(plan, { revision: 1 });
+  const configuration = parseFleetConfiguration(text, 'plan');
+  const engines = plan.endpoints.filter(({ kind }) => kind === EndpointKind.Model);
+  return new Map(engines.map(({ name }) => [name, computeSlotBudget(configuration, name)]));
+}
+
+/** Sends all arrivals to a fleet and follows the answers. */
+export async function runLive(options: LiveRunOptions): Promise<LiveRun> {
+  const fleet = await ProcessFleet.start({
+    plan: options.plan,
+    routers: options.routers,
+    site: { engine: { pace: { baseStepMs: STEP_MS, perSequenceMs: 0 } } },
+    nodeOptions: ['--max-semi-space-size=4'],
+  });
+  try {
+    return await new LiveRunner(fleet, options).run();
+  } finally {
+    await fleet.stop();
+  }
+}
+
+class LiveRunner {
+  private readonly fleet: ProcessFleet;
+  private readonly options: LiveRunOptions;
+  private readonly requests: TracedRequest[] = [];
+  private readonly results: LiveRun['results'] = [];
+  private readonly slots: Map<string, number>;
+  private readonly abort = new AbortController();
+  private readonly startedAt = performance.now();
+  private waiting = 0;
+  private busySlots = 0;
+  private seenSlots = 0;
+
+  constructor(fleet: ProcessFleet, options: LiveRunOptions) {
+    this.fleet = fleet;
+    this.options = options;
+    this.slots = modelSlots(options.plan);
+  }
+
+  async run(): Promise<LiveRun> {
+    const { arrivals, span, plan } = this.options;
+    const sampler = setInterval(() => this.sampleSlots(), UTILISATION_PERIOD_MS);
+    const traffic = new ControlTraffic(this.fleet);
+    const calls = arrivals.map((arrival) => this.send(arrival));
+    await this.waitUntil(span.fromMs);
+    await traffic.begin();
+    await this.waitUntil(span.toMs);
+    const control = await traffic.end();
+    await this.waitUntil(span.toMs + SETTLE_MS);
+    clearInterval(sampler);
+    this.abort.abort();
+    await Promise.all(calls);
+    return {
+      trace: {
+        requests: this.requests,
+        weights: new Map(plan.workspaces.map(({ name, weight }) => [name, weight])),
+      },
+      results: this.results,
+      utilisation: this.busySlots / Math.max(1, this.seenSlots),
+      control,
+      refusals: countRefusals(this.results),
+    };
+  }
+
+  private now(): number {
+    return performance.now() - this.startedAt;
+  }
+
+  private async waitUntil(at: number): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, Math.max(0, at - this.now())));
+  }
+
+  private async send(arrival: Arrival): Promise<void> {
+    await this.waitUntil(arrival.at);
+    const { plan } = this.options;
+    const tokensAt: number[] = [];
+    this.requests.push({ arrival: { ...arrival, at: this.now() }, tokensAt });
+    this.waiting += 1;
+    const result = await callChat({
+      url: this.fleet.routerUrls[arrival.router] ?? '',
+      key: plan.workspaces.find(({ name }) => name === arrival.workspace)?.key ?? '',
+      model: plan.model,
+      prompt: `request ${arrival.id}`,
+      outputTokens: arrival.outputTokens,
+      maxTokens: arrival.hint,
+      headers: { 'x-request-timeout-ms': String(DEADLINE_MS) },
+      signal: this.abort.signal,
+      onToken: () => {
+        if (tokensAt.length === 0) this.waiting -= 1;
+        tokensAt.push(this.now());
+      },
+    });
+    if (tokensAt.length === 0) this.waiting -= 1;
+    this.results.push({ arrival, result });
+  }
+
+  /** Requests that wait are more than those that have started and await their first token. */
+  private sampleSlots(): void {
+    const now = this.now();
+    const { span } = this.options;
+    const total = [...this.slots.values()].reduce((sum, slots) => sum + slots, 0);
+    if (now < span.fromMs || now > span.toMs || this.waiting <= total) return;
+    for (const [endpoint, slots] of this.slots) {
+      const running = this.fleet.site.modelEngines.get(endpoint)?.running ?? 0;
+      this.busySlots += Math.min(running, slots);
+      this.seenSlots += slots;
+    }
+  }
+}
+
+function countRefusals(results: LiveRun['results']): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { result } of results) {
+    if (result.outcome !== CallOutcome.Refused) continue;
+    const code = result.code ?? 'unknown';
+    counts[code] = (counts[code] ?? 0) + 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/packages/bench/src/fairness/replay.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai';
+import { Demand } from './arrivals.ts';
+import type { Arrival } from './arrivals.ts';
+import { replayArrivals, ReplayPolicy, replayUtilisation } from './replay.ts';
+import { measureGaps } from './run-trace.ts';
+
+const ENGINES = [{ slots: 1 }, { slots: 1 }];
+const WEIGHTS = new Map([
+  ['a', 1],
+  ['b', 1],
+]);
+
+/** Two workspaces that stay backlogged: `a` floods through router 0, `b` follows on router 1. */
+function arrivals(): Arrival[] {
+  return Array.from({ length: 40 }, (_, id) => ({
+    id,
+    workspace: id < 30 ? 'a' : 'b',
+    demand: Demand.Backlogged,
+    router: id < 30 ? 0 : 1,
+    at: 0,
+    outputTokens: 10,
+    hint: 20,
+  }));
+}
+
+function replay(policy: ReplayPolicy) {
+  return replayArrivals({
+    arrivals: arrivals(),
+    weights: WEIGHTS,
+    engines: ENGINES,
+    stepMs: 10,
+    policy,
+  });
+}
+
+describe('replayArrivals', () => {
+  it('runs every request once under each policy', () => {
+    for (const policy of Object.values(ReplayPolicy)) {
+      const ids = replay(policy).requests.map(({ arrival }) => arrival.id);
+      expect(new Set(ids).size, policy).to.equal(40);
+      expect(ids.length, policy).to.equal(40);
+    }
+  });
+
+  it('keeps the gap of the global queue within a request, where the order of arrival does not', () => {
+    const span = { fromMs: 0, toMs: 900 };
+    const unit = 10.5;
+    expect(measureGaps(replay(ReplayPolicy.GlobalQueue), span).max).to.be.at.most(unit);
+    const ordered = measureGaps(replay(ReplayPolicy.FirstComeFirstServed), span);
+    expect(ordered.max).to.be.above(5 * unit);
+  });
+
+  it('leaves no slot of the global queue idle while work waits', () => {
+    const span = { fromMs: 0, toMs: 1_000 };
+    expect(replayUtilisation(replay(ReplayPolicy.GlobalQueue), ENGINES, span)).to.be.closeTo(
+      1,
+      1e-9,
+    );
+  });
+});
--- /dev/null
+++ b/packages/bench/src/flood/app.ts
@@ -0,0 +1,97 @@
+/**
+ * `flood`: one workspace sends fifty times its share while a tenth stays backlogged; measures the
+ * first token of the others and whether any workspace starves.
+ */
+import { CallOutcome } from '@poplarpick/load';
+import { Demand, planArrivals } from '../fairness/arrivals.ts';
+import type { Arrival } from '../fairness/arrivals.ts';
+import { readRunOptions } from '../fairness/app.ts';
+import { modelSlots, planRunSite, runLive, STEP_MS } from '../fairness/live-run.ts';
+import type { LiveRun } from '../fairness/live-run.ts';
+import { measureService } from '../fairness/run-trace.ts';
+
+const MS_PER_SECOND = 1_000;
+const WARM_UP_MS = 4_000;
+const QUEUE_LIMIT = 200;
+const FLOOD_FACTOR = 50;
+const LIGHT_SHARE = 0.4;
+/** A workspace that received less of its demand or of its share than this starves. */
+const STARVED_BELOW = 0.5;
+
+/** The command's entry in the bench. */
+export const floodCommand = {
+  name: 'flood',
+  summary:
+    'first token of the others while one workspace floods  [--size izvor|trinacria] [--routers N] [--seed N] [--seconds N] [--json]',
+  run: runFlood,
+};
+
+async function runFlood(args: string[]): Promise<void> {
+  const options = readRunOptions(args);
+  const { size, routers, seed, durationMs } = options;
+  const plan = planRunSite(size, QUEUE_LIMIT);
+  const slots = [...modelSlots(plan).values()].reduce((sum, count) => sum + count, 0);
+  const arrivals = planArrivals({
+    plan,
+    seed,
+    routers,
+    durationMs,
+    tokensPerSecond: (slots * MS_PER_SECOND) / STEP_MS,
+    // The large workspaces have weight 4; the one that floods is a small one.
+    kindOf: (index) => (index === plan.workspaces.length - 1 ? Demand.Flooding : Demand.Light),
+    demand: { [Demand.Flooding]: FLOOD_FACTOR, [Demand.Light]: LIGHT_SHARE },
+  });
+  const span = { fromMs: WARM_UP_MS, toMs: durationMs };
+  const live = await runLive({ plan, routers, arrivals, span });
+  const times = firstTokens(live, span.fromMs);
+  const result = {
+    firstTokenP95Seconds: percentile(times, 0.95) / MS_PER_SECOND,
+    firstTokenP50Seconds: percentile(times, 0.5) / MS_PER_SECOND,
+    starvedWorkspaces: countStarved(live, arrivals, span),
+    failedOfOthers: live.results.filter(
+      ({ arrival, result: { outcome } }) =>
+        arrival.demand === Demand.Light &&
+        arrival.at < durationMs - WARM_UP_MS &&
+        outcome !== CallOutcome.Whole,
+    ).length,
+    refusals: live.refusals,
+    utilisation: live.utilisation,
+    controlBytesPerNodeSecond: live.control.bytesPerNodeSecond,
+    requests: arrivals.length,
+    ...options,
+  };
+  if (!options.json) console.table(result);
+  console.log(JSON.stringify(result));
+}
+
+function firstTokens(live: LiveRun, fromMs: number): number[] {
+  return live.trace.requests
+    .filter(({ arrival }) => arrival.demand === Demand.Light && arrival.at >= fromMs)
+    .map(({ arrival, tokensAt }) => (tokensAt[0] ?? Infinity) - arrival.at)
+    .sort((a, b) => a - b);
+}
+
+function percentile(sorted: readonly number[], share: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+}
+
+/** Workspaces that received less than half of the smaller of their demand and their share. */
+function countStarved(
+  live: LiveRun,
+  arrivals: readonly Arrival[],
+  span: { fromMs: number; toMs: number },
+): number {
+  const service = measureService(live.trace, span);
+  const weights = [...live.trace.weights.values()].reduce((sum, weight) => sum + weight, 0);
+  const total = [...live.trace.weights].reduce(
+    (sum, [name, weight]) => sum + (service.get(name) ?? 0) * weight,
+    0,
+  );
+  return [...live.trace.weights].filter(([name, weight]) => {
+    const demanded = arrivals
+      .filter(({ workspace, at }) => workspace === name && at >= span.fromMs)
+      .reduce((sum, { outputTokens }) => sum + outputTokens, 0);
+    const due = Math.min(demanded, (total * weight) / weights);
+    return (service.get(name) ?? 0) * weight < STARVED_BELOW * due;
+  }).length;
+}
