--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -3,7 +3,7 @@
  * least service for its weight across the fleet; what is granted runs at once. Answers are kept until
  * their router has settled them, so that a lost link costs nothing.
  */
-import { computeSlotBudget } from '@poplarpick/decisions';
+import { computeSlotBudget, EXECUTION_KEEP_MS } from '@poplarpick/decisions';
 import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
@@ -16,9 +16,6 @@
 import { Execution } from './execution.ts';
 import type { ServiceMeter } from './service-meter.ts';
 
-/** Time for which an answer that no router settles is kept. */
-const ANSWER_KEEP_MS = 60_000;
-
 /** Time after which a repeatable run is cancelled if its router stays away. */
 const ORPHAN_MS = 20_000;
 
@@ -90,6 +87,8 @@
   private readonly options: AdmissionOptions;
   private readonly claimer: Claimer;
   private readonly routers = new Map<string, Peer>();
+  /** Routers that have answered the resumption on their link; before, nothing is sent to them. */
+  private readonly resumed = new Set<Peer>();
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
@@ -116,6 +115,11 @@
     return { slots, running, claiming: this.claimer.count, kept: this.executions.size, draining };
   }
 
+  /** Whether an answer runs or waits to be settled that a router is still to receive. */
+  holdsWorkOf(router: string): boolean {
+    return [...this.executions.values()].some((execution) => execution.router === router);
+  }
+
   /** Refuses new work and resolves when nothing runs. */
   async drain(): Promise<void> {
     this.post({ kind: AdmissionMessageKind.Drain });
@@ -190,6 +194,7 @@
   }
 
   private join(peer: Peer): void {
+    this.cancelOrphans(peer);
     const held = [...this.executions.values()]
       .filter((execution) => execution.router === peer.host)
       .filter((execution) => execution.routerIncarnation === peer.incarnation)
@@ -202,7 +207,18 @@
       .catch(() => peer.link.close('resume failed'));
   }
 
+  /** Cancels what an earlier process of a router granted: its callers' connections ended with it. */
+  private cancelOrphans(peer: Peer): void {
+    for (const execution of [...this.executions.values()]) {
+      if (execution.router !== peer.host || execution.routerIncarnation === peer.incarnation)
+        continue;
+      this.cancel({ request: execution.id, attempt: execution.grant.attempt });
+    }
+  }
+
   private resume(peer: Peer, answer: ResumeAnswer): void {
+    if (this.routers.get(peer.host) !== peer) return;
+    this.resumed.add(peer);
     for (const reference of answer.drop) this.cancel(reference);
     for (const { request, attempt, from } of answer.resume) {
       const execution = this.find({ request, attempt });
@@ -213,6 +229,7 @@
   }
 
   private lose(peer: Peer): void {
+    this.resumed.delete(peer);
     this.claimer.lose(peer);
     if (this.routers.get(peer.host) !== peer) return;
     this.routers.delete(peer.host);
@@ -277,7 +294,7 @@
     if (execution.end !== undefined) return;
     const frame = execution.append(data, cost);
     this.options.meter.charge(execution.grant.job.workspace, cost);
-    if (!this.routers.has(execution.router)) return;
+    if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
     this.outbox.set(execution.router, waiting);
@@ -289,8 +306,7 @@
     const end = execution.finish(this.options.clock.monotonic(), cost, error);
     this.options.meter.charge(execution.grant.job.workspace, cost);
     this.flush();
-    const peer = this.routers.get(execution.router);
-    if (peer?.incarnation === execution.routerIncarnation) peer.link.notify(NoticeMethod.End, end);
+    this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
     this.freeSlot(execution);
   }
 
@@ -341,7 +357,7 @@
   private tick(): void {
     const now = this.options.clock.monotonic();
     for (const execution of [...this.executions.values()]) {
-      if (execution.end !== undefined && now - execution.endedAt > ANSWER_KEEP_MS) {
+      if (execution.end !== undefined && now - execution.endedAt > EXECUTION_KEEP_MS) {
         this.executions.delete(execution.id);
       } else if (execution.end === undefined && now > execution.deadlineAt + ORPHAN_MS) {
         this.cancel({ request: execution.id, attempt: execution.grant.attempt });
@@ -350,6 +366,13 @@
     this.schedule();
   }
 
+  /** The router of an execution, if it is linked and knows from where the answer goes on. */
+  private findRouter(execution: Execution): Peer | undefined {
+    const peer = this.routers.get(execution.router);
+    if (peer?.incarnation !== execution.routerIncarnation) return undefined;
+    return this.resumed.has(peer) ? peer : undefined;
+  }
+
   private find({ request, attempt }: AttemptReference): Execution | undefined {
     const execution = this.executions.get(request);
     return execution?.grant.attempt === attempt ? execution : undefined;
