Charge expected costs at the grant and tell changes only

A request is charged its expected cost (learned per workspace, the hint as prior) when it starts; tokens take the place of the provisional charge and the end corrects it. Sidecars report entries that changed, ask for totals when a choice depends on them and wait for the answer at most 10 ms. Entries are ordered by the report's number, so provisional charges may fall and reports may still be lost, doubled or reordered. Lifts and forgiveness merge by maximum, so the fleet agrees on them. Two shards per kind cover a lost one and routers that disagree. Backlogs are offered to two sidecars first and then told only when they double or halve; claims offer spare lines.

--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -2,7 +2,7 @@
  * Messages between the processes of the system, carried by JSON-RPC 2.0 over links. Calls expect a
  * result; notices do not. Durations are relative, since the clocks of two hosts may differ.
  */
-import type { EndpointKind, ServiceRow, ServiceEntry } from '@poplarpick/decisions';
+import type { AccountEntry, Adjustment, EndpointKind, ServiceTotals } from '@poplarpick/decisions';
 import type { ErrorCode, Role, Verdict } from '@poplarpick/kernel';
 
 /** Methods of calls. */
@@ -131,12 +131,16 @@
   attempt: number;
   /** Time left until the caller's deadline. */
   deadlineMs: number;
+  /** Whether the request was in the line that is pinned to the sidecar's endpoint. */
+  pinned: boolean;
   job: Job;
 }
 
 /** The router's answer to a claim. */
 export interface ClaimAnswer {
   grant?: Grant | undefined;
+  /** Requests that are left in the line of the grant. */
+  left?: number;
 }
 
 /** A part of an answer. */
@@ -187,15 +191,25 @@
   verdict: Verdict;
 }
 
-/** A sidecar's report to its ledger shard. */
+/**
+ * A sidecar's report to a ledger shard: entries and adjustments that may have changed since a report
+ * that the shard has answered; all of them in the first on a link.
+ */
 export interface Report {
   kind: EndpointKind;
-  row: ServiceRow;
+  /** Counts the reports of the sidecar's process from 1. */
+  sequence: number;
+  entries: AccountEntry[];
+  adjustments: Adjustment[];
+  /** Version of the last totals from this shard; where absent, no totals are wanted. */
+  known?: number;
 }
 
-/** Fleet-wide totals as the ledger shard knows them. */
+/** What has changed since the version that a report names. */
 export interface ReportAnswer {
-  totals: ServiceEntry[];
+  version?: number;
+  totals?: ServiceTotals;
+  adjustments?: Adjustment[];
 }
 
 /** A configuration revision. */
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -7,23 +7,21 @@
   AttemptLoss,
   classifyMissing,
   endLife,
-  EndpointKind,
   joinVerdict,
-  keyOf,
   LossAction,
   RequestQueues,
   settleAttempt,
   verdictOfUnfinished,
 } from '@poplarpick/decisions';
-import type { FleetConfiguration, LineCount, QueueLine } from '@poplarpick/decisions';
+import type { FleetConfiguration, LineCount } from '@poplarpick/decisions';
 import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { DEADLINE_HEADER } from '../callers/request-headers.ts';
+import { BacklogAnnouncer } from './backlog-announcer.ts';
 import { NoticeMethod } from '../messages.ts';
 import type {
   AttemptReference,
-  BacklogLine,
   Claim,
   ClaimAnswer,
   End,
@@ -40,9 +38,6 @@
 /** Period of the look at deadlines and lost sidecars. */
 const TICK_MS = 50;
 
-/** Time over which changes of the backlog are gathered into one notice. */
-const BACKLOG_DELAY_MS = 2;
-
 /** Kinds of messages to the dispatcher. */
 export enum DispatcherMessageKind {
   Configure,
@@ -109,10 +104,9 @@
   private readonly requests = new Map<string, RoutedRequest>();
   private readonly sidecars = new Map<string, Peer>();
   private readonly lost = new Map<string, LostSidecar>();
-  private readonly dirty = new Map<string, QueueLine>();
+  private readonly backlog: BacklogAnnouncer;
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
   private readonly ticker: Timer;
-  private announcement: Timer | undefined;
   private configuration: FleetConfiguration | undefined;
   private onIdle: (() => void) | undefined;
 
@@ -120,6 +114,12 @@
     super('dispatcher', options.log);
     this.clock = options.clock;
     this.metrics = options.metrics;
+    this.backlog = new BacklogAnnouncer({
+      clock: this.clock,
+      countLine: (line) => this.queues.countLine(line),
+      countAll: () => this.queues.counts(),
+      onDue: () => this.post({ kind: DispatcherMessageKind.AnnounceBacklog }),
+    });
     this.ticker = this.clock.every(TICK_MS, () => this.post({ kind: DispatcherMessageKind.Tick }));
   }
 
@@ -137,13 +137,14 @@
   override stop(): void {
     super.stop();
     this.ticker.stop();
-    this.announcement?.stop();
+    this.backlog.stop();
   }
 
   protected override handle(message: DispatcherMessage): void {
     switch (message.kind) {
       case DispatcherMessageKind.Configure:
         this.configuration = message.configuration;
+        this.backlog.configure(message.configuration);
         return;
       case DispatcherMessageKind.Submit:
         this.submit(message.submission);
@@ -173,7 +174,7 @@
         this.tick();
         return;
       case DispatcherMessageKind.AnnounceBacklog:
-        this.announceBacklog();
+        this.backlog.announce();
     }
   }
 
@@ -187,7 +188,7 @@
     }
     this.requests.set(request.id, request);
     this.queues.push(request);
-    this.markDirty(request.line);
+    this.backlog.noteChange(request.line);
   }
 
   private refuseFull(request: RoutedRequest, limit: number): void {
@@ -214,7 +215,7 @@
   /** Takes a request from its queue, or tells the sidecar that runs it to stop. */
   private release(request: RoutedRequest): void {
     if (this.queues.remove(request)) {
-      this.markDirty(request.line);
+      this.backlog.noteChange(request.line);
       return;
     }
     const { id, attempt, holder } = request;
@@ -237,7 +238,7 @@
       answer.resume.push({ ...reference, from: request.frames });
     }
     this.settleMissing(peer, kept);
-    this.sendWholeBacklog(peer);
+    this.backlog.join(peer);
     return answer;
   }
 
@@ -255,6 +256,7 @@
   private lose(peer: Peer): void {
     if (this.sidecars.get(peer.host) !== peer) return;
     this.sidecars.delete(peer.host);
+    this.backlog.lose(peer);
     this.lost.set(peer.host, { incarnation: peer.incarnation, lostAt: this.clock.monotonic() });
   }
 
@@ -262,7 +264,7 @@
     if (this.sidecars.get(peer.host) !== peer) return {};
     const request = this.takeFirst(peer, claim);
     if (request === undefined) return {};
-    this.markDirty(request.line);
+    this.backlog.noteChange(request.line);
     const now = this.clock.monotonic();
     request.grantTo({ host: peer.host, incarnation: peer.incarnation }, now);
     this.metrics.timing(Metric.QueueMs, now - request.arrivedAt);
@@ -273,19 +275,20 @@
       attempt: request.attempt,
     });
     const deadlineMs = Math.max(0, request.deadlineAt - now);
-    return {
-      grant: { request: request.id, attempt: request.attempt, deadlineMs, job: request.job },
-    };
+    const { id, attempt, job, line } = request;
+    const left = this.queues.countLine(line);
+    this.backlog.noteTold(peer, line, left);
+    const pinned = line.pin !== undefined;
+    return { grant: { request: id, attempt, deadlineMs, pinned, job }, left };
   }
 
+  /** The oldest request of the first line that has one; the sidecar learns that those before are empty. */
   private takeFirst(peer: Peer, claim: Claim): RoutedRequest | undefined {
     for (const { pool, workspace, pinned } of claim.lines) {
-      const request = this.queues.shift({
-        pool,
-        workspace,
-        pin: pinned ? peer.endpoint : undefined,
-      });
+      const line = { pool, workspace, pin: pinned ? peer.endpoint : undefined };
+      const request = this.queues.shift(line);
       if (request !== undefined) return request;
+      this.backlog.noteTold(peer, line, 0);
     }
     return undefined;
   }
@@ -364,7 +367,7 @@
       loss,
     });
     this.queues.putBack(request);
-    this.markDirty(request.line);
+    this.backlog.noteChange(request.line);
   }
 
   private tick(): void {
@@ -428,53 +431,6 @@
     const found = this.configuration?.workspaces.find((line) => line.name === workspace);
     return found?.queue_limit ?? 0;
   }
-
-  private markDirty(line: QueueLine): void {
-    this.dirty.set(keyOf(line), line);
-    this.announcement ??= this.clock.after(BACKLOG_DELAY_MS, () =>
-      this.post({ kind: DispatcherMessageKind.AnnounceBacklog }),
-    );
-  }
-
-  private announceBacklog(): void {
-    this.announcement = undefined;
-    const lines = [...this.dirty.values()].map((line) => ({
-      line,
-      count: this.queues.countLine(line),
-    }));
-    this.dirty.clear();
-    for (const peer of this.sidecars.values()) {
-      const relevant = this.linesFor(peer, lines);
-      if (relevant.length > 0)
-        peer.link.notify(NoticeMethod.Backlog, { full: false, lines: relevant });
-    }
-  }
-
-  private sendWholeBacklog(peer: Peer): void {
-    peer.link.notify(NoticeMethod.Backlog, {
-      full: true,
-      lines: this.linesFor(peer, this.queues.counts()),
-    });
-  }
-
-  private linesFor(peer: Peer, counts: readonly LineCount[]): BacklogLine[] {
-    return counts
-      .filter(({ line }) => this.canServe(peer, line))
-      .map(({ line, count }) => ({
-        pool: line.pool,
-        workspace: line.workspace,
-        pinned: line.pin !== undefined,
-        count,
-      }));
-  }
-
-  private canServe(peer: Peer, line: QueueLine): boolean {
-    if (line.pin !== undefined) return line.pin === peer.endpoint;
-    const endpoint = this.configuration?.endpoints.find((entry) => entry.name === peer.endpoint);
-    if (endpoint === undefined) return false;
-    if (endpoint.kind === EndpointKind.Application) return endpoint.service === line.pool;
-    return endpoint.models.includes(line.pool);
-  }
 }
 
 function asBuffer(data: Uint8Array): Buffer {
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -4,7 +4,7 @@
  * their router has settled them, so that a lost link costs nothing.
  */
 import { computeSlotBudget, EXECUTION_KEEP_MS } from '@poplarpick/decisions';
-import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
@@ -30,7 +30,7 @@
   Lose,
   Backlog,
   Answered,
-  Totals,
+  Ready,
   Cancel,
   Settle,
   Produced,
@@ -48,7 +48,7 @@
   | { kind: AdmissionMessageKind.Lose; peer: Peer }
   | { kind: AdmissionMessageKind.Backlog; peer: Peer; backlog: Backlog }
   | { kind: AdmissionMessageKind.Answered; claim: AnsweredClaim }
-  | { kind: AdmissionMessageKind.Totals; totals: ServiceEntry[] }
+  | { kind: AdmissionMessageKind.Ready }
   | { kind: AdmissionMessageKind.Cancel; reference: AttemptReference }
   | { kind: AdmissionMessageKind.Settle; reference: AttemptReference }
   | { kind: AdmissionMessageKind.Produced; execution: Execution; data: Buffer; cost: number }
@@ -68,6 +68,8 @@
   host: string;
   client: EndpointClient;
   meter: ServiceMeter;
+  /** Whether the fleet's totals are fresh enough for a choice; `Ready` is posted when they may be. */
+  prepareChoice: () => boolean;
   clock: Clock;
   log: Logger;
   metrics: Metrics;
@@ -103,6 +105,7 @@
     this.options = options;
     this.claimer = new Claimer({
       meter: options.meter,
+      prepareChoice: options.prepareChoice,
       onAnswer: (claim) => this.post({ kind: AdmissionMessageKind.Answered, claim }),
     });
     this.ticker = options.clock.every(TICK_MS, () =>
@@ -153,8 +156,8 @@
       case AdmissionMessageKind.Answered:
         this.acceptAnswer(message.claim);
         return;
-      case AdmissionMessageKind.Totals:
-        this.options.meter.setTotals(message.totals);
+      case AdmissionMessageKind.Ready:
+        this.schedule();
         return;
       case AdmissionMessageKind.Cancel:
         this.cancel(message.reference);
@@ -181,7 +184,8 @@
 
   private configure(configuration: FleetConfiguration): void {
     const { endpoint, host, metrics, log } = this.options;
-    this.claimer.configure(configuration);
+    const kind = configuration.endpoints.find(({ name }) => name === endpoint)?.kind;
+    if (kind !== undefined) this.claimer.configure(configuration, kind);
     this.slots = computeSlotBudget(configuration, endpoint);
     const leaving = configuration.planned_stops.some(
       ({ target }) => target === endpoint || target === host,
@@ -241,9 +245,9 @@
     if (!this.draining) this.claimer.claim(this.slots - this.running);
   }
 
-  private acceptAnswer(claim: AnsweredClaim): void {
-    const grant = this.claimer.settle(claim);
-    if (grant !== undefined) this.admit(claim.peer, grant);
+  private acceptAnswer(answered: AnsweredClaim): void {
+    const grant = this.claimer.settle(answered);
+    if (grant !== undefined) this.admit(answered.claim.peer, grant);
     this.schedule();
   }
 
@@ -275,6 +279,7 @@
   private start(execution: Execution): void {
     this.running += 1;
     this.executions.set(execution.id, execution);
+    execution.charge = this.claimer.openCharge(execution.grant.job);
     this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
     this.options.log.debug({
       event: 'request.started',
@@ -293,7 +298,7 @@
   private produce(execution: Execution, data: Buffer, cost: number): void {
     if (execution.end !== undefined) return;
     const frame = execution.append(data, cost);
-    this.options.meter.charge(execution.grant.job.workspace, cost);
+    execution.charge?.produce(cost);
     if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
@@ -304,14 +309,20 @@
   private finish(execution: Execution, cost: number, error?: RequestError): void {
     if (execution.end !== undefined) return;
     const end = execution.finish(this.options.clock.monotonic(), cost, error);
-    this.options.meter.charge(execution.grant.job.workspace, cost);
+    execution.charge?.produce(cost);
+    if (error === undefined) this.learn(execution);
     this.flush();
     this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
     this.freeSlot(execution);
   }
 
+  private learn({ grant, cost }: Execution): void {
+    this.options.meter.learn(grant.job.workspace, cost, grant.job.costHint);
+  }
+
   private freeSlot(execution: Execution): void {
     this.running -= 1;
+    if (execution.charge !== undefined) this.options.meter.close(execution.charge);
     this.options.log.debug({ event: 'request.ended', request: execution.id, cost: execution.cost });
     this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
     this.schedule();
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -1,14 +1,12 @@
 /** Plug-in that runs a sidecar's admission and connects it with the links and the configuration. */
-import { EndpointKind, pickByRendezvous } from '@poplarpick/decisions';
-import { describeError, Plugin, registerPlugin, Role } from '@poplarpick/kernel';
-import type { Kernel, Timer } from '@poplarpick/kernel';
-import type { Link } from '../link/link.ts';
+import { EndpointKind } from '@poplarpick/decisions';
+import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
+import type { Kernel } from '@poplarpick/kernel';
 import type { LinkHub } from '../link/link-hub.ts';
-import { CallMethod, NoticeMethod } from '../messages.ts';
+import { NoticeMethod } from '../messages.ts';
 import {
   admissionKey,
   configurationKey,
-  identityKey,
   linkHubKey,
   sidecarSettingsKey,
   statusBoardKey,
@@ -18,33 +16,42 @@
 import { EndpointClient } from './endpoint-client.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
 import type { Job } from '../messages.ts';
+import { LedgerReporter } from './ledger-reporter.ts';
 import { ModelEngineClient } from './model-engine-client.ts';
 import { ServiceMeter } from './service-meter.ts';
 
-/** Time between two reports to the ledger shard. */
-const REPORT_PERIOD_MS = 100;
-
 class SidecarPlugin extends Plugin {
   override readonly name = 'sidecar';
   override readonly roles = [Role.Sidecar];
   override readonly requires = ['links', 'configuration'];
   private admission: Admission | undefined;
   private client: EndpointClient | undefined;
-  private reporter: Timer | undefined;
+  private reporter: LedgerReporter | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
     const { clock, log, metrics, host } = kernel;
     const { endpoint } = kernel.part(sidecarSettingsKey);
-    const meter = new ServiceMeter(endpoint.name, kernel.part(identityKey).incarnation);
+    const hub = kernel.part(linkHubKey);
+    const meter = new ServiceMeter();
     this.client = new KindClient(
       new ModelEngineClient({ baseUrl: endpoint.url }),
       new ApplicationClient({ baseUrl: endpoint.url, clock }),
     );
+    const reporter = new LedgerReporter({
+      hub,
+      meter,
+      clock,
+      log,
+      readKind: () => readKind(kernel),
+      onReady: () => this.admission?.post({ kind: AdmissionMessageKind.Ready }),
+    });
+    this.reporter = reporter;
     const admission = new Admission({
       endpoint: endpoint.name,
       host,
       client: this.client,
       meter,
+      prepareChoice: () => reporter.prepareChoice(),
       clock,
       log,
       metrics,
@@ -57,9 +64,7 @@
     kernel.part(configurationKey).onChange(({ configuration }) => {
       admission.post({ kind: AdmissionMessageKind.Configure, configuration });
     });
-    const hub = kernel.part(linkHubKey);
     connectLinks(hub, admission);
-    this.reporter = clock.every(REPORT_PERIOD_MS, () => report(kernel, hub, meter, admission));
     return Promise.resolve();
   }
 
@@ -115,26 +120,10 @@
   hub.onLoss((peer) => admission.post({ kind: AdmissionMessageKind.Lose, peer }));
 }
 
-/** Reports the row to the ledger shard and takes the fleet's totals from its answer. */
-function report(kernel: Kernel, hub: LinkHub, meter: ServiceMeter, admission: Admission): void {
+function readKind(kernel: Kernel): EndpointKind | undefined {
   const { configuration } = kernel.part(configurationKey).current ?? {};
-  const name = kernel.part(sidecarSettingsKey).endpoint.name;
-  const kind = configuration?.endpoints.find((line) => line.name === name)?.kind;
-  const link = findLedger(hub, kind);
-  if (kind === undefined || link === undefined) return;
-  link
-    .call(CallMethod.Report, { kind, row: meter.report() })
-    .then(({ totals }) => admission.post({ kind: AdmissionMessageKind.Totals, totals }))
-    .catch((error: unknown) =>
-      kernel.log.debug({ event: 'ledger.report_failed', error: describeError(error) }),
-    );
-}
-
-function findLedger(hub: LinkHub, kind: EndpointKind | undefined): Link | undefined {
-  if (kind === undefined) return undefined;
-  const hosts = hub.peers(Role.Router).map((peer) => peer.host);
-  const chosen = pickByRendezvous(`ledger ${kind}`, hosts);
-  return chosen === undefined ? undefined : hub.findPeer(chosen)?.link;
+  const { name } = kernel.part(sidecarSettingsKey).endpoint;
+  return configuration?.endpoints.find((line) => line.name === name)?.kind;
 }
 
 registerPlugin(() => new SidecarPlugin());
--- a/packages/fleet/src/sidecar/backlog-view.ts
+++ b/packages/fleet/src/sidecar/backlog-view.ts
@@ -4,88 +4,102 @@
 interface KnownLine {
   line: ClaimLine;
   count: number;
+  /** Claims sent and not yet answered. */
+  claimed: number;
 }
 
-interface RouterBacklog {
-  lines: Map<string, KnownLine>;
-  /** Claims sent and not yet answered, by line. */
-  claimed: Map<string, number>;
-}
+/** Lines of one workspace in one router, by key. */
+type RouterLines = Map<string, KnownLine>;
 
 /** The backlog of all linked routers. */
 export class BacklogView {
-  private readonly routers = new Map<string, RouterBacklog>();
+  private readonly workspaces = new Map<string, Map<string, RouterLines>>();
 
-  /** Takes a router's notice in. */
-  update(router: string, backlog: Backlog): void {
-    const held = this.routers.get(router) ?? { lines: new Map(), claimed: new Map() };
-    this.routers.set(router, held);
-    if (backlog.full) held.lines.clear();
-    for (const entry of backlog.lines) setLine(held, entry);
+  /** Takes a router's notice in; returns the workspaces that it names. */
+  update(router: string, backlog: Backlog): Set<string> {
+    const touched = backlog.full ? this.remove(router) : new Set<string>();
+    for (const entry of backlog.lines) {
+      touched.add(entry.workspace);
+      this.setLine(router, entry);
+    }
+    return touched;
   }
 
-  /** Forgets a router. */
-  remove(router: string): void {
-    this.routers.delete(router);
+  /** Forgets a router; returns the workspaces that waited there. */
+  remove(router: string): Set<string> {
+    const touched = new Set<string>();
+    for (const [workspace, routers] of this.workspaces) {
+      if (!routers.delete(router)) continue;
+      touched.add(workspace);
+      if (routers.size === 0) this.workspaces.delete(workspace);
+    }
+    return touched;
   }
 
-  /** Workspaces for which some request waits that no claim is out for. */
-  workspaces(): Set<string> {
-    const found = new Set<string>();
-    for (const held of this.routers.values()) {
-      for (const { line, count } of held.lines.values()) {
-        if (count > claimedOf(held, line)) found.add(line.workspace);
-      }
+  /** Whether a request of the workspace waits anywhere. */
+  isWaiting(workspace: string): boolean {
+    for (const lines of this.workspaces.get(workspace)?.values() ?? []) {
+      for (const { count } of lines.values()) if (count > 0) return true;
     }
-    return found;
+    return false;
   }
 
-  /** The router with the most unclaimed requests of a workspace, and its lines of that workspace. */
-  findRouter(workspace: string): { router: string; lines: ClaimLine[] } | undefined {
-    let best: { router: string; lines: ClaimLine[]; waiting: number } | undefined;
-    for (const [router, held] of this.routers) {
-      const open = [...held.lines.values()].filter(
-        ({ line, count }) => line.workspace === workspace && count > claimedOf(held, line),
-      );
-      const waiting = open.reduce((sum, { line, count }) => sum + count - claimedOf(held, line), 0);
-      if (waiting > (best?.waiting ?? 0))
-        best = { router, lines: open.map(({ line }) => line), waiting };
+  /** The router with the most requests of a workspace that no claim is out for. */
+  findRouter(workspace: string): string | undefined {
+    let best: string | undefined;
+    let most = 0;
+    for (const [router, lines] of this.workspaces.get(workspace) ?? []) {
+      const open = countOpen(lines);
+      if (open <= most) continue;
+      best = router;
+      most = open;
     }
     return best;
   }
 
+  /** Lines of a workspace in a router that hold more requests than are claimed. */
+  openLines(router: string, workspace: string): ClaimLine[] {
+    return [...(this.workspaces.get(workspace)?.get(router)?.values() ?? [])]
+      .filter(({ count, claimed }) => count > claimed)
+      .map(({ line }) => line);
+  }
+
   /** Notes that a claim is out for a line, or has been answered. */
   noteClaim(router: string, line: ClaimLine, change: 1 | -1): void {
-    const held = this.routers.get(router);
-    if (held === undefined) return;
-    const count = claimedOf(held, line) + change;
-    if (count <= 0) held.claimed.delete(keyOfLine(line));
-    else held.claimed.set(keyOfLine(line), count);
+    const known = this.find(router, line);
+    if (known !== undefined) known.claimed = Math.max(0, known.claimed + change);
   }
 
-  /** Notes that a router had nothing in these lines. */
-  noteEmpty(router: string, lines: readonly ClaimLine[]): void {
-    const held = this.routers.get(router);
-    for (const line of lines) held?.lines.delete(keyOfLine(line));
+  /** Sets how many requests a router has in a line. */
+  setCount(router: string, line: ClaimLine, count: number): void {
+    this.setLine(router, { ...line, count });
   }
 
-  /** Notes that a router has granted a request of a line. */
-  noteGrant(router: string, line: ClaimLine): void {
-    const known = this.routers.get(router)?.lines.get(keyOfLine(line));
-    if (known !== undefined && known.count > 0) known.count -= 1;
+  private setLine(router: string, { pool, workspace, pinned, count }: BacklogLine): void {
+    const line = { pool, workspace, pinned };
+    const known = this.find(router, line);
+    if (known !== undefined) {
+      known.count = count;
+      return;
+    }
+    const routers = this.workspaces.get(workspace) ?? new Map<string, RouterLines>();
+    const lines = routers.get(router) ?? new Map<string, KnownLine>();
+    this.workspaces.set(workspace, routers);
+    routers.set(router, lines);
+    lines.set(keyOfLine(line), { line, count, claimed: 0 });
   }
-}
 
-function setLine(held: RouterBacklog, { pool, workspace, pinned, count }: BacklogLine): void {
-  const line = { pool, workspace, pinned };
-  if (count === 0) held.lines.delete(keyOfLine(line));
-  else held.lines.set(keyOfLine(line), { line, count });
+  private find(router: string, line: ClaimLine): KnownLine | undefined {
+    return this.workspaces.get(line.workspace)?.get(router)?.get(keyOfLine(line));
+  }
 }
 
-function claimedOf(held: RouterBacklog, line: ClaimLine): number {
-  return held.claimed.get(keyOfLine(line)) ?? 0;
+function countOpen(lines: RouterLines): number {
+  let open = 0;
+  for (const { count, claimed } of lines.values()) open += Math.max(0, count - claimed);
+  return open;
 }
 
 function keyOfLine(line: ClaimLine): string {
-  return `${line.pool}\u0000${line.workspace}\u0000${line.pinned ? 'pinned' : ''}`;
+  return `${line.pool}\u0000${line.pinned ? 'pinned' : ''}`;
 }
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -2,24 +2,38 @@
  * Claims of one sidecar: which workspace its next free slot goes to, and from which router the request
  * is claimed. Answers come back to the admission, which owns the claimer.
  */
-import { FairShare, findWeight } from '@poplarpick/decisions';
-import type { FleetConfiguration } from '@poplarpick/decisions';
+import { EndpointKind, findPreset } from '@poplarpick/decisions';
+import type { Charge, FleetConfiguration } from '@poplarpick/decisions';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod } from '../messages.ts';
-import type { Backlog, ClaimAnswer, ClaimLine, Grant } from '../messages.ts';
+import type { Backlog, ClaimAnswer, ClaimLine, Grant, Job } from '../messages.ts';
 import { BacklogView } from './backlog-view.ts';
 import type { ServiceMeter } from './service-meter.ts';
 
-/** The answer to one claim, with what was asked. */
-export interface AnsweredClaim {
+/** Most lines of other workspaces that a claim offers in case the first are empty by now. */
+const SPARE_LINES = 3;
+
+/** A claim that is out. */
+export interface OpenClaim {
   peer: Peer;
+  workspace: string;
+  /** Lines of the workspace, then those of others, in the order of preference. */
   lines: ClaimLine[];
+  /** Provisional charge of the workspace. */
+  charge: number;
+}
+
+/** The answer to one claim. */
+export interface AnsweredClaim {
+  claim: OpenClaim;
   answer: ClaimAnswer;
 }
 
 /** Options of a `Claimer`. */
 export interface ClaimerOptions {
   meter: ServiceMeter;
+  /** Whether the totals are fresh enough for a choice; where not, they are being asked for. */
+  prepareChoice: () => boolean;
   /** Called when a claim is answered or has failed, outside of the owner's task. */
   onAnswer: (claim: AnsweredClaim) => void;
 }
@@ -27,10 +41,10 @@
 /** Claims requests for free slots. */
 export class Claimer {
   private readonly options: ClaimerOptions;
-  private readonly fairShare = new FairShare();
   private readonly backlog = new BacklogView();
   private readonly routers = new Map<string, Peer>();
-  private configuration: FleetConfiguration | undefined;
+  private weights = new Map<string, number>();
+  private fleetSlots = 0;
   private outstanding = 0;
 
   constructor(options: ClaimerOptions) {
@@ -42,8 +56,12 @@
     return this.outstanding;
   }
 
-  configure(configuration: FleetConfiguration): void {
-    this.configuration = configuration;
+  configure(configuration: FleetConfiguration, kind: EndpointKind): void {
+    const { weights } = findPreset(configuration);
+    this.weights = new Map(configuration.workspaces.map(({ name, weight }) => [name, weight]));
+    for (const { workspace, weight } of weights) this.weights.set(workspace, weight);
+    const peers = configuration.endpoints.filter((endpoint) => endpoint.kind === kind);
+    this.fleetSlots = peers.reduce((sum, { slots }) => sum + slots, 0);
   }
 
   join(peer: Peer): void {
@@ -53,56 +71,80 @@
   lose(peer: Peer): void {
     if (this.routers.get(peer.host) !== peer) return;
     this.routers.delete(peer.host);
-    this.backlog.remove(peer.host);
+    for (const workspace of this.backlog.remove(peer.host)) this.followWaiting(workspace);
   }
 
   updateBacklog(peer: Peer, backlog: Backlog): void {
-    this.backlog.update(peer.host, backlog);
+    if (this.routers.get(peer.host) !== peer) return;
+    for (const workspace of this.backlog.update(peer.host, backlog))
+      this.followWaiting(workspace, backlog.full);
   }
 
   /** Sends claims until as many are out as there are free slots, or nothing waits. */
   claim(freeSlots: number): void {
     while (this.outstanding < freeSlots) {
-      if (!this.claimOne()) return;
+      const choice = this.choose();
+      if (choice === undefined || !this.options.prepareChoice()) return;
+      this.send(choice.peer, choice.workspace);
     }
   }
 
   /** Takes an answer in; the grant, unless there is none or it must not be started. */
-  settle({ peer, lines, answer }: AnsweredClaim): Grant | undefined {
+  settle({ claim, answer }: AnsweredClaim): Grant | undefined {
+    const { peer, workspace, lines, charge } = claim;
     this.outstanding -= 1;
-    lines.forEach((line) => this.backlog.noteClaim(peer.host, line, -1));
+    this.options.meter.release(workspace, charge);
+    for (const line of lines) {
+      if (line.workspace === workspace) this.backlog.noteClaim(peer.host, line, -1);
+    }
     // After the link is lost the router counts the grant as not started, so it must not start here.
     if (this.routers.get(peer.host) !== peer) return undefined;
-    const { grant } = answer;
-    if (grant === undefined) {
-      this.backlog.noteEmpty(peer.host, lines);
-      return undefined;
+    this.noteCounts(claim, answer);
+    return answer.grant;
+  }
+
+  /** Starts the charge of a granted request. */
+  openCharge({ workspace, costHint }: Job): Charge {
+    return this.options.meter.open({ workspace, weight: this.weightOf(workspace), costHint });
+  }
+
+  /** Lines before the granted one are empty; without a grant, all are. */
+  private noteCounts({ peer, lines }: OpenClaim, { grant, left }: ClaimAnswer): void {
+    for (const line of lines) {
+      const isGranted =
+        grant !== undefined &&
+        line.pool === grant.job.pool &&
+        line.workspace === grant.job.workspace &&
+        line.pinned === grant.pinned;
+      this.backlog.setCount(peer.host, line, isGranted ? (left ?? 0) : 0);
+      this.followWaiting(line.workspace);
+      if (isGranted) return;
     }
-    const { pool, workspace } = grant.job;
-    const line = lines.find((entry) => entry.pool === pool && entry.workspace === workspace);
-    if (line !== undefined) this.backlog.noteGrant(peer.host, line);
-    return grant;
   }
 
-  /** Claims for the least served workspace; false where nothing waits. */
-  private claimOne(): boolean {
-    this.fairShare.setBacklogged(this.backlog.workspaces(), (workspace) =>
-      this.serviceOf(workspace),
-    );
-    for (const workspace of this.fairShare.rank((name) => this.serviceOf(name))) {
-      const found = this.backlog.findRouter(workspace);
-      const peer = found === undefined ? undefined : this.routers.get(found.router);
-      if (found === undefined || peer === undefined) continue;
-      this.send(peer, found.lines);
-      return true;
+  /** The least served workspace with a request that no claim is out for, and a router that has it. */
+  private choose(): { peer: Peer; workspace: string } | undefined {
+    const { fairShare, largestCharge } = this.options.meter;
+    if (largestCharge > 0) fairShare.debtLimit = this.fleetSlots * largestCharge;
+    fairShare.forgiveDebts();
+    for (const workspace of fairShare.rank()) {
+      const router = this.backlog.findRouter(workspace);
+      const peer = router === undefined ? undefined : this.routers.get(router);
+      if (peer !== undefined) return { peer, workspace };
     }
-    return false;
+    return undefined;
   }
 
-  private send(peer: Peer, lines: ClaimLine[]): void {
-    const answered = (answer: ClaimAnswer): void => this.options.onAnswer({ peer, lines, answer });
+  private send(peer: Peer, workspace: string): void {
+    const { meter, onAnswer } = this.options;
+    const lines = this.linesFor(peer, workspace);
+    const charge = meter.reserve(workspace, this.weightOf(workspace));
+    const claim = { peer, workspace, lines, charge };
+    const answered = (answer: ClaimAnswer): void => onAnswer({ claim, answer });
     this.outstanding += 1;
-    lines.forEach((line) => this.backlog.noteClaim(peer.host, line, 1));
+    for (const line of lines) {
+      if (line.workspace === workspace) this.backlog.noteClaim(peer.host, line, 1);
+    }
     peer.link
       .call(CallMethod.Claim, { lines })
       .then(answered)
@@ -113,8 +155,24 @@
       });
   }
 
-  private serviceOf(workspace: string): number {
-    const weight = this.configuration === undefined ? 1 : findWeight(this.configuration, workspace);
-    return this.options.meter.total(workspace) / weight;
+  private linesFor(peer: Peer, workspace: string): ClaimLine[] {
+    const lines = this.backlog.openLines(peer.host, workspace);
+    const most = lines.length + SPARE_LINES;
+    for (const other of this.options.meter.fairShare.rank()) {
+      if (lines.length >= most) break;
+      if (other !== workspace) lines.push(...this.backlog.openLines(peer.host, other));
+    }
+    return lines.slice(0, most);
+  }
+
+  private followWaiting(workspace: string, isKnownElsewhere = false): void {
+    const { fairShare } = this.options.meter;
+    if (!this.backlog.isWaiting(workspace)) fairShare.endWaiting(workspace);
+    else if (isKnownElsewhere) fairShare.resumeWaiting(workspace);
+    else fairShare.beginWaiting(workspace);
+  }
+
+  private weightOf(workspace: string): number {
+    return this.weights.get(workspace) ?? 1;
   }
 }
--- /dev/null
+++ b/packages/fleet/src/sidecar/ledger-reporter.ts
@@ -0,0 +1,167 @@
+/**
+ * Reports the service of one endpoint to the ledger shards and takes the fleet's totals from them. A
+ * change that a choice elsewhere depends on (a start or an end) is reported at once, others a
+ * little later. Before a choice of its own the sidecar asks for the totals, and waits for the answer
+ * only for a moment, so that a shard that is slow or lost leaves no slot idle.
+ *
+ * Two routers are shards for each kind of endpoint: the first in rendezvous order answers choices, the
+ * second follows at a slower pace. Sidecars that see different routers may disagree on the first; the
+ * greater of the two totals then holds, since each can only lack reports.
+ */
+import { EndpointKind, rankByRendezvous } from '@poplarpick/decisions';
+import { describeError, Role } from '@poplarpick/kernel';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import type { LinkHub } from '../link/link-hub.ts';
+import type { ReportAnswer } from '../messages.ts';
+import { LedgerShard } from './ledger-shard.ts';
+import type { ServiceMeter } from './service-meter.ts';
+
+/** Shards of each kind of endpoint. */
+const SHARDS = 2;
+
+/** Time over which starts and ends are gathered, on which others' choices depend. */
+const PROMPT_DELAY_MS = 2;
+
+/** Time over which other changes are gathered: costs beyond what was expected. */
+const OVERRUN_DELAY_MS = 200;
+
+/** Time between two reports to the second shard, and of a sidecar without choices to make. */
+const PERIOD_MS = 1_000;
+
+/** Age up to which totals are good enough for a choice. */
+const FRESH_MS = 4;
+
+/** Longest wait for the totals before a choice. */
+const WAIT_MS = 10;
+
+/** Options of a `LedgerReporter`. */
+export interface LedgerReporterOptions {
+  hub: LinkHub;
+  meter: ServiceMeter;
+  clock: Clock;
+  log: Logger;
+  /** The kind of the endpoint, once the configuration is known. */
+  readKind: () => EndpointKind | undefined;
+  /** Called when a choice that waited for totals need wait no longer. */
+  onReady: () => void;
+}
+
+/** Keeps the account of one endpoint in step with the fleet's. */
+export class LedgerReporter {
+  private readonly options: LedgerReporterOptions;
+  private readonly ticker: Timer;
+  private shards: LedgerShard[] = [];
+  private sequence = 0;
+  private prompt: Timer | undefined;
+  private overrun: Timer | undefined;
+  private patience: Timer | undefined;
+  private asked = false;
+  private late = false;
+  private answeredAt = -Infinity;
+
+  constructor(options: LedgerReporterOptions) {
+    this.options = options;
+    options.meter.listener = {
+      onCharge: (workspace) => this.noteCharge(workspace),
+      onTurn: () => this.noteTurn(),
+      onAdjust: (workspace) => this.shards.forEach((shard) => shard.noteAdjustment(workspace)),
+    };
+    this.ticker = options.clock.every(PERIOD_MS, () => this.tick());
+  }
+
+  /** Whether a choice may be made now; where not, the totals are asked for. */
+  prepareChoice(): boolean {
+    const [first] = this.currentShards();
+    if (first === undefined || this.late) return true;
+    if (this.options.clock.monotonic() - this.answeredAt <= FRESH_MS) return true;
+    if (this.asked) return false;
+    this.ask(first);
+    return false;
+  }
+
+  stop(): void {
+    this.ticker.stop();
+    this.prompt?.stop();
+    this.overrun?.stop();
+    this.patience?.stop();
+  }
+
+  private ask(shard: LedgerShard): void {
+    this.asked = true;
+    this.patience = this.options.clock.after(WAIT_MS, () => {
+      this.late = true;
+      this.options.onReady();
+    });
+    void this.send(shard, true).then((succeeded) => {
+      this.patience?.stop();
+      this.asked = false;
+      this.late = false;
+      this.answeredAt = succeeded ? this.options.clock.monotonic() : this.answeredAt;
+      this.options.onReady();
+    });
+  }
+
+  private noteCharge(workspace: string): void {
+    this.shards.forEach((shard) => shard.noteCharge(workspace));
+    this.overrun ??= this.options.clock.after(OVERRUN_DELAY_MS, () => {
+      this.overrun = undefined;
+      this.catchUp();
+    });
+  }
+
+  private noteTurn(): void {
+    this.prompt ??= this.options.clock.after(PROMPT_DELAY_MS, () => {
+      this.prompt = undefined;
+      this.catchUp();
+    });
+  }
+
+  private catchUp(): void {
+    const [first] = this.currentShards();
+    if (first?.isBehind === true) void this.send(first, false);
+  }
+
+  private tick(): void {
+    for (const shard of this.currentShards()) void this.send(shard, true);
+  }
+
+  private async send(shard: LedgerShard, wantsTotals: boolean): Promise<boolean> {
+    const kind = this.options.readKind();
+    if (kind === undefined) return false;
+    this.sequence += 1;
+    try {
+      this.accept(await shard.report({ kind, sequence: this.sequence, wantsTotals }));
+      return true;
+    } catch (error) {
+      this.options.log.debug({ event: 'ledger.report_failed', error: describeError(error) });
+      return false;
+    }
+  }
+
+  private accept({ totals, adjustments }: ReportAnswer): void {
+    const { meter } = this.options;
+    if (adjustments !== undefined) meter.adjust(adjustments);
+    if (totals === undefined) return;
+    const services = totals.workspaces.map((workspace) => this.greatestOf(workspace));
+    meter.setOthers({ workspaces: totals.workspaces, services });
+  }
+
+  private greatestOf(workspace: string): number {
+    return Math.max(0, ...this.shards.map((shard) => shard.others(workspace)));
+  }
+
+  /** Sessions with the shards that are linked now, the first in rendezvous order first. */
+  private currentShards(): LedgerShard[] {
+    const { hub, meter } = this.options;
+    const kind = this.options.readKind();
+    if (kind === undefined) return [];
+    const hosts = hub.peers(Role.Router).map(({ host }) => host);
+    const chosen = rankByRendezvous(`ledger ${kind}`, hosts).slice(0, SHARDS);
+    this.shards = chosen.flatMap((host) => {
+      const peer = hub.findPeer(host);
+      if (peer === undefined) return [];
+      return this.shards.find((shard) => shard.peer === peer) ?? new LedgerShard({ peer, meter });
+    });
+    return this.shards;
+  }
+}
--- a/packages/fleet/src/sidecar/service-meter.ts
+++ b/packages/fleet/src/sidecar/service-meter.ts
@@ -1,48 +1,121 @@
 /**
- * Service that workspaces received: the sidecar's own row, which it alone writes, and the fleet's
- * totals as the ledger shard last told them. Between two reports, own charges since are added.
+ * Service as one sidecar knows it: its own account, which it alone writes, and what the other
+ * endpoints gave, as the ledger shards last told. It keeps the fair order up to date.
  */
-import type { ServiceEntry, ServiceRow } from '@poplarpick/decisions';
+import { CostEstimator, FairShare, ServiceAccount } from '@poplarpick/decisions';
+import type { AccountEntry, Adjustment, Charge, ServiceTotals } from '@poplarpick/decisions';
 
-/** Meters the service of one endpoint. */
+/** What changes of the meter are told to. */
+export interface MeterListener {
+  /** The own entry of the workspace has changed. */
+  onCharge(workspace: string): void;
+  /** A request has started or ended, on which the choices of others depend. */
+  onTurn(): void;
+  /** The workspace was lifted or forgiven here. */
+  onAdjust(workspace: string): void;
+}
+
+/** A request to be charged. */
+export interface ChargeRequest {
+  workspace: string;
+  weight: number;
+  costHint?: number | undefined;
+}
+
+/** Meters the service of one endpoint and orders the workspaces by that of the fleet. */
 export class ServiceMeter {
-  private readonly endpoint: string;
-  private readonly incarnation: string;
-  private readonly own = new Map<string, number>();
-  private readonly reported = new Map<string, number>();
-  private fleet = new Map<string, number>();
+  readonly fairShare: FairShare;
+  listener: MeterListener | undefined;
+  private readonly account: ServiceAccount;
+  private readonly estimator = new CostEstimator();
+  private readonly others = new Map<string, number>();
+  private readonly reserved = new Map<string, number>();
+  private largest = 0;
+
+  constructor() {
+    this.account = new ServiceAccount((workspace) => this.noteCharge(workspace));
+    this.fairShare = new FairShare({
+      onAdjust: ({ workspace }) => this.listener?.onAdjust(workspace),
+    });
+  }
+
+  /** Largest expected cost, divided by weight, that any request was charged. */
+  get largestCharge(): number {
+    return this.largest;
+  }
+
+  /** Charges the expected cost of a request that starts. */
+  open({ workspace, weight, costHint }: ChargeRequest): Charge {
+    const expectedCost = this.estimator.expect(workspace, costHint);
+    this.largest = Math.max(this.largest, expectedCost / weight);
+    const charge = this.account.open({ workspace, weight, expectedCost });
+    this.listener?.onTurn();
+    return charge;
+  }
+
+  /** Ends the charge of a request. */
+  close(charge: Charge): void {
+    charge.close();
+    this.listener?.onTurn();
+  }
+
+  /** Learns what a request cost that ended whole. */
+  learn(workspace: string, cost: number, costHint?: number): void {
+    this.estimator.learn(workspace, cost, costHint);
+  }
+
+  /** Charges a workspace, until `release`, for a request that is claimed for it. Returns the charge. */
+  reserve(workspace: string, weight: number): number {
+    const charge = this.estimator.expect(workspace) / weight;
+    this.reserved.set(workspace, (this.reserved.get(workspace) ?? 0) + charge);
+    this.update(workspace);
+    return charge;
+  }
+
+  release(workspace: string, charge: number): void {
+    const left = (this.reserved.get(workspace) ?? 0) - charge;
+    if (left > 0) this.reserved.set(workspace, left);
+    else this.reserved.delete(workspace);
+    this.update(workspace);
+  }
+
+  /** Own entries of these workspaces, for a report. */
+  entries(workspaces: Iterable<string>): AccountEntry[] {
+    return [...workspaces].map((workspace) => this.account.read(workspace));
+  }
 
-  constructor(endpoint: string, incarnation: string) {
-    this.endpoint = endpoint;
-    this.incarnation = incarnation;
+  /** All workspaces that were ever charged here. */
+  charged(): string[] {
+    return this.account.workspaces();
   }
 
-  /** Adds cost to a workspace. */
-  charge(workspace: string, cost: number): void {
-    if (cost > 0) this.own.set(workspace, this.ownCost(workspace) + cost);
+  /** Adjustments of these workspaces as they stand. */
+  adjustments(workspaces: ReadonlySet<string>): Adjustment[] {
+    return this.fairShare.adjustments().filter(({ workspace }) => workspaces.has(workspace));
   }
 
-  /** The whole row, for a report; remembers what it says. */
-  report(): ServiceRow {
-    const entries = [...this.own].map(([workspace, cost]) => ({ workspace, cost }));
-    for (const { workspace, cost } of entries) this.reported.set(workspace, cost);
-    return { endpoint: this.endpoint, incarnation: this.incarnation, entries };
+  /** Sets what the other endpoints gave. */
+  setOthers({ workspaces, services }: ServiceTotals): void {
+    workspaces.forEach((workspace, index) => {
+      this.others.set(workspace, services[index] ?? 0);
+      this.update(workspace);
+    });
   }
 
-  /** Takes the fleet's totals, which include the last report. */
-  setTotals(totals: readonly ServiceEntry[]): void {
-    this.fleet = new Map(totals.map(({ workspace, cost }) => [workspace, cost]));
+  /** Takes in what other processes have adjusted. */
+  adjust(adjustments: readonly Adjustment[]): void {
+    for (const adjustment of adjustments) this.fairShare.adjust(adjustment);
   }
 
-  /** Fleet-wide cost of a workspace, own charges since the last report included. */
-  total(workspace: string): number {
-    const own = this.ownCost(workspace);
-    const fleet = this.fleet.get(workspace);
-    if (fleet === undefined) return own;
-    return fleet + own - (this.reported.get(workspace) ?? 0);
+  private noteCharge(workspace: string): void {
+    this.update(workspace);
+    this.listener?.onCharge(workspace);
   }
 
-  private ownCost(workspace: string): number {
-    return this.own.get(workspace) ?? 0;
+  private update(workspace: string): void {
+    const { service, pending } = this.account.read(workspace);
+    const others = this.others.get(workspace) ?? 0;
+    const reserved = this.reserved.get(workspace) ?? 0;
+    this.fairShare.setService(workspace, service + pending + others + reserved);
   }
 }
