--- a/packages/decisions/src/fair-share/cost-estimator.ts
+++ b/packages/decisions/src/fair-share/cost-estimator.ts
@@ -1,67 +1,83 @@
 /**
- * Expected cost of a request. The hint of the caller is the prior; from the costs that a workspace's
- * requests turned out to have, both their mean and the usual ratio of cost to hint are learned, and
- * the one that has been the better guess lately is used.
+ * Expected cost of a request, from the hint of its caller and from what ended requests have cost. The
+ * usual ratio of cost to hint is learned for each workspace, from sums that fade; until a workspace
+ * is known, that of all workspaces holds, and before any request has ended the hint itself.
+ * Requests without a hint are expected to cost the mean of their workspace.
  */
 
 /** Options of a `CostEstimator`. */
 export interface CostEstimatorOptions {
   /** Cost that is expected where nothing is known. */
   defaultCost?: number;
-  /** Weight of the newest cost in the averages. */
-  smoothing?: number;
+  /** Part of the sums that remains when a request is added. */
+  fading?: number;
 }
 
 const DEFAULT_COST = 100;
-const DEFAULT_SMOOTHING = 0.1;
+const DEFAULT_FADING = 0.98;
 
-interface Learned {
-  meanCost: number;
-  /** Mean of cost divided by hint; undefined where no hint came. */
-  hintRatio: number | undefined;
-  /** Mean absolute errors of the two guesses. */
-  meanError: number;
-  hintError: number;
+/** Requests for which the ratio of all workspaces counts in that of one. */
+const PRIOR_REQUESTS = 5;
+
+interface Sums {
+  cost: number;
+  /** What the cost is related to: the hint, or 1 for each request. */
+  base: number;
+}
+
+/** Learns the ratio of cost to a base, for each workspace and for all together. */
+class CostRatios {
+  private readonly fading: number;
+  private readonly own = new Map<string, Sums>();
+  private readonly all: Sums = { cost: 0, base: 0 };
+
+  constructor(fading: number) {
+    this.fading = fading;
+  }
+
+  expect(workspace: string, base: number, prior: Sums): number {
+    const shared = ratioOf(this.all, prior);
+    const weighted = { cost: shared * base * PRIOR_REQUESTS, base: base * PRIOR_REQUESTS };
+    return base * ratioOf(this.own.get(workspace) ?? { cost: 0, base: 0 }, weighted);
+  }
+
+  learn(workspace: string, cost: number, base: number): void {
+    const own = this.own.get(workspace) ?? { cost: 0, base: 0 };
+    this.own.set(workspace, own);
+    for (const sums of [own, this.all]) {
+      sums.cost = sums.cost * this.fading + cost;
+      sums.base = sums.base * this.fading + base;
+    }
+  }
 }
 
 /** Learns the cost of each workspace's requests. */
 export class CostEstimator {
   private readonly defaultCost: number;
-  private readonly smoothing: number;
-  private readonly learned = new Map<string, Learned>();
+  private readonly perHint: CostRatios;
+  private readonly perRequest: CostRatios;
 
   constructor(options: CostEstimatorOptions = {}) {
+    const fading = options.fading ?? DEFAULT_FADING;
     this.defaultCost = options.defaultCost ?? DEFAULT_COST;
-    this.smoothing = options.smoothing ?? DEFAULT_SMOOTHING;
+    this.perHint = new CostRatios(fading);
+    this.perRequest = new CostRatios(fading);
   }
 
   /** The cost to expect of a request of `workspace`. */
   expect(workspace: string, hint?: number): number {
-    const known = this.learned.get(workspace);
-    if (known === undefined) return hint ?? this.defaultCost;
-    if (hint === undefined || known.hintRatio === undefined) return known.meanCost;
-    return known.hintError < known.meanError ? hint * known.hintRatio : known.meanCost;
+    if (hint === undefined || hint <= 0)
+      return this.perRequest.expect(workspace, 1, { cost: this.defaultCost, base: 1 });
+    return this.perHint.expect(workspace, hint, { cost: hint, base: hint });
   }
 
-  /** Learns from a request that has ended. */
+  /** Learns from a request that has ended whole. */
   learn(workspace: string, cost: number, hint?: number): void {
-    const ratio = hint === undefined || hint <= 0 ? undefined : cost / hint;
-    const known = this.learned.get(workspace);
-    if (known === undefined) {
-      this.learned.set(workspace, { meanCost: cost, hintRatio: ratio, meanError: 0, hintError: 0 });
-      return;
-    }
-    const hinted = hint === undefined ? undefined : hint * (known.hintRatio ?? 1);
-    this.learned.set(workspace, {
-      meanCost: this.mix(known.meanCost, cost),
-      hintRatio: ratio === undefined ? known.hintRatio : this.mix(known.hintRatio ?? ratio, ratio),
-      meanError: this.mix(known.meanError, Math.abs(cost - known.meanCost)),
-      hintError:
-        hinted === undefined ? known.hintError : this.mix(known.hintError, Math.abs(cost - hinted)),
-    });
+    this.perRequest.learn(workspace, cost, 1);
+    if (hint !== undefined && hint > 0) this.perHint.learn(workspace, cost, hint);
   }
+}
 
-  private mix(before: number, now: number): number {
-    return before + this.smoothing * (now - before);
-  }
+function ratioOf(sums: Sums, prior: Sums): number {
+  return (sums.cost + prior.cost) / (sums.base + prior.base);
 }
