Number names on the ledger's links and send reports without answers

Totals and reports are columns of whole tenths, names are numbered once per link, starts and overruns are reported by notice, and claims carry one spare line instead of three. The bench for fairness leaves the fault proxies out, whose process had become the slowest hop.

--- a/packages/bench/src/fairness/live-run.ts
+++ b/packages/bench/src/fairness/live-run.ts
@@ -61,6 +61,7 @@
   const fleet = await ProcessFleet.start({
     plan: options.plan,
     routers: options.routers,
+    direct: true,
     site: { engine: { pace: { baseStepMs: STEP_MS, perSequenceMs: 0 } } },
     nodeOptions: ['--max-semi-space-size=4'],
   });
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -25,6 +25,8 @@
   /** The harness reads events of level info, so no level above it. */
   logLevel?: 'debug' | 'info';
   nodeOptions?: string[];
+  /** Leaves the fault proxies out of the paths, which spares the bench the bytes. */
+  direct?: boolean;
 }
 
 /** A router process with its addresses, which stay the same over restarts. */
@@ -111,7 +113,7 @@
       id: router.host,
       role: Role.Router,
       dataCentre: router.dataCentre,
-      address: router.proxy.address,
+      address: this.options.direct === true ? router.links : router.proxy.address,
       state: leaving.includes(router.host) ? HostState.Leaving : HostState.Live,
     }));
     this.site.hosts.set(hosts);
@@ -190,11 +192,17 @@
     const settings = {
       ...this.commonSettings(node.host, node.dataCentre),
       operators: { address: node.operators === '' ? '127.0.0.1:0' : node.operators },
-      endpoint: { name: node.endpoint, url: `http://${node.proxy.address}` },
+      endpoint: { name: node.endpoint, url: this.endpointUrl(node) },
     };
     return this.spawn('sidecar', node.host, settings);
   }
 
+  private endpointUrl({ endpoint, proxy }: Omit<SidecarNode, 'process'>): string {
+    return this.options.direct === true
+      ? this.site.endpointUrl(endpoint)
+      : `http://${proxy.address}`;
+  }
+
   private spawn(command: string, host: string, settings: Record<string, unknown>): FleetProcess {
     return new FleetProcess({
       command,
--- a/packages/fleet/src/ledger/app.ts
+++ b/packages/fleet/src/ledger/app.ts
@@ -6,8 +6,9 @@
 import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
-import { CallMethod } from '../messages.ts';
+import { CallMethod, NoticeMethod } from '../messages.ts';
 import type { Report, ReportAnswer } from '../messages.ts';
+import { ColumnReader, ColumnWriter } from './service-columns.ts';
 import { linkHubKey, statusBoardKey } from '../parts.ts';
 
 class LedgerPlugin extends Plugin {
@@ -19,12 +20,23 @@
     const hub = kernel.part(linkHubKey);
     const ledgers = new Map(Object.values(EndpointKind).map((kind) => [kind, new ServiceLedger()]));
     hub.onLink((link) => {
-      link.handleCall(CallMethod.Report, (report) => {
+      const reader = new ColumnReader();
+      const writers = new Map(
+        Object.values(EndpointKind).map((kind) => [kind, new ColumnWriter()]),
+      );
+      const take = (report: Report): ServiceLedger => {
         const peer = hub.peerOf(link);
         const ledger = ledgers.get(report.kind);
-        if (peer === undefined || ledger === undefined) return {};
-        return takeReport(ledger, peer, report);
+        if (peer === undefined || ledger === undefined) throw new Error('report of a stranger');
+        mergeReport(ledger, peer, report, reader);
+        return ledger;
+      };
+      link.handleNotice(NoticeMethod.Service, (report) => {
+        take(report);
       });
+      link.handleCall(CallMethod.Report, (report) =>
+        describeChanges(take(report), report.known, writers.get(report.kind)),
+      );
     });
     kernel
       .part(statusBoardKey)
@@ -39,17 +51,28 @@
   }
 }
 
-/** Merges a report and tells what has changed, if the reporter wants to know. */
-function takeReport(ledger: ServiceLedger, peer: Peer, report: Report): ReportAnswer {
-  const { sequence, entries, adjustments, known } = report;
-  const { incarnation, endpoint = peer.host } = peer;
-  ledger.merge({ endpoint, incarnation, sequence, entries });
-  ledger.adjust(adjustments);
-  if (known === undefined) return {};
-  const changes = ledger.changesSince(known);
-  const answer: ReportAnswer = { version: changes.version };
-  if (changes.totals.workspaces.length > 0) answer.totals = changes.totals;
-  if (changes.adjustments.length > 0) answer.adjustments = changes.adjustments;
+function mergeReport(
+  ledger: ServiceLedger,
+  { incarnation, endpoint, host }: Peer,
+  { sequence, entries, adjustments }: Report,
+  reader: ColumnReader,
+): void {
+  if (entries !== undefined) {
+    const row = { incarnation, sequence, entries: reader.readEntries(entries) };
+    ledger.merge({ endpoint: endpoint ?? host, ...row });
+  }
+  if (adjustments !== undefined) ledger.adjust(adjustments);
+}
+
+function describeChanges(
+  ledger: ServiceLedger,
+  known: number,
+  writer = new ColumnWriter(),
+): ReportAnswer {
+  const { version, totals, adjustments } = ledger.changesSince(known);
+  const answer: ReportAnswer = { version };
+  if (totals.workspaces.length > 0) answer.totals = writer.writeTotals(totals);
+  if (adjustments.length > 0) answer.adjustments = adjustments;
   return answer;
 }
 
--- /dev/null
+++ b/packages/fleet/src/ledger/service-columns.ts
@@ -0,0 +1,56 @@
+/**
+ * Service on the wire: columns of equal length, names as numbers, amounts in tenths of a cost unit,
+ * since whole numbers take half the bytes. Amounts are cumulative, so rounding does not add up.
+ */
+import type { AccountEntry, ServiceTotals } from '@poplarpick/decisions';
+import { NameReader, NameWriter } from '@poplarpick/decisions';
+import type { EntryColumns, TotalColumns } from '../messages.ts';
+
+const UNITS_PER_COST = 10;
+
+/** Writes columns for one direction of one link. */
+export class ColumnWriter {
+  private readonly names = new NameWriter();
+
+  writeEntries(entries: readonly AccountEntry[]): EntryColumns {
+    return {
+      ...this.names.write(entries.map(({ workspace }) => workspace)),
+      services: entries.map(({ service }) => toUnits(service)),
+      pendings: entries.map(({ pending }) => toUnits(pending)),
+    };
+  }
+
+  writeTotals({ workspaces, services }: ServiceTotals): TotalColumns {
+    return { ...this.names.write(workspaces), services: services.map(toUnits) };
+  }
+}
+
+/** Reads columns from one direction of one link. */
+export class ColumnReader {
+  private readonly names = new NameReader();
+
+  readEntries(columns: EntryColumns): AccountEntry[] {
+    return this.names.read(columns).map((workspace, index) => ({
+      workspace,
+      service: toCost(columns.services[index]),
+      pending: toCost(columns.pendings[index]),
+    }));
+  }
+
+  readTotals(columns: TotalColumns): ServiceTotals {
+    return { workspaces: this.names.read(columns), services: columns.services.map(toCost) };
+  }
+}
+
+/** The amount as it arrives on the other side. */
+export function roundToWire(cost: number): number {
+  return toCost(toUnits(cost));
+}
+
+function toUnits(cost: number): number {
+  return Math.round(cost * UNITS_PER_COST);
+}
+
+function toCost(units: number | undefined): number {
+  return (units ?? 0) / UNITS_PER_COST;
+}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -3,12 +3,11 @@
  * result; notices do not. Durations are relative, since the clocks of two hosts may differ.
  */
 import type {
-  AccountEntry,
   Adjustment,
   DocumentDelta,
   DocumentVersion,
   EndpointKind,
-  ServiceTotals,
+  NumberedNames,
 } from '@poplarpick/decisions';
 import type { ErrorCode, Role, Verdict } from '@poplarpick/kernel';
 
@@ -20,7 +19,7 @@
   Resume = 'resume',
   /** Sidecar to router: a free slot asks for a request. */
   Claim = 'claim',
-  /** Sidecar to the router that holds the ledger shard. */
+  /** Sidecar to the router that holds the ledger shard: what it has charged, and what has the fleet? */
   Report = 'report',
   /** Any process to any other: the document in force; carries the version that the sender has. */
   FetchConfiguration = 'configuration.fetch',
@@ -37,6 +36,8 @@
   End = 'end',
   /** Sidecar to router: a granted request was not run. */
   Refuse = 'refuse',
+  /** Sidecar to the router that holds the ledger shard: what it has charged. */
+  Service = 'service',
   /** Router to sidecar: nobody waits for the answer any more. */
   Cancel = 'cancel',
   /** Router to sidecar: the end has arrived, so the answer need not be kept. */
@@ -198,24 +199,39 @@
   verdict: Verdict;
 }
 
+/** Entries of a sidecar's account, in tenths of a cost unit. */
+export interface EntryColumns extends NumberedNames {
+  services: number[];
+  pendings: number[];
+}
+
+/** Totals of workspaces, in tenths of a cost unit. */
+export interface TotalColumns extends NumberedNames {
+  services: number[];
+}
+
 /**
- * A sidecar's report to a ledger shard: entries and adjustments that may have changed since a report
- * that the shard has answered; all of them in the first on a link.
+ * A sidecar's report to a ledger shard: entries and adjustments that may have changed since its last
+ * report on this link; all of them in the first.
  */
 export interface Report {
   kind: EndpointKind;
   /** Counts the reports of the sidecar's process from 1. */
   sequence: number;
-  entries: AccountEntry[];
-  adjustments: Adjustment[];
-  /** Version of the last totals from this shard; where absent, no totals are wanted. */
-  known?: number;
+  entries?: EntryColumns;
+  adjustments?: Adjustment[];
+}
+
+/** A report that asks for the totals. */
+export interface ReportCall extends Report {
+  /** Version of the last totals from this shard. */
+  known: number;
 }
 
 /** What has changed since the version that a report names. */
 export interface ReportAnswer {
-  version?: number;
-  totals?: ServiceTotals;
+  version: number;
+  totals?: TotalColumns;
   adjustments?: Adjustment[];
 }
 
@@ -239,7 +255,7 @@
   [CallMethod.Hello]: { params: Hello; result: Hello };
   [CallMethod.Resume]: { params: Resume; result: ResumeAnswer };
   [CallMethod.Claim]: { params: Claim; result: ClaimAnswer };
-  [CallMethod.Report]: { params: Report; result: ReportAnswer };
+  [CallMethod.Report]: { params: ReportCall; result: ReportAnswer };
   [CallMethod.FetchConfiguration]: { params: DocumentVersion; result: FetchAnswer };
 }
 
@@ -250,6 +266,7 @@
   [NoticeMethod.Frames]: FrameBatch;
   [NoticeMethod.End]: End;
   [NoticeMethod.Refuse]: Refusal;
+  [NoticeMethod.Service]: Report;
   [NoticeMethod.Cancel]: AttemptReference;
   [NoticeMethod.Settle]: AttemptReference;
   [NoticeMethod.Revision]: DocumentVersion;
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -11,7 +11,7 @@
 import type { ServiceMeter } from './service-meter.ts';
 
 /** Most lines of other workspaces that a claim offers in case the first are empty by now. */
-const SPARE_LINES = 3;
+const SPARE_LINES = 1;
 
 /** A claim that is out. */
 export interface OpenClaim {
--- a/packages/fleet/src/sidecar/ledger-reporter.ts
+++ b/packages/fleet/src/sidecar/ledger-reporter.ts
@@ -11,9 +11,9 @@
 import { EndpointKind, rankByRendezvous } from '@poplarpick/decisions';
 import { describeError, Role } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
-import type { LinkHub } from '../link/link-hub.ts';
-import type { ReportAnswer } from '../messages.ts';
+import type { LinkHub, Peer } from '../link/link-hub.ts';
 import { LedgerShard } from './ledger-shard.ts';
+import type { ReportMark } from './ledger-shard.ts';
 import type { ServiceMeter } from './service-meter.ts';
 
 /** Shards of each kind of endpoint. */
@@ -50,6 +50,7 @@
 export class LedgerReporter {
   private readonly options: LedgerReporterOptions;
   private readonly ticker: Timer;
+  private readonly sessions = new Map<Peer, LedgerShard>();
   private shards: LedgerShard[] = [];
   private sequence = 0;
   private prompt: Timer | undefined;
@@ -64,7 +65,8 @@
     options.meter.listener = {
       onCharge: (workspace) => this.noteCharge(workspace),
       onTurn: () => this.noteTurn(),
-      onAdjust: (workspace) => this.shards.forEach((shard) => shard.noteAdjustment(workspace)),
+      onAdjust: (workspace) =>
+        this.sessions.forEach((session) => session.noteAdjustment(workspace)),
     };
     this.ticker = options.clock.every(PERIOD_MS, () => this.tick());
   }
@@ -92,7 +94,7 @@
       this.late = true;
       this.options.onReady();
     });
-    void this.send(shard, true).then((succeeded) => {
+    void this.send(shard).then((succeeded) => {
       this.patience?.stop();
       this.asked = false;
       this.late = false;
@@ -102,7 +104,7 @@
   }
 
   private noteCharge(workspace: string): void {
-    this.shards.forEach((shard) => shard.noteCharge(workspace));
+    this.sessions.forEach((session) => session.noteCharge(workspace));
     this.overrun ??= this.options.clock.after(OVERRUN_DELAY_MS, () => {
       this.overrun = undefined;
       this.catchUp();
@@ -118,19 +120,22 @@
 
   private catchUp(): void {
     const [first] = this.currentShards();
-    if (first?.isBehind === true) void this.send(first, false);
+    if (first?.isBehind !== true) return;
+    const mark = this.nextMark();
+    if (mark !== undefined) first.report(mark);
   }
 
   private tick(): void {
-    for (const shard of this.currentShards()) void this.send(shard, true);
+    for (const shard of this.currentShards()) void this.send(shard);
   }
 
-  private async send(shard: LedgerShard, wantsTotals: boolean): Promise<boolean> {
-    const kind = this.options.readKind();
-    if (kind === undefined) return false;
-    this.sequence += 1;
+  private async send(shard: LedgerShard): Promise<boolean> {
+    const mark = this.nextMark();
+    if (mark === undefined) return false;
     try {
-      this.accept(await shard.report({ kind, sequence: this.sequence, wantsTotals }));
+      const workspaces = await shard.ask(mark);
+      const services = workspaces.map((workspace) => this.greatestOf(workspace));
+      this.options.meter.setOthers({ workspaces, services });
       return true;
     } catch (error) {
       this.options.log.debug({ event: 'ledger.report_failed', error: describeError(error) });
@@ -138,12 +143,11 @@
     }
   }
 
-  private accept({ totals, adjustments }: ReportAnswer): void {
-    const { meter } = this.options;
-    if (adjustments !== undefined) meter.adjust(adjustments);
-    if (totals === undefined) return;
-    const services = totals.workspaces.map((workspace) => this.greatestOf(workspace));
-    meter.setOthers({ workspaces: totals.workspaces, services });
+  private nextMark(): ReportMark | undefined {
+    const kind = this.options.readKind();
+    if (kind === undefined) return undefined;
+    this.sequence += 1;
+    return { kind, sequence: this.sequence };
   }
 
   private greatestOf(workspace: string): number {
@@ -152,16 +156,24 @@
 
   /** Sessions with the shards that are linked now, the first in rendezvous order first. */
   private currentShards(): LedgerShard[] {
-    const { hub, meter } = this.options;
+    const { hub } = this.options;
     const kind = this.options.readKind();
     if (kind === undefined) return [];
     const hosts = hub.peers(Role.Router).map(({ host }) => host);
     const chosen = rankByRendezvous(`ledger ${kind}`, hosts).slice(0, SHARDS);
-    this.shards = chosen.flatMap((host) => {
-      const peer = hub.findPeer(host);
-      if (peer === undefined) return [];
-      return this.shards.find((shard) => shard.peer === peer) ?? new LedgerShard({ peer, meter });
-    });
+    for (const [peer] of this.sessions)
+      if (hub.findPeer(peer.host) !== peer) this.sessions.delete(peer);
+    this.shards = chosen.flatMap((host) => this.session(hub.findPeer(host)) ?? []);
     return this.shards;
   }
+
+  /** The session of a link; it lasts as long as the link, since both sides number names along it. */
+  private session(peer: Peer | undefined): LedgerShard | undefined {
+    if (peer === undefined) return undefined;
+    const known = this.sessions.get(peer);
+    if (known !== undefined) return known;
+    const made = new LedgerShard({ peer, meter: this.options.meter });
+    this.sessions.set(peer, made);
+    return made;
+  }
 }
--- a/packages/fleet/src/sidecar/ledger-shard.ts
+++ b/packages/fleet/src/sidecar/ledger-shard.ts
@@ -1,12 +1,13 @@
 /**
  * What one sidecar and one ledger shard have told each other: which entries the shard still lacks,
- * and which totals it has sent. A shard that starts anew begins a new session, with a full report.
+ * and which totals it has sent. A link delivers in order or is lost, so what was sent need not be
+ * acknowledged; a new link, or a shard that starts anew, begins a new session with a full report.
  */
-import type { AccountEntry, ServiceTotals } from '@poplarpick/decisions';
-import type { EndpointKind } from '@poplarpick/decisions';
+import type { AccountEntry, EndpointKind, ServiceTotals } from '@poplarpick/decisions';
+import { ColumnReader, ColumnWriter, roundToWire } from '../ledger/service-columns.ts';
 import type { Peer } from '../link/link-hub.ts';
-import { CallMethod } from '../messages.ts';
-import type { Report, ReportAnswer } from '../messages.ts';
+import { CallMethod, NoticeMethod } from '../messages.ts';
+import type { Report } from '../messages.ts';
 import type { ServiceMeter } from './service-meter.ts';
 
 /** Options of a `LedgerShard`. */
@@ -15,18 +16,18 @@
   meter: ServiceMeter;
 }
 
-/** One report to be made. */
-export interface ReportRequest {
+/** Marks a report. */
+export interface ReportMark {
   kind: EndpointKind;
   sequence: number;
-  /** Whether the answer is to have the totals that have changed. */
-  wantsTotals: boolean;
 }
 
 /** The session with one ledger shard. */
 export class LedgerShard {
   readonly peer: Peer;
   private readonly meter: ServiceMeter;
+  private readonly writer = new ColumnWriter();
+  private readonly reader = new ColumnReader();
   private readonly unreported: Set<string>;
   private readonly unadjusted: Set<string>;
   private readonly reported = new Map<string, number>();
@@ -58,42 +59,46 @@
     return this.totals.get(workspace) ?? 0;
   }
 
+  /** Reports what the shard lacks. */
+  report(mark: ReportMark): void {
+    this.peer.link.notify(NoticeMethod.Service, this.takeReport(mark));
+  }
+
   /**
-   * Makes a report and returns the totals of the others that have changed. Rejects when the shard
-   * does not answer; the next report then has what this one had.
+   * Reports what the shard lacks and returns the workspaces whose totals have changed. Rejects when
+   * the shard does not answer.
    */
-  async report({ kind, sequence, wantsTotals }: ReportRequest): Promise<ReportAnswer> {
+  async ask(mark: ReportMark): Promise<string[]> {
+    const report = { ...this.takeReport(mark), known: this.version };
+    const own = new Map(this.reported);
+    const answer = await this.peer.link.call(CallMethod.Report, report);
+    this.version = Math.max(this.version, answer.version);
+    if (answer.adjustments !== undefined) this.meter.adjust(answer.adjustments);
+    if (answer.totals === undefined) return [];
+    return this.accept(this.reader.readTotals(answer.totals), own);
+  }
+
+  private takeReport({ kind, sequence }: ReportMark): Report {
     const entries = this.meter.entries(this.unreported);
     const adjustments = this.meter.adjustments(this.unadjusted);
-    const report: Report = { kind, sequence, entries, adjustments };
-    if (wantsTotals) report.known = this.version;
     this.unreported.clear();
     this.unadjusted.clear();
     for (const entry of entries) this.reported.set(entry.workspace, chargedOf(entry));
-    const own = wantsTotals ? new Map(this.reported) : undefined;
-    try {
-      const answer = await this.peer.link.call(CallMethod.Report, report);
-      if (own === undefined || answer.version === undefined) return answer;
-      this.version = Math.max(this.version, answer.version);
-      return { ...answer, totals: this.accept(answer.totals, own) };
-    } catch (error) {
-      entries.forEach(({ workspace }) => this.unreported.add(workspace));
-      adjustments.forEach(({ workspace }) => this.unadjusted.add(workspace));
-      throw error;
-    }
+    const report: Report = { kind, sequence };
+    if (entries.length > 0) report.entries = this.writer.writeEntries(entries);
+    if (adjustments.length > 0) report.adjustments = adjustments;
+    return report;
   }
 
   /** Takes what this sidecar itself had reported out of the totals. */
-  private accept(totals: ServiceTotals | undefined, own: ReadonlyMap<string, number>) {
-    const { workspaces, services } = totals ?? { workspaces: [], services: [] };
-    const others = workspaces.map(
-      (workspace, index) => (services[index] ?? 0) - (own.get(workspace) ?? 0),
+  private accept({ workspaces, services }: ServiceTotals, own: ReadonlyMap<string, number>) {
+    workspaces.forEach((workspace, index) =>
+      this.totals.set(workspace, (services[index] ?? 0) - (own.get(workspace) ?? 0)),
     );
-    workspaces.forEach((workspace, index) => this.totals.set(workspace, others[index] ?? 0));
-    return { workspaces, services: others };
+    return workspaces;
   }
 }
 
 function chargedOf({ service, pending }: AccountEntry): number {
-  return service + pending;
+  return roundToWire(service) + roundToWire(pending);
 }
