--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,6 +14,7 @@
 export * from './fair-share/service-account.ts';
 export * from './fair-share/service-ledger.ts';
 export * from './membership/overlay.ts';
+export * from './membership/planned-stop.ts';
 export * from './rendezvous/rendezvous.ts';
 export * from './request/request-queues.ts';
 export * from './power/slot-budget.ts';
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -12,8 +12,10 @@
   RequestQueues,
   settleAttempt,
   verdictOfUnfinished,
+  findStop,
+  NO_STOP_MARKS,
 } from '@poplarpick/decisions';
-import type { FleetConfiguration, LineCount } from '@poplarpick/decisions';
+import type { FleetConfiguration, LineCount, StopMarks } from '@poplarpick/decisions';
 import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
@@ -41,6 +43,7 @@
 /** Kinds of messages to the dispatcher. */
 export enum DispatcherMessageKind {
   Configure,
+  PlannedStops,
   Submit,
   Abandon,
   Resume,
@@ -56,6 +59,7 @@
 /** Messages to the dispatcher. */
 export type DispatcherMessage =
   | { kind: DispatcherMessageKind.Configure; configuration: FleetConfiguration }
+  | { kind: DispatcherMessageKind.PlannedStops; marks: StopMarks }
   | { kind: DispatcherMessageKind.Submit; submission: Submission }
   | { kind: DispatcherMessageKind.Abandon; request: string }
   | {
@@ -107,6 +111,7 @@
   private readonly backlog: BacklogAnnouncer;
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
   private readonly ticker: Timer;
+  private stops = NO_STOP_MARKS;
   private configuration: FleetConfiguration | undefined;
   private onIdle: (() => void) | undefined;
 
@@ -146,6 +151,9 @@
         this.configuration = message.configuration;
         this.backlog.configure(message.configuration);
         return;
+      case DispatcherMessageKind.PlannedStops:
+        this.stops = message.marks;
+        return;
       case DispatcherMessageKind.Submit:
         this.submit(message.submission);
         return;
@@ -262,6 +270,8 @@
 
   private claim(peer: Peer, claim: Claim): ClaimAnswer {
     if (this.sidecars.get(peer.host) !== peer) return {};
+    // The sidecar refuses by itself, but may not have heard of its mark yet.
+    if (findStop(this.stops, peer) !== undefined) return {};
     const request = this.takeFirst(peer, claim);
     if (request === undefined) return {};
     this.backlog.noteChange(request.line);
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -1,5 +1,5 @@
 /** Plug-in that runs a sidecar's admission and connects it with the links and the configuration. */
-import { EndpointKind } from '@poplarpick/decisions';
+import { EndpointKind, findStop } from '@poplarpick/decisions';
 import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
 import type { LinkHub } from '../link/link-hub.ts';
@@ -8,6 +8,7 @@
   admissionKey,
   configurationKey,
   linkHubKey,
+  plannedStopsKey,
   sidecarSettingsKey,
   statusBoardKey,
 } from '../parts.ts';
@@ -23,7 +24,7 @@
 class SidecarPlugin extends Plugin {
   override readonly name = 'sidecar';
   override readonly roles = [Role.Sidecar];
-  override readonly requires = ['links', 'configuration'];
+  override readonly requires = ['links', 'configuration', 'planned-stops'];
   private admission: Admission | undefined;
   private client: EndpointClient | undefined;
   private reporter: LedgerReporter | undefined;
@@ -64,6 +65,10 @@
     kernel.part(configurationKey).onChange(({ configuration }) => {
       admission.post({ kind: AdmissionMessageKind.Configure, configuration });
     });
+    kernel.part(plannedStopsKey).onChange((marks) => {
+      const marked = findStop(marks, { host, endpoint: endpoint.name }) !== undefined;
+      admission.post({ kind: AdmissionMessageKind.PlannedStop, marked });
+    });
     connectLinks(hub, admission);
     return Promise.resolve();
   }
