Test the fair choice by properties; refuse early with an honest Retry-After

A test of the backlog announcer found that offers were not taken back from those who had them; fixed.

--- /dev/null
+++ b/packages/decisions/src/fair-share/fair-share.test.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { FairShare } from './fair-share.ts';
+
+const SEED = 20261203;
+
+function least(fairShare: FairShare): string {
+  const [workspace] = fairShare.rank();
+  return workspace ?? '';
+}
+
+describe('FairShare', () => {
+  it('ranks the waiting workspaces by service', () => {
+    const fairShare = new FairShare();
+    fairShare.setService('a', 5);
+    fairShare.setService('b', 3);
+    fairShare.setService('c', 1);
+    fairShare.resumeWaiting('a');
+    fairShare.resumeWaiting('b');
+    expect([...fairShare.rank()]).to.deep.equal(['b', 'a']);
+  });
+
+  it('gives a workspace no credit for idle time', () => {
+    const fairShare = new FairShare();
+    fairShare.setService('busy', 1_000);
+    fairShare.beginWaiting('busy');
+    fairShare.beginWaiting('idle');
+    expect(fairShare.virtual('idle')).to.equal(1_000);
+  });
+
+  it('lifts to what the last waiting workspace had when none waits any more', () => {
+    const fairShare = new FairShare();
+    fairShare.setService('busy', 1_000);
+    fairShare.beginWaiting('busy');
+    fairShare.endWaiting('busy');
+    fairShare.beginWaiting('idle');
+    expect(fairShare.virtual('idle')).to.equal(1_000);
+  });
+
+  it('merges the lifts of several processes by maximum', () => {
+    const fairShare = new FairShare();
+    fairShare.adjust({ workspace: 'a', lift: 7, forgiven: 0 });
+    fairShare.adjust({ workspace: 'a', lift: 5, forgiven: 2 });
+    expect(fairShare.virtual('a')).to.equal(5);
+  });
+
+  it('bounds what a workspace has to wait after a partition has healed', () => {
+    const fairShare = new FairShare({ debtLimit: 100 });
+    for (const workspace of ['both-sides', 'one-side']) fairShare.resumeWaiting(workspace);
+    fairShare.setService('both-sides', 10_000);
+    fairShare.setService('one-side', 4_000);
+    fairShare.forgiveDebts();
+    expect(fairShare.virtual('both-sides')).to.equal(4_100);
+    let service = 4_000;
+    while (least(fairShare) === 'one-side') fairShare.setService('one-side', (service += 10));
+    expect(service).to.be.at.most(4_110);
+  });
+
+  it('lets no waiting workspace wait longer than the others take to receive the largest cost', () => {
+    const costs = fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 20, maxLength: 200 });
+    fc.assert(
+      fc.property(costs, fc.integer({ min: 2, max: 8 }), (drawn, count) => {
+        const fairShare = new FairShare();
+        const service = new Map<string, number>();
+        const waitedFor = new Map<string, number>();
+        for (let index = 0; index < count; index += 1) fairShare.beginWaiting(`w${index}`);
+        for (const cost of drawn) {
+          const chosen = least(fairShare);
+          service.set(chosen, (service.get(chosen) ?? 0) + cost);
+          fairShare.setService(chosen, service.get(chosen) ?? 0);
+          for (let index = 0; index < count; index += 1) {
+            const name = `w${index}`;
+            waitedFor.set(name, name === chosen ? 0 : (waitedFor.get(name) ?? 0) + cost);
+            // Each other workspace starts at most at this one's service, and ends one cost above.
+            expect(waitedFor.get(name)).to.be.at.most(2 * 50 * (count - 1));
+          }
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+});
--- /dev/null
+++ b/packages/fleet/src/router/backlog-announcer.test.ts
@@ -0,0 +1,134 @@
+import { expect } from 'chai';
+import type { LineCount, QueueLine } from '@poplarpick/decisions';
+import { Clock, Role } from '@poplarpick/kernel';
+import type { Timer } from '@poplarpick/kernel';
+import type { Peer } from '../link/link-hub.ts';
+import type { Backlog } from '../messages.ts';
+import { BacklogAnnouncer } from './backlog-announcer.ts';
+
+/** A clock that a test moves on. */
+class TestClock extends Clock {
+  private time = 0;
+  private timers: { at: number; action: () => void }[] = [];
+
+  override now(): number {
+    return this.time;
+  }
+
+  override monotonic(): number {
+    return this.time;
+  }
+
+  override after(delayMs: number, action: () => void): Timer {
+    const entry = { at: this.time + delayMs, action };
+    this.timers.push(entry);
+    return { stop: () => (this.timers = this.timers.filter((other) => other !== entry)) };
+  }
+
+  override every(): Timer {
+    throw new Error('not used');
+  }
+
+  pass(ms: number): void {
+    for (let left = ms; left > 0; left -= 1) {
+      this.time += 1;
+      const due = this.timers.filter(({ at }) => at <= this.time);
+      this.timers = this.timers.filter(({ at }) => at > this.time);
+      due.forEach(({ action }) => action());
+    }
+  }
+}
+
+const LINE: QueueLine = { pool: 'assistant', workspace: 'a', pin: undefined };
+const SIDECARS = 6;
+
+/** An announcer whose one line holds `count` requests, and what each sidecar believes. */
+class Setup {
+  readonly clock = new TestClock();
+  readonly believed: number[] = [];
+  notices = 0;
+  private count = 0;
+  private readonly announcer: BacklogAnnouncer;
+  private readonly peers: Peer[];
+
+  constructor() {
+    this.announcer = new BacklogAnnouncer({
+      clock: this.clock,
+      countLine: () => this.count,
+      countAll: (): LineCount[] => (this.count > 0 ? [{ line: LINE, count: this.count }] : []),
+      onDue: () => this.announcer.announce(),
+    });
+    this.announcer.configure(CONFIGURATION as never);
+    this.peers = Array.from({ length: SIDECARS }, (_, index) => this.makePeer(index));
+    this.peers.forEach((peer) => this.announcer.join(peer));
+    this.notices = 0;
+  }
+
+  set(count: number): void {
+    this.count = count;
+    this.announcer.noteChange(LINE);
+  }
+
+  private makePeer(index: number): Peer {
+    const notify = (_method: string, { full, lines }: Backlog): void => {
+      if (!full) this.notices += 1;
+      for (const line of lines) this.believed[index] = line.count;
+    };
+    const endpoint = `engine-${index}`;
+    return { host: endpoint, endpoint, role: Role.Sidecar, link: { notify } } as unknown as Peer;
+  }
+}
+
+const CONFIGURATION = {
+  endpoints: Array.from({ length: SIDECARS }, (_, index) => ({
+    name: `engine-${index}`,
+    kind: 'model',
+    models: ['assistant'],
+  })),
+};
+
+describe('BacklogAnnouncer', () => {
+  it('offers a single request to two sidecars, and to all if it still waits a moment later', () => {
+    const setup = new Setup();
+    setup.set(1);
+    setup.clock.pass(3);
+    expect(setup.notices).to.equal(2);
+    setup.clock.pass(20);
+    expect(setup.believed.filter((count) => count === 1)).to.have.length(SIDECARS);
+  });
+
+  it('takes an offer back from those who had it, and tells no others', () => {
+    const setup = new Setup();
+    setup.set(1);
+    setup.clock.pass(3);
+    setup.set(0);
+    setup.clock.pass(200);
+    expect(setup.notices).to.equal(4);
+    expect(setup.believed.filter((count) => count > 0)).to.have.length(0);
+  });
+
+  it('tells all at once when more waits than is offered, then only when a count has doubled or halved', () => {
+    const setup = new Setup();
+    setup.set(10);
+    setup.clock.pass(3);
+    expect(setup.notices).to.equal(SIDECARS);
+    for (let count = 11; count < 20; count += 1) {
+      setup.set(count);
+      setup.clock.pass(100);
+    }
+    expect(setup.notices).to.equal(SIDECARS);
+    setup.set(20);
+    setup.clock.pass(3);
+    expect(setup.notices).to.equal(2 * SIDECARS);
+  });
+
+  it('never leaves a sidecar believing that nothing waits while something does', () => {
+    const setup = new Setup();
+    for (const count of [1, 5, 1, 0, 3, 0, 1, 2, 1]) {
+      setup.set(count);
+      setup.clock.pass(60);
+      const wrong = setup.believed.filter((known) => known > 0 !== count > 0);
+      expect(wrong, `at ${count}`).to.have.length(0);
+    }
+  });
+});
--- a/packages/fleet/src/router/backlog-announcer.ts
+++ b/packages/fleet/src/router/backlog-announcer.ts
@@ -122,9 +122,10 @@
     const { entry, key, now, withDecreases, notices } = step;
     const count = this.options.countLine(entry.line);
     const serving = step.peers.filter((peer) => this.canServe(peer, entry.line));
-    const isWide = now >= entry.wideAt || count > OFFERS;
+    // That nothing waits any more concerns all who were offered it.
+    const isWide = now >= entry.wideAt || count > OFFERS || count === 0;
     const chosen = isWide ? serving : serving.slice(0, OFFERS);
-    let isSettled = isWide || count === 0;
+    let isSettled = isWide;
     if (!isSettled) this.wake(WIDEN_MS);
     for (const peer of chosen) {
       const counts = this.told.get(peer);
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -31,6 +31,7 @@
   Refusal,
   ResumeAnswer,
 } from '../messages.ts';
+import { QueueAdmission } from './queue-admission.ts';
 import { EndCheck, RoutedRequest } from './routed-request.ts';
 import type { Submission } from './routed-request.ts';
 
@@ -112,7 +113,7 @@
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
   private readonly ticker: Timer;
   private stops = NO_STOP_MARKS;
-  private configuration: FleetConfiguration | undefined;
+  private readonly queueAdmission = new QueueAdmission();
   private onIdle: (() => void) | undefined;
 
   constructor(options: DispatcherOptions) {
@@ -148,7 +149,7 @@
   protected override handle(message: DispatcherMessage): void {
     switch (message.kind) {
       case DispatcherMessageKind.Configure:
-        this.configuration = message.configuration;
+        this.queueAdmission.configure(message.configuration);
         this.backlog.configure(message.configuration);
         return;
       case DispatcherMessageKind.PlannedStops:
@@ -188,29 +189,22 @@
 
   private submit(submission: Submission): void {
     const request = new RoutedRequest(submission, this.clock.monotonic());
-    const limit = this.queueLimit(request.line.workspace);
     this.counts.submitted += 1;
-    if (this.queues.countWorkspace(request.line.workspace) >= limit) {
-      this.refuseFull(request, limit);
+    const { workspace } = request.line;
+    const now = this.clock.monotonic();
+    const waiting = this.queues.countWorkspace(workspace);
+    const { deadlineMs } = submission;
+    const refusal = this.queueAdmission.refuse({ workspace, waiting, deadlineMs, now });
+    if (refusal !== undefined) {
+      this.fail(request, refusal);
       return;
     }
     this.requests.set(request.id, request);
     this.queues.push(request);
+    this.queueAdmission.noteQueued(workspace, now);
     this.backlog.noteChange(request.line);
   }
 
-  private refuseFull(request: RoutedRequest, limit: number): void {
-    this.fail(
-      request,
-      new RequestError(`workspace has ${limit} requests waiting in this router`, {
-        code: ErrorCode.QueueFull,
-        verdict: Verdict.NotRun,
-        retryAfterSeconds: 1,
-        limit: 'queue_limit',
-      }),
-    );
-  }
-
   private abandon(id: string): void {
     const request = this.requests.get(id);
     if (request === undefined) return;
@@ -287,6 +281,8 @@
     const deadlineMs = Math.max(0, request.deadlineAt - now);
     const { id, attempt, job, line } = request;
     const left = this.queues.countLine(line);
+    const { workspace } = line;
+    this.queueAdmission.noteGranted(workspace, this.queues.countWorkspace(workspace), now);
     this.backlog.noteTold(peer, line, left);
     const pinned = line.pin !== undefined;
     return { grant: { request: id, attempt, deadlineMs, pinned, job }, left };
@@ -436,11 +432,6 @@
     const request = this.requests.get(reference.request);
     return request?.isHeldBy(peer, reference.attempt) === true ? request : undefined;
   }
-
-  private queueLimit(workspace: string): number {
-    const found = this.configuration?.workspaces.find((line) => line.name === workspace);
-    return found?.queue_limit ?? 0;
-  }
 }
 
 function asBuffer(data: Uint8Array): Buffer {
--- /dev/null
+++ b/packages/fleet/src/router/queue-admission.ts
@@ -0,0 +1,76 @@
+/**
+ * Whether a router takes a request into its queues. A workspace has a limited number of waiting
+ * requests in each router; what is over it, or would not start before its deadline as fast as the
+ * queue drains, is refused at once with the verdict not-run and the time after which to come back.
+ */
+import { computeRetryAfter, computeRetryAfterWait, DrainRate } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
+import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import { DEADLINE_HEADER } from '../callers/request-headers.ts';
+
+/** A request that asks to be queued. */
+export interface Candidate {
+  workspace: string;
+  /** Requests of the workspace that wait in this router. */
+  waiting: number;
+  deadlineMs: number;
+  now: number;
+}
+
+/** Guards the queues of one router. */
+export class QueueAdmission {
+  private limits = new Map<string, number>();
+  private readonly rates = new Map<string, DrainRate>();
+
+  configure(configuration: FleetConfiguration): void {
+    this.limits = new Map(configuration.workspaces.map((line) => [line.name, line.queue_limit]));
+  }
+
+  /** The error to refuse a request with, or undefined where it may be queued. */
+  refuse(candidate: Candidate): RequestError | undefined {
+    const { workspace, waiting, deadlineMs, now } = candidate;
+    const limit = this.limits.get(workspace) ?? 0;
+    const rate = this.rate(workspace);
+    if (waiting >= limit) return queueFull(limit, computeRetryAfter(waiting, rate.perSecond(now)));
+    const waitMs = rate.foreseeWait(waiting, now);
+    if (waitMs === undefined || waitMs <= deadlineMs) return undefined;
+    return waitTooLong(waitMs, deadlineMs);
+  }
+
+  /** Notes that a request waits. */
+  noteQueued(workspace: string, now: number): void {
+    this.rate(workspace).begin(now);
+  }
+
+  /** Notes that a request was granted, and how many of its workspace still wait. */
+  noteGranted(workspace: string, left: number, now: number): void {
+    const rate = this.rate(workspace);
+    if (left === 0) rate.reset();
+    else rate.note(now);
+  }
+
+  private rate(workspace: string): DrainRate {
+    const known = this.rates.get(workspace) ?? new DrainRate();
+    this.rates.set(workspace, known);
+    return known;
+  }
+}
+
+function queueFull(limit: number, retryAfterSeconds: number): RequestError {
+  return new RequestError(`workspace has ${limit} requests waiting in this router`, {
+    code: ErrorCode.QueueFull,
+    verdict: Verdict.NotRun,
+    retryAfterSeconds,
+    limit: 'queue_limit',
+  });
+}
+
+function waitTooLong(waitMs: number, deadlineMs: number): RequestError {
+  const message = `about ${Math.ceil(waitMs)} ms of work of the workspace wait before the request, more than its deadline of ${deadlineMs} ms`;
+  return new RequestError(message, {
+    code: ErrorCode.QueueFull,
+    verdict: Verdict.NotRun,
+    retryAfterSeconds: computeRetryAfterWait(waitMs, deadlineMs),
+    limit: DEADLINE_HEADER,
+  });
+}
