Send the field names of messages once per link

Frames of a link now share the forms of their records, so field names go over the wire once, and a heartbeat is left out where something was sent lately.

--- a/packages/fleet/src/link/frame-codec.ts
+++ b/packages/fleet/src/link/frame-codec.ts
@@ -2,7 +2,7 @@
  * Frames on a TCP stream: a length of four bytes, big-endian, then a MessagePack value. A frame over
  * the limit or with a value that cannot be read is an error, after which the stream is unusable.
  */
-import { Packr } from 'msgpackr';
+import { Packr, Unpackr } from 'msgpackr';
 
 const LENGTH_BYTES = 4;
 
@@ -17,15 +17,21 @@
   }
 }
 
-const packr = new Packr({ useRecords: false });
+/**
+ * Encodes values as the frames of one stream. The field names of a record are sent once, and later
+ * records of the same form refer to them, so one decoder must read all frames in their order.
+ */
+export class FrameEncoder {
+  private readonly packr = new Packr({ sequential: true });
 
-/** Encodes one value as a frame. */
-export function encodeFrame(value: unknown): Buffer {
-  const body = packr.pack(value);
-  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, LENGTH_BYTES);
-  return frame;
+  /** Encodes one value as a frame, which must be sent. */
+  encode(value: unknown): Buffer {
+    const body = this.packr.pack(value);
+    const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+    frame.writeUInt32BE(body.length, 0);
+    body.copy(frame, LENGTH_BYTES);
+    return frame;
+  }
 }
 
 /** Options of a `FrameDecoder`. */
@@ -36,6 +42,7 @@
 /** Cuts a stream of bytes into values. */
 export class FrameDecoder {
   private readonly limitBytes: number;
+  private readonly unpackr = new Unpackr({ structures: [] });
   private chunks: Buffer[] = [];
   private held = 0;
 
@@ -49,11 +56,26 @@
     this.held += chunk.length;
     const values: unknown[] = [];
     for (let body = this.takeBody(); body !== undefined; body = this.takeBody()) {
-      values.push(decodeBody(body));
+      values.push(this.decode(body));
     }
     return values;
   }
 
+  private decode(body: Buffer): unknown {
+    const values = this.unpackBody(body);
+    if (values.length !== 1) throw new FrameError(`frame holds ${values.length} values`);
+    return values[0];
+  }
+
+  /** Only `unpackMultiple` keeps the forms of records from one frame to the next. */
+  private unpackBody(body: Buffer): unknown[] {
+    try {
+      return (this.unpackr.unpackMultiple(body) as unknown[] | undefined) ?? [];
+    } catch (error) {
+      throw new FrameError('frame holds no readable value', error);
+    }
+  }
+
   private takeBody(): Buffer | undefined {
     if (this.held < LENGTH_BYTES) return undefined;
     const length = this.peekLength();
@@ -82,11 +104,3 @@
     return all;
   }
 }
-
-function decodeBody(body: Buffer): unknown {
-  try {
-    return packr.unpack(body);
-  } catch (error) {
-    throw new FrameError('frame holds no readable value', error);
-  }
-}
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -8,7 +8,7 @@
 import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0';
 import { describeError } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
-import { encodeFrame, FrameDecoder } from './frame-codec.ts';
+import { FrameDecoder, FrameEncoder } from './frame-codec.ts';
 import { CallMethod, NoticeMethod, PAYLOAD_NOTICES } from '../messages.ts';
 import type { Calls, Notices } from '../messages.ts';
 
@@ -54,9 +54,11 @@
   private readonly traffic: LinkTraffic;
   private readonly onClose: (link: Link, reason: string) => void;
   private readonly rpc: JSONRPCServerAndClient;
+  private readonly encoder = new FrameEncoder();
   private readonly decoder = new FrameDecoder();
   private readonly heartbeat: Timer;
   private lastArrival: number;
+  private lastSent = -Infinity;
   private closed = false;
 
   constructor(options: LinkOptions) {
@@ -156,9 +158,10 @@
 
   private send(payload: JSONRPCRequest | JSONRPCResponse): void {
     if (this.closed) throw new Error('link is closed');
-    const frame = encodeFrame(payload);
+    const frame = this.encoder.encode(payload);
     this.count(payload, frame.length);
     this.socket.write(frame);
+    this.lastSent = this.clock.monotonic();
   }
 
   private count(payload: JSONRPCRequest | JSONRPCResponse, bytes: number): void {
@@ -175,6 +178,8 @@
       this.close('silent');
       return;
     }
+    // Whatever was sent lately serves as a heartbeat.
+    if (this.clock.monotonic() - this.lastSent < HEARTBEAT_MS / 2) return;
     this.notify(NoticeMethod.Heartbeat, {});
   }
 
