--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,4 +1,5 @@
 /** The commands of the bench, by name. */
+import { decisionCostCommand } from './decision-cost/app.ts';
 import { fairnessCommand } from './fairness/app.ts';
 import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
@@ -13,5 +14,5 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [latencyCommand, fairnessCommand, utilisationCommand, floodCommand];
+  return [latencyCommand, fairnessCommand, utilisationCommand, floodCommand, decisionCostCommand];
 }
--- /dev/null
+++ b/packages/bench/src/decision-cost/app.ts
@@ -0,0 +1,73 @@
+/**
+ * `decision-cost`: time of one fair choice with what changes by it: the least served of the waiting
+ * workspaces is picked and charged, and one workspace is told a new total, as a report brings it.
+ */
+import { parseArgs } from 'node:util';
+import { FairShare } from '@poplarpick/decisions';
+import { Random } from '@poplarpick/load';
+
+const WARM_UP = 20_000;
+const DECISIONS = 200_000;
+const LARGEST_COST = 120;
+const NANOSECONDS_PER_MICROSECOND = 1_000n;
+/** Factor by which the table grows, to show how the cost does. */
+const GROWTH = 10;
+
+/** The command's entry in the bench. */
+export const decisionCostCommand = {
+  name: 'decision-cost',
+  summary: 'time of one fair choice  [--workspaces N] [--backlogged N] [--seed N] [--json]',
+  run: runDecisionCost,
+};
+
+async function runDecisionCost(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      workspaces: { type: 'string', default: '2800' },
+      backlogged: { type: 'string', default: '280' },
+      seed: { type: 'string', default: '1' },
+      json: { type: 'boolean', default: false },
+    },
+  });
+  const workspaces = Number(values.workspaces);
+  const backlogged = Number(values.backlogged);
+  const seed = Number(values.seed);
+  const microseconds = measureDecision({ workspaces, backlogged, seed });
+  const tenfold = { workspaces: workspaces * GROWTH, backlogged: backlogged * GROWTH, seed };
+  const microsecondsTenfold = measureDecision(tenfold);
+  const result = { microseconds, microsecondsTenfold, workspaces, backlogged, seed };
+  if (!values.json) console.table(result);
+  console.log(JSON.stringify(result));
+  return Promise.resolve();
+}
+
+/** Mean time of a decision in microseconds. */
+function measureDecision(options: {
+  workspaces: number;
+  backlogged: number;
+  seed: number;
+}): number {
+  const random = new Random(options.seed);
+  const names = Array.from({ length: options.workspaces }, (_, index) => `workspace-${index}`);
+  const fairShare = new FairShare({ debtLimit: LARGEST_COST * options.workspaces });
+  const services = new Map(names.map((name) => [name, random.uniform() * LARGEST_COST]));
+  services.forEach((service, name) => fairShare.setService(name, service));
+  names.slice(0, options.backlogged).forEach((name) => fairShare.beginWaiting(name));
+  const charge = (name: string): void => {
+    const service = (services.get(name) ?? 0) + random.uniform() * LARGEST_COST;
+    services.set(name, service);
+    fairShare.setService(name, service);
+  };
+  const decide = (): void => {
+    fairShare.forgiveDebts();
+    const [least = ''] = fairShare.rank();
+    charge(least);
+    charge(names[random.integer(options.backlogged)] ?? '');
+  };
+  for (let count = 0; count < WARM_UP; count += 1) decide();
+  const startedAt = process.hrtime.bigint();
+  for (let count = 0; count < DECISIONS; count += 1) decide();
+  const nanoseconds = process.hrtime.bigint() - startedAt;
+  return Number(nanoseconds / NANOSECONDS_PER_MICROSECOND) / DECISIONS;
+}
--- a/packages/decisions/src/fair-share/drain-rate.ts
+++ b/packages/decisions/src/fair-share/drain-rate.ts
@@ -20,6 +20,7 @@
   private startedAt: number | undefined;
   private count = 0;
   private previousCount = 0;
+  private hasPrevious = false;
 
   /** Notes that an entry waits. */
   begin(now: number): void {
@@ -37,15 +38,19 @@
     this.startedAt = undefined;
     this.count = 0;
     this.previousCount = 0;
+    this.hasPrevious = false;
   }
 
-  /** Entries per second over the current and the previous window. */
+  /**
+   * Entries per second over the current and the previous window. Where none has left yet, the next is
+   * taken to leave now, so the rate falls with the time that nothing happens.
+   */
   perSecond(now: number): number {
     this.turn(now);
     if (this.startedAt === undefined) return 0;
-    const elapsed = now - this.startedAt + (this.previousCount > 0 ? WINDOW_MS : 0);
-    if (elapsed <= 0) return 0;
-    return ((this.count + this.previousCount) * MS_PER_SECOND) / elapsed;
+    const elapsed = now - this.startedAt + (this.hasPrevious ? WINDOW_MS : 0);
+    const count = Math.max(1, this.count + this.previousCount);
+    return (count * MS_PER_SECOND) / Math.max(1, elapsed);
   }
 
   /** Time in milliseconds that a new entry behind `waiting` others waits; undefined where unknown. */
@@ -61,6 +66,7 @@
     if (elapsed < WINDOW_MS) return;
     this.previousCount = elapsed < 2 * WINDOW_MS ? this.count : 0;
     this.count = 0;
+    this.hasPrevious = true;
     this.startedAt = now;
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './fair-share/cost-estimator.ts';
 export * from './fair-share/drain-rate.ts';
 export * from './fair-share/fair-share.ts';
+export * from './fair-share/ledger-shards.ts';
 export * from './fair-share/name-table.ts';
 export * from './fair-share/service-account.ts';
 export * from './fair-share/service-ledger.ts';
--- a/packages/decisions/src/membership/overlay.test.ts
+++ b/packages/decisions/src/membership/overlay.test.ts
@@ -1,6 +1,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { OVERLAY_RINGS, selectNeighbours, selectRouters, SIDECAR_ROUTER_LIMIT } from './overlay.ts';
+import {
+  computeRouterLimit,
+  OVERLAY_RINGS,
+  selectNeighbours,
+  selectRouters,
+  SIDECAR_ROUTER_LIMIT,
+} from './overlay.ts';
 
 const DESIGN_ROUTERS = 940;
 
@@ -81,4 +87,14 @@
     expect(links.size).to.equal(DESIGN_ROUTERS);
     expect(Math.max(...links.values())).to.be.at.most(80);
   });
+
+  it('leaves no router without sidecars where there are more routers than sidecars', () => {
+    const routers = nameRouters(64);
+    const limit = computeRouterLimit(routers.length, 16);
+    const linked = new Set<string>();
+    for (let index = 0; index < 16; index += 1)
+      selectRouters(`sidecar-${index}`, routers, limit).forEach((name) => linked.add(name));
+    expect(linked.size).to.equal(routers.length);
+    expect(computeRouterLimit(940, 3_300)).to.equal(SIDECAR_ROUTER_LIMIT);
+  });
 });
--- a/packages/decisions/src/membership/overlay.ts
+++ b/packages/decisions/src/membership/overlay.ts
@@ -10,9 +10,18 @@
 /** Rings of routers; a router has at most two neighbours in each. */
 export const OVERLAY_RINGS = 3;
 
-/** Most routers that a sidecar is linked to; in a fleet with no more routers it is linked to all. */
+/** Routers that a sidecar is linked to at least; in a fleet with no more routers it is linked to all. */
 export const SIDECAR_ROUTER_LIMIT = 8;
 
+/** Sidecars that a router should be linked to on average, so that none is left without any. */
+export const ROUTER_SIDECARS = 24;
+
+/** Most routers for a sidecar to be linked to, in a fleet of so many of both. */
+export function computeRouterLimit(routers: number, sidecars: number): number {
+  if (sidecars === 0) return Math.max(SIDECAR_ROUTER_LIMIT, routers);
+  return Math.max(SIDECAR_ROUTER_LIMIT, Math.ceil((ROUTER_SIDECARS * routers) / sidecars));
+}
+
 /** Routers to which the router `self` keeps links, among all known ones. */
 export function selectNeighbours(
   self: string,
--- a/packages/fleet/src/ledger/app.ts
+++ b/packages/fleet/src/ledger/app.ts
@@ -11,6 +11,19 @@
 import { ColumnReader, ColumnWriter } from './service-columns.ts';
 import { linkHubKey, statusBoardKey } from '../parts.ts';
 
+/** Service of one workspace, in cost units divided by its weight. */
+export interface WorkspaceService {
+  workspace: string;
+  /** Cost of what was produced, with provisional charges of what runs. */
+  service: number;
+  /** Credit that was taken away when it began to wait after an idle time. */
+  lift: number;
+  /** Debt that was dropped because it was too far ahead. */
+  forgiven: number;
+  /** What the choice goes by. */
+  virtual: number;
+}
+
 class LedgerPlugin extends Plugin {
   override readonly name = 'ledger';
   override readonly roles = [Role.Router];
@@ -41,7 +54,7 @@
     kernel
       .part(statusBoardKey)
       .add('service', () =>
-        [...ledgers].map(([kind, ledger]) => ({ kind, ...ledger.changesSince(0) })),
+        [...ledgers].map(([kind, ledger]) => ({ kind, workspaces: describeService(ledger) })),
       );
     return Promise.resolve();
   }
@@ -51,6 +64,19 @@
   }
 }
 
+/** Service of each workspace as operators see it, the least served first. */
+function describeService(ledger: ServiceLedger): WorkspaceService[] {
+  const { totals, adjustments } = ledger.changesSince(0);
+  return totals.workspaces
+    .map((workspace, index) => {
+      const service = totals.services[index] ?? 0;
+      const found = adjustments.find((adjustment) => adjustment.workspace === workspace);
+      const { lift, forgiven } = found ?? { lift: 0, forgiven: 0 };
+      return { workspace, service, lift, forgiven, virtual: service + lift - forgiven };
+    })
+    .sort((a, b) => a.virtual - b.virtual);
+}
+
 function mergeReport(
   ledger: ServiceLedger,
   { incarnation, endpoint, host }: Peer,
--- a/packages/fleet/src/link/app.ts
+++ b/packages/fleet/src/link/app.ts
@@ -2,7 +2,13 @@
  * Plug-in that owns the links: routers listen and dial their neighbours among the routers, sidecars
  * dial the routers that are theirs, as the host list shows them.
  */
-import { selectNeighbours, selectRouters } from '@poplarpick/decisions';
+import {
+  computeRouterLimit,
+  EndpointKind,
+  rankLedgerShards,
+  selectNeighbours,
+  selectRouters,
+} from '@poplarpick/decisions';
 import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel, Timer } from '@poplarpick/kernel';
 import {
@@ -90,11 +96,21 @@
   }
 }
 
-/** The routers that a process dials, given the host list. */
+/**
+ * The routers that a process dials, given the host list. A sidecar dials enough that each router has
+ * sidecars to serve its queues, and the holders of the ledger shards, which all sidecars must share.
+ */
 export function chooseTargets(role: Role, self: string, hosts: readonly Host[]): DialTarget[] {
   const routers = listLiveRouters(hosts);
   const names = routers.map((router) => router.id);
-  const chosen = role === Role.Router ? selectNeighbours(self, names) : selectRouters(self, names);
+  const sidecars = hosts.filter((host) => host.role === Role.Sidecar).length;
+  const chosen =
+    role === Role.Router
+      ? selectNeighbours(self, names)
+      : new Set([
+          ...selectRouters(self, names, computeRouterLimit(names.length, sidecars)),
+          ...Object.values(EndpointKind).flatMap((kind) => rankLedgerShards(kind, names)),
+        ]);
   return routers
     .filter((router) => chosen.has(router.id))
     .map(({ id, address }) => ({ host: id, address }));
--- a/packages/fleet/src/sidecar/backlog-view.ts
+++ b/packages/fleet/src/sidecar/backlog-view.ts
@@ -57,6 +57,12 @@
     return best;
   }
 
+  /** Requests of a workspace in a router that no claim is out for. */
+  countOpen(router: string, workspace: string): number {
+    const lines = this.workspaces.get(workspace)?.get(router);
+    return lines === undefined ? 0 : countOpen(lines);
+  }
+
   /** Lines of a workspace in a router that hold more requests than are claimed. */
   openLines(router: string, workspace: string): ClaimLine[] {
     return [...(this.workspaces.get(workspace)?.get(router)?.values() ?? [])]
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -13,6 +13,9 @@
 /** Most lines of other workspaces that a claim offers in case the first are empty by now. */
 const SPARE_LINES = 1;
 
+/** Requests of a workspace in a router from which on a claim needs no spare lines. */
+const DEEP_BACKLOG = 4;
+
 /** A claim that is out. */
 export interface OpenClaim {
   peer: Peer;
@@ -157,6 +160,7 @@
 
   private linesFor(peer: Peer, workspace: string): ClaimLine[] {
     const lines = this.backlog.openLines(peer.host, workspace);
+    if (this.backlog.countOpen(peer.host, workspace) >= DEEP_BACKLOG) return lines;
     const most = lines.length + SPARE_LINES;
     for (const other of this.options.meter.fairShare.rank()) {
       if (lines.length >= most) break;
--- a/packages/fleet/src/sidecar/ledger-reporter.ts
+++ b/packages/fleet/src/sidecar/ledger-reporter.ts
@@ -8,7 +8,8 @@
  * second follows at a slower pace. Sidecars that see different routers may disagree on the first; the
  * greater of the two totals then holds, since each can only lack reports.
  */
-import { EndpointKind, rankByRendezvous } from '@poplarpick/decisions';
+import { rankLedgerShards } from '@poplarpick/decisions';
+import type { EndpointKind } from '@poplarpick/decisions';
 import { describeError, Role } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import type { LinkHub, Peer } from '../link/link-hub.ts';
@@ -16,14 +17,11 @@
 import type { ReportMark } from './ledger-shard.ts';
 import type { ServiceMeter } from './service-meter.ts';
 
-/** Shards of each kind of endpoint. */
-const SHARDS = 2;
-
 /** Time over which starts and ends are gathered, on which others' choices depend. */
 const PROMPT_DELAY_MS = 2;
 
 /** Time over which other changes are gathered: costs beyond what was expected. */
-const OVERRUN_DELAY_MS = 200;
+const OVERRUN_DELAY_MS = 400;
 
 /** Time between two reports to the second shard, and of a sidecar without choices to make. */
 const PERIOD_MS = 1_000;
@@ -126,7 +124,10 @@
   }
 
   private tick(): void {
-    for (const shard of this.currentShards()) void this.send(shard);
+    const [first, ...others] = this.currentShards();
+    for (const shard of others) void this.send(shard);
+    const isIdle = this.options.clock.monotonic() - this.answeredAt > PERIOD_MS;
+    if (first !== undefined && isIdle && !this.asked) this.ask(first);
   }
 
   private async send(shard: LedgerShard): Promise<boolean> {
@@ -160,7 +161,7 @@
     const kind = this.options.readKind();
     if (kind === undefined) return [];
     const hosts = hub.peers(Role.Router).map(({ host }) => host);
-    const chosen = rankByRendezvous(`ledger ${kind}`, hosts).slice(0, SHARDS);
+    const chosen = rankLedgerShards(kind, hosts);
     for (const [peer] of this.sessions)
       if (hub.findPeer(peer.host) !== peer) this.sessions.delete(peer);
     this.shards = chosen.flatMap((host) => this.session(hub.findPeer(host)) ?? []);
