--- a/packages/bench/src/fairness/app.ts
+++ b/packages/bench/src/fairness/app.ts
@@ -73,6 +73,7 @@
     rows[policy] = readGaps(replay(policy), span, unit);
   const fleetRow = rows['fleet'] ?? emptyRow();
   const idealRow = rows[ReplayPolicy.GlobalQueue] ?? emptyRow();
+  const hintedRow = rows[ReplayPolicy.GlobalQueueWithHints] ?? emptyRow();
   const idealUtilisation = replayUtilisation(ideal, engines, span);
   if (!options.json) printTables(rows, live, ideal, span);
   console.log(
@@ -80,6 +81,7 @@
       fairnessGapMax: fleetRow.max,
       fairnessGapP99: fleetRow.p99,
       gapRatioToGlobalQueue: fleetRow.max / idealRow.max,
+      gapRatioToGlobalQueueWithHints: fleetRow.max / hintedRow.max,
       gapP99RatioToGlobalQueue: fleetRow.p99 / idealRow.p99,
       gapLateToEarly: fleetRow.lateToEarly,
       gapLateToEarlyOfGlobalQueue: idealRow.lateToEarly,
--- a/packages/bench/src/fairness/replay.ts
+++ b/packages/bench/src/fairness/replay.ts
@@ -3,6 +3,7 @@
  * delay between the nodes. The ideal is one global queue that knows every cost beforehand; the
  * others are the baselines that the fleet is compared with.
  */
+import { CostEstimator } from '@poplarpick/decisions';
 import type { Arrival } from './arrivals.ts';
 import { PROMPT_COST } from './run-trace.ts';
 import type { RunTrace, Span, TracedRequest } from './run-trace.ts';
@@ -11,6 +12,8 @@
 export enum ReplayPolicy {
   /** Least service for its weight among all backlogged workspaces, every cost known beforehand. */
   GlobalQueue = 'global-queue',
+  /** The same, but costs are expected from hints and learned as the fleet does, and corrected at the end. */
+  GlobalQueueWithHints = 'global-queue-with-hints',
   /** One queue in the order of arrival. */
   FirstComeFirstServed = 'first-come-first-served',
   /** Routers in turn; each serves the least served of its own workspaces, by its own count. */
@@ -46,6 +49,9 @@
 abstract class ReplayQueue {
   abstract push(arrival: Arrival): void;
   abstract take(engine: number): Arrival | undefined;
+
+  /** Notes that a request has ended. */
+  abstract end(arrival: Arrival): void;
 }
 
 class ArrivalOrder extends ReplayQueue {
@@ -58,18 +64,25 @@
   override take(): Arrival | undefined {
     return this.waiting.shift();
   }
+
+  override end(): void {
+    return;
+  }
 }
 
-/** Start-time fair queueing: a charge at the start of the whole true cost. */
+/** Start-time fair queueing: a charge at the start of the whole cost, expected or true. */
 class LeastServed extends ReplayQueue {
   private readonly weights: Map<string, number>;
+  private readonly estimator: CostEstimator | undefined;
+  private readonly charged = new Map<Arrival, number>();
   private readonly lines = new Map<string, Arrival[]>();
   private readonly virtual = new Map<string, number>();
   private floor = 0;
 
-  constructor(weights: Map<string, number>) {
+  constructor(weights: Map<string, number>, estimator?: CostEstimator) {
     super();
     this.weights = weights;
+    this.estimator = estimator;
   }
 
   override push(arrival: Arrival): void {
@@ -91,11 +104,25 @@
     if (line.length === 0) this.lines.delete(least);
     if (arrival === undefined) return undefined;
     this.floor = Math.max(this.floor, this.read(least));
-    const cost = (arrival.outputTokens + PROMPT_COST) / (this.weights.get(least) ?? 1);
-    this.virtual.set(least, this.read(least) + cost);
+    const cost = this.estimator?.expect(least, arrival.hint) ?? costOf(arrival);
+    this.charged.set(arrival, cost);
+    this.charge(least, cost);
     return arrival;
   }
 
+  override end(arrival: Arrival): void {
+    const { workspace, hint } = arrival;
+    const cost = costOf(arrival);
+    this.charge(workspace, cost - (this.charged.get(arrival) ?? cost));
+    this.charged.delete(arrival);
+    this.estimator?.learn(workspace, cost, hint);
+  }
+
+  private charge(workspace: string, cost: number): void {
+    const weight = this.weights.get(workspace) ?? 1;
+    this.virtual.set(workspace, this.read(workspace) + cost / weight);
+  }
+
   private read(workspace: string): number {
     return this.virtual.get(workspace) ?? 0;
   }
@@ -125,6 +152,10 @@
     }
     return undefined;
   }
+
+  override end(arrival: Arrival): void {
+    this.routers[arrival.router]?.end(arrival);
+  }
 }
 
 class PushInTurn extends ReplayQueue {
@@ -144,6 +175,10 @@
   override take(engine: number): Arrival | undefined {
     return this.queues[engine]?.shift();
   }
+
+  override end(): void {
+    return;
+  }
 }
 
 /** Replays arrivals until all have run. */
@@ -151,7 +186,7 @@
   const { arrivals, engines, stepMs, weights } = options;
   const queue = makeQueue(options);
   const free = engines.map(({ slots }) => slots);
-  const running: { endsAt: number; engine: number }[] = [];
+  const running: { endsAt: number; engine: number; arrival: Arrival }[] = [];
   const requests: Replay['requests'] = [];
   let now = 0;
   const startAll = (): void => {
@@ -162,7 +197,7 @@
         const run = runAt(arrival, now, stepMs);
         free[engine] = (free[engine] ?? 0) - 1;
         requests.push(run);
-        running.push({ endsAt: run.endedAt, engine });
+        running.push({ endsAt: run.endedAt, engine, arrival });
       }
     }
     running.sort((a, b) => a.endsAt - b.endsAt);
@@ -174,6 +209,7 @@
     if (first !== undefined && (arrival === undefined || first.endsAt <= arrival.at)) {
       now = first.endsAt;
       running.shift();
+      queue.end(first.arrival);
       free[first.engine] = (free[first.engine] ?? 0) + 1;
     } else if (arrival !== undefined) {
       now = arrival.at;
@@ -203,6 +239,8 @@
   switch (policy) {
     case ReplayPolicy.GlobalQueue:
       return new LeastServed(weights);
+    case ReplayPolicy.GlobalQueueWithHints:
+      return new LeastServed(weights, new CostEstimator());
     case ReplayPolicy.FirstComeFirstServed:
       return new ArrivalOrder();
     case ReplayPolicy.FairPerRouter:
@@ -212,6 +250,10 @@
   }
 }
 
+function costOf({ outputTokens }: Arrival): number {
+  return outputTokens + PROMPT_COST;
+}
+
 function runAt(arrival: Arrival, startedAt: number, stepMs: number) {
   const tokensAt = Array.from(
     { length: arrival.outputTokens },
--- a/packages/fleet/src/router/backlog-announcer.ts
+++ b/packages/fleet/src/router/backlog-announcer.ts
@@ -62,6 +62,11 @@
   /** Sends everything anew, since other sidecars may now serve a line. */
   configure(configuration: FleetConfiguration): void {
     this.configuration = configuration;
+    this.announceAll();
+  }
+
+  /** Sends the whole backlog to all sidecars. */
+  announceAll(): void {
     for (const peer of this.told.keys()) this.sendAll(peer);
   }
 
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -154,6 +154,8 @@
         return;
       case DispatcherMessageKind.PlannedStops:
         this.stops = message.marks;
+        // A marked sidecar was answered as if nothing waited, and may be marked no more.
+        this.backlog.announceAll();
         return;
       case DispatcherMessageKind.Submit:
         this.submit(message.submission);
--- /dev/null
+++ b/packages/fleet/src/sidecar/claimer.test.ts
@@ -0,0 +1,93 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { EndpointKind } from '@poplarpick/decisions';
+import { Role } from '@poplarpick/kernel';
+import type { Peer } from '../link/link-hub.ts';
+import type { Claim } from '../messages.ts';
+import { Claimer } from './claimer.ts';
+import { ServiceMeter } from './service-meter.ts';
+
+const SEED = 20261203;
+
+/** Routers that note the claims they receive and never answer. */
+class Setup {
+  readonly claims: { router: string; claim: Claim }[] = [];
+  readonly claimer: Claimer;
+  readonly meter = new ServiceMeter();
+  private readonly peers = new Map<string, Peer>();
+
+  constructor() {
+    this.claimer = new Claimer({
+      meter: this.meter,
+      prepareChoice: () => true,
+      onAnswer: () => undefined,
+    });
+    this.claimer.configure(
+      {
+        workspaces: [],
+        endpoints: [],
+        presets: [{ name: 'p', weights: [] }],
+        preset: 'p',
+      } as never,
+      EndpointKind.Model,
+    );
+  }
+
+  announce(router: string, workspace: string, count: number): void {
+    const lines = [{ pool: 'assistant', workspace, pinned: false, count }];
+    this.claimer.updateBacklog(this.peer(router), { full: false, lines });
+  }
+
+  private peer(router: string): Peer {
+    const known = this.peers.get(router);
+    if (known !== undefined) return known;
+    const call = (_method: string, claim: Claim): Promise<never> => {
+      this.claims.push({ router, claim });
+      return new Promise(() => undefined);
+    };
+    const made = { host: router, role: Role.Router, link: { call } } as unknown as Peer;
+    this.peers.set(router, made);
+    this.claimer.join(made);
+    return made;
+  }
+}
+
+describe('Claimer', () => {
+  it('leaves no slot idle while a request is known, and claims no request twice', () => {
+    const lines = fc.uniqueArray(
+      fc.record({
+        router: fc.constantFrom('r1', 'r2', 'r3'),
+        workspace: fc.constantFrom('a', 'b', 'c', 'd'),
+        count: fc.integer({ min: 0, max: 5 }),
+      }),
+      { selector: ({ router, workspace }) => `${router} ${workspace}`, maxLength: 12 },
+    );
+    fc.assert(
+      fc.property(lines, fc.integer({ min: 0, max: 20 }), (known, freeSlots) => {
+        const setup = new Setup();
+        for (const { router, workspace, count } of known) setup.announce(router, workspace, count);
+        setup.claimer.claim(freeSlots);
+        const waiting = known.reduce((sum, { count }) => sum + count, 0);
+        expect(setup.claims).to.have.length(Math.min(freeSlots, waiting));
+        for (const { router, workspace, count } of known) {
+          const claimed = setup.claims.filter(
+            (entry) => entry.router === router && entry.claim.lines[0]?.workspace === workspace,
+          );
+          expect(claimed.length).to.be.at.most(count);
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it('claims for the least served workspace, and counts what it has claimed as charged', () => {
+    const setup = new Setup();
+    setup.announce('r1', 'a', 10);
+    setup.announce('r2', 'b', 10);
+    setup.meter.setOthers({ workspaces: ['a', 'b'], services: [1_000, 750] });
+    setup.claimer.claim(4);
+    const order = setup.claims.map(({ claim }) => claim.lines[0]?.workspace);
+    // Nothing is learned yet, so each claim counts the default cost of 100.
+    expect(order).to.deep.equal(['b', 'b', 'b', 'a']);
+  });
+});
