--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,6 +1,7 @@
 /** The commands of the bench, by name. */
 import { decisionCostCommand } from './decision-cost/app.ts';
 import { fairnessCommand } from './fairness/app.ts';
+import { faultsCommand } from './faults/app.ts';
 import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { utilisationCommand } from './utilisation/app.ts';
@@ -14,5 +15,12 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [latencyCommand, fairnessCommand, utilisationCommand, floodCommand, decisionCostCommand];
+  return [
+    latencyCommand,
+    fairnessCommand,
+    utilisationCommand,
+    floodCommand,
+    decisionCostCommand,
+    faultsCommand,
+  ];
 }
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -78,6 +78,11 @@
     this.listen();
   }
 
+  /** Time since anything has arrived. */
+  get silentMs(): number {
+    return this.clock.monotonic() - this.lastArrival;
+  }
+
   get isClosed(): boolean {
     return this.closed;
   }
@@ -148,6 +153,8 @@
 
   private dispatch(payload: unknown): void {
     this.rpc.receiveAndSend(payload as JSONRPCRequest | JSONRPCResponse).catch((error: unknown) => {
+      // An answer that finds its link closed is no fault of the message.
+      if (this.closed) return;
       this.log.warn({
         event: 'link.bad_message',
         remote: this.remote,
