--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,6 +1,10 @@
 /** The commands of the bench, by name. */
+import { decisionCostCommand } from './decision-cost/app.ts';
+import { fairnessCommand } from './fairness/app.ts';
 import { faultsCommand } from './faults/app.ts';
+import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -11,5 +15,12 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [faultsCommand, latencyCommand];
+  return [
+    latencyCommand,
+    fairnessCommand,
+    utilisationCommand,
+    floodCommand,
+    decisionCostCommand,
+    faultsCommand,
+  ];
 }
--- a/packages/fleet/src/link/link-plan.ts
+++ b/packages/fleet/src/link/link-plan.ts
@@ -2,7 +2,13 @@
  * Which hosts this process dials: its neighbours among the usable routers, and for a while such hosts
  * as others want to be reached. It follows the host list and what membership says.
  */
-import { selectNeighbours, selectRouters } from '@poplarpick/decisions';
+import {
+  computeRouterLimit,
+  EndpointKind,
+  rankLedgerShards,
+  selectNeighbours,
+  selectRouters,
+} from '@poplarpick/decisions';
 import { Role } from '@poplarpick/kernel';
 import type { Clock, Timer } from '@poplarpick/kernel';
 import { listLiveRouters } from '../platform/host-directory.ts';
@@ -65,7 +71,7 @@
     const { role, host, directory } = this.options;
     const names = this.usableRouters();
     const chosen =
-      role === Role.Router ? selectNeighbours(host, names) : selectRouters(host, names);
+      role === Role.Router ? selectNeighbours(host, names) : this.selectForSidecar(names);
     this.targets = listLiveRouters(directory.hosts)
       .filter((router) => chosen.has(router.id))
       .map(({ id, address }) => ({ host: id, address }));
@@ -76,6 +82,18 @@
     this.timer.stop();
   }
 
+  /**
+   * A sidecar dials enough routers that each has sidecars to serve its queues, and the holders of the
+   * ledger shards, which all sidecars must share.
+   */
+  private selectForSidecar(routers: readonly string[]): Set<string> {
+    const { host, directory } = this.options;
+    const sidecars = directory.hosts.filter(({ role }) => role === Role.Sidecar).length;
+    const limit = computeRouterLimit(routers.length, sidecars);
+    const shards = Object.values(EndpointKind).flatMap((kind) => rankLedgerShards(kind, routers));
+    return new Set([...selectRouters(host, routers, limit), ...shards]);
+  }
+
   private look(): void {
     const now = this.options.clock.monotonic();
     for (const [host, until] of this.bridges) {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -3,12 +3,12 @@
  * result; notices do not. Durations are relative, since the clocks of two hosts may differ.
  */
 import type {
+  Adjustment,
   DocumentDelta,
   DocumentVersion,
   MemberRecord,
   EndpointKind,
-  ServiceRow,
-  ServiceEntry,
+  NumberedNames,
 } from '@poplarpick/decisions';
 import type { ErrorCode, Role, Verdict } from '@poplarpick/kernel';
 
@@ -20,7 +20,7 @@
   Resume = 'resume',
   /** Sidecar to router: a free slot asks for a request. */
   Claim = 'claim',
-  /** Sidecar to the router that holds the ledger shard. */
+  /** Sidecar to the router that holds the ledger shard: what it has charged, and what has the fleet? */
   Report = 'report',
   /** Any process to any other: the document in force; carries the version that the sender has. */
   FetchConfiguration = 'configuration.fetch',
@@ -41,6 +41,8 @@
   End = 'end',
   /** Sidecar to router: a granted request was not run. */
   Refuse = 'refuse',
+  /** Sidecar to the router that holds the ledger shard: what it has charged. */
+  Service = 'service',
   /** Router to sidecar: nobody waits for the answer any more. */
   Cancel = 'cancel',
   /** Router to sidecar: the end has arrived, so the answer need not be kept. */
@@ -144,12 +146,16 @@
   attempt: number;
   /** Time left until the caller's deadline. */
   deadlineMs: number;
+  /** Whether the request was in the line that is pinned to the sidecar's endpoint. */
+  pinned: boolean;
   job: Job;
 }
 
 /** The router's answer to a claim. */
 export interface ClaimAnswer {
   grant?: Grant | undefined;
+  /** Requests that are left in the line of the grant. */
+  left?: number;
 }
 
 /** A part of an answer. */
@@ -200,15 +206,40 @@
   verdict: Verdict;
 }
 
-/** A sidecar's report to its ledger shard. */
+/** Entries of a sidecar's account, in tenths of a cost unit. */
+export interface EntryColumns extends NumberedNames {
+  services: number[];
+  pendings: number[];
+}
+
+/** Totals of workspaces, in tenths of a cost unit. */
+export interface TotalColumns extends NumberedNames {
+  services: number[];
+}
+
+/**
+ * A sidecar's report to a ledger shard: entries and adjustments that may have changed since its last
+ * report on this link; all of them in the first.
+ */
 export interface Report {
   kind: EndpointKind;
-  row: ServiceRow;
+  /** Counts the reports of the sidecar's process from 1. */
+  sequence: number;
+  entries?: EntryColumns;
+  adjustments?: Adjustment[];
+}
+
+/** A report that asks for the totals. */
+export interface ReportCall extends Report {
+  /** Version of the last totals from this shard. */
+  known: number;
 }
 
-/** Fleet-wide totals as the ledger shard knows them. */
+/** What has changed since the version that a report names. */
 export interface ReportAnswer {
-  totals: ServiceEntry[];
+  version: number;
+  totals?: TotalColumns;
+  adjustments?: Adjustment[];
 }
 
 /** A published configuration document. */
@@ -251,7 +282,7 @@
   [CallMethod.Hello]: { params: Hello; result: Hello };
   [CallMethod.Resume]: { params: Resume; result: ResumeAnswer };
   [CallMethod.Claim]: { params: Claim; result: ClaimAnswer };
-  [CallMethod.Report]: { params: Report; result: ReportAnswer };
+  [CallMethod.Report]: { params: ReportCall; result: ReportAnswer };
   [CallMethod.FetchConfiguration]: { params: DocumentVersion; result: FetchAnswer };
   [CallMethod.Probe]: { params: Probe; result: ProbeAnswer };
   [CallMethod.CompareMembers]: { params: MemberSummary; result: MemberNews };
@@ -264,6 +295,7 @@
   [NoticeMethod.Frames]: FrameBatch;
   [NoticeMethod.End]: End;
   [NoticeMethod.Refuse]: Refusal;
+  [NoticeMethod.Service]: Report;
   [NoticeMethod.Cancel]: AttemptReference;
   [NoticeMethod.Settle]: AttemptReference;
   [NoticeMethod.Revision]: DocumentVersion;
