Remember idempotency keys at the sidecar that they are pinned to

A sidecar now gives a repeated key the first answer, also while it is still made, refuses another body, and refuses keys that are older than its memory, than its own start, or than the configuration under which it wins them. The engine is told when a caller has gone, since it lets a stream without a reader run on.

--- a/packages/bench/src/faults/fault-injector.ts
+++ b/packages/bench/src/faults/fault-injector.ts
@@ -61,6 +61,16 @@
     await heal();
   }
 
+  /** Starts whatever process has ended. */
+  async revive(): Promise<void> {
+    for (const router of this.fleet.routers) {
+      if (router.process.hasExited) await this.fleet.restartRouter(router);
+    }
+    for (const sidecar of this.fleet.sidecars) {
+      if (sidecar.process.hasExited) await this.fleet.restartSidecar(sidecar);
+    }
+  }
+
   private inject(fault: PlannedFault): Heal {
     const { kind } = fault;
     const linkFault = LINK_FAULTS[kind];
@@ -84,7 +94,8 @@
 
   private async restartOnce(host: string, restart: () => Promise<void>): Promise<void> {
     const earlier = this.restarts.get(host) ?? Promise.resolve();
-    const all = earlier.then(restart);
+    // A process that is killed while it starts is started again by that fault's own end.
+    const all = earlier.then(restart).catch(() => undefined);
     this.restarts.set(host, all);
     await all;
   }
--- a/packages/bench/src/faults/schedule-run.ts
+++ b/packages/bench/src/faults/schedule-run.ts
@@ -1,11 +1,12 @@
 /** Runs schedules of faults one after another on a fleet of its own. */
+import { KEY_GUARD_MS } from '@poplarpick/decisions';
 import { Random } from '@poplarpick/load';
 import { planSite } from '@poplarpick/stand-ins';
 import type { SitePlan } from '@poplarpick/stand-ins';
 import { v7 as makeUuid } from 'uuid';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
 import { FaultInjector, healPaths, pause } from './fault-injector.ts';
-import { mixSeed, planSchedule } from './fault-kind.ts';
+import { FaultKind, mixSeed, planSchedule } from './fault-kind.ts';
 import type { FaultSchedule } from './fault-kind.ts';
 import { CallKind, performCall } from './schedule-caller.ts';
 import type { CallRecord, PlannedCall } from './schedule-caller.ts';
@@ -55,6 +56,7 @@
     site: { applicationWorkMs: WORK_MS },
   });
   try {
+    await pause(KEY_GUARD_MS);
     for (let index = options.next(); index !== undefined; index = options.next()) {
       options.onResult(await runSchedule(fleet, planSchedule(options.seed, index), options.seed));
     }
@@ -77,7 +79,10 @@
     ...schedule.faults.map((fault) => injector.perform(fault)),
   ]);
   healPaths(fleet);
-  await pause(SETTLE_MS);
+  await injector.revive();
+  // A restarted sidecar would refuse the keys of the next schedule.
+  const restarted = schedule.faults.some(({ kind }) => kind === FaultKind.KillSidecar);
+  await pause(restarted ? KEY_GUARD_MS : SETTLE_MS);
   const problems: string[] = [];
   const tally = judgeSchedule(fleet.site, schedule, records, (problem, record) =>
     problems.push(describeProblem(problem, schedule, record)),
--- /dev/null
+++ b/packages/bench/src/integration/once-path.test.ts
@@ -0,0 +1,101 @@
+import { expect } from 'chai';
+import { v7 as makeUuid } from 'uuid';
+import { callApplication, callChat, CallOutcome } from '@poplarpick/load';
+import { KEY_GUARD_MS } from '@poplarpick/decisions';
+import { planSmallSite } from '../faults/schedule-run.ts';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+
+describe('requests that must run once, with real processes', () => {
+  let fleet: ProcessFleet;
+
+  before(async () => {
+    fleet = await ProcessFleet.start({ plan: planSmallSite(), site: { applicationWorkMs: 300 } });
+    await waitMs(KEY_GUARD_MS);
+  });
+
+  after(async () => {
+    await fleet.stop();
+  });
+
+  function booking(name: string, key: string, router = 0, workspace = 0) {
+    const { workspaces, service, oncePath } = fleet.site.plan;
+    const headers = { 'idempotency-key': key };
+    const url = fleet.routerUrls[router] ?? '';
+    const apiKey = workspaces[workspace]?.key ?? '';
+    return callApplication({
+      url,
+      key: apiKey,
+      service,
+      path: oncePath,
+      body: { key: name },
+      headers,
+    });
+  }
+
+  it('gives a key that is sent to two routers at once the answer of one run', async () => {
+    const key = makeUuid();
+    const answers = await Promise.all([booking('twice', key, 0), booking('twice', key, 1)]);
+    const later = await booking('twice', key, 1);
+    for (const { outcome, body } of [...answers, later]) {
+      expect(outcome).to.equal(CallOutcome.Whole);
+      expect(body).to.include({ key: 'twice', run: 1 });
+    }
+    expect(fleet.site.countRuns().get('twice')).to.equal(1);
+  });
+
+  it('refuses another body under the same key, but not that of another workspace', async () => {
+    const key = makeUuid();
+    await booking('first', key);
+    const other = await booking('second', key, 1);
+    expect(other).to.include({ status: 409, code: 'idempotency_key_conflict', verdict: 'not-run' });
+    expect(fleet.site.countRuns().get('second')).to.equal(undefined);
+    expect((await booking('second', key, 1, 1)).outcome).to.equal(CallOutcome.Whole);
+  });
+
+  it('says may-have-run of a key that is older than the memory', async () => {
+    const old = await booking('old', makeUuid({ msecs: Date.now() - 600_000 }));
+    expect(old).to.include({
+      status: 409,
+      code: 'idempotency_key_expired',
+      verdict: 'may-have-run',
+    });
+    expect(fleet.site.countRuns().get('old')).to.equal(undefined);
+  });
+
+  it('refuses a key from the future', async () => {
+    const ahead = await booking('ahead', makeUuid({ msecs: Date.now() + 600_000 }));
+    expect(ahead).to.include({ status: 400, code: 'invalid_request', verdict: 'not-run' });
+  });
+
+  it('does not run a key again after the sidecar that ran it has restarted', async () => {
+    const key = makeUuid();
+    await booking('restarted', key);
+    for (const sidecar of fleet.sidecars) {
+      if (sidecar.endpoint.startsWith('application')) await fleet.restartSidecar(sidecar);
+    }
+    const again = await booking('restarted', key, 1);
+    expect(again).to.include({ code: 'idempotency_key_expired', verdict: 'may-have-run' });
+    expect(fleet.site.countRuns().get('restarted')).to.equal(1);
+  });
+
+  it('cancels the stream at the engine when the caller has gone', async () => {
+    const { workspaces, model } = fleet.site.plan;
+    const abort = new AbortController();
+    const url = fleet.routerUrls[0] ?? '';
+    const call = { url, key: workspaces[0]?.key ?? '', model, prompt: 'gone', outputTokens: 5_000 };
+    await callChat({ ...call, signal: abort.signal, onToken: () => abort.abort() });
+    await waitUntil(() => runningStreams(fleet) === 0);
+  });
+});
+
+function runningStreams(fleet: ProcessFleet): number {
+  return [...fleet.site.modelEngines.values()].reduce((sum, engine) => sum + engine.running, 0);
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await waitMs(5);
+}
+
+async function waitMs(delayMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -16,3 +16,4 @@
 export * from './power/slot-budget.ts';
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
+export * from './request/idempotency-memory.ts';
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -2,7 +2,7 @@
 import type { Server, ServerResponse } from 'node:http';
 import type { Service } from 'moleculer';
 import { v7 as makeUuid } from 'uuid';
-import { EndpointKind, findStop, pickByRendezvous } from '@poplarpick/decisions';
+import { EndpointKind, findStop, pickByRendezvous, pinCandidates } from '@poplarpick/decisions';
 import type { FleetConfiguration, RouterSettings } from '@poplarpick/decisions';
 import {
   ErrorCode,
@@ -264,7 +264,7 @@
   const candidates = findCandidates(caller.configuration, job);
   if (candidates.length === 0)
     throw refuseForNow(`no endpoint serves ${job.pool}`, ErrorCode.NoEndpoint);
-  const pin = pinEndpoint(candidates, job);
+  const pin = pinEndpoint(caller.configuration, job);
   response.on('close', () => {
     if (!response.writableFinished)
       dispatcher.post({ kind: DispatcherMessageKind.Abandon, request: id });
@@ -285,9 +285,11 @@
 }
 
 /** A request with an idempotency key always goes to the same endpoint, whose sidecar remembers it. */
-function pinEndpoint(candidates: readonly string[], job: Job): string | undefined {
+function pinEndpoint(configuration: FleetConfiguration, job: Job): string | undefined {
   if (job.idempotencyKey === undefined) return undefined;
-  return pickByRendezvous(job.idempotencyKey, candidates);
+  const pin = pickByRendezvous(job.idempotencyKey, pinCandidates(configuration, job.pool));
+  if (pin !== undefined) return pin;
+  throw refuseForNow(`all endpoints of ${job.pool} are leaving`, ErrorCode.NoEndpoint);
 }
 
 function refuseUnknownPath(response: ServerResponse): void {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -191,6 +191,7 @@
   /** Whether another endpoint may run it. */
   elsewhere: boolean;
   verdict: Verdict;
+  retryAfterSeconds?: number | undefined;
 }
 
 /** A sidecar's report to its ledger shard. */
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -351,9 +351,9 @@
       this.settleLoss(request, AttemptLoss.NeverStarted);
       return;
     }
-    const { code, message } = refusal;
+    const { code, message, retryAfterSeconds } = refusal;
     const verdict = joinVerdict(request.life, refusal.verdict);
-    this.fail(request, new RequestError(message, { code, verdict }));
+    this.fail(request, new RequestError(message, { code, verdict, retryAfterSeconds }));
   }
 
   private settleLoss(request: RoutedRequest, loss: AttemptLoss): void {
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -9,11 +9,19 @@
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
-import type { AttemptReference, Backlog, Frame, Grant, ResumeAnswer } from '../messages.ts';
+import type {
+  AttemptReference,
+  Backlog,
+  Frame,
+  Grant,
+  Refusal,
+  ResumeAnswer,
+} from '../messages.ts';
 import { Claimer } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
+import { KeyedRequests } from './keyed-requests.ts';
 import type { ServiceMeter } from './service-meter.ts';
 
 /** Time after which a repeatable run is cancelled if its router stays away. */
@@ -88,6 +96,7 @@
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
   private readonly claimer: Claimer;
+  private readonly keyed: KeyedRequests;
   private readonly routers = new Map<string, Peer>();
   /** Routers that have answered the resumption on their link; before, nothing is sent to them. */
   private readonly resumed = new Set<Peer>();
@@ -106,6 +115,7 @@
   constructor(options: AdmissionOptions) {
     super('admission', options.log);
     this.options = options;
+    this.keyed = new KeyedRequests(options);
     this.claimer = new Claimer({
       meter: options.meter,
       onAnswer: (claim) => this.post({ kind: AdmissionMessageKind.Answered, claim }),
@@ -197,6 +207,7 @@
   }
 
   private configure(configuration: FleetConfiguration): void {
+    this.keyed.configure(configuration);
     const { endpoint, metrics } = this.options;
     this.claimer.configure(configuration);
     this.slots = computeSlotBudget(configuration, endpoint);
@@ -259,32 +270,48 @@
   }
 
   private admit(peer: Peer, grant: Grant): void {
-    const reference = { request: grant.request, attempt: grant.attempt };
-    if (this.isDraining) {
-      this.refuse(peer, reference, ErrorCode.Draining, 'the endpoint is draining', true);
-      return;
-    }
-    if (grant.deadlineMs <= 0) {
-      this.refuse(peer, reference, ErrorCode.DeadlineExceeded, 'the deadline has passed', false);
+    const { first, refusal } = this.keyed.check(grant);
+    const reason = refusal ?? (first === undefined ? this.findObstacle(grant) : undefined);
+    if (reason !== undefined) {
+      const { request, attempt } = grant;
+      peer.link.notify(NoticeMethod.Refuse, { request, attempt, ...reason });
       return;
     }
     const deadlineAt = this.options.clock.monotonic() + grant.deadlineMs;
-    this.start(new Execution(grant, peer.host, peer.incarnation, deadlineAt));
+    const execution = new Execution(grant, peer.host, peer.incarnation, deadlineAt);
+    if (first === undefined) this.start(execution);
+    else this.follow(first, execution);
   }
 
-  private refuse(
-    peer: Peer,
-    reference: AttemptReference,
-    code: ErrorCode,
-    message: string,
-    elsewhere: boolean,
-  ): void {
+  /** Why a request cannot be started, if so. */
+  private findObstacle(grant: Grant): Omit<Refusal, keyof AttemptReference> | undefined {
     const verdict = Verdict.NotRun;
-    peer.link.notify(NoticeMethod.Refuse, { ...reference, code, message, elsewhere, verdict });
+    if (this.isDraining) {
+      const message = 'the endpoint is draining';
+      return { code: ErrorCode.Draining, message, elsewhere: true, verdict };
+    }
+    if (grant.deadlineMs > 0) return undefined;
+    const message = 'the deadline has passed';
+    return { code: ErrorCode.DeadlineExceeded, message, elsewhere: false, verdict };
+  }
+
+  /** Gives a request the answer of the first one under its key. */
+  private follow(first: Execution, execution: Execution): void {
+    this.executions.set(execution.id, execution);
+    this.options.log.info({ event: 'request.repeated', request: execution.id, first: first.id });
+    for (const frame of first.lead(execution)) this.send(execution, frame);
+    if (first.end !== undefined) this.finishFollower(first, execution);
+  }
+
+  private finishFollower(first: Execution, follower: Execution): void {
+    const end = follower.finishLike(first, this.options.clock.monotonic());
+    this.flush();
+    this.findRouter(follower)?.link.notify(NoticeMethod.End, end);
   }
 
   private start(execution: Execution): void {
     this.running += 1;
+    this.keyed.begin(execution);
     this.executions.set(execution.id, execution);
     this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
     this.options.log.debug({
@@ -303,8 +330,12 @@
 
   private produce(execution: Execution, data: Buffer, cost: number): void {
     if (execution.end !== undefined) return;
-    const frame = execution.append(data, cost);
     this.options.meter.charge(execution.grant.job.workspace, cost);
+    this.send(execution, execution.append(data, cost));
+    for (const follower of execution.followers) this.send(follower, follower.append(data, 0));
+  }
+
+  private send(execution: Execution, frame: Frame): void {
     if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
@@ -318,6 +349,8 @@
     this.options.meter.charge(execution.grant.job.workspace, cost);
     this.flush();
     this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
+    this.keyed.end(execution);
+    execution.followers.forEach((follower) => this.finishFollower(execution, follower));
     this.freeSlot(execution);
   }
 
--- a/packages/fleet/src/sidecar/execution.ts
+++ b/packages/fleet/src/sidecar/execution.ts
@@ -19,6 +19,8 @@
   /** Monotonic time of the end. */
   endedAt = 0;
   cost = 0;
+  /** Requests under the same idempotency key, which get the same answer. */
+  readonly followers: Execution[] = [];
   private readonly frames: Frame[] = [];
   private readonly hash = createHash('sha256');
   private bytes = 0;
@@ -65,6 +67,19 @@
     return this.end;
   }
 
+  /** Lets another request have the answer of this one; returns its frames so far. */
+  lead(follower: Execution): Frame[] {
+    if (this.end === undefined) this.followers.push(follower);
+    return this.frames.map(({ data }) => follower.append(Buffer.from(data), 0));
+  }
+
+  /** Ends the answer as `first` ended. */
+  finishLike(first: Execution, now: number): End {
+    const end = this.finish(now, 0);
+    this.end = { ...end, failure: first.end?.failure };
+    return this.end;
+  }
+
   /** Frames from a sequence number on. */
   framesFrom(sequence: number): Frame[] {
     return this.frames.slice(sequence);
--- /dev/null
+++ b/packages/fleet/src/sidecar/keyed-requests.ts
@@ -0,0 +1,106 @@
+/** Requests with idempotency keys at one sidecar: what is run, what is answered again, what is refused. */
+import { createHash } from 'node:crypto';
+import { IdempotencyMemory, KeyAction } from '@poplarpick/decisions';
+import type { FleetConfiguration, KeyedRequest } from '@poplarpick/decisions';
+import { ErrorCode, Verdict } from '@poplarpick/kernel';
+import type { Clock } from '@poplarpick/kernel';
+import type { AttemptReference, Grant, Job, Refusal } from '../messages.ts';
+import type { Execution } from './execution.ts';
+
+/** Time after which a caller may ask again where its key is pinned to another endpoint. */
+const MOVED_RETRY_SECONDS = 1;
+
+/** A refusal without the attempt that it is about. */
+type Reason = Omit<Refusal, keyof AttemptReference>;
+
+const REASONS: Partial<Record<KeyAction, Reason>> = {
+  [KeyAction.Conflict]: {
+    code: ErrorCode.KeyConflict,
+    message: 'the idempotency key was used with another request',
+    elsewhere: false,
+    verdict: Verdict.NotRun,
+  },
+  [KeyAction.Expired]: {
+    code: ErrorCode.KeyExpired,
+    message: 'the idempotency key is older than what is remembered of it',
+    elsewhere: false,
+    verdict: Verdict.MayHaveRun,
+  },
+  [KeyAction.Ahead]: {
+    code: ErrorCode.InvalidRequest,
+    message: 'the idempotency key was made in the future; check the clock',
+    elsewhere: false,
+    verdict: Verdict.NotRun,
+  },
+  [KeyAction.Elsewhere]: {
+    code: ErrorCode.NoEndpoint,
+    message: 'the idempotency key is pinned to another endpoint',
+    elsewhere: false,
+    verdict: Verdict.NotRun,
+    retryAfterSeconds: MOVED_RETRY_SECONDS,
+  },
+};
+
+/** What is to be done with a granted request. */
+export interface KeyCheck {
+  /** The execution whose answer the request gets as well. */
+  first?: Execution | undefined;
+  refusal?: Reason | undefined;
+}
+
+/** Options of `KeyedRequests`. */
+export interface KeyedRequestsOptions {
+  endpoint: string;
+  clock: Clock;
+}
+
+/** Remembers the executions of one sidecar by their keys. */
+export class KeyedRequests {
+  private readonly clock: Clock;
+  private readonly memory: IdempotencyMemory<Execution>;
+
+  constructor({ endpoint, clock }: KeyedRequestsOptions) {
+    this.clock = clock;
+    this.memory = new IdempotencyMemory({ endpoint, startedAt: clock.now() });
+  }
+
+  configure(configuration: FleetConfiguration): void {
+    this.memory.configure(configuration, this.clock.now());
+  }
+
+  /** Decides on a granted request; one without a key is always run. */
+  check(grant: Grant): KeyCheck {
+    const keyed = readKeyed(grant.job);
+    if (keyed === undefined) return {};
+    const { action, answer } = this.memory.decide(keyed, this.clock.now());
+    return { first: answer, refusal: REASONS[action] };
+  }
+
+  /** Remembers an execution that starts. */
+  begin(execution: Execution): void {
+    const keyed = readKeyed(execution.grant.job);
+    if (keyed !== undefined) this.memory.begin(keyed, execution);
+  }
+
+  /** Keeps the answer of an execution that has ended, or forgets one that has certainly not run. */
+  end(execution: Execution): void {
+    const keyed = readKeyed(execution.grant.job);
+    if (keyed === undefined) return;
+    if (execution.end?.failure?.verdict === Verdict.NotRun) this.memory.release(keyed);
+    else this.memory.keep(keyed, execution.end?.bytes ?? 0);
+  }
+}
+
+function readKeyed(job: Job): KeyedRequest | undefined {
+  const { idempotencyKey: key, workspace, pool } = job;
+  if (key === undefined) return undefined;
+  return { workspace, pool, key, digest: digestJob(job) };
+}
+
+/** Digest of the parts of a job that must not differ under one key. */
+function digestJob({ pool, method, path, body }: Job): string {
+  return createHash('sha256')
+    .update(JSON.stringify([pool, method, path]))
+    .update(body)
+    .digest('hex');
+}
--- a/packages/fleet/src/sidecar/model-engine-client.ts
+++ b/packages/fleet/src/sidecar/model-engine-client.ts
@@ -45,7 +45,19 @@
     this.stream(requestId, job, listener, abort.signal).catch((error: unknown) => {
       if (!abort.signal.aborted) listener.onFailure(describeEndpointFailure(error));
     });
-    return { cancel: () => abort.abort() };
+    const cancel = (): void => {
+      abort.abort();
+      this.cancelStream(requestId);
+    };
+    return { cancel };
+  }
+
+  /** The engine lets a stream that lost its reader run on, so it is told; lost orders do no harm. */
+  private cancelStream(requestId: string): void {
+    const url = `${this.baseUrl}/v1/streams/${requestId}`;
+    request(url, { method: 'DELETE', dispatcher: this.agent })
+      .then((response) => response.body.dump())
+      .catch(() => undefined);
   }
 
   override async close(): Promise<void> {
