--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -204,6 +204,7 @@
   /** Whether another endpoint may run it. */
   elsewhere: boolean;
   verdict: Verdict;
+  retryAfterSeconds?: number | undefined;
 }
 
 /** Entries of a sidecar's account, in tenths of a cost unit. */
