--- a/packages/fleet/src/sidecar/claimer.test.ts
+++ b/packages/fleet/src/sidecar/claimer.test.ts
@@ -14,12 +14,16 @@
   readonly claims: { router: string; claim: Claim }[] = [];
   readonly claimer: Claimer;
   readonly meter = new ServiceMeter();
+  prepared = 0;
   private readonly peers = new Map<string, Peer>();
 
   constructor() {
     this.claimer = new Claimer({
       meter: this.meter,
-      prepareChoice: () => true,
+      prepareChoice: () => {
+        this.prepared += 1;
+        return true;
+      },
       onAnswer: () => undefined,
     });
     this.claimer.configure(
@@ -90,4 +94,14 @@
     // Nothing is learned yet, so each claim counts the default cost of 100.
     expect(order).to.deep.equal(['b', 'b', 'b', 'a']);
   });
+
+  it('asks for totals only where more than one workspace waits', () => {
+    const setup = new Setup();
+    setup.announce('r1', 'a', 2);
+    setup.claimer.claim(1);
+    expect(setup.prepared).to.equal(0);
+    setup.announce('r2', 'b', 2);
+    setup.claimer.claim(2);
+    expect(setup.prepared).to.equal(1);
+  });
 });
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -32,6 +32,13 @@
   answer: ClaimAnswer;
 }
 
+interface Choice {
+  peer: Peer;
+  workspace: string;
+  /** Whether another workspace waits too. */
+  isContested: boolean;
+}
+
 /** Options of a `Claimer`. */
 export interface ClaimerOptions {
   meter: ServiceMeter;
@@ -87,7 +94,9 @@
   claim(freeSlots: number): void {
     while (this.outstanding < freeSlots) {
       const choice = this.choose();
-      if (choice === undefined || !this.options.prepareChoice()) return;
+      if (choice === undefined) return;
+      // Where only one workspace waits, no totals could change the choice.
+      if (choice.isContested && !this.options.prepareChoice()) return;
       this.send(choice.peer, choice.workspace);
     }
   }
@@ -126,16 +135,19 @@
   }
 
   /** The least served workspace with a request that no claim is out for, and a router that has it. */
-  private choose(): { peer: Peer; workspace: string } | undefined {
+  private choose(): Choice | undefined {
     const { fairShare, largestCharge } = this.options.meter;
     if (largestCharge > 0) fairShare.debtLimit = this.fleetSlots * largestCharge;
     fairShare.forgiveDebts();
+    let choice: Choice | undefined;
     for (const workspace of fairShare.rank()) {
       const router = this.backlog.findRouter(workspace);
       const peer = router === undefined ? undefined : this.routers.get(router);
-      if (peer !== undefined) return { peer, workspace };
+      if (peer === undefined) continue;
+      if (choice !== undefined) return { ...choice, isContested: true };
+      choice = { peer, workspace, isContested: false };
     }
-    return undefined;
+    return choice;
   }
 
   private send(peer: Peer, workspace: string): void {
