--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,5 +1,6 @@
 /** The commands of the bench, by name. */
 import { latencyCommand } from './latency/app.ts';
+import { powerCommand } from './power/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -10,5 +11,5 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [latencyCommand];
+  return [latencyCommand, powerCommand];
 }
--- /dev/null
+++ b/packages/bench/src/power/app.ts
@@ -0,0 +1,122 @@
+/**
+ * `power`: time over the power cap through many preset switches, with every slot wanted all the time.
+ * Power is worked out from the engine stand-ins' own counts of what runs, never from the fleet's books.
+ */
+import { parseArgs } from 'node:util';
+import { findPreset, parseFleetConfiguration } from '@poplarpick/decisions';
+import { Random } from '@poplarpick/load';
+import { planSite, SitePreset, SiteSize, writeConfiguration } from '@poplarpick/stand-ins';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import { BacklogLoad } from './backlog-load.ts';
+import type { LoadCount } from './backlog-load.ts';
+import { PowerMeter } from './power-meter.ts';
+import type { PowerReading } from './power-meter.ts';
+
+/** Time within which a change is in force everywhere, by the targets for today's sizes. */
+const ARRIVAL_MS = 1_000;
+
+const SETTLE_MS = 1_500;
+
+/** Time between two switches, shortest and longest. Some come before the last one has settled. */
+const SHORTEST_DWELL_MS = 200;
+const LONGEST_DWELL_MS = 1_800;
+
+const WARM_UP_MS = 3_000;
+const APPLICATION_WORK_MS = 100;
+
+/** What the command prints. */
+interface PowerResult extends PowerReading, LoadCount {
+  switches: number;
+  settleMs: number;
+  arrivalMs: number;
+  suspended: number;
+}
+
+/** The command's entry in the bench. */
+export const powerCommand = {
+  name: 'power',
+  summary:
+    'time over the power cap through preset switches  [--seed S] [--size izvor|trinacria] [--routers N] [--switches N] [--json]',
+  run: runPower,
+};
+
+async function runPower(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      seed: { type: 'string', default: '1' },
+      size: { type: 'string', default: SiteSize.Izvor },
+      routers: { type: 'string', default: '2' },
+      switches: { type: 'string', default: '100' },
+      json: { type: 'boolean', default: false },
+    },
+  });
+  const size = Object.values(SiteSize).find((entry) => entry === values.size);
+  if (size === undefined) throw new Error(`no size ${values.size}`);
+  const fleet = await ProcessFleet.start({
+    plan: planSite({ size }),
+    routers: Number(values.routers),
+    site: { settleMs: SETTLE_MS, applicationWorkMs: APPLICATION_WORK_MS },
+  });
+  try {
+    const result = await measurePower(fleet, Number(values.seed), Number(values.switches));
+    if (!values.json) console.table(result);
+    console.log(JSON.stringify(result));
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function measurePower(
+  fleet: ProcessFleet,
+  seed: number,
+  switches: number,
+): Promise<PowerResult> {
+  const random = new Random(seed);
+  const meter = new PowerMeter({ site: fleet.site, arrivalMs: ARRIVAL_MS, settleMs: SETTLE_MS });
+  const load = new BacklogLoad(fleet, seed);
+  meter.publish(readCaps(fleet, SitePreset.Ordinary));
+  load.start();
+  await pause(WARM_UP_MS);
+  meter.start();
+  let preset = SitePreset.Ordinary;
+  for (let index = 0; index < switches; index += 1) {
+    preset = pickOther(preset, random);
+    meter.publish(readCaps(fleet, preset));
+    fleet.site.publish({ revision: index + 2, preset, settleMs: SETTLE_MS });
+    await pause(SHORTEST_DWELL_MS + random.integer(LONGEST_DWELL_MS - SHORTEST_DWELL_MS));
+  }
+  await pause(SETTLE_MS);
+  const reading = meter.stop();
+  await load.stop();
+  return {
+    ...reading,
+    ...load.count,
+    switches,
+    settleMs: SETTLE_MS,
+    arrivalMs: ARRIVAL_MS,
+    suspended: countSuspended(fleet),
+  };
+}
+
+function pickOther(preset: SitePreset, random: Random): SitePreset {
+  const others = Object.values(SitePreset).filter((entry) => entry !== preset);
+  return others[random.integer(others.length)] ?? preset;
+}
+
+function readCaps(fleet: ProcessFleet, preset: SitePreset): Map<string, number> {
+  const text = writeConfiguration(fleet.site.plan, { revision: 1, preset });
+  const { caps } = findPreset(parseFleetConfiguration(text, preset));
+  return new Map(caps.map((cap) => [cap.data_centre, cap.watts]));
+}
+
+/** Suspensions that the sidecars' logs still show. */
+function countSuspended(fleet: ProcessFleet): number {
+  return fleet.sidecars
+    .flatMap(({ process }) => process.events)
+    .filter((event) => event['event'] === 'request.suspended').length;
+}
+
+async function pause(delayMs: number): Promise<void> {
+  return new Promise((resolve) => void setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/packages/bench/src/power/cap-timeline.test.ts
@@ -0,0 +1,23 @@
+import { expect } from 'chai';
+import { CapTimeline } from './cap-timeline.ts';
+
+describe('CapTimeline', () => {
+  function timeline(arrivalMs: number): CapTimeline {
+    const caps = new CapTimeline({ arrivalMs, settleMs: 1_000 });
+    caps.publish(500, 0);
+    caps.publish(300, 5_000);
+    caps.publish(700, 8_000);
+    return caps;
+  }
+
+  it('lowers a cap once it may be expected everywhere', () => {
+    expect(timeline(0).capAt(5_000)).to.equal(300);
+    expect(timeline(200).capAt(5_199)).to.equal(500);
+    expect(timeline(200).capAt(5_200)).to.equal(300);
+  });
+
+  it('raises a cap only after the settle time', () => {
+    expect(timeline(0).capAt(8_999)).to.equal(300);
+    expect(timeline(0).capAt(9_000)).to.equal(700);
+  });
+});
--- a/packages/decisions/src/configuration/fleet-configuration.ts
+++ b/packages/decisions/src/configuration/fleet-configuration.ts
@@ -69,6 +69,16 @@
   weights: z.array(presetWeight).default([]),
 });
 
+/** Least settle time, which leaves room for a lease beside the time to shrink. */
+const LEAST_SETTLE_MS = 1_000;
+
+const power = z.strictObject({
+  /** Time that a revision stays in flight after its successor: budgets grow only after it. */
+  settle_ms: z.int().min(LEAST_SETTLE_MS).default(2_000),
+  /** Time by which the endpoints' load reports lag at most. */
+  load_lag_ms: z.int().positive().default(500),
+});
+
 const plannedStop = z.strictObject({
   /** Name of a host or endpoint that is to leave. */
   target: name,
@@ -87,6 +97,7 @@
     workspaces: z.array(workspace).min(1),
     endpoints: z.array(endpoint).default([]),
     presets: z.array(preset).min(1),
+    power: power.default({ settle_ms: 2_000, load_lag_ms: 500 }),
     planned_stops: z.array(plannedStop).default([]),
   })
   .superRefine(checkReferences);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -6,5 +6,8 @@
 export * from './fair-share/service-ledger.ts';
 export * from './rendezvous/rendezvous.ts';
 export * from './request/request-queues.ts';
+export * from './power/batch-limit.ts';
+export * from './power/leftover-runs.ts';
+export * from './power/power-budget.ts';
 export * from './power/slot-budget.ts';
 export * from './request/lost-attempt.ts';
--- /dev/null
+++ b/packages/decisions/src/power/batch-limit.ts
@@ -0,0 +1,59 @@
+/**
+ * The largest batch of a model engine at which the time between two tokens stays within the target,
+ * learned from the engine's load reports. Reports lag, so one counts only once the limit that is in
+ * force shows in it: a batch above the limit is still shrinking, one below says nothing of growth.
+ */
+
+/** Time between two tokens that 95 of 100 gaps must stay within. */
+export const TOKEN_GAP_TARGET_MS = 58;
+
+/** Part of the target that a step may take; the rest is for the way to the caller. */
+const STEP_SHARE = 0.9;
+
+/** What a load report says of the batch. */
+export interface BatchReport {
+  running: number;
+  /** Time of a step, which is the time between two tokens of a sequence. */
+  stepMs: number;
+}
+
+/** Options of a `BatchLimit`. */
+export interface BatchLimitOptions {
+  /** Most sequences that the limit may ever allow. */
+  highest: number;
+}
+
+/** Learns the limit of one engine. */
+export class BatchLimit {
+  private highest: number;
+  private current: number;
+
+  constructor(options: BatchLimitOptions) {
+    this.highest = options.highest;
+    this.current = options.highest;
+  }
+
+  /** Sequences that may run at once; at least 1. */
+  get limit(): number {
+    return this.current;
+  }
+
+  /** Changes the most that the limit may allow. A limit that was never lowered follows it. */
+  setHighest(highest: number): void {
+    this.current = this.current === this.highest ? highest : Math.min(this.current, highest);
+    this.highest = highest;
+  }
+
+  observe({ running, stepMs }: BatchReport): void {
+    if (running === 0 || stepMs <= 0 || running > this.current) return;
+    const aimMs = TOKEN_GAP_TARGET_MS * STEP_SHARE;
+    if (stepMs > aimMs) {
+      this.current = Math.max(1, Math.min(running - 1, Math.floor((running * aimMs) / stepMs)));
+      return;
+    }
+    // A step grows at most in proportion to the batch.
+    const nextStepMs = (stepMs * (running + 1)) / running;
+    if (running === this.current && nextStepMs <= aimMs)
+      this.current = Math.min(this.highest, this.current + 1);
+  }
+}
--- a/packages/decisions/src/power/slot-budget.test.ts
+++ b/packages/decisions/src/power/slot-budget.test.ts
@@ -37,6 +37,7 @@
     workspaces: [],
     endpoints: lines,
     presets: [{ name: 'ordinary', caps: [{ data_centre: 'ct1', watts }], weights: [] }],
+    power: { settle_ms: 2_000, load_lag_ms: 500 },
     planned_stops: [],
   };
 }
--- a/packages/decisions/src/power/slot-budget.ts
+++ b/packages/decisions/src/power/slot-budget.ts
@@ -1,34 +1,88 @@
 /**
  * Slots that an endpoint may use under the power cap of its data centre. The budget follows from the
  * configuration alone, so every process computes the same without talking.
+ *
+ * A call at an application engine cannot be suspended, so its engine's slots are the same under every
+ * preset: the fewest that any preset allows. Model engines share what is left.
  */
-import { findPreset } from '../configuration/fleet-configuration.ts';
+import { EndpointKind, findPreset } from '../configuration/fleet-configuration.ts';
 import type {
   EndpointConfiguration,
   FleetConfiguration,
+  PresetConfiguration,
 } from '../configuration/fleet-configuration.ts';
 
 /** Slots of an endpoint under the preset in force; 0 for one that is not configured. */
 export function computeSlotBudget(configuration: FleetConfiguration, endpointName: string): number {
-  const endpoint = configuration.endpoints.find((line) => line.name === endpointName);
-  if (endpoint === undefined) return 0;
-  return allocateSlots(configuration, endpoint.data_centre).get(endpointName) ?? 0;
+  return slotsUnder(configuration, endpointName, findPreset(configuration));
 }
 
-/** Slots of every endpoint of a data centre: round robin by name until the cap is used up. */
+/** The fewest slots that an endpoint has under any preset; safe whichever of them is in force. */
+export function computeSlotFloor(configuration: FleetConfiguration, endpointName: string): number {
+  return Math.min(
+    ...configuration.presets.map((preset) => slotsUnder(configuration, endpointName, preset)),
+  );
+}
+
+/** Slots of every endpoint of a data centre under a preset, by default the one in force. */
 export function allocateSlots(
   configuration: FleetConfiguration,
   dataCentre: string,
+  preset: PresetConfiguration = findPreset(configuration),
 ): Map<string, number> {
   const endpoints = configuration.endpoints
     .filter((line) => line.data_centre === dataCentre)
     .sort((a, b) => (a.name < b.name ? -1 : 1));
-  const cap = findPreset(configuration).caps.find((line) => line.data_centre === dataCentre);
-  if (cap === undefined) return new Map(endpoints.map((line) => [line.name, line.slots]));
-  const idleWatts = endpoints.reduce((sum, line) => sum + line.idle_watts, 0);
-  return shareWatts(endpoints, cap.watts - idleWatts);
+  const applications = endpoints.filter((line) => line.kind === EndpointKind.Application);
+  const watts = wattsForSlots(endpoints, preset, dataCentre);
+  const fixed = fixApplicationSlots(configuration.presets, endpoints, dataCentre);
+  const used = applications.reduce(
+    (sum, line) => sum + line.watts_per_slot * (fixed.get(line.name) ?? 0),
+    0,
+  );
+  const models = endpoints.filter((line) => line.kind !== EndpointKind.Application);
+  return new Map([...fixed, ...shareWatts(models, watts - used)]);
+}
+
+function slotsUnder(
+  configuration: FleetConfiguration,
+  endpointName: string,
+  preset: PresetConfiguration,
+): number {
+  const endpoint = configuration.endpoints.find((line) => line.name === endpointName);
+  if (endpoint === undefined) return 0;
+  return allocateSlots(configuration, endpoint.data_centre, preset).get(endpointName) ?? 0;
+}
+
+function fixApplicationSlots(
+  presets: readonly PresetConfiguration[],
+  endpoints: readonly EndpointConfiguration[],
+  dataCentre: string,
+): Map<string, number> {
+  const shares = presets.map((preset) =>
+    shareWatts(endpoints, wattsForSlots(endpoints, preset, dataCentre)),
+  );
+  const applications = endpoints.filter((line) => line.kind === EndpointKind.Application);
+  return new Map(
+    applications.map(({ name }) => [
+      name,
+      Math.min(...shares.map((share) => share.get(name) ?? 0)),
+    ]),
+  );
+}
+
+/** Watts above those that the endpoints use when idle; infinite without a cap. */
+function wattsForSlots(
+  endpoints: readonly EndpointConfiguration[],
+  preset: PresetConfiguration,
+  dataCentre: string,
+): number {
+  const cap = preset.caps.find((line) => line.data_centre === dataCentre);
+  if (cap === undefined) return Infinity;
+  return cap.watts - endpoints.reduce((sum, line) => sum + line.idle_watts, 0);
 }
 
+/** Gives slots round robin by name until the watts are used up. */
 function shareWatts(
   endpoints: readonly EndpointConfiguration[],
   watts: number,
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -3,7 +3,6 @@
  * least service for its weight across the fleet; what is granted runs at once. Answers are kept until
  * their router has settled them, so that a lost link costs nothing.
  */
-import { computeSlotBudget } from '@poplarpick/decisions';
 import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
@@ -14,7 +13,11 @@
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
+import type { LoadReport } from './load-watch.ts';
+import { PowerGate } from './power-gate.ts';
+import type { PowerStatus } from './power-gate.ts';
 import type { ServiceMeter } from './service-meter.ts';
+import { SuspendedRuns } from './suspended-runs.ts';
 
 /** Time for which an answer that no router settles is kept. */
 const ANSWER_KEEP_MS = 60_000;
@@ -41,6 +44,9 @@
   Flush,
   Tick,
   Drain,
+  Load,
+  Confirm,
+  Suspended,
 }
 
 /** Messages to the admission. */
@@ -63,7 +69,11 @@
     }
   | { kind: AdmissionMessageKind.Flush }
   | { kind: AdmissionMessageKind.Tick }
-  | { kind: AdmissionMessageKind.Drain };
+  | { kind: AdmissionMessageKind.Drain }
+  | { kind: AdmissionMessageKind.Load; report: LoadReport }
+  /** At the monotonic time `at` no higher revision was in force anywhere. */
+  | { kind: AdmissionMessageKind.Confirm; revision: number; at: number }
+  | { kind: AdmissionMessageKind.Suspended; execution: Execution; halted: boolean };
 
 /** Options of an `Admission`. */
 export interface AdmissionOptions {
@@ -81,19 +91,23 @@
   slots: number;
   running: number;
   claiming: number;
+  /** Runs that are halted to keep the power cap. */
+  suspended: number;
   kept: number;
   draining: boolean;
+  power: PowerStatus;
 }
 
 /** Admits requests to one endpoint. */
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
   private readonly claimer: Claimer;
+  private readonly gate: PowerGate;
+  private readonly suspended: SuspendedRuns;
   private readonly routers = new Map<string, Peer>();
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
-  private slots = 0;
   private running = 0;
   private draining = false;
   private flushing = false;
@@ -102,6 +116,11 @@
   constructor(options: AdmissionOptions) {
     super('admission', options.log);
     this.options = options;
+    this.gate = new PowerGate(options);
+    this.suspended = new SuspendedRuns({
+      onAnswer: (execution, halted) =>
+        this.post({ kind: AdmissionMessageKind.Suspended, execution, halted }),
+    });
     this.claimer = new Claimer({
       meter: options.meter,
       onAnswer: (claim) => this.post({ kind: AdmissionMessageKind.Answered, claim }),
@@ -112,14 +131,22 @@
   }
 
   readStatus(): AdmissionStatus {
-    const { slots, running, draining } = this;
-    return { slots, running, claiming: this.claimer.count, kept: this.executions.size, draining };
+    const { running, draining } = this;
+    return {
+      slots: this.gate.slots(),
+      running,
+      claiming: this.claimer.count,
+      suspended: this.suspended.count,
+      kept: this.executions.size,
+      draining,
+      power: this.gate.readStatus(),
+    };
   }
 
   /** Refuses new work and resolves when nothing runs. */
   async drain(): Promise<void> {
     this.post({ kind: AdmissionMessageKind.Drain });
-    if (this.running === 0) return;
+    if (this.running + this.suspended.count === 0) return;
     await new Promise<void>((resolve) => (this.onIdle = resolve));
   }
 
@@ -172,20 +199,29 @@
         return;
       case AdmissionMessageKind.Drain:
         this.draining = true;
+        return;
+      case AdmissionMessageKind.Load:
+        this.gate.noteLoad(message.report);
+        this.schedule();
+        return;
+      case AdmissionMessageKind.Confirm:
+        this.gate.confirm(message.revision, message.at);
+        return;
+      case AdmissionMessageKind.Suspended:
+        this.noteSuspended(message.execution, message.halted);
     }
   }
 
   private configure(configuration: FleetConfiguration): void {
-    const { endpoint, host, metrics, log } = this.options;
+    const { endpoint, host, log } = this.options;
     this.claimer.configure(configuration);
-    this.slots = computeSlotBudget(configuration, endpoint);
+    this.gate.configure(configuration);
     const leaving = configuration.planned_stops.some(
       ({ target }) => target === endpoint || target === host,
     );
     if (leaving !== this.draining)
       log.info({ event: leaving ? 'sidecar.draining' : 'sidecar.serving', endpoint });
     this.draining = leaving;
-    metrics.gauge(Metric.SlotsBudget, this.slots, { endpoint });
     this.schedule();
   }
 
@@ -219,9 +255,29 @@
     this.outbox.delete(peer.host);
   }
 
-  /** Claims requests for all free slots. */
+  /** Keeps the power budget, goes on with suspended runs, then claims requests for all free slots. */
   private schedule(): void {
-    if (!this.draining) this.claimer.claim(this.slots - this.running);
+    if (this.running > this.gate.powerSlots()) this.shrink();
+    while (this.running < this.gate.slots() && this.suspended.resumeOne()) this.countRuns(1);
+    if (!this.draining) this.claimer.claim(this.gate.slots() - this.running);
+  }
+
+  private shrink(): void {
+    const open = [...this.executions.values()].filter(({ end }) => end === undefined);
+    this.suspended.shrink(open, this.gate.powerSlots());
+  }
+
+  private noteSuspended(execution: Execution, halted: boolean): void {
+    if (!this.suspended.accept(execution, halted)) return;
+    this.countRuns(-1);
+    this.options.log.info({ event: 'request.suspended', request: execution.id });
+    this.schedule();
+  }
+
+  private countRuns(change: number): void {
+    this.running += change;
+    this.gate.noteRunning(this.running);
+    this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
   }
 
   private acceptAnswer(claim: AnsweredClaim): void {
@@ -236,6 +292,10 @@
       this.refuse(peer, reference, ErrorCode.Draining, 'the endpoint is draining', true);
       return;
     }
+    if (this.running >= this.gate.slots()) {
+      this.refuse(peer, reference, ErrorCode.NoEndpoint, 'the power budget has shrunk', true);
+      return;
+    }
     if (grant.deadlineMs <= 0) {
       this.refuse(peer, reference, ErrorCode.DeadlineExceeded, 'the deadline has passed', false);
       return;
@@ -256,9 +316,8 @@
   }
 
   private start(execution: Execution): void {
-    this.running += 1;
+    this.countRuns(1);
     this.executions.set(execution.id, execution);
-    this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
     this.options.log.debug({
       event: 'request.started',
       request: execution.id,
@@ -289,17 +348,18 @@
     const end = execution.finish(this.options.clock.monotonic(), cost, error);
     this.options.meter.charge(execution.grant.job.workspace, cost);
     this.flush();
+    // After a failed exchange the endpoint may still be at work.
+    if (error?.verdict === Verdict.MayHaveRun) this.abandon(execution);
     const peer = this.routers.get(execution.router);
     if (peer?.incarnation === execution.routerIncarnation) peer.link.notify(NoticeMethod.End, end);
     this.freeSlot(execution);
   }
 
   private freeSlot(execution: Execution): void {
-    this.running -= 1;
+    if (!this.suspended.remove(execution)) this.countRuns(-1);
     this.options.log.debug({ event: 'request.ended', request: execution.id, cost: execution.cost });
-    this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
     this.schedule();
-    if (this.running > 0) return;
+    if (this.running + this.suspended.count > 0) return;
     this.onIdle?.();
     this.onIdle = undefined;
   }
@@ -313,12 +373,16 @@
     }
     // What must run once is left to finish: cutting it would leave its outcome unknown.
     if (!execution.grant.job.repeatable) return;
-    execution.run?.cancel();
+    this.abandon(execution);
     this.executions.delete(execution.id);
     execution.finish(this.options.clock.monotonic(), 0);
     this.freeSlot(execution);
   }
 
+  private abandon(execution: Execution): void {
+    if (execution.run !== undefined) this.gate.abandon(execution.id, execution.run.cancel());
+  }
+
   private settle(reference: AttemptReference): void {
     const execution = this.find(reference);
     if (execution?.end !== undefined) this.executions.delete(execution.id);
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -18,6 +18,7 @@
 import { EndpointClient } from './endpoint-client.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
 import type { Job } from '../messages.ts';
+import { LoadWatch } from './load-watch.ts';
 import { ModelEngineClient } from './model-engine-client.ts';
 import { ServiceMeter } from './service-meter.ts';
 
@@ -31,6 +32,7 @@
   private admission: Admission | undefined;
   private client: EndpointClient | undefined;
   private reporter: Timer | undefined;
+  private loadWatch: LoadWatch | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
     const { clock, log, metrics, host } = kernel;
@@ -59,6 +61,12 @@
     });
     const hub = kernel.part(linkHubKey);
     connectLinks(hub, admission);
+    this.loadWatch = new LoadWatch({
+      url: endpoint.url,
+      clock,
+      log,
+      onReport: (load) => admission.post({ kind: AdmissionMessageKind.Load, report: load }),
+    });
     this.reporter = clock.every(REPORT_PERIOD_MS, () => report(kernel, hub, meter, admission));
     return Promise.resolve();
   }
@@ -69,6 +77,7 @@
 
   override async stop(): Promise<void> {
     this.reporter?.stop();
+    await this.loadWatch?.stop();
     this.admission?.stop();
     await this.client?.close();
   }
--- a/packages/fleet/src/sidecar/application-client.ts
+++ b/packages/fleet/src/sidecar/application-client.ts
@@ -41,7 +41,11 @@
     this.call(requestId, job, listener, abort.signal).catch((error: unknown) => {
       if (!abort.signal.aborted) listener.onFailure(describeEndpointFailure(error));
     });
-    return { cancel: () => abort.abort() };
+    const cancel = async (): Promise<boolean> => {
+      abort.abort();
+      return Promise.resolve(false);
+    };
+    return { cancel };
   }
 
   override async close(): Promise<void> {
--- a/packages/fleet/src/sidecar/endpoint-client.ts
+++ b/packages/fleet/src/sidecar/endpoint-client.ts
@@ -13,8 +13,18 @@
 
 /** A run at the endpoint. */
 export interface Run {
-  /** Ends the run at the endpoint as soon as possible; nothing is reported any more. */
-  cancel(): void;
+  /**
+   * Ends the run at the endpoint as soon as possible; nothing is reported any more. Resolves to
+   * whether the endpoint has confirmed that it stopped; never rejects.
+   */
+  cancel(): Promise<boolean>;
+  /**
+   * Halts the run so that the endpoint spends no power on it. Resolves to whether it has; never
+   * rejects. A run that ends meanwhile reports its end as usual. Absent where the endpoint cannot.
+   */
+  suspend?(): Promise<boolean>;
+  /** Goes on with a suspended run from where it was. */
+  resume?(): void;
 }
 
 /** Runs jobs at one endpoint. */
--- /dev/null
+++ b/packages/fleet/src/sidecar/load-watch.ts
@@ -0,0 +1,72 @@
+/** Reads the load report of the endpoint beside the sidecar, again and again. */
+import { describeError } from '@poplarpick/kernel';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+
+/** Time between two reads. */
+const READ_PERIOD_MS = 200;
+
+const READ_TIMEOUT_MS = 1_000;
+
+const loadReport = z.object({
+  running: z.number().nonnegative(),
+  waiting: z.number().nonnegative(),
+  stepMs: z.number().nonnegative(),
+});
+
+/** Load as the endpoint reports it, with a lag. */
+export type LoadReport = z.output<typeof loadReport>;
+
+/** Options of a `LoadWatch`. */
+export interface LoadWatchOptions {
+  /** Base URL of the endpoint. */
+  url: string;
+  clock: Clock;
+  log: Logger;
+  onReport: (report: LoadReport) => void;
+}
+
+/** Reads the report until it is stopped. A failed read is logged once, until the next good one. */
+export class LoadWatch {
+  private readonly options: LoadWatchOptions;
+  private readonly agent = new Agent({
+    headersTimeout: READ_TIMEOUT_MS,
+    bodyTimeout: READ_TIMEOUT_MS,
+  });
+  private readonly timer: Timer;
+  private reading = false;
+  private failing = false;
+
+  constructor(options: LoadWatchOptions) {
+    this.options = options;
+    this.timer = options.clock.every(READ_PERIOD_MS, () => void this.read());
+  }
+
+  async stop(): Promise<void> {
+    this.timer.stop();
+    await this.agent.destroy();
+  }
+
+  private async read(): Promise<void> {
+    if (this.reading) return;
+    this.reading = true;
+    try {
+      const url = `${this.options.url.replace(/\/$/, '')}/v1/load`;
+      const { body } = await request(url, { dispatcher: this.agent });
+      this.options.onReport(loadReport.parse(await body.json()));
+      this.failing = false;
+    } catch (error) {
+      this.noteFailure(error);
+    } finally {
+      this.reading = false;
+    }
+  }
+
+  private noteFailure(error: unknown): void {
+    if (!this.failing) {
+      this.options.log.warn({ event: 'endpoint.load_unknown', error: describeError(error) });
+    }
+    this.failing = true;
+  }
+}
--- a/packages/stand-ins/src/application-engine.ts
+++ b/packages/stand-ins/src/application-engine.ts
@@ -23,12 +23,18 @@
 export class ApplicationEngine extends StandIn {
   private readonly workMs: number;
   private readonly runs = new Map<string, number>();
+  private active = 0;
 
   constructor(options: ApplicationEngineOptions = {}) {
     super('application-engine');
     this.workMs = options.workMs ?? DEFAULT_WORK_MS;
   }
 
+  /** Calls that run now. */
+  get running(): number {
+    return this.active;
+  }
+
   /** Runs of each business key so far. */
   get record(): RunRecord {
     return Object.fromEntries(this.runs);
@@ -40,6 +46,11 @@
         pattern: 'GET /stand-in/record',
         handler: (_request, response) => sendJson(response, 200, this.record),
       },
+      {
+        pattern: 'GET /v1/load',
+        handler: (_request, response) =>
+          sendJson(response, 200, { running: this.active, waiting: 0, stepMs: 0 }),
+      },
       { pattern: '* /*path', handler: (request, response) => this.work(request, response) },
     ];
   }
@@ -48,7 +59,9 @@
     const key = readBusinessKey(await readText(request));
     const run = (this.runs.get(key) ?? 0) + 1;
     this.runs.set(key, run);
+    this.active += 1;
     await new Promise((resolve) => setTimeout(resolve, this.workMs));
+    this.active -= 1;
     sendJson(response, 200, { key, run, method: request.method, path: request.originalUrl });
   }
 }
--- a/packages/stand-ins/src/model-engine/model-engine.ts
+++ b/packages/stand-ins/src/model-engine/model-engine.ts
@@ -1,7 +1,7 @@
 /**
  * Stand-in of a model engine, by the protocol that the fleet knows: OpenAI-compatible streaming,
- * streams that can be resumed (`GET /v1/streams/<id>?from=N`) and cancelled (`DELETE`), a load report
- * that lags (`GET /v1/load`), cache events that are late and have gaps (`GET /v1/cache/events`), and
+ * streams that can be suspended (`POST /v1/streams/<id>/suspend`), resumed (`GET /v1/streams/<id>?from=N`)
+ * and cancelled (`DELETE`), a load report that lags (`GET /v1/load`), cache events that are late and have gaps (`GET /v1/cache/events`), and
  * orders with fencing numbers (`POST /v1/orders`, `GET /v1/state`).
  */
 import { randomUUID } from 'node:crypto';
@@ -132,6 +132,10 @@
         pattern: 'GET /v1/streams/:id',
         handler: (request, response) => this.resumeStream(request, response),
       },
+      {
+        pattern: 'POST /v1/streams/:id/suspend',
+        handler: (request, response) => this.suspendStream(request, response),
+      },
       {
         pattern: 'DELETE /v1/streams/:id',
         handler: (request, response) => this.cancelStream(request, response),
@@ -185,7 +189,7 @@
   }
 
   private endOrphan(stream: TokenStream): void {
-    if (!stream.hasReader) this.abort(stream);
+    if (!stream.hasReader && !stream.suspended) this.abort(stream);
   }
 
   private abort(stream: TokenStream): void {
@@ -200,8 +204,26 @@
 
   private resumeStream(request: GatewayRequest, response: ServerResponse): void {
     const stream = this.streams.get(streamId(request));
-    if (stream === undefined) sendJson(response, 404, { error: { message: 'no such stream' } });
-    else this.serve(stream, response, Number(readQuery(request).get('from') ?? 0));
+    if (stream === undefined) {
+      sendJson(response, 404, { error: { message: 'no such stream' } });
+      return;
+    }
+    this.serve(stream, response, Number(readQuery(request).get('from') ?? 0));
+    if (!stream.suspended) return;
+    stream.suspended = false;
+    this.batch.add(stream);
+  }
+
+  /** A suspended stream leaves the batch and keeps its place until it is resumed or cancelled. */
+  private suspendStream(request: GatewayRequest, response: ServerResponse): void {
+    const stream = this.streams.get(streamId(request));
+    if (stream === undefined || stream.isEnded) {
+      sendJson(response, 404, { error: { message: 'no such stream is running' } });
+      return;
+    }
+    this.batch.remove(stream);
+    stream.suspended = true;
+    sendJson(response, 200, { suspended: true });
   }
 
   private cancelStream(request: GatewayRequest, response: ServerResponse): void {
@@ -245,6 +267,9 @@
   }
 }
 
+/** Position of the id in the path `/v1/streams/<id>`. */
+const STREAM_ID_PART = 3;
+
 function streamId(request: GatewayRequest): string {
-  return request.originalUrl.split('?')[0]?.split('/').at(-1) ?? '';
+  return request.originalUrl.split('?')[0]?.split('/')[STREAM_ID_PART] ?? '';
 }
--- a/packages/stand-ins/src/model-engine/token-stream.ts
+++ b/packages/stand-ins/src/model-engine/token-stream.ts
@@ -15,6 +15,8 @@
   readonly id: string;
   readonly request: EngineRequest;
   prefillTokens: number;
+  /** Whether it has left the batch until it is resumed. */
+  suspended = false;
   private readonly chunks: string[] = [];
   private readonly length: number;
   private readonly created = Math.floor(Date.now() / 1_000);
--- a/packages/stand-ins/src/site/site-plan.ts
+++ b/packages/stand-ins/src/site/site-plan.ts
@@ -119,6 +119,8 @@
   revision: number;
   preset?: string;
   plannedStops?: string[];
+  /** Time that a switch takes to settle; the default of the configuration if absent. */
+  settleMs?: number;
 }
 
 /** Names of the presets of every planned site. */
@@ -155,6 +157,7 @@
       name: preset,
       caps: capsOf(plan, preset),
     })),
+    ...(options.settleMs === undefined ? {} : { power: { settle_ms: options.settleMs } }),
     planned_stops: (options.plannedStops ?? []).map((target) => ({ target })),
   });
 }
--- a/packages/stand-ins/src/site/site.ts
+++ b/packages/stand-ins/src/site/site.ts
@@ -15,11 +15,14 @@
   /** Time that a call of an application takes. */
   applicationWorkMs?: number;
   hostListLagMs?: number;
+  /** Settle time in the first revision. */
+  settleMs?: number;
 }
 
 /** The running stand-ins of a site. */
 export class Site {
   readonly plan: SitePlan;
+  private readonly options: SiteOptions;
   readonly configuration = new ConfigurationService();
   readonly hosts: HostList;
   readonly modelEngines = new Map<string, ModelEngine>();
@@ -27,6 +30,7 @@
 
   constructor(plan: SitePlan, options: SiteOptions = {}) {
     this.plan = plan;
+    this.options = options;
     this.hosts = new HostList({ lagMs: options.hostListLagMs ?? 0 });
     for (const { name, kind } of plan.endpoints) {
       if (kind === EndpointKind.Model) {
@@ -43,7 +47,8 @@
   /** Starts all stand-ins on ephemeral ports and publishes the first revision. */
   async start(): Promise<this> {
     await Promise.all(this.standIns().map((standIn) => standIn.start()));
-    this.publish({ revision: 1 });
+    const { settleMs } = this.options;
+    this.publish({ revision: 1, ...(settleMs === undefined ? {} : { settleMs }) });
     return this;
   }
 
