--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -3,6 +3,7 @@
  * least service for its weight across the fleet; what is granted runs at once. Answers are kept until
  * their router has settled them, so that a lost link costs nothing.
  */
+import { EXECUTION_KEEP_MS } from '@poplarpick/decisions';
 import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
@@ -19,9 +20,6 @@
 import type { ServiceMeter } from './service-meter.ts';
 import { SuspendedRuns } from './suspended-runs.ts';
 
-/** Time for which an answer that no router settles is kept. */
-const ANSWER_KEEP_MS = 60_000;
-
 /** Time after which a repeatable run is cancelled if its router stays away. */
 const ORPHAN_MS = 20_000;
 
@@ -105,6 +103,8 @@
   private readonly gate: PowerGate;
   private readonly suspended: SuspendedRuns;
   private readonly routers = new Map<string, Peer>();
+  /** Routers that have answered the resumption on their link; before, nothing is sent to them. */
+  private readonly resumed = new Set<Peer>();
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
@@ -143,6 +143,11 @@
     };
   }
 
+  /** Whether an answer runs or waits to be settled that a router is still to receive. */
+  holdsWorkOf(router: string): boolean {
+    return [...this.executions.values()].some((execution) => execution.router === router);
+  }
+
   /** Refuses new work and resolves when nothing runs. */
   async drain(): Promise<void> {
     this.post({ kind: AdmissionMessageKind.Drain });
@@ -226,6 +231,7 @@
   }
 
   private join(peer: Peer): void {
+    this.cancelOrphans(peer);
     const held = [...this.executions.values()]
       .filter((execution) => execution.router === peer.host)
       .filter((execution) => execution.routerIncarnation === peer.incarnation)
@@ -238,7 +244,18 @@
       .catch(() => peer.link.close('resume failed'));
   }
 
+  /** Cancels what an earlier process of a router granted: its callers' connections ended with it. */
+  private cancelOrphans(peer: Peer): void {
+    for (const execution of [...this.executions.values()]) {
+      if (execution.router !== peer.host || execution.routerIncarnation === peer.incarnation)
+        continue;
+      this.cancel({ request: execution.id, attempt: execution.grant.attempt });
+    }
+  }
+
   private resume(peer: Peer, answer: ResumeAnswer): void {
+    if (this.routers.get(peer.host) !== peer) return;
+    this.resumed.add(peer);
     for (const reference of answer.drop) this.cancel(reference);
     for (const { request, attempt, from } of answer.resume) {
       const execution = this.find({ request, attempt });
@@ -249,6 +266,7 @@
   }
 
   private lose(peer: Peer): void {
+    this.resumed.delete(peer);
     this.claimer.lose(peer);
     if (this.routers.get(peer.host) !== peer) return;
     this.routers.delete(peer.host);
@@ -336,7 +354,7 @@
     if (execution.end !== undefined) return;
     const frame = execution.append(data, cost);
     this.options.meter.charge(execution.grant.job.workspace, cost);
-    if (!this.routers.has(execution.router)) return;
+    if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
     this.outbox.set(execution.router, waiting);
@@ -350,8 +368,7 @@
     this.flush();
     // After a failed exchange the endpoint may still be at work.
     if (error?.verdict === Verdict.MayHaveRun) this.abandon(execution);
-    const peer = this.routers.get(execution.router);
-    if (peer?.incarnation === execution.routerIncarnation) peer.link.notify(NoticeMethod.End, end);
+    this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
     this.freeSlot(execution);
   }
 
@@ -405,7 +422,7 @@
   private tick(): void {
     const now = this.options.clock.monotonic();
     for (const execution of [...this.executions.values()]) {
-      if (execution.end !== undefined && now - execution.endedAt > ANSWER_KEEP_MS) {
+      if (execution.end !== undefined && now - execution.endedAt > EXECUTION_KEEP_MS) {
         this.executions.delete(execution.id);
       } else if (execution.end === undefined && now > execution.deadlineAt + ORPHAN_MS) {
         this.cancel({ request: execution.id, attempt: execution.grant.attempt });
@@ -414,6 +431,13 @@
     this.schedule();
   }
 
+  /** The router of an execution, if it is linked and knows from where the answer goes on. */
+  private findRouter(execution: Execution): Peer | undefined {
+    const peer = this.routers.get(execution.router);
+    if (peer?.incarnation !== execution.routerIncarnation) return undefined;
+    return this.resumed.has(peer) ? peer : undefined;
+  }
+
   private find({ request, attempt }: AttemptReference): Execution | undefined {
     const execution = this.executions.get(request);
     return execution?.grant.attempt === attempt ? execution : undefined;
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -106,7 +106,11 @@
     peer.link
       .call(CallMethod.Claim, { lines })
       .then(answered)
-      .catch(() => answered({}));
+      .catch(() => {
+        // A grant that is still under way must not be taken later, nor be waited for by the router.
+        peer.link.close('claim failed');
+        answered({});
+      });
   }
 
   private serviceOf(workspace: string): number {
