--- /dev/null
+++ b/packages/bench/src/integration/power.test.ts
@@ -0,0 +1,164 @@
+import { expect } from 'chai';
+import { BudgetCause } from '@poplarpick/decisions';
+import { callChat, CallOutcome, chatBody } from '@poplarpick/load';
+import type { ChatResult } from '@poplarpick/load';
+import {
+  expectedAnswer,
+  Fault,
+  IDLE_WATTS,
+  SitePreset,
+  WATTS_PER_SLOT,
+} from '@poplarpick/stand-ins';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import type { SidecarNode } from '../process-fleet/process-fleet.ts';
+
+const SETTLE_MS = 1_500;
+const LONG_ANSWER = 200;
+const ENGINE = 'model-1';
+
+describe('the power cap with real processes', () => {
+  let fleet: ProcessFleet;
+  let revision = 1;
+
+  before(async () => {
+    fleet = await ProcessFleet.start({ site: { settleMs: SETTLE_MS } });
+  });
+
+  after(async () => {
+    await fleet.stop();
+  });
+
+  function publish(preset: SitePreset): void {
+    revision += 1;
+    fleet.site.publish({ revision, preset, settleMs: SETTLE_MS });
+  }
+
+  /** Sends more long requests than there are slots. */
+  function sendMany(count: number): Promise<void>[] {
+    const { workspaces, model } = fleet.site.plan;
+    return Array.from({ length: count }, async (_, index) => {
+      const url = fleet.routerUrls[index % fleet.routerUrls.length] ?? '';
+      const key = workspaces[index % workspaces.length]?.key ?? '';
+      const call = { url, key, model, prompt: `question ${index}`, outputTokens: LONG_ANSWER };
+      expectWhole(await callChat(call), expectedAnswer(chatBody(call)));
+    });
+  }
+
+  function expectWhole(result: ChatResult, text: string): void {
+    expect(result.outcome).to.equal(CallOutcome.Whole);
+    expect(result.text).to.equal(text);
+  }
+
+  function running(): number {
+    return fleet.site.modelEngines.get(ENGINE)?.running ?? 0;
+  }
+
+  async function readAdmission(sidecar: SidecarNode) {
+    return (await fleet.status(sidecar.operators)) as unknown as {
+      admission: { slots: number; suspended: number; power: { powerSlots: number; cause: string } };
+    };
+  }
+
+  async function waitForCause(sidecar: SidecarNode, cause: BudgetCause): Promise<number> {
+    for (;;) {
+      const { admission } = await readAdmission(sidecar);
+      if (admission.power.cause === cause) return admission.power.powerSlots;
+      await pause(50);
+    }
+  }
+
+  it('suspends streams at a lowered cap, grows again only when settled, and cuts no answer', async () => {
+    publish(SitePreset.Peak);
+    const sidecar = fleet.findSidecar(ENGINE);
+    const peakSlots = await waitUntilSettled(sidecar);
+    const answers = sendMany(30);
+    await until(() => running() === peakSlots);
+    publish(SitePreset.Maintenance);
+    await sidecar.process.waitFor('request.suspended');
+    await until(() => running() < peakSlots);
+    const lowered = await readAdmission(sidecar);
+    await until(() => running() === lowered.admission.power.powerSlots);
+    expect(lowered.admission.power.powerSlots).to.be.below(peakSlots);
+    const loweredWatts = wattsOf(fleet, fleet.site.plan.dataCentres[0] ?? '');
+    expect(loweredWatts).to.be.at.most(capOf(fleet, SitePreset.Maintenance));
+    publish(SitePreset.Peak);
+    await until(() => running() === peakSlots);
+    await Promise.all(answers);
+  });
+
+  it('fills no slot that a run of the former sidecar still holds', async () => {
+    const sidecar = fleet.findSidecar(ENGINE);
+    const slots = await waitUntilSettled(sidecar);
+    const calls = sendMany(26).map((answer) => answer.catch(() => undefined));
+    await until(() => running() === slots);
+    let highest = 0;
+    const sampler = setInterval(() => (highest = Math.max(highest, running())), 2);
+    await fleet.restartSidecar(sidecar);
+    await sidecar.process.waitFor('configuration.in_force');
+    await waitUntilSettled(sidecar);
+    await Promise.all(calls);
+    clearInterval(sampler);
+    expect(highest).to.be.at.most(slots);
+  });
+
+  it('falls back to the floor while cut off, and recovers', async () => {
+    const sidecar = fleet.findSidecar(ENGINE);
+    const slots = await waitUntilSettled(sidecar);
+    fleet.routers.forEach(({ proxy }) => (proxy.fault = Fault.Cut));
+    const floor = await waitForCause(sidecar, BudgetCause.Unconfirmed);
+    expect(floor).to.be.below(slots);
+    fleet.routers.forEach(({ proxy }) => (proxy.fault = Fault.None));
+    expect(await waitForCause(sidecar, BudgetCause.InForce)).to.equal(slots);
+  });
+
+  it('keeps the lower cap when it wakes from a pause that spans a switch', async () => {
+    const sidecar = fleet.findSidecar(ENGINE);
+    const slots = await waitUntilSettled(sidecar);
+    sidecar.process.signal('SIGSTOP');
+    publish(SitePreset.Maintenance);
+    await pause(SETTLE_MS);
+    const answers = sendMany(20);
+    let highest = 0;
+    const sampler = setInterval(() => (highest = Math.max(highest, running())), 2);
+    sidecar.process.signal('SIGCONT');
+    await Promise.all(answers);
+    clearInterval(sampler);
+    expect(highest).to.be.within(1, slots - 1);
+  });
+
+  /** Waits until the budget is that of the revision published last; returns it. */
+  async function waitUntilSettled(sidecar: SidecarNode): Promise<number> {
+    for (;;) {
+      const { configuration } = await fleet.status(sidecar.operators);
+      if (configuration.revision === revision) break;
+      await pause(50);
+    }
+    return waitForCause(sidecar, BudgetCause.InForce);
+  }
+});
+
+async function pause(delayMs: number): Promise<void> {
+  return new Promise((resolve) => void setTimeout(resolve, delayMs));
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await pause(2);
+}
+
+/** Power of the model engines of a data centre, by their own counts. */
+function wattsOf(fleet: ProcessFleet, dataCentre: string): number {
+  const lines = fleet.site.plan.endpoints.filter((line) => line.dataCentre === dataCentre);
+  const busy = lines.reduce(
+    (sum, { name }) => sum + (fleet.site.modelEngines.get(name)?.running ?? 0),
+    0,
+  );
+  return lines.length * IDLE_WATTS + busy * WATTS_PER_SLOT;
+}
+
+/** Cap of each data centre under a preset. */
+function capOf(fleet: ProcessFleet, preset: SitePreset): number {
+  const share = preset === SitePreset.Maintenance ? 0.7 : 1;
+  const [dataCentre] = fleet.site.plan.dataCentres;
+  const lines = fleet.site.plan.endpoints.filter((line) => line.dataCentre === dataCentre);
+  return share * lines.reduce((sum, line) => sum + IDLE_WATTS + line.slots * WATTS_PER_SLOT, 0);
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './power/batch-limit.ts';
 export * from './power/leftover-runs.ts';
 export * from './power/power-budget.ts';
+export * from './power/revision-confirmations.ts';
 export * from './power/slot-budget.ts';
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
--- /dev/null
+++ b/packages/decisions/src/power/batch-limit.test.ts
@@ -0,0 +1,48 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { BatchLimit, TOKEN_GAP_TARGET_MS } from './batch-limit.ts';
+
+/** Reports between a change of the batch and the report that shows it. */
+const LAG_REPORTS = 3;
+
+describe('BatchLimit', () => {
+  it('comes to a batch within the target, and not far below, from lagging reports', () => {
+    fc.assert(
+      fc.property(
+        fc.double({ min: 1, max: 40, noNaN: true }),
+        fc.double({ min: 0.2, max: 10, noNaN: true }),
+        fc.integer({ min: 2, max: 128 }),
+        (baseMs, perSequenceMs, highest) => {
+          const stepMs = (running: number): number => baseMs + perSequenceMs * (running - 1);
+          const limit = new BatchLimit({ highest });
+          const batches: number[] = [];
+          for (let turn = 0; turn < 400; turn += 1) {
+            batches.push(limit.limit);
+            const running = batches[turn - LAG_REPORTS];
+            if (running !== undefined) limit.observe({ running, stepMs: stepMs(running) });
+          }
+          expect(stepMs(limit.limit)).to.be.at.most(TOKEN_GAP_TARGET_MS);
+          const fits = stepMs(limit.limit + 2) > TOKEN_GAP_TARGET_MS * 0.8;
+          expect(fits || limit.limit >= highest - 1).to.equal(true);
+        },
+      ),
+      { seed: 4 },
+    );
+  });
+
+  it('never goes above what the endpoint is configured for, nor below one', () => {
+    const limit = new BatchLimit({ highest: 4 });
+    for (let turn = 0; turn < 10; turn += 1) limit.observe({ running: 4, stepMs: 10 });
+    expect(limit.limit).to.equal(4);
+    for (let turn = 0; turn < 10; turn += 1) limit.observe({ running: limit.limit, stepMs: 500 });
+    expect(limit.limit).to.equal(1);
+  });
+
+  it('learns nothing from a batch that is still shrinking', () => {
+    const limit = new BatchLimit({ highest: 8 });
+    limit.observe({ running: 8, stepMs: 100 });
+    const lowered = limit.limit;
+    limit.observe({ running: 8, stepMs: 100 });
+    expect(limit.limit).to.equal(lowered);
+  });
+});
--- a/packages/decisions/src/power/leftover-runs.ts
+++ b/packages/decisions/src/power/leftover-runs.ts
@@ -11,6 +11,7 @@
 
 /** A run that was given up. */
 interface AbandonedRun {
+  time: number;
   /** Reports that had lowered the bound when it was given up. */
   reductions: number;
 }
@@ -44,8 +45,8 @@
   }
 
   /** A run was given up, and the endpoint may still work on it. */
-  abandon(id: string): void {
-    this.abandoned.set(id, { reductions: this.reductions });
+  abandon(id: string, now: number): void {
+    this.abandoned.set(id, { time: now, reductions: this.reductions });
   }
 
   /** The endpoint has confirmed that it stopped a run that was given up. */
@@ -58,9 +59,13 @@
   noteReport(total: number, lagMs: number, now: number): void {
     // The first reports may date from before the start, when more could still be handed over.
     if (now - lagMs < this.startedAt) return;
-    const bound = Math.max(0, total - this.leastOwn(now - lagMs));
+    const since = now - lagMs;
+    const bound = Math.max(0, total - this.leastOwn(since));
     this.earlier ??= bound;
-    while (this.count > bound) this.dropOne();
+    // A run that was given up later may have started after the report was made.
+    const seen = [...this.abandoned].filter(([, run]) => run.time <= since).map(([id]) => id);
+    for (let excess = this.earlier + seen.length - bound; excess > 0; excess -= 1)
+      this.dropOne(seen.shift());
   }
 
   private leastOwn(since: number): number {
@@ -71,10 +76,9 @@
     return Math.min(...this.history.map((line) => line.running));
   }
 
-  private dropOne(): void {
+  private dropOne(id: string | undefined): void {
     this.reductions += 1;
-    const [oldest] = this.abandoned.keys();
-    if (oldest !== undefined) this.abandoned.delete(oldest);
+    if (id !== undefined) this.abandoned.delete(id);
     else this.earlier = Math.max(0, (this.earlier ?? 0) - 1);
   }
 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -17,6 +17,8 @@
   Report = 'report',
   /** Any process to any other: the highest configuration that the other knows. */
   FetchConfiguration = 'configuration.fetch',
+  /** Sidecar to router: whether its revision is still the highest. */
+  ConfirmRevision = 'configuration.confirm',
 }
 
 /** Methods of notices. */
@@ -211,6 +213,14 @@
   text: string;
 }
 
+/** A router's answer to the question whether a revision is still the highest. */
+export interface RevisionStanding {
+  /** Revision that the router has in force. */
+  revision: number;
+  /** Time since the configuration service confirmed it to the router; absent if it has not. */
+  serviceAgeMs?: number | undefined;
+}
+
 /** Parameters and results of the calls. */
 export interface Calls {
   [CallMethod.Hello]: { params: Hello; result: Hello };
@@ -218,6 +228,7 @@
   [CallMethod.Claim]: { params: Claim; result: ClaimAnswer };
   [CallMethod.Report]: { params: Report; result: ReportAnswer };
   [CallMethod.FetchConfiguration]: { params: RevisionNotice; result: ConfigurationDocument };
+  [CallMethod.ConfirmRevision]: { params: RevisionNotice; result: RevisionStanding };
 }
 
 /** Parameters of the notices. */
--- a/packages/fleet/src/platform/configuration-client.ts
+++ b/packages/fleet/src/platform/configuration-client.ts
@@ -46,6 +46,11 @@
     return this.get(path, WATCH_WAIT_MS + REQUEST_TIMEOUT_MS, signal);
   }
 
+  /** The value if it is newer than `after`, without waiting. */
+  async check(after: number, signal: AbortSignal): Promise<ConfigurationDocument | undefined> {
+    return this.get(`/v1/watch?after=${after}&wait_ms=0`, REQUEST_TIMEOUT_MS, signal);
+  }
+
   private async get(
     path: string,
     timeoutMs: number,
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -18,6 +18,7 @@
 import './router/app.ts';
 import './callers/app.ts';
 import './sidecar/app.ts';
+import './currency/app.ts';
 import './ledger/app.ts';
 import './operators/app.ts';
 
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -4,17 +4,18 @@
  * their router has settled them, so that a lost link costs nothing.
  */
 import { EXECUTION_KEEP_MS } from '@poplarpick/decisions';
-import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
-import type { AttemptReference, Backlog, Frame, Grant, ResumeAnswer } from '../messages.ts';
+import type { AttemptReference, Frame, Grant, ResumeAnswer } from '../messages.ts';
+import { AdmissionMessageKind } from './admission-messages.ts';
+import type { AdmissionMessage } from './admission-messages.ts';
 import { Claimer } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
-import type { LoadReport } from './load-watch.ts';
 import { PowerGate } from './power-gate.ts';
 import type { PowerStatus } from './power-gate.ts';
 import type { ServiceMeter } from './service-meter.ts';
@@ -26,53 +27,6 @@
 /** Period of the look at deadlines and answers to forget. */
 const TICK_MS = 100;
 
-/** Kinds of messages to the admission. */
-export enum AdmissionMessageKind {
-  Configure,
-  Join,
-  Resumed,
-  Lose,
-  Backlog,
-  Answered,
-  Totals,
-  Cancel,
-  Settle,
-  Produced,
-  Finished,
-  Flush,
-  Tick,
-  Drain,
-  Load,
-  Confirm,
-  Suspended,
-}
-
-/** Messages to the admission. */
-export type AdmissionMessage =
-  | { kind: AdmissionMessageKind.Configure; configuration: FleetConfiguration }
-  | { kind: AdmissionMessageKind.Join; peer: Peer }
-  | { kind: AdmissionMessageKind.Resumed; peer: Peer; answer: ResumeAnswer }
-  | { kind: AdmissionMessageKind.Lose; peer: Peer }
-  | { kind: AdmissionMessageKind.Backlog; peer: Peer; backlog: Backlog }
-  | { kind: AdmissionMessageKind.Answered; claim: AnsweredClaim }
-  | { kind: AdmissionMessageKind.Totals; totals: ServiceEntry[] }
-  | { kind: AdmissionMessageKind.Cancel; reference: AttemptReference }
-  | { kind: AdmissionMessageKind.Settle; reference: AttemptReference }
-  | { kind: AdmissionMessageKind.Produced; execution: Execution; data: Buffer; cost: number }
-  | {
-      kind: AdmissionMessageKind.Finished;
-      execution: Execution;
-      cost: number;
-      error?: RequestError;
-    }
-  | { kind: AdmissionMessageKind.Flush }
-  | { kind: AdmissionMessageKind.Tick }
-  | { kind: AdmissionMessageKind.Drain }
-  | { kind: AdmissionMessageKind.Load; report: LoadReport }
-  /** At the monotonic time `at` no higher revision was in force anywhere. */
-  | { kind: AdmissionMessageKind.Confirm; revision: number; at: number }
-  | { kind: AdmissionMessageKind.Suspended; execution: Execution; halted: boolean };
-
 /** Options of an `Admission`. */
 export interface AdmissionOptions {
   endpoint: string;
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -13,7 +13,8 @@
   sidecarSettingsKey,
   statusBoardKey,
 } from '../parts.ts';
-import { Admission, AdmissionMessageKind } from './admission.ts';
+import { Admission } from './admission.ts';
+import { AdmissionMessageKind } from './admission-messages.ts';
 import { ApplicationClient } from './application-client.ts';
 import { EndpointClient } from './endpoint-client.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
--- a/packages/fleet/src/sidecar/power-gate.ts
+++ b/packages/fleet/src/sidecar/power-gate.ts
@@ -92,7 +92,7 @@
 
   /** A run was given up; `stopped` says whether the endpoint confirms that it no longer works on it. */
   abandon(id: string, stopped: Promise<boolean>): void {
-    this.leftover.abandon(id);
+    this.leftover.abandon(id, this.now());
     void stopped.then((confirmed) => {
       if (confirmed) this.leftover.confirmStopped(id);
     });
