--- a/packages/fleet/src/currency/app.ts
+++ b/packages/fleet/src/currency/app.ts
@@ -88,7 +88,7 @@
     const askedAt = kernel.clock.monotonic();
     const { revision } = kernel.part(configurationKey);
     peer.link
-      .call(CallMethod.ConfirmRevision, { revision })
+      .call(CallMethod.ConfirmRevision, {})
       .then((answer) => {
         const routers = listLiveRouters(kernel.part(hostDirectoryKey).hosts).map(({ id }) => id);
         const at = this.confirmations.accept(
--- a/packages/fleet/src/currency/service-check.ts
+++ b/packages/fleet/src/currency/service-check.ts
@@ -4,6 +4,7 @@
  */
 import { describeError } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import { ConfigurationMessageKind } from '../configuration/configuration-task.ts';
 import type { ConfigurationTask } from '../configuration/configuration-task.ts';
 import type { ConfigurationClient } from '../platform/configuration-client.ts';
 
@@ -68,7 +69,7 @@
     try {
       const document = await client.check(revision, this.stopping.signal);
       if (document !== undefined && document.revision > revision)
-        task.post({ document, source: 'service' });
+        task.post({ kind: ConfigurationMessageKind.Offer, document, source: 'service' });
       else this.note(revision, askedAt);
     } catch (error) {
       log.debug({ event: 'configuration.check_failed', error: describeError(error) });
