--- a/packages/fleet/src/sidecar/admission-messages.ts
+++ b/packages/fleet/src/sidecar/admission-messages.ts
@@ -10,6 +10,7 @@
 /** Kinds of messages to the admission. */
 export enum AdmissionMessageKind {
   Configure,
+  PlannedStop,
   Join,
   Resumed,
   Lose,
@@ -31,6 +32,7 @@
 /** Messages to the admission. */
 export type AdmissionMessage =
   | { kind: AdmissionMessageKind.Configure; configuration: FleetConfiguration }
+  | { kind: AdmissionMessageKind.PlannedStop; marked: boolean }
   | { kind: AdmissionMessageKind.Join; peer: Peer }
   | { kind: AdmissionMessageKind.Resumed; peer: Peer; answer: ResumeAnswer }
   | { kind: AdmissionMessageKind.Lose; peer: Peer }
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -63,7 +63,10 @@
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
   private running = 0;
-  private draining = false;
+  /** Marked for a planned stop, which may be withdrawn. */
+  private marked = false;
+  /** The process has been told to end. */
+  private stopping = false;
   private flushing = false;
   private onIdle: (() => void) | undefined;
 
@@ -85,7 +88,7 @@
   }
 
   readStatus(): AdmissionStatus {
-    const { running, draining } = this;
+    const { running, isDraining: draining } = this;
     return {
       slots: this.gate.slots(),
       running,
@@ -119,6 +122,9 @@
       case AdmissionMessageKind.Configure:
         this.configure(message.configuration);
         return;
+      case AdmissionMessageKind.PlannedStop:
+        this.mark(message.marked);
+        return;
       case AdmissionMessageKind.Join:
         this.join(message.peer);
         return;
@@ -157,7 +163,7 @@
         this.tick();
         return;
       case AdmissionMessageKind.Drain:
-        this.draining = true;
+        this.stopping = true;
         return;
       case AdmissionMessageKind.Load:
         this.gate.noteLoad(message.report);
@@ -171,16 +177,18 @@
     }
   }
 
+  private get isDraining(): boolean {
+    return this.marked || this.stopping;
+  }
+
+  private mark(marked: boolean): void {
+    this.marked = marked;
+    this.schedule();
+  }
+
   private configure(configuration: FleetConfiguration): void {
-    const { endpoint, host, log } = this.options;
     this.claimer.configure(configuration);
     this.gate.configure(configuration);
-    const leaving = configuration.planned_stops.some(
-      ({ target }) => target === endpoint || target === host,
-    );
-    if (leaving !== this.draining)
-      log.info({ event: leaving ? 'sidecar.draining' : 'sidecar.serving', endpoint });
-    this.draining = leaving;
     this.schedule();
   }
 
@@ -231,7 +239,7 @@
   private schedule(): void {
     if (this.running > this.gate.powerSlots()) this.shrink();
     while (this.running < this.gate.slots() && this.suspended.resumeOne()) this.countRuns(1);
-    if (!this.draining) this.claimer.claim(this.gate.slots() - this.running);
+    if (!this.isDraining) this.claimer.claim(this.gate.slots() - this.running);
   }
 
   private shrink(): void {
@@ -260,7 +268,7 @@
 
   private admit(peer: Peer, grant: Grant): void {
     const reference = { request: grant.request, attempt: grant.attempt };
-    if (this.draining) {
+    if (this.isDraining) {
       this.refuse(peer, reference, ErrorCode.Draining, 'the endpoint is draining', true);
       return;
     }
