Keep application engines running beside a preset that nothing can run under

Cause: a preset whose cap is below the idle power gave application engines no slot under any preset. Such presets no longer count for the slots that an engine has under all of them; a test shows both.

--- a/packages/decisions/src/power/slot-budget.test.ts
+++ b/packages/decisions/src/power/slot-budget.test.ts
@@ -71,6 +71,23 @@
     );
   });
 
+  it('starts nothing under a cap below the idle power, which costs other presets nothing', () => {
+    const line = {
+      name: 'booking',
+      kind: EndpointKind.Application,
+      data_centre: 'ct1',
+      models: [],
+      slots: 2,
+      idle_watts: 200,
+      watts_per_slot: 50,
+    };
+    const ordinary = configurationOf([line], 300);
+    const low = { name: 'low', caps: [{ data_centre: 'ct1', watts: 150 }], weights: [] };
+    const configuration = { ...ordinary, presets: [...ordinary.presets, low] };
+    expect(computeSlotBudget(configuration, 'booking')).to.equal(2);
+    expect(computeSlotBudget({ ...configuration, preset: 'low' }, 'booking')).to.equal(0);
+  });
+
   it('gives an unknown endpoint nothing', () => {
     expect(computeSlotBudget(configurationOf([], 100), 'engine-0')).to.equal(0);
   });
--- a/packages/decisions/src/power/slot-budget.ts
+++ b/packages/decisions/src/power/slot-budget.ts
@@ -3,7 +3,8 @@
  * configuration alone, so every process computes the same without talking.
  *
  * A call at an application engine cannot be suspended, so its engine's slots are the same under every
- * preset: the fewest that any preset allows. Model engines share what is left.
+ * preset: the fewest that any preset allows, but for presets whose cap is below the idle power, which
+ * no allocation can keep. Model engines share what is left.
  */
 import { EndpointKind, findPreset } from '../configuration/fleet-configuration.ts';
 import type {
@@ -17,11 +18,18 @@
   return slotsUnder(configuration, endpointName, findPreset(configuration));
 }
 
-/** The fewest slots that an endpoint has under any preset; safe whichever of them is in force. */
+/**
+ * The fewest slots that an endpoint has under any preset; safe whichever of them is in force. Presets
+ * whose cap is below the idle power of the data centre do not count.
+ */
 export function computeSlotFloor(configuration: FleetConfiguration, endpointName: string): number {
-  return Math.min(
-    ...configuration.presets.map((preset) => slotsUnder(configuration, endpointName, preset)),
-  );
+  const endpoint = configuration.endpoints.find((line) => line.name === endpointName);
+  if (endpoint === undefined) return 0;
+  const peers = configuration.endpoints.filter((line) => line.data_centre === endpoint.data_centre);
+  const slots = configuration.presets
+    .filter((preset) => wattsForSlots(peers, preset, endpoint.data_centre) >= 0)
+    .map((preset) => slotsUnder(configuration, endpointName, preset));
+  return slots.length === 0 ? 0 : Math.min(...slots);
 }
 
 /** Slots of every endpoint of a data centre under a preset, by default the one in force. */
@@ -35,6 +43,7 @@
     .sort((a, b) => (a.name < b.name ? -1 : 1));
   const applications = endpoints.filter((line) => line.kind === EndpointKind.Application);
   const watts = wattsForSlots(endpoints, preset, dataCentre);
+  if (watts < 0) return new Map(endpoints.map((line) => [line.name, 0]));
   const fixed = fixApplicationSlots(configuration.presets, endpoints, dataCentre);
   const used = applications.reduce(
     (sum, line) => sum + line.watts_per_slot * (fixed.get(line.name) ?? 0),
@@ -59,9 +68,10 @@
   endpoints: readonly EndpointConfiguration[],
   dataCentre: string,
 ): Map<string, number> {
-  const shares = presets.map((preset) =>
-    shareWatts(endpoints, wattsForSlots(endpoints, preset, dataCentre)),
-  );
+  const shares = presets
+    .map((preset) => wattsForSlots(endpoints, preset, dataCentre))
+    .filter((watts) => watts >= 0)
+    .map((watts) => shareWatts(endpoints, watts));
   const applications = endpoints.filter((line) => line.kind === EndpointKind.Application);
   return new Map(
     applications.map(({ name }) => [
--- a/packages/fleet/src/sidecar/admission-messages.ts
+++ b/packages/fleet/src/sidecar/admission-messages.ts
@@ -1,4 +1,4 @@
-/** Messages to the admission of a sidecar. */
+/** Messages to the admission of a sidecar, and what it tells operators. */
 import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
 import type { RequestError } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
@@ -6,6 +6,7 @@
 import type { AnsweredClaim } from './claimer.ts';
 import type { Execution } from './execution.ts';
 import type { LoadReport } from './load-watch.ts';
+import type { PowerStatus } from './power-gate.ts';
 
 /** Kinds of messages to the admission. */
 export enum AdmissionMessageKind {
@@ -55,3 +56,15 @@
   /** At the monotonic time `at` no higher revision was in force anywhere. */
   | { kind: AdmissionMessageKind.Confirm; revision: number; at: number }
   | { kind: AdmissionMessageKind.Suspended; execution: Execution; halted: boolean };
+
+/** What the admission tells operators. */
+export interface AdmissionStatus {
+  slots: number;
+  running: number;
+  claiming: number;
+  /** Runs that are halted to keep the power cap. */
+  suspended: number;
+  kept: number;
+  draining: boolean;
+  power: PowerStatus;
+}
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -11,13 +11,12 @@
 import { CallMethod, NoticeMethod } from '../messages.ts';
 import type { AttemptReference, Frame, Grant, ResumeAnswer } from '../messages.ts';
 import { AdmissionMessageKind } from './admission-messages.ts';
-import type { AdmissionMessage } from './admission-messages.ts';
+import type { AdmissionMessage, AdmissionStatus } from './admission-messages.ts';
 import { Claimer } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
 import { PowerGate } from './power-gate.ts';
-import type { PowerStatus } from './power-gate.ts';
 import type { ServiceMeter } from './service-meter.ts';
 import { SuspendedRuns } from './suspended-runs.ts';
 
@@ -38,18 +37,6 @@
   metrics: Metrics;
 }
 
-/** What the admission tells operators. */
-export interface AdmissionStatus {
-  slots: number;
-  running: number;
-  claiming: number;
-  /** Runs that are halted to keep the power cap. */
-  suspended: number;
-  kept: number;
-  draining: boolean;
-  power: PowerStatus;
-}
-
 /** Admits requests to one endpoint. */
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
