Bring engines to the state that the preset wants

Cause: nothing gave engines orders. The sidecar beside an engine now reads its state, gives the next order with a fencing number that rises over restarts without storage, and reads back, which also corrects engines that ignore the numbers. Loads keep the weight store's rate by slots of time that follow from the configuration.

--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -108,6 +108,13 @@
     await this.noteSidecarStart(sidecar);
   }
 
+  /** Starts another sidecar beside the same endpoint, as a replacement does; the first one is left. */
+  async startSecondSidecar(sidecar: SidecarNode): Promise<void> {
+    sidecar.operators = '';
+    sidecar.process = this.spawnSidecar(sidecar);
+    await this.noteSidecarStart(sidecar);
+  }
+
   /** The fault proxy between a process and the configuration service. Throws where there is none. */
   serviceProxy(host: string): FaultProxy {
     const found = this.serviceProxies.get(host);
--- a/packages/decisions/src/configuration/fleet-configuration.ts
+++ b/packages/decisions/src/configuration/fleet-configuration.ts
@@ -55,18 +55,33 @@
   slots: z.int().positive(),
   idle_watts: z.number().nonnegative().default(0),
   watts_per_slot: z.number().nonnegative().default(0),
+  /** Whether a model engine checks who gives it orders; one that does not must be local to its sidecar. */
+  checks_sender: z.boolean().default(false),
 });
 
 const cap = z.strictObject({ data_centre: name, watts: z.number().positive() });
 
 const presetWeight = z.strictObject({ workspace: name, weight: z.number().positive() });
 
+/** What a preset wants a model engine to be; what is left out stays as it is. */
+const engineOrders = z.strictObject({
+  endpoint: name,
+  /** Models that are to be loaded, and no others. */
+  models: z.array(name).min(1),
+  /** Adapters that are to be loaded, and no others. */
+  adapters: z.array(name).default([]),
+  version: z.string().min(1).optional(),
+  role: z.string().min(1).optional(),
+});
+
 const preset = z.strictObject({
   name,
   /** Power cap of each data centre; a data centre without one has no cap. */
   caps: z.array(cap).default([]),
   /** Weights that replace the workspaces' own while the preset is in force. */
   weights: z.array(presetWeight).default([]),
+  /** States that model engines are brought to while the preset is in force. */
+  engines: z.array(engineOrders).default([]),
 });
 
 /** Least settle time, which leaves room for a lease beside the time to shrink. */
@@ -79,6 +94,13 @@
   load_lag_ms: z.int().positive().default(500),
 });
 
+const weightStore = z.strictObject({
+  /** Reads a second that the weight store allows to the whole fleet. */
+  reads_per_second: z.number().positive().default(1),
+  /** Most by which the clocks of two hosts may differ. */
+  clock_skew_ms: z.int().nonnegative().default(250),
+});
+
 const plannedStop = z.strictObject({
   /** Name of a host or endpoint that is to leave. */
   target: name,
@@ -98,6 +120,7 @@
     endpoints: z.array(endpoint).default([]),
     presets: z.array(preset).min(1),
     power: power.default({ settle_ms: 2_000, load_lag_ms: 500 }),
+    weight_store: weightStore.default({ reads_per_second: 1, clock_skew_ms: 250 }),
     planned_stops: z.array(plannedStop).default([]),
   })
   .superRefine(checkReferences);
@@ -107,6 +130,7 @@
 export type WorkspaceConfiguration = FleetConfiguration['workspaces'][number];
 export type EndpointConfiguration = FleetConfiguration['endpoints'][number];
 export type PresetConfiguration = FleetConfiguration['presets'][number];
+export type EngineOrders = z.output<typeof engineOrders>;
 export type ServiceConfiguration = FleetConfiguration['services'][number];
 
 /** Parses and checks a fleet configuration. Throws `ConfigurationError`. */
@@ -163,6 +187,7 @@
   }
   draft.endpoints.forEach((line, index) => checkEndpoint(draft, line, index, context));
   draft.presets.forEach((line, index) => checkPreset(draft, line, index, context));
+  draft.presets.forEach((line, index) => checkEngines(draft, line, index, context));
   checkUniqueKeys(draft, context);
 }
 
@@ -235,6 +260,28 @@
   });
 }
 
+function checkEngines(
+  draft: Draft,
+  line: Draft['presets'][number],
+  index: number,
+  context: Context,
+): void {
+  const seen = new Set<string>();
+  line.engines.forEach((entry, position) => {
+    const at = (key: string) => ['presets', index, 'engines', position, key];
+    const found = draft.endpoints.find(({ name: known }) => known === entry.endpoint);
+    if (found?.kind !== EndpointKind.Model)
+      addProblem(context, at('endpoint'), `no model engine is named ${entry.endpoint}`);
+    if (seen.has(entry.endpoint))
+      addProblem(context, at('endpoint'), `duplicate orders to ${entry.endpoint}`);
+    seen.add(entry.endpoint);
+    for (const served of found?.models ?? []) {
+      if (!entry.models.includes(served))
+        addProblem(context, at('models'), `lacks ${served}, which the endpoint serves`);
+    }
+  });
+}
+
 function hasName(lines: { name: string }[], wanted: string): boolean {
   return lines.some((line) => line.name === wanted);
 }
--- a/packages/decisions/src/power/power-budget.test.ts
+++ b/packages/decisions/src/power/power-budget.test.ts
@@ -28,13 +28,16 @@
       slots: 4,
       idle_watts: IDLE_WATTS,
       watts_per_slot: WATTS_PER_SLOT,
+      checks_sender: false,
     })),
     presets: PRESETS.map((name, index) => ({
       name,
       caps: [{ data_centre: 'ct1', watts: CAPS[index] ?? 0 }],
       weights: [],
+      engines: [],
     })),
     power: { settle_ms: SETTLE_MS, load_lag_ms: 500 },
+    weight_store: { reads_per_second: 1, clock_skew_ms: 250 },
     planned_stops: [],
   };
 }
--- a/packages/decisions/src/power/power-budget.ts
+++ b/packages/decisions/src/power/power-budget.ts
@@ -72,6 +72,12 @@
     this.confirmedAt = Math.max(this.confirmedAt, time);
   }
 
+  /** Whether the revision is known to be the latest, or to have been within the lease. */
+  isConfirmed(now: number): boolean {
+    const { configuration } = this;
+    return configuration !== undefined && now <= this.confirmedAt + leaseMs(configuration);
+  }
+
   /** The slots that may be in use now. */
   read(now: number): Budget {
     const { configuration } = this;
@@ -80,7 +86,7 @@
       ({ supersededAt }) => now < supersededAt + configuration.power.settle_ms,
     );
     const settled = Math.min(this.slots, ...this.superseded.map((line) => line.slots));
-    if (now > this.confirmedAt + leaseMs(configuration) && this.floor < settled)
+    if (!this.isConfirmed(now) && this.floor < settled)
       return { slots: this.floor, cause: BudgetCause.Unconfirmed };
     const cause = settled < this.slots ? BudgetCause.Settling : BudgetCause.InForce;
     return { slots: settled, cause };
--- a/packages/decisions/src/power/slot-budget.test.ts
+++ b/packages/decisions/src/power/slot-budget.test.ts
@@ -20,6 +20,7 @@
       kind: EndpointKind.Model,
       data_centre: 'ct1',
       models: ['m'],
+      checks_sender: false,
     })),
   );
 
@@ -36,8 +37,11 @@
     services: [],
     workspaces: [],
     endpoints: lines,
-    presets: [{ name: 'ordinary', caps: [{ data_centre: 'ct1', watts }], weights: [] }],
+    presets: [
+      { name: 'ordinary', caps: [{ data_centre: 'ct1', watts }], weights: [], engines: [] },
+    ],
     power: { settle_ms: 2_000, load_lag_ms: 500 },
+    weight_store: { reads_per_second: 1, clock_skew_ms: 250 },
     planned_stops: [],
   };
 }
@@ -80,9 +84,15 @@
       slots: 2,
       idle_watts: 200,
       watts_per_slot: 50,
+      checks_sender: false,
     };
     const ordinary = configurationOf([line], 300);
-    const low = { name: 'low', caps: [{ data_centre: 'ct1', watts: 150 }], weights: [] };
+    const low = {
+      name: 'low',
+      caps: [{ data_centre: 'ct1', watts: 150 }],
+      weights: [],
+      engines: [],
+    };
     const configuration = { ...ordinary, presets: [...ordinary.presets, low] };
     expect(computeSlotBudget(configuration, 'booking')).to.equal(2);
     expect(computeSlotBudget({ ...configuration, preset: 'low' }, 'booking')).to.equal(0);
--- /dev/null
+++ b/packages/fleet/src/orders/engine-orders.ts
@@ -0,0 +1,199 @@
+/**
+ * Brings the engine beside the sidecar to the state that the preset in force wants: reads the state,
+ * gives the next order, and reads again. Reading back is also what corrects an engine that took an
+ * order from someone else, or a late one of a process that was replaced.
+ */
+import {
+  findEngineOrders,
+  isLoad,
+  loadSlotMs,
+  nextFencingNumber,
+  nextLoadSlot,
+  planNextOrder,
+} from '@poplarpick/decisions';
+import type {
+  EngineOrders,
+  EngineState,
+  FleetConfiguration,
+  LoadSlotOptions,
+  PlannedOrder,
+} from '@poplarpick/decisions';
+import { describeError, Metric, RepairKind, tellRepair } from '@poplarpick/kernel';
+import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
+import { OrderOutcome } from './engine-control.ts';
+import type { EngineControl } from './engine-control.ts';
+
+/** Time between two looks at the engine's state. */
+const LOOK_PERIOD_MS = 500;
+
+/** Time by which a load may miss the beginning of its slot. */
+const LATEST_START_MS = 100;
+
+/** Time for which a sidecar gives no orders once another has given some. */
+const STAND_DOWN_MS = 30_000;
+
+/** Options of an `EngineOrdersTask`. */
+export interface EngineOrderingOptions {
+  endpoint: string;
+  /** Whether the engine may be reached by this host alone. */
+  isLocal: boolean;
+  control: EngineControl;
+  clock: Clock;
+  log: Logger;
+  metrics: Metrics;
+  /** The configuration in force, if it is confirmed to be the latest. */
+  readConfiguration: () => FleetConfiguration | undefined;
+}
+
+/** What operators see of the orders. */
+export interface OrderStatus {
+  /** Whether the engine shows what the preset wants; absent where the preset wants nothing. */
+  settled?: boolean;
+  state?: EngineState;
+  lastOrder?: PlannedOrder & { outcome: string };
+}
+
+/** Gives orders to one engine. */
+export class EngineOrdering {
+  private readonly options: EngineOrderingOptions;
+  private readonly timer: Timer;
+  private loadTimer: Timer | undefined;
+  private busy = false;
+  private lastFencing = '';
+  private standDownUntil = -Infinity;
+  private settledFor = '';
+  private warned = false;
+  private status: OrderStatus = {};
+
+  constructor(options: EngineOrderingOptions) {
+    this.options = options;
+    this.timer = options.clock.every(LOOK_PERIOD_MS, () => void this.look(false));
+  }
+
+  readStatus(): OrderStatus {
+    return this.status;
+  }
+
+  async stop(): Promise<void> {
+    this.timer.stop();
+    this.loadTimer?.stop();
+    await this.options.control.close();
+  }
+
+  /** Reads the state and gives the next order; a load only where `mayLoad`. */
+  private async look(mayLoad: boolean): Promise<void> {
+    const configuration = this.options.readConfiguration();
+    if (this.busy || configuration === undefined) return;
+    const desired = findEngineOrders(configuration, this.options.endpoint);
+    if (desired === undefined || !this.isGuarded(configuration)) return;
+    this.busy = true;
+    try {
+      await this.step(configuration, desired, mayLoad);
+    } catch (error) {
+      this.options.log.warn({ event: 'orders.failed', error: describeError(error) });
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private async step(
+    configuration: FleetConfiguration,
+    desired: EngineOrders,
+    mayLoad: boolean,
+  ): Promise<void> {
+    const state = await this.options.control.readState();
+    this.noteOtherSender(state);
+    const order = planNextOrder(desired, state);
+    this.noteState(desired, state, order);
+    if (order === undefined || this.options.clock.monotonic() < this.standDownUntil) return;
+    if (isLoad(order) && !mayLoad) {
+      this.loadLater(configuration);
+      return;
+    }
+    await this.give(order, state);
+  }
+
+  private async give(order: PlannedOrder, state: EngineState): Promise<void> {
+    const { control, clock, log, metrics, endpoint } = this.options;
+    // The reads above take time in which a pause may have outlasted the confirmation.
+    if (this.options.readConfiguration() === undefined) return;
+    this.lastFencing = nextFencingNumber(clock.now(), state.fencing, this.lastFencing);
+    const outcome = await control.give(order, this.lastFencing);
+    const line = { endpoint, ...order, fencing: this.lastFencing, outcome };
+    log.info({ event: 'orders.given', ...line });
+    metrics.increment(Metric.Orders, 1, { endpoint, action: order.action, outcome });
+    this.status = { ...this.status, lastOrder: { ...order, outcome } };
+    if (outcome === OrderOutcome.Stale) this.standDown();
+  }
+
+  /** An engine that has seen a higher number than ours takes its orders from another sidecar. */
+  private noteOtherSender(state: EngineState): void {
+    if (this.lastFencing !== '' && state.fencing > this.lastFencing) this.standDown();
+  }
+
+  private standDown(): void {
+    const { clock, log, endpoint } = this.options;
+    this.lastFencing = '';
+    this.standDownUntil = clock.monotonic() + STAND_DOWN_MS;
+    log.warn({ event: 'orders.stood_down', endpoint, for_ms: STAND_DOWN_MS });
+  }
+
+  private noteState(
+    desired: EngineOrders,
+    state: EngineState,
+    order: PlannedOrder | undefined,
+  ): void {
+    const wanted = JSON.stringify(desired);
+    const settled = order === undefined && !state.loading;
+    this.status = { ...this.status, state, settled };
+    if (settled) {
+      this.settledFor = wanted;
+      return;
+    }
+    if (order === undefined || this.settledFor !== wanted) return;
+    this.settledFor = '';
+    const subject = this.options.endpoint;
+    tellRepair(this.options, {
+      kind: RepairKind.OrderCorrected,
+      cause: 'changed by another',
+      subject,
+    });
+  }
+
+  /** Plans a look for the beginning of the endpoint's next load slot. */
+  private loadLater(configuration: FleetConfiguration): void {
+    if (this.loadTimer !== undefined) return;
+    const { clock, endpoint, log } = this.options;
+    const slot = nextLoadSlot(readLoadSlotOptions(configuration), endpoint, clock.now());
+    const waitMs = slot.startsAt - clock.now();
+    log.info({ event: 'orders.load_waits', endpoint, wait_ms: Math.round(waitMs) });
+    this.loadTimer = clock.after(waitMs, () => {
+      this.loadTimer = undefined;
+      if (Math.abs(clock.now() - slot.startsAt) <= LATEST_START_MS) void this.look(true);
+    });
+  }
+
+  /** An engine that takes orders from anyone must be out of reach for others. */
+  private isGuarded(configuration: FleetConfiguration): boolean {
+    const { endpoint, isLocal, log } = this.options;
+    const line = configuration.endpoints.find((entry) => entry.name === endpoint);
+    const guarded = line?.checks_sender === true || isLocal;
+    if (!guarded && !this.warned) log.error({ event: 'orders.unguarded', endpoint });
+    this.warned = !guarded;
+    return guarded;
+  }
+}
+
+/** How the load slots of the fleet follow from its configuration. */
+export function readLoadSlotOptions(configuration: FleetConfiguration): LoadSlotOptions {
+  const endpoints = configuration.endpoints
+    .map((line) => line.name)
+    .filter((name) => findEngineOrders(configuration, name) !== undefined);
+  const { reads_per_second, clock_skew_ms } = configuration.weight_store;
+  return { readsPerSecond: reads_per_second, clockSkewMs: clock_skew_ms, endpoints };
+}
+
+/** Time after which every endpoint has had a load slot. */
+export function loadRoundMs(options: LoadSlotOptions): number {
+  return loadSlotMs(options) * options.endpoints.length;
+}
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -20,6 +20,7 @@
 import './callers/app.ts';
 import './sidecar/app.ts';
 import './currency/app.ts';
+import './orders/app.ts';
 import './ledger/app.ts';
 import './operators/app.ts';
 
--- a/packages/fleet/src/sidecar/power-gate.ts
+++ b/packages/fleet/src/sidecar/power-gate.ts
@@ -27,6 +27,8 @@
   /** Slots that power allows. */
   powerSlots: number;
   cause: BudgetCause;
+  /** Whether the configuration is known to be the latest. */
+  confirmed: boolean;
   batchLimit: number;
   /** Runs that may be left over; absent before the first load report. */
   leftover?: number;
@@ -100,7 +102,8 @@
 
   readStatus(): PowerStatus {
     const { slots, cause } = this.budget.read(this.now());
-    const status = { powerSlots: slots, cause, batchLimit: this.batch.limit };
+    const confirmed = this.budget.isConfirmed(this.now());
+    const status = { powerSlots: slots, cause, confirmed, batchLimit: this.batch.limit };
     const leftover = this.leftover.count;
     return Number.isFinite(leftover) ? { ...status, leftover } : status;
   }
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -18,6 +18,7 @@
   ControlBytes = 'links.control_bytes',
   ConfigurationRevision = 'configuration.revision',
   Repairs = 'repairs',
+  Orders = 'orders.given',
 }
 
 /** Tags of one sample. */
--- a/packages/stand-ins/src/site/site-plan.ts
+++ b/packages/stand-ins/src/site/site-plan.ts
@@ -114,6 +114,15 @@
   };
 }
 
+/** What every preset of a revision wants of one model engine. */
+export interface PlannedEngineOrders {
+  endpoint: string;
+  models: string[];
+  adapters?: string[];
+  version?: string | undefined;
+  role?: string | undefined;
+}
+
 /** What may differ between two revisions of a site's configuration. */
 export interface RevisionOptions {
   revision: number;
@@ -121,6 +130,10 @@
   plannedStops?: string[];
   /** Time that a switch takes to settle; the default of the configuration if absent. */
   settleMs?: number;
+  /** States that every preset brings model engines to. */
+  engines?: PlannedEngineOrders[];
+  /** Reads a second of the weight store, where not the default. */
+  weightStoreReads?: number;
 }
 
 /** Names of the presets of every planned site. */
@@ -156,7 +169,11 @@
     presets: Object.values(SitePreset).map((preset) => ({
       name: preset,
       caps: capsOf(plan, preset),
+      ...(options.engines === undefined ? {} : { engines: options.engines }),
     })),
+    ...(options.weightStoreReads === undefined
+      ? {}
+      : { weight_store: { reads_per_second: options.weightStoreReads } }),
     ...(options.settleMs === undefined ? {} : { power: { settle_ms: options.settleMs } }),
     planned_stops: (options.plannedStops ?? []).map((target) => ({ target })),
   });
--- a/packages/stand-ins/src/site/site.ts
+++ b/packages/stand-ins/src/site/site.ts
@@ -13,6 +13,8 @@
 export interface SiteOptions {
   engine?: Partial<ModelEngineOptions>;
   /** Time that a call of an application takes. */
+  /** Options of single model engines, by name. */
+  engines?: Record<string, Partial<ModelEngineOptions>>;
   applicationWorkMs?: number;
   hostListLagMs?: number;
   /** Settle time in the first revision. */
@@ -34,7 +36,9 @@
     this.hosts = new HostList({ lagMs: options.hostListLagMs ?? 0 });
     for (const { name, kind } of plan.endpoints) {
       if (kind === EndpointKind.Model) {
-        this.modelEngines.set(name, new ModelEngine({ models: [plan.model], ...options.engine }));
+        const own = options.engines?.[name];
+        const engine = new ModelEngine({ models: [plan.model], ...options.engine, ...own });
+        this.modelEngines.set(name, engine);
       } else {
         this.applicationEngines.set(
           name,
