Trust a process by its certificate, and answer none before its hello

Cause: links were plain TCP, a process could claim any name, and a process that had not said hello was answered. Links now use TLS 1.3 with certificates on both sides, bound to fleet, role and host; settings must say whom to trust. Keys are read again when their files change, without the loss of a link.

The test of syntax errors and the others of the command line get settings with the new [trust] table.

--- a/packages/bench/src/integration/command-line.test.ts
+++ b/packages/bench/src/integration/command-line.test.ts
@@ -1,5 +1,6 @@
 import { spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { X509Certificate } from 'node:crypto';
+import { mkdtempSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { createInterface } from 'node:readline';
@@ -43,6 +44,8 @@
     `address = "${links}"`,
     '[operators]',
     'address = "127.0.0.1:0"',
+    '[trust]',
+    'mode = "none"',
   ].join('\n');
 }
 
@@ -136,6 +139,29 @@
     expect(stderr).to.include('http://127.0.0.1:1');
   });
 
+  it('refuses settings that do not say whom to trust', async () => {
+    const text = routerSettings().replace('[trust]\nmode = "none"', '');
+    const { code, stderr } = await runCommand('config', 'check', write('trust.toml', text));
+    expect(code).to.equal(2);
+    expect(stderr).to.contain('trust: must be a table with mode');
+  });
+
+  it('makes an authority once, and certificates that it has signed', async () => {
+    const keys = join(folder, 'keys');
+    const make = ['keys', 'make', '--fleet', 'izvor', '--folder', keys];
+    expect(await runCommand(...make, 'router:entry-1')).to.include({ code: 0, stderr: '' });
+    expect(await runCommand(...make, 'sidecar:host-2')).to.include({ code: 0, stderr: '' });
+    const [authority, first, second] = ['ca', 'entry-1', 'host-2'].map(
+      (name) => new X509Certificate(readFileSync(join(keys, `${name}.pem`))),
+    );
+    if (authority === undefined) throw new Error('no authority');
+    expect(first?.verify(authority.publicKey)).to.equal(true);
+    expect(second?.verify(authority.publicKey)).to.equal(true);
+    expect(first?.subjectAltName).to.equal('URI:poplarpick://izvor/router/entry-1');
+    expect(statSync(join(keys, 'entry-1-key.pem')).mode & 0o077).to.equal(0);
+    expect((await runCommand(...make, 'nobody')).code).to.equal(2);
+  });
+
   it('refuses unknown flags and commands', async () => {
     expect((await runCommand('version', '--loud')).code).to.equal(2);
     expect((await runCommand('dance')).code).to.equal(2);
--- /dev/null
+++ b/packages/bench/src/integration/trust.test.ts
@@ -0,0 +1,162 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { connect } from 'node:net';
+import { expect } from 'chai';
+import { makeAuthority, validFor } from '@poplarpick/cli/keys/authority';
+import { callChat, CallOutcome, chatBody } from '@poplarpick/load';
+import { expectedAnswer } from '@poplarpick/stand-ins';
+import { stringify } from 'smol-toml';
+import { FleetProcess } from '../process-fleet/fleet-process.ts';
+import type { FleetKeys } from '../process-fleet/fleet-keys.ts';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+
+const DAY_MS = 86_400_000;
+const ENDPOINT = 'model-1';
+
+describe('trust between real processes', () => {
+  let fleet: ProcessFleet;
+  let keys: FleetKeys;
+  let folder: string;
+  let count = 0;
+
+  before(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'poplarpick-trust-'));
+    fleet = await ProcessFleet.start({ trust: true });
+    if (fleet.keys === undefined) throw new Error('the fleet has no keys');
+    keys = fleet.keys;
+  });
+
+  after(async () => {
+    await fleet.stop();
+    rmSync(folder, { recursive: true, force: true });
+  });
+
+  /** Starts a sidecar with files of its own, which the fleet does not know. */
+  function startStranger(trust: object, changes: object = {}): FleetProcess {
+    count += 1;
+    const settings = {
+      fleet: 'bench',
+      host: `stranger-${count}`,
+      data_centre: fleet.site.plan.dataCentres[0] ?? '',
+      platform: { configuration: fleet.site.configuration.url, hosts: fleet.site.hosts.url },
+      trust,
+      operators: { address: '127.0.0.1:0' },
+      endpoint: { name: ENDPOINT, url: fleet.site.endpointUrl(ENDPOINT) },
+      ...changes,
+    };
+    const settingsFile = join(folder, `stranger-${count}.toml`);
+    return new FleetProcess({ command: 'sidecar', settingsFile, settings: stringify(settings) });
+  }
+
+  /** Expects that a stranger is refused for a reason at both ends, and learns and does nothing. */
+  async function expectRefused(stranger: FleetProcess, reason: RegExp): Promise<void> {
+    const router = fleet.routers[0]?.process;
+    const refused = (event: Record<string, string>): boolean =>
+      event['event'] === 'trust.refused' && reason.test(event['reason'] ?? '');
+    await router?.waitForEvent(refused, `refusal for ${String(reason)}`);
+    await stranger.waitForEvent(
+      (event) => event['event'] === 'trust.refused' || event['event'] === 'link.hello_failed',
+      'refusal at the stranger',
+    );
+    const names = stranger.events.map((event) => event['event']);
+    await stranger.kill();
+    expect(names).not.to.include('peer.joined');
+    expect(names).not.to.include('configuration.in_force');
+  }
+
+  function chat(prompt: string, outputTokens: number) {
+    const { workspaces, model } = fleet.site.plan;
+    const url = fleet.routerUrls[0] ?? '';
+    return { url, key: workspaces[0]?.key ?? '', model, prompt, outputTokens };
+  }
+
+  it('serves a request over links on which both sides show a certificate', async () => {
+    const call = chat('hello', 10);
+    const result = await callChat(call);
+    expect(result.outcome).to.equal(CallOutcome.Whole);
+    expect(result.text).to.equal(expectedAnswer(chatBody(call)));
+  });
+
+  it('refuses a process of another fleet', async () => {
+    await keys.issue({ fleet: 'other', role: 'sidecar', host: 'stranger' });
+    await expectRefused(
+      startStranger(keys.settings('stranger'), { fleet: 'other', host: 'stranger' }),
+      /fleet other, not bench/,
+    );
+  });
+
+  it('refuses an expired certificate', async () => {
+    const now = Date.now();
+    const validity = { from: new Date(now - 2 * DAY_MS), until: new Date(now - DAY_MS) };
+    await keys.issue({ fleet: 'bench', role: 'sidecar', host: 'late' }, validity);
+    const stranger = startStranger(keys.settings('late'), { host: 'late' });
+    await stranger.waitFor('trust.certificate_expired');
+    await expectRefused(stranger, /expired/i);
+  });
+
+  it('refuses a certificate of another authority', async () => {
+    const other = await makeAuthority('other', validFor(DAY_MS));
+    const identity = { fleet: 'bench', role: 'sidecar', host: 'foreign' };
+    await keys.issue(identity, undefined, 'foreign', other);
+    await expectRefused(
+      startStranger(keys.settings('foreign'), { host: 'foreign' }),
+      /certificate/,
+    );
+  });
+
+  it('refuses a process whose certificate is of another role or host', async () => {
+    await keys.issue({ fleet: 'bench', role: 'router', host: 'disguised' });
+    await expectRefused(
+      startStranger(keys.settings('disguised'), { host: 'disguised' }),
+      /role router, not sidecar/,
+    );
+    await keys.issue({ fleet: 'bench', role: 'sidecar', host: 'disguised' });
+    await expectRefused(
+      startStranger(keys.settings('disguised'), { host: 'host-of-model-2' }),
+      /host disguised, not host-of-model-2/,
+    );
+  });
+
+  it('refuses a process without TLS, and tells it nothing', async () => {
+    await expectPlainRefused(fleet.routers[0]?.links ?? '');
+  });
+
+  it('takes new keys into use without the loss of a link, under load', async () => {
+    const processes = [...fleet.routers, ...fleet.sidecars];
+    const lost = (): number =>
+      processes
+        .flatMap(({ process }) => process.events)
+        .filter((event) => event['event'] === 'peer.lost').length;
+    const before = lost();
+    const calls = Array.from({ length: 12 }, (_, index) => chat(`during rotation ${index}`, 300));
+    const answers = Promise.all(calls.map((call) => callChat(call)));
+    for (const { host } of fleet.routers)
+      await keys.issue({ fleet: 'bench', role: 'router', host });
+    for (const { host } of fleet.sidecars)
+      await keys.issue({ fleet: 'bench', role: 'sidecar', host });
+    await Promise.all(processes.map(({ process }) => process.waitFor('trust.keys_loaded')));
+    const results = await answers;
+    results.forEach(({ text }, index) => {
+      const call = calls[index];
+      expect(text).to.equal(call === undefined ? '' : expectedAnswer(chatBody(call)));
+    });
+    expect(lost()).to.equal(before);
+    await fleet.restartSidecar(fleet.findSidecar(ENDPOINT));
+    await fleet.findSidecar(ENDPOINT).process.waitFor('peer.joined');
+  });
+});
+
+/** Speaks plain text to an address and expects that nothing but the end comes back. */
+async function expectPlainRefused(address: string): Promise<void> {
+  const [host = '', port = ''] = address.split(':');
+  const received = await new Promise<Buffer>((resolve) => {
+    const parts: Buffer[] = [];
+    const socket = connect({ host, port: Number(port) });
+    socket.on('data', (bytes: Buffer) => parts.push(bytes));
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(Buffer.concat(parts)));
+    socket.write('{"jsonrpc":"2.0","id":1,"method":"configuration.fetch","params":{}}');
+  });
+  expect(received.toString('latin1')).not.to.contain('jsonrpc');
+}
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -13,6 +13,7 @@
 import { FaultProxy, planSite, Site } from '@poplarpick/stand-ins';
 import type { SiteOptions, SitePlan } from '@poplarpick/stand-ins';
 import { stringify } from 'smol-toml';
+import { FleetKeys } from './fleet-keys.ts';
 import { FleetProcess } from './fleet-process.ts';
 
 const FLEET = 'bench';
@@ -27,6 +28,8 @@
   nodeOptions?: string[];
   /** Whether each process reaches the configuration service through a fault proxy of its own. */
   serviceProxies?: boolean;
+  /** Whether links use TLS, with certificates of an authority made for the fleet. */
+  trust?: boolean;
 }
 
 /** A router process with its addresses, which stay the same over restarts. */
@@ -61,6 +64,9 @@
   private readonly serviceProxies = new Map<string, FaultProxy>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'poplarpick-'));
 
+  /** Authority and certificates, where the fleet uses them. */
+  keys: FleetKeys | undefined;
+
   private constructor(site: Site, options: ProcessFleetOptions) {
     this.site = site;
     this.options = options;
@@ -71,6 +77,7 @@
     const site = await new Site(options.plan ?? planSite(), options.site).start();
     const fleet = new ProcessFleet(site, options);
     try {
+      if (options.trust === true) fleet.keys = await FleetKeys.make(fleet.folder);
       await fleet.startAll();
     } catch (error) {
       await fleet.stop();
@@ -186,6 +193,7 @@
 
   private async startRouter(host: string, dataCentre: string): Promise<void> {
     await this.addServiceProxy(host);
+    await this.keys?.issue({ fleet: FLEET, role: Role.Router, host });
     const process = this.spawnRouter(host, dataCentre);
     const callers = (await process.waitFor('callers.listening'))['address'] ?? '';
     const operators = (await process.waitFor('operators.listening'))['address'] ?? '';
@@ -197,6 +205,7 @@
 
   private async startSidecar(endpoint: string, dataCentre: string): Promise<void> {
     await this.addServiceProxy(hostOf(endpoint));
+    await this.keys?.issue({ fleet: FLEET, role: Role.Sidecar, host: hostOf(endpoint) });
     const proxy = await new FaultProxy({
       target: this.site.endpointUrl(endpoint).replace('http://', ''),
     }).start();
@@ -247,6 +256,7 @@
       host,
       data_centre: dataCentre,
       platform: { configuration: service, hosts: hosts.url },
+      trust: this.keys?.settings(host) ?? { mode: 'none' },
       log: { level: this.options.logLevel ?? 'info' },
     };
   }
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -3,6 +3,7 @@
 import { ConfigCheck } from './commands/config-check.ts';
 import { Demo } from './commands/demo.ts';
 import { DrainWatchCommand } from './commands/drain-watch.ts';
+import { KeysMake } from './commands/keys-make.ts';
 import { RouterCommand } from './commands/router.ts';
 import { SidecarCommand } from './commands/sidecar.ts';
 import { StandInApplicationEngine } from './commands/stand-in-application-engine.ts';
@@ -16,6 +17,7 @@
 export const COMMANDS: Record<string, Command.Class> = {
   'config:check': ConfigCheck,
   demo: Demo,
+  'keys:make': KeysMake,
   'drain:watch': DrainWatchCommand,
   router: RouterCommand,
   sidecar: SidecarCommand,
--- /dev/null
+++ b/packages/cli/src/commands/keys-make.ts
@@ -0,0 +1,65 @@
+/** `poplarpick keys make`: a test authority, and certificates for processes. */
+import { existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { Args, Command, Flags } from '@oclif/core';
+import { Role } from '@poplarpick/kernel';
+import { ExitCode } from '../exit-code.ts';
+import type { KeyPair } from '../keys/authority.ts';
+
+const DAY_MS = 86_400_000;
+const DEFAULT_DAYS = 30;
+const PRIVATE_MODE = 0o600;
+
+export class KeysMake extends Command {
+  static override description =
+    'Make a test authority, if the folder has none, and certificates for processes.';
+  static override strict = false;
+  static override args = {
+    process: Args.string({ description: 'role and host, such as router:entry-1; may be repeated' }),
+  };
+  static override flags = {
+    fleet: Flags.string({ required: true, description: 'name of the fleet, as in the settings' }),
+    folder: Flags.string({ default: 'keys', description: 'where the files are written' }),
+    days: Flags.integer({ default: DEFAULT_DAYS, min: 1, description: 'days of validity' }),
+  };
+
+  override async run(): Promise<void> {
+    const { argv, flags } = await this.parse(KeysMake);
+    const identities = argv.map((text) => this.readProcess(String(text)));
+    // The certificate library is large, and no other command needs it.
+    const { makeAuthority, makeCertificate, validFor } = await import('../keys/authority.ts');
+    const validity = validFor(flags.days * DAY_MS);
+    mkdirSync(flags.folder, { recursive: true });
+    const authority =
+      this.readAuthority(flags.folder) ??
+      this.write(flags.folder, 'ca', await makeAuthority(`${flags.fleet} authority`, validity));
+    for (const { role, host } of identities) {
+      const pair = await makeCertificate(authority, { fleet: flags.fleet, role, host }, validity);
+      this.write(flags.folder, host, pair);
+    }
+  }
+
+  private readProcess(text: string): { role: Role; host: string } {
+    const [name = '', host = ''] = text.split(':');
+    const role = Object.values(Role).find((entry) => entry === name);
+    if (role === undefined || !/^[\w.-]+$/.test(host) || host === 'ca')
+      this.error(`${text}: must be a role and a host, such as router:entry-1`, {
+        exit: ExitCode.Usage,
+      });
+    return { role, host };
+  }
+
+  private readAuthority(folder: string): KeyPair | undefined {
+    const [certificate, key] = [join(folder, 'ca.pem'), join(folder, 'ca-key.pem')];
+    if (!existsSync(certificate) || !existsSync(key)) return undefined;
+    return { certificate: readFileSync(certificate, 'utf8'), key: readFileSync(key, 'utf8') };
+  }
+
+  private write(folder: string, name: string, pair: KeyPair): KeyPair {
+    const [certificate, key] = [join(folder, `${name}.pem`), join(folder, `${name}-key.pem`)];
+    writeFileSync(key, pair.key, { mode: PRIVATE_MODE });
+    writeFileSync(certificate, pair.certificate);
+    this.log(`${certificate} ${key}`);
+    return pair;
+  }
+}
--- a/packages/cli/src/demo/demo-fleet.ts
+++ b/packages/cli/src/demo/demo-fleet.ts
@@ -160,6 +160,7 @@
     data_centre: dataCentre,
     platform: { configuration: site.configuration.url, hosts: site.hosts.url },
     operators: { address: '127.0.0.1:0' },
+    trust: { mode: 'none' },
   };
 }
 
--- /dev/null
+++ b/packages/cli/src/keys/reflect-metadata.ts
@@ -0,0 +1,36 @@
+/**
+ * The part of the metadata reflection API that the certificate library's dependency injection asks for,
+ * which is not part of the language. Import it before the library.
+ */
+type MetadataKey = string | symbol;
+
+interface MetadataReflection {
+  defineMetadata(key: MetadataKey, value: unknown, target: object): void;
+  getMetadata(key: MetadataKey, target: object): unknown;
+  getOwnMetadata(key: MetadataKey, target: object): unknown;
+  hasOwnMetadata(key: MetadataKey, target: object): boolean;
+}
+
+const metadata = new WeakMap<object, Map<MetadataKey, unknown>>();
+
+const reflection: MetadataReflection = {
+  defineMetadata(key, value, target) {
+    const own = metadata.get(target) ?? new Map<MetadataKey, unknown>();
+    own.set(key, value);
+    metadata.set(target, own);
+  },
+  getMetadata(key, target) {
+    let holder: object | null = target;
+    while (holder !== null && metadata.get(holder)?.has(key) !== true)
+      holder = Object.getPrototypeOf(holder) as object | null;
+    return holder === null ? undefined : metadata.get(holder)?.get(key);
+  },
+  getOwnMetadata(key, target) {
+    return metadata.get(target)?.get(key);
+  },
+  hasOwnMetadata(key, target) {
+    return metadata.get(target)?.has(key) ?? false;
+  },
+};
+
+Object.assign(Reflect, reflection);
--- a/packages/decisions/src/configuration/settings.ts
+++ b/packages/decisions/src/configuration/settings.ts
@@ -34,12 +34,42 @@
   statsd: address,
 });
 
+/** How the processes of the system trust each other. */
+export enum TrustMode {
+  /** Whoever can reach an address is trusted. For trials on one machine. */
+  None = 'none',
+  /** Both sides of every link show a certificate. */
+  Mutual = 'mutual',
+}
+
+const DEFAULT_WARNING_DAYS = 14;
+
+const trust = z.discriminatedUnion(
+  'mode',
+  [
+    z.strictObject({ mode: z.literal(TrustMode.None) }),
+    z.strictObject({
+      mode: z.literal(TrustMode.Mutual),
+      /** Path of the authority's certificate, in PEM. */
+      ca: z.string().min(1),
+      /** Path of this process's certificate, in PEM. */
+      certificate: z.string().min(1),
+      /** Path of its key, in PEM. */
+      key: z.string().min(1),
+      /** Days before its end at which the certificate is warned of. */
+      expiry_warning_days: z.number().positive().default(DEFAULT_WARNING_DAYS),
+    }),
+  ],
+  { error: 'must be a table with mode = "mutual", or mode = "none" to do without' },
+);
+
 const common = {
   /** Name of the fleet; processes of other fleets are refused. */
   fleet: z.string().min(1),
   host: z.string().min(1),
   data_centre: z.string().min(1),
   platform,
+  trust,
   log: log.default({ level: 'info' }),
   metrics: metrics.optional(),
 };
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,5 +21,6 @@
 export * from './power/power-budget.ts';
 export * from './power/revision-confirmations.ts';
 export * from './power/slot-budget.ts';
+export * from './trust/certificate-identity.ts';
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
--- a/packages/fleet/src/link/app.ts
+++ b/packages/fleet/src/link/app.ts
@@ -13,6 +13,7 @@
   sidecarSettingsKey,
   statusBoardKey,
   trafficKey,
+  transportKey,
 } from '../parts.ts';
 import { HostDirectory, listLiveRouters } from '../platform/host-directory.ts';
 import type { Host } from '../platform/host-list-client.ts';
@@ -26,7 +27,7 @@
 class LinksPlugin extends Plugin {
   override readonly name = 'links';
   override readonly roles = [Role.Router, Role.Sidecar];
-  override readonly requires = ['status'];
+  override readonly requires = ['status', 'trust'];
   private kernel: Kernel | undefined;
   private hub: LinkHub | undefined;
   private directory: HostDirectory | undefined;
@@ -40,7 +41,14 @@
       kernel.role === Role.Sidecar ? kernel.part(sidecarSettingsKey).endpoint.name : undefined;
     const hello = { ...identity, role: kernel.role, endpoint };
     const { clock, log, metrics } = kernel;
-    this.hub = new LinkHub({ hello, clock, log, metrics, traffic });
+    this.hub = new LinkHub({
+      hello,
+      clock,
+      log,
+      metrics,
+      traffic,
+      transport: kernel.part(transportKey),
+    });
     kernel.provide(linkHubKey, this.hub);
     const hub = this.hub;
     kernel.part(statusBoardKey).add('links', () => ({
@@ -68,7 +76,7 @@
   }
 
   private async listen(kernel: Kernel, hub: LinkHub): Promise<void> {
-    this.listener = new LinkListener((socket) => hub.accept(socket));
+    this.listener = new LinkListener(kernel.part(transportKey), (socket) => hub.accept(socket));
     const address = await this.listener.listen(kernel.part(routerSettingsKey).links.address);
     kernel.log.info({ event: 'links.listening', address });
     kernel.part(statusBoardKey).add('address.links', () => address);
--- a/packages/fleet/src/link/link-dialler.ts
+++ b/packages/fleet/src/link/link-dialler.ts
@@ -2,9 +2,10 @@
  * Keeps one link to a remote address: dials, and dials again with jittered, growing delays whenever
  * the link is lost.
  */
-import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import { parseAddress } from '../address.ts';
+import type { Transport } from '../trust/transport.ts';
 import { Link } from './link.ts';
 import type { LinkTraffic } from './link.ts';
 
@@ -18,8 +19,9 @@
   clock: Clock;
   log: Logger;
   traffic: LinkTraffic;
+  transport: Transport;
   /** Called with each new link, before anything has arrived on it. */
-  onOpen: (link: Link) => void;
+  onOpen: (link: Link, socket: Socket) => void;
   onClose: (link: Link, reason: string) => void;
   /** Whether a link is missing; while it is not, the dialler waits. */
   isNeeded?: () => boolean;
@@ -73,20 +75,19 @@
       return;
     }
     const { ip, port } = parseAddress(this.options.address);
-    const socket = connect({ host: ip, port });
+    const onFailure = () => this.dialLater();
+    const socket = this.options.transport.connect({ host: ip, port }, (ready) => {
+      timeout.stop();
+      ready.off('close', onFailure);
+      this.open(ready);
+    });
     const timeout = this.options.clock.after(CONNECT_TIMEOUT_MS, () => socket.destroy());
     socket.once('close', () => timeout.stop());
-    const onFailure = () => this.dialLater();
     socket.once('error', () => undefined);
     socket.once('close', onFailure);
-    socket.once('connect', () => {
-      timeout.stop();
-      socket.off('close', onFailure);
-      this.open(socket);
-    });
   }
 
-  private open(socket: ReturnType<typeof connect>): void {
+  private open(socket: Socket): void {
     if (this.stopped) {
       socket.destroy();
       return;
@@ -100,7 +101,7 @@
       traffic,
       onClose: (link, reason) => this.lose(link, reason),
     });
-    this.options.onOpen(this.link);
+    this.options.onOpen(this.link, socket);
   }
 
   private lose(link: Link, reason: string): void {
--- a/packages/fleet/src/link/link-hub.ts
+++ b/packages/fleet/src/link/link-hub.ts
@@ -8,6 +8,7 @@
 import type { Clock, Logger, Metrics, Role } from '@poplarpick/kernel';
 import { describeError, Metric, RepairKind, tellRepair } from '@poplarpick/kernel';
 import { CallMethod } from '../messages.ts';
+import type { Transport } from '../trust/transport.ts';
 import type { Hello } from '../messages.ts';
 import { Link } from './link.ts';
 import type { LinkTraffic } from './link.ts';
@@ -31,6 +32,17 @@
 /** Most absent hosts whose loss is remembered. */
 const LOSS_REASON_LIMIT = 4_096;
 
+/** A process says that it is another than its certificate says. */
+export class WrongIdentityError extends Error {
+  constructor(mismatch: string) {
+    super(mismatch);
+    this.name = 'WrongIdentityError';
+  }
+}
+
+/** Time for which a refused link stays open, so that the refusal arrives. */
+const REFUSED_LINK_MS = 200;
+
 type LinkSetup = (link: Link) => void;
 type PeerListener = (peer: Peer) => void;
 type LossListener = (peer: Peer, reason: string) => void;
@@ -49,6 +61,7 @@
   log: Logger;
   metrics: Metrics;
   traffic: LinkTraffic;
+  transport: Transport;
 }
 
 /** Owns all links of a process. */
@@ -133,7 +146,8 @@
       traffic,
       onClose: (lost, reason) => this.lose(lost, reason),
     });
-    link.handleCall(CallMethod.Hello, (hello) => this.welcome(link, hello));
+    link.requireHello();
+    link.handleCall(CallMethod.Hello, (hello) => this.welcome(link, socket, hello));
     this.prepare(link);
   }
 
@@ -153,23 +167,27 @@
   }
 
   private makeDialler(address: string, host: string): LinkDialler {
-    const { clock, log, traffic } = this.options;
+    const { clock, log, traffic, transport } = this.options;
     return new LinkDialler({
       address,
       clock,
       log,
       traffic,
-      onOpen: (link) => this.introduce(link),
+      transport,
+      onOpen: (link, socket) => this.introduce(link, socket),
       onClose: (link, reason) => this.lose(link, reason),
       isNeeded: () => !this.peersByHost.has(host),
     });
   }
 
-  private introduce(link: Link): void {
+  private introduce(link: Link, socket: Socket): void {
     this.prepare(link);
     link
       .call(CallMethod.Hello, this.options.hello)
-      .then((hello) => this.join({ ...hello, link, dialled: true }))
+      .then((hello) => {
+        this.check(socket, hello);
+        this.join({ ...hello, link, dialled: true });
+      })
       .catch((error: unknown) => {
         this.options.log.warn({
           event: 'link.hello_failed',
@@ -180,15 +198,28 @@
       });
   }
 
-  private welcome(link: Link, hello: Hello): Hello {
-    if (hello.fleet !== this.options.hello.fleet) {
-      this.options.log.warn({ event: 'link.wrong_fleet', remote: link.remote, fleet: hello.fleet });
-      throw new WrongFleetError(hello.fleet, this.options.hello.fleet);
+  private welcome(link: Link, socket: Socket, hello: Hello): Hello {
+    try {
+      this.check(socket, hello);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.options.log.warn({ event: 'trust.refused', remote: link.remote, reason });
+      this.options.clock.after(REFUSED_LINK_MS, () => link.close('refused'));
+      throw error;
     }
+    link.admit();
     this.join({ ...hello, link, dialled: false });
     return this.options.hello;
   }
 
+  /** Throws where a hello is not of this fleet, or not what the certificate says. */
+  private check(socket: Socket, hello: Hello): void {
+    const { transport, hello: own } = this.options;
+    if (hello.fleet !== own.fleet) throw new WrongFleetError(hello.fleet, own.fleet);
+    const mismatch = transport.findMismatch(socket, hello);
+    if (mismatch !== undefined) throw new WrongIdentityError(mismatch);
+  }
+
   private prepare(link: Link): void {
     this.open.add(link);
     this.setups.forEach((setup) => setup(link));
--- a/packages/fleet/src/link/link-listener.ts
+++ b/packages/fleet/src/link/link-listener.ts
@@ -1,14 +1,14 @@
-/** Accepts links on a TCP address. */
-import { createServer } from 'node:net';
+/** Accepts links on an address. */
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { parseAddress } from '../address.ts';
+import type { Transport } from '../trust/transport.ts';
 
 /** Listens for links and hands each new socket to its owner. */
 export class LinkListener {
   private readonly server: Server;
 
-  constructor(onSocket: (socket: Socket) => void) {
-    this.server = createServer(onSocket);
+  constructor(transport: Transport, onSocket: (socket: Socket) => void) {
+    this.server = transport.createServer(onSocket);
   }
 
   /** Starts to listen; returns the address in use. Rejects when the address cannot be had. */
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -58,6 +58,8 @@
   private readonly heartbeat: Timer;
   private lastArrival: number;
   private closed = false;
+  /** Whether the other side may be answered and heard. */
+  private admitted = true;
 
   constructor(options: LinkOptions) {
     this.socket = options.socket;
@@ -80,6 +82,15 @@
     return this.closed;
   }
 
+  /** Refuses everything but a hello until the other side is admitted. */
+  requireHello(): void {
+    this.admitted = false;
+  }
+
+  admit(): void {
+    this.admitted = true;
+  }
+
   /** Registers the handler of a call. */
   handleCall<Method extends CallMethod>(
     method: Method,
@@ -145,6 +156,10 @@
   }
 
   private dispatch(payload: unknown): void {
+    if (!this.admitted && !isIntroduction(payload)) {
+      this.close('no hello');
+      return;
+    }
     this.rpc.receiveAndSend(payload as JSONRPCRequest | JSONRPCResponse).catch((error: unknown) => {
       this.log.warn({
         event: 'link.bad_message',
@@ -188,6 +203,12 @@
   }
 }
 
+/** Whether a message may come before the hello has passed. */
+function isIntroduction(payload: unknown): boolean {
+  const { method } = payload as { method?: unknown };
+  return method === CallMethod.Hello || method === NoticeMethod.Heartbeat;
+}
+
 function isPayload(payload: JSONRPCRequest | JSONRPCResponse): boolean {
   if ('method' in payload) return PAYLOAD_NOTICES.has(payload.method);
   const result = payload.result as { grant?: unknown } | null | undefined;
--- a/packages/fleet/src/parts.ts
+++ b/packages/fleet/src/parts.ts
@@ -8,6 +8,7 @@
 import type { LinkHub } from './link/link-hub.ts';
 import type { LinkTraffic } from './link/link.ts';
 import type { PlannedStops } from './planned-stop/planned-stops.ts';
+import type { Transport } from './trust/transport.ts';
 import type { StatusBoard } from './operators/status-board.ts';
 
 /** Identity of a running process. */
@@ -26,6 +27,7 @@
 export const statusBoardKey = createPartKey<StatusBoard>('status board');
 export const configurationKey = createPartKey<ConfigurationTask>('configuration');
 export const hostDirectoryKey = createPartKey<HostDirectory>('host directory');
+export const transportKey = createPartKey<Transport>('transport');
 export const linkHubKey = createPartKey<LinkHub>('link hub');
 export const plannedStopsKey = createPartKey<PlannedStops>('planned stops');
 export const dispatcherKey = createPartKey<Dispatcher>('dispatcher');
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -13,6 +13,7 @@
 import { parseAddress } from './address.ts';
 import { createTraffic } from './link/link.ts';
 import { identityKey, routerSettingsKey, sidecarSettingsKey, trafficKey } from './parts.ts';
+import './trust/app.ts';
 import './link/app.ts';
 import './configuration/app.ts';
 import './planned-stop/app.ts';
--- /dev/null
+++ b/packages/fleet/src/trust/app.ts
@@ -0,0 +1,45 @@
+/** Plug-in that provides the transport of the links, as the settings ask for it. */
+import { TrustMode } from '@poplarpick/decisions';
+import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
+import type { Kernel } from '@poplarpick/kernel';
+import { identityKey, routerSettingsKey, sidecarSettingsKey, transportKey } from '../parts.ts';
+import { KeyFiles } from './key-files.ts';
+import { MutualTlsTransport, PlainTransport } from './transport.ts';
+import type { Transport } from './transport.ts';
+
+class TrustPlugin extends Plugin {
+  override readonly name = 'trust';
+  override readonly roles = [Role.Router, Role.Sidecar];
+  private transport: Transport | undefined;
+
+  override async start(kernel: Kernel): Promise<void> {
+    this.transport = await openTransport(kernel);
+    kernel.provide(transportKey, this.transport);
+  }
+
+  override async stop(): Promise<void> {
+    this.transport?.stop();
+    return Promise.resolve();
+  }
+}
+
+async function openTransport(kernel: Kernel): Promise<Transport> {
+  const { trust } =
+    kernel.role === Role.Router ? kernel.part(routerSettingsKey) : kernel.part(sidecarSettingsKey);
+  const { clock, log, metrics } = kernel;
+  if (trust.mode === TrustMode.None) {
+    log.warn({ event: 'trust.off' });
+    return new PlainTransport();
+  }
+  const { ca, certificate, key } = trust;
+  const keys = await KeyFiles.open({
+    paths: { ca, certificate, key },
+    warningDays: trust.expiry_warning_days,
+    clock,
+    log,
+    metrics,
+  });
+  return new MutualTlsTransport({ fleet: kernel.part(identityKey).fleet, keys, log });
+}
+
+registerPlugin(() => new TrustPlugin());
--- /dev/null
+++ b/packages/fleet/src/trust/transport.ts
@@ -0,0 +1,151 @@
+/** How links are made: over plain TCP, or over TLS on which both sides show a certificate. */
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { connect as connectTls, createServer as createTlsServer, TLSSocket } from 'node:tls';
+import type { SecureContextOptions } from 'node:tls';
+import { findMismatch, readIdentity } from '@poplarpick/decisions';
+import type { CertificateIdentity } from '@poplarpick/decisions';
+import type { Logger } from '@poplarpick/kernel';
+import type { KeyFiles } from './key-files.ts';
+
+/** Where to connect to. */
+export interface ConnectTarget {
+  host: string;
+  port: number;
+}
+
+/** Makes sockets and servers for links. */
+export abstract class Transport {
+  /** Connects; `onReady` is called once the socket may be used, never after it has closed. */
+  abstract connect(target: ConnectTarget, onReady: (socket: Socket) => void): Socket;
+
+  /** Makes a server that hands over sockets that may be used. */
+  abstract createServer(onSocket: (socket: Socket) => void): Server;
+
+  /** Why a process that says it is `claimed` is refused on this socket; undefined where it is not. */
+  abstract findMismatch(socket: Socket, claimed: CertificateIdentity): string | undefined;
+
+  abstract stop(): void;
+}
+
+/** Plain TCP: whoever can reach the address is trusted. */
+export class PlainTransport extends Transport {
+  override connect(target: ConnectTarget, onReady: (socket: Socket) => void): Socket {
+    const socket = connect(target);
+    socket.once('connect', () => onReady(socket));
+    return socket;
+  }
+
+  override createServer(onSocket: (socket: Socket) => void): Server {
+    return createServer(onSocket);
+  }
+
+  override findMismatch(): undefined {
+    return undefined;
+  }
+
+  override stop(): void {
+    return;
+  }
+}
+
+/** Options of a `MutualTlsTransport`. */
+export interface MutualTlsTransportOptions {
+  fleet: string;
+  keys: KeyFiles;
+  log: Logger;
+}
+
+const TLS_VERSION = 'TLSv1.3';
+
+/** TLS on which both sides show a certificate of the authority, made out to this fleet. */
+export class MutualTlsTransport extends Transport {
+  private readonly options: MutualTlsTransportOptions;
+
+  constructor(options: MutualTlsTransportOptions) {
+    super();
+    this.options = options;
+  }
+
+  override connect(target: ConnectTarget, onReady: (socket: Socket) => void): Socket {
+    const socket = connectTls({
+      ...target,
+      ...this.contextOptions(),
+      // Hosts are dialled by IP number; the certificate's identity is checked instead.
+      checkServerIdentity: () => undefined,
+    });
+    socket.once('secureConnect', () => {
+      if (this.admit(socket)) onReady(socket);
+    });
+    socket.once('error', (error) => this.noteFailure(socket, error));
+    return socket;
+  }
+
+  override createServer(onSocket: (socket: Socket) => void): Server {
+    const server = createTlsServer({
+      ...this.contextOptions(),
+      requestCert: true,
+      // Refused in `admit`, where the reason is known and can be told.
+      rejectUnauthorized: false,
+    });
+    server.on('secureConnection', (socket) => {
+      if (this.admit(socket)) onSocket(socket);
+    });
+    server.on('tlsClientError', (error, socket) => this.noteFailure(socket, error));
+    this.options.keys.onChange(() => server.setSecureContext(this.contextOptions()));
+    return server;
+  }
+
+  override findMismatch(socket: Socket, claimed: CertificateIdentity): string | undefined {
+    const certified = socket instanceof TLSSocket ? identityOf(socket) : undefined;
+    return certified === undefined ? 'no certificate' : findMismatch(certified, claimed);
+  }
+
+  override stop(): void {
+    this.options.keys.stop();
+  }
+
+  /** Closes a socket whose certificate is not one of this fleet before anything is sent on it. */
+  private admit(socket: TLSSocket): boolean {
+    const reason = this.findFault(socket);
+    if (reason === undefined) return true;
+    this.refuse(socket, reason);
+    socket.on('error', () => undefined);
+    // The handshake is still sent to its end, so that the other side can tell who was refused.
+    socket.destroySoon();
+    return false;
+  }
+
+  private findFault(socket: TLSSocket): string | undefined {
+    if (!socket.authorized) return `certificate refused: ${describeFault(socket)}`;
+    const identity = identityOf(socket);
+    if (identity === undefined) return 'certificate names no process';
+    if (identity.fleet === this.options.fleet) return undefined;
+    return `certificate is of fleet ${identity.fleet}, not ${this.options.fleet}`;
+  }
+
+  /** Failures of the network itself are no refusals. */
+  private noteFailure(socket: Socket, error: Error): void {
+    if (!('syscall' in error)) this.refuse(socket, error.message);
+  }
+
+  private refuse(socket: Socket, reason: string): void {
+    const remote = `${socket.remoteAddress ?? '?'}:${socket.remotePort ?? 0}`;
+    this.options.log.warn({ event: 'trust.refused', remote, reason });
+  }
+
+  private contextOptions(): SecureContextOptions {
+    const { ca, cert, key } = this.options.keys.current;
+    return { ca, cert, key, minVersion: TLS_VERSION };
+  }
+}
+
+/** The code of a failed check, such as `CERT_HAS_EXPIRED`; without a certificate there is none. */
+function describeFault({ authorizationError }: TLSSocket): string {
+  const fault: unknown = authorizationError;
+  return fault instanceof Error ? fault.message : String(fault ?? 'none was shown');
+}
+
+function identityOf(socket: TLSSocket): CertificateIdentity | undefined {
+  return readIdentity(socket.getPeerX509Certificate()?.subjectAltName);
+}
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -19,6 +19,7 @@
   ConfigurationRevision = 'configuration.revision',
   Repairs = 'repairs',
   Orders = 'orders.given',
+  CertificateDaysLeft = 'trust.certificate_days_left',
 }
 
 /** Tags of one sample. */
