--- a/packages/stand-ins/src/application-engine.ts
+++ b/packages/stand-ins/src/application-engine.ts
@@ -24,6 +24,7 @@
   private readonly workMs: number;
   private readonly runs = new Map<string, number>();
   private active = 0;
+  private readonly requests = new Set<string>();
 
   constructor(options: ApplicationEngineOptions = {}) {
     super('application-engine');
@@ -40,6 +41,11 @@
     return Object.fromEntries(this.runs);
   }
 
+  /** Whether a call with this request id has run. */
+  hasRun(requestId: string): boolean {
+    return this.requests.has(requestId);
+  }
+
   protected override routes(): StandInRoute[] {
     return [
       {
@@ -60,6 +66,7 @@
     const run = (this.runs.get(key) ?? 0) + 1;
     this.runs.set(key, run);
     this.active += 1;
+    this.requests.add(String(request.headers['x-request-id'] ?? ''));
     await new Promise((resolve) => setTimeout(resolve, this.workMs));
     this.active -= 1;
     sendJson(response, 200, { key, run, method: request.method, path: request.originalUrl });
