--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,4 +1,5 @@
 /** The commands of the bench, by name. */
+import { faultsCommand } from './faults/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { powerCommand } from './power/app.ts';
 
@@ -11,5 +12,5 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [latencyCommand, powerCommand];
+  return [faultsCommand, latencyCommand, powerCommand];
 }
--- a/packages/bench/src/integration/command-line.test.ts
+++ b/packages/bench/src/integration/command-line.test.ts
@@ -85,7 +85,7 @@
     const file = write('syntax.toml', `${routerSettings()}\nbroken =`);
     const { code, stderr } = await runCommand('config', 'check', file);
     expect(code).to.equal(2);
-    expect(stderr).to.include(`${file}: line 14: `);
+    expect(stderr).to.include(`${file}: line 16: `);
   });
 
   it('names the key path of an unknown key', async () => {
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -16,6 +16,7 @@
 import './trust/app.ts';
 import './link/app.ts';
 import './configuration/app.ts';
+import './membership/app.ts';
 import './planned-stop/app.ts';
 import './router/app.ts';
 import './callers/app.ts';
