--- a/packages/fleet/src/ledger/app.ts
+++ b/packages/fleet/src/ledger/app.ts
@@ -1,31 +1,60 @@
 /**
  * Plug-in with the ledger shards of a router: soft-state totals of service per workspace, one ledger
- * for each kind of endpoint, rebuilt from the sidecars' cumulative rows after a restart.
+ * for each kind of endpoint, rebuilt from the sidecars' full reports after a restart.
  */
 import { EndpointKind, ServiceLedger } from '@poplarpick/decisions';
 import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
-import { CallMethod } from '../messages.ts';
+import type { Peer } from '../link/link-hub.ts';
+import { CallMethod, NoticeMethod } from '../messages.ts';
+import type { Report, ReportAnswer } from '../messages.ts';
+import { ColumnReader, ColumnWriter } from './service-columns.ts';
 import { linkHubKey, statusBoardKey } from '../parts.ts';
 
+/** Service of one workspace, in cost units divided by its weight. */
+export interface WorkspaceService {
+  workspace: string;
+  /** Cost of what was produced, with provisional charges of what runs. */
+  service: number;
+  /** Credit that was taken away when it began to wait after an idle time. */
+  lift: number;
+  /** Debt that was dropped because it was too far ahead. */
+  forgiven: number;
+  /** What the choice goes by. */
+  virtual: number;
+}
+
 class LedgerPlugin extends Plugin {
   override readonly name = 'ledger';
   override readonly roles = [Role.Router];
   override readonly requires = ['links'];
 
   override async start(kernel: Kernel): Promise<void> {
+    const hub = kernel.part(linkHubKey);
     const ledgers = new Map(Object.values(EndpointKind).map((kind) => [kind, new ServiceLedger()]));
-    kernel.part(linkHubKey).onLink((link) => {
-      link.handleCall(CallMethod.Report, ({ kind, row }) => {
-        const ledger = ledgers.get(kind);
-        ledger?.merge(row);
-        return { totals: ledger?.entries() ?? [] };
+    hub.onLink((link) => {
+      const reader = new ColumnReader();
+      const writers = new Map(
+        Object.values(EndpointKind).map((kind) => [kind, new ColumnWriter()]),
+      );
+      const take = (report: Report): ServiceLedger => {
+        const peer = hub.peerOf(link);
+        const ledger = ledgers.get(report.kind);
+        if (peer === undefined || ledger === undefined) throw new Error('report of a stranger');
+        mergeReport(ledger, peer, report, reader);
+        return ledger;
+      };
+      link.handleNotice(NoticeMethod.Service, (report) => {
+        take(report);
       });
+      link.handleCall(CallMethod.Report, (report) =>
+        describeChanges(take(report), report.known, writers.get(report.kind)),
+      );
     });
     kernel
       .part(statusBoardKey)
       .add('service', () =>
-        [...ledgers].map(([kind, ledger]) => ({ kind, totals: ledger.entries() })),
+        [...ledgers].map(([kind, ledger]) => ({ kind, workspaces: describeService(ledger) })),
       );
     return Promise.resolve();
   }
@@ -35,4 +64,42 @@
   }
 }
 
+/** Service of each workspace as operators see it, the least served first. */
+function describeService(ledger: ServiceLedger): WorkspaceService[] {
+  const { totals, adjustments } = ledger.changesSince(0);
+  return totals.workspaces
+    .map((workspace, index) => {
+      const service = totals.services[index] ?? 0;
+      const found = adjustments.find((adjustment) => adjustment.workspace === workspace);
+      const { lift, forgiven } = found ?? { lift: 0, forgiven: 0 };
+      return { workspace, service, lift, forgiven, virtual: service + lift - forgiven };
+    })
+    .sort((a, b) => a.virtual - b.virtual);
+}
+
+function mergeReport(
+  ledger: ServiceLedger,
+  { incarnation, endpoint, host }: Peer,
+  { sequence, entries, adjustments }: Report,
+  reader: ColumnReader,
+): void {
+  if (entries !== undefined) {
+    const row = { incarnation, sequence, entries: reader.readEntries(entries) };
+    ledger.merge({ endpoint: endpoint ?? host, ...row });
+  }
+  if (adjustments !== undefined) ledger.adjust(adjustments);
+}
+
+function describeChanges(
+  ledger: ServiceLedger,
+  known: number,
+  writer = new ColumnWriter(),
+): ReportAnswer {
+  const { version, totals, adjustments } = ledger.changesSince(known);
+  const answer: ReportAnswer = { version };
+  if (totals.workspaces.length > 0) answer.totals = writer.writeTotals(totals);
+  if (adjustments.length > 0) answer.adjustments = adjustments;
+  return answer;
+}
+
 registerPlugin(() => new LedgerPlugin());
--- a/packages/fleet/src/sidecar/admission-messages.ts
+++ b/packages/fleet/src/sidecar/admission-messages.ts
@@ -1,5 +1,5 @@
 /** Messages to the admission of a sidecar, and what it tells operators. */
-import type { FleetConfiguration, ServiceEntry } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
 import type { RequestError } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import type { AttemptReference, Backlog, ResumeAnswer } from '../messages.ts';
@@ -17,7 +17,7 @@
   Lose,
   Backlog,
   Answered,
-  Totals,
+  Ready,
   Cancel,
   Settle,
   Produced,
@@ -39,7 +39,7 @@
   | { kind: AdmissionMessageKind.Lose; peer: Peer }
   | { kind: AdmissionMessageKind.Backlog; peer: Peer; backlog: Backlog }
   | { kind: AdmissionMessageKind.Answered; claim: AnsweredClaim }
-  | { kind: AdmissionMessageKind.Totals; totals: ServiceEntry[] }
+  | { kind: AdmissionMessageKind.Ready }
   | { kind: AdmissionMessageKind.Cancel; reference: AttemptReference }
   | { kind: AdmissionMessageKind.Settle; reference: AttemptReference }
   | { kind: AdmissionMessageKind.Produced; execution: Execution; data: Buffer; cost: number }
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -32,6 +32,8 @@
   host: string;
   client: EndpointClient;
   meter: ServiceMeter;
+  /** Whether the fleet's totals are fresh enough for a choice; `Ready` is posted when they may be. */
+  prepareChoice: () => boolean;
   clock: Clock;
   log: Logger;
   metrics: Metrics;
@@ -67,6 +69,7 @@
     });
     this.claimer = new Claimer({
       meter: options.meter,
+      prepareChoice: options.prepareChoice,
       onAnswer: (claim) => this.post({ kind: AdmissionMessageKind.Answered, claim }),
     });
     this.ticker = options.clock.every(TICK_MS, () =>
@@ -128,8 +131,8 @@
       case AdmissionMessageKind.Answered:
         this.acceptAnswer(message.claim);
         return;
-      case AdmissionMessageKind.Totals:
-        this.options.meter.setTotals(message.totals);
+      case AdmissionMessageKind.Ready:
+        this.schedule();
         return;
       case AdmissionMessageKind.Cancel:
         this.cancel(message.reference);
@@ -174,7 +177,9 @@
   }
 
   private configure(configuration: FleetConfiguration): void {
-    this.claimer.configure(configuration);
+    const { endpoint } = this.options;
+    const kind = configuration.endpoints.find(({ name }) => name === endpoint)?.kind;
+    if (kind !== undefined) this.claimer.configure(configuration, kind);
     this.gate.configure(configuration);
     this.schedule();
   }
@@ -247,9 +252,9 @@
     this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
   }
 
-  private acceptAnswer(claim: AnsweredClaim): void {
-    const grant = this.claimer.settle(claim);
-    if (grant !== undefined) this.admit(claim.peer, grant);
+  private acceptAnswer(answered: AnsweredClaim): void {
+    const grant = this.claimer.settle(answered);
+    if (grant !== undefined) this.admit(answered.claim.peer, grant);
     this.schedule();
   }
 
@@ -285,6 +290,7 @@
   private start(execution: Execution): void {
     this.countRuns(1);
     this.executions.set(execution.id, execution);
+    execution.charge = this.claimer.openCharge(execution.grant.job);
     this.options.log.debug({
       event: 'request.started',
       request: execution.id,
@@ -302,7 +308,7 @@
   private produce(execution: Execution, data: Buffer, cost: number): void {
     if (execution.end !== undefined) return;
     const frame = execution.append(data, cost);
-    this.options.meter.charge(execution.grant.job.workspace, cost);
+    execution.charge?.produce(cost);
     if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
@@ -313,7 +319,8 @@
   private finish(execution: Execution, cost: number, error?: RequestError): void {
     if (execution.end !== undefined) return;
     const end = execution.finish(this.options.clock.monotonic(), cost, error);
-    this.options.meter.charge(execution.grant.job.workspace, cost);
+    execution.charge?.produce(cost);
+    if (error === undefined) this.learn(execution);
     this.flush();
     // After a failed exchange the endpoint may still be at work.
     if (error?.verdict === Verdict.MayHaveRun) this.abandon(execution);
@@ -321,8 +328,13 @@
     this.freeSlot(execution);
   }
 
+  private learn({ grant, cost }: Execution): void {
+    this.options.meter.learn(grant.job.workspace, cost, grant.job.costHint);
+  }
+
   private freeSlot(execution: Execution): void {
     if (!this.suspended.remove(execution)) this.countRuns(-1);
+    if (execution.charge !== undefined) this.options.meter.close(execution.charge);
     this.options.log.debug({ event: 'request.ended', request: execution.id, cost: execution.cost });
     this.schedule();
     if (this.running + this.suspended.count > 0) return;
