--- a/packages/fleet/src/link/link-hub.test.ts
+++ b/packages/fleet/src/link/link-hub.test.ts
@@ -4,7 +4,7 @@
 import { createLogger, LogLevel, Role, SilentMetrics, SystemClock } from '@poplarpick/kernel';
 import { CallMethod } from '../messages.ts';
 import { PlainTransport } from '../trust/transport.ts';
-import { encodeFrame } from './frame-codec.ts';
+import { FrameEncoder } from './frame-codec.ts';
 import { createTraffic } from './link.ts';
 import { LinkHub } from './link-hub.ts';
 
@@ -51,7 +51,7 @@
     const socket: Socket = connect({ host: '127.0.0.1', port });
     const parts: Buffer[] = [];
     socket.on('data', (bytes: Buffer) => parts.push(bytes));
-    socket.write(encodeFrame({ jsonrpc: '2.0', id: 1, method, params }));
+    socket.write(new FrameEncoder().encode({ jsonrpc: '2.0', id: 1, method, params }));
     await new Promise<void>((resolve) => socket.once('close', () => resolve()));
     return Buffer.concat(parts).toString('latin1');
   }
--- a/packages/fleet/src/trust/transport.ts
+++ b/packages/fleet/src/trust/transport.ts
@@ -19,7 +19,7 @@
   /** Connects; `onReady` is called once the socket may be used, never after it has closed. */
   abstract connect(target: ConnectTarget, onReady: (socket: Socket) => void): Socket;
 
-  /** Makes a server that hands over sockets that may be used. */
+  /** Makes a server. What it hands over may be used once `findMismatch` has nothing against the hello. */
   abstract createServer(onSocket: (socket: Socket) => void): Server;
 
   /** Why a process that says it is `claimed` is refused on this socket; undefined where it is not. */
@@ -85,11 +85,13 @@
     const server = createTlsServer({
       ...this.contextOptions(),
       requestCert: true,
-      // Refused in `admit`, where the reason is known and can be told.
+      // Refused at the hello by `findMismatch`, where the reason can be told to the other side.
       rejectUnauthorized: false,
     });
     server.on('secureConnection', (socket) => {
-      if (this.admit(socket)) onSocket(socket);
+      const fault = this.findFault(socket);
+      if (fault !== undefined) this.refuse(socket, fault);
+      onSocket(socket);
     });
     server.on('tlsClientError', (error, socket) => this.noteFailure(socket, error));
     this.options.keys.onChange(() => server.setSecureContext(this.contextOptions()));
@@ -97,8 +99,11 @@
   }
 
   override findMismatch(socket: Socket, claimed: CertificateIdentity): string | undefined {
-    const certified = socket instanceof TLSSocket ? identityOf(socket) : undefined;
-    return certified === undefined ? 'no certificate' : findMismatch(certified, claimed);
+    if (!(socket instanceof TLSSocket)) return 'no certificate';
+    const certified = identityOf(socket);
+    const fault = this.findFault(socket);
+    if (fault !== undefined || certified === undefined) return fault ?? 'no certificate';
+    return findMismatch(certified, claimed);
   }
 
   override stop(): void {
