--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,3 +31,4 @@
 export * from './power/slot-budget.ts';
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
+export * from './request/idempotency-memory.ts';
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -9,13 +9,14 @@
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
-import type { AttemptReference, Frame, Grant, ResumeAnswer } from '../messages.ts';
+import type { AttemptReference, Frame, Grant, Refusal, ResumeAnswer } from '../messages.ts';
 import { AdmissionMessageKind } from './admission-messages.ts';
 import type { AdmissionMessage, AdmissionStatus } from './admission-messages.ts';
 import { Claimer } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
+import { KeyedRequests } from './keyed-requests.ts';
 import { PowerGate } from './power-gate.ts';
 import type { ServiceMeter } from './service-meter.ts';
 import { SuspendedRuns } from './suspended-runs.ts';
@@ -43,6 +44,7 @@
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
   private readonly claimer: Claimer;
+  private readonly keyed: KeyedRequests;
   private readonly gate: PowerGate;
   private readonly suspended: SuspendedRuns;
   private readonly routers = new Map<string, Peer>();
@@ -62,6 +64,7 @@
   constructor(options: AdmissionOptions) {
     super('admission', options.log);
     this.options = options;
+    this.keyed = new KeyedRequests(options);
     this.gate = new PowerGate(options);
     this.suspended = new SuspendedRuns({
       onAnswer: (execution, halted) =>
@@ -177,6 +180,7 @@
   }
 
   private configure(configuration: FleetConfiguration): void {
+    this.keyed.configure(configuration);
     const { endpoint } = this.options;
     const kind = configuration.endpoints.find(({ name }) => name === endpoint)?.kind;
     if (kind !== undefined) this.claimer.configure(configuration, kind);
@@ -235,7 +239,9 @@
   }
 
   private shrink(): void {
-    const open = [...this.executions.values()].filter(({ end }) => end === undefined);
+    const open = [...this.executions.values()].filter(
+      ({ end, run }) => end === undefined && run !== undefined,
+    );
     this.suspended.shrink(open, this.gate.powerSlots());
   }
 
@@ -259,36 +265,52 @@
   }
 
   private admit(peer: Peer, grant: Grant): void {
-    const reference = { request: grant.request, attempt: grant.attempt };
-    if (this.isDraining) {
-      this.refuse(peer, reference, ErrorCode.Draining, 'the endpoint is draining', true);
-      return;
-    }
-    if (this.running >= this.gate.slots()) {
-      this.refuse(peer, reference, ErrorCode.NoEndpoint, 'the power budget has shrunk', true);
-      return;
-    }
-    if (grant.deadlineMs <= 0) {
-      this.refuse(peer, reference, ErrorCode.DeadlineExceeded, 'the deadline has passed', false);
+    const { first, refusal } = this.keyed.check(grant);
+    const reason = refusal ?? (first === undefined ? this.findObstacle(grant) : undefined);
+    if (reason !== undefined) {
+      const { request, attempt } = grant;
+      peer.link.notify(NoticeMethod.Refuse, { request, attempt, ...reason });
       return;
     }
     const deadlineAt = this.options.clock.monotonic() + grant.deadlineMs;
-    this.start(new Execution(grant, peer.host, peer.incarnation, deadlineAt));
+    const execution = new Execution(grant, peer.host, peer.incarnation, deadlineAt);
+    if (first === undefined) this.start(execution);
+    else this.follow(first, execution);
   }
 
-  private refuse(
-    peer: Peer,
-    reference: AttemptReference,
-    code: ErrorCode,
-    message: string,
-    elsewhere: boolean,
-  ): void {
+  /** Why a request cannot be started, if so. */
+  private findObstacle(grant: Grant): Omit<Refusal, keyof AttemptReference> | undefined {
     const verdict = Verdict.NotRun;
-    peer.link.notify(NoticeMethod.Refuse, { ...reference, code, message, elsewhere, verdict });
+    if (this.isDraining) {
+      const message = 'the endpoint is draining';
+      return { code: ErrorCode.Draining, message, elsewhere: true, verdict };
+    }
+    if (this.running >= this.gate.slots()) {
+      const message = 'the power budget has shrunk';
+      return { code: ErrorCode.NoEndpoint, message, elsewhere: true, verdict };
+    }
+    if (grant.deadlineMs > 0) return undefined;
+    const message = 'the deadline has passed';
+    return { code: ErrorCode.DeadlineExceeded, message, elsewhere: false, verdict };
+  }
+
+  /** Gives a request the answer of the first one under its key. */
+  private follow(first: Execution, execution: Execution): void {
+    this.executions.set(execution.id, execution);
+    this.options.log.info({ event: 'request.repeated', request: execution.id, first: first.id });
+    for (const frame of first.lead(execution)) this.send(execution, frame);
+    if (first.end !== undefined) this.finishFollower(first, execution);
+  }
+
+  private finishFollower(first: Execution, follower: Execution): void {
+    const end = follower.finishLike(first, this.options.clock.monotonic());
+    this.flush();
+    this.findRouter(follower)?.link.notify(NoticeMethod.End, end);
   }
 
   private start(execution: Execution): void {
     this.countRuns(1);
+    this.keyed.begin(execution);
     this.executions.set(execution.id, execution);
     execution.charge = this.claimer.openCharge(execution.grant.job);
     this.options.log.debug({
@@ -307,8 +329,12 @@
 
   private produce(execution: Execution, data: Buffer, cost: number): void {
     if (execution.end !== undefined) return;
-    const frame = execution.append(data, cost);
     execution.charge?.produce(cost);
+    this.send(execution, execution.append(data, cost));
+    for (const follower of execution.followers) this.send(follower, follower.append(data, 0));
+  }
+
+  private send(execution: Execution, frame: Frame): void {
     if (this.findRouter(execution) === undefined) return;
     const waiting = this.outbox.get(execution.router) ?? [];
     waiting.push(frame);
@@ -325,6 +351,8 @@
     // After a failed exchange the endpoint may still be at work.
     if (error?.verdict === Verdict.MayHaveRun) this.abandon(execution);
     this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
+    this.keyed.end(execution);
+    execution.followers.forEach((follower) => this.finishFollower(execution, follower));
     this.freeSlot(execution);
   }
 
