--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,3 +32,4 @@
 export * from './trust/certificate-identity.ts';
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
+export * from './request/idempotency-memory.ts';
