--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -4,6 +4,7 @@
 import { faultsCommand } from './faults/app.ts';
 import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { powerCommand } from './power/app.ts';
 import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
@@ -22,5 +23,6 @@
     floodCommand,
     decisionCostCommand,
     faultsCommand,
+    powerCommand,
   ];
 }
