Let the backlog count that was told later hold

A trace showed a request queued in the router for 15 s while the sidecar had three free slots and no claim out. The router had answered a claim with 'nothing left' and then announced a new request; both arrived in one read, the notice was handled at once and the answer, a promise, after it. The older count replaced the newer one, and the router, which had told it, did not tell it again. Ruled out: the engine (no run open), the links (one peer, no loss), the callers' connections (the request was in the status).

Conclusion: whatever is told by two ways carries its order.

--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -102,6 +102,8 @@
 /** Lines that changed, or all lines where `full`. */
 export interface Backlog {
   full: boolean;
+  /** Counts what the router tells its sidecars; a count told later holds, whichever arrives first. */
+  sequence: number;
   lines: BacklogLine[];
 }
 
@@ -158,6 +160,8 @@
   grant?: Grant | undefined;
   /** Requests that are left in the line of the grant. */
   left?: number;
+  /** As in the backlog notices; absent where the router will not grant to this sidecar. */
+  sequence?: number;
 }
 
 /** A part of an answer. */
--- a/packages/fleet/src/router/backlog-announcer.ts
+++ b/packages/fleet/src/router/backlog-announcer.ts
@@ -54,6 +54,7 @@
   private configuration: FleetConfiguration | undefined;
   private decreasesAt = 0;
   private turn = 0;
+  private lastSequence = 0;
 
   constructor(options: BacklogAnnouncerOptions) {
     this.options = options;
@@ -89,6 +90,12 @@
     this.wake(INCREASE_DELAY_MS);
   }
 
+  /** Sequence number of what is told next. */
+  nextSequence(): number {
+    this.lastSequence += 1;
+    return this.lastSequence;
+  }
+
   /** Notes that a sidecar learns the count of a line from the answer to a claim. */
   noteTold(peer: Peer, line: QueueLine, count: number): void {
     const counts = this.told.get(peer);
@@ -106,8 +113,9 @@
       if (isSettled) this.dirty.delete(key);
     }
     if (withDecreases) this.decreasesAt = now + DECREASE_DELAY_MS;
-    for (const [peer, lines] of notices)
-      peer.link.notify(NoticeMethod.Backlog, { full: false, lines });
+    for (const [peer, lines] of notices) {
+      peer.link.notify(NoticeMethod.Backlog, { full: false, sequence: this.nextSequence(), lines });
+    }
   }
 
   stop(): void {
@@ -170,6 +178,7 @@
     this.told.set(peer, new Map(lines.map(({ line, count }) => [keyOf(line), count])));
     peer.link.notify(NoticeMethod.Backlog, {
       full: true,
+      sequence: this.nextSequence(),
       lines: lines.map(({ line, count }) => describeLine(line, count)),
     });
   }
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -269,7 +269,7 @@
     // The sidecar refuses by itself, but may not have heard of its mark yet.
     if (findStop(this.stops, peer) !== undefined) return {};
     const request = this.takeFirst(peer, claim);
-    if (request === undefined) return {};
+    if (request === undefined) return { sequence: this.backlog.nextSequence() };
     this.backlog.noteChange(request.line);
     const now = this.clock.monotonic();
     request.grantTo({ host: peer.host, incarnation: peer.incarnation }, now);
@@ -287,7 +287,8 @@
     this.queueAdmission.noteGranted(workspace, this.queues.countWorkspace(workspace), now);
     this.backlog.noteTold(peer, line, left);
     const pinned = line.pin !== undefined;
-    return { grant: { request: id, attempt, deadlineMs, pinned, job }, left };
+    const sequence = this.backlog.nextSequence();
+    return { grant: { request: id, attempt, deadlineMs, pinned, job }, left, sequence };
   }
 
   /** The oldest request of the first line that has one; the sidecar learns that those before are empty. */
--- a/packages/fleet/src/sidecar/backlog-view.ts
+++ b/packages/fleet/src/sidecar/backlog-view.ts
@@ -6,6 +6,8 @@
   count: number;
   /** Claims sent and not yet answered. */
   claimed: number;
+  /** Sequence number under which the router told the count. */
+  sequence: number;
 }
 
 /** Lines of one workspace in one router, by key. */
@@ -14,13 +16,16 @@
 /** The backlog of all linked routers. */
 export class BacklogView {
   private readonly workspaces = new Map<string, Map<string, RouterLines>>();
+  /** Sequence number of the last whole backlog of each router. */
+  private readonly wholeAt = new Map<string, number>();
 
   /** Takes a router's notice in; returns the workspaces that it names. */
   update(router: string, backlog: Backlog): Set<string> {
     const touched = backlog.full ? this.remove(router) : new Set<string>();
+    if (backlog.full) this.wholeAt.set(router, backlog.sequence);
     for (const entry of backlog.lines) {
       touched.add(entry.workspace);
-      this.setLine(router, entry);
+      this.setLine(router, entry, backlog.sequence);
     }
     return touched;
   }
@@ -28,6 +33,7 @@
   /** Forgets a router; returns the workspaces that waited there. */
   remove(router: string): Set<string> {
     const touched = new Set<string>();
+    this.wholeAt.delete(router);
     for (const [workspace, routers] of this.workspaces) {
       if (!routers.delete(router)) continue;
       touched.add(workspace);
@@ -76,23 +82,33 @@
     if (known !== undefined) known.claimed = Math.max(0, known.claimed + change);
   }
 
-  /** Sets how many requests a router has in a line. */
-  setCount(router: string, line: ClaimLine, count: number): void {
-    this.setLine(router, { ...line, count });
+  /**
+   * Sets how many requests a router has in a line. Answers to claims and notices pass each other, so a
+   * count that was told before the one that is known changes nothing.
+   */
+  setCount(router: string, line: ClaimLine, count: number, sequence?: number): void {
+    this.setLine(router, { ...line, count }, sequence);
   }
 
-  private setLine(router: string, { pool, workspace, pinned, count }: BacklogLine): void {
+  private setLine(
+    router: string,
+    { pool, workspace, pinned, count }: BacklogLine,
+    sequence: number | undefined,
+  ): void {
     const line = { pool, workspace, pinned };
     const known = this.find(router, line);
+    const since = known?.sequence ?? this.wholeAt.get(router) ?? 0;
+    if (sequence !== undefined && sequence < since) return;
     if (known !== undefined) {
       known.count = count;
+      known.sequence = sequence ?? since;
       return;
     }
     const routers = this.workspaces.get(workspace) ?? new Map<string, RouterLines>();
     const lines = routers.get(router) ?? new Map<string, KnownLine>();
     this.workspaces.set(workspace, routers);
     routers.set(router, lines);
-    lines.set(keyOfLine(line), { line, count, claimed: 0 });
+    lines.set(keyOfLine(line), { line, count, claimed: 0, sequence: sequence ?? since });
   }
 
   private find(router: string, line: ClaimLine): KnownLine | undefined {
--- a/packages/fleet/src/sidecar/claimer.test.ts
+++ b/packages/fleet/src/sidecar/claimer.test.ts
@@ -15,6 +15,7 @@
   readonly claimer: Claimer;
   readonly meter = new ServiceMeter();
   prepared = 0;
+  private sequence = 0;
   private readonly peers = new Map<string, Peer>();
 
   constructor() {
@@ -39,7 +40,11 @@
 
   announce(router: string, workspace: string, count: number): void {
     const lines = [{ pool: 'assistant', workspace, pinned: false, count }];
-    this.claimer.updateBacklog(this.peer(router), { full: false, lines });
+    this.claimer.updateBacklog(this.peer(router), {
+      full: false,
+      sequence: ++this.sequence,
+      lines,
+    });
   }
 
   private peer(router: string): Peer {
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -121,14 +121,15 @@
   }
 
   /** Lines before the granted one are empty; without a grant, all are. */
-  private noteCounts({ peer, lines }: OpenClaim, { grant, left }: ClaimAnswer): void {
+  private noteCounts({ peer, lines }: OpenClaim, { grant, left, sequence }: ClaimAnswer): void {
     for (const line of lines) {
       const isGranted =
         grant !== undefined &&
         line.pool === grant.job.pool &&
         line.workspace === grant.job.workspace &&
         line.pinned === grant.pinned;
-      this.backlog.setCount(peer.host, line, isGranted ? (left ?? 0) : 0);
+      const count = isGranted ? (left ?? 0) : 0;
+      this.backlog.setCount(peer.host, line, count, sequence);
       this.followWaiting(line.workspace);
       if (isGranted) return;
     }
