Measure configuration, planned stops and membership with real processes

Processes can be told in their settings to lose heartbeats and messages about members, for tests only. A probe that gets no answer no longer holds up the next round for the 5 s of a call.

--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,5 +1,8 @@
 /** The commands of the bench, by name. */
+import { configCommand } from './config/app.ts';
+import { drainCommand } from './drain/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { membershipCommand } from './membership/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -10,5 +13,5 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [latencyCommand];
+  return [configCommand, drainCommand, latencyCommand, membershipCommand];
 }
--- /dev/null
+++ b/packages/bench/src/config/app.ts
@@ -0,0 +1,265 @@
+/**
+ * `config`: how long a published revision takes until it is in force in every process, alone and under
+ * faults, whether any process ever goes back, and what the configuration service and the links bear.
+ */
+import { parseArgs } from 'node:util';
+import { Random } from '@poplarpick/load';
+import { Fault, ServiceCondition, SitePreset } from '@poplarpick/stand-ins';
+import {
+  measureTraffic,
+  nodesOf,
+  pause,
+  percentile,
+  startControlFleet,
+  waitUntil,
+} from '../control/control-fleet.ts';
+import type { FleetNode } from '../control/control-fleet.ts';
+import type { ProcessFleet, RouterNode } from '../process-fleet/process-fleet.ts';
+
+const SECOND_MS = 1_000;
+const LIMIT_MS = 30_000;
+const SWITCHES_ALONE = 10;
+const FAULT_MS = 3_000;
+const WINDOW_SECONDS = 10;
+const PRESETS = Object.values(SitePreset);
+
+/** Times from publishing, or from the end of the fault, until in force. */
+interface SwitchTimes {
+  p50Seconds: number;
+  p99Seconds: number;
+  maxSeconds: number;
+}
+
+/** The command's entry in the bench. */
+export const configCommand = {
+  name: 'config',
+  summary: 'time until a revision is in force everywhere  [--seed S] [--processes N] [--json]',
+  run: runConfig,
+};
+
+async function runConfig(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      seed: { type: 'string', default: '1' },
+      processes: { type: 'string', default: '8' },
+      json: { type: 'boolean', default: false },
+    },
+  });
+  const processes = Number(values.processes);
+  const fleet = await startControlFleet(processes, { serviceProxies: true });
+  try {
+    const bench = new ConfigBench(fleet, Number(values.seed));
+    const result = await bench.run();
+    console.log(JSON.stringify({ processes, seed: Number(values.seed), ...result }));
+  } finally {
+    await fleet.stop();
+  }
+}
+
+class ConfigBench {
+  private readonly fleet: ProcessFleet;
+  private readonly random: Random;
+  private revision = 1;
+  /** Revision that each host had in force when it was last restarted. */
+  private readonly beforeRestart = new Map<string, number>();
+  private reverted = 0;
+
+  constructor(fleet: ProcessFleet, seed: number) {
+    this.fleet = fleet;
+    this.random = new Random(seed);
+  }
+
+  async run() {
+    await pause(FAULT_MS);
+    const callsBefore = this.fleet.site.configuration.calls.total;
+    const traffic = await measureTraffic(this.fleet, WINDOW_SECONDS);
+    const calls = this.fleet.site.configuration.calls.total - callsBefore;
+    const alone = await this.measureAlone();
+    const faults = {
+      serviceDown: await this.underServiceDown(),
+      staleServiceAndRestart: await this.underStaleService(),
+      readerKilled: await this.underKilledReader(),
+      partition: await this.underPartition(),
+      paused: await this.underPause(),
+      restart: await this.underRestart(),
+    };
+    const { peakPerSecond } = this.fleet.site.configuration.calls;
+    this.countReverts();
+    return {
+      inForceP50Seconds: alone.p50Seconds,
+      inForceP99Seconds: alone.p99Seconds,
+      inForceMaxSeconds: alone.maxSeconds,
+      reverted: this.reverted,
+      serviceCallsPerSecond: calls / WINDOW_SECONDS,
+      serviceCallsPeakPerSecond: peakPerSecond,
+      ...traffic,
+      faults,
+    };
+  }
+
+  private async measureAlone(): Promise<SwitchTimes> {
+    const times: number[] = [];
+    for (let count = 0; count < SWITCHES_ALONE; count += 1) {
+      times.push(...(await this.measureSwitch(nodesOf(this.fleet))));
+    }
+    return summarise(times);
+  }
+
+  private async underServiceDown(): Promise<SwitchTimes> {
+    const { configuration } = this.fleet.site;
+    configuration.condition = ServiceCondition.Down;
+    await pause(FAULT_MS);
+    configuration.condition = ServiceCondition.Normal;
+    return summarise(await this.measureSwitch(nodesOf(this.fleet)));
+  }
+
+  /** The service shows the first revision again while a router and a sidecar restart. */
+  private async underStaleService(): Promise<SwitchTimes> {
+    this.fleet.site.publish({ revision: 1 });
+    await this.restart(this.pickRouter());
+    const [sidecar] = this.fleet.sidecars;
+    if (sidecar !== undefined) {
+      this.noteRestart(sidecar);
+      await this.fleet.restartSidecar(sidecar);
+    }
+    await pause(FAULT_MS);
+    return summarise(await this.measureSwitch(nodesOf(this.fleet)));
+  }
+
+  private async underKilledReader(): Promise<SwitchTimes> {
+    const victim = await this.pickReader();
+    this.noteRestart(victim);
+    await victim.process.kill();
+    const others = nodesOf(this.fleet).filter((node) => node !== victim);
+    const times = await this.measureSwitch(others);
+    await this.fleet.restartRouter(victim);
+    await this.waitForRevision([victim]);
+    return summarise(times);
+  }
+
+  /** A router that nobody can dial and that does not reach the service; timed from the heal for it. */
+  private async underPartition(): Promise<SwitchTimes> {
+    const victim = this.pickRouter();
+    const proxies = this.fleet.routers.map((router) => router.proxy);
+    proxies.forEach((proxy) => (proxy.fault = Fault.Silence));
+    this.fleet.serviceProxy(victim.host).fault = Fault.Cut;
+    await pause(FAULT_MS);
+    this.publish();
+    await pause(FAULT_MS);
+    const healedAt = Date.now();
+    proxies.forEach((proxy) => (proxy.fault = Fault.None));
+    this.fleet.serviceProxy(victim.host).fault = Fault.None;
+    return summarise(await this.timesSince(nodesOf(this.fleet), healedAt));
+  }
+
+  private async underPause(): Promise<SwitchTimes> {
+    const victim = this.pickRouter();
+    victim.process.signal('SIGSTOP');
+    const others = nodesOf(this.fleet).filter((node) => node !== victim);
+    const times = await this.measureSwitch(others);
+    await pause(FAULT_MS);
+    const resumedAt = Date.now();
+    victim.process.signal('SIGCONT');
+    return summarise([...times, ...(await this.timesSince([victim], resumedAt))]);
+  }
+
+  private async underRestart(): Promise<SwitchTimes> {
+    const victim = this.pickRouter();
+    this.noteRestart(victim);
+    const restarted = this.fleet.restartRouter(victim);
+    const others = nodesOf(this.fleet).filter((node) => node !== victim);
+    const times = await this.measureSwitch(others);
+    await restarted;
+    await this.waitForRevision([victim]);
+    return summarise(times);
+  }
+
+  private publish(): void {
+    this.revision += 1;
+    const preset = PRESETS[this.revision % PRESETS.length];
+    this.fleet.site.publish({
+      revision: this.revision,
+      ...(preset === undefined ? {} : { preset }),
+    });
+  }
+
+  private async measureSwitch(nodes: readonly FleetNode[]): Promise<number[]> {
+    const publishedAt = Date.now();
+    this.publish();
+    return this.timesSince(nodes, publishedAt);
+  }
+
+  /** Seconds from `since` until the current revision was in force in each process. */
+  private async timesSince(nodes: readonly FleetNode[], since: number): Promise<number[]> {
+    await this.waitForRevision(nodes);
+    return nodes.map(
+      (node) => Math.max(0, this.inForceAt(node, this.revision) - since) / SECOND_MS,
+    );
+  }
+
+  private async waitForRevision(nodes: readonly FleetNode[]): Promise<void> {
+    await waitUntil(
+      `revision ${this.revision}`,
+      () => nodes.every((node) => this.inForceAt(node, this.revision) > 0),
+      LIMIT_MS,
+    );
+  }
+
+  /** Wall-clock time at which a process had a revision in force; 0 where it has not. */
+  private inForceAt(node: FleetNode, revision: number): number {
+    const found = node.process.events.find(
+      (event) =>
+        event['event'] === 'configuration.in_force' && Number(event['revision']) === revision,
+    );
+    return found === undefined ? 0 : Date.parse(found['ts'] ?? '');
+  }
+
+  private async restart(router: RouterNode): Promise<void> {
+    this.noteRestart(router);
+    await this.fleet.restartRouter(router);
+  }
+
+  private noteRestart(node: FleetNode): void {
+    this.reverted += countFalls(this.revisionsOf(node), this.beforeRestart.get(node.host) ?? 0);
+    this.beforeRestart.set(node.host, this.revisionsOf(node).at(-1) ?? 0);
+  }
+
+  private countReverts(): void {
+    for (const node of nodesOf(this.fleet)) {
+      this.reverted += countFalls(this.revisionsOf(node), this.beforeRestart.get(node.host) ?? 0);
+    }
+  }
+
+  private revisionsOf(node: FleetNode): number[] {
+    return node.process.events
+      .filter((event) => event['event'] === 'configuration.in_force')
+      .map((event) => Number(event['revision']));
+  }
+
+  private pickRouter(): RouterNode {
+    return this.random.pick(this.fleet.routers);
+  }
+
+  private async pickReader(): Promise<RouterNode> {
+    for (const router of this.fleet.routers) {
+      const { configuration } = await this.fleet.status(router.operators);
+      if ('reader' in configuration && configuration.reader === true) return router;
+    }
+    throw new Error('there is no reader');
+  }
+}
+
+function countFalls(revisions: readonly number[], before: number): number {
+  return [before, ...revisions].filter(
+    (revision, index, all) => index > 0 && revision < (all[index - 1] ?? 0),
+  ).length;
+}
+
+function summarise(seconds: readonly number[]): SwitchTimes {
+  return {
+    p50Seconds: percentile(seconds, 50),
+    p99Seconds: percentile(seconds, 99),
+    maxSeconds: percentile(seconds, 100),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/control/control-fleet.ts
@@ -0,0 +1,112 @@
+/** Fleets of a given number of processes, and what they spend on control while nothing is served. */
+import { EndpointKind } from '@poplarpick/decisions';
+import { planSite } from '@poplarpick/stand-ins';
+import type { SitePlan } from '@poplarpick/stand-ins';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import type {
+  ProcessFleetOptions,
+  RouterNode,
+  SidecarNode,
+} from '../process-fleet/process-fleet.ts';
+
+/** Routers among all processes at the design size: 940 of 4,240. */
+const ROUTER_SHARE = 0.22;
+const FEWEST_ROUTERS = 3;
+
+const SECOND_MS = 1_000;
+
+/** What the processes have sent, by second and process. */
+export interface ControlTraffic {
+  controlBytesPerNodeSecond: number;
+  controlMessagesPerNodeSecond: number;
+  routerBytesPerSecond: number;
+  sidecarBytesPerSecond: number;
+}
+
+/** A process of either role. */
+export type FleetNode = RouterNode | SidecarNode;
+
+interface LinkSection {
+  controlBytes: number;
+  controlMessages: number;
+}
+
+/** Starts a fleet of `processes` with the shares of the design size. */
+export async function startControlFleet(
+  processes: number,
+  options: ProcessFleetOptions = {},
+): Promise<ProcessFleet> {
+  const routers = Math.max(FEWEST_ROUTERS, Math.round(processes * ROUTER_SHARE));
+  return ProcessFleet.start({ routers, plan: planSidecars(processes - routers), ...options });
+}
+
+/** All processes of a fleet. */
+export function nodesOf(fleet: ProcessFleet): FleetNode[] {
+  return [...fleet.routers, ...fleet.sidecars];
+}
+
+/** Bytes that each process sends for control over `seconds`. */
+export async function measureTraffic(
+  fleet: ProcessFleet,
+  seconds: number,
+): Promise<ControlTraffic> {
+  const before = await readLinks(fleet);
+  await pause(seconds * SECOND_MS);
+  const after = await readLinks(fleet);
+  const rates = after.map((link, index) => ({
+    bytes: (link.controlBytes - (before[index]?.controlBytes ?? 0)) / seconds,
+    messages: (link.controlMessages - (before[index]?.controlMessages ?? 0)) / seconds,
+  }));
+  const routers = fleet.routers.length;
+  return {
+    controlBytesPerNodeSecond: average(rates.map(({ bytes }) => bytes)),
+    controlMessagesPerNodeSecond: average(rates.map(({ messages }) => messages)),
+    routerBytesPerSecond: average(rates.slice(0, routers).map(({ bytes }) => bytes)),
+    sidecarBytesPerSecond: average(rates.slice(routers).map(({ bytes }) => bytes)),
+  };
+}
+
+/** Waits until `isDone` holds; returns the milliseconds that took. Throws after `limitMs`. */
+export async function waitUntil(
+  what: string,
+  isDone: () => boolean | Promise<boolean>,
+  limitMs: number,
+): Promise<number> {
+  const startedAt = performance.now();
+  while (!(await isDone())) {
+    if (performance.now() - startedAt > limitMs) throw new Error(`${what}: time is up`);
+    await pause(20);
+  }
+  return performance.now() - startedAt;
+}
+
+/** Value below which `percent` of the values lie; 0 for none. */
+export function percentile(values: readonly number[], percent: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const index = Math.ceil((percent / 100) * sorted.length) - 1;
+  return sorted[Math.max(0, index)] ?? 0;
+}
+
+export async function pause(delayMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+async function readLinks(fleet: ProcessFleet): Promise<LinkSection[]> {
+  const statuses = await Promise.all(nodesOf(fleet).map((node) => fleet.status(node.operators)));
+  return statuses.map((status) => status['links'] as LinkSection);
+}
+
+function average(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+function planSidecars(count: number): SitePlan {
+  const plan = planSite();
+  const endpoints = Array.from({ length: count }, (_, index) => ({
+    name: `model-${index + 1}`,
+    kind: EndpointKind.Model,
+    dataCentre: plan.dataCentres[index % plan.dataCentres.length] ?? '',
+    slots: 4,
+  }));
+  return { ...plan, endpoints };
+}
--- /dev/null
+++ b/packages/bench/src/drain/app.ts
@@ -0,0 +1,125 @@
+/** `drain`: time from a mark to the last new work at the marked endpoints, and whether anything was cut. */
+import { parseArgs } from 'node:util';
+import { callChat, CallOutcome, Random } from '@poplarpick/load';
+import type { ChatResult } from '@poplarpick/load';
+import { Fault, ServiceCondition } from '@poplarpick/stand-ins';
+import { pause } from '../control/control-fleet.ts';
+import { hostOf, ProcessFleet } from '../process-fleet/process-fleet.ts';
+
+const SECOND_MS = 1_000;
+const LANES = 40;
+const OUTPUT_TOKENS = 20;
+const WATCH_MS = 5_000;
+const SAMPLE_MS = 10;
+
+/** What one stop has shown. */
+interface StopResult {
+  lastNewWorkSeconds: number;
+  cutInFlight: number;
+  doneSeconds: number;
+}
+
+/** The command's entry in the bench. */
+export const drainCommand = {
+  name: 'drain',
+  summary: 'time from a mark to the last new work  [--seed S] [--json]',
+  run: runDrain,
+};
+
+async function runDrain(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: { seed: { type: 'string', default: '1' }, json: { type: 'boolean', default: false } },
+  });
+  const seed = Number(values.seed);
+  const fleet = await ProcessFleet.start({ routers: 3, serviceProxies: true });
+  try {
+    const stops = await runStops(fleet, new Random(seed));
+    const results = Object.values(stops);
+    const lastNewWorkSeconds = Math.max(...results.map((stop) => stop.lastNewWorkSeconds));
+    const cutInFlight = results.reduce((sum, stop) => sum + stop.cutInFlight, 0);
+    console.log(JSON.stringify({ seed, lastNewWorkSeconds, cutInFlight, stops }));
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runStops(fleet: ProcessFleet, random: Random) {
+  const { configuration } = fleet.site;
+  const names = new Set(fleet.site.modelEngines.keys());
+  const pick = (): string => {
+    const name = random.pick([...names]);
+    names.delete(name);
+    return name;
+  };
+  const [first, second, third] = [pick(), pick(), pick()];
+  const byConfiguration = await measureStop(fleet, first, () =>
+    fleet.site.publish({ revision: 2, plannedStops: [first] }),
+  );
+  configuration.condition = ServiceCondition.Down;
+  const byHostList = await measureStop(fleet, second, () => fleet.publishHosts([hostOf(second)]));
+  configuration.condition = ServiceCondition.Normal;
+  const cutOff = [hostOf(third), ...fleet.routers.slice(1).map((router) => router.host)];
+  cutOff.forEach((host) => (fleet.serviceProxy(host).fault = Fault.Cut));
+  const withMostCutOff = await measureStop(fleet, third, () =>
+    fleet.site.publish({ revision: 3, plannedStops: [first, third] }),
+  );
+  return { byConfiguration, byHostList, withMostCutOff };
+}
+
+/** Marks under load and watches the engine for new work. */
+async function measureStop(
+  fleet: ProcessFleet,
+  endpoint: string,
+  mark: () => void,
+): Promise<StopResult> {
+  const load = startLoad(fleet);
+  await pause(SECOND_MS);
+  const markedAt = performance.now();
+  mark();
+  let lastNewWorkMs = 0;
+  let runs = readRuns(fleet, endpoint);
+  while (performance.now() - markedAt < WATCH_MS) {
+    await pause(SAMPLE_MS);
+    const now = readRuns(fleet, endpoint);
+    if (now > runs) lastNewWorkMs = performance.now() - markedAt;
+    runs = now;
+  }
+  const { process } = fleet.findSidecar(endpoint);
+  const marked = await process.waitFor('drain.marked');
+  const done = await process.waitFor('drain.done');
+  const results = await load.stop();
+  return {
+    lastNewWorkSeconds: lastNewWorkMs / SECOND_MS,
+    cutInFlight: results.filter(({ outcome }) => outcome !== CallOutcome.Whole).length,
+    doneSeconds: (Date.parse(done['ts'] ?? '') - Date.parse(marked['ts'] ?? '')) / SECOND_MS,
+  };
+}
+
+function readRuns(fleet: ProcessFleet, endpoint: string): number {
+  return fleet.site.modelEngines.get(endpoint)?.runs ?? 0;
+}
+
+/** Keeps more calls open than the engines have slots. */
+function startLoad(fleet: ProcessFleet): { stop: () => Promise<ChatResult[]> } {
+  const { workspaces, model } = fleet.site.plan;
+  const results: ChatResult[] = [];
+  let ended = false;
+  const loop = async (lane: number): Promise<void> => {
+    const url = fleet.routerUrls[lane % fleet.routerUrls.length] ?? '';
+    const key = workspaces[lane % workspaces.length]?.key ?? '';
+    while (!ended) {
+      results.push(
+        await callChat({ url, key, model, prompt: `lane ${lane}`, outputTokens: OUTPUT_TOKENS }),
+      );
+    }
+  };
+  const lanes = Array.from({ length: LANES }, (_, lane) => loop(lane));
+  return {
+    stop: async () => {
+      ended = true;
+      await Promise.all(lanes);
+      return results;
+    },
+  };
+}
--- /dev/null
+++ b/packages/bench/src/membership/app.ts
@@ -0,0 +1,144 @@
+/**
+ * `membership`: how fast a killed host is found, how often a live one is suspected while messages are
+ * lost, how long the fleet needs to one view after every process was cut off from every other, and
+ * what all that costs.
+ */
+import { parseArgs } from 'node:util';
+import { Random } from '@poplarpick/load';
+import { Fault } from '@poplarpick/stand-ins';
+import {
+  measureTraffic,
+  nodesOf,
+  pause,
+  percentile,
+  startControlFleet,
+  waitUntil,
+} from '../control/control-fleet.ts';
+import type { FleetNode } from '../control/control-fleet.ts';
+import type { ProcessFleet } from '../process-fleet/process-fleet.ts';
+
+const SECOND_MS = 1_000;
+const MESSAGE_LOSS = 0.05;
+const KILLS = 3;
+const LIMIT_MS = 60_000;
+const SETTLE_MS = 3_000;
+const WINDOW_SECONDS = 15;
+const PARTITION_MS = 10_000;
+
+interface MembershipSection {
+  alive: number;
+  digest: string;
+}
+
+/** The command's entry in the bench. */
+export const membershipCommand = {
+  name: 'membership',
+  summary: 'detection, false suspicions and rejoin  [--seed S] [--processes N] [--json]',
+  run: runMembership,
+};
+
+async function runMembership(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      seed: { type: 'string', default: '1' },
+      processes: { type: 'string', default: '8' },
+      json: { type: 'boolean', default: false },
+    },
+  });
+  const processes = Number(values.processes);
+  const seed = Number(values.seed);
+  const fleet = await startControlFleet(processes, { messageLoss: MESSAGE_LOSS });
+  try {
+    await waitForOneView(fleet, processes);
+    await pause(SETTLE_MS);
+    const before = countSuspicions(fleet);
+    const traffic = await measureTraffic(fleet, WINDOW_SECONDS);
+    const falseSuspicions = countSuspicions(fleet) - before;
+    const detections = await measureDetections(fleet, processes, new Random(seed));
+    const convergeMs = await measureRejoin(fleet, processes);
+    console.log(
+      JSON.stringify({
+        processes,
+        seed,
+        messageLoss: MESSAGE_LOSS,
+        detectionP50Seconds: percentile(detections, 50),
+        detectionP99Seconds: percentile(detections, 99),
+        falseSuspicions,
+        falseSuspicionWindowSeconds: WINDOW_SECONDS,
+        convergeAfterPartitionSeconds: convergeMs / SECOND_MS,
+        ...traffic,
+      }),
+    );
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Kills hosts one after the other; seconds until each other router has it for down. */
+async function measureDetections(
+  fleet: ProcessFleet,
+  processes: number,
+  random: Random,
+): Promise<number[]> {
+  const seconds: number[] = [];
+  for (let kill = 0; kill < KILLS; kill += 1) {
+    const group: FleetNode[] = kill % 2 === 0 ? fleet.routers : fleet.sidecars;
+    const victim = random.pick(group);
+    const observers = fleet.routers.filter((router) => router !== victim);
+    const killedAt = Date.now();
+    await victim.process.kill();
+    const isFound = () => observers.every((node) => downAt(node, victim.host, killedAt) > 0);
+    await waitUntil(`loss of ${victim.host}`, isFound, LIMIT_MS);
+    seconds.push(
+      ...observers.map((node) => (downAt(node, victim.host, killedAt) - killedAt) / SECOND_MS),
+    );
+    if ('callers' in victim) await fleet.restartRouter(victim);
+    else await fleet.restartSidecar(victim);
+    await waitForOneView(fleet, processes);
+  }
+  return seconds;
+}
+
+/** Cuts every process off from every other; milliseconds from the heal to one view. */
+async function measureRejoin(fleet: ProcessFleet, processes: number): Promise<number> {
+  fleet.routers.forEach(({ proxy }) => (proxy.fault = Fault.Silence));
+  await pause(PARTITION_MS);
+  fleet.routers.forEach(({ proxy }) => (proxy.fault = Fault.None));
+  return waitForOneView(fleet, processes);
+}
+
+async function waitForOneView(fleet: ProcessFleet, processes: number): Promise<number> {
+  const isOneView = async (): Promise<boolean> => {
+    // A router that has just restarted does not know the operators' key yet.
+    const statuses = await Promise.all(
+      fleet.routers.map(({ operators }) => fleet.status(operators)),
+    ).catch(() => []);
+    const sections = statuses.map((status) => status['membership'] as MembershipSection);
+    const [first] = sections;
+    return (
+      sections.length > 0 &&
+      sections.every(({ alive, digest }) => alive === processes && digest === first?.digest)
+    );
+  };
+  return waitUntil('one view', isOneView, LIMIT_MS);
+}
+
+function downAt(node: FleetNode, host: string, since: number): number {
+  const times = node.process.events
+    .filter((event) => event['event'] === 'membership.down' && event['peer'] === host)
+    .map((event) => Date.parse(event['ts'] ?? ''));
+  return times.find((time) => time >= since) ?? 0;
+}
+
+/** Suspicions begun; a suspicion is counted once, however many processes hear of it. */
+function countSuspicions(fleet: ProcessFleet): number {
+  const seen = new Set<string>();
+  for (const node of nodesOf(fleet)) {
+    for (const event of node.process.events) {
+      if (event['event'] !== 'membership.suspect') continue;
+      seen.add(`${event['peer'] ?? ''} ${event['version'] ?? ''}`);
+    }
+  }
+  return seen.size;
+}
--- a/packages/decisions/src/configuration/settings.ts
+++ b/packages/decisions/src/configuration/settings.ts
@@ -34,6 +34,11 @@
   statsd: address,
 });
 
+const faults = z.strictObject({
+  /** Probability with which a heartbeat or a message about members is lost; for tests only. */
+  message_loss: z.number().min(0).max(1),
+});
+
 const common = {
   /** Name of the fleet; processes of other fleets are refused. */
   fleet: z.string().min(1),
@@ -42,6 +47,8 @@
   platform,
   log: log.default({ level: 'info' }),
   metrics: metrics.optional(),
+  /** Faults that the process makes by itself; for tests only. */
+  faults: faults.optional(),
 };
 
 const callers = z.strictObject({
--- a/packages/fleet/src/link/app.ts
+++ b/packages/fleet/src/link/app.ts
@@ -39,6 +39,8 @@
     this.hub = new LinkHub({ hello, clock, log, metrics, traffic });
     kernel.provide(linkHubKey, this.hub);
     const hub = this.hub;
+    const loss = readMessageLoss(kernel);
+    if (loss > 0) hub.onLink((link) => link.loseMessages(() => Math.random() < loss));
     kernel.part(statusBoardKey).add('links', () => ({
       peers: hub.peers().map((peer) => peer.host),
       ...traffic,
@@ -82,4 +84,10 @@
   }
 }
 
+function readMessageLoss(kernel: Kernel): number {
+  const settings =
+    kernel.role === Role.Router ? kernel.part(routerSettingsKey) : kernel.part(sidecarSettingsKey);
+  return settings.faults?.message_loss ?? 0;
+}
+
 registerPlugin(() => new LinksPlugin());
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -21,6 +21,14 @@
 /** Time within which a call must be answered. */
 const CALL_TIMEOUT_MS = 5_000;
 
+/** Messages that a test may lose: the sender does not count on any single one. */
+const LOSSY_METHODS: ReadonlySet<string> = new Set([
+  NoticeMethod.Heartbeat,
+  NoticeMethod.Members,
+  CallMethod.Probe,
+  CallMethod.CompareMembers,
+]);
+
 /** Bytes and messages that a link has sent. */
 export interface LinkTraffic {
   controlBytes: number;
@@ -58,6 +66,7 @@
   private readonly heartbeat: Timer;
   private lastArrival: number;
   private closed = false;
+  private isLost: (() => boolean) | undefined;
 
   constructor(options: LinkOptions) {
     this.socket = options.socket;
@@ -85,6 +94,11 @@
     return this.closed;
   }
 
+  /** Drops heartbeats and messages about members whenever `isLost` says so; for tests only. */
+  loseMessages(isLost: () => boolean): void {
+    this.isLost = isLost;
+  }
+
   /** Registers the handler of a call. */
   handleCall<Method extends CallMethod>(
     method: Method,
@@ -161,6 +175,8 @@
 
   private send(payload: JSONRPCRequest | JSONRPCResponse): void {
     if (this.closed) throw new Error('link is closed');
+    if ('method' in payload && LOSSY_METHODS.has(payload.method) && this.isLost?.() === true)
+      return;
     const frame = encodeFrame(payload);
     this.count(payload, frame.length);
     this.socket.write(frame);
--- a/packages/fleet/src/membership/failure-detector.ts
+++ b/packages/fleet/src/membership/failure-detector.ts
@@ -14,6 +14,9 @@
 /** Time between two rounds of asking while the link stays lost. */
 const PROBE_PERIOD_MS = 1_000;
 
+/** Time that a helper has to answer. */
+const PROBE_LIMIT_MS = 1_200;
+
 /** Members that are asked in one round. */
 const PROBE_HELPERS = 3;
 
@@ -108,7 +111,13 @@
   }
 
   private async ask(host: string, lost: LostHost): Promise<void> {
-    const answers = await Promise.all(this.pickHelpers(host).map((helper) => probe(helper, host)));
+    const helpers = this.pickHelpers(host);
+    const late = new Promise<boolean>(
+      (resolve) => void this.options.clock.after(PROBE_LIMIT_MS, () => resolve(false)),
+    );
+    const answers = await Promise.all(
+      helpers.map((helper) => Promise.race([probe(helper, host), late])),
+    );
     lost.asking = false;
     lost.askAt = this.options.clock.monotonic() + PROBE_PERIOD_MS;
     if (this.lost.get(host) !== lost) return;
