--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,8 +1,13 @@
 /** The commands of the bench, by name. */
 import { configCommand } from './config/app.ts';
+import { decisionCostCommand } from './decision-cost/app.ts';
 import { drainCommand } from './drain/app.ts';
+import { fairnessCommand } from './fairness/app.ts';
+import { faultsCommand } from './faults/app.ts';
+import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { membershipCommand } from './membership/app.ts';
+import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -13,5 +18,15 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [configCommand, drainCommand, latencyCommand, membershipCommand];
+  return [
+    latencyCommand,
+    fairnessCommand,
+    utilisationCommand,
+    floodCommand,
+    decisionCostCommand,
+    faultsCommand,
+    configCommand,
+    drainCommand,
+    membershipCommand,
+  ];
 }
