--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -7,6 +7,7 @@
 import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { membershipCommand } from './membership/app.ts';
+import { powerCommand } from './power/app.ts';
 import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
@@ -28,5 +29,6 @@
     configCommand,
     drainCommand,
     membershipCommand,
+    powerCommand,
   ];
 }
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -14,6 +14,7 @@
 import { FaultProxy, HostList, planSite, Site } from '@poplarpick/stand-ins';
 import type { SiteOptions, SitePlan } from '@poplarpick/stand-ins';
 import { stringify } from 'smol-toml';
+import { FleetKeys } from './fleet-keys.ts';
 import { FleetProcess } from './fleet-process.ts';
 
 const FLEET = 'bench';
@@ -40,6 +41,8 @@
   serviceProxies?: boolean;
   /** Probability with which each process loses a heartbeat or a message about members. */
   messageLoss?: number;
+  /** Whether links use TLS, with certificates of an authority made for the fleet. */
+  trust?: boolean;
 }
 
 /** A router process with its addresses, which stay the same over restarts. */
@@ -79,6 +82,9 @@
   private readonly serviceProxies = new Map<string, FaultProxy>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'poplarpick-'));
 
+  /** Authority and certificates, where the fleet uses them. */
+  keys: FleetKeys | undefined;
+
   private constructor(site: Site, options: ProcessFleetOptions) {
     this.site = site;
     this.options = options;
@@ -91,6 +97,7 @@
     const site = await new Site(options.plan ?? planSite(), options.site).start();
     const fleet = new ProcessFleet(site, options);
     try {
+      if (options.trust === true) fleet.keys = await FleetKeys.make(fleet.folder);
       await fleet.startAll();
     } catch (error) {
       await fleet.stop();
@@ -128,6 +135,13 @@
     await this.noteSidecarStart(sidecar);
   }
 
+  /** Starts another sidecar beside the same endpoint, as a replacement does; the first one is left. */
+  async startSecondSidecar(sidecar: SidecarNode): Promise<void> {
+    sidecar.operators = '';
+    sidecar.process = this.spawnSidecar(sidecar);
+    await this.noteSidecarStart(sidecar);
+  }
+
   /** The fault proxy between a process and the configuration service. Throws where there is none. */
   serviceProxy(host: string): FaultProxy {
     const found = this.serviceProxies.get(host);
@@ -213,6 +227,7 @@
 
   private async startRouter(host: string, dataCentre: string): Promise<void> {
     await this.addServiceProxy(host);
+    await this.keys?.issue({ fleet: FLEET, role: Role.Router, host });
     const process = this.spawnRouter(host, dataCentre);
     const callers = (await process.waitFor('callers.listening'))['address'] ?? '';
     const operators = (await process.waitFor('operators.listening'))['address'] ?? '';
@@ -226,6 +241,7 @@
 
   private async startSidecar(endpoint: string, dataCentre: string): Promise<void> {
     await this.addServiceProxy(hostOf(endpoint));
+    await this.keys?.issue({ fleet: FLEET, role: Role.Sidecar, host: hostOf(endpoint) });
     const proxy = await new FaultProxy({
       target: this.site.endpointUrl(endpoint).replace('http://', ''),
     }).start();
@@ -285,6 +301,7 @@
       host,
       data_centre: dataCentre,
       platform: { configuration: service, hosts: hosts.url },
+      trust: this.keys?.settings(host) ?? { mode: 'none' },
       log: { level: this.options.logLevel ?? 'info' },
       ...(this.options.messageLoss === undefined
         ? {}
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -13,6 +13,7 @@
 import { parseAddress } from './address.ts';
 import { createTraffic } from './link/link.ts';
 import { identityKey, routerSettingsKey, sidecarSettingsKey, trafficKey } from './parts.ts';
+import './trust/app.ts';
 import './link/app.ts';
 import './configuration/app.ts';
 import './membership/app.ts';
@@ -20,6 +21,8 @@
 import './router/app.ts';
 import './callers/app.ts';
 import './sidecar/app.ts';
+import './currency/app.ts';
+import './orders/app.ts';
 import './ledger/app.ts';
 import './operators/app.ts';
 
