Send small writes through the fault proxy at once

Cause: the first token had 50 ms at p99 where its median was 6.5 ms. The proxy's sockets left Nagle's algorithm on, so the second of two small writes waited for the acknowledgement of the first, which the other side delays by 40 ms.

--- a/packages/stand-ins/src/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy.ts
@@ -117,7 +117,7 @@
 
   constructor(options: FaultProxyOptions) {
     this.options = options;
-    this.server = createServer((socket) => this.accept(socket));
+    this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
   }
 
   /** Address that takes the place of the target's. */
@@ -160,7 +160,8 @@
       return;
     }
     const { ip, port } = parseAddress(this.options.target);
-    const far = connect({ host: ip, port });
+    // Without it Nagle's algorithm holds a small write back until the delayed acknowledgement of the last.
+    const far = connect({ host: ip, port, noDelay: true });
     const latencyMs = this.options.latencyMs ?? DEFAULT_LATENCY_MS;
     const connection = new ProxiedConnection(near, far, () => this.current, latencyMs);
     this.connections.add(connection);
