--- a/packages/fleet/src/link/frame-codec.ts
+++ b/packages/fleet/src/link/frame-codec.ts
@@ -33,6 +33,12 @@
   limitBytes?: number;
 }
 
+/** A value with the bytes that it took on the stream. */
+export interface DecodedFrame {
+  value: unknown;
+  bytes: number;
+}
+
 /** Cuts a stream of bytes into values. */
 export class FrameDecoder {
   private readonly limitBytes: number;
@@ -44,14 +50,14 @@
   }
 
   /** Takes bytes in and returns the values they complete. Throws `FrameError`. */
-  push(chunk: Buffer): unknown[] {
+  push(chunk: Buffer): DecodedFrame[] {
     this.chunks.push(chunk);
     this.held += chunk.length;
-    const values: unknown[] = [];
+    const frames: DecodedFrame[] = [];
     for (let body = this.takeBody(); body !== undefined; body = this.takeBody()) {
-      values.push(decodeBody(body));
+      frames.push({ value: decodeBody(body), bytes: LENGTH_BYTES + body.length });
     }
-    return values;
+    return frames;
   }
 
   private takeBody(): Buffer | undefined {
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -21,11 +21,15 @@
 /** Time within which a call must be answered. */
 const CALL_TIMEOUT_MS = 5_000;
 
-/** Bytes and messages that a link has sent. */
+/** Bytes and messages on all links of a process. */
 export interface LinkTraffic {
+  /** Sent. */
   controlBytes: number;
   controlMessages: number;
   payloadBytes: number;
+  receivedControlBytes: number;
+  receivedControlMessages: number;
+  receivedPayloadBytes: number;
 }
 
 /** Options of a `Link`. */
@@ -41,7 +45,14 @@
 
 /** Makes an empty traffic counter. */
 export function createTraffic(): LinkTraffic {
-  return { controlBytes: 0, controlMessages: 0, payloadBytes: 0 };
+  return {
+    controlBytes: 0,
+    controlMessages: 0,
+    payloadBytes: 0,
+    receivedControlBytes: 0,
+    receivedControlMessages: 0,
+    receivedPayloadBytes: 0,
+  };
 }
 
 /** One connection to another process. */
@@ -138,14 +149,18 @@
   private receive(chunk: Buffer): void {
     this.lastArrival = this.clock.monotonic();
     try {
-      for (const payload of this.decoder.push(chunk)) this.dispatch(payload);
+      for (const { value, bytes } of this.decoder.push(chunk)) {
+        const payload = value as JSONRPCRequest | JSONRPCResponse;
+        this.countReceived(payload, bytes);
+        this.dispatch(payload);
+      }
     } catch (error) {
       this.close(error instanceof Error ? error.message : 'unreadable frame');
     }
   }
 
-  private dispatch(payload: unknown): void {
-    this.rpc.receiveAndSend(payload as JSONRPCRequest | JSONRPCResponse).catch((error: unknown) => {
+  private dispatch(payload: JSONRPCRequest | JSONRPCResponse): void {
+    this.rpc.receiveAndSend(payload).catch((error: unknown) => {
       this.log.warn({
         event: 'link.bad_message',
         remote: this.remote,
@@ -170,6 +185,15 @@
     this.traffic.controlMessages += 1;
   }
 
+  private countReceived(payload: JSONRPCRequest | JSONRPCResponse, bytes: number): void {
+    if (isPayload(payload)) {
+      this.traffic.receivedPayloadBytes += bytes;
+      return;
+    }
+    this.traffic.receivedControlBytes += bytes;
+    this.traffic.receivedControlMessages += 1;
+  }
+
   private beat(): void {
     if (this.clock.monotonic() - this.lastArrival > SILENCE_MS) {
       this.close('silent');
