Work out the design size from slopes measured at four sizes

bench capacity starts fleets of real processes at four sizes of each quantity, fits lines, and writes docs/capacity.json and the tables of docs/CAPACITY.md.

--- /dev/null
+++ b/packages/bench/src/capacity/app.ts
@@ -0,0 +1,75 @@
+/**
+ * `capacity`: measures slopes at several sizes, works out the design size from them, and writes
+ * `docs/capacity.json` and the tables of `docs/CAPACITY.md`.
+ */
+import { readFileSync, writeFileSync } from 'node:fs';
+import { loadavg } from 'node:os';
+import { parseArgs } from 'node:util';
+import { format, resolveConfig } from 'prettier';
+import { measureConfigurations } from './configuration-cost.ts';
+import { DESIGN, LIMITS } from './design-size.ts';
+import { readDesignLinks } from './design-links.ts';
+import { fillPage } from './page.ts';
+import type { CapacityResult } from './page.ts';
+import { measureSlopes, projectLines } from './projection.ts';
+import { sweepBacklog, sweepLoad, sweepRouters, sweepSidecars } from './sweeps.ts';
+import type { Sweep } from './sweeps.ts';
+
+const RESULT_FILE = 'docs/capacity.json';
+const PAGE_FILE = 'docs/CAPACITY.md';
+
+/** The command's entry in the bench. */
+export const capacityCommand = {
+  name: 'capacity',
+  summary: 'slopes at several sizes and what each role needs at the design size  [--dry]',
+  run: runCapacity,
+};
+
+async function runCapacity(args: string[]): Promise<void> {
+  const { values } = parseArgs({ args, options: { dry: { type: 'boolean', default: false } } });
+  const result = await measureCapacity();
+  console.table(
+    result.lines.map(({ role, quantity, value, limit, over }) => ({
+      role,
+      quantity,
+      value,
+      limit,
+      over,
+    })),
+  );
+  if (!values.dry) {
+    writeFileSync(RESULT_FILE, `${JSON.stringify(result, null, 2)}\n`);
+    const page = fillPage(readFileSync(PAGE_FILE, 'utf8'), result);
+    const style = await resolveConfig(PAGE_FILE);
+    writeFileSync(PAGE_FILE, await format(page, { ...style, parser: 'markdown' }));
+  }
+  const over = result.lines
+    .filter((line) => line.over)
+    .map((line) => `${line.role}: ${line.quantity}`);
+  console.log(JSON.stringify({ seconds: result.seconds, over }));
+}
+
+async function measureCapacity(): Promise<CapacityResult> {
+  const startedAt = performance.now();
+  const [load = 0] = loadavg();
+  const configurations = measureConfigurations();
+  const sweeps: Sweep[] = [];
+  for (const sweep of [sweepSidecars, sweepRouters, sweepBacklog]) {
+    sweeps.push(await sweep());
+    console.error(`measured ${sweeps.at(-1)?.name ?? ''}`);
+  }
+  sweeps.push(...(await sweepLoad()));
+  const links = readDesignLinks();
+  return {
+    command: 'npm run bench:capacity',
+    seconds: Math.round((performance.now() - startedAt) / 1_000),
+    loadAverage: load,
+    design: DESIGN,
+    limits: LIMITS,
+    links,
+    sweeps,
+    configurations,
+    slopes: measureSlopes(sweeps),
+    lines: projectLines({ sweeps, configurations, links }),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/capacity/configuration-cost.ts
@@ -0,0 +1,70 @@
+/**
+ * Cost of the fleet configuration by its size: bytes, time of parsing with all checks, memory that
+ * the parsed document keeps, and the share that compression would save.
+ */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { deflateSync } from 'node:zlib';
+import { parseFleetConfiguration } from '@poplarpick/decisions';
+import { spreadOf } from '@poplarpick/load';
+import { writeConfiguration } from '@poplarpick/stand-ins';
+import { DESIGN } from './design-size.ts';
+import { planScale } from './site.ts';
+
+/** Cost of one document. */
+export interface ConfigurationPoint {
+  /** Share of the design size's workspaces and endpoints. */
+  share: number;
+  documentBytes: number;
+  compressedBytes: number;
+  parseMs: number;
+  heapBytes: number;
+}
+
+const SHARES = [0.125, 0.25, 0.5, 1];
+const REPEATS = 5;
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+/** Measures documents at several shares of the design size. */
+export function measureConfigurations(shares = SHARES): ConfigurationPoint[] {
+  return shares.map(measureConfiguration);
+}
+
+/** A document of a share of the design size. */
+export function writeDesignDocument(share: number, revision: number): string {
+  const plan = planScale({
+    sidecars: Math.round(DESIGN.sidecars * share),
+    workspaces: Math.round(DESIGN.workspaces * share),
+  });
+  return writeConfiguration(plan, { revision });
+}
+
+function measureConfiguration(share: number): ConfigurationPoint {
+  const text = writeDesignDocument(share, 1);
+  const times = Array.from({ length: REPEATS }, () => timeParse(text));
+  return {
+    share,
+    documentBytes: Buffer.byteLength(text),
+    compressedBytes: deflateSync(text).length,
+    parseMs: spreadOf(times).median,
+    heapBytes: measureHeap(text),
+  };
+}
+
+function timeParse(text: string): number {
+  const startedAt = performance.now();
+  parseFleetConfiguration(text, 'capacity');
+  return performance.now() - startedAt;
+}
+
+function measureHeap(text: string): number {
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const kept = [parseFleetConfiguration(text, 'capacity')];
+  collectGarbage();
+  const after = process.memoryUsage().heapUsed;
+  kept.length = 0;
+  return after - before;
+}
--- /dev/null
+++ b/packages/bench/src/capacity/design-links.ts
@@ -0,0 +1,27 @@
+/** Links of each role at the design size, counted from the decision that chooses them. */
+import { selectNeighbours, selectRouters } from '@poplarpick/decisions';
+import { DESIGN } from './design-size.ts';
+import type { DesignLinks } from './projection.ts';
+
+/** Sidecars whose links are counted; the choice is by hash, so a sample tells the mean of all. */
+const SAMPLE = 100;
+
+/** Mean links of each role. */
+export function readDesignLinks(): DesignLinks {
+  const routers = Array.from({ length: DESIGN.routers }, (_, index) => `entry-${index + 1}`);
+  const ofSidecars = Array.from(
+    { length: SAMPLE },
+    (_, index) => selectRouters(`host-of-engine-${index + 1}`, routers).size,
+  );
+  const ofRouters = routers.slice(0, SAMPLE).map((name) => selectNeighbours(name, routers).size);
+  const routersOfSidecar = meanOf(ofSidecars);
+  return {
+    routersOfSidecar,
+    sidecarsOfRouter: (routersOfSidecar * DESIGN.sidecars) / DESIGN.routers,
+    routersOfRouter: meanOf(ofRouters),
+  };
+}
+
+function meanOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/packages/bench/src/capacity/node-sample.ts
@@ -0,0 +1,85 @@
+/** Rates of one process over a stretch of time: processor, memory and control traffic. */
+import type { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import type { FleetProcess } from '../process-fleet/fleet-process.ts';
+import { readUsage } from './process-usage.ts';
+
+/** A process that is watched. */
+export interface WatchedNode {
+  process: FleetProcess;
+  /** Address of its operators' interface. */
+  operators: string;
+}
+
+/** What a process did, per second. */
+export interface NodeRates {
+  /** Share of one core. */
+  cpu: number;
+  rssBytes: number;
+  /** Sent and received. */
+  controlBytes: number;
+  controlMessages: number;
+}
+
+interface NodeReading extends NodeRates {
+  at: number;
+}
+
+interface TrafficSection {
+  controlBytes?: number;
+  controlMessages?: number;
+  receivedControlBytes?: number;
+  receivedControlMessages?: number;
+}
+
+/** Mean rates of the nodes while `during` runs. */
+export async function measureRates(
+  fleet: ProcessFleet,
+  nodes: readonly WatchedNode[],
+  during: () => Promise<void>,
+): Promise<NodeRates> {
+  const before = await readNodes(fleet, nodes);
+  await during();
+  const after = await readNodes(fleet, nodes);
+  return meanRates(before.map((reading, index) => ratesBetween(reading, after[index] ?? reading)));
+}
+
+async function readNodes(
+  fleet: ProcessFleet,
+  nodes: readonly WatchedNode[],
+): Promise<NodeReading[]> {
+  return Promise.all(nodes.map((node) => readNode(fleet, node)));
+}
+
+async function readNode(fleet: ProcessFleet, node: WatchedNode): Promise<NodeReading> {
+  const status = await fleet.status(node.operators);
+  const { cpuSeconds, rssBytes } = readUsage(node.process.pid);
+  const links = status['links'] as TrafficSection | undefined;
+  return {
+    at: performance.now(),
+    cpu: cpuSeconds,
+    rssBytes,
+    controlBytes: (links?.controlBytes ?? 0) + (links?.receivedControlBytes ?? 0),
+    controlMessages: (links?.controlMessages ?? 0) + (links?.receivedControlMessages ?? 0),
+  };
+}
+
+function ratesBetween(before: NodeReading, after: NodeReading): NodeRates {
+  const seconds = (after.at - before.at) / 1_000;
+  return {
+    cpu: (after.cpu - before.cpu) / seconds,
+    rssBytes: after.rssBytes,
+    controlBytes: (after.controlBytes - before.controlBytes) / seconds,
+    controlMessages: (after.controlMessages - before.controlMessages) / seconds,
+  };
+}
+
+function meanRates(rates: readonly NodeRates[]): NodeRates {
+  const mean = (key: keyof NodeRates): number =>
+    rates.reduce((sum, entry) => sum + entry[key], 0) / Math.max(1, rates.length);
+  return {
+    cpu: mean('cpu'),
+    rssBytes: mean('rssBytes'),
+    controlBytes: mean('controlBytes'),
+    controlMessages: mean('controlMessages'),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/capacity/page.ts
@@ -0,0 +1,138 @@
+/** Fills the tables of the capacity page, between markers, from the measured figures. */
+import type { ConfigurationPoint } from './configuration-cost.ts';
+import type { CapacityLine, DesignLinks, MeasuredSlope } from './projection.ts';
+import type { Sweep } from './sweeps.ts';
+
+/** What `docs/capacity.json` holds. */
+export interface CapacityResult {
+  command: string;
+  seconds: number;
+  /** Load of the machine at the start, over one minute. */
+  loadAverage: number;
+  design: Record<string, number>;
+  limits: Record<string, number>;
+  links: DesignLinks;
+  sweeps: Sweep[];
+  configurations: ConfigurationPoint[];
+  slopes: MeasuredSlope[];
+  lines: CapacityLine[];
+}
+
+/** Names of the tables on the page. */
+export enum PageTable {
+  Lines = 'lines',
+  Terms = 'terms',
+  Slopes = 'slopes',
+  Configuration = 'configuration',
+}
+
+const WRITERS: Record<PageTable, (result: CapacityResult) => string> = {
+  [PageTable.Lines]: writeLines,
+  [PageTable.Terms]: writeTerms,
+  [PageTable.Slopes]: writeSlopes,
+  [PageTable.Configuration]: writeConfigurations,
+};
+
+/** The page with its tables made anew. Throws where a marker is missing. */
+export function fillPage(page: string, result: CapacityResult): string {
+  return Object.values(PageTable).reduce(
+    (text, table) => replaceTable(text, table, WRITERS[table](result)),
+    page,
+  );
+}
+
+function replaceTable(page: string, table: PageTable, content: string): string {
+  const begin = `<!-- begin ${table} -->`;
+  const end = `<!-- end ${table} -->`;
+  const from = page.indexOf(begin);
+  const to = page.indexOf(end);
+  if (from < 0 || to < from) throw new Error(`the page has no table ${table}`);
+  return `${page.slice(0, from + begin.length)}\n\n${content}\n\n${page.slice(to)}`;
+}
+
+function writeLines({ lines, seconds, loadAverage }: CapacityResult): string {
+  const rows = lines.map((line) => [
+    line.role,
+    line.quantity,
+    `${formatValue(line.value, line.unit)} ± ${formatValue(line.error, line.unit)}`,
+    line.limit === null ? '–' : formatValue(line.limit, line.unit),
+    line.limit === null ? '–' : line.over ? '**over**' : 'within',
+    line.mechanism,
+    line.remark,
+  ]);
+  const head = [
+    'role',
+    'quantity',
+    'at the design size',
+    'limit',
+    'verdict',
+    'carried by',
+    'remark',
+  ];
+  const note = `Measured in ${seconds} s at a load average of ${loadAverage.toFixed(1)} before the run.`;
+  return `${writeTable(head, rows)}\n\n${note}`;
+}
+
+function writeTerms({ lines }: CapacityResult): string {
+  const rows = lines.flatMap((line) =>
+    line.terms.map((term) => [
+      line.role,
+      line.quantity,
+      term.name,
+      `${formatValue(term.value, line.unit)} ± ${formatValue(term.error, line.unit)}`,
+    ]),
+  );
+  return writeTable(['role', 'quantity', 'term', 'value'], rows);
+}
+
+function writeSlopes({ slopes }: CapacityResult): string {
+  const rows = slopes.map(({ varied, role, quantity, unit, points, fit }) => [
+    varied,
+    role,
+    quantity,
+    points
+      .map(({ size, value }) => `${formatNumber(size)}: ${formatValue(value, unit)}`)
+      .join(', '),
+    `${formatNumber(fit.slope)} ± ${formatNumber(fit.slopeError)} ${unit} each`,
+    formatValue(fit.intercept, unit),
+  ]);
+  const head = ['varied', 'role', 'quantity', 'measured', 'slope and its error', 'constant part'];
+  return writeTable(head, rows);
+}
+
+function writeConfigurations({ configurations }: CapacityResult): string {
+  const rows = configurations.map((point) => [
+    `${point.share * 100}%`,
+    formatValue(point.documentBytes, 'bytes'),
+    formatValue(point.compressedBytes, 'bytes'),
+    formatValue(point.parseMs, 'ms'),
+    formatValue(point.heapBytes, 'bytes'),
+  ]);
+  const head = ['share of the design size', 'document', 'compressed', 'parsing', 'memory kept'];
+  return writeTable(head, rows);
+}
+
+function writeTable(head: string[], rows: string[][]): string {
+  const lines = [head, head.map(() => '---'), ...rows];
+  return lines.map((cells) => `| ${cells.join(' | ')} |`).join('\n');
+}
+
+const KIB = 1_024;
+const MIB = KIB * KIB;
+
+/** A figure with its unit, in three digits. */
+export function formatValue(value: number, unit: string): string {
+  if (unit === 'bytes' || unit === 'bytes/s') return formatBytes(value, unit);
+  return `${formatNumber(value)} ${unit}`;
+}
+
+function formatBytes(value: number, unit: string): string {
+  const suffix = unit === 'bytes/s' ? '/s' : '';
+  if (Math.abs(value) >= MIB) return `${formatNumber(value / MIB)} MiB${suffix}`;
+  if (Math.abs(value) >= KIB) return `${formatNumber(value / KIB)} KiB${suffix}`;
+  return `${formatNumber(value)} B${suffix}`;
+}
+
+function formatNumber(value: number): string {
+  return String(Number(value.toPrecision(3)));
+}
--- /dev/null
+++ b/packages/bench/src/capacity/sweeps.ts
@@ -0,0 +1,197 @@
+/** Sweeps: the same fleet at four sizes or more, with what its processes used at each. */
+import { callChat, Random, runOpenLoop, sleep } from '@poplarpick/load';
+import type { ChatCall } from '@poplarpick/load';
+import { writeConfiguration } from '@poplarpick/stand-ins';
+import type { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import { measureRates } from './node-sample.ts';
+import type { NodeRates } from './node-sample.ts';
+import { withFleet } from './site.ts';
+
+/** Names of the sweeps. */
+export enum SweepName {
+  /** Idle fleet, one router, more sidecars. */
+  Sidecars = 'sidecars',
+  /** Idle fleet, four sidecars, more routers. */
+  Routers = 'routers',
+  /** More short requests a second. */
+  Requests = 'requests',
+  /** The same requests with longer answers. */
+  Tokens = 'tokens',
+  /** More workspaces that are always backlogged. */
+  Backlog = 'backlog',
+}
+
+/** What was measured at one size. */
+export interface SweepPoint {
+  /** Value of the varied quantity. */
+  size: number;
+  /** Mean over the routers. */
+  router: NodeRates;
+  /** Mean over the sidecars. */
+  sidecar: NodeRates;
+  /** Time until a new revision was in force everywhere. */
+  changeMs?: number;
+  serviceCallsPerSecond?: number;
+  /** Requests that did not get their whole answer. */
+  failed?: number;
+}
+
+/** One sweep. */
+export interface Sweep {
+  name: SweepName;
+  /** What is varied, with its unit. */
+  varied: string;
+  points: SweepPoint[];
+}
+
+/** A point of the load sweep with the rate that was reached. */
+type LoadPoint = Omit<SweepPoint, 'size'> & { requestsPerSecond: number };
+
+const SETTLE_MS = 1_500;
+const IDLE_MS = 4_000;
+const LOAD_MS = 4_000;
+const SHORT_ANSWER_TOKENS = 4;
+const TOKEN_SWEEP_RATE = 25;
+const BACKLOG_TOKENS = 40;
+const BACKLOG_DEPTH = 3;
+const SEED = 5;
+
+/** Idle rates of a router by the number of its sidecars. */
+export async function sweepSidecars(sizes = [4, 8, 16, 32]): Promise<Sweep> {
+  const points: SweepPoint[] = [];
+  for (const size of sizes) {
+    points.push(
+      await withFleet({ routers: 1, sidecars: size }, (fleet) => measureIdle(fleet, size)),
+    );
+  }
+  return { name: SweepName.Sidecars, varied: 'sidecars linked to one router', points };
+}
+
+/** Idle rates of routers and sidecars by the number of routers. */
+export async function sweepRouters(sizes = [1, 2, 4, 8]): Promise<Sweep> {
+  const points: SweepPoint[] = [];
+  for (const size of sizes) {
+    points.push(
+      await withFleet({ routers: size, sidecars: 4 }, (fleet) => measureIdle(fleet, size)),
+    );
+  }
+  return { name: SweepName.Routers, varied: 'routers linked to four sidecars', points };
+}
+
+/** Rates by requests per second, and by tokens per second, on one fleet. */
+export async function sweepLoad(
+  rates = [25, 50, 100, 200],
+  answers = [8, 32, 64, 128],
+): Promise<Sweep[]> {
+  return withFleet({ routers: 1, sidecars: 8, slots: 32 }, async (fleet) => {
+    await measureLoad(fleet, TOKEN_SWEEP_RATE, SHORT_ANSWER_TOKENS);
+    const requests: SweepPoint[] = [];
+    for (const rate of rates) {
+      const { requestsPerSecond, ...point } = await measureLoad(fleet, rate, SHORT_ANSWER_TOKENS);
+      requests.push({ size: requestsPerSecond, ...point });
+    }
+    const tokens: SweepPoint[] = [];
+    for (const answer of answers) {
+      const { requestsPerSecond, ...point } = await measureLoad(fleet, TOKEN_SWEEP_RATE, answer);
+      tokens.push({ size: requestsPerSecond * answer, ...point });
+    }
+    return [
+      { name: SweepName.Requests, varied: 'requests/s through one router', points: requests },
+      { name: SweepName.Tokens, varied: 'tokens/s through one router', points: tokens },
+    ];
+  });
+}
+
+/** Rates by the number of workspaces that are always backlogged. */
+export async function sweepBacklog(sizes = [4, 8, 16, 32]): Promise<Sweep> {
+  const points: SweepPoint[] = [];
+  for (const size of sizes) {
+    const scale = { routers: 1, sidecars: 4, workspaces: size, slots: 1, stepMs: 10 };
+    points.push(await withFleet(scale, (fleet) => measureBacklog(fleet, size)));
+  }
+  return { name: SweepName.Backlog, varied: 'workspaces always backlogged', points };
+}
+
+async function measureIdle(fleet: ProcessFleet, size: number): Promise<SweepPoint> {
+  await sleep(SETTLE_MS);
+  const calls = fleet.site.configuration.calls.total;
+  const startedAt = performance.now();
+  const rates = await measureNodes(fleet, () => sleep(IDLE_MS));
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const serviceCallsPerSecond = (fleet.site.configuration.calls.total - calls) / seconds;
+  return { size, ...rates, serviceCallsPerSecond, changeMs: await measureChange(fleet) };
+}
+
+/** Publishes a revision and waits until it is in force everywhere. */
+async function measureChange(fleet: ProcessFleet): Promise<number> {
+  const startedAt = performance.now();
+  fleet.site.configuration.publish(2, writeConfiguration(fleet.site.plan, { revision: 2 }));
+  const nodes = [...fleet.routers, ...fleet.sidecars];
+  await Promise.all(
+    nodes.map(({ process }) =>
+      process.waitForEvent(
+        (event) => event['event'] === 'configuration.in_force' && event['revision'] === '2',
+        'revision 2',
+      ),
+    ),
+  );
+  return performance.now() - startedAt;
+}
+
+/** Sends an open load; the size of the point is the rate that was reached. */
+async function measureLoad(
+  fleet: ProcessFleet,
+  rate: number,
+  outputTokens: number,
+): Promise<LoadPoint> {
+  const random = new Random(SEED);
+  let sent = 0;
+  let failed = 0;
+  const send = async (): Promise<void> => {
+    sent += 1;
+    const workspace = random.pick(fleet.site.plan.workspaces);
+    const result = await callChat(makeCall(fleet, workspace.key, outputTokens));
+    if (result.tokens !== outputTokens) failed += 1;
+  };
+  const startedAt = performance.now();
+  const rates = await measureNodes(fleet, () =>
+    runOpenLoop({ rate, durationMs: LOAD_MS, random, send }),
+  );
+  const requestsPerSecond = (sent * 1_000) / (performance.now() - startedAt);
+  return { requestsPerSecond, ...rates, failed };
+}
+
+async function measureBacklog(fleet: ProcessFleet, size: number): Promise<SweepPoint> {
+  const stop = new AbortController();
+  const floods = fleet.site.plan.workspaces.flatMap(({ key }) =>
+    Array.from({ length: BACKLOG_DEPTH }, () => keepAsking(fleet, key, stop.signal)),
+  );
+  await sleep(SETTLE_MS);
+  const rates = await measureNodes(fleet, () => sleep(IDLE_MS));
+  stop.abort();
+  await Promise.all(floods);
+  return { size, ...rates };
+}
+
+/** Sends the next request as soon as the last has ended. */
+async function keepAsking(fleet: ProcessFleet, key: string, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) await callChat({ ...makeCall(fleet, key, BACKLOG_TOKENS), signal });
+}
+
+function makeCall(fleet: ProcessFleet, key: string, outputTokens: number): ChatCall {
+  const [url = ''] = fleet.routerUrls;
+  return { url, key, model: fleet.site.plan.model, prompt: 'hello', outputTokens };
+}
+
+async function measureNodes(
+  fleet: ProcessFleet,
+  during: () => Promise<void>,
+): Promise<{ router: NodeRates; sidecar: NodeRates }> {
+  let work: Promise<void> | undefined;
+  const once = (): Promise<void> => (work ??= during());
+  const [router, sidecar] = await Promise.all([
+    measureRates(fleet, fleet.routers, once),
+    measureRates(fleet, fleet.sidecars, once),
+  ]);
+  return { router, sidecar };
+}
--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,4 +1,5 @@
 /** The commands of the bench, by name. */
+import { capacityCommand } from './capacity/app.ts';
 import { latencyCommand } from './latency/app.ts';
 
 /** One command of the bench. */
@@ -10,5 +11,5 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [latencyCommand];
+  return [capacityCommand, latencyCommand];
 }
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -3,3 +3,5 @@
 export * from './chat-caller.ts';
 export * from './fairness-gap.ts';
 export * from './random.ts';
+export * from './statistics.ts';
+export * from './open-loop.ts';
