Meter service levels, explain requests and walk the fleet from one address

Routers count good and bad events of four objectives for each workspace over six hours in bounded rings, with histograms of times; report burn adds them up over the fleet and judges them by two pairs of windows, as a table, JSON or a page with plots. Every event that is logged of a request, at any level, is also kept in a bounded trace book, from which explain tells the request's life; a workspace's key sees its own requests alone. Processes tell each other their operators' addresses.

--- /dev/null
+++ b/packages/cli/src/burn/burn-report.ts
@@ -0,0 +1,183 @@
+/** The service-level burn of the fleet: what all routers counted, added up for each workspace. */
+import {
+  addCounts,
+  BURN_WINDOWS_MS,
+  BurnAlert,
+  computeBurnRate,
+  judgeBurn,
+  Objective,
+  OBJECTIVES,
+  targetOf,
+} from '@poplarpick/decisions';
+import type { Burn, EventCounts, ServiceObjectives } from '@poplarpick/decisions';
+import { HISTOGRAM_UNITS_PER_MS } from '@poplarpick/fleet';
+import type { ServiceLevels, WorkspaceLevels } from '@poplarpick/fleet';
+import { build, decodeFromCompressedBase64 } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+
+/** Burn of one objective of one workspace. */
+export interface ObjectiveBurn extends Burn {
+  objective: Objective;
+  target: number;
+  /** Counts over each of `BURN_WINDOWS_MS`. */
+  counts: EventCounts[];
+}
+
+/** A point of a distribution: so many per cent of the times are at most this long. */
+export interface PercentilePoint {
+  percentile: number;
+  ms: number;
+}
+
+/** Burn of one workspace. */
+export interface WorkspaceBurn {
+  workspace: string;
+  objectives: ServiceObjectives;
+  burns: ObjectiveBurn[];
+  firstToken: PercentilePoint[];
+  tokenGap: PercentilePoint[];
+}
+
+/** Burn rate of one minute over all workspaces. */
+export interface BurnPoint {
+  startMs: number;
+  objective: Objective;
+  rate: number;
+}
+
+/** The report. */
+export interface BurnReport {
+  /** Wall-clock time of the report. */
+  madeAtMs: number;
+  routers: string[];
+  /** Routers that could not be asked; what they counted is missing. */
+  unreachable: string[];
+  /** Shortest time that a router's counts cover. */
+  coveredMs: number;
+  windowsMs: readonly number[];
+  /** The most urgent first. */
+  workspaces: WorkspaceBurn[];
+  /** Distributions over all workspaces. */
+  firstToken: PercentilePoint[];
+  tokenGap: PercentilePoint[];
+  series: BurnPoint[];
+}
+
+/** Options of `buildBurnReport`. */
+export interface BurnReportOptions {
+  levels: readonly ServiceLevels[];
+  unreachable?: readonly string[];
+  nowMs: number;
+}
+
+const PERCENTILES = [1, 10, 25, 50, 75, 90, 95, 99, 99.9];
+const URGENCY = [BurnAlert.Page, BurnAlert.Ticket, BurnAlert.None];
+
+/** Adds up what the routers told. */
+export function buildBurnReport(options: BurnReportOptions): BurnReport {
+  const { levels, nowMs, unreachable = [] } = options;
+  const byWorkspace = new Map<string, WorkspaceLevels[]>();
+  for (const entry of levels.flatMap(({ workspaces }) => workspaces)) {
+    byWorkspace.set(entry.workspace, [...(byWorkspace.get(entry.workspace) ?? []), entry]);
+  }
+  const all = [...byWorkspace.values()].flat();
+  return {
+    madeAtMs: nowMs,
+    routers: levels.map(({ host }) => host).sort(),
+    unreachable: [...unreachable],
+    coveredMs: Math.min(...levels.map(({ coveredMs }) => coveredMs)),
+    windowsMs: BURN_WINDOWS_MS,
+    workspaces: [...byWorkspace].map(buildWorkspace).sort(compareUrgency),
+    firstToken: readPercentiles(all.map(({ firstToken }) => firstToken)),
+    tokenGap: readPercentiles(all.map(({ tokenGap }) => tokenGap)),
+    series: buildSeries(all),
+  };
+}
+
+function buildWorkspace([workspace, entries]: [string, WorkspaceLevels[]]): WorkspaceBurn {
+  const [{ objectives }] = entries as [WorkspaceLevels];
+  const burns = OBJECTIVES.map((objective) => {
+    const counts = BURN_WINDOWS_MS.map((windowMs) => sumWindow(entries, windowMs, objective));
+    const target = targetOf(objectives, objective);
+    return { objective, target, counts, ...judgeBurn(counts, target) };
+  });
+  return {
+    workspace,
+    objectives,
+    burns,
+    firstToken: readPercentiles(entries.map(({ firstToken }) => firstToken)),
+    tokenGap: readPercentiles(entries.map(({ tokenGap }) => tokenGap)),
+  };
+}
+
+function sumWindow(
+  entries: readonly WorkspaceLevels[],
+  windowMs: number,
+  objective: Objective,
+): EventCounts {
+  return entries
+    .flatMap(({ windows }) => windows.filter((window) => window.windowMs === windowMs))
+    .map(({ counts }) => counts[objective])
+    .reduce(addCounts, { good: 0, total: 0 });
+}
+
+/** Rates of each minute over all workspaces, each judged by its own target. */
+function buildSeries(entries: readonly WorkspaceLevels[]): BurnPoint[] {
+  const sums = new Map<string, BurnPoint & { weighted: number; total: number }>();
+  for (const { objectives, series } of entries) {
+    for (const { startMs, counts } of series) {
+      for (const objective of OBJECTIVES) {
+        const key = `${startMs} ${objective}`;
+        const { total } = counts[objective];
+        const rate = computeBurnRate(counts[objective], targetOf(objectives, objective));
+        const sum = sums.get(key) ?? { startMs, objective, rate: 0, weighted: 0, total: 0 };
+        sum.weighted += rate * total;
+        sum.total += total;
+        sums.set(key, sum);
+      }
+    }
+  }
+  return [...sums.values()]
+    .filter(({ total }) => total > 0)
+    .map(({ startMs, objective, weighted, total }) => ({
+      startMs,
+      objective,
+      rate: weighted / total,
+    }))
+    .sort((a, b) => a.startMs - b.startMs);
+}
+
+function readPercentiles(encoded: readonly string[]): PercentilePoint[] {
+  const sum = mergeHistograms(encoded);
+  if (sum.totalCount === 0) return [];
+  return PERCENTILES.map((percentile) => ({
+    percentile,
+    ms: sum.getValueAtPercentile(percentile) / HISTOGRAM_UNITS_PER_MS,
+  }));
+}
+
+function mergeHistograms(encoded: readonly string[]): Histogram {
+  const sum = build({
+    bitBucketSize: 'packed',
+    numberOfSignificantValueDigits: 2,
+    autoResize: true,
+  });
+  for (const text of encoded) sum.add(decodeFromCompressedBase64(text, 'packed'));
+  return sum;
+}
+
+/** The most urgent alert of a workspace. */
+export function alertOf({ burns }: WorkspaceBurn): BurnAlert {
+  return URGENCY.find((alert) => burns.some((burn) => burn.alert === alert)) ?? BurnAlert.None;
+}
+
+/** The least budget that any objective of a workspace has left. */
+export function leastBudget({ burns }: WorkspaceBurn): number {
+  return Math.min(...burns.map(({ budgetLeft }) => budgetLeft));
+}
+
+function compareUrgency(a: WorkspaceBurn, b: WorkspaceBurn): number {
+  const urgency = URGENCY.indexOf(alertOf(a)) - URGENCY.indexOf(alertOf(b));
+  if (urgency !== 0) return urgency;
+  return leastBudget(a) - leastBudget(b) || (a.workspace < b.workspace ? -1 : 1);
+}
--- /dev/null
+++ b/packages/cli/src/burn/burn-table.ts
@@ -0,0 +1,76 @@
+/** The burn report as a table for terminals. */
+import Table from 'cli-table3';
+import type { Objective } from '@poplarpick/decisions';
+import type { BurnReport, ObjectiveBurn, PercentilePoint, WorkspaceBurn } from './burn-report.ts';
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+
+/** Words for objectives in tables and plots. */
+export const OBJECTIVE_LABELS: Record<Objective, string> = {
+  first_token: 'first token',
+  token_gap: 'token gap',
+  refusals: 'refusals',
+  completed: 'completed',
+};
+
+/** Objectives whose budgets are used up, and those without any burn, are told apart by the words. */
+export function writeBurnTable(report: BurnReport): string {
+  const windows = report.windowsMs.map((windowMs) => `burn ${formatWindow(windowMs)}`);
+  const table = new Table({
+    head: ['workspace', 'objective', 'target', ...windows, 'budget left', 'alert', 'p95 ms'],
+    style: { head: [], border: [], compact: true },
+  });
+  for (const workspace of report.workspaces) {
+    for (const burn of workspace.burns) table.push(writeRow(workspace, burn));
+  }
+  return [...writeHead(report), table.toString()].join('\n');
+}
+
+function writeHead(report: BurnReport): string[] {
+  const covered = formatWindow(report.coveredMs);
+  const lines = [
+    `${new Date(report.madeAtMs).toISOString()}  ${report.routers.length} routers, counts cover ${covered}`,
+  ];
+  for (const url of report.unreachable) lines.push(`missing: ${url}`);
+  return lines;
+}
+
+function writeRow(workspace: WorkspaceBurn, burn: ObjectiveBurn): string[] {
+  return [
+    workspace.workspace,
+    OBJECTIVE_LABELS[burn.objective],
+    describeTarget(workspace, burn),
+    ...burn.rates.map((rate) => rate.toFixed(1)),
+    `${(burn.budgetLeft * 100).toFixed(0)}%`,
+    burn.alert,
+    describeTimes(workspace, burn),
+  ];
+}
+
+function describeTarget(
+  { objectives }: WorkspaceBurn,
+  { objective, target }: ObjectiveBurn,
+): string {
+  const share = `${Number((target * 100).toPrecision(4))}%`;
+  if (objective === 'first_token') return `${share} ≤ ${objectives.first_token_ms} ms`;
+  if (objective === 'token_gap') return `${share} ≤ ${objectives.token_gap_ms} ms`;
+  return share;
+}
+
+function describeTimes(workspace: WorkspaceBurn, { objective }: ObjectiveBurn): string {
+  if (objective === 'first_token') return pickPercentile(workspace.firstToken);
+  return objective === 'token_gap' ? pickPercentile(workspace.tokenGap) : '';
+}
+
+function pickPercentile(points: readonly PercentilePoint[]): string {
+  const found = points.find(({ percentile }) => percentile === 95);
+  return found === undefined ? '–' : found.ms.toFixed(1);
+}
+
+/** A length of time, such as `5 min`. */
+export function formatWindow(windowMs: number): string {
+  if (windowMs >= HOUR_MS) return `${Number((windowMs / HOUR_MS).toFixed(1))} h`;
+  if (windowMs >= MINUTE_MS) return `${Math.round(windowMs / MINUTE_MS)} min`;
+  return `${Math.round(windowMs / 1_000)} s`;
+}
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,6 +2,8 @@
 import type { Command } from '@oclif/core';
 import { ConfigCheck } from './commands/config-check.ts';
 import { Demo } from './commands/demo.ts';
+import { Explain } from './commands/explain.ts';
+import { ReportBurn } from './commands/report-burn.ts';
 import { RouterCommand } from './commands/router.ts';
 import { SidecarCommand } from './commands/sidecar.ts';
 import { StandInApplicationEngine } from './commands/stand-in-application-engine.ts';
@@ -15,6 +17,8 @@
 export const COMMANDS: Record<string, Command.Class> = {
   'config:check': ConfigCheck,
   demo: Demo,
+  explain: Explain,
+  'report:burn': ReportBurn,
   router: RouterCommand,
   sidecar: SidecarCommand,
   'stand-in:application-engine': StandInApplicationEngine,
--- /dev/null
+++ b/packages/cli/src/explain/timeline.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai';
+import { buildTimeline } from './timeline.ts';
+
+function trace(
+  events: { atMs: number; event: string; details?: Record<string, string | number> }[],
+) {
+  return {
+    request: 'r',
+    workspace: 'w',
+    forgotten: 0,
+    events: events.map((entry) => ({ details: {}, ...entry })),
+  };
+}
+
+describe('buildTimeline', () => {
+  it('puts the events of all processes in the order of time, in words', () => {
+    const claim = { preferred: 'w', service: 5, next: 'v', next_service: 9, backlogged: 2 };
+    const timeline = buildTimeline([
+      { host: 'entry', trace: trace([{ atMs: 1, event: 'request.queued' }]) },
+      {
+        host: 'beside',
+        trace: trace([
+          { atMs: 2, event: 'request.claimed', details: claim },
+          { atMs: 3, event: 'request.new_kind', details: { reason: 'late' } },
+        ]),
+      },
+      { host: 'entry', trace: trace([{ atMs: 4, event: 'request.abandoned' }]) },
+    ]);
+    expect(timeline.map(({ host }) => host)).to.deep.equal(['entry', 'beside', 'beside', 'entry']);
+    expect(timeline[1]?.text).to.contain('workspace w had the least service');
+    expect(timeline[1]?.text).to.contain('then v (9); 2 backlogged');
+    expect(timeline[2]?.text).to.equal('reason=late');
+  });
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -15,6 +15,7 @@
     commands: { strategy: 'explicit', target: 'bundled', identifier: 'COMMANDS' },
     topics: {
       config: { description: 'Check settings and fleet configurations.' },
+      report: { description: 'Reports on the whole fleet.' },
       'stand-in': { description: 'Run small stand-ins of outside systems, for trials.' },
     },
   },
--- /dev/null
+++ b/packages/decisions/src/burn/count-ring.ts
@@ -0,0 +1,93 @@
+/**
+ * Counts of good and bad events in buckets of time, for a bounded stretch of the past. Buckets begin at
+ * multiples of their length since the Unix epoch, so that those of different hosts can be added up.
+ */
+import type { EventCounts } from './burn-rate.ts';
+import { OBJECTIVES } from './service-objectives.ts';
+import type { Objective } from './service-objectives.ts';
+
+/** Options of a `CountRing`. */
+export interface CountRingOptions {
+  bucketMs: number;
+  buckets: number;
+}
+
+/** Counts of all objectives in one bucket. */
+export interface CountBucket {
+  /** Wall-clock time of its begin, in milliseconds since the Unix epoch. */
+  startMs: number;
+  counts: Record<Objective, EventCounts>;
+}
+
+const CELLS_PER_OBJECTIVE = 2;
+const CELLS = OBJECTIVES.length * CELLS_PER_OBJECTIVE;
+
+/** Counts events. */
+export class CountRing {
+  private readonly bucketMs: number;
+  private readonly buckets: number;
+  private readonly cells: Uint32Array;
+  /** Number, since the epoch, of the bucket that each place holds. */
+  private readonly held: Float64Array;
+
+  constructor({ bucketMs, buckets }: CountRingOptions) {
+    this.bucketMs = bucketMs;
+    this.buckets = buckets;
+    this.cells = new Uint32Array(buckets * CELLS);
+    this.held = new Float64Array(buckets);
+  }
+
+  /** Counts one event at a wall-clock time. An event older than the stretch is dropped. */
+  add(nowMs: number, objective: Objective, good: boolean): void {
+    const bucket = Math.floor(nowMs / this.bucketMs);
+    const place = bucket % this.buckets;
+    const held = this.held[place] ?? 0;
+    if (bucket < held) return;
+    if (bucket > held) {
+      this.cells.fill(0, place * CELLS, (place + 1) * CELLS);
+      this.held[place] = bucket;
+    }
+    const cell = place * CELLS + OBJECTIVES.indexOf(objective) * CELLS_PER_OBJECTIVE;
+    if (good) this.cells[cell] = (this.cells[cell] ?? 0) + 1;
+    this.cells[cell + 1] = (this.cells[cell + 1] ?? 0) + 1;
+  }
+
+  /** Counts over the last `windowMs`, rounded up to whole buckets. */
+  sum(nowMs: number, windowMs: number, objective: Objective): EventCounts {
+    const { first, last } = this.range(nowMs, windowMs);
+    const sum = { good: 0, total: 0 };
+    this.held.forEach((bucket, place) => {
+      if (bucket < first || bucket > last) return;
+      const { good, total } = this.read(place, objective);
+      sum.good += good;
+      sum.total += total;
+    });
+    return sum;
+  }
+
+  /** Buckets of the last `windowMs` in which anything was counted, the oldest first. */
+  series(nowMs: number, windowMs: number): CountBucket[] {
+    const { first, last } = this.range(nowMs, windowMs);
+    return [...this.held]
+      .map((bucket, place) => ({ bucket, place }))
+      .filter(({ bucket }) => bucket >= first && bucket <= last)
+      .sort((a, b) => a.bucket - b.bucket)
+      .map(({ bucket, place }) => ({
+        startMs: bucket * this.bucketMs,
+        counts: Object.fromEntries(
+          OBJECTIVES.map((objective) => [objective, this.read(place, objective)]),
+        ) as Record<Objective, EventCounts>,
+      }));
+  }
+
+  private range(nowMs: number, windowMs: number): { first: number; last: number } {
+    const last = Math.floor(nowMs / this.bucketMs);
+    const count = Math.min(this.buckets, Math.ceil(windowMs / this.bucketMs));
+    return { first: last - count + 1, last };
+  }
+
+  private read(place: number, objective: Objective): EventCounts {
+    const cell = place * CELLS + OBJECTIVES.indexOf(objective) * CELLS_PER_OBJECTIVE;
+    return { good: this.cells[cell] ?? 0, total: this.cells[cell + 1] ?? 0 };
+  }
+}
--- a/packages/decisions/src/configuration/fleet-configuration.ts
+++ b/packages/decisions/src/configuration/fleet-configuration.ts
@@ -3,6 +3,13 @@
  * service. It is checked as a whole; a document with any problem is refused whole.
  */
 import { z } from 'zod';
+import {
+  DEFAULT_OBJECTIVES,
+  mergeObjectives,
+  objectiveOverridesSchema,
+  objectivesSchema,
+} from '../burn/service-objectives.ts';
+import type { ServiceObjectives } from '../burn/service-objectives.ts';
 import { parseToml } from './toml.ts';
 
 /** What stands behind an endpoint. */
@@ -27,6 +34,8 @@
   key_hashes: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'must be 64 hexadecimal digits')).min(1),
   /** Most requests that may wait in one router. */
   queue_limit: z.int().positive().default(256),
+  /** Objectives that differ from the fleet's. */
+  objectives: objectiveOverridesSchema.optional(),
 });
 
 const onceRule = z.strictObject({
@@ -81,6 +90,8 @@
     preset: name,
     /** SHA-256 of the keys that operators' read-only commands need, in hexadecimal. */
     operator_key_hashes: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
+    /** Service-level objectives of all workspaces. */
+    objectives: objectivesSchema.optional(),
     data_centres: z.array(dataCentre).min(1),
     models: z.array(model).default([]),
     services: z.array(service).default([]),
@@ -119,6 +130,15 @@
   return configuration.workspaces.find((line) => line.name === workspaceName)?.weight ?? 1;
 }
 
+/** Service-level objectives of a workspace. */
+export function findObjectives(
+  configuration: FleetConfiguration,
+  workspaceName: string,
+): ServiceObjectives {
+  const found = configuration.workspaces.find((line) => line.name === workspaceName);
+  return mergeObjectives(configuration.objectives ?? DEFAULT_OBJECTIVES, found?.objectives);
+}
+
 /** Whether a call of an application service must not run twice. */
 export function isOnceCall(service: ServiceConfiguration, method: string, path: string): boolean {
   return service.once.some((rule) => rule.method === method && path.startsWith(rule.path));
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,3 +10,7 @@
 export * from './power/slot-budget.ts';
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
+export * from './explain/trace-book.ts';
+export * from './burn/burn-rate.ts';
+export * from './burn/count-ring.ts';
+export * from './burn/service-objectives.ts';
--- /dev/null
+++ b/packages/fleet/src/burn/app.ts
@@ -0,0 +1,27 @@
+/** Plug-in that meters service levels and tells them as the moleculer action `burn.show`. */
+import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
+import type { Kernel } from '@poplarpick/kernel';
+import { configurationKey, requestRecorderKey } from '../parts.ts';
+import { RequestRecorder } from './request-recorder.ts';
+import { ServiceLevelMeter } from './service-level-meter.ts';
+
+class BurnPlugin extends Plugin {
+  override readonly name = 'burn';
+  override readonly roles = [Role.Router];
+  override readonly requires = ['configuration'];
+
+  override async start(kernel: Kernel): Promise<void> {
+    const { clock, log, host } = kernel;
+    const meter = new ServiceLevelMeter({ host, clock });
+    kernel.provide(requestRecorderKey, new RequestRecorder({ meter, clock, log }));
+    kernel.part(configurationKey).onChange(({ configuration }) => meter.configure(configuration));
+    kernel.broker.createService({ name: 'burn', actions: { show: () => meter.read() } });
+    return Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+registerPlugin(() => new BurnPlugin());
--- /dev/null
+++ b/packages/fleet/src/burn/request-recorder.ts
@@ -0,0 +1,105 @@
+/**
+ * Stands between a caller's connection and the dispatcher: notes that a request was queued, and
+ * measures its answer on the way to the caller for the service levels of its workspace.
+ */
+import { EndpointKind } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
+import { Verdict } from '@poplarpick/kernel';
+import type { Clock, Logger, RequestError } from '@poplarpick/kernel';
+import type { End } from '../messages.ts';
+import { AnswerSink } from '../router/answer-sink.ts';
+import type { Submission } from '../router/routed-request.ts';
+import type { ServiceLevelMeter } from './service-level-meter.ts';
+
+/** Options of a `RequestRecorder`. */
+export interface RequestRecorderOptions {
+  meter: ServiceLevelMeter;
+  clock: Clock;
+  log: Logger;
+}
+
+/** Records requests as they are submitted. */
+export class RequestRecorder {
+  private readonly options: RequestRecorderOptions;
+
+  constructor(options: RequestRecorderOptions) {
+    this.options = options;
+  }
+
+  /** Notes a submission and returns it with a sink that measures. */
+  record(submission: Submission, configuration: FleetConfiguration): Submission {
+    const { id, job, pin, deadlineMs, sink } = submission;
+    this.options.log.debug({
+      event: 'request.queued',
+      request: id,
+      workspace: job.workspace,
+      pool: job.pool,
+      pinned_to: pin,
+      repeatable: job.repeatable,
+      deadline_ms: deadlineMs,
+      cost_hint: job.costHint,
+      revision: configuration.revision,
+      preset: configuration.preset,
+    });
+    const { meter, clock } = this.options;
+    const measured = new MeasuredSink({
+      sink,
+      meter,
+      clock,
+      workspace: job.workspace,
+      hasTokens: job.kind === EndpointKind.Model,
+    });
+    return { ...submission, sink: measured };
+  }
+}
+
+/** Options of a `MeasuredSink`. */
+export interface MeasuredSinkOptions {
+  sink: AnswerSink;
+  meter: ServiceLevelMeter;
+  clock: Clock;
+  workspace: string;
+  /** Whether the frames are tokens. */
+  hasTokens: boolean;
+}
+
+/** Measures an answer on its way to the caller. */
+export class MeasuredSink extends AnswerSink {
+  private readonly options: MeasuredSinkOptions;
+  private readonly startedAt: number;
+  private lastAt: number | undefined;
+
+  constructor(options: MeasuredSinkOptions) {
+    super();
+    this.options = options;
+    this.startedAt = options.clock.monotonic();
+  }
+
+  override deliver(data: Buffer): void {
+    if (this.options.hasTokens) this.noteToken();
+    this.options.sink.deliver(data);
+  }
+
+  override finish(end: End): void {
+    const { meter, workspace, sink } = this.options;
+    meter.noteRefusal(workspace, false);
+    meter.noteCompletion(workspace, true);
+    sink.finish(end);
+  }
+
+  override fail(error: RequestError): void {
+    const { meter, workspace, sink } = this.options;
+    const refused = error.verdict === Verdict.NotRun;
+    meter.noteRefusal(workspace, refused);
+    if (!refused) meter.noteCompletion(workspace, false);
+    sink.fail(error);
+  }
+
+  private noteToken(): void {
+    const { meter, workspace, clock } = this.options;
+    const now = clock.monotonic();
+    if (this.lastAt === undefined) meter.noteFirstToken(workspace, now - this.startedAt);
+    else meter.noteTokenGap(workspace, now - this.lastAt);
+    this.lastAt = now;
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/burn/service-level-meter.ts
@@ -0,0 +1,215 @@
+/**
+ * Meters the service levels that this router gave, for each workspace: counts of good and bad events
+ * over the last hours, and histograms of times over the last hour. Memory is bounded: a workspace that
+ * was not heard of for longest is forgotten when there are too many.
+ */
+import { build, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { LRUCache } from 'lru-cache';
+import {
+  BUDGET_WINDOW_MS,
+  BURN_WINDOWS_MS,
+  CountRing,
+  DEFAULT_OBJECTIVES,
+  findObjectives,
+  Objective,
+  OBJECTIVES,
+} from '@poplarpick/decisions';
+import type {
+  CountBucket,
+  EventCounts,
+  FleetConfiguration,
+  ServiceObjectives,
+} from '@poplarpick/decisions';
+import type { Clock } from '@poplarpick/kernel';
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+const COARSE_BUCKET_MS = 5 * MINUTE_MS;
+
+/** Most workspaces that are metered at once. */
+const WORKSPACE_LIMIT = 2_048;
+
+/** Histograms hold times in units of a tenth of a millisecond. */
+export const HISTOGRAM_UNITS_PER_MS = 10;
+const HISTOGRAM_DIGITS = 2;
+
+/** Counts over one window. */
+export interface WindowCounts {
+  windowMs: number;
+  counts: Record<Objective, EventCounts>;
+}
+
+/** Service levels of one workspace, as one router gave them. */
+export interface WorkspaceLevels {
+  workspace: string;
+  objectives: ServiceObjectives;
+  windows: WindowCounts[];
+  /** Counts by minute over the last hour. */
+  series: CountBucket[];
+  /** Compressed histograms of the last one to two hours, in Base64. */
+  firstToken: string;
+  tokenGap: string;
+}
+
+/** What one router answers to a request for its service levels. */
+export interface ServiceLevels {
+  host: string;
+  /** Time that the counts cover, at most six hours. */
+  coveredMs: number;
+  workspaces: WorkspaceLevels[];
+}
+
+/** Options of a `ServiceLevelMeter`. */
+export interface ServiceLevelMeterOptions {
+  host: string;
+  clock: Clock;
+  workspaceLimit?: number;
+}
+
+/** Meters all workspaces. */
+export class ServiceLevelMeter {
+  private readonly host: string;
+  private readonly clock: Clock;
+  private readonly startedAt: number;
+  private readonly meters: LRUCache<string, WorkspaceMeter>;
+  private configuration: FleetConfiguration | undefined;
+
+  constructor(options: ServiceLevelMeterOptions) {
+    this.host = options.host;
+    this.clock = options.clock;
+    this.startedAt = options.clock.monotonic();
+    this.meters = new LRUCache({ max: options.workspaceLimit ?? WORKSPACE_LIMIT });
+  }
+
+  /** Takes the objectives of a configuration; counts so far stay as they were judged. */
+  configure(configuration: FleetConfiguration): void {
+    this.configuration = configuration;
+    for (const [workspace, meter] of this.meters.entries())
+      meter.objectives = findObjectives(configuration, workspace);
+  }
+
+  noteRefusal(workspace: string, refused: boolean): void {
+    this.meterOf(workspace).count(this.clock.now(), Objective.Refusals, !refused);
+  }
+
+  noteCompletion(workspace: string, completed: boolean): void {
+    this.meterOf(workspace).count(this.clock.now(), Objective.Completed, completed);
+  }
+
+  noteFirstToken(workspace: string, delayMs: number): void {
+    this.meterOf(workspace).noteFirstToken(this.clock.now(), delayMs);
+  }
+
+  noteTokenGap(workspace: string, gapMs: number): void {
+    this.meterOf(workspace).noteTokenGap(this.clock.now(), gapMs);
+  }
+
+  read(): ServiceLevels {
+    const coveredMs = Math.min(BUDGET_WINDOW_MS, this.clock.monotonic() - this.startedAt);
+    const workspaces = [...this.meters.entries()].map(([workspace, meter]) =>
+      meter.read(workspace, this.clock.now()),
+    );
+    return { host: this.host, coveredMs, workspaces };
+  }
+
+  private meterOf(workspace: string): WorkspaceMeter {
+    const known = this.meters.get(workspace);
+    if (known !== undefined) return known;
+    const { configuration } = this;
+    const objectives =
+      configuration === undefined ? DEFAULT_OBJECTIVES : findObjectives(configuration, workspace);
+    const made = new WorkspaceMeter(objectives);
+    this.meters.set(workspace, made);
+    return made;
+  }
+}
+
+/** Meters one workspace. */
+class WorkspaceMeter {
+  objectives: ServiceObjectives;
+  private readonly fine = new CountRing({ bucketMs: MINUTE_MS, buckets: HOUR_MS / MINUTE_MS });
+  private readonly coarse = new CountRing({
+    bucketMs: COARSE_BUCKET_MS,
+    buckets: BUDGET_WINDOW_MS / COARSE_BUCKET_MS,
+  });
+  private readonly firstToken = new RecentHistogram();
+  private readonly tokenGap = new RecentHistogram();
+
+  constructor(objectives: ServiceObjectives) {
+    this.objectives = objectives;
+  }
+
+  count(nowMs: number, objective: Objective, good: boolean): void {
+    this.fine.add(nowMs, objective, good);
+    this.coarse.add(nowMs, objective, good);
+  }
+
+  noteFirstToken(nowMs: number, delayMs: number): void {
+    this.count(nowMs, Objective.FirstToken, delayMs <= this.objectives.first_token_ms);
+    this.firstToken.record(nowMs, delayMs);
+  }
+
+  noteTokenGap(nowMs: number, gapMs: number): void {
+    this.count(nowMs, Objective.TokenGap, gapMs <= this.objectives.token_gap_ms);
+    this.tokenGap.record(nowMs, gapMs);
+  }
+
+  read(workspace: string, nowMs: number): WorkspaceLevels {
+    const windows = BURN_WINDOWS_MS.map((windowMs) => ({
+      windowMs,
+      counts: Object.fromEntries(
+        OBJECTIVES.map((objective) => [objective, this.sum(nowMs, windowMs, objective)]),
+      ) as Record<Objective, EventCounts>,
+    }));
+    return {
+      workspace,
+      objectives: this.objectives,
+      windows,
+      series: this.fine.series(nowMs, HOUR_MS),
+      firstToken: this.firstToken.encode(nowMs),
+      tokenGap: this.tokenGap.encode(nowMs),
+    };
+  }
+
+  private sum(nowMs: number, windowMs: number, objective: Objective): EventCounts {
+    const ring = windowMs <= HOUR_MS ? this.fine : this.coarse;
+    return ring.sum(nowMs, windowMs, objective);
+  }
+}
+
+/** Two histograms that take turns, so that together they hold the last one to two hours. */
+class RecentHistogram {
+  private current = makeHistogram();
+  private previous = makeHistogram();
+  private hour = 0;
+
+  record(nowMs: number, valueMs: number): void {
+    this.turn(nowMs);
+    this.current.recordValue(Math.max(0, Math.round(valueMs * HISTOGRAM_UNITS_PER_MS)));
+  }
+
+  encode(nowMs: number): string {
+    this.turn(nowMs);
+    const both = makeHistogram();
+    both.add(this.previous);
+    both.add(this.current);
+    return encodeIntoCompressedBase64(both);
+  }
+
+  private turn(nowMs: number): void {
+    const hour = Math.floor(nowMs / HOUR_MS);
+    if (hour === this.hour) return;
+    this.previous = hour === this.hour + 1 ? this.current : makeHistogram();
+    this.current = makeHistogram();
+    this.hour = hour;
+  }
+}
+
+function makeHistogram(): Histogram {
+  return build({
+    bitBucketSize: 'packed',
+    numberOfSignificantValueDigits: HISTOGRAM_DIGITS,
+    autoResize: true,
+  });
+}
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -17,7 +17,14 @@
 import { createGateway, listenGateway, sendJson } from '../http-gateway.ts';
 import type { GatewayRequest } from '../http-gateway.ts';
 import type { Job } from '../messages.ts';
-import { configurationKey, dispatcherKey, routerSettingsKey, statusBoardKey } from '../parts.ts';
+import {
+  configurationKey,
+  dispatcherKey,
+  requestRecorderKey,
+  routerSettingsKey,
+  statusBoardKey,
+} from '../parts.ts';
+import type { RequestRecorder } from '../burn/request-recorder.ts';
 import type { AnswerSink } from '../router/answer-sink.ts';
 import { DispatcherMessageKind } from '../router/dispatcher.ts';
 import type { Dispatcher } from '../router/dispatcher.ts';
@@ -46,6 +53,7 @@
   workspace: string;
   configuration: FleetConfiguration;
   keys: WorkspaceKeys;
+  recorder: RequestRecorder;
 }
 
 type CallerHandler = (
@@ -57,17 +65,19 @@
 class CallersPlugin extends Plugin {
   override readonly name = 'callers';
   override readonly roles = [Role.Router];
-  override readonly requires = ['router', 'configuration'];
+  override readonly requires = ['router', 'configuration', 'burn'];
   private server: Server | undefined;
   private kernel: Kernel | undefined;
   private service: Service | undefined;
   private draining = false;
   private configuration: FleetConfiguration | undefined;
   private keys: WorkspaceKeys | undefined;
+  private recorder: RequestRecorder | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
     const settings = kernel.part(routerSettingsKey);
     const dispatcher = kernel.part(dispatcherKey);
+    this.recorder = kernel.part(requestRecorderKey);
     kernel.part(configurationKey).onChange(({ configuration }) => {
       this.configuration = configuration;
       this.keys = new WorkspaceKeys(configuration);
@@ -132,9 +142,9 @@
   }
 
   private identify(request: GatewayRequest, requestId: string): Caller {
-    const { configuration, keys } = this;
+    const { configuration, keys, recorder } = this;
     if (this.draining) throw refuseForNow('this router is draining', ErrorCode.Draining);
-    if (configuration === undefined || keys === undefined) {
+    if (configuration === undefined || keys === undefined || recorder === undefined) {
       throw refuseForNow('this router has no configuration yet', ErrorCode.NoEndpoint);
     }
     const workspace = keys.find(readBearer(request));
@@ -144,7 +154,7 @@
         verdict: Verdict.NotRun,
       });
     }
-    return { requestId, workspace, configuration, keys };
+    return { requestId, workspace, configuration, keys, recorder };
   }
 }
 
@@ -238,7 +248,7 @@
   });
   dispatcher.post({
     kind: DispatcherMessageKind.Submit,
-    submission: { id, job, pin, deadlineMs, sink },
+    submission: caller.recorder.record({ id, job, pin, deadlineMs, sink }, caller.configuration),
   });
 }
 
--- /dev/null
+++ b/packages/fleet/src/explain/traced-logger.ts
@@ -0,0 +1,55 @@
+/**
+ * A logger that also notes every event about a request in the process's trace book, whatever the level
+ * of the log, so that what is logged of a request and what `explain` tells of it are the same.
+ */
+import type { Clock, LogEvent, Logger } from '@poplarpick/kernel';
+import type { TraceBook, TraceDetail } from '@poplarpick/decisions';
+
+/** Options of a `TracedLogger`. */
+export interface TracedLoggerOptions {
+  log: Logger;
+  book: TraceBook;
+  clock: Clock;
+}
+
+/** Passes events on and notes those that have a `request`. */
+export class TracedLogger implements Logger {
+  private readonly log: Logger;
+  private readonly book: TraceBook;
+  private readonly clock: Clock;
+
+  constructor(options: TracedLoggerOptions) {
+    this.log = options.log;
+    this.book = options.book;
+    this.clock = options.clock;
+  }
+
+  debug(event: LogEvent): void {
+    this.note(event);
+    this.log.debug(event);
+  }
+
+  info(event: LogEvent): void {
+    this.note(event);
+    this.log.info(event);
+  }
+
+  warn(event: LogEvent): void {
+    this.note(event);
+    this.log.warn(event);
+  }
+
+  error(event: LogEvent): void {
+    this.note(event);
+    this.log.error(event);
+  }
+
+  private note({ event, request, ...rest }: LogEvent): void {
+    if (request === undefined) return;
+    const details: Record<string, TraceDetail> = {};
+    for (const [name, value] of Object.entries(rest)) {
+      if (value !== undefined && value !== null) details[name] = value;
+    }
+    this.book.note(request, { atMs: this.clock.now(), event, details });
+  }
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,3 +8,6 @@
 export { HostState } from './platform/host-list-client.ts';
 export type { Host } from './platform/host-list-client.ts';
 export * from './process.ts';
+export { HISTOGRAM_UNITS_PER_MS } from './burn/service-level-meter.ts';
+export type { ServiceLevels, WindowCounts, WorkspaceLevels } from './burn/service-level-meter.ts';
+export type { PeerEntry } from './operators/operators-directory.ts';
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -36,6 +36,8 @@
   Settle = 'settle',
   /** Either way: the sender has this configuration revision in force. */
   Revision = 'revision',
+  /** Either way: where operators reach the sender. */
+  OperatorsAddress = 'operators.address',
 }
 
 /** Introduces the process that dialled a link; the other side answers with its own. */
@@ -203,6 +205,12 @@
   revision: number;
 }
 
+/** Address of a process for operators. */
+export interface OperatorsAddress {
+  /** `IP:port`. */
+  address: string;
+}
+
 /** A published configuration document. */
 export interface ConfigurationDocument {
   /** 0 where none is known. */
@@ -230,6 +238,7 @@
   [NoticeMethod.Cancel]: AttemptReference;
   [NoticeMethod.Settle]: AttemptReference;
   [NoticeMethod.Revision]: RevisionNotice;
+  [NoticeMethod.OperatorsAddress]: OperatorsAddress;
 }
 
 /** Messages that carry requests and answers; all others are control traffic. */
--- a/packages/fleet/src/operators/app.ts
+++ b/packages/fleet/src/operators/app.ts
@@ -2,7 +2,7 @@
  * Plug-ins for operators: the status board, its moleculer service, and the read-only HTTP interface.
  * Every answer needs an operator's key, whose hash is in the fleet configuration.
  */
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { Service } from 'moleculer';
 import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
@@ -12,10 +12,12 @@
 import {
   configurationKey,
   identityKey,
+  linkHubKey,
   routerSettingsKey,
   sidecarSettingsKey,
   statusBoardKey,
 } from '../parts.ts';
+import { OperatorsDirectory } from './operators-directory.ts';
 import { StatusBoard } from './status-board.ts';
 
 const HEADER_LIMIT_BYTES = 8_192;
@@ -47,27 +49,24 @@
 class OperatorsPlugin extends Plugin {
   override readonly name = 'operators';
   override readonly roles = [Role.Router, Role.Sidecar];
-  override readonly requires = ['status', 'configuration'];
+  override readonly requires = ['status', 'configuration', 'links'];
   private server: Server | undefined;
   private kernel: Kernel | undefined;
   private service: Service | undefined;
+  private directory: OperatorsDirectory | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
     this.kernel = kernel;
-    const showStatus: GatewayHandler = async (request, response) => {
-      const hashes = kernel.part(configurationKey).current?.configuration.operator_key_hashes ?? [];
-      if (!isKnownKey(readBearer(request), hashes)) {
-        sendJson(response, 401, {
-          error: { code: 'invalid_api_key', message: 'an operator key is needed' },
-        });
-        return;
-      }
-      sendJson(response, 200, await kernel.broker.call('status.show'));
-    };
     this.service = createGateway(kernel.broker, {
       name: 'operators',
-      routes: [{ pattern: 'GET /v1/status', handler: showStatus }],
+      routes: [
+        { pattern: 'GET /v1/status', handler: forOperators(kernel, 'status.show') },
+        { pattern: 'GET /v1/burn', handler: forOperators(kernel, 'burn.show') },
+        { pattern: 'GET /v1/requests/:id', handler: explainRequest(kernel) },
+      ],
     });
+    this.directory = new OperatorsDirectory(kernel.part(linkHubKey));
+    kernel.part(statusBoardKey).add('peers', () => this.directory?.read() ?? []);
     return Promise.resolve();
   }
 
@@ -84,6 +83,7 @@
       receiveTimeoutMs: RECEIVE_TIMEOUT_MS,
     });
     this.server = bound.server;
+    this.directory?.announce(bound.address);
     kernel.part(statusBoardKey).add('address.operators', () => bound.address);
     kernel.log.info({ event: 'operators.listening', address: bound.address });
   }
@@ -95,5 +95,57 @@
   }
 }
 
+/** Shows the answer of an action to whoever has an operator's key. */
+function forOperators(kernel: Kernel, action: string): GatewayHandler {
+  return async (request, response) => {
+    if (!isOperator(kernel, readBearer(request))) sendUnauthorized(response);
+    else await sendAnswer(kernel, response, action, {});
+  };
+}
+
+/** Operators may ask for any request, a workspace for its own. */
+function explainRequest(kernel: Kernel): GatewayHandler {
+  return async (request, response) => {
+    const key = readBearer(request);
+    const operator = isOperator(kernel, key);
+    const workspace = operator ? undefined : findWorkspace(kernel, key);
+    if (!operator && workspace === undefined) {
+      sendUnauthorized(response);
+      return;
+    }
+    const id = request.originalUrl.split('?')[0]?.split('/').at(-1) ?? '';
+    await sendAnswer(kernel, response, 'explain.show', { request: id, workspace });
+  };
+}
+
+async function sendAnswer(
+  kernel: Kernel,
+  response: ServerResponse,
+  action: string,
+  query: Record<string, unknown>,
+): Promise<void> {
+  const answer = await kernel.broker.call<unknown, Record<string, unknown>>(action, query);
+  if (answer === null)
+    sendJson(response, 404, { error: { code: 'not_found', message: 'nothing is known of it' } });
+  else sendJson(response, 200, answer);
+}
+
+function isOperator(kernel: Kernel, key: string | undefined): boolean {
+  const { configuration } = kernel.part(configurationKey).current ?? {};
+  return isKnownKey(key, configuration?.operator_key_hashes ?? []);
+}
+
+/** The workspace whose key it is. These calls are rare, so the keys are looked through each time. */
+function findWorkspace(kernel: Kernel, key: string | undefined): string | undefined {
+  const { configuration } = kernel.part(configurationKey).current ?? {};
+  return configuration?.workspaces.find((line) => isKnownKey(key, line.key_hashes))?.name;
+}
+
+function sendUnauthorized(response: ServerResponse): void {
+  sendJson(response, 401, {
+    error: { code: 'invalid_api_key', message: 'an operator key is needed' },
+  });
+}
+
 registerPlugin(() => new StatusPlugin());
 registerPlugin(() => new OperatorsPlugin());
--- /dev/null
+++ b/packages/fleet/src/operators/operators-directory.ts
@@ -0,0 +1,53 @@
+/**
+ * Addresses at which operators reach the peers of this process. Every process tells its own on each
+ * new link, so that one known address leads to the whole fleet.
+ */
+import type { Link } from '../link/link.ts';
+import type { LinkHub } from '../link/link-hub.ts';
+import { NoticeMethod } from '../messages.ts';
+
+/** A linked process. */
+export interface PeerEntry {
+  host: string;
+  role: string;
+  dataCentre: string;
+  /** Address for operators; null where the peer has not told it yet. */
+  operators: string | null;
+}
+
+/** Knows the linked processes. */
+export class OperatorsDirectory {
+  private readonly hub: LinkHub;
+  /** By link, since the notice may come before the hello has passed both ways. */
+  private readonly addresses = new WeakMap<Link, string>();
+  private own: string | undefined;
+
+  constructor(hub: LinkHub) {
+    this.hub = hub;
+    hub.onLink((link) => {
+      link.handleNotice(NoticeMethod.OperatorsAddress, ({ address }) => {
+        this.addresses.set(link, address);
+      });
+    });
+    hub.onJoin((peer) => {
+      if (this.own !== undefined)
+        peer.link.notify(NoticeMethod.OperatorsAddress, { address: this.own });
+    });
+  }
+
+  /** Tells all peers, and those to come, the address of this process. */
+  announce(address: string): void {
+    this.own = address;
+    for (const peer of this.hub.peers())
+      peer.link.notify(NoticeMethod.OperatorsAddress, { address });
+  }
+
+  read(): PeerEntry[] {
+    return this.hub.peers().map(({ host, role, dataCentre, link }) => ({
+      host,
+      role,
+      dataCentre,
+      operators: this.addresses.get(link) ?? null,
+    }));
+  }
+}
--- a/packages/fleet/src/parts.ts
+++ b/packages/fleet/src/parts.ts
@@ -1,8 +1,9 @@
 /** Parts of a process that its plug-ins share through the kernel. */
 import { createPartKey } from '@poplarpick/kernel';
-import type { RouterSettings, SidecarSettings } from '@poplarpick/decisions';
+import type { RouterSettings, SidecarSettings, TraceBook } from '@poplarpick/decisions';
 import type { Admission } from './sidecar/admission.ts';
 import type { ConfigurationTask } from './configuration/configuration-task.ts';
+import type { RequestRecorder } from './burn/request-recorder.ts';
 import type { Dispatcher } from './router/dispatcher.ts';
 import type { HostDirectory } from './platform/host-directory.ts';
 import type { LinkHub } from './link/link-hub.ts';
@@ -28,3 +29,5 @@
 export const linkHubKey = createPartKey<LinkHub>('link hub');
 export const dispatcherKey = createPartKey<Dispatcher>('dispatcher');
 export const admissionKey = createPartKey<Admission>('admission');
+export const traceBookKey = createPartKey<TraceBook>('trace book');
+export const requestRecorderKey = createPartKey<RequestRecorder>('request recorder');
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -7,18 +7,29 @@
   Role,
   SilentMetrics,
   StatsdMetrics,
+  SystemClock,
 } from '@poplarpick/kernel';
 import type { Logger, Metrics } from '@poplarpick/kernel';
+import { TraceBook } from '@poplarpick/decisions';
 import type { RouterSettings, SidecarSettings } from '@poplarpick/decisions';
 import { parseAddress } from './address.ts';
+import { TracedLogger } from './explain/traced-logger.ts';
 import { createTraffic } from './link/link.ts';
-import { identityKey, routerSettingsKey, sidecarSettingsKey, trafficKey } from './parts.ts';
+import {
+  identityKey,
+  routerSettingsKey,
+  sidecarSettingsKey,
+  traceBookKey,
+  trafficKey,
+} from './parts.ts';
 import './link/app.ts';
 import './configuration/app.ts';
 import './router/app.ts';
 import './callers/app.ts';
 import './sidecar/app.ts';
 import './ledger/app.ts';
+import './burn/app.ts';
+import './explain/app.ts';
 import './operators/app.ts';
 
 /** Options of `startRouter` and `startSidecar`. */
@@ -53,8 +64,13 @@
 ): Kernel {
   const level =
     Object.values(LogLevel).find((entry) => entry === settings.log.level) ?? LogLevel.Info;
-  const log = options.log ?? createLogger({ host: settings.host, level });
-  const kernel = new Kernel({ role, host: settings.host, log, metrics: createMetrics(settings) });
+  const clock = new SystemClock();
+  const book = new TraceBook();
+  const written = options.log ?? createLogger({ host: settings.host, level });
+  const log = new TracedLogger({ log: written, book, clock });
+  const metrics = createMetrics(settings);
+  const kernel = new Kernel({ role, host: settings.host, clock, log, metrics });
+  kernel.provide(traceBookKey, book);
   kernel.provide(identityKey, {
     fleet: settings.fleet,
     host: settings.host,
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -271,6 +271,7 @@
       request: request.id,
       sidecar: peer.host,
       attempt: request.attempt,
+      waited_ms: Math.round(now - request.arrivedAt),
     });
     const deadlineMs = Math.max(0, request.deadlineAt - now);
     return {
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -10,7 +10,7 @@
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
 import type { AttemptReference, Backlog, Frame, Grant, ResumeAnswer } from '../messages.ts';
-import { Claimer } from './claimer.ts';
+import { Claimer, describeClaim } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
@@ -243,7 +243,10 @@
 
   private acceptAnswer(claim: AnsweredClaim): void {
     const grant = this.claimer.settle(claim);
-    if (grant !== undefined) this.admit(claim.peer, grant);
+    if (grant !== undefined) {
+      this.options.log.debug(describeClaim(claim, grant));
+      this.admit(claim.peer, grant);
+    }
     this.schedule();
   }
 
@@ -269,6 +272,12 @@
     elsewhere: boolean,
   ): void {
     const verdict = Verdict.NotRun;
+    this.options.log.debug({
+      event: 'request.refused',
+      request: reference.request,
+      code,
+      elsewhere,
+    });
     peer.link.notify(NoticeMethod.Refuse, { ...reference, code, message, elsewhere, verdict });
   }
 
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -4,15 +4,32 @@
  */
 import { FairShare, findWeight } from '@poplarpick/decisions';
 import type { FleetConfiguration } from '@poplarpick/decisions';
+import type { LogEvent } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod } from '../messages.ts';
 import type { Backlog, ClaimAnswer, ClaimLine, Grant } from '../messages.ts';
 import { BacklogView } from './backlog-view.ts';
 import type { ServiceMeter } from './service-meter.ts';
 
+/** Why a workspace was preferred, for `explain`. */
+export interface ClaimChoice {
+  workspace: string;
+  /** Fleet-wide cost over weight, as this sidecar knew it. */
+  service: number;
+  /** The workspace that would have been next. */
+  next?: string | undefined;
+  nextService?: number | undefined;
+  /** Number of workspaces that had requests waiting. */
+  backlogged: number;
+  /** Configuration by which was chosen. */
+  revision?: number | undefined;
+  preset?: string | undefined;
+}
+
 /** The answer to one claim, with what was asked. */
 export interface AnsweredClaim {
   peer: Peer;
+  choice: ClaimChoice;
   lines: ClaimLine[];
   answer: ClaimAnswer;
 }
@@ -89,18 +106,33 @@
     this.fairShare.setBacklogged(this.backlog.workspaces(), (workspace) =>
       this.serviceOf(workspace),
     );
-    for (const workspace of this.fairShare.rank((name) => this.serviceOf(name))) {
+    const ranked = this.fairShare.rank((name) => this.serviceOf(name));
+    for (const [index, workspace] of ranked.entries()) {
       const found = this.backlog.findRouter(workspace);
       const peer = found === undefined ? undefined : this.routers.get(found.router);
       if (found === undefined || peer === undefined) continue;
-      this.send(peer, found.lines);
+      this.send(peer, found.lines, this.describeChoice(ranked, index));
       return true;
     }
     return false;
   }
 
-  private send(peer: Peer, lines: ClaimLine[]): void {
-    const answered = (answer: ClaimAnswer): void => this.options.onAnswer({ peer, lines, answer });
+  private describeChoice(ranked: readonly string[], index: number): ClaimChoice {
+    const [workspace = '', next] = ranked.slice(index);
+    return {
+      workspace,
+      service: this.serviceOf(workspace),
+      next,
+      nextService: next === undefined ? undefined : this.serviceOf(next),
+      backlogged: ranked.length,
+      revision: this.configuration?.revision,
+      preset: this.configuration?.preset,
+    };
+  }
+
+  private send(peer: Peer, lines: ClaimLine[], choice: ClaimChoice): void {
+    const answered = (answer: ClaimAnswer): void =>
+      this.options.onAnswer({ peer, choice, lines, answer });
     this.outstanding += 1;
     lines.forEach((line) => this.backlog.noteClaim(peer.host, line, 1));
     peer.link
@@ -118,3 +150,21 @@
     return this.options.meter.total(workspace) / weight;
   }
 }
+
+/** The event that tells why a request was claimed. */
+export function describeClaim({ choice, peer }: AnsweredClaim, grant: Grant): LogEvent {
+  return {
+    event: 'request.claimed',
+    request: grant.request,
+    attempt: grant.attempt,
+    workspace: grant.job.workspace,
+    router: peer.host,
+    preferred: choice.workspace,
+    service: Math.round(choice.service),
+    next: choice.next,
+    next_service: choice.nextService === undefined ? undefined : Math.round(choice.nextService),
+    backlogged: choice.backlogged,
+    revision: choice.revision,
+    preset: choice.preset,
+  };
+}
