--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,9 +1,16 @@
 // Bundles the program into one file, dist/poplarpick.cjs, which the tests, the bench and the binary run.
+import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
 
 // Optional parts of libraries, such as other transports, that this product does not use.
 const unused = ['typescript', 'ts-node', 'unix-dgram', 'msgpackr-extract', 'moleculer-repl'];
 
+// The plot library's part for Node.js looks for a canvas by top-level await, which a program in one
+// file cannot hold; without a canvas both parts do the same.
+const canvas = fileURLToPath(
+  new URL('../node_modules/vega-canvas/build/vega-canvas.browser.js', import.meta.url),
+);
+
 const result = await build({
   entryPoints: ['packages/cli/src/main.ts'],
   outfile: 'dist/poplarpick.cjs',
@@ -15,6 +22,7 @@
   keepNames: true,
   legalComments: 'none',
   external: unused,
+  alias: { 'vega-canvas': canvas },
   logLevel: 'error',
   metafile: true,
 });
