--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,7 @@
 import { Demo } from './commands/demo.ts';
 import { Explain } from './commands/explain.ts';
 import { ReportBurn } from './commands/report-burn.ts';
+import { DrainWatchCommand } from './commands/drain-watch.ts';
 import { RouterCommand } from './commands/router.ts';
 import { SidecarCommand } from './commands/sidecar.ts';
 import { StandInApplicationEngine } from './commands/stand-in-application-engine.ts';
@@ -19,6 +20,7 @@
   demo: Demo,
   explain: Explain,
   'report:burn': ReportBurn,
+  'drain:watch': DrainWatchCommand,
   router: RouterCommand,
   sidecar: SidecarCommand,
   'stand-in:application-engine': StandInApplicationEngine,
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -16,6 +16,7 @@
     topics: {
       config: { description: 'Check settings and fleet configurations.' },
       report: { description: 'Reports on the whole fleet.' },
+      drain: { description: 'Follow planned stops.' },
       'stand-in': { description: 'Run small stand-ins of outside systems, for trials.' },
     },
   },
