--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -3,6 +3,7 @@
 import { ConfigCheck } from './commands/config-check.ts';
 import { Demo } from './commands/demo.ts';
 import { Explain } from './commands/explain.ts';
+import { Load } from './commands/load.ts';
 import { ReportBurn } from './commands/report-burn.ts';
 import { DrainWatchCommand } from './commands/drain-watch.ts';
 import { RouterCommand } from './commands/router.ts';
@@ -19,6 +20,7 @@
   'config:check': ConfigCheck,
   demo: Demo,
   explain: Explain,
+  load: Load,
   'report:burn': ReportBurn,
   'drain:watch': DrainWatchCommand,
   router: RouterCommand,
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,46 +1,90 @@
-/** `poplarpick status`: what a process says about itself and what it sees of the fleet. */
+/** `poplarpick status`: the fleet as its processes see it, once or live. */
 import { Command, Flags } from '@oclif/core';
+import { parseFleetConfiguration } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
 import { ExitCode } from '../exit-code.ts';
-import { fetchStatus } from '../operator-client.ts';
-import type { ProcessStatus } from '../operator-client.ts';
+import { writeFleetTable } from '../fleet-view/fleet-table.ts';
+import { buildFleetView, readControl } from '../fleet-view/fleet-view.ts';
+import type { FleetView } from '../fleet-view/fleet-view.ts';
+import { fetchConfiguration, walkFleet } from '../operator-client.ts';
+import type { FleetWalk, ProcessStatus } from '../operator-client.ts';
+import { operatorFlags } from '../operator-flags.ts';
+
+const CLEAR_SCREEN = '\u001b[2J\u001b[H';
+const SECOND_MS = 1_000;
+
+/** What `--json` prints. */
+interface StatusResult {
+  fleet: FleetView;
+  processes: ProcessStatus[];
+}
 
 export class Status extends Command {
-  static override description = 'Show the status of one or more processes.';
+  static override description =
+    'Show the fleet: hosts, revisions, presets, backlog, shares, gap, utilisation, control traffic.';
   static override enableJsonFlag = true;
   static override flags = {
-    at: Flags.string({
-      required: true,
-      multiple: true,
-      description: "base URL of a process's operators address",
-    }),
-    key: Flags.string({
-      required: true,
-      env: 'POPLARPICK_OPERATOR_KEY',
-      description: 'operator key',
-    }),
+    ...operatorFlags,
+    watch: Flags.boolean({ char: 'w', description: 'refresh until interrupted' }),
+    interval: Flags.integer({ min: 1, default: 1, description: 'seconds between two looks' }),
+    only: Flags.boolean({ description: 'ask the given processes alone, not those they lead to' }),
   };
+  private previous: FleetView | undefined;
+  private previousControl: Map<string, number> | undefined;
+  private configuration: FleetConfiguration | undefined;
 
-  override async run(): Promise<{ processes: ProcessStatus[] }> {
+  override async run(): Promise<StatusResult> {
     const { flags } = await this.parse(Status);
-    const processes = await Promise.all(flags.at.map((url) => this.fetch(url, flags.key)));
-    for (const status of processes) this.show(status);
-    return { processes };
+    const look = async (): Promise<StatusResult> => this.look(flags.at, flags.key, flags.only);
+    // Rates need two looks.
+    await look();
+    let result: StatusResult;
+    do {
+      await pause(flags.interval * SECOND_MS);
+      result = await look();
+      if (flags.watch && this.jsonEnabled())
+        process.stdout.write(`${JSON.stringify(result.fleet)}\n`);
+      else this.log((flags.watch ? CLEAR_SCREEN : '') + writeFleetTable(result.fleet));
+    } while (flags.watch);
+    return result;
   }
 
-  private async fetch(url: string, key: string): Promise<ProcessStatus> {
+  private async look(at: string[], key: string, only: boolean): Promise<StatusResult> {
+    const walk = await walkFleet({ at, key, ...(only ? { limit: at.length } : {}) });
+    if (walk.statuses.length === 0)
+      this.error(walk.unreachable.map(({ url, reason }) => `${url}: ${reason}`).join('\n'), {
+        exit: ExitCode.Unreachable,
+      });
+    await this.followConfiguration(walk, key);
+    const fleet = buildFleetView({
+      walk,
+      configuration: this.configuration,
+      previous: this.previous,
+      ...(this.previousControl === undefined ? {} : { previousControl: this.previousControl }),
+      nowMs: Date.now(),
+    });
+    this.previous = fleet;
+    this.previousControl = readControl(walk);
+    return { fleet, processes: walk.statuses.map(({ status }) => status) };
+  }
+
+  /** Weights come from the configuration, which is fetched again when its revision has changed. */
+  private async followConfiguration(walk: FleetWalk, key: string): Promise<void> {
+    const newest = walk.statuses.reduce((best, entry) =>
+      entry.status.configuration.revision > best.status.configuration.revision ? entry : best,
+    );
+    const { revision } = newest.status.configuration;
+    if (revision === 0 || revision === this.configuration?.revision) return;
     try {
-      return await fetchStatus(url, key);
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      return this.error(`${url}: ${reason}`, { exit: ExitCode.Unreachable });
+      const { text } = await fetchConfiguration(newest.url, key);
+      this.configuration = parseFleetConfiguration(text, `revision ${revision}`);
+    } catch {
+      // Without it the weights are shown as 1; the rest of the picture stands.
+      this.configuration = undefined;
     }
   }
+}
 
-  private show(status: ProcessStatus): void {
-    const { process: identity, configuration, ...sections } = status;
-    this.log(`${identity.host}  ${identity.role}  ${identity.dataCentre}`);
-    this.log(`  revision ${configuration.revision}  preset ${configuration.preset ?? '-'}`);
-    for (const [name, section] of Object.entries(sections))
-      this.log(`  ${name}  ${JSON.stringify(section)}`);
-  }
+async function pause(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
--- /dev/null
+++ b/packages/cli/src/fleet-view/fleet-view.test.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai';
+import { buildFleetView, readControl } from './fleet-view.ts';
+import type { FleetWalk } from '../operator-client.ts';
+
+function walkOf(costs: Record<string, number>, controlBytes: number): FleetWalk {
+  const identity = { dataCentre: 'd', pid: 1, rssBytes: 1 };
+  const configuration = { revision: 3, preset: 'peak', refused: null };
+  const totals = Object.entries(costs).map(([workspace, cost]) => ({ workspace, cost }));
+  const backlog = ['a', 'b'].map((workspace) => ({ line: { workspace }, count: 2 }));
+  return {
+    unreachable: [],
+    statuses: [
+      {
+        url: 'http://router',
+        status: {
+          process: { ...identity, host: 'entry', role: 'router', incarnation: 'i' },
+          configuration,
+          links: { controlBytes, receivedControlBytes: 0 },
+          requests: { open: 5, backlog },
+          service: [{ kind: 'model', totals }],
+        },
+      },
+      {
+        url: 'http://sidecar',
+        status: {
+          process: { ...identity, host: 'beside', role: 'sidecar', incarnation: 'j' },
+          configuration: { ...configuration, revision: 4 },
+          admission: { slots: 4, running: 3 },
+        },
+      },
+    ],
+  };
+}
+
+describe('buildFleetView', () => {
+  const first = walkOf({ a: 100, b: 50 }, 1_000);
+  const previous = buildFleetView({ walk: first, configuration: undefined, nowMs: 1_000 });
+
+  it('adds up backlog and slots, and shows revisions that differ', () => {
+    expect(previous.waiting).to.equal(4);
+    expect(previous.utilisation).to.equal(0.75);
+    expect(previous.revisions).to.deep.equal([3, 4]);
+    expect(previous.gap).to.equal(null);
+  });
+
+  it('measures rates, shares and the gap between two looks', () => {
+    const view = buildFleetView({
+      walk: walkOf({ a: 130, b: 60 }, 3_000),
+      configuration: undefined,
+      previous,
+      previousControl: readControl(first),
+      nowMs: 3_000,
+    });
+    expect(view.gap).to.equal(20);
+    expect(view.workspaces.map(({ share }) => share)).to.deep.equal([0.75, 0.25]);
+    const router = view.hosts.find(({ host }) => host === 'entry');
+    expect(router?.controlBytesPerSecond).to.equal(1_000);
+  });
+});
--- /dev/null
+++ b/packages/cli/src/fleet-view/fleet-view.ts
@@ -0,0 +1,210 @@
+/** The fleet as one picture, put together from the status of its processes. */
+import { EndpointKind, findWeight } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
+import type { FleetWalk, ProcessStatus } from '../operator-client.ts';
+
+/** One process. */
+export interface HostView {
+  host: string;
+  role: string;
+  dataCentre: string;
+  revision: number;
+  preset: string | null;
+  rssBytes: number;
+  /** Control bytes that it sent and received per second since the last look. */
+  controlBytesPerSecond: number | null;
+  /** Processes that it is linked to. */
+  links: number;
+  /** Requests that it holds. */
+  open: number | null;
+  running: number | null;
+  slots: number | null;
+  draining: boolean;
+}
+
+/** One workspace. */
+export interface WorkspaceView {
+  workspace: string;
+  weight: number;
+  /** Requests that wait, over all routers. */
+  waiting: number;
+  /** Fleet-wide cost over weight, as far as the ledger shards know. */
+  service: number;
+  /** Part of the service of all workspaces since the last look. */
+  share: number | null;
+}
+
+/** The whole fleet. */
+export interface FleetView {
+  atMs: number;
+  hosts: HostView[];
+  unreachable: string[];
+  revisions: number[];
+  presets: string[];
+  workspaces: WorkspaceView[];
+  waiting: number;
+  running: number;
+  slots: number;
+  /** Running over slots. */
+  utilisation: number;
+  /** Largest difference of service over weight between workspaces that stayed backlogged. */
+  gap: number | null;
+}
+
+interface LinksSection {
+  controlBytes?: number;
+  receivedControlBytes?: number;
+}
+
+interface AdmissionSection {
+  slots?: number;
+  running?: number;
+  draining?: boolean;
+}
+
+interface RequestsSection {
+  open?: number;
+  backlog?: { line?: { workspace?: string }; count?: number }[];
+}
+
+interface ServiceSection {
+  kind?: string;
+  totals?: { workspace: string; cost: number }[];
+}
+
+/** Options of `buildFleetView`. */
+export interface FleetViewOptions {
+  walk: FleetWalk;
+  configuration: FleetConfiguration | undefined;
+  /** The last look, for rates. */
+  previous?: FleetView | undefined;
+  previousControl?: ReadonlyMap<string, number>;
+  nowMs: number;
+}
+
+/** Control bytes of each process so far, by incarnation. */
+export function readControl(walk: FleetWalk): Map<string, number> {
+  return new Map(
+    walk.statuses.map(({ status }) => {
+      const links = (status['links'] ?? {}) as LinksSection;
+      const bytes = (links.controlBytes ?? 0) + (links.receivedControlBytes ?? 0);
+      return [status.process.incarnation, bytes] as const;
+    }),
+  );
+}
+
+/** Puts the picture together. */
+export function buildFleetView(options: FleetViewOptions): FleetView {
+  const { walk, nowMs, previous } = options;
+  const hosts = walk.statuses.map(({ status }) => buildHost(status, options)).sort(compareHosts);
+  const running = sum(hosts.map((host) => host.running ?? 0));
+  const slots = sum(hosts.map((host) => host.slots ?? 0));
+  const workspaces = buildWorkspaces(options);
+  return {
+    atMs: nowMs,
+    hosts,
+    unreachable: walk.unreachable.map(({ url, reason }) => `${url}: ${reason}`),
+    revisions: distinct(hosts.map(({ revision }) => revision)),
+    presets: distinct(hosts.flatMap(({ preset }) => preset ?? [])),
+    workspaces,
+    waiting: sum(workspaces.map(({ waiting }) => waiting)),
+    running,
+    slots,
+    utilisation: slots === 0 ? 0 : running / slots,
+    gap: previous === undefined ? null : measureGap(previous.workspaces, workspaces),
+  };
+}
+
+function buildHost(status: ProcessStatus, options: FleetViewOptions): HostView {
+  const { host, role, dataCentre, rssBytes, incarnation } = status.process;
+  const admission = status['admission'] as AdmissionSection | undefined;
+  const requests = status['requests'] as RequestsSection | undefined;
+  return {
+    host,
+    role,
+    dataCentre,
+    revision: status.configuration.revision,
+    preset: status.configuration.preset,
+    rssBytes,
+    controlBytesPerSecond: measureControl(incarnation, options),
+    links: ((status['peers'] ?? []) as unknown[]).length,
+    open: requests?.open ?? null,
+    running: admission?.running ?? null,
+    slots: admission?.slots ?? null,
+    draining: admission?.draining ?? false,
+  };
+}
+
+function measureControl(incarnation: string, options: FleetViewOptions): number | null {
+  const { previous, previousControl, nowMs, walk } = options;
+  const before = previousControl?.get(incarnation);
+  const now = readControl(walk).get(incarnation);
+  if (previous === undefined || before === undefined || now === undefined) return null;
+  return ((now - before) * 1_000) / Math.max(1, nowMs - previous.atMs);
+}
+
+function buildWorkspaces({ walk, configuration, previous }: FleetViewOptions): WorkspaceView[] {
+  const waiting = new Map<string, number>();
+  const costs = new Map<string, number>();
+  for (const { status } of walk.statuses) {
+    addWaiting(status, waiting);
+    addCosts(status, costs);
+  }
+  const names = new Set([...waiting.keys(), ...costs.keys()]);
+  const before = new Map(previous?.workspaces.map((view) => [view.workspace, view.service]));
+  const views = [...names].map((workspace) => {
+    const weight = configuration === undefined ? 1 : findWeight(configuration, workspace);
+    const service = (costs.get(workspace) ?? 0) / weight;
+    return { workspace, weight, waiting: waiting.get(workspace) ?? 0, service, share: null };
+  });
+  const grown = (view: WorkspaceView): number =>
+    Math.max(0, view.service - (before.get(view.workspace) ?? view.service)) * view.weight;
+  const total = sum(views.map(grown));
+  return views
+    .map((view) => ({ ...view, share: total === 0 ? null : grown(view) / total }))
+    .sort((a, b) => b.waiting - a.waiting || (a.workspace < b.workspace ? -1 : 1));
+}
+
+function addWaiting(status: ProcessStatus, waiting: Map<string, number>): void {
+  const requests = status['requests'] as RequestsSection | undefined;
+  for (const { line, count } of requests?.backlog ?? []) {
+    const workspace = line?.workspace ?? '?';
+    waiting.set(workspace, (waiting.get(workspace) ?? 0) + (count ?? 0));
+  }
+}
+
+/** Shards know the same totals more or less late, so the highest holds. */
+function addCosts(status: ProcessStatus, costs: Map<string, number>): void {
+  const sections = status['service'];
+  if (!Array.isArray(sections)) return;
+  const model = (sections as ServiceSection[]).find(({ kind }) => kind === EndpointKind.Model);
+  for (const { workspace, cost } of model?.totals ?? [])
+    costs.set(workspace, Math.max(costs.get(workspace) ?? 0, cost));
+}
+
+/** The widest difference of what backlogged workspaces received between two looks. */
+function measureGap(
+  before: readonly WorkspaceView[],
+  after: readonly WorkspaceView[],
+): number | null {
+  const known = new Map(before.map((view) => [view.workspace, view]));
+  const received = after.flatMap((view) => {
+    const earlier = known.get(view.workspace);
+    if (earlier === undefined || earlier.waiting === 0 || view.waiting === 0) return [];
+    return view.service - earlier.service;
+  });
+  return received.length < 2 ? null : Math.max(...received) - Math.min(...received);
+}
+
+function compareHosts(a: HostView, b: HostView): number {
+  if (a.role !== b.role) return a.role < b.role ? -1 : 1;
+  return a.host < b.host ? -1 : 1;
+}
+
+function distinct<Value extends string | number>(values: readonly Value[]): Value[] {
+  return [...new Set(values)].sort();
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,7 +1,7 @@
 /** Client of the operators' interface of processes. */
 import { request } from 'undici';
 import type { RequestTrace } from '@poplarpick/decisions';
-import type { PeerEntry, ServiceLevels } from '@poplarpick/fleet';
+import type { ConfigurationDocument, PeerEntry, ServiceLevels } from '@poplarpick/fleet';
 
 const TIMEOUT_MS = 3_000;
 const NOT_FOUND = 404;
@@ -61,6 +61,11 @@
   return (await fetchJson(url, '/v1/status', key)) as ProcessStatus;
 }
 
+/** Reads the configuration in force in a process. Rejects where it cannot be had. */
+export async function fetchConfiguration(url: string, key: string): Promise<ConfigurationDocument> {
+  return (await fetchJson(url, '/v1/configuration', key)) as ConfigurationDocument;
+}
+
 /** Reads the service levels that a router gave. Rejects where they cannot be had. */
 export async function fetchServiceLevels(url: string, key: string): Promise<ServiceLevels> {
   return (await fetchJson(url, '/v1/burn', key)) as ServiceLevels;
--- a/packages/fleet/src/operators/app.ts
+++ b/packages/fleet/src/operators/app.ts
@@ -37,7 +37,13 @@
       pid: process.pid,
       rssBytes: process.memoryUsage.rss(),
     }));
-    kernel.broker.createService({ name: 'status', actions: { show: () => board.read() } });
+    kernel.broker.createService({
+      name: 'status',
+      actions: {
+        show: () => board.read(),
+        configuration: () => kernel.part(configurationKey).current?.document ?? null,
+      },
+    });
     return Promise.resolve();
   }
 
@@ -61,6 +67,10 @@
       name: 'operators',
       routes: [
         { pattern: 'GET /v1/status', handler: forOperators(kernel, 'status.show') },
+        {
+          pattern: 'GET /v1/configuration',
+          handler: forOperators(kernel, 'status.configuration'),
+        },
         { pattern: 'GET /v1/burn', handler: forOperators(kernel, 'burn.show') },
         { pattern: 'GET /v1/requests/:id', handler: explainRequest(kernel) },
       ],
