Run scenarios with open arrivals, faults on a time line and several seeds

Scenario files in TOML give rate, skew over workspaces and routers, heavy-tailed answers, conversations and calls that must not run twice.

--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,6 +1,9 @@
 /** The commands of the bench, by name. */
 import { capacityCommand } from './capacity/app.ts';
+import { compareCommand } from './compare/app.ts';
+import { experimentCommand } from './experiment/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { smokeCommand } from './smoke/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -11,5 +14,5 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [capacityCommand, latencyCommand];
+  return [capacityCommand, compareCommand, experimentCommand, latencyCommand, smokeCommand];
 }
--- /dev/null
+++ b/packages/bench/src/experiment/app.ts
@@ -0,0 +1,49 @@
+/** `run`: runs scenario files and writes their results as JSON and as a page with plots. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { readScenario, runExperiment } from './experiment.ts';
+import type { ExperimentResult } from './experiment.ts';
+import { renderExperiment } from './report.ts';
+
+const RESULTS_FOLDER = 'results';
+
+/** The command's entry in the bench. */
+export const experimentCommand = {
+  name: 'run',
+  summary: 'run scenario files  SCENARIO.toml ... [--runs N] [--label NAME]',
+  run: runScenarios,
+};
+
+async function runScenarios(args: string[]): Promise<void> {
+  const { values, positionals } = parseArgs({
+    args,
+    allowPositionals: true,
+    options: {
+      runs: { type: 'string', default: '3' },
+      label: { type: 'string', default: 'latest' },
+    },
+  });
+  if (positionals.length === 0) throw new Error('name one or more scenario files');
+  const results: ExperimentResult[] = [];
+  for (const file of positionals) {
+    const result = await runExperiment(readScenario(file), Number(values.runs));
+    await writeResult(result, values.label);
+    showResult(result);
+    results.push(result);
+  }
+  console.log(JSON.stringify(results.map(({ name, measures }) => ({ name, measures }))));
+}
+
+/** Writes `results/NAME.LABEL.json` and the page beside it. */
+export async function writeResult(result: ExperimentResult, label: string): Promise<void> {
+  mkdirSync(RESULTS_FOLDER, { recursive: true });
+  const stem = join(RESULTS_FOLDER, `${result.name}.${label}`);
+  writeFileSync(`${stem}.json`, `${JSON.stringify(result, null, 2)}\n`);
+  writeFileSync(`${stem}.html`, await renderExperiment(result));
+}
+
+export function showResult({ name, measures }: ExperimentResult): void {
+  console.log(name);
+  console.table(measures);
+}
--- /dev/null
+++ b/packages/bench/src/experiment/experiment.ts
@@ -0,0 +1,128 @@
+/** Runs a scenario against a fleet of real processes, several times with different seeds. */
+import { readFileSync } from 'node:fs';
+import { EndpointKind, parseToml } from '@poplarpick/decisions';
+import { chatBody, runLoad, scenarioSchema, spreadOf } from '@poplarpick/load';
+import type { LoadResult, LoadTarget, Scenario, Spread } from '@poplarpick/load';
+import { expectedAnswer, planSite, SiteSize } from '@poplarpick/stand-ins';
+import type { SitePlan } from '@poplarpick/stand-ins';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import { measureRates } from '../capacity/node-sample.ts';
+import type { NodeRates } from '../capacity/node-sample.ts';
+import { runFaults } from './fault-timeline.ts';
+
+/** Result of one run. */
+export interface ExperimentRun {
+  seed: number;
+  load: LoadResult;
+  /** Calls that ran more than once though they must not. */
+  doubled: number;
+  router: NodeRates;
+  sidecar: NodeRates;
+}
+
+/** Result of all runs of a scenario. */
+export interface ExperimentResult {
+  name: string;
+  scenario: Scenario;
+  runs: ExperimentRun[];
+  /** Median and spread over the runs, by the name of the measure. */
+  measures: Record<string, Spread>;
+}
+
+/** Reads a scenario file. Throws `ConfigurationError`. */
+export function readScenario(file: string): Scenario {
+  return parseToml(readFileSync(file, 'utf8'), scenarioSchema, file);
+}
+
+/** Runs a scenario. Every run has a fleet of its own and the next seed. */
+export async function runExperiment(scenario: Scenario, count: number): Promise<ExperimentResult> {
+  const runs: ExperimentRun[] = [];
+  for (let index = 0; index < count; index += 1)
+    runs.push(await runOnce(scenario, scenario.seed + index));
+  return { name: scenario.name, scenario, runs, measures: summarizeRuns(runs) };
+}
+
+async function runOnce(scenario: Scenario, seed: number): Promise<ExperimentRun> {
+  const { routers, step_ms } = scenario.fleet ?? { routers: 2, step_ms: 10 };
+  const fleet = await ProcessFleet.start({
+    plan: planFleet(scenario),
+    site: { engine: { pace: { baseStepMs: step_ms } } },
+    routers,
+  });
+  try {
+    const target = targetOf(fleet);
+    let load: Promise<LoadResult> | undefined;
+    const once = async (): Promise<void> => {
+      load ??= runLoad({ load: scenario.load, seed, target });
+      await load;
+    };
+    // A process that is replaced by a fault has no rates over the whole run, so they are left out then.
+    const nodes = scenario.faults.length === 0;
+    const [router, sidecar] = await Promise.all([
+      measureRates(fleet, nodes ? fleet.routers : [], once),
+      measureRates(fleet, nodes ? fleet.sidecars : [], once),
+      runFaults(fleet, scenario.faults),
+    ]);
+    const result = await runLoadResult(load);
+    const doubled = [...fleet.site.countRuns().values()].filter((times) => times > 1).length;
+    return { seed, load: result, doubled, router, sidecar };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runLoadResult(load: Promise<LoadResult> | undefined): Promise<LoadResult> {
+  if (load === undefined) throw new Error('no load was run');
+  return load;
+}
+
+function planFleet({ fleet }: Scenario): SitePlan {
+  const size = fleet?.site === 'trinacria' ? SiteSize.Trinacria : SiteSize.Izvor;
+  const plan = planSite({ size, workspaces: fleet?.workspaces ?? 16 });
+  if (fleet?.sidecars === undefined) return plan;
+  const [template] = plan.endpoints;
+  if (template === undefined) return plan;
+  const applications = plan.endpoints.filter((line) => line.kind === EndpointKind.Application);
+  const models = Array.from({ length: fleet.sidecars }, (_, index) => ({
+    ...template,
+    name: `model-${index + 1}`,
+    dataCentre: plan.dataCentres[index % plan.dataCentres.length] ?? '',
+  }));
+  return { ...plan, endpoints: [...models, ...applications] };
+}
+
+/** Where the load of a fleet of the bench goes, with answers compared. */
+export function targetOf(fleet: ProcessFleet): LoadTarget {
+  const { model, service, oncePath, workspaces } = fleet.site.plan;
+  return {
+    routers: fleet.routerUrls,
+    model,
+    workspaces,
+    once: { service, path: oncePath },
+    isRight: (call, text) => text === expectedAnswer(chatBody(call)),
+  };
+}
+
+/** Median and spread of the measures that are compared. */
+export function summarizeRuns(runs: readonly ExperimentRun[]): Record<string, Spread> {
+  const measures: Record<string, (run: ExperimentRun) => number> = {
+    'first token p50 ms': ({ load }) => load.firstTokenMs.p50,
+    'first token p95 ms': ({ load }) => load.firstTokenMs.p95,
+    'first token p99 ms': ({ load }) => load.firstTokenMs.p99,
+    'token gap p95 ms': ({ load }) => load.tokenGapMs.p95,
+    'token gap p99 ms': ({ load }) => load.tokenGapMs.p99,
+    'tokens/s': ({ load }) => load.tokensPerSecond,
+    'router cores': ({ router }) => router.cpu,
+    'router control B/s': ({ router }) => router.controlBytes,
+    'sidecar cores': ({ sidecar }) => sidecar.cpu,
+    'sidecar control B/s': ({ sidecar }) => sidecar.controlBytes,
+    refused: ({ load }) => load.refused,
+    failed: ({ load }) => load.failed,
+    lost: ({ load }) => load.lost,
+    wrong: ({ load }) => load.wrong,
+    doubled: ({ doubled }) => doubled,
+  };
+  return Object.fromEntries(
+    Object.entries(measures).map(([name, read]) => [name, spreadOf(runs.map(read))]),
+  );
+}
--- /dev/null
+++ b/packages/bench/src/experiment/fault-timeline.ts
@@ -0,0 +1,64 @@
+/** Causes the faults of a scenario at their times. */
+import { FaultKind, sleep } from '@poplarpick/load';
+import type { ScenarioFault } from '@poplarpick/load';
+import { Fault } from '@poplarpick/stand-ins';
+import type { ProcessFleet, RouterNode } from '../process-fleet/process-fleet.ts';
+
+const SECOND_MS = 1_000;
+
+/** Causes all faults; resolves when the last is over. */
+export async function runFaults(
+  fleet: ProcessFleet,
+  faults: readonly ScenarioFault[],
+): Promise<void> {
+  const startedAt = performance.now();
+  await Promise.all(
+    faults.map(async (fault) => {
+      await sleep(Math.max(0, startedAt + fault.at_s * SECOND_MS - performance.now()));
+      await causeFault(fleet, fault);
+    }),
+  );
+}
+
+/** Causes one fault; resolves when it is over. */
+export async function causeFault(fleet: ProcessFleet, fault: ScenarioFault): Promise<void> {
+  if (fault.kind === FaultKind.KillSidecar) {
+    const sidecar = fleet.sidecars[fault.target % fleet.sidecars.length];
+    if (sidecar !== undefined) await fleet.restartSidecar(sidecar);
+    return;
+  }
+  const router = fleet.routers[fault.target % fleet.routers.length];
+  if (router === undefined) return;
+  if (fault.kind === FaultKind.RestartRouter) await restartGracefully(fleet, router);
+  else await spoilLinks(router, fault);
+}
+
+/** A planned restart: the router finishes what it holds before it goes. */
+async function restartGracefully(fleet: ProcessFleet, router: RouterNode): Promise<void> {
+  router.process.signal('SIGTERM');
+  await router.process.exited;
+  await fleet.restartRouter(router);
+}
+
+async function spoilLinks(router: RouterNode, fault: ScenarioFault): Promise<void> {
+  const { proxy } = router;
+  switch (fault.kind) {
+    case FaultKind.HalfOpenLinks:
+      proxy.fault = Fault.HalfOpen;
+      return;
+    case FaultKind.ResetLinks:
+      proxy.fault = Fault.Reset;
+      return;
+    case FaultKind.SilentLinks:
+      proxy.fault = Fault.Silence;
+      break;
+    case FaultKind.SlowLinks:
+      proxy.fault = Fault.Latency;
+      break;
+    case FaultKind.KillSidecar:
+    case FaultKind.RestartRouter:
+      return;
+  }
+  await sleep(fault.duration_s * SECOND_MS);
+  proxy.fault = Fault.None;
+}
--- /dev/null
+++ b/packages/bench/src/smoke/app.ts
@@ -0,0 +1,34 @@
+/** `smoke`: a small suite of scenarios under two minutes; fails where anything is lost, doubled or wrong. */
+import { fileURLToPath } from 'node:url';
+import { readScenario, runExperiment } from '../experiment/experiment.ts';
+import { showResult, writeResult } from '../experiment/app.ts';
+
+const SCENARIOS = ['izvor-ordinary', 'izvor-faults', 'trinacria-uneven'];
+
+/** Measures that must be 0 in every run. */
+const FORBIDDEN = ['lost', 'wrong', 'doubled'];
+
+/** The command's entry in the bench. */
+export const smokeCommand = {
+  name: 'smoke',
+  summary: 'small suite of scenarios, one run each',
+  run: runSmoke,
+};
+
+async function runSmoke(): Promise<void> {
+  const faults: string[] = [];
+  const startedAt = performance.now();
+  for (const name of SCENARIOS) {
+    const file = fileURLToPath(new URL(`../../scenarios/${name}.toml`, import.meta.url));
+    const result = await runExperiment(readScenario(file), 1);
+    await writeResult(result, 'smoke');
+    showResult(result);
+    for (const measure of FORBIDDEN) {
+      const most = result.measures[measure]?.most ?? 0;
+      if (most > 0) faults.push(`${name}: ${measure} ${most}`);
+    }
+  }
+  const seconds = Math.round((performance.now() - startedAt) / 1_000);
+  if (faults.length > 0) process.exitCode = 1;
+  console.log(JSON.stringify({ seconds, scenarios: SCENARIOS.length, faults }));
+}
