--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,35 +1,43 @@
-/** All commands by their ids; a colon separates a topic from its command. */
+/**
+ * All commands by their ids; a colon separates a topic from its command. A command's module is loaded
+ * when it is wanted, so that a router or sidecar holds nothing of the others.
+ */
 import type { Command } from '@oclif/core';
-import { ConfigCheck } from './commands/config-check.ts';
-import { Demo } from './commands/demo.ts';
-import { Explain } from './commands/explain.ts';
-import { Load } from './commands/load.ts';
-import { ReportBurn } from './commands/report-burn.ts';
-import { DrainWatchCommand } from './commands/drain-watch.ts';
-import { RouterCommand } from './commands/router.ts';
-import { SidecarCommand } from './commands/sidecar.ts';
-import { StandInApplicationEngine } from './commands/stand-in-application-engine.ts';
-import { StandInConfigurationService } from './commands/stand-in-configuration-service.ts';
-import { StandInHostList } from './commands/stand-in-host-list.ts';
-import { StandInModelEngine } from './commands/stand-in-model-engine.ts';
-import { StandInWeightStore } from './commands/stand-in-weight-store.ts';
-import { Status } from './commands/status.ts';
-import { Version } from './commands/version.ts';
 
-export const COMMANDS: Record<string, Command.Class> = {
-  'config:check': ConfigCheck,
-  demo: Demo,
-  explain: Explain,
-  load: Load,
-  'report:burn': ReportBurn,
-  'drain:watch': DrainWatchCommand,
-  router: RouterCommand,
-  sidecar: SidecarCommand,
-  'stand-in:application-engine': StandInApplicationEngine,
-  'stand-in:configuration-service': StandInConfigurationService,
-  'stand-in:host-list': StandInHostList,
-  'stand-in:model-engine': StandInModelEngine,
-  'stand-in:weight-store': StandInWeightStore,
-  status: Status,
-  version: Version,
+type CommandLoader = () => Promise<Command.Class>;
+
+const LOADERS: Record<string, CommandLoader> = {
+  'config:check': async () => (await import('./commands/config-check.ts')).ConfigCheck,
+  demo: async () => (await import('./commands/demo.ts')).Demo,
+  explain: async () => (await import('./commands/explain.ts')).Explain,
+  load: async () => (await import('./commands/load.ts')).Load,
+  'report:burn': async () => (await import('./commands/report-burn.ts')).ReportBurn,
+  'drain:watch': async () => (await import('./commands/drain-watch.ts')).DrainWatchCommand,
+  router: async () => (await import('./commands/router.ts')).RouterCommand,
+  sidecar: async () => (await import('./commands/sidecar.ts')).SidecarCommand,
+  'stand-in:application-engine': async () =>
+    (await import('./commands/stand-in-application-engine.ts')).StandInApplicationEngine,
+  'stand-in:configuration-service': async () =>
+    (await import('./commands/stand-in-configuration-service.ts')).StandInConfigurationService,
+  'stand-in:host-list': async () =>
+    (await import('./commands/stand-in-host-list.ts')).StandInHostList,
+  'stand-in:model-engine': async () =>
+    (await import('./commands/stand-in-model-engine.ts')).StandInModelEngine,
+  'stand-in:weight-store': async () =>
+    (await import('./commands/stand-in-weight-store.ts')).StandInWeightStore,
+  status: async () => (await import('./commands/status.ts')).Status,
+  version: async () => (await import('./commands/version.ts')).Version,
 };
+
+/** Loads the command that the arguments name; all commands where they name none, for the help. */
+export async function loadCommands(
+  args: readonly string[],
+): Promise<Record<string, Command.Class>> {
+  const [first = '', second = ''] = args;
+  const id = [`${first}:${second}`, first].find((name) => Object.hasOwn(LOADERS, name));
+  const ids = id === undefined ? Object.keys(LOADERS) : [id];
+  const commands = await Promise.all(ids.map((name) => LOADERS[name]?.()));
+  return Object.fromEntries(
+    commands.flatMap((command, index) => (command === undefined ? [] : [[ids[index], command]])),
+  ) as Record<string, Command.Class>;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,7 +1,7 @@
 /** Entry point of the binary. */
 import { Config, flush, handle, Plugin, run } from '@oclif/core';
 import type { Command } from '@oclif/core';
-import { COMMANDS } from './commands.ts';
+import { loadCommands } from './commands.ts';
 import { PRODUCT_NAME, VERSION } from './version.ts';
 
 /** What oclif reads from a package file, since the binary has none beside it. */
@@ -30,14 +30,15 @@
 async function main(): Promise<void> {
   const root = process.cwd();
   const plugin = new Plugin({ root, pjson: PACKAGE as never, isRoot: true, ignoreManifest: true });
-  (plugin as unknown as CommandCache).commandCache = COMMANDS;
+  const args = process.argv.slice(2);
+  (plugin as unknown as CommandCache).commandCache = await loadCommands(args);
   await plugin.load();
   const config = await Config.load({
     root,
     pjson: PACKAGE as never,
     plugins: new Map([[plugin.name, plugin]]),
   });
-  await run(process.argv.slice(2), config);
+  await run(args, config);
   await flush();
   // Kept-alive connections would hold the process for seconds after its work is done.
   process.exit();
