--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -3,6 +3,7 @@
 import { compareCommand } from './compare/app.ts';
 import { experimentCommand } from './experiment/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { profileCommand } from './profile/app.ts';
 import { smokeCommand } from './smoke/app.ts';
 
 /** One command of the bench. */
@@ -14,5 +15,12 @@
 
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
-  return [capacityCommand, compareCommand, experimentCommand, latencyCommand, smokeCommand];
+  return [
+    capacityCommand,
+    compareCommand,
+    experimentCommand,
+    latencyCommand,
+    profileCommand,
+    smokeCommand,
+  ];
 }
--- /dev/null
+++ b/packages/bench/src/profile/app.ts
@@ -0,0 +1,81 @@
+/** `profile`: CPU profiles of a router and a sidecar under a load of tokens, and what shows in them. */
+import { mkdtempSync, readdirSync, readFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { callChat, Random, runOpenLoop } from '@poplarpick/load';
+import { planScale } from '../capacity/site.ts';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import { listHotFunctions } from './cpu-profile.ts';
+import type { CpuProfile } from './cpu-profile.ts';
+
+const SIDECARS = 4;
+const LISTED = 25;
+const SECOND_MS = 1_000;
+const STEP_MS = 5;
+
+/** The command's entry in the bench. */
+export const profileCommand = {
+  name: 'profile',
+  summary: 'CPU profiles under a load of tokens  [--rate N] [--tokens N] [--seconds N]',
+  run: runProfile,
+};
+
+async function runProfile(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      rate: { type: 'string', default: '40' },
+      tokens: { type: 'string', default: '100' },
+      seconds: { type: 'string', default: '8' },
+    },
+  });
+  const folder = mkdtempSync(join(tmpdir(), 'poplarpick-profile-'));
+  const fleet = await ProcessFleet.start({
+    plan: planScale({ sidecars: SIDECARS, slots: 32 }),
+    site: { engine: { pace: { baseStepMs: STEP_MS, perSequenceMs: 0.05 } } },
+    routers: 1,
+    nodeOptions: ['--cpu-prof', `--cpu-prof-dir=${folder}`],
+  });
+  const roles = new Map([
+    ...fleet.routers.map(({ process }) => [process.pid, 'router'] as const),
+    ...fleet.sidecars.map(({ process }) => [process.pid, 'sidecar'] as const),
+  ]);
+  try {
+    await sendTokens(fleet, Number(values.rate), Number(values.tokens), Number(values.seconds));
+    // A profile is written when its process ends by itself.
+    for (const { process } of [...fleet.routers, ...fleet.sidecars]) {
+      process.signal('SIGTERM');
+      await process.exited;
+    }
+  } finally {
+    await fleet.stop();
+  }
+  for (const role of ['router', 'sidecar']) show(folder, role, roles);
+  console.log(JSON.stringify({ folder }));
+}
+
+async function sendTokens(
+  fleet: ProcessFleet,
+  rate: number,
+  outputTokens: number,
+  seconds: number,
+): Promise<void> {
+  const { model, workspaces } = fleet.site.plan;
+  const random = new Random(1);
+  const send = async (): Promise<void> => {
+    const { key } = random.pick(workspaces);
+    const url = random.pick(fleet.routerUrls);
+    await callChat({ url, key, model, prompt: 'hello', outputTokens });
+  };
+  await runOpenLoop({ rate, durationMs: seconds * SECOND_MS, random, send });
+}
+
+/** Shows the profile of the first process of a role. */
+function show(folder: string, role: string, roles: ReadonlyMap<number, string>): void {
+  const file = readdirSync(folder).find((name) => roles.get(Number(name.split('.')[3])) === role);
+  if (file === undefined) return;
+  const profile = JSON.parse(readFileSync(join(folder, file), 'utf8')) as CpuProfile;
+  console.log(role);
+  console.table(listHotFunctions(profile).slice(0, LISTED));
+}
--- /dev/null
+++ b/packages/bench/src/profile/cpu-profile.ts
@@ -0,0 +1,46 @@
+/** Reads CPU profiles as V8 writes them. */
+
+/** A profile, as far as it is read here. */
+export interface CpuProfile {
+  nodes: ProfileNode[];
+  samples: number[];
+  /** Time before each sample, in microseconds. */
+  timeDeltas: number[];
+}
+
+interface ProfileNode {
+  id: number;
+  callFrame: { functionName: string; url: string; lineNumber: number };
+}
+
+/** Time that was spent in one function itself. */
+export interface HotFunction {
+  name: string;
+  line: number;
+  selfMs: number;
+  /** Share of the time that was not idle. */
+  share: number;
+}
+
+const IDLE = new Set(['(idle)', '(program)']);
+
+/** Functions by the time spent in them, the most first. */
+export function listHotFunctions({ nodes, samples, timeDeltas }: CpuProfile): HotFunction[] {
+  const byId = new Map(nodes.map((node) => [node.id, node.callFrame]));
+  const times = new Map<string, HotFunction>();
+  let busyMs = 0;
+  samples.forEach((id, index) => {
+    const frame = byId.get(id);
+    if (frame === undefined || IDLE.has(frame.functionName)) return;
+    const ms = (timeDeltas[index] ?? 0) / 1_000;
+    const name = frame.functionName === '' ? '(anonymous)' : frame.functionName;
+    const key = `${name}:${frame.lineNumber}`;
+    const known = times.get(key) ?? { name, line: frame.lineNumber, selfMs: 0, share: 0 };
+    known.selfMs += ms;
+    busyMs += ms;
+    times.set(key, known);
+  });
+  return [...times.values()]
+    .map((entry) => ({ ...entry, share: entry.selfMs / busyMs }))
+    .sort((a, b) => b.selfMs - a.selfMs);
+}
--- a/packages/fleet/src/callers/chat-completions.ts
+++ b/packages/fleet/src/callers/chat-completions.ts
@@ -68,6 +68,11 @@
   };
 }
 
+const EVENT_BEGIN = Buffer.from('data: ');
+const EVENT_END = Buffer.from('\n\n');
+const NO_CHOICES = Buffer.from('"choices":[]');
+const USAGE = Buffer.from('"usage":{');
+
 /** Streams an answer by server-sent events. */
 export class ChatStreamSink extends AnswerSink {
   private readonly response: ServerResponse;
@@ -82,10 +87,10 @@
   }
 
   override deliver(data: Buffer): void {
-    const text = data.toString('utf8');
-    if (!this.includeUsage && isUsageChunk(text)) return;
+    if (!this.includeUsage && isUsageChunk(data)) return;
     this.begin();
-    this.response.write(`data: ${text}\n\n`);
+    // The chunk passes as the bytes that it came in, without being decoded and encoded again.
+    this.response.write(Buffer.concat([EVENT_BEGIN, data, EVENT_END]));
   }
 
   override finish(): void {
@@ -225,7 +230,6 @@
 }
 
 /** The last chunk of a stream carries the usage and no choices. */
-function isUsageChunk(text: string): boolean {
-  if (!text.includes('"choices":[]')) return false;
-  return text.includes('"usage":{');
+function isUsageChunk(data: Buffer): boolean {
+  return data.includes(NO_CHOICES) && data.includes(USAGE);
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -18,8 +18,10 @@
   platform: 'node',
   target: 'node24',
   format: 'cjs',
-  minify: process.argv.includes('--minify'),
-  keepNames: true,
+  // Names are kept as they are written: errors tell them, and a helper that kept them in shortened code
+  // cost the hot paths time at each function that is made.
+  minifyWhitespace: process.argv.includes('--minify'),
+  minifySyntax: process.argv.includes('--minify'),
   legalComments: 'none',
   external: unused,
   alias: { 'vega-canvas': canvas },
--- a/scripts/make-binary.mjs
+++ b/scripts/make-binary.mjs
@@ -19,6 +19,9 @@
     output: blob,
     disableExperimentalSEAWarning: true,
     useCodeCache: true,
+    // A small young generation: an idle process keeps less, and what lives on between frames is little.
+    execArgv: ['--max-semi-space-size=2'],
+    execArgvExtension: 'none',
   }),
 );
 execFileSync(node, ['--experimental-sea-config', config], {
