Measure changes of the configuration and links between routers apart; soak; operators' pages

Processes are the binary, and memory is its private part. bench soak runs an hour of a small site at a faster pace with a fault every few seconds.

--- a/packages/bench/src/capacity/app.ts
+++ b/packages/bench/src/capacity/app.ts
@@ -11,8 +11,16 @@
 import { readDesignLinks } from './design-links.ts';
 import { fillPage } from './page.ts';
 import type { CapacityResult } from './page.ts';
-import { measureSlopes, projectLines } from './projection.ts';
-import { sweepBacklog, sweepLoad, sweepRouters, sweepSidecars } from './sweeps.ts';
+import { projectLines } from './projection.ts';
+import { measureSlopes } from './slopes.ts';
+import {
+  sweepBacklog,
+  sweepChanges,
+  sweepLoad,
+  sweepNeighbours,
+  sweepRouters,
+  sweepSidecars,
+} from './sweeps.ts';
 import type { Sweep } from './sweeps.ts';
 
 const RESULT_FILE = 'docs/capacity.json';
@@ -54,7 +62,7 @@
   const [load = 0] = loadavg();
   const configurations = measureConfigurations();
   const sweeps: Sweep[] = [];
-  for (const sweep of [sweepSidecars, sweepRouters, sweepBacklog]) {
+  for (const sweep of [sweepSidecars, sweepRouters, sweepNeighbours, sweepChanges, sweepBacklog]) {
     sweeps.push(await sweep());
     console.error(`measured ${sweeps.at(-1)?.name ?? ''}`);
   }
--- a/packages/bench/src/capacity/node-sample.ts
+++ b/packages/bench/src/capacity/node-sample.ts
@@ -15,6 +15,7 @@
   /** Share of one core. */
   cpu: number;
   rssBytes: number;
+  anonBytes: number;
   /** Sent and received. */
   controlBytes: number;
   controlMessages: number;
@@ -52,12 +53,13 @@
 
 async function readNode(fleet: ProcessFleet, node: WatchedNode): Promise<NodeReading> {
   const status = await fleet.status(node.operators);
-  const { cpuSeconds, rssBytes } = readUsage(node.process.pid);
+  const { cpuSeconds, rssBytes, anonBytes } = readUsage(node.process.pid);
   const links = status['links'] as TrafficSection | undefined;
   return {
     at: performance.now(),
     cpu: cpuSeconds,
     rssBytes,
+    anonBytes,
     controlBytes: (links?.controlBytes ?? 0) + (links?.receivedControlBytes ?? 0),
     controlMessages: (links?.controlMessages ?? 0) + (links?.receivedControlMessages ?? 0),
   };
@@ -68,6 +70,7 @@
   return {
     cpu: (after.cpu - before.cpu) / seconds,
     rssBytes: after.rssBytes,
+    anonBytes: after.anonBytes,
     controlBytes: (after.controlBytes - before.controlBytes) / seconds,
     controlMessages: (after.controlMessages - before.controlMessages) / seconds,
   };
@@ -79,6 +82,7 @@
   return {
     cpu: mean('cpu'),
     rssBytes: mean('rssBytes'),
+    anonBytes: mean('anonBytes'),
     controlBytes: mean('controlBytes'),
     controlMessages: mean('controlMessages'),
   };
--- a/packages/bench/src/capacity/page.ts
+++ b/packages/bench/src/capacity/page.ts
@@ -1,6 +1,7 @@
 /** Fills the tables of the capacity page, between markers, from the measured figures. */
 import type { ConfigurationPoint } from './configuration-cost.ts';
-import type { CapacityLine, DesignLinks, MeasuredSlope } from './projection.ts';
+import type { CapacityLine, DesignLinks } from './projection.ts';
+import type { MeasuredSlope } from './slopes.ts';
 import type { Sweep } from './sweeps.ts';
 
 /** What `docs/capacity.json` holds. */
--- a/packages/bench/src/capacity/process-usage.ts
+++ b/packages/bench/src/capacity/process-usage.ts
@@ -12,6 +12,8 @@
   /** Processor time since its start, in seconds. */
   cpuSeconds: number;
   rssBytes: number;
+  /** Memory that the process has to itself; the rest of the resident set is pages of its file. */
+  anonBytes: number;
 }
 
 /** Reads the usage of a process. Throws where it has ended. */
@@ -20,6 +22,13 @@
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[SYSTEM_TICKS_FIELD]);
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  const rss = /^VmRSS:\s+(\d+) kB/m.exec(status)?.[1] ?? '0';
-  return { cpuSeconds: ticks / TICKS_PER_SECOND, rssBytes: Number(rss) * KIB };
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    rssBytes: readKib(status, 'VmRSS') * KIB,
+    anonBytes: readKib(status, 'RssAnon') * KIB,
+  };
+}
+
+function readKib(status: string, field: string): number {
+  return Number(new RegExp(`^${field}:\\s+(\\d+) kB`, 'm').exec(status)?.[1] ?? 0);
 }
--- a/packages/bench/src/capacity/projection.ts
+++ b/packages/bench/src/capacity/projection.ts
@@ -2,32 +2,17 @@
  * Works out what each role needs at the design size from the measured slopes. Each line is a sum of
  * terms: a measured rate, or a measured slope times a quantity of the design.
  */
+import { READERS_PER_DATA_CENTRE } from '@poplarpick/decisions';
 import { fitLine } from '@poplarpick/load';
 import type { Fit } from '@poplarpick/load';
 import type { ConfigurationPoint } from './configuration-cost.ts';
 import { DESIGN, LIMITS, SECONDS_PER_DAY } from './design-size.ts';
 import type { NodeRates } from './node-sample.ts';
+import { CapacityRole, measureSlopes } from './slopes.ts';
+import type { MeasuredSlope } from './slopes.ts';
 import { SweepName } from './sweeps.ts';
 import type { Sweep, SweepPoint } from './sweeps.ts';
 
-/** Roles of the page. */
-export enum CapacityRole {
-  Router = 'router',
-  Sidecar = 'sidecar',
-  Fleet = 'fleet',
-}
-
-/** A measured quantity against what was varied. */
-export interface MeasuredSlope {
-  sweep: SweepName;
-  varied: string;
-  role: CapacityRole.Router | CapacityRole.Sidecar;
-  quantity: keyof NodeRates;
-  unit: string;
-  points: { size: number; value: number }[];
-  fit: Fit;
-}
-
 /** One term of a line. */
 export interface Term {
   name: string;
@@ -66,45 +51,9 @@
   routersOfRouter: number;
 }
 
-const UNITS: Record<keyof NodeRates, string> = {
-  cpu: 'cores',
-  rssBytes: 'bytes',
-  controlBytes: 'bytes/s',
-  controlMessages: 'messages/s',
-};
-
 const CHANGES_PER_SECOND = DESIGN.changesPerDay / SECONDS_PER_DAY;
 const REQUESTS_PER_ROUTER = DESIGN.requestsPerSecond / DESIGN.routers;
 const REQUESTS_PER_SIDECAR = DESIGN.requestsPerSecond / DESIGN.sidecars;
-const MS = 1_000;
-
-/** All slopes of the sweeps, both roles and all quantities. */
-export function measureSlopes(sweeps: readonly Sweep[]): MeasuredSlope[] {
-  const quantities = Object.keys(UNITS) as (keyof NodeRates)[];
-  return sweeps.flatMap((sweep) =>
-    ([CapacityRole.Router, CapacityRole.Sidecar] as const).flatMap((role) =>
-      quantities.map((quantity) => measureSlope(sweep, role, quantity)),
-    ),
-  );
-}
-
-function measureSlope(
-  sweep: Sweep,
-  role: MeasuredSlope['role'],
-  quantity: keyof NodeRates,
-): MeasuredSlope {
-  const points = sweep.points.map((point) => ({ size: point.size, value: point[role][quantity] }));
-  const fit = fitLine(points.map(({ size, value }) => ({ x: size, y: value })));
-  return {
-    sweep: sweep.name,
-    varied: sweep.varied,
-    role,
-    quantity,
-    unit: UNITS[quantity],
-    points,
-    fit,
-  };
-}
 
 /** Finds the slopes of one role and adds terms up. */
 class LineMaker {
@@ -170,7 +119,7 @@
   const control = (quantity: keyof NodeRates): Term[] => [
     maker.base(role, SweepName.Sidecars, quantity),
     maker.times(role, SweepName.Sidecars, quantity, links.sidecarsOfRouter),
-    maker.times(role, SweepName.Routers, quantity, links.routersOfRouter),
+    maker.times(role, SweepName.Neighbours, quantity, links.routersOfRouter),
     maker.times(role, SweepName.Backlog, quantity, DESIGN.backloggedWorkspaces),
     maker.times(role, SweepName.Requests, quantity, REQUESTS_PER_ROUTER),
   ];
@@ -181,8 +130,8 @@
       quantity: 'control volume',
       unit: 'bytes/s',
       limit: LIMITS.controlBytesPerSecond,
-      terms: [...control('controlBytes'), documentTerm(maker)],
-      mechanism: 'heartbeats, backlog notices, claims, reports, configuration documents',
+      terms: [...control('controlBytes'), changeTerm(maker, role, 'controlBytes')],
+      mechanism: 'heartbeats, backlog notices, claims, reports, changes of the configuration',
       remark:
         'send changes of the configuration rather than whole documents; leave heartbeats out on busy links',
     }),
@@ -202,11 +151,11 @@
       terms: [
         maker.base(role, SweepName.Sidecars, 'cpu'),
         maker.times(role, SweepName.Sidecars, 'cpu', links.sidecarsOfRouter),
-        maker.times(role, SweepName.Routers, 'cpu', links.routersOfRouter),
-        parseTerm(maker),
+        maker.times(role, SweepName.Neighbours, 'cpu', links.routersOfRouter),
+        changeTerm(maker, role, 'cpu'),
       ],
-      mechanism: 'links without load; parsing of each revision',
-      remark: 'parsing of whole documents comes first',
+      mechanism: 'links without load; taking in of each revision',
+      remark: 'reports and heartbeats, message by message',
     }),
     makeLine({
       role,
@@ -221,13 +170,13 @@
     }),
     makeLine({
       role,
-      quantity: 'memory',
+      quantity: 'private memory',
       unit: 'bytes',
       limit: LIMITS.controlMemoryBytes,
       terms: [
-        maker.base(role, SweepName.Sidecars, 'rssBytes'),
-        maker.times(role, SweepName.Sidecars, 'rssBytes', links.sidecarsOfRouter),
-        maker.times(role, SweepName.Routers, 'rssBytes', links.routersOfRouter),
+        maker.base(role, SweepName.Sidecars, 'anonBytes'),
+        maker.times(role, SweepName.Sidecars, 'anonBytes', links.sidecarsOfRouter),
+        maker.times(role, SweepName.Neighbours, 'anonBytes', links.routersOfRouter),
         heapTerm(maker),
       ],
       mechanism: 'runtime and libraries, link buffers, the parsed configuration',
@@ -251,8 +200,8 @@
       quantity: 'control volume',
       unit: 'bytes/s',
       limit: LIMITS.controlBytesPerSecond,
-      terms: [...control('controlBytes'), documentTerm(maker)],
-      mechanism: 'heartbeats, backlog notices, claims, reports, configuration documents',
+      terms: [...control('controlBytes'), changeTerm(maker, role, 'controlBytes')],
+      mechanism: 'heartbeats, backlog notices, claims, reports, changes of the configuration',
       remark: 'reports and totals that carry what changed alone; changes instead of documents',
     }),
     makeLine({
@@ -271,19 +220,19 @@
       terms: [
         maker.base(role, SweepName.Routers, 'cpu'),
         maker.times(role, SweepName.Routers, 'cpu', links.routersOfSidecar),
-        parseTerm(maker),
+        changeTerm(maker, role, 'cpu'),
       ],
-      mechanism: 'links without load; parsing of each revision',
-      remark: 'parsing of whole documents comes first',
+      mechanism: 'links without load; taking in of each revision',
+      remark: 'reports and heartbeats, message by message',
     }),
     makeLine({
       role,
-      quantity: 'memory',
+      quantity: 'private memory',
       unit: 'bytes',
       limit: LIMITS.controlMemoryBytes,
       terms: [
-        maker.base(role, SweepName.Routers, 'rssBytes'),
-        maker.times(role, SweepName.Routers, 'rssBytes', links.routersOfSidecar),
+        maker.base(role, SweepName.Routers, 'anonBytes'),
+        maker.times(role, SweepName.Routers, 'anonBytes', links.routersOfSidecar),
         heapTerm(maker),
       ],
       mechanism: 'runtime and libraries, link buffers, the parsed configuration',
@@ -294,11 +243,9 @@
 
 function fleetLines(maker: LineMaker): CapacityLine[] {
   const role = CapacityRole.Fleet;
-  const points = maker.points(SweepName.Routers);
-  const calls = fitLine(
-    points.map(({ size, serviceCallsPerSecond = 0 }) => ({ x: size, y: serviceCallsPerSecond })),
+  const change = fitLine(
+    maker.points(SweepName.Changes).map(({ size, changeMs = 0 }) => ({ x: size, y: changeMs })),
   );
-  const change = fitLine(points.map(({ size, changeMs = 0 }) => ({ x: size, y: changeMs })));
   const bytes = maker.configuration((point) => point.documentBytes);
   return [
     makeLine({
@@ -307,31 +254,25 @@
       unit: 'calls/s',
       limit: LIMITS.serviceCallsPerSecond,
       terms: [
+        callsTerm(maker, SweepName.Routers, READERS, 'routers that watch'),
+        callsTerm(maker, SweepName.Sidecars, DESIGN.sidecars, 'sidecars'),
         {
-          name: `${round(calls.slope)} × ${DESIGN.routers} (routers that watch)`,
-          value: calls.slope * DESIGN.routers,
-          error: calls.slopeError * DESIGN.routers,
-        },
-        {
-          name: `${round(CHANGES_PER_SECOND)} changes/s × ${DESIGN.routers} (watches answered)`,
-          value: CHANGES_PER_SECOND * DESIGN.routers,
+          name: `${round(CHANGES_PER_SECOND)} changes/s × ${READERS} watches answered`,
+          value: CHANGES_PER_SECOND * READERS,
           error: 0,
         },
       ],
-      mechanism: 'one watch for each router that watches',
-      remark: 'a few watching routers in each data centre are enough; the rest hear it from peers',
+      mechanism: 'watches of a few readers in each data centre; the rest hear of it from peers',
+      remark: 'does not grow with the routers',
     }),
     makeLine({
       role,
       quantity: 'time until a change is in force everywhere',
       unit: 'ms',
       limit: LIMITS.changeMs,
-      terms: [
-        { name: 'constant part, small documents', value: change.intercept, error: change.residual },
-        parseHops(maker),
-      ],
+      terms: [changeTimeTerm(change, bytes.intercept + bytes.slope)],
       mechanism: 'watch, then revision notices and fetches between neighbours',
-      remark: 'each hop parses the document before it passes it on',
+      remark: 'each hop takes the revision in before it passes it on',
     }),
     makeLine({
       role,
@@ -348,36 +289,50 @@
   ];
 }
 
-/** Hops of the overlay at the design size, as its property test bounds them. */
-const OVERLAY_HOPS = 8;
+/** Routers that watch the service at the design size. */
+const READERS = READERS_PER_DATA_CENTRE * DESIGN.dataCentres;
 
-function parseHops(maker: LineMaker): Term {
-  const parse = maker.configuration((point) => point.parseMs);
-  const value = (parse.intercept + parse.slope) * OVERLAY_HOPS;
+function callsTerm(maker: LineMaker, sweep: SweepName, count: number, what: string): Term {
+  const points = maker.points(sweep);
+  const { slope, slopeError } = fitLine(
+    points.map(({ size, serviceCallsPerSecond = 0 }) => ({ x: size, y: serviceCallsPerSecond })),
+  );
   return {
-    name: `${OVERLAY_HOPS} hops × parsing of the design size's document`,
-    value,
-    error: parse.slopeError * OVERLAY_HOPS,
+    name: `${round(slope)} × ${count} (${what})`,
+    value: slope * count,
+    error: slopeError * count,
   };
 }
 
-function documentTerm(maker: LineMaker): Term {
-  const bytes = maker.configuration((point) => point.documentBytes);
-  const size = bytes.intercept + bytes.slope;
+/** Hops of the overlay at the design size, as its property test bounds them. */
+const OVERLAY_HOPS = 8;
+
+/** The measured fleet has two hops from the service to the last sidecar. */
+const MEASURED_HOPS = 2;
+
+function changeTimeTerm(change: Fit, documentBytes: number): Term {
+  const hops = OVERLAY_HOPS / MEASURED_HOPS;
   return {
-    name: `${round(CHANGES_PER_SECOND)} changes/s × ${round(size)} bytes of document`,
-    value: CHANGES_PER_SECOND * size,
-    error: CHANGES_PER_SECOND * bytes.slopeError,
+    name: `measured over ${MEASURED_HOPS} hops at ${round(documentBytes)} bytes, for ${OVERLAY_HOPS} hops`,
+    value: (change.intercept + change.slope * documentBytes) * hops,
+    error: change.slopeError * documentBytes * hops,
   };
 }
 
-function parseTerm(maker: LineMaker): Term {
-  const parse = maker.configuration((point) => point.parseMs);
-  const size = parse.intercept + parse.slope;
+/** What changes of a document of the design size cost a node. */
+function changeTerm(
+  maker: LineMaker,
+  role: MeasuredSlope['role'],
+  quantity: keyof NodeRates,
+): Term {
+  const bytes = maker.configuration((point) => point.documentBytes);
+  const size = bytes.intercept + bytes.slope;
+  const fixed = maker.base(role, SweepName.Changes, quantity);
+  const grown = maker.times(role, SweepName.Changes, quantity, size);
   return {
-    name: `${round(CHANGES_PER_SECOND)} changes/s × ${round(size)} ms of parsing`,
-    value: (CHANGES_PER_SECOND * size) / MS,
-    error: (CHANGES_PER_SECOND * parse.slopeError) / MS,
+    name: `${round(CHANGES_PER_SECOND)} changes/s of a document of ${round(size)} bytes`,
+    value: CHANGES_PER_SECOND * (fixed.value + grown.value),
+    error: CHANGES_PER_SECOND * (fixed.error + grown.error),
   };
 }
 
--- a/packages/bench/src/capacity/site.ts
+++ b/packages/bench/src/capacity/site.ts
@@ -43,6 +43,7 @@
     plan: planScale(scale),
     site: { engine: { pace } },
     routers: scale.routers,
+    binary: true,
   });
   try {
     return await action(fleet);
--- /dev/null
+++ b/packages/bench/src/capacity/slopes.ts
@@ -0,0 +1,59 @@
+/** Slopes of what processes use, by what a sweep varies. */
+import { fitLine } from '@poplarpick/load';
+import type { Fit } from '@poplarpick/load';
+import type { NodeRates } from './node-sample.ts';
+import type { Sweep, SweepName } from './sweeps.ts';
+
+/** Roles of the page. */
+export enum CapacityRole {
+  Router = 'router',
+  Sidecar = 'sidecar',
+  Fleet = 'fleet',
+}
+
+/** A measured quantity against what was varied. */
+export interface MeasuredSlope {
+  sweep: SweepName;
+  varied: string;
+  role: CapacityRole.Router | CapacityRole.Sidecar;
+  quantity: keyof NodeRates;
+  unit: string;
+  points: { size: number; value: number }[];
+  fit: Fit;
+}
+
+const UNITS: Record<keyof NodeRates, string> = {
+  cpu: 'cores',
+  rssBytes: 'bytes',
+  anonBytes: 'bytes',
+  controlBytes: 'bytes/s',
+  controlMessages: 'messages/s',
+};
+
+/** All slopes of the sweeps, both roles and all quantities. */
+export function measureSlopes(sweeps: readonly Sweep[]): MeasuredSlope[] {
+  const quantities = Object.keys(UNITS) as (keyof NodeRates)[];
+  return sweeps.flatMap((sweep) =>
+    ([CapacityRole.Router, CapacityRole.Sidecar] as const).flatMap((role) =>
+      quantities.map((quantity) => measureSlope(sweep, role, quantity)),
+    ),
+  );
+}
+
+function measureSlope(
+  sweep: Sweep,
+  role: MeasuredSlope['role'],
+  quantity: keyof NodeRates,
+): MeasuredSlope {
+  const points = sweep.points.map((point) => ({ size: point.size, value: point[role][quantity] }));
+  const fit = fitLine(points.map(({ size, value }) => ({ x: size, y: value })));
+  return {
+    sweep: sweep.name,
+    varied: sweep.varied,
+    role,
+    quantity,
+    unit: UNITS[quantity],
+    points,
+    fit,
+  };
+}
--- a/packages/bench/src/capacity/sweeps.ts
+++ b/packages/bench/src/capacity/sweeps.ts
@@ -1,7 +1,7 @@
 /** Sweeps: the same fleet at four sizes or more, with what its processes used at each. */
 import { callChat, Random, runOpenLoop, sleep } from '@poplarpick/load';
 import type { ChatCall } from '@poplarpick/load';
-import { writeConfiguration } from '@poplarpick/stand-ins';
+import { SitePreset, writeConfiguration } from '@poplarpick/stand-ins';
 import type { ProcessFleet } from '../process-fleet/process-fleet.ts';
 import { measureRates } from './node-sample.ts';
 import type { NodeRates } from './node-sample.ts';
@@ -19,6 +19,10 @@
   Tokens = 'tokens',
   /** More workspaces that are always backlogged. */
   Backlog = 'backlog',
+  /** Idle routers without sidecars, linked to each other. */
+  Neighbours = 'neighbours',
+  /** One change of a larger configuration; the values are those of one change. */
+  Changes = 'changes',
 }
 
 /** What was measured at one size. */
@@ -55,6 +59,9 @@
 const BACKLOG_TOKENS = 40;
 const BACKLOG_DEPTH = 3;
 const SEED = 5;
+const CHANGES = 4;
+const CHANGE_PERIOD_MS = 1_000;
+const PRESETS = [SitePreset.Peak, SitePreset.Ordinary];
 
 /** Idle rates of a router by the number of its sidecars. */
 export async function sweepSidecars(sizes = [4, 8, 16, 32]): Promise<Sweep> {
@@ -78,6 +85,63 @@
   return { name: SweepName.Routers, varied: 'routers linked to four sidecars', points };
 }
 
+/** Idle rates of a router by the number of routers that it is linked to. */
+export async function sweepNeighbours(sizes = [1, 2, 4, 7]): Promise<Sweep> {
+  const points: SweepPoint[] = [];
+  for (const routers of sizes) {
+    const measure = async (fleet: ProcessFleet): Promise<SweepPoint> => {
+      await sleep(SETTLE_MS);
+      const rates = await measureNodes(fleet, () => sleep(IDLE_MS));
+      return { size: routers - 1, ...rates };
+    };
+    points.push(await withFleet({ routers, sidecars: 0 }, measure));
+  }
+  return { name: SweepName.Neighbours, varied: 'routers linked to a router', points };
+}
+
+/** What one change costs a node, by the size of the document. */
+export async function sweepChanges(workspaces = [100, 500, 1_500, 3_000]): Promise<Sweep> {
+  const points: SweepPoint[] = [];
+  for (const count of workspaces) {
+    const scale = { routers: 2, sidecars: 2, workspaces: count };
+    points.push(await withFleet(scale, measureChangeCost));
+  }
+  return { name: SweepName.Changes, varied: 'bytes of the configuration document', points };
+}
+
+async function measureChangeCost(fleet: ProcessFleet): Promise<SweepPoint> {
+  await sleep(SETTLE_MS);
+  const idle = await measureNodes(fleet, () => sleep(CHANGES * CHANGE_PERIOD_MS));
+  const times: number[] = [];
+  const busy = await measureNodes(fleet, async () => {
+    for (let index = 0; index < CHANGES; index += 1) {
+      const startedAt = performance.now();
+      times.push(await measureChange(fleet, 2 + index, PRESETS[index % PRESETS.length]));
+      await sleep(Math.max(0, CHANGE_PERIOD_MS - (performance.now() - startedAt)));
+    }
+  });
+  const { plan } = fleet.site;
+  const text = writeConfiguration(plan, { revision: 1 });
+  return {
+    size: Buffer.byteLength(text),
+    router: perChange(idle.router, busy.router),
+    sidecar: perChange(idle.sidecar, busy.sidecar),
+    changeMs: Math.max(...times),
+  };
+}
+
+/** What a change adds to the idle rates. */
+function perChange(idle: NodeRates, busy: NodeRates): NodeRates {
+  const seconds = CHANGE_PERIOD_MS / 1_000;
+  return {
+    cpu: (busy.cpu - idle.cpu) * seconds,
+    rssBytes: busy.rssBytes,
+    anonBytes: busy.anonBytes,
+    controlBytes: (busy.controlBytes - idle.controlBytes) * seconds,
+    controlMessages: (busy.controlMessages - idle.controlMessages) * seconds,
+  };
+}
+
 /** Rates by requests per second, and by tokens per second, on one fleet. */
 export async function sweepLoad(
   rates = [25, 50, 100, 200],
@@ -123,15 +187,20 @@
 }
 
 /** Publishes a revision and waits until it is in force everywhere. */
-async function measureChange(fleet: ProcessFleet): Promise<number> {
+async function measureChange(
+  fleet: ProcessFleet,
+  revision = 2,
+  preset = SitePreset.Peak,
+): Promise<number> {
   const startedAt = performance.now();
-  fleet.site.configuration.publish(2, writeConfiguration(fleet.site.plan, { revision: 2 }));
+  fleet.site.publish({ revision, preset });
   const nodes = [...fleet.routers, ...fleet.sidecars];
   await Promise.all(
     nodes.map(({ process }) =>
       process.waitForEvent(
-        (event) => event['event'] === 'configuration.in_force' && event['revision'] === '2',
-        'revision 2',
+        (event) =>
+          event['event'] === 'configuration.in_force' && event['revision'] === String(revision),
+        `revision ${revision}`,
       ),
     ),
   );
--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -5,6 +5,7 @@
 import { latencyCommand } from './latency/app.ts';
 import { profileCommand } from './profile/app.ts';
 import { smokeCommand } from './smoke/app.ts';
+import { soakCommand } from './soak/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -22,5 +23,6 @@
     latencyCommand,
     profileCommand,
     smokeCommand,
+    soakCommand,
   ];
 }
--- a/packages/bench/src/process-fleet/fleet-process.ts
+++ b/packages/bench/src/process-fleet/fleet-process.ts
@@ -1,11 +1,14 @@
 /** One process of the system under test: started from the bundled program, watched through its log. */
 import { spawn } from 'node:child_process';
-import type { ChildProcess } from 'node:child_process';
+import type { ChildProcess, StdioOptions } from 'node:child_process';
 import { rmSync, writeFileSync } from 'node:fs';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 import logfmt from 'logfmt';
 
+/** The binary; `npm run build` makes it. */
+const BINARY = fileURLToPath(new URL('../../../../dist/poplarpick', import.meta.url));
+
 /** The bundled program; `npm run bundle` makes it. */
 const PROGRAM = fileURLToPath(new URL('../../../../dist/poplarpick.cjs', import.meta.url));
 
@@ -27,6 +30,8 @@
   settingsFile: string;
   settings: string;
   nodeOptions?: string[];
+  /** Runs the binary rather than the bundled program; it takes no options of Node.js. */
+  binary?: boolean;
 }
 
 interface Waiter {
@@ -45,14 +50,12 @@
   constructor(options: FleetProcessOptions) {
     this.options = options;
     writeFileSync(options.settingsFile, options.settings);
-    const args = [
-      ...(options.nodeOptions ?? []),
-      PROGRAM,
-      options.command,
-      '--settings',
-      options.settingsFile,
-    ];
-    this.child = spawn(process.execPath, args, { stdio: ['ignore', 'ignore', 'pipe'] });
+    const args = [options.command, '--settings', options.settingsFile];
+    const stdio: StdioOptions = ['ignore', 'ignore', 'pipe'];
+    this.child =
+      options.binary === true
+        ? spawn(BINARY, args, { stdio })
+        : spawn(process.execPath, [...(options.nodeOptions ?? []), PROGRAM, ...args], { stdio });
     this.exited = new Promise((resolve) => {
       this.child.once('exit', (code, signal) => resolve({ code, signal }));
     });
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -25,6 +25,8 @@
   /** The harness reads events of level info, so no level above it. */
   logLevel?: 'debug' | 'info';
   nodeOptions?: string[];
+  /** Runs the binary, which `npm run build` makes. */
+  binary?: boolean;
   /** Whether each process reaches the configuration service through a fault proxy of its own. */
   serviceProxies?: boolean;
 }
@@ -228,6 +230,7 @@
       settingsFile: join(this.folder, `${host}.toml`),
       settings: stringify(settings),
       nodeOptions: this.options.nodeOptions ?? [],
+      binary: this.options.binary ?? false,
     });
   }
 
--- /dev/null
+++ b/packages/bench/src/soak/app.ts
@@ -0,0 +1,158 @@
+/**
+ * `soak`: an hour of a small site in a shorter time: as many requests as the hour would have, with
+ * engines faster by the same factor and a fault every few seconds. Nothing may be lost, doubled or wrong,
+ * and memory must stay flat.
+ */
+import { parseArgs } from 'node:util';
+import { FaultKind, fitLine, Random, runLoad, scenarioSchema, sleep } from '@poplarpick/load';
+import type { Fit, LoadResult, ScenarioFault } from '@poplarpick/load';
+import { planSite, SiteSize } from '@poplarpick/stand-ins';
+import { readUsage } from '../capacity/process-usage.ts';
+import { causeFault } from '../experiment/fault-timeline.ts';
+import { targetOf } from '../experiment/experiment.ts';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+
+const HOUR_SECONDS = 3_600;
+const SECOND_MS = 1_000;
+
+/** Requests a second of the site in its own pace. */
+const OWN_RATE = 0.6;
+
+/** Time of an engine's step in the site's own pace. */
+const OWN_STEP_MS = 40;
+const LEAST_STEP_MS = 2;
+const FAULT_PERIOD_MS = 4_000;
+const LONGEST_FAULT_SECONDS = 3;
+const SAMPLE_PERIOD_MS = 500;
+
+/** Part of the run after which memory is expected to be flat. */
+const WARM_UP_SHARE = 0.4;
+const MIB = 1_048_576;
+
+/** The command's entry in the bench. */
+export const soakCommand = {
+  name: 'soak',
+  summary: 'an hour of a small site at a faster pace, with faults  [--seconds N] [--seed N]',
+  run: runSoak,
+};
+
+interface MemorySample {
+  at: number;
+  /** Mean private memory of the processes that were never replaced. */
+  mib: number;
+}
+
+async function runSoak(args: string[]): Promise<void> {
+  const { values } = parseArgs({
+    args,
+    options: {
+      seconds: { type: 'string', default: '90' },
+      seed: { type: 'string', default: '1' },
+    },
+  });
+  const seconds = Number(values.seconds);
+  const pace = HOUR_SECONDS / seconds;
+  const fleet = await ProcessFleet.start({
+    plan: planSite({ size: SiteSize.Izvor }),
+    site: { engine: { pace: { baseStepMs: Math.max(LEAST_STEP_MS, OWN_STEP_MS / pace) } } },
+    routers: 2,
+  });
+  try {
+    const result = await soak(fleet, Number(values.seed), seconds, pace);
+    console.table(result.load);
+    console.log(JSON.stringify(result));
+    if (result.load.lost + result.load.wrong + result.doubled > 0) process.exitCode = 1;
+  } finally {
+    await fleet.stop();
+  }
+}
+
+interface SoakResult {
+  pace: number;
+  seconds: number;
+  seed: number;
+  faults: Record<string, number>;
+  load: LoadResult;
+  doubled: number;
+  /** Growth of private memory in MiB per hour of the site, of processes that were never replaced. */
+  memory: { samples: number; mibPerSiteHour: number; error: number; lastMib: number };
+}
+
+async function soak(
+  fleet: ProcessFleet,
+  seed: number,
+  seconds: number,
+  pace: number,
+): Promise<SoakResult> {
+  const { load } = scenarioSchema.parse({
+    name: 'soak',
+    load: { rate: OWN_RATE * pace, duration_s: seconds, once_share: 0.2 },
+  });
+  const samples: MemorySample[] = [];
+  const sampler = setInterval(() => samples.push(sampleMemory(fleet)), SAMPLE_PERIOD_MS);
+  const stop = new AbortController();
+  const faults = causeFaults(fleet, new Random(seed), stop.signal);
+  const result = await runLoad({ load, seed, target: targetOf(fleet) });
+  stop.abort();
+  clearInterval(sampler);
+  const doubled = [...fleet.site.countRuns().values()].filter((times) => times > 1).length;
+  const memory = describeMemory(samples, pace);
+  return { pace, seconds, seed, faults: await faults, load: result, doubled, memory };
+}
+
+/** Causes one fault after the other; sidecars of application engines and every router are hit too. */
+async function causeFaults(
+  fleet: ProcessFleet,
+  random: Random,
+  signal: AbortSignal,
+): Promise<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  while (!signal.aborted) {
+    await sleep(FAULT_PERIOD_MS);
+    if (signal.aborted) break;
+    const fault = pickFault(random, fleet);
+    await causeFault(fleet, fault);
+    counts[fault.kind] = (counts[fault.kind] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function pickFault(random: Random, fleet: ProcessFleet): ScenarioFault {
+  const kind = random.pick(SOAK_FAULTS);
+  // The first sidecar is never replaced, so that its memory can be followed over the whole run.
+  const target =
+    kind === FaultKind.KillSidecar
+      ? 1 + random.integer(fleet.sidecars.length - 1)
+      : random.integer(fleet.routers.length);
+  return { at_s: 0, kind, target, duration_s: 0.5 + random.uniform() * LONGEST_FAULT_SECONDS };
+}
+
+/** Routers are not restarted: their memory is followed, and callers would see their connections end. */
+const SOAK_FAULTS = [
+  FaultKind.KillSidecar,
+  FaultKind.HalfOpenLinks,
+  FaultKind.ResetLinks,
+  FaultKind.SilentLinks,
+  FaultKind.SlowLinks,
+];
+
+function sampleMemory(fleet: ProcessFleet): MemorySample {
+  const [sidecar] = fleet.sidecars;
+  const kept = [...fleet.routers, ...(sidecar === undefined ? [] : [sidecar])];
+  const bytes = kept.map(({ process }) => readUsage(process.pid).anonBytes);
+  const mean = bytes.reduce((sum, value) => sum + value, 0) / bytes.length;
+  return { at: performance.now(), mib: mean / MIB };
+}
+
+function describeMemory(samples: readonly MemorySample[], pace: number): SoakResult['memory'] {
+  const flat = samples.slice(Math.floor(samples.length * WARM_UP_SHARE));
+  const fit: Fit = fitLine(
+    flat.map(({ at, mib }) => ({ x: (at / SECOND_MS / HOUR_SECONDS) * pace, y: mib })),
+  );
+  return {
+    samples: flat.length,
+    mibPerSiteHour: fit.slope,
+    error: fit.slopeError,
+    lastMib: flat.at(-1)?.mib ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/operators/measures.ts
@@ -0,0 +1,37 @@
+/** Plug-in that sends the gauges that no event of their own changes, in a steady period. */
+import { Metric, Plugin, registerPlugin, Role } from '@poplarpick/kernel';
+import type { Kernel, Timer } from '@poplarpick/kernel';
+import { dispatcherKey, trafficKey } from '../parts.ts';
+
+const PERIOD_MS = 10_000;
+
+class MeasuresPlugin extends Plugin {
+  override readonly name = 'measures';
+  override readonly roles = [Role.Router, Role.Sidecar];
+  override readonly requires = ['links', 'configuration'];
+  private timer: Timer | undefined;
+  private countedBytes = 0;
+
+  override async start(kernel: Kernel): Promise<void> {
+    this.timer = kernel.clock.every(PERIOD_MS, () => this.send(kernel));
+    return Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    this.timer?.stop();
+    return Promise.resolve();
+  }
+
+  private send(kernel: Kernel): void {
+    const { controlBytes, receivedControlBytes } = kernel.part(trafficKey);
+    const bytes = controlBytes + receivedControlBytes;
+    kernel.metrics.increment(Metric.ControlBytes, bytes - this.countedBytes);
+    this.countedBytes = bytes;
+    if (kernel.role !== Role.Router) return;
+    const { backlog } = kernel.part(dispatcherKey).readStatus();
+    const waiting = backlog.reduce((sum, line) => sum + line.count, 0);
+    kernel.metrics.gauge(Metric.QueueDepth, waiting);
+  }
+}
+
+registerPlugin(() => new MeasuresPlugin());
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -32,6 +32,7 @@
 import './burn/app.ts';
 import './explain/app.ts';
 import './operators/app.ts';
+import './operators/measures.ts';
 
 /** Options of `startRouter` and `startSidecar`. */
 export interface ProcessOptions {
