--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -2,6 +2,7 @@
 import { capacityCommand } from './capacity/app.ts';
 import { compareCommand } from './compare/app.ts';
 import { experimentCommand } from './experiment/app.ts';
+import { faultsCommand } from './faults/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { profileCommand } from './profile/app.ts';
 import { smokeCommand } from './smoke/app.ts';
@@ -20,6 +21,7 @@
     capacityCommand,
     compareCommand,
     experimentCommand,
+    faultsCommand,
     latencyCommand,
     profileCommand,
     smokeCommand,
--- a/packages/fleet/src/link/link-hub.ts
+++ b/packages/fleet/src/link/link-hub.ts
@@ -82,11 +82,6 @@
     this.lossListeners.push(listener);
   }
 
-  /** Number of hosts that this process dials. */
-  get dialledHosts(): number {
-    return this.diallers.size;
-  }
-
   /** All peers with a live link. */
   peers(role?: Role): Peer[] {
     return [...this.peersByHost.values()].filter(
@@ -171,7 +166,9 @@
       .call(CallMethod.Hello, this.options.hello)
       .then((hello) => this.join({ ...hello, link, dialled: true }))
       .catch((error: unknown) => {
-        this.options.log.warn({
+        // A link that the other side closed may just have lost against one dialled from there.
+        const report = link.isClosed ? 'debug' : 'warn';
+        this.options.log[report]({
           event: 'link.hello_failed',
           remote: link.remote,
           error: describeError(error),
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -87,6 +87,11 @@
     this.listen();
   }
 
+  /** Time since anything has arrived. */
+  get silentMs(): number {
+    return this.clock.monotonic() - this.lastArrival;
+  }
+
   get isClosed(): boolean {
     return this.closed;
   }
@@ -161,6 +166,8 @@
 
   private dispatch(payload: JSONRPCRequest | JSONRPCResponse): void {
     this.rpc.receiveAndSend(payload).catch((error: unknown) => {
+      // An answer that finds its link closed is no fault of the message.
+      if (this.closed) return;
       this.log.warn({
         event: 'link.bad_message',
         remote: this.remote,
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -24,6 +24,7 @@
 } from './parts.ts';
 import './link/app.ts';
 import './configuration/app.ts';
+import './membership/app.ts';
 import './planned-stop/app.ts';
 import './router/app.ts';
 import './callers/app.ts';
