--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,12 +1,16 @@
 /** The commands of the bench, by name. */
 import { capacityCommand } from './capacity/app.ts';
 import { compareCommand } from './compare/app.ts';
+import { decisionCostCommand } from './decision-cost/app.ts';
 import { experimentCommand } from './experiment/app.ts';
+import { fairnessCommand } from './fairness/app.ts';
 import { faultsCommand } from './faults/app.ts';
+import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { profileCommand } from './profile/app.ts';
 import { smokeCommand } from './smoke/app.ts';
 import { soakCommand } from './soak/app.ts';
+import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
 export interface BenchCommand {
@@ -20,11 +24,15 @@
   return [
     capacityCommand,
     compareCommand,
+    decisionCostCommand,
     experimentCommand,
+    fairnessCommand,
     faultsCommand,
+    floodCommand,
     latencyCommand,
     profileCommand,
     smokeCommand,
     soakCommand,
+    utilisationCommand,
   ];
 }
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -32,6 +32,8 @@
   nodeOptions?: string[];
   /** Runs the binary, which `npm run build` makes. */
   binary?: boolean;
+  /** Leaves the fault proxies out of the paths, which spares the bench the bytes. */
+  direct?: boolean;
   /** Whether each process reaches the configuration service through a fault proxy of its own. */
   serviceProxies?: boolean;
 }
@@ -155,12 +157,17 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  private linkAddress(router: RouterNode, group: number): string {
+    if (this.options.direct === true) return router.links;
+    return router.proxies[group]?.address ?? router.proxy.address;
+  }
+
   private describeRouter(router: RouterNode, group: number, leaving: readonly string[]): Host {
     return {
       id: router.host,
       role: Role.Router,
       dataCentre: router.dataCentre,
-      address: router.proxies[group]?.address ?? router.proxy.address,
+      address: this.linkAddress(router, group),
       state: leaving.includes(router.host) ? HostState.Leaving : HostState.Live,
     };
   }
@@ -242,11 +249,17 @@
     const settings = {
       ...this.commonSettings(node.host, node.dataCentre, node.group),
       operators: { address: node.operators === '' ? '127.0.0.1:0' : node.operators },
-      endpoint: { name: node.endpoint, url: `http://${node.proxy.address}` },
+      endpoint: { name: node.endpoint, url: this.endpointUrl(node) },
     };
     return this.spawn('sidecar', node.host, settings);
   }
 
+  private endpointUrl({ endpoint, proxy }: Omit<SidecarNode, 'process'>): string {
+    return this.options.direct === true
+      ? this.site.endpointUrl(endpoint)
+      : `http://${proxy.address}`;
+  }
+
   private spawn(command: string, host: string, settings: Record<string, unknown>): FleetProcess {
     return new FleetProcess({
       command,
--- a/packages/cli/src/explain/timeline.ts
+++ b/packages/cli/src/explain/timeline.ts
@@ -59,7 +59,7 @@
       ? ', no other was backlogged'
       : `, then ${say(details, 'next')} (${say(details, 'next_service')})`;
   const under = `; revision ${say(details, 'revision')}, preset ${say(details, 'preset')}`;
-  return `${chosen}${service}${next}; ${say(details, 'backlogged')} backlogged${under}`;
+  return `${chosen}${service}${next}${under}`;
 }
 
 function say(details: Details, name: string): string {
