--- a/packages/fleet/src/link/frame-codec.test.ts
+++ b/packages/fleet/src/link/frame-codec.test.ts
@@ -20,7 +20,7 @@
         const stream = Buffer.concat(values.map((entry) => encoder.encode(entry)));
         const read: unknown[] = [];
         for (let at = 0; at < stream.length; at += CUT_BYTES)
-          read.push(...decoder.push(stream.subarray(at, at + CUT_BYTES)));
+          read.push(...decoder.push(stream.subarray(at, at + CUT_BYTES)).map(({ value }) => value));
         expect(read).to.deep.equal(values);
       }),
       { seed: SEED },
--- a/packages/fleet/src/membership/app.ts
+++ b/packages/fleet/src/membership/app.ts
@@ -68,6 +68,7 @@
       hub: kernel.part(linkHubKey),
       clock,
       log,
+      metrics: kernel.metrics,
       onChange: (record) => {
         if (!this.membership?.isUsable(record.host)) this.detector?.forget(record.host);
         if (record.role === Role.Router && role === Role.Router) plan.replan();
--- a/packages/fleet/src/membership/membership.ts
+++ b/packages/fleet/src/membership/membership.ts
@@ -5,8 +5,8 @@
  */
 import { MemberState, MemberTable } from '@poplarpick/decisions';
 import type { MemberRecord } from '@poplarpick/decisions';
-import { describeError, Role, Task } from '@poplarpick/kernel';
-import type { Clock, Logger } from '@poplarpick/kernel';
+import { describeError, Role, Task, RepairKind, tellRepair } from '@poplarpick/kernel';
+import type { Clock, Logger, Metrics } from '@poplarpick/kernel';
 import type { Link } from '../link/link.ts';
 import type { LinkHub, Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
@@ -47,6 +47,7 @@
   hub: LinkHub;
   clock: Clock;
   log: Logger;
+  metrics: Metrics;
   /** Called after every change of a member's state. */
   onChange: (record: MemberRecord) => void;
 }
@@ -101,7 +102,7 @@
         this.merge(message.records, message.link);
         return;
       case MembershipMessageKind.Unreachable:
-        this.passOn(this.table.suspect(message.host, this.now()));
+        this.suspect(message.host);
         return;
       case MembershipMessageKind.Tick:
         this.passOn(this.table.tick(this.now()));
@@ -114,6 +115,17 @@
     }
   }
 
+  private suspect(host: string): void {
+    const news = this.table.suspect(host, this.now());
+    if (news.length > 0)
+      tellRepair(this.options, {
+        kind: RepairKind.HostSuspected,
+        cause: 'unreachable',
+        subject: host,
+      });
+    this.passOn(news);
+  }
+
   private join({ link, role }: Peer): void {
     link.notify(NoticeMethod.Members, { records: [this.table.self] });
     if (role === Role.Router && this.options.role === Role.Router) this.compare(link);
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -16,7 +16,15 @@
   NO_STOP_MARKS,
 } from '@poplarpick/decisions';
 import type { FleetConfiguration, LineCount, StopMarks } from '@poplarpick/decisions';
-import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
+import {
+  ErrorCode,
+  Metric,
+  RequestError,
+  Task,
+  Verdict,
+  RepairKind,
+  tellRepair,
+} from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { DEADLINE_HEADER } from '../callers/request-headers.ts';
@@ -375,6 +383,10 @@
       attempt: request.attempt,
       loss,
     });
+    tellRepair(
+      { log: this.log, metrics: this.metrics },
+      { kind: RepairKind.RequestRequeued, cause: loss, subject: request.id },
+    );
     this.queues.putBack(request);
     this.backlog.noteChange(request.line);
   }
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -43,6 +43,7 @@
       meter,
       clock,
       log,
+      metrics,
       readKind: () => readKind(kernel),
       onReady: () => this.admission?.post({ kind: AdmissionMessageKind.Ready }),
     });
--- a/packages/fleet/src/sidecar/ledger-reporter.ts
+++ b/packages/fleet/src/sidecar/ledger-reporter.ts
@@ -10,8 +10,8 @@
  */
 import { rankLedgerShards } from '@poplarpick/decisions';
 import type { EndpointKind } from '@poplarpick/decisions';
-import { describeError, Role } from '@poplarpick/kernel';
-import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import { describeError, Role, RepairKind, tellRepair } from '@poplarpick/kernel';
+import type { Clock, Logger, Timer, Metrics } from '@poplarpick/kernel';
 import type { LinkHub, Peer } from '../link/link-hub.ts';
 import { LedgerShard } from './ledger-shard.ts';
 import type { ReportMark } from './ledger-shard.ts';
@@ -38,6 +38,7 @@
   meter: ServiceMeter;
   clock: Clock;
   log: Logger;
+  metrics: Metrics;
   /** The kind of the endpoint, once the configuration is known. */
   readKind: () => EndpointKind | undefined;
   /** Called when a choice that waited for totals need wait no longer. */
@@ -47,6 +48,7 @@
 /** Keeps the account of one endpoint in step with the fleet's. */
 export class LedgerReporter {
   private readonly options: LedgerReporterOptions;
+  private firstShard: string | undefined;
   private readonly ticker: Timer;
   private readonly sessions = new Map<Peer, LedgerShard>();
   private shards: LedgerShard[] = [];
@@ -164,10 +166,21 @@
     const chosen = rankLedgerShards(kind, hosts);
     for (const [peer] of this.sessions)
       if (hub.findPeer(peer.host) !== peer) this.sessions.delete(peer);
+    this.tellMove(chosen[0]);
     this.shards = chosen.flatMap((host) => this.session(hub.findPeer(host)) ?? []);
     return this.shards;
   }
 
+  /** The first shard keeps the account; another one takes over where it is gone. */
+  private tellMove(first: string | undefined): void {
+    const before = this.firstShard;
+    if (first === undefined || first === before) return;
+    this.firstShard = first;
+    if (before === undefined) return;
+    const cause = this.options.hub.findPeer(before) === undefined ? 'link lost' : 'routers changed';
+    tellRepair(this.options, { kind: RepairKind.ShardMoved, cause, subject: first });
+  }
+
   /** The session of a link; it lasts as long as the link, since both sides number names along it. */
   private session(peer: Peer | undefined): LedgerShard | undefined {
     if (peer === undefined) return undefined;
