--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -28,3 +28,4 @@
 export * from './burn/burn-rate.ts';
 export * from './burn/count-ring.ts';
 export * from './burn/service-objectives.ts';
+export * from './request/idempotency-memory.ts';
