Hand answers on before notices that came after them

A sidecar with free slots claimed nothing while a request waited in its router: the empty answer to a claim and the notice of a new request came in the same bytes, and the notice overtook the answer, which reaches its caller some promises later; the empty answer then set the line back to nothing. Seen as a test of the callers' interface that hung twice on a busy machine. Frames after an answer now wait for the next turn of the event loop. The test sends both in one write; it failed before.

--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -68,6 +68,9 @@
   private readonly encoder = new FrameEncoder();
   private readonly decoder = new FrameDecoder();
   private readonly heartbeat: Timer;
+  private readonly inbox: (JSONRPCRequest | JSONRPCResponse)[] = [];
+  /** Whether the rest of the inbox waits for the next turn of the event loop. */
+  private waiting = false;
   private lastArrival: number;
   private lastSent = -Infinity;
   private closed = false;
@@ -159,13 +162,30 @@
       for (const { value, bytes } of this.decoder.push(chunk)) {
         const payload = value as JSONRPCRequest | JSONRPCResponse;
         this.countReceived(payload, bytes);
-        this.dispatch(payload);
+        this.inbox.push(payload);
       }
+      if (!this.waiting) this.drainInbox();
     } catch (error) {
       this.close(error instanceof Error ? error.message : 'unreadable frame');
     }
   }
 
+  /**
+   * Dispatches in the order of arrival. An answer reaches its caller some promises later, so what came
+   * after it waits for the next turn of the event loop; else a notice would overtake it.
+   */
+  private drainInbox(): void {
+    this.waiting = false;
+    for (let payload = this.inbox.shift(); payload !== undefined; payload = this.inbox.shift()) {
+      if (this.closed) return;
+      this.dispatch(payload);
+      if ('method' in payload || this.inbox.length === 0) continue;
+      this.waiting = true;
+      setImmediate(() => this.drainInbox());
+      return;
+    }
+  }
+
   private dispatch(payload: JSONRPCRequest | JSONRPCResponse): void {
     this.rpc.receiveAndSend(payload).catch((error: unknown) => {
       // An answer that finds its link closed is no fault of the message.
