Work capacity out anew from measurements at hand, and measure latency under load

Checks of the configuration service by sidecars keep to 600 a second over all, so they do not grow with the slope.

--- a/packages/bench/src/capacity/app.ts
+++ b/packages/bench/src/capacity/app.ts
@@ -29,13 +29,17 @@
 /** The command's entry in the bench. */
 export const capacityCommand = {
   name: 'capacity',
-  summary: 'slopes at several sizes and what each role needs at the design size  [--dry]',
+  summary:
+    'slopes at several sizes and what each role needs at the design size  [--dry] [--from FILE]',
   run: runCapacity,
 };
 
 async function runCapacity(args: string[]): Promise<void> {
-  const { values } = parseArgs({ args, options: { dry: { type: 'boolean', default: false } } });
-  const result = await measureCapacity();
+  const { values } = parseArgs({
+    args,
+    options: { dry: { type: 'boolean', default: false }, from: { type: 'string' } },
+  });
+  const result = values.from === undefined ? await measureCapacity() : projectAgain(values.from);
   console.table(
     result.lines.map(({ role, quantity, value, limit, over }) => ({
       role,
@@ -57,6 +61,18 @@
   console.log(JSON.stringify({ seconds: result.seconds, over }));
 }
 
+/** Works the lines out anew from the measurements in a result file. */
+function projectAgain(file: string): CapacityResult {
+  const measured = JSON.parse(readFileSync(file, 'utf8')) as CapacityResult;
+  const links = readDesignLinks();
+  return {
+    ...measured,
+    links,
+    slopes: measureSlopes(measured.sweeps),
+    lines: projectLines({ ...measured, links }),
+  };
+}
+
 async function measureCapacity(): Promise<CapacityResult> {
   const startedAt = performance.now();
   const [load = 0] = loadavg();
--- a/packages/bench/src/capacity/projection.ts
+++ b/packages/bench/src/capacity/projection.ts
@@ -2,7 +2,7 @@
  * Works out what each role needs at the design size from the measured slopes. Each line is a sum of
  * terms: a measured rate, or a measured slope times a quantity of the design.
  */
-import { READERS_PER_DATA_CENTRE } from '@poplarpick/decisions';
+import { CHECKS_PER_SECOND, READERS_PER_DATA_CENTRE } from '@poplarpick/decisions';
 import { fitLine } from '@poplarpick/load';
 import type { Fit } from '@poplarpick/load';
 import type { ConfigurationPoint } from './configuration-cost.ts';
@@ -10,7 +10,7 @@
 import type { NodeRates } from './node-sample.ts';
 import { CapacityRole, measureSlopes } from './slopes.ts';
 import type { MeasuredSlope } from './slopes.ts';
-import { SweepName } from './sweeps.ts';
+import { LOAD_SIDECARS, SweepName } from './sweeps.ts';
 import type { Sweep, SweepPoint } from './sweeps.ts';
 
 /** One term of a line. */
@@ -191,8 +191,14 @@
   const control = (quantity: keyof NodeRates): Term[] => [
     maker.base(role, SweepName.Routers, quantity),
     maker.times(role, SweepName.Routers, quantity, links.routersOfSidecar),
-    maker.times(role, SweepName.Backlog, quantity, DESIGN.backloggedWorkspaces),
-    maker.times(role, SweepName.Requests, quantity, REQUESTS_PER_SIDECAR),
+    maker.times(
+      role,
+      SweepName.Backlog,
+      quantity,
+      DESIGN.backloggedWorkspaces * links.routersOfSidecar,
+    ),
+    // In the sweep a router's requests are shared by so many sidecars.
+    maker.times(role, SweepName.Requests, quantity, REQUESTS_PER_SIDECAR * LOAD_SIDECARS),
   ];
   return [
     makeLine({
@@ -255,14 +261,15 @@
       limit: LIMITS.serviceCallsPerSecond,
       terms: [
         callsTerm(maker, SweepName.Routers, READERS, 'routers that watch'),
-        callsTerm(maker, SweepName.Sidecars, DESIGN.sidecars, 'sidecars'),
+        checksTerm(maker),
         {
           name: `${round(CHANGES_PER_SECOND)} changes/s × ${READERS} watches answered`,
           value: CHANGES_PER_SECOND * READERS,
           error: 0,
         },
       ],
-      mechanism: 'watches of a few readers in each data centre; the rest hear of it from peers',
+      mechanism:
+        'watches of a few readers in each data centre, and checks whose period grows with the fleet',
       remark: 'does not grow with the routers',
     }),
     makeLine({
@@ -304,6 +311,14 @@
   };
 }
 
+/** Checks by sidecars, whose period grows with the fleet so that all of them keep to a bound. */
+function checksTerm(maker: LineMaker): Term {
+  const grown = callsTerm(maker, SweepName.Sidecars, DESIGN.sidecars, 'sidecars that check');
+  if (grown.value <= CHECKS_PER_SECOND) return grown;
+  const name = `${grown.name}, bounded to ${CHECKS_PER_SECOND} over all`;
+  return { name, value: CHECKS_PER_SECOND, error: 0 };
+}
+
 /** Hops of the overlay at the design size, as its property test bounds them. */
 const OVERLAY_HOPS = 8;
 
--- a/packages/bench/src/capacity/sweeps.ts
+++ b/packages/bench/src/capacity/sweeps.ts
@@ -51,6 +51,9 @@
 /** A point of the load sweep with the rate that was reached. */
 type LoadPoint = Omit<SweepPoint, 'size'> & { requestsPerSecond: number };
 
+/** Sidecars that share the requests of the load sweeps. */
+export const LOAD_SIDECARS = 8;
+
 const SETTLE_MS = 1_500;
 const IDLE_MS = 4_000;
 const LOAD_MS = 4_000;
@@ -147,7 +150,7 @@
   rates = [25, 50, 100, 200],
   answers = [8, 32, 64, 128],
 ): Promise<Sweep[]> {
-  return withFleet({ routers: 1, sidecars: 8, slots: 32 }, async (fleet) => {
+  return withFleet({ routers: 1, sidecars: LOAD_SIDECARS, slots: 32 }, async (fleet) => {
     await measureLoad(fleet, TOKEN_SWEEP_RATE, SHORT_ANSWER_TOKENS);
     const requests: SweepPoint[] = [];
     for (const rate of rates) {
--- a/packages/bench/src/latency/app.ts
+++ b/packages/bench/src/latency/app.ts
@@ -3,14 +3,16 @@
  * of both kinds alternate, so that both see the same machine.
  */
 import { parseArgs } from 'node:util';
+import { EndpointKind } from '@poplarpick/decisions';
 import { callChat, CallOutcome } from '@poplarpick/load';
-import type { ChatResult } from '@poplarpick/load';
+import type { ChatCall, ChatResult } from '@poplarpick/load';
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
 
 const OUTPUT_TOKENS = 16;
 const WARM_UP_CALLS = 20;
+const BACKGROUND_TOKENS = 64;
 const MICROSECONDS = 1_000;
 
 /** Times of one kind of call, in milliseconds. */
@@ -19,6 +21,9 @@
   firstTokenP99: number;
   totalP50: number;
   totalP99: number;
+  /** Time between two tokens. */
+  tokenGapP50: number;
+  tokenGapP99: number;
 }
 
 /** What the command prints. */
@@ -28,6 +33,10 @@
   fleet: CallTimes;
   addedFirstTokenP50Ms: number;
   addedFirstTokenP99Ms: number;
+  /** What the fleet adds between two tokens. */
+  addedTokenGapP99Ms: number;
+  /** Share of the slots that other requests hold meanwhile. */
+  load: number;
   ratioTotalP50: number;
   ratioTotalP99: number;
 }
@@ -35,8 +44,24 @@
 class CallHistograms {
   private readonly firstToken = build();
   private readonly total = build();
+  private readonly tokenGap = build();
 
-  add(result: ChatResult): void {
+  /** Makes a call and notes its times. */
+  async call(call: ChatCall, isWarmUp: boolean): Promise<void> {
+    let lastAt: number | undefined;
+    const gaps: number[] = [];
+    const onToken = (): void => {
+      const now = performance.now();
+      if (lastAt !== undefined) gaps.push(now - lastAt);
+      lastAt = now;
+    };
+    const result = await callChat({ ...call, onToken });
+    if (isWarmUp) return;
+    this.add(result);
+    for (const gap of gaps) this.tokenGap.recordValue(Math.round(gap * MICROSECONDS));
+  }
+
+  private add(result: ChatResult): void {
     if (result.outcome !== CallOutcome.Whole || result.firstTokenMs === undefined) {
       throw new Error(`a call failed: ${JSON.stringify(result)}`);
     }
@@ -50,6 +75,8 @@
       firstTokenP99: percentileMs(this.firstToken, 99),
       totalP50: percentileMs(this.total, 50),
       totalP99: percentileMs(this.total, 99),
+      tokenGapP50: percentileMs(this.tokenGap, 50),
+      tokenGapP99: percentileMs(this.tokenGap, 99),
     };
   }
 }
@@ -57,7 +84,7 @@
 /** The command's entry in the bench. */
 export const latencyCommand = {
   name: 'latency',
-  summary: 'time that router and sidecar add to a call  [--calls N] [--json]',
+  summary: 'time that router and sidecar add to a call  [--calls N] [--load SHARE]',
   run: runLatency,
 };
 
@@ -66,12 +93,12 @@
     args,
     options: {
       calls: { type: 'string', default: '300' },
-      json: { type: 'boolean', default: false },
+      load: { type: 'string', default: '0' },
     },
   });
-  const fleet = await ProcessFleet.start({ routers: 1 });
+  const fleet = await ProcessFleet.start({ routers: 1, direct: true });
   try {
-    const result = await measureLatency(fleet, Number(values.calls));
+    const result = await measureLatency(fleet, Number(values.calls), Number(values.load));
     console.table({ direct: result.direct, fleet: result.fleet });
     console.log(JSON.stringify(result));
   } finally {
@@ -79,7 +106,11 @@
   }
 }
 
-async function measureLatency(fleet: ProcessFleet, calls: number): Promise<LatencyResult> {
+async function measureLatency(
+  fleet: ProcessFleet,
+  calls: number,
+  load: number,
+): Promise<LatencyResult> {
   const [workspace] = fleet.site.plan.workspaces;
   const [engine] = fleet.site.modelEngines.values();
   const [url] = fleet.routerUrls;
@@ -93,23 +124,45 @@
   };
   const direct = new CallHistograms();
   const routed = new CallHistograms();
+  const stop = new AbortController();
+  const background = keepBusy(fleet, load, stop.signal);
   for (let index = -WARM_UP_CALLS; index < calls; index += 1) {
-    const directResult = await callChat({ ...common, url: engine.url });
-    const routedResult = await callChat({ ...common, url });
-    if (index < 0) continue;
-    direct.add(directResult);
-    routed.add(routedResult);
+    await direct.call({ ...common, url: engine.url }, index < 0);
+    await routed.call({ ...common, url }, index < 0);
   }
-  return compareTimes(calls, direct.read(), routed.read());
+  stop.abort();
+  await background;
+  return compareTimes(calls, load, direct.read(), routed.read());
+}
+
+/** Holds a share of the slots with other requests, so that calls meet a loaded fleet. */
+async function keepBusy(fleet: ProcessFleet, load: number, signal: AbortSignal): Promise<void> {
+  const { endpoints, workspaces, model } = fleet.site.plan;
+  const models = endpoints.filter(({ kind }) => kind === EndpointKind.Model);
+  const slots = models.reduce((sum, endpoint) => sum + endpoint.slots, 0);
+  const key = workspaces.at(-1)?.key ?? '';
+  const [url = ''] = fleet.routerUrls;
+  const keepAsking = async (): Promise<void> => {
+    while (!signal.aborted)
+      await callChat({ url, key, model, prompt: 'other', outputTokens: BACKGROUND_TOKENS });
+  };
+  await Promise.all(Array.from({ length: Math.round(slots * load) }, keepAsking));
 }
 
-function compareTimes(calls: number, direct: CallTimes, fleet: CallTimes): LatencyResult {
+function compareTimes(
+  calls: number,
+  load: number,
+  direct: CallTimes,
+  fleet: CallTimes,
+): LatencyResult {
   return {
     calls,
     direct,
     fleet,
     addedFirstTokenP50Ms: fleet.firstTokenP50 - direct.firstTokenP50,
     addedFirstTokenP99Ms: fleet.firstTokenP99 - direct.firstTokenP99,
+    addedTokenGapP99Ms: fleet.tokenGapP99 - direct.tokenGapP99,
+    load,
     ratioTotalP50: fleet.totalP50 / direct.totalP50,
     ratioTotalP99: fleet.totalP99 / direct.totalP99,
   };
