--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -7,6 +7,7 @@
 import { faultsCommand } from './faults/app.ts';
 import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { powerCommand } from './power/app.ts';
 import { profileCommand } from './profile/app.ts';
 import { smokeCommand } from './smoke/app.ts';
 import { soakCommand } from './soak/app.ts';
@@ -30,6 +31,7 @@
     faultsCommand,
     floodCommand,
     latencyCommand,
+    powerCommand,
     profileCommand,
     smokeCommand,
     soakCommand,
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -10,6 +10,7 @@
   'config:check': async () => (await import('./commands/config-check.ts')).ConfigCheck,
   demo: async () => (await import('./commands/demo.ts')).Demo,
   explain: async () => (await import('./commands/explain.ts')).Explain,
+  'keys:make': async () => (await import('./commands/keys-make.ts')).KeysMake,
   load: async () => (await import('./commands/load.ts')).Load,
   'report:burn': async () => (await import('./commands/report-burn.ts')).ReportBurn,
   'drain:watch': async () => (await import('./commands/drain-watch.ts')).DrainWatchCommand,
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -24,6 +24,8 @@
   Report = 'report',
   /** Any process to any other: the document in force; carries the version that the sender has. */
   FetchConfiguration = 'configuration.fetch',
+  /** Sidecar to router: whether its revision is still the highest. */
+  ConfirmRevision = 'configuration.confirm',
   /** Any process to any other: whether it reaches a host. */
   Probe = 'membership.probe',
   /** Router to router: which records of members differ. */
@@ -259,6 +261,14 @@
   text: string;
 }
 
+/** A router's answer to the question whether a revision is still the highest. */
+export interface RevisionStanding {
+  /** Revision that the router has in force. */
+  revision: number;
+  /** Time since the configuration service confirmed it to the router; absent if it has not. */
+  serviceAgeMs?: number | undefined;
+}
+
 /** The document that a process has in force, whole or against the one that the asking process has. */
 export interface FetchAnswer {
   version: DocumentVersion;
@@ -293,6 +303,7 @@
   [CallMethod.Claim]: { params: Claim; result: ClaimAnswer };
   [CallMethod.Report]: { params: ReportCall; result: ReportAnswer };
   [CallMethod.FetchConfiguration]: { params: DocumentVersion; result: FetchAnswer };
+  [CallMethod.ConfirmRevision]: { params: Record<string, never>; result: RevisionStanding };
   [CallMethod.Probe]: { params: Probe; result: ProbeAnswer };
   [CallMethod.CompareMembers]: { params: MemberSummary; result: MemberNews };
 }
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -22,6 +22,7 @@
   traceBookKey,
   trafficKey,
 } from './parts.ts';
+import './trust/app.ts';
 import './link/app.ts';
 import './configuration/app.ts';
 import './membership/app.ts';
@@ -29,6 +30,8 @@
 import './router/app.ts';
 import './callers/app.ts';
 import './sidecar/app.ts';
+import './currency/app.ts';
+import './orders/app.ts';
 import './ledger/app.ts';
 import './burn/app.ts';
 import './explain/app.ts';
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -3,26 +3,23 @@
  * least service for its weight across the fleet; what is granted runs at once. Answers are kept until
  * their router has settled them, so that a lost link costs nothing.
  */
-import { computeSlotBudget, EXECUTION_KEEP_MS } from '@poplarpick/decisions';
+import { EXECUTION_KEEP_MS } from '@poplarpick/decisions';
 import type { FleetConfiguration } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
-import type {
-  AttemptReference,
-  Backlog,
-  Frame,
-  Grant,
-  Refusal,
-  ResumeAnswer,
-} from '../messages.ts';
+import type { AttemptReference, Frame, Grant, Refusal, ResumeAnswer } from '../messages.ts';
+import { AdmissionMessageKind } from './admission-messages.ts';
+import type { AdmissionMessage, AdmissionStatus } from './admission-messages.ts';
 import { Claimer, describeClaim } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
 import { KeyedRequests } from './keyed-requests.ts';
+import { PowerGate } from './power-gate.ts';
 import type { ServiceMeter } from './service-meter.ts';
+import { SuspendedRuns } from './suspended-runs.ts';
 
 /** Time after which a repeatable run is cancelled if its router stays away. */
 const ORPHAN_MS = 20_000;
@@ -30,48 +27,6 @@
 /** Period of the look at deadlines and answers to forget. */
 const TICK_MS = 100;
 
-/** Kinds of messages to the admission. */
-export enum AdmissionMessageKind {
-  Configure,
-  PlannedStop,
-  Join,
-  Resumed,
-  Lose,
-  Backlog,
-  Answered,
-  Ready,
-  Cancel,
-  Settle,
-  Produced,
-  Finished,
-  Flush,
-  Tick,
-  Drain,
-}
-
-/** Messages to the admission. */
-export type AdmissionMessage =
-  | { kind: AdmissionMessageKind.Configure; configuration: FleetConfiguration }
-  | { kind: AdmissionMessageKind.PlannedStop; marked: boolean }
-  | { kind: AdmissionMessageKind.Join; peer: Peer }
-  | { kind: AdmissionMessageKind.Resumed; peer: Peer; answer: ResumeAnswer }
-  | { kind: AdmissionMessageKind.Lose; peer: Peer }
-  | { kind: AdmissionMessageKind.Backlog; peer: Peer; backlog: Backlog }
-  | { kind: AdmissionMessageKind.Answered; claim: AnsweredClaim }
-  | { kind: AdmissionMessageKind.Ready }
-  | { kind: AdmissionMessageKind.Cancel; reference: AttemptReference }
-  | { kind: AdmissionMessageKind.Settle; reference: AttemptReference }
-  | { kind: AdmissionMessageKind.Produced; execution: Execution; data: Buffer; cost: number }
-  | {
-      kind: AdmissionMessageKind.Finished;
-      execution: Execution;
-      cost: number;
-      error?: RequestError;
-    }
-  | { kind: AdmissionMessageKind.Flush }
-  | { kind: AdmissionMessageKind.Tick }
-  | { kind: AdmissionMessageKind.Drain };
-
 /** Options of an `Admission`. */
 export interface AdmissionOptions {
   endpoint: string;
@@ -85,27 +40,19 @@
   metrics: Metrics;
 }
 
-/** What the admission tells operators. */
-export interface AdmissionStatus {
-  slots: number;
-  running: number;
-  claiming: number;
-  kept: number;
-  draining: boolean;
-}
-
 /** Admits requests to one endpoint. */
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
   private readonly claimer: Claimer;
   private readonly keyed: KeyedRequests;
+  private readonly gate: PowerGate;
+  private readonly suspended: SuspendedRuns;
   private readonly routers = new Map<string, Peer>();
   /** Routers that have answered the resumption on their link; before, nothing is sent to them. */
   private readonly resumed = new Set<Peer>();
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
-  private slots = 0;
   private running = 0;
   /** Marked for a planned stop, which may be withdrawn. */
   private marked = false;
@@ -118,6 +65,11 @@
     super('admission', options.log);
     this.options = options;
     this.keyed = new KeyedRequests(options);
+    this.gate = new PowerGate(options);
+    this.suspended = new SuspendedRuns({
+      onAnswer: (execution, halted) =>
+        this.post({ kind: AdmissionMessageKind.Suspended, execution, halted }),
+    });
     this.claimer = new Claimer({
       meter: options.meter,
       prepareChoice: options.prepareChoice,
@@ -129,8 +81,16 @@
   }
 
   readStatus(): AdmissionStatus {
-    const { slots, running, isDraining: draining } = this;
-    return { slots, running, claiming: this.claimer.count, kept: this.executions.size, draining };
+    const { running, isDraining: draining } = this;
+    return {
+      slots: this.gate.slots(),
+      running,
+      claiming: this.claimer.count,
+      suspended: this.suspended.count,
+      kept: this.executions.size,
+      draining,
+      power: this.gate.readStatus(),
+    };
   }
 
   /** Whether an answer runs or waits to be settled that a router is still to receive. */
@@ -141,7 +101,7 @@
   /** Refuses new work and resolves when nothing runs. */
   async drain(): Promise<void> {
     this.post({ kind: AdmissionMessageKind.Drain });
-    if (this.running === 0) return;
+    if (this.running + this.suspended.count === 0) return;
     await new Promise<void>((resolve) => (this.onIdle = resolve));
   }
 
@@ -197,6 +157,16 @@
         return;
       case AdmissionMessageKind.Drain:
         this.stopping = true;
+        return;
+      case AdmissionMessageKind.Load:
+        this.gate.noteLoad(message.report);
+        this.schedule();
+        return;
+      case AdmissionMessageKind.Confirm:
+        this.gate.confirm(message.revision, message.at);
+        return;
+      case AdmissionMessageKind.Suspended:
+        this.noteSuspended(message.execution, message.halted);
     }
   }
 
@@ -211,11 +181,10 @@
 
   private configure(configuration: FleetConfiguration): void {
     this.keyed.configure(configuration);
-    const { endpoint, metrics } = this.options;
+    const { endpoint } = this.options;
     const kind = configuration.endpoints.find(({ name }) => name === endpoint)?.kind;
     if (kind !== undefined) this.claimer.configure(configuration, kind);
-    this.slots = computeSlotBudget(configuration, endpoint);
-    metrics.gauge(Metric.SlotsBudget, this.slots, { endpoint });
+    this.gate.configure(configuration);
     this.schedule();
   }
 
@@ -262,9 +231,31 @@
     this.outbox.delete(peer.host);
   }
 
-  /** Claims requests for all free slots. */
+  /** Keeps the power budget, goes on with suspended runs, then claims requests for all free slots. */
   private schedule(): void {
-    if (!this.isDraining) this.claimer.claim(this.slots - this.running);
+    if (this.running > this.gate.powerSlots()) this.shrink();
+    while (this.running < this.gate.slots() && this.suspended.resumeOne()) this.countRuns(1);
+    if (!this.isDraining) this.claimer.claim(this.gate.slots() - this.running);
+  }
+
+  private shrink(): void {
+    const open = [...this.executions.values()].filter(
+      ({ end, run }) => end === undefined && run !== undefined,
+    );
+    this.suspended.shrink(open, this.gate.powerSlots());
+  }
+
+  private noteSuspended(execution: Execution, halted: boolean): void {
+    if (!this.suspended.accept(execution, halted)) return;
+    this.countRuns(-1);
+    this.options.log.info({ event: 'request.suspended', request: execution.id });
+    this.schedule();
+  }
+
+  private countRuns(change: number): void {
+    this.running += change;
+    this.gate.noteRunning(this.running);
+    this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
   }
 
   private acceptAnswer(answered: AnsweredClaim): void {
@@ -298,6 +289,10 @@
       const message = 'the endpoint is draining';
       return { code: ErrorCode.Draining, message, elsewhere: true, verdict };
     }
+    if (this.running >= this.gate.slots()) {
+      const message = 'the power budget has shrunk';
+      return { code: ErrorCode.NoEndpoint, message, elsewhere: true, verdict };
+    }
     if (grant.deadlineMs > 0) return undefined;
     const message = 'the deadline has passed';
     return { code: ErrorCode.DeadlineExceeded, message, elsewhere: false, verdict };
@@ -318,11 +313,10 @@
   }
 
   private start(execution: Execution): void {
-    this.running += 1;
+    this.countRuns(1);
     this.keyed.begin(execution);
     this.executions.set(execution.id, execution);
     execution.charge = this.claimer.openCharge(execution.grant.job);
-    this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
     this.options.log.debug({
       event: 'request.started',
       request: execution.id,
@@ -358,6 +352,8 @@
     execution.charge?.produce(cost);
     if (error === undefined) this.learn(execution);
     this.flush();
+    // After a failed exchange the endpoint may still be at work.
+    if (error?.verdict === Verdict.MayHaveRun) this.abandon(execution);
     this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
     this.keyed.end(execution);
     execution.followers.forEach((follower) => this.finishFollower(execution, follower));
@@ -369,12 +365,11 @@
   }
 
   private freeSlot(execution: Execution): void {
-    this.running -= 1;
+    if (!this.suspended.remove(execution)) this.countRuns(-1);
     if (execution.charge !== undefined) this.options.meter.close(execution.charge);
     this.options.log.debug({ event: 'request.ended', request: execution.id, cost: execution.cost });
-    this.options.metrics.gauge(Metric.SlotsBusy, this.running, { endpoint: this.options.endpoint });
     this.schedule();
-    if (this.running > 0) return;
+    if (this.running + this.suspended.count > 0) return;
     this.onIdle?.();
     this.onIdle = undefined;
   }
@@ -388,12 +383,16 @@
     }
     // What must run once is left to finish: cutting it would leave its outcome unknown.
     if (!execution.grant.job.repeatable) return;
-    execution.run?.cancel();
+    this.abandon(execution);
     this.executions.delete(execution.id);
     execution.finish(this.options.clock.monotonic(), 0);
     this.freeSlot(execution);
   }
 
+  private abandon(execution: Execution): void {
+    if (execution.run !== undefined) this.gate.abandon(execution.id, execution.run.cancel());
+  }
+
   private settle(reference: AttemptReference): void {
     const execution = this.find(reference);
     if (execution?.end !== undefined) this.executions.delete(execution.id);
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -12,12 +12,14 @@
   sidecarSettingsKey,
   statusBoardKey,
 } from '../parts.ts';
-import { Admission, AdmissionMessageKind } from './admission.ts';
+import { Admission } from './admission.ts';
+import { AdmissionMessageKind } from './admission-messages.ts';
 import { ApplicationClient } from './application-client.ts';
 import { EndpointClient } from './endpoint-client.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
 import type { Job } from '../messages.ts';
 import { LedgerReporter } from './ledger-reporter.ts';
+import { LoadWatch } from './load-watch.ts';
 import { ModelEngineClient } from './model-engine-client.ts';
 import { ServiceMeter } from './service-meter.ts';
 
@@ -28,6 +30,7 @@
   private admission: Admission | undefined;
   private client: EndpointClient | undefined;
   private reporter: LedgerReporter | undefined;
+  private loadWatch: LoadWatch | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
     const { clock, log, metrics, host } = kernel;
@@ -71,6 +74,12 @@
       admission.post({ kind: AdmissionMessageKind.PlannedStop, marked });
     });
     connectLinks(hub, admission);
+    this.loadWatch = new LoadWatch({
+      url: endpoint.url,
+      clock,
+      log,
+      onReport: (load) => admission.post({ kind: AdmissionMessageKind.Load, report: load }),
+    });
     return Promise.resolve();
   }
 
@@ -80,6 +89,7 @@
 
   override async stop(): Promise<void> {
     this.reporter?.stop();
+    await this.loadWatch?.stop();
     this.admission?.stop();
     await this.client?.close();
   }
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -18,6 +18,8 @@
   ControlBytes = 'links.control_bytes',
   ConfigurationRevision = 'configuration.revision',
   Repairs = 'repairs',
+  Orders = 'orders.given',
+  CertificateDaysLeft = 'trust.certificate_days_left',
 }
 
 /** Tags of one sample. */
--- a/packages/stand-ins/src/site/site.ts
+++ b/packages/stand-ins/src/site/site.ts
@@ -13,13 +13,18 @@
 export interface SiteOptions {
   engine?: Partial<ModelEngineOptions>;
   /** Time that a call of an application takes. */
+  /** Options of single model engines, by name. */
+  engines?: Record<string, Partial<ModelEngineOptions>>;
   applicationWorkMs?: number;
   hostListLagMs?: number;
+  /** Settle time in the first revision. */
+  settleMs?: number;
 }
 
 /** The running stand-ins of a site. */
 export class Site {
   readonly plan: SitePlan;
+  private readonly options: SiteOptions;
   readonly configuration = new ConfigurationService();
   readonly hosts: HostList;
   readonly modelEngines = new Map<string, ModelEngine>();
@@ -27,10 +32,13 @@
 
   constructor(plan: SitePlan, options: SiteOptions = {}) {
     this.plan = plan;
+    this.options = options;
     this.hosts = new HostList({ lagMs: options.hostListLagMs ?? 0 });
     for (const { name, kind } of plan.endpoints) {
       if (kind === EndpointKind.Model) {
-        this.modelEngines.set(name, new ModelEngine({ models: [plan.model], ...options.engine }));
+        const own = options.engines?.[name];
+        const engine = new ModelEngine({ models: [plan.model], ...options.engine, ...own });
+        this.modelEngines.set(name, engine);
       } else {
         this.applicationEngines.set(
           name,
@@ -43,7 +51,8 @@
   /** Starts all stand-ins on ephemeral ports and publishes the first revision. */
   async start(): Promise<this> {
     await Promise.all(this.standIns().map((standIn) => standIn.start()));
-    this.publish({ revision: 1 });
+    const { settleMs } = this.options;
+    this.publish({ revision: 1, ...(settleMs === undefined ? {} : { settleMs }) });
     return this;
   }
 
