--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -1,13 +1,19 @@
 /** The commands of the bench, by name. */
+import { capacityCommand } from './capacity/app.ts';
+import { compareCommand } from './compare/app.ts';
 import { configCommand } from './config/app.ts';
 import { decisionCostCommand } from './decision-cost/app.ts';
 import { drainCommand } from './drain/app.ts';
+import { experimentCommand } from './experiment/app.ts';
 import { fairnessCommand } from './fairness/app.ts';
 import { faultsCommand } from './faults/app.ts';
 import { floodCommand } from './flood/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { membershipCommand } from './membership/app.ts';
 import { powerCommand } from './power/app.ts';
+import { profileCommand } from './profile/app.ts';
+import { smokeCommand } from './smoke/app.ts';
+import { soakCommand } from './soak/app.ts';
 import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
@@ -20,15 +26,21 @@
 /** All commands, in the order of the help. */
 export function readCommands(): BenchCommand[] {
   return [
-    latencyCommand,
-    fairnessCommand,
-    utilisationCommand,
-    floodCommand,
+    capacityCommand,
+    compareCommand,
     decisionCostCommand,
+    experimentCommand,
+    fairnessCommand,
     faultsCommand,
     configCommand,
     drainCommand,
+    floodCommand,
+    latencyCommand,
     membershipCommand,
     powerCommand,
+    profileCommand,
+    smokeCommand,
+    soakCommand,
+    utilisationCommand,
   ];
 }
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -35,6 +35,8 @@
   /** The harness reads events of level info, so no level above it. */
   logLevel?: 'debug' | 'info';
   nodeOptions?: string[];
+  /** Runs the binary, which `npm run build` makes. */
+  binary?: boolean;
   /** Leaves the fault proxies out of the paths, which spares the bench the bytes. */
   direct?: boolean;
   /** Whether each process reaches the configuration service through a fault proxy of its own. */
@@ -288,6 +290,7 @@
       settingsFile: join(this.folder, `${host}.toml`),
       settings: stringify(settings),
       nodeOptions: this.options.nodeOptions ?? [],
+      binary: this.options.binary ?? false,
     });
   }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,4 +32,8 @@
 export * from './trust/certificate-identity.ts';
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
+export * from './explain/trace-book.ts';
+export * from './burn/burn-rate.ts';
+export * from './burn/count-ring.ts';
+export * from './burn/service-objectives.ts';
 export * from './request/idempotency-memory.ts';
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -51,6 +51,8 @@
   Settle = 'settle',
   /** Either way: the sender has this version of the configuration in force. */
   Revision = 'revision',
+  /** Either way: where operators reach the sender. */
+  OperatorsAddress = 'operators.address',
   /** Either way: news of members. */
   Members = 'members',
 }
@@ -245,6 +247,12 @@
   adjustments?: Adjustment[];
 }
 
+/** Address of a process for operators. */
+export interface OperatorsAddress {
+  /** `IP:port`. */
+  address: string;
+}
+
 /** A published configuration document. */
 export interface ConfigurationDocument {
   /** 0 where none is known. */
@@ -311,6 +319,7 @@
   [NoticeMethod.Cancel]: AttemptReference;
   [NoticeMethod.Settle]: AttemptReference;
   [NoticeMethod.Revision]: DocumentVersion;
+  [NoticeMethod.OperatorsAddress]: OperatorsAddress;
   [NoticeMethod.Members]: MemberNews;
 }
 
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -12,7 +12,7 @@
 import type { AttemptReference, Frame, Grant, Refusal, ResumeAnswer } from '../messages.ts';
 import { AdmissionMessageKind } from './admission-messages.ts';
 import type { AdmissionMessage, AdmissionStatus } from './admission-messages.ts';
-import { Claimer } from './claimer.ts';
+import { Claimer, describeClaim } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
 import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
@@ -260,7 +260,10 @@
 
   private acceptAnswer(answered: AnsweredClaim): void {
     const grant = this.claimer.settle(answered);
-    if (grant !== undefined) this.admit(answered.claim.peer, grant);
+    if (grant !== undefined) {
+      this.options.log.debug(describeClaim(answered, grant));
+      this.admit(answered.claim.peer, grant);
+    }
     this.schedule();
   }
 
@@ -269,6 +272,7 @@
     const reason = refusal ?? (first === undefined ? this.findObstacle(grant) : undefined);
     if (reason !== undefined) {
       const { request, attempt } = grant;
+      this.options.log.debug({ event: 'request.refused', request, code: reason.code });
       peer.link.notify(NoticeMethod.Refuse, { request, attempt, ...reason });
       return;
     }
--- a/packages/fleet/src/sidecar/app.ts
+++ b/packages/fleet/src/sidecar/app.ts
@@ -46,6 +46,7 @@
       meter,
       clock,
       log,
+      metrics,
       readKind: () => readKind(kernel),
       onReady: () => this.admission?.post({ kind: AdmissionMessageKind.Ready }),
     });
--- a/packages/stand-ins/src/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy.ts
@@ -220,6 +220,7 @@
       return;
     }
     const { ip, port } = parseAddress(this.options.target);
+    // Without it Nagle's algorithm holds a small write back until the delayed acknowledgement of the last.
     const far = connect({ host: ip, port, noDelay: true });
     const latencyMs = this.options.latencyMs ?? DEFAULT_LATENCY_MS;
     const connection = new ProxiedConnection(near, far, () => this.current, latencyMs);
