--- /dev/null
+++ b/packages/bench/src/capacity/projection.ts
@@ -0,0 +1,378 @@
+/**
+ * Works out what each role needs at the design size from the measured slopes. Each line is a sum of
+ * terms: a measured rate, or a measured slope times a quantity of the design.
+ */
+import { CHECKS_PER_SECOND, READERS_PER_DATA_CENTRE } from '@poplarpick/decisions';
+import { fitLine } from '@poplarpick/load';
+import type { Fit } from '@poplarpick/load';
+import type { ConfigurationPoint } from './configuration-cost.ts';
+import { DESIGN, LIMITS, SECONDS_PER_DAY } from './design-size.ts';
+import type { NodeRates } from './node-sample.ts';
+import { CapacityRole, measureSlopes } from './slopes.ts';
+import type { MeasuredSlope } from './slopes.ts';
+import { LOAD_SIDECARS, SweepName } from './sweeps.ts';
+import type { Sweep, SweepPoint } from './sweeps.ts';
+
+/** One term of a line. */
+export interface Term {
+  name: string;
+  value: number;
+  /** Standard error of the value, from the fit's. */
+  error: number;
+}
+
+/** One line of the page. */
+export interface CapacityLine {
+  role: CapacityRole;
+  quantity: string;
+  unit: string;
+  value: number;
+  error: number;
+  limit: number | null;
+  over: boolean;
+  mechanism: string;
+  /** What would mend a line that is over, or what breaks first. */
+  remark: string;
+  terms: Term[];
+}
+
+/** What the lines are worked out from. */
+export interface CapacityInput {
+  sweeps: Sweep[];
+  configurations: ConfigurationPoint[];
+  /** Links of one node at the design size. */
+  links: DesignLinks;
+}
+
+/** Links of each role at the design size, from the decision that chooses them. */
+export interface DesignLinks {
+  routersOfSidecar: number;
+  sidecarsOfRouter: number;
+  routersOfRouter: number;
+}
+
+const CHANGES_PER_SECOND = DESIGN.changesPerDay / SECONDS_PER_DAY;
+const REQUESTS_PER_ROUTER = DESIGN.requestsPerSecond / DESIGN.routers;
+const REQUESTS_PER_SIDECAR = DESIGN.requestsPerSecond / DESIGN.sidecars;
+
+/** Finds the slopes of one role and adds terms up. */
+class LineMaker {
+  private readonly slopes: MeasuredSlope[];
+  private readonly input: CapacityInput;
+
+  constructor(input: CapacityInput) {
+    this.input = input;
+    this.slopes = measureSlopes(input.sweeps);
+  }
+
+  /** Slope times a quantity of the design. */
+  times(
+    role: MeasuredSlope['role'],
+    sweep: SweepName,
+    quantity: keyof NodeRates,
+    count: number,
+  ): Term {
+    const { fit, varied } = this.find(role, sweep, quantity);
+    const name = `${round(fit.slope)} × ${round(count)} (${varied})`;
+    return { name, value: fit.slope * count, error: fit.slopeError * count };
+  }
+
+  /** The constant part of a line. */
+  base(role: MeasuredSlope['role'], sweep: SweepName, quantity: keyof NodeRates): Term {
+    const { fit } = this.find(role, sweep, quantity);
+    return { name: `constant part (${sweep})`, value: fit.intercept, error: fit.residual };
+  }
+
+  configuration(pick: (point: ConfigurationPoint) => number): Fit {
+    return fitLine(this.input.configurations.map((point) => ({ x: point.share, y: pick(point) })));
+  }
+
+  points(name: SweepName): SweepPoint[] {
+    return this.input.sweeps.find((sweep) => sweep.name === name)?.points ?? [];
+  }
+
+  private find(
+    role: MeasuredSlope['role'],
+    sweep: SweepName,
+    quantity: keyof NodeRates,
+  ): MeasuredSlope {
+    const found = this.slopes.find(
+      (slope) => slope.role === role && slope.sweep === sweep && slope.quantity === quantity,
+    );
+    if (found === undefined) throw new Error(`sweep ${sweep} was not measured`);
+    return found;
+  }
+}
+
+/** All lines of the page. */
+export function projectLines(input: CapacityInput): CapacityLine[] {
+  const maker = new LineMaker(input);
+  return [
+    ...routerLines(maker, input.links),
+    ...sidecarLines(maker, input.links),
+    ...fleetLines(maker),
+  ];
+}
+
+function routerLines(maker: LineMaker, links: DesignLinks): CapacityLine[] {
+  const role = CapacityRole.Router;
+  const control = (quantity: keyof NodeRates): Term[] => [
+    maker.base(role, SweepName.Sidecars, quantity),
+    maker.times(role, SweepName.Sidecars, quantity, links.sidecarsOfRouter),
+    maker.times(role, SweepName.Neighbours, quantity, links.routersOfRouter),
+    maker.times(role, SweepName.Backlog, quantity, DESIGN.backloggedWorkspaces),
+    maker.times(role, SweepName.Requests, quantity, REQUESTS_PER_ROUTER),
+  ];
+  const tokensPerSecond = DESIGN.tokensPerSecond / DESIGN.routers;
+  return [
+    makeLine({
+      role,
+      quantity: 'control volume',
+      unit: 'bytes/s',
+      limit: LIMITS.controlBytesPerSecond,
+      terms: [...control('controlBytes'), changeTerm(maker, role, 'controlBytes')],
+      mechanism: 'heartbeats, backlog notices, claims, reports, changes of the configuration',
+      remark:
+        'send changes of the configuration rather than whole documents; leave heartbeats out on busy links',
+    }),
+    makeLine({
+      role,
+      quantity: 'control messages',
+      unit: 'messages/s',
+      terms: control('controlMessages'),
+      mechanism: 'the same',
+      remark: 'grows with the sidecars linked to a router',
+    }),
+    makeLine({
+      role,
+      quantity: 'processor time of control',
+      unit: 'cores',
+      limit: LIMITS.controlCpu,
+      terms: [
+        maker.base(role, SweepName.Sidecars, 'cpu'),
+        maker.times(role, SweepName.Sidecars, 'cpu', links.sidecarsOfRouter),
+        maker.times(role, SweepName.Neighbours, 'cpu', links.routersOfRouter),
+        changeTerm(maker, role, 'cpu'),
+      ],
+      mechanism: 'links without load; taking in of each revision',
+      remark: 'reports and heartbeats, message by message',
+    }),
+    makeLine({
+      role,
+      quantity: 'processor time of requests and answers',
+      unit: 'cores',
+      terms: [
+        maker.times(role, SweepName.Requests, 'cpu', REQUESTS_PER_ROUTER),
+        maker.times(role, SweepName.Tokens, 'cpu', tokensPerSecond),
+      ],
+      mechanism: 'token frames from links to callers',
+      remark: 'a router is one thread; over one core, more routers or fewer frames are needed',
+    }),
+    makeLine({
+      role,
+      quantity: 'private memory',
+      unit: 'bytes',
+      limit: LIMITS.controlMemoryBytes,
+      terms: [
+        maker.base(role, SweepName.Sidecars, 'anonBytes'),
+        maker.times(role, SweepName.Sidecars, 'anonBytes', links.sidecarsOfRouter),
+        maker.times(role, SweepName.Neighbours, 'anonBytes', links.routersOfRouter),
+        heapTerm(maker),
+      ],
+      mechanism: 'runtime and libraries, link buffers, the parsed configuration',
+      remark:
+        'the runtime alone takes most of it; the limit is for control, the figure is the whole process',
+    }),
+  ];
+}
+
+function sidecarLines(maker: LineMaker, links: DesignLinks): CapacityLine[] {
+  const role = CapacityRole.Sidecar;
+  const control = (quantity: keyof NodeRates): Term[] => [
+    maker.base(role, SweepName.Routers, quantity),
+    maker.times(role, SweepName.Routers, quantity, links.routersOfSidecar),
+    maker.times(
+      role,
+      SweepName.Backlog,
+      quantity,
+      DESIGN.backloggedWorkspaces * links.routersOfSidecar,
+    ),
+    // In the sweep a router's requests are shared by so many sidecars.
+    maker.times(role, SweepName.Requests, quantity, REQUESTS_PER_SIDECAR * LOAD_SIDECARS),
+  ];
+  return [
+    makeLine({
+      role,
+      quantity: 'control volume',
+      unit: 'bytes/s',
+      limit: LIMITS.controlBytesPerSecond,
+      terms: [...control('controlBytes'), changeTerm(maker, role, 'controlBytes')],
+      mechanism: 'heartbeats, backlog notices, claims, reports, changes of the configuration',
+      remark: 'reports and totals that carry what changed alone; changes instead of documents',
+    }),
+    makeLine({
+      role,
+      quantity: 'control messages',
+      unit: 'messages/s',
+      terms: control('controlMessages'),
+      mechanism: 'the same',
+      remark: 'grows with the routers linked to a sidecar',
+    }),
+    makeLine({
+      role,
+      quantity: 'processor time of control',
+      unit: 'cores',
+      limit: LIMITS.controlCpu,
+      terms: [
+        maker.base(role, SweepName.Routers, 'cpu'),
+        maker.times(role, SweepName.Routers, 'cpu', links.routersOfSidecar),
+        changeTerm(maker, role, 'cpu'),
+      ],
+      mechanism: 'links without load; taking in of each revision',
+      remark: 'reports and heartbeats, message by message',
+    }),
+    makeLine({
+      role,
+      quantity: 'private memory',
+      unit: 'bytes',
+      limit: LIMITS.controlMemoryBytes,
+      terms: [
+        maker.base(role, SweepName.Routers, 'anonBytes'),
+        maker.times(role, SweepName.Routers, 'anonBytes', links.routersOfSidecar),
+        heapTerm(maker),
+      ],
+      mechanism: 'runtime and libraries, link buffers, the parsed configuration',
+      remark: 'the runtime alone takes most of it',
+    }),
+  ];
+}
+
+function fleetLines(maker: LineMaker): CapacityLine[] {
+  const role = CapacityRole.Fleet;
+  const change = fitLine(
+    maker.points(SweepName.Changes).map(({ size, changeMs = 0 }) => ({ x: size, y: changeMs })),
+  );
+  const bytes = maker.configuration((point) => point.documentBytes);
+  return [
+    makeLine({
+      role,
+      quantity: 'calls of the configuration service',
+      unit: 'calls/s',
+      limit: LIMITS.serviceCallsPerSecond,
+      terms: [
+        callsTerm(maker, SweepName.Routers, READERS, 'routers that watch'),
+        checksTerm(maker),
+        {
+          name: `${round(CHANGES_PER_SECOND)} changes/s × ${READERS} watches answered`,
+          value: CHANGES_PER_SECOND * READERS,
+          error: 0,
+        },
+      ],
+      mechanism:
+        'watches of a few readers in each data centre, and checks whose period grows with the fleet',
+      remark: 'does not grow with the routers',
+    }),
+    makeLine({
+      role,
+      quantity: 'time until a change is in force everywhere',
+      unit: 'ms',
+      limit: LIMITS.changeMs,
+      terms: [changeTimeTerm(change, bytes.intercept + bytes.slope)],
+      mechanism: 'watch, then revision notices and fetches between neighbours',
+      remark: 'each hop takes the revision in before it passes it on',
+    }),
+    makeLine({
+      role,
+      quantity: 'size of the configuration document',
+      unit: 'bytes',
+      limit: LIMITS.documentBytes,
+      terms: [
+        { name: 'constant part', value: bytes.intercept, error: bytes.residual },
+        { name: 'workspaces and endpoints', value: bytes.slope, error: bytes.slopeError },
+      ],
+      mechanism: 'one TOML document with all workspaces and endpoints',
+      remark: 'the largest value of the service is what breaks first as the fleet grows further',
+    }),
+  ];
+}
+
+/** Routers that watch the service at the design size. */
+const READERS = READERS_PER_DATA_CENTRE * DESIGN.dataCentres;
+
+function callsTerm(maker: LineMaker, sweep: SweepName, count: number, what: string): Term {
+  const points = maker.points(sweep);
+  const { slope, slopeError } = fitLine(
+    points.map(({ size, serviceCallsPerSecond = 0 }) => ({ x: size, y: serviceCallsPerSecond })),
+  );
+  return {
+    name: `${round(slope)} × ${count} (${what})`,
+    value: slope * count,
+    error: slopeError * count,
+  };
+}
+
+/** Checks by sidecars, whose period grows with the fleet so that all of them keep to a bound. */
+function checksTerm(maker: LineMaker): Term {
+  const grown = callsTerm(maker, SweepName.Sidecars, DESIGN.sidecars, 'sidecars that check');
+  if (grown.value <= CHECKS_PER_SECOND) return grown;
+  const name = `${grown.name}, bounded to ${CHECKS_PER_SECOND} over all`;
+  return { name, value: CHECKS_PER_SECOND, error: 0 };
+}
+
+/** Hops of the overlay at the design size, as its property test bounds them. */
+const OVERLAY_HOPS = 8;
+
+/** The measured fleet has two hops from the service to the last sidecar. */
+const MEASURED_HOPS = 2;
+
+function changeTimeTerm(change: Fit, documentBytes: number): Term {
+  const hops = OVERLAY_HOPS / MEASURED_HOPS;
+  return {
+    name: `measured over ${MEASURED_HOPS} hops at ${round(documentBytes)} bytes, for ${OVERLAY_HOPS} hops`,
+    value: (change.intercept + change.slope * documentBytes) * hops,
+    error: change.slopeError * documentBytes * hops,
+  };
+}
+
+/** What changes of a document of the design size cost a node. */
+function changeTerm(
+  maker: LineMaker,
+  role: MeasuredSlope['role'],
+  quantity: keyof NodeRates,
+): Term {
+  const bytes = maker.configuration((point) => point.documentBytes);
+  const size = bytes.intercept + bytes.slope;
+  const fixed = maker.base(role, SweepName.Changes, quantity);
+  const grown = maker.times(role, SweepName.Changes, quantity, size);
+  return {
+    name: `${round(CHANGES_PER_SECOND)} changes/s of a document of ${round(size)} bytes`,
+    value: CHANGES_PER_SECOND * (fixed.value + grown.value),
+    error: CHANGES_PER_SECOND * (fixed.error + grown.error),
+  };
+}
+
+function heapTerm(maker: LineMaker): Term {
+  const heap = maker.configuration((point) => point.heapBytes);
+  const text = maker.configuration((point) => point.documentBytes);
+  return {
+    name: 'parsed configuration and its text',
+    value: heap.intercept + heap.slope + text.intercept + text.slope,
+    error: heap.slopeError + text.slopeError,
+  };
+}
+
+type LineDraft = Pick<
+  CapacityLine,
+  'role' | 'quantity' | 'unit' | 'mechanism' | 'remark' | 'terms'
+> & { limit?: number };
+
+function makeLine(draft: LineDraft): CapacityLine {
+  const value = draft.terms.reduce((sum, term) => sum + term.value, 0);
+  const error = Math.sqrt(draft.terms.reduce((sum, term) => sum + term.error ** 2, 0));
+  const limit = draft.limit ?? null;
+  return { ...draft, value, error, limit, over: limit !== null && value > limit };
+}
+
+function round(value: number): number {
+  return Number(value.toPrecision(3));
+}
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -22,9 +22,11 @@
   configurationKey,
   dispatcherKey,
   plannedStopsKey,
+  requestRecorderKey,
   routerSettingsKey,
   statusBoardKey,
 } from '../parts.ts';
+import type { RequestRecorder } from '../burn/request-recorder.ts';
 import type { AnswerSink } from '../router/answer-sink.ts';
 import { DispatcherMessageKind } from '../router/dispatcher.ts';
 import type { Dispatcher } from '../router/dispatcher.ts';
@@ -54,6 +56,7 @@
   workspace: string;
   configuration: FleetConfiguration;
   keys: WorkspaceKeys;
+  recorder: RequestRecorder;
 }
 
 type CallerHandler = (
@@ -65,7 +68,7 @@
 class CallersPlugin extends Plugin {
   override readonly name = 'callers';
   override readonly roles = [Role.Router];
-  override readonly requires = ['router', 'configuration', 'planned-stops'];
+  override readonly requires = ['router', 'configuration', 'planned-stops', 'burn'];
   private server: Server | undefined;
   private kernel: Kernel | undefined;
   private service: Service | undefined;
@@ -74,10 +77,12 @@
   private boundAddress: string | undefined;
   private configuration: FleetConfiguration | undefined;
   private keys: WorkspaceKeys | undefined;
+  private recorder: RequestRecorder | undefined;
 
   override async start(kernel: Kernel): Promise<void> {
     const settings = kernel.part(routerSettingsKey);
     const dispatcher = kernel.part(dispatcherKey);
+    this.recorder = kernel.part(requestRecorderKey);
     kernel.part(configurationKey).onChange(({ configuration }) => {
       this.configuration = configuration;
       this.keys = new WorkspaceKeys(configuration);
@@ -166,10 +171,10 @@
   }
 
   private identify(request: GatewayRequest, requestId: string): Caller {
-    const { configuration, keys } = this;
+    const { configuration, keys, recorder } = this;
     if (this.draining || this.marked)
       throw refuseForNow('this router is draining', ErrorCode.Draining);
-    if (configuration === undefined || keys === undefined) {
+    if (configuration === undefined || keys === undefined || recorder === undefined) {
       throw refuseForNow('this router has no configuration yet', ErrorCode.NoEndpoint);
     }
     const workspace = keys.find(readBearer(request));
@@ -179,7 +184,7 @@
         verdict: Verdict.NotRun,
       });
     }
-    return { requestId, workspace, configuration, keys };
+    return { requestId, workspace, configuration, keys, recorder };
   }
 }
 
@@ -273,7 +278,7 @@
   });
   dispatcher.post({
     kind: DispatcherMessageKind.Submit,
-    submission: { id, job, pin, deadlineMs, sink },
+    submission: caller.recorder.record({ id, job, pin, deadlineMs, sink }, caller.configuration),
   });
 }
 
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -21,11 +21,23 @@
 /** Time within which a call must be answered. */
 const CALL_TIMEOUT_MS = 5_000;
 
-/** Bytes and messages that a link has sent. */
+/** Messages that a test may lose: the sender does not count on any single one. */
+const LOSSY_METHODS: ReadonlySet<string> = new Set([
+  NoticeMethod.Heartbeat,
+  NoticeMethod.Members,
+  CallMethod.Probe,
+  CallMethod.CompareMembers,
+]);
+
+/** Bytes and messages on all links of a process. */
 export interface LinkTraffic {
+  /** Sent. */
   controlBytes: number;
   controlMessages: number;
   payloadBytes: number;
+  receivedControlBytes: number;
+  receivedControlMessages: number;
+  receivedPayloadBytes: number;
 }
 
 /** Options of a `Link`. */
@@ -41,7 +53,14 @@
 
 /** Makes an empty traffic counter. */
 export function createTraffic(): LinkTraffic {
-  return { controlBytes: 0, controlMessages: 0, payloadBytes: 0 };
+  return {
+    controlBytes: 0,
+    controlMessages: 0,
+    payloadBytes: 0,
+    receivedControlBytes: 0,
+    receivedControlMessages: 0,
+    receivedPayloadBytes: 0,
+  };
 }
 
 /** One connection to another process. */
@@ -57,9 +76,13 @@
   private readonly encoder = new FrameEncoder();
   private readonly decoder = new FrameDecoder();
   private readonly heartbeat: Timer;
+  private readonly inbox: (JSONRPCRequest | JSONRPCResponse)[] = [];
+  /** Whether the rest of the inbox waits for the next turn of the event loop. */
+  private waiting = false;
   private lastArrival: number;
   private lastSent = -Infinity;
   private closed = false;
+  private isLost: (() => boolean) | undefined;
   /** Whether the other side may be answered and heard. */
   private admitted = true;
 
@@ -89,6 +112,11 @@
     return this.closed;
   }
 
+  /** Drops heartbeats and messages about members whenever `isLost` says so; for tests only. */
+  loseMessages(isLost: () => boolean): void {
+    this.isLost = isLost;
+  }
+
   /** Refuses everything but a hello until the other side is admitted. */
   requireHello(): void {
     this.admitted = false;
@@ -156,18 +184,39 @@
   private receive(chunk: Buffer): void {
     this.lastArrival = this.clock.monotonic();
     try {
-      for (const payload of this.decoder.push(chunk)) this.dispatch(payload);
+      for (const { value, bytes } of this.decoder.push(chunk)) {
+        const payload = value as JSONRPCRequest | JSONRPCResponse;
+        this.countReceived(payload, bytes);
+        this.inbox.push(payload);
+      }
+      if (!this.waiting) this.drainInbox();
     } catch (error) {
       this.close(error instanceof Error ? error.message : 'unreadable frame');
     }
   }
 
-  private dispatch(payload: unknown): void {
+  /**
+   * Dispatches in the order of arrival. An answer reaches its caller some promises later, so what came
+   * after it waits for the next turn of the event loop; else a notice would overtake it.
+   */
+  private drainInbox(): void {
+    this.waiting = false;
+    for (let payload = this.inbox.shift(); payload !== undefined; payload = this.inbox.shift()) {
+      if (this.closed) return;
+      this.dispatch(payload);
+      if ('method' in payload || this.inbox.length === 0) continue;
+      this.waiting = true;
+      setImmediate(() => this.drainInbox());
+      return;
+    }
+  }
+
+  private dispatch(payload: JSONRPCRequest | JSONRPCResponse): void {
     if (!this.admitted && !isIntroduction(payload)) {
       this.close('no hello');
       return;
     }
-    this.rpc.receiveAndSend(payload as JSONRPCRequest | JSONRPCResponse).catch((error: unknown) => {
+    this.rpc.receiveAndSend(payload).catch((error: unknown) => {
       // An answer that finds its link closed is no fault of the message.
       if (this.closed) return;
       this.log.warn({
@@ -180,6 +229,8 @@
 
   private send(payload: JSONRPCRequest | JSONRPCResponse): void {
     if (this.closed) throw new Error('link is closed');
+    if ('method' in payload && LOSSY_METHODS.has(payload.method) && this.isLost?.() === true)
+      return;
     const frame = this.encoder.encode(payload);
     this.count(payload, frame.length);
     this.socket.write(frame);
@@ -195,6 +246,15 @@
     this.traffic.controlMessages += 1;
   }
 
+  private countReceived(payload: JSONRPCRequest | JSONRPCResponse, bytes: number): void {
+    if (isPayload(payload)) {
+      this.traffic.receivedPayloadBytes += bytes;
+      return;
+    }
+    this.traffic.receivedControlBytes += bytes;
+    this.traffic.receivedControlMessages += 1;
+  }
+
   private beat(): void {
     if (this.clock.monotonic() - this.lastArrival > SILENCE_MS) {
       this.close('silent');
--- a/packages/fleet/src/sidecar/claimer.ts
+++ b/packages/fleet/src/sidecar/claimer.ts
@@ -4,6 +4,7 @@
  */
 import { EndpointKind, findPreset } from '@poplarpick/decisions';
 import type { Charge, FleetConfiguration } from '@poplarpick/decisions';
+import type { LogEvent } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod } from '../messages.ts';
 import type { Backlog, ClaimAnswer, ClaimLine, Grant, Job } from '../messages.ts';
@@ -16,6 +17,18 @@
 /** Requests of a workspace in a router from which on a claim needs no spare lines. */
 const DEEP_BACKLOG = 4;
 
+/** Why a workspace was preferred, for `explain`. */
+export interface ClaimChoice {
+  /** Virtual service of the workspace, as this sidecar knew it. */
+  service: number;
+  /** The workspace that would have been next, and its virtual service. */
+  next?: string | undefined;
+  nextService?: number | undefined;
+  /** Configuration by which was chosen. */
+  revision?: number | undefined;
+  preset?: string | undefined;
+}
+
 /** A claim that is out. */
 export interface OpenClaim {
   peer: Peer;
@@ -24,6 +37,7 @@
   lines: ClaimLine[];
   /** Provisional charge of the workspace. */
   charge: number;
+  choice: ClaimChoice;
 }
 
 /** The answer to one claim. */
@@ -54,6 +68,7 @@
   private readonly backlog = new BacklogView();
   private readonly routers = new Map<string, Peer>();
   private weights = new Map<string, number>();
+  private configuration: FleetConfiguration | undefined;
   private fleetSlots = 0;
   private outstanding = 0;
 
@@ -67,6 +82,7 @@
   }
 
   configure(configuration: FleetConfiguration, kind: EndpointKind): void {
+    this.configuration = configuration;
     const { weights } = findPreset(configuration);
     this.weights = new Map(configuration.workspaces.map(({ name, weight }) => [name, weight]));
     for (const { workspace, weight } of weights) this.weights.set(workspace, weight);
@@ -154,8 +170,9 @@
   private send(peer: Peer, workspace: string): void {
     const { meter, onAnswer } = this.options;
     const lines = this.linesFor(peer, workspace);
+    const choice = this.describeChoice(workspace);
     const charge = meter.reserve(workspace, this.weightOf(workspace));
-    const claim = { peer, workspace, lines, charge };
+    const claim = { peer, workspace, lines, charge, choice };
     const answered = (answer: ClaimAnswer): void => onAnswer({ claim, answer });
     this.outstanding += 1;
     for (const line of lines) {
@@ -171,6 +188,18 @@
       });
   }
 
+  private describeChoice(workspace: string): ClaimChoice {
+    const { fairShare } = this.options.meter;
+    const next = findNext(fairShare.rank(), workspace);
+    return {
+      service: fairShare.virtual(workspace),
+      next,
+      nextService: next === undefined ? undefined : fairShare.virtual(next),
+      revision: this.configuration?.revision,
+      preset: this.configuration?.preset,
+    };
+  }
+
   private linesFor(peer: Peer, workspace: string): ClaimLine[] {
     const lines = this.backlog.openLines(peer.host, workspace);
     if (this.backlog.countOpen(peer.host, workspace) >= DEEP_BACKLOG) return lines;
@@ -193,3 +222,27 @@
     return this.weights.get(workspace) ?? 1;
   }
 }
+
+/** The first workspace of an order that is not the chosen one. */
+function findNext(order: Iterable<string>, chosen: string): string | undefined {
+  for (const workspace of order) if (workspace !== chosen) return workspace;
+  return undefined;
+}
+
+/** The event that tells why a request was claimed. */
+export function describeClaim({ claim }: AnsweredClaim, grant: Grant): LogEvent {
+  const { choice, peer, workspace } = claim;
+  return {
+    event: 'request.claimed',
+    request: grant.request,
+    attempt: grant.attempt,
+    workspace: grant.job.workspace,
+    router: peer.host,
+    preferred: workspace,
+    service: Math.round(choice.service),
+    next: choice.next,
+    next_service: choice.nextService === undefined ? undefined : Math.round(choice.nextService),
+    revision: choice.revision,
+    preset: choice.preset,
+  };
+}
