Retry under a budget, and refuse keys whose endpoint is away

A failing endpoint made every request fail at once, and a request with a key waited for an endpoint that was away until its deadline. Requests that were not run, or that may be repeated, are now tried again after a jittered delay, within a budget of a tenth of the requests of each router and within their deadline. A request whose pinned endpoint has been away for 3 s is refused as not run, with the time to come back.

--- a/packages/bench/src/integration/once-path.test.ts
+++ b/packages/bench/src/integration/once-path.test.ts
@@ -2,6 +2,7 @@
 import { v7 as makeUuid } from 'uuid';
 import { callApplication, callChat, CallOutcome } from '@poplarpick/load';
 import { KEY_GUARD_MS } from '@poplarpick/decisions';
+import { Fault } from '@poplarpick/stand-ins';
 import { planSmallSite } from '../faults/schedule-run.ts';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
 
@@ -86,6 +87,38 @@
     await callChat({ ...call, signal: abort.signal, onToken: () => abort.abort() });
     await waitUntil(() => runningStreams(fleet) === 0);
   });
+
+  it('keeps retries within a tenth of the requests when every endpoint fails', async () => {
+    const { workspaces, service } = fleet.site.plan;
+    const key = workspaces[2]?.key ?? '';
+    const applications = fleet.sidecars.filter(({ endpoint }) =>
+      endpoint.startsWith('application'),
+    );
+    applications.forEach(({ proxy }) => (proxy.fault = Fault.Cut));
+    const url = fleet.routerUrls[1] ?? '';
+    const events = fleet.routers[1]?.process.events ?? [];
+    const count = (name: string) => events.filter(({ event }) => event === name).length;
+    const before = count('request.finished') + count('request.failed');
+    const calls = Array.from({ length: 60 }, (_, index) =>
+      callApplication({ url, key, service, path: '/lookups', body: { key: `failing-${index}` } }),
+    );
+    const results = await Promise.all(calls);
+    applications.forEach(({ proxy }) => (proxy.fault = Fault.None));
+    results.forEach((result) =>
+      expect(result).to.include({ code: 'endpoint_failed', verdict: 'may-have-run' }),
+    );
+    expect(count('request.retried')).to.be.within(1, 0.1 * (before + calls.length));
+  });
+
+  it('refuses a key whose endpoint is away, and runs it nowhere else', async () => {
+    const applications = fleet.sidecars.filter(({ endpoint }) =>
+      endpoint.startsWith('application'),
+    );
+    await Promise.all(applications.map(({ process }) => process.kill()));
+    const away = await booking('away', makeUuid());
+    expect(away).to.include({ status: 503, code: 'no_endpoint', verdict: 'not-run' });
+    expect(fleet.site.countRuns().get('away')).to.equal(undefined);
+  });
 });
 
 function runningStreams(fleet: ProcessFleet): number {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -25,3 +25,4 @@
 export * from './request/lost-attempt.ts';
 export * from './request/request-life.ts';
 export * from './request/idempotency-memory.ts';
+export * from './request/retry-budget.ts';
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -9,7 +9,10 @@
   endLife,
   joinVerdict,
   LossAction,
+  pickRetryDelay,
+  RequestPhase,
   RequestQueues,
+  RetryBudget,
   settleAttempt,
   verdictOfUnfinished,
   findStop,
@@ -32,12 +35,16 @@
   ResumeAnswer,
 } from '../messages.ts';
 import { QueueAdmission } from './queue-admission.ts';
+import { PinnedEndpoints } from './pinned-endpoints.ts';
 import { EndCheck, RoutedRequest } from './routed-request.ts';
 import type { Submission } from './routed-request.ts';
 
 /** Time for which a lost sidecar may come back before its requests are settled without it. */
 export const SIDECAR_GRACE_MS = 8_000;
 
+/** Time after which a caller may ask again whose key is pinned to an endpoint that is away. */
+const AWAY_RETRY_SECONDS = 2;
+
 /** Period of the look at deadlines and lost sidecars. */
 const TICK_MS = 50;
 
@@ -54,6 +61,8 @@
   End,
   Refuse,
   Tick,
+  /** The time before another attempt has passed. */
+  Retry,
   AnnounceBacklog,
 }
 
@@ -80,6 +89,7 @@
   | { kind: DispatcherMessageKind.End; peer: Peer; end: End }
   | { kind: DispatcherMessageKind.Refuse; peer: Peer; refusal: Refusal }
   | { kind: DispatcherMessageKind.Tick }
+  | { kind: DispatcherMessageKind.Retry; request: RoutedRequest }
   | { kind: DispatcherMessageKind.AnnounceBacklog };
 
 /** Options of a `Dispatcher`. */
@@ -111,6 +121,8 @@
   private readonly lost = new Map<string, LostSidecar>();
   private readonly backlog: BacklogAnnouncer;
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
+  private readonly budget = new RetryBudget();
+  private readonly pinned = new PinnedEndpoints();
   private readonly ticker: Timer;
   private stops = NO_STOP_MARKS;
   private readonly queueAdmission = new QueueAdmission();
@@ -184,6 +196,9 @@
       case DispatcherMessageKind.Tick:
         this.tick();
         return;
+      case DispatcherMessageKind.Retry:
+        this.retry(message.request);
+        return;
       case DispatcherMessageKind.AnnounceBacklog:
         this.backlog.announce();
     }
@@ -192,6 +207,7 @@
   private submit(submission: Submission): void {
     const request = new RoutedRequest(submission, this.clock.monotonic());
     this.counts.submitted += 1;
+    this.budget.noteRequest();
     const { workspace } = request.line;
     const now = this.clock.monotonic();
     const waiting = this.queues.countWorkspace(workspace);
@@ -315,6 +331,8 @@
     if (request === undefined) return;
     if (end.failure !== undefined) {
       const { message, ...failure } = end.failure;
+      if (failure.code === ErrorCode.EndpointFailed && this.tryElsewhere(request, failure.verdict))
+        return;
       const verdict = joinVerdict(request.life, failure.verdict);
       this.fail(request, new RequestError(message, { ...failure, verdict }));
       return;
@@ -357,11 +375,37 @@
     this.fail(request, new RequestError(message, { code, verdict, retryAfterSeconds }));
   }
 
+  /** Tries a request again whose endpoint failed; false where it may not be, or has failed for good. */
+  private tryElsewhere(request: RoutedRequest, verdict: Verdict): boolean {
+    if (verdict === Verdict.Ran) return false;
+    const loss = verdict === Verdict.NotRun ? AttemptLoss.NeverStarted : AttemptLoss.EndpointFailed;
+    if (settleAttempt(request.life, loss).decision.action === LossAction.Fail) return false;
+    const delayMs = pickRetryDelay(request.attempt, Math.random());
+    if (this.clock.monotonic() + delayMs >= request.deadlineAt || !this.budget.take()) return false;
+    request.life = settleAttempt(request.life, loss).life;
+    this.log.info({
+      event: 'request.retried',
+      request: request.id,
+      attempt: request.attempt,
+      loss,
+    });
+    this.clock.after(delayMs, () => this.post({ kind: DispatcherMessageKind.Retry, request }));
+    return true;
+  }
+
+  private retry(request: RoutedRequest): void {
+    if (request.life.phase !== RequestPhase.Queued) return;
+    this.queues.push(request);
+    this.backlog.noteChange(request.line);
+  }
+
   private settleLoss(request: RoutedRequest, loss: AttemptLoss): void {
-    const { life, decision } = settleAttempt(request.life, loss);
-    request.life = life;
-    if (decision.action === LossAction.Fail) {
-      const { code, verdict } = decision;
+    const { decision } = settleAttempt(request.life, loss);
+    const isRepeat = decision.verdict !== Verdict.NotRun && decision.action === LossAction.Requeue;
+    const settled = settleAttempt(request.life, loss, !isRepeat || this.budget.take());
+    request.life = settled.life;
+    if (settled.decision.action === LossAction.Fail) {
+      const { code, verdict } = settled.decision;
       this.fail(
         request,
         new RequestError('the connection to the endpoint was lost', { code, verdict }),
@@ -378,11 +422,35 @@
     this.backlog.noteChange(request.line);
   }
 
+  /** Refuses requests that wait for an endpoint that has been away too long: they run nowhere else. */
+  private refusePinned(now: number): void {
+    const linked = new Set([...this.sidecars.values()].flatMap((peer) => peer.endpoint ?? []));
+    this.pinned.note(linked);
+    for (const request of this.requests.values()) {
+      const { pin } = request.line;
+      if (pin === undefined || linked.has(pin) || !this.pinned.isAway(pin, now)) continue;
+      if (request.life.phase === RequestPhase.Queued) this.refuseAway(request, pin);
+    }
+  }
+
+  private refuseAway(request: RoutedRequest, pin: string): void {
+    this.release(request);
+    this.fail(
+      request,
+      new RequestError(`endpoint ${pin}, to which the key is pinned, is away`, {
+        code: ErrorCode.NoEndpoint,
+        verdict: verdictOfUnfinished(request.life),
+        retryAfterSeconds: AWAY_RETRY_SECONDS,
+      }),
+    );
+  }
+
   private tick(): void {
     const now = this.clock.monotonic();
     for (const request of this.requests.values()) {
       if (now >= request.deadlineAt) this.expire(request);
     }
+    this.refusePinned(now);
     for (const [host, { lostAt }] of this.lost) {
       if (now - lostAt < SIDECAR_GRACE_MS) continue;
       this.lost.delete(host);
