Fuzz frames and the callers' interface

It found that MessagePack's codec renames a field called __proto__, which no message has and which is as it should be.

--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -3,6 +3,7 @@
 import { fairnessCommand } from './fairness/app.ts';
 import { faultsCommand } from './faults/app.ts';
 import { floodCommand } from './flood/app.ts';
+import { fuzzCommand } from './fuzz/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { utilisationCommand } from './utilisation/app.ts';
 
@@ -22,5 +23,6 @@
     floodCommand,
     decisionCostCommand,
     faultsCommand,
+    fuzzCommand,
   ];
 }
--- /dev/null
+++ b/packages/bench/src/fuzz/fuzz-properties.ts
@@ -0,0 +1,150 @@
+/** What must hold for any input: the frame decoder and the callers' interface answer it or refuse it. */
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import fc from 'fast-check';
+import { RequestError, Verdict } from '@poplarpick/kernel';
+import { parseApplicationTarget } from '@poplarpick/fleet/callers/application-call';
+import { parseChatRequest } from '@poplarpick/fleet/callers/chat-completions';
+import { readDeadline, readIdempotencyKey } from '@poplarpick/fleet/callers/request-headers';
+import { FrameDecoder, FrameEncoder, FrameError } from '@poplarpick/fleet/link/frame-codec';
+
+/** How many cases to try, and from which seed. */
+export interface FuzzRun {
+  cases: number;
+  seed: number;
+}
+
+const SMALL_LIMIT_BYTES = 32;
+const LENGTH_BYTES = 4;
+const ANSWER_LIMIT_MS = 10_000;
+
+/** Values arrive as they were sent, however the stream is cut; a field that would set a prototype is renamed. */
+export function checkFramesArrive({ cases, seed }: FuzzRun): void {
+  const values = fc.array(fc.jsonValue({ noUnicodeString: false }), { maxLength: 4 });
+  const property = fc.property(
+    values,
+    fc.array(fc.nat(2_000), { maxLength: 6 }),
+    (sent, places) => {
+      const encoder = new FrameEncoder();
+      const decoder = new FrameDecoder();
+      const stream = Buffer.concat(sent.map((value) => encoder.encode(value)));
+      const received = cutStream(stream, places).flatMap((part) => decoder.push(part));
+      assert.equal(
+        JSON.stringify(received),
+        JSON.stringify(sent).replaceAll('"__proto__":', '"__proto_":'),
+      );
+    },
+  );
+  fc.assert(property, { seed, numRuns: cases });
+}
+
+/** Any bytes give values or a `FrameError`, and no more is held than the limit. */
+export function checkFramesRefused({ cases, seed }: FuzzRun): void {
+  const chunks = fc.array(fc.uint8Array({ maxLength: 48 }), { maxLength: 8 });
+  const property = fc.property(chunks, fc.boolean(), (parts, isFramed) => {
+    const decoder = new FrameDecoder({ limitBytes: SMALL_LIMIT_BYTES });
+    try {
+      for (const part of parts) decoder.push(isFramed ? frameOf(part) : Buffer.from(part));
+    } catch (error) {
+      assert(error instanceof FrameError, String(error));
+      return;
+    }
+    assert(decoder.heldBytes < SMALL_LIMIT_BYTES + LENGTH_BYTES);
+  });
+  fc.assert(property, { seed, numRuns: cases });
+}
+
+/** Bodies, targets and headers are read or refused as not run; nothing else is thrown. */
+export function checkCallersInput({ cases, seed }: FuzzRun): void {
+  const text = fc.oneof(fc.string({ unit: 'binary' }), fc.json());
+  const property = fc.property(text, fc.string(), fc.string(), (body, target, header) => {
+    expectRefusal(() => parseChatRequest(Buffer.from(body)));
+    expectRefusal(() => parseApplicationTarget(target));
+    expectRefusal(() => parseApplicationTarget(`/apps/${target}`));
+    expectRefusal(() => readDeadline({ 'x-request-timeout-ms': header }, 1));
+    expectRefusal(() => readIdempotencyKey({ 'idempotency-key': header }));
+  });
+  fc.assert(property, { seed, numRuns: cases });
+}
+
+/** Any bytes on a caller's connection are answered by HTTP or close it, within a limit. */
+export async function checkCallersBytes(address: string, { cases, seed }: FuzzRun): Promise<void> {
+  const property = fc.asyncProperty(rawRequest(), async (bytes) => {
+    const answer = await exchangeBytes(address, Buffer.from(bytes, 'latin1'));
+    assert(answer === '' || /^HTTP\/1\.1 [1-5]\d\d /.test(answer), answer.slice(0, 80));
+    assert(!answer.startsWith('HTTP/1.1 500'), answer);
+  });
+  await fc.assert(property, { seed, numRuns: cases });
+}
+
+/** Requests that are damaged in one place, among them those that smuggle a second one. */
+function rawRequest(): fc.Arbitrary<string> {
+  const method = fc.constantFrom('GET', 'POST', 'PRI', 'get', 'CONNECT', '\u0000');
+  const path = fc.oneof(
+    fc.constantFrom('/v1/chat/completions', '/v1/models', '/apps/bookings/x', '*', 'http://x/'),
+    fc.string({ maxLength: 20 }),
+  );
+  const header = fc.oneof(
+    fc.constantFrom(
+      'content-length: 5',
+      'content-length: -1',
+      'content-length: 5\r\ncontent-length: 6',
+      'transfer-encoding: chunked',
+      'transfer-encoding: chunked\r\ncontent-length: 3',
+      'transfer-encoding: xchunked',
+      'authorization: Bearer key-of-workspace-1',
+      'expect: 100-continue',
+      'upgrade: h2c\r\nconnection: upgrade',
+      ' folded: header',
+      'x: \u0001',
+    ),
+    fc.string({ maxLength: 30 }),
+  );
+  const body = fc.oneof(
+    fc.constantFrom('', '0\r\n\r\n', 'ffffffffff\r\n', '{}', '{"model":'),
+    fc.string(),
+  );
+  return fc
+    .tuple(method, path, fc.array(header, { maxLength: 5 }), body)
+    .map(([verb, target, headers, rest]) =>
+      [`${verb} ${target} HTTP/1.1`, 'host: router', ...headers, '', rest].join('\r\n'),
+    );
+}
+
+async function exchangeBytes(address: string, bytes: Buffer): Promise<string> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    const socket = connect({ host, port: Number(port) });
+    const parts: Buffer[] = [];
+    socket.setTimeout(ANSWER_LIMIT_MS, () => {
+      socket.destroy();
+      reject(new Error('the connection was neither answered nor closed'));
+    });
+    socket.on('data', (part: Buffer) => parts.push(part));
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(Buffer.concat(parts).toString('latin1')));
+    // The end of the stream tells the router that nothing more will come.
+    socket.end(bytes);
+  });
+}
+
+function expectRefusal(read: () => unknown): void {
+  try {
+    read();
+  } catch (error) {
+    assert(error instanceof RequestError, String(error));
+    assert.equal(error.verdict, Verdict.NotRun);
+  }
+}
+
+function frameOf(body: Uint8Array): Buffer {
+  const length = Buffer.alloc(LENGTH_BYTES);
+  length.writeUInt32BE(body.length);
+  return Buffer.concat([length, body]);
+}
+
+function cutStream(bytes: Buffer, places: readonly number[]): Buffer[] {
+  const ends = [...new Set(places.map((place) => place % (bytes.length + 1)))];
+  const starts = [0, ...ends.sort((a, b) => a - b)];
+  return starts.map((start, index) => bytes.subarray(start, starts[index + 1] ?? bytes.length));
+}
--- a/packages/fleet/src/link/frame-codec.ts
+++ b/packages/fleet/src/link/frame-codec.ts
@@ -50,6 +50,11 @@
     this.limitBytes = options.limitBytes ?? FRAME_LIMIT_BYTES;
   }
 
+  /** Bytes that wait for the rest of their frame. */
+  get heldBytes(): number {
+    return this.held;
+  }
+
   /** Takes bytes in and returns the values they complete. Throws `FrameError`. */
   push(chunk: Buffer): unknown[] {
     this.chunks.push(chunk);
