Bound what slow callers and endless answers hold, and order resumptions

A resumption on a link that was replaced could arrive after that of the newer link; its list lacked what was granted since, which was then queued again as never started and could run twice. Resumptions now carry their number. A frame that cannot be passed on threw in the dispatcher and left its caller waiting until the deadline; it fails that request alone.

Measured: with the order of resumptions switched off, the new test of the dispatcher grants the request a second time; with it, it passes.

--- a/packages/fleet/src/callers/application-call.ts
+++ b/packages/fleet/src/callers/application-call.ts
@@ -11,6 +11,7 @@
 import type { Header, Job } from '../messages.ts';
 import { AnswerSink } from '../router/answer-sink.ts';
 import { REQUEST_ID_HEADER, sendRequestError } from './api-errors.ts';
+import { writeBounded } from './bounded-write.ts';
 import {
   DEADLINE_HEADER,
   IDEMPOTENCY_HEADER,
@@ -104,7 +105,7 @@
 
   override deliver(data: Buffer): void {
     if (this.response.headersSent) {
-      this.response.write(data);
+      writeBounded(this.response, data);
       return;
     }
     const head = answerHead.parse(JSON.parse(data.toString('utf8')));
--- a/packages/fleet/src/callers/chat-completions.ts
+++ b/packages/fleet/src/callers/chat-completions.ts
@@ -10,6 +10,7 @@
 import { AnswerSink } from '../router/answer-sink.ts';
 import { sendJson } from '../http-gateway.ts';
 import { describeRequestError, REQUEST_ID_HEADER, sendRequestError } from './api-errors.ts';
+import { writeBounded } from './bounded-write.ts';
 import { invalidRequest } from './request-headers.ts';
 
 const chatRequest = z.looseObject({
@@ -85,7 +86,7 @@
     const text = data.toString('utf8');
     if (!this.includeUsage && isUsageChunk(text)) return;
     this.begin();
-    this.response.write(`data: ${text}\n\n`);
+    writeBounded(this.response, `data: ${text}\n\n`);
   }
 
   override finish(): void {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -73,6 +73,8 @@
 
 /** Tells a router which of its requests the sidecar holds; sent before any claim on a new link. */
 export interface Resume {
+  /** Counts the resumptions of the sidecar's process; one that arrives after a later one is void. */
+  sequence: number;
   held: AttemptReference[];
 }
 
--- a/packages/fleet/src/router/app.ts
+++ b/packages/fleet/src/router/app.ts
@@ -48,10 +48,10 @@
 
 function connectLinks(hub: LinkHub, dispatcher: Dispatcher): void {
   hub.onLink((link) => {
-    link.handleCall(CallMethod.Resume, ({ held }) => {
+    link.handleCall(CallMethod.Resume, (resume) => {
       const peer = peerBehind(hub, link);
       return new Promise<ResumeAnswer>((answer) =>
-        dispatcher.post({ kind: DispatcherMessageKind.Resume, peer, held, answer }),
+        dispatcher.post({ kind: DispatcherMessageKind.Resume, peer, resume, answer }),
       );
     });
     link.handleCall(CallMethod.Claim, (claim) => {
--- /dev/null
+++ b/packages/fleet/src/router/dispatcher.test.ts
@@ -0,0 +1,131 @@
+import { expect } from 'chai';
+import { EndpointKind } from '@poplarpick/decisions';
+import type { FleetConfiguration } from '@poplarpick/decisions';
+import {
+  createLogger,
+  LogLevel,
+  RequestError,
+  Role,
+  SilentMetrics,
+  SystemClock,
+  Verdict,
+} from '@poplarpick/kernel';
+import type { Peer } from '../link/link-hub.ts';
+import type { ClaimAnswer, Frame, ResumeAnswer } from '../messages.ts';
+import { AnswerSink } from './answer-sink.ts';
+import { Dispatcher, DispatcherMessageKind } from './dispatcher.ts';
+
+const LINE = { pool: 'bookings', workspace: 'spa', pinned: false };
+
+class RecordingSink extends AnswerSink {
+  readonly failures: RequestError[] = [];
+  private readonly refusesFrames: boolean;
+
+  constructor(refusesFrames: boolean) {
+    super();
+    this.refusesFrames = refusesFrames;
+  }
+
+  override deliver(): void {
+    if (this.refusesFrames) throw new Error('no header of HTTP');
+  }
+
+  override finish(): void {
+    return;
+  }
+
+  override fail(error: RequestError): void {
+    this.failures.push(error);
+  }
+}
+
+/** A dispatcher with one request that must run once. */
+class Setup {
+  readonly sink: RecordingSink;
+  private readonly dispatcher: Dispatcher;
+
+  constructor(refusesFrames = false) {
+    const log = createLogger({ level: LogLevel.Silent });
+    this.sink = new RecordingSink(refusesFrames);
+    this.dispatcher = new Dispatcher({
+      clock: new SystemClock(),
+      log,
+      metrics: new SilentMetrics(),
+    });
+    const workspaces = [{ name: LINE.workspace, queue_limit: 10, weight: 1, key_hashes: [] }];
+    const configuration = {
+      workspaces,
+      endpoints: [],
+      planned_stops: [],
+      presets: [{ name: 'day', caps: [], weights: [] }],
+      preset: 'day',
+    } as unknown as FleetConfiguration;
+    this.dispatcher.post({ kind: DispatcherMessageKind.Configure, configuration });
+    const job = {
+      ...LINE,
+      kind: EndpointKind.Application,
+      method: 'POST',
+      path: '/',
+      headers: [],
+      body: new Uint8Array(),
+      repeatable: false,
+    };
+    const submission = { id: 'request', job, deadlineMs: 60_000, sink: this.sink };
+    this.dispatcher.post({ kind: DispatcherMessageKind.Submit, submission });
+  }
+
+  resume(peer: Peer, sequence: number): ResumeAnswer | undefined {
+    let given: ResumeAnswer | undefined;
+    const answer = (resumed: ResumeAnswer): void => void (given = resumed);
+    const resume = { sequence, held: [] };
+    this.dispatcher.post({ kind: DispatcherMessageKind.Resume, peer, resume, answer });
+    return given;
+  }
+
+  claim(peer: Peer): ClaimAnswer | undefined {
+    let given: ClaimAnswer | undefined;
+    const answer = (claimed: ClaimAnswer): void => void (given = claimed);
+    const claim = { lines: [LINE] };
+    this.dispatcher.post({ kind: DispatcherMessageKind.Claim, peer, claim, answer });
+    return given;
+  }
+
+  receive(peer: Peer, frame: Frame): void {
+    this.dispatcher.post({ kind: DispatcherMessageKind.Frames, peer, frames: [frame] });
+  }
+
+  stop(): void {
+    this.dispatcher.stop();
+  }
+}
+
+function peerOf(host: string): Peer {
+  const link = { notify: () => undefined, close: () => undefined };
+  const hello = { fleet: 'f', host, role: Role.Sidecar, dataCentre: 'd', incarnation: 'first' };
+  return { ...hello, endpoint: host, link, dialled: false } as unknown as Peer;
+}
+
+describe('Dispatcher', () => {
+  it('does not take a resumption that a later one has overtaken as proof that a grant never started', () => {
+    const setup = new Setup();
+    setup.resume(peerOf('one'), 1);
+    const current = peerOf('one');
+    setup.resume(current, 3);
+    expect(setup.claim(current)?.grant?.request).to.equal('request');
+    setup.resume(peerOf('one'), 2);
+    const other = peerOf('two');
+    setup.resume(other, 1);
+    expect(setup.claim(other)?.grant).to.equal(undefined);
+    setup.stop();
+  });
+
+  it('fails a request at once whose answer cannot be passed on', () => {
+    const setup = new Setup(true);
+    const peer = peerOf('one');
+    setup.resume(peer, 1);
+    setup.claim(peer);
+    setup.receive(peer, { request: 'request', attempt: 1, sequence: 0, data: Buffer.from('x') });
+    expect(setup.sink.failures.map(({ verdict }) => verdict)).to.deep.equal([Verdict.Ran]);
+    setup.stop();
+  });
+});
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -19,7 +19,7 @@
   NO_STOP_MARKS,
 } from '@poplarpick/decisions';
 import type { FleetConfiguration, LineCount, StopMarks } from '@poplarpick/decisions';
-import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
+import { describeError, ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { DEADLINE_HEADER } from '../callers/request-headers.ts';
@@ -32,10 +32,12 @@
   End,
   Frame,
   Refusal,
+  Resume,
   ResumeAnswer,
 } from '../messages.ts';
 import { QueueAdmission } from './queue-admission.ts';
 import { PinnedEndpoints } from './pinned-endpoints.ts';
+import { ResumptionOrder } from './resumption-order.ts';
 import { EndCheck, RoutedRequest } from './routed-request.ts';
 import type { Submission } from './routed-request.ts';
 
@@ -75,7 +77,7 @@
   | {
       kind: DispatcherMessageKind.Resume;
       peer: Peer;
-      held: AttemptReference[];
+      resume: Resume;
       answer: (answer: ResumeAnswer) => void;
     }
   | { kind: DispatcherMessageKind.Lose; peer: Peer }
@@ -123,6 +125,7 @@
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
   private readonly budget = new RetryBudget();
   private readonly pinned = new PinnedEndpoints();
+  private readonly resumptions = new ResumptionOrder();
   private readonly ticker: Timer;
   private stops = NO_STOP_MARKS;
   private readonly queueAdmission = new QueueAdmission();
@@ -176,7 +179,7 @@
         this.abandon(message.request);
         return;
       case DispatcherMessageKind.Resume:
-        message.answer(this.resume(message.peer, message.held));
+        message.answer(this.resume(message.peer, message.resume));
         return;
       case DispatcherMessageKind.Lose:
         this.lose(message.peer);
@@ -243,8 +246,12 @@
     this.sidecars.get(holder.host)?.link.notify(NoticeMethod.Cancel, { request: id, attempt });
   }
 
-  private resume(peer: Peer, held: readonly AttemptReference[]): ResumeAnswer {
+  private resume(peer: Peer, { sequence, held }: Resume): ResumeAnswer {
     const answer: ResumeAnswer = { resume: [], drop: [] };
+    if (!this.resumptions.accept(peer, sequence)) {
+      peer.link.close('overtaken by a later link');
+      return answer;
+    }
     const kept = new Set<string>();
     this.lost.delete(peer.host);
     this.sidecars.set(peer.host, peer);
@@ -322,7 +329,21 @@
     if (request?.accept(frame) !== true) return;
     if (request.frames === 1)
       this.metrics.timing(Metric.FirstTokenMs, this.clock.monotonic() - request.arrivedAt);
-    request.sink.deliver(asBuffer(frame.data));
+    this.deliver(request, frame);
+  }
+
+  /** Passes a frame on; one that cannot be an answer fails its request alone. */
+  private deliver(request: RoutedRequest, frame: Frame): void {
+    try {
+      request.sink.deliver(asBuffer(frame.data));
+    } catch (error) {
+      this.release(request);
+      const message = `the endpoint's answer cannot be passed on: ${describeError(error)}`;
+      this.fail(
+        request,
+        new RequestError(message, { code: ErrorCode.EndpointFailed, verdict: Verdict.Ran }),
+      );
+    }
   }
 
   private acceptEnd(peer: Peer, end: End): void {
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -6,7 +6,8 @@
 import { computeSlotBudget, EXECUTION_KEEP_MS } from '@poplarpick/decisions';
 import type { FleetConfiguration } from '@poplarpick/decisions';
 import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
-import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
+import { RequestError } from '@poplarpick/kernel';
+import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
 import type {
@@ -27,6 +28,9 @@
 /** Time after which a repeatable run is cancelled if its router stays away. */
 const ORPHAN_MS = 20_000;
 
+/** Largest answer of an endpoint. */
+const ANSWER_LIMIT_BYTES = 16 * 1024 * 1024;
+
 /** Period of the look at deadlines and answers to forget. */
 const TICK_MS = 100;
 
@@ -105,6 +109,7 @@
   private readonly executions = new Map<string, Execution>();
   private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
+  private resumptions = 0;
   private slots = 0;
   private running = 0;
   /** Marked for a planned stop, which may be withdrawn. */
@@ -225,10 +230,11 @@
       .filter((execution) => execution.router === peer.host)
       .filter((execution) => execution.routerIncarnation === peer.incarnation)
       .map((execution) => ({ request: execution.id, attempt: execution.grant.attempt }));
+    this.resumptions += 1;
     this.routers.set(peer.host, peer);
     this.claimer.join(peer);
     peer.link
-      .call(CallMethod.Resume, { held })
+      .call(CallMethod.Resume, { sequence: this.resumptions, held })
       .then((answer) => this.post({ kind: AdmissionMessageKind.Resumed, peer, answer }))
       .catch(() => peer.link.close('resume failed'));
   }
@@ -338,6 +344,9 @@
     execution.charge?.produce(cost);
     this.send(execution, execution.append(data, cost));
     for (const follower of execution.followers) this.send(follower, follower.append(data, 0));
+    if (execution.size <= ANSWER_LIMIT_BYTES) return;
+    execution.run?.cancel();
+    this.finish(execution, 0, answerTooLarge());
   }
 
   private send(execution: Execution, frame: Frame): void {
@@ -433,3 +442,10 @@
     return execution?.grant.attempt === attempt ? execution : undefined;
   }
 }
+
+function answerTooLarge(): RequestError {
+  return new RequestError(`the endpoint's answer is over ${ANSWER_LIMIT_BYTES} bytes`, {
+    code: ErrorCode.Incomplete,
+    verdict: Verdict.Ran,
+  });
+}
--- a/packages/fleet/src/sidecar/execution.ts
+++ b/packages/fleet/src/sidecar/execution.ts
@@ -39,6 +39,11 @@
     return this.grant.request;
   }
 
+  /** Bytes of the answer so far. */
+  get size(): number {
+    return this.bytes;
+  }
+
   /** Appends a part of the answer and returns it as a frame. */
   append(data: Buffer, cost: number): Frame {
     const frame = {
