--- a/packages/bench/src/integration/once-path.test.ts
+++ b/packages/bench/src/integration/once-path.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import { v7 as makeUuid } from 'uuid';
-import { callApplication, callChat, CallOutcome } from '@poplarpick/load';
+import { callApplication, callChat, CallOutcome, chatBody } from '@poplarpick/load';
 import { KEY_GUARD_MS } from '@poplarpick/decisions';
-import { Fault } from '@poplarpick/stand-ins';
+import { expectedAnswer, Fault } from '@poplarpick/stand-ins';
 import { planSmallSite } from '../faults/schedule-run.ts';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
 
@@ -88,6 +88,24 @@
     await waitUntil(() => runningStreams(fleet) === 0);
   });
 
+  for (const fault of [Fault.Reset, Fault.HalfOpen]) {
+    it(`reads a stream on when the path to the engine breaks by ${fault}`, async () => {
+      const { workspaces, model } = fleet.site.plan;
+      const engines = fleet.sidecars.filter(({ endpoint }) => endpoint.startsWith('model'));
+      const prompt = `path breaks by ${fault}`;
+      const url = fleet.routerUrls[0] ?? '';
+      const call = { url, key: workspaces[0]?.key ?? '', model, prompt, outputTokens: 60 };
+      let tokens = 0;
+      const onToken = (): void => {
+        tokens += 1;
+        if (tokens === 10) engines.forEach(({ proxy }) => (proxy.fault = fault));
+      };
+      const { outcome, text } = await callChat({ ...call, onToken });
+      expect(outcome).to.equal(CallOutcome.Whole);
+      expect(text).to.equal(expectedAnswer(chatBody(call)));
+    });
+  }
+
   it('keeps retries within a tenth of the requests when every endpoint fails', async () => {
     const { workspaces, service } = fleet.site.plan;
     const key = workspaces[2]?.key ?? '';
--- /dev/null
+++ b/packages/fleet/src/sidecar/model-engine-client.test.ts
@@ -0,0 +1,101 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { EndpointKind } from '@poplarpick/decisions';
+import { ErrorCode, Verdict } from '@poplarpick/kernel';
+import type { RequestError } from '@poplarpick/kernel';
+import type { Job } from '../messages.ts';
+import { ModelEngineClient } from './model-engine-client.ts';
+
+const JOB: Job = {
+  kind: EndpointKind.Model,
+  pool: 'assistant',
+  workspace: 'spa',
+  method: 'POST',
+  path: '/v1/chat/completions',
+  headers: [],
+  body: Buffer.from('{}'),
+  repeatable: true,
+};
+
+describe('ModelEngineClient', () => {
+  let server: Server | undefined;
+
+  afterEach(() => {
+    server?.closeAllConnections();
+    server?.close();
+  });
+
+  /** Runs a request at an engine that answers as told. */
+  async function runAt(listener: RequestListener): Promise<RequestError | undefined> {
+    server = createServer(listener);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    return run(port);
+  }
+
+  async function run(port: number): Promise<RequestError | undefined> {
+    const client = new ModelEngineClient({ baseUrl: `http://127.0.0.1:${port}` });
+    const error = await new Promise<RequestError | undefined>((resolve) => {
+      const listener = {
+        onFrame: () => undefined,
+        onEnd: () => resolve(undefined),
+        onFailure: resolve,
+      };
+      client.run('request', JOB, listener);
+    });
+    await client.close();
+    return error;
+  }
+
+  it('fails on an event that is no JSON', async () => {
+    const error = await runAt((_request, response) => response.end('data: {"choices"\n\n'));
+    expect(error).to.include({ code: ErrorCode.EndpointFailed, verdict: Verdict.MayHaveRun });
+  });
+
+  it('fails on an event that never ends, without holding it', async () => {
+    let sent = 0;
+    const error = await runAt((request, response) => {
+      if (request.method !== 'POST') {
+        response.writeHead(404).end();
+        return;
+      }
+      const part = Buffer.alloc(64 * 1024, 'x');
+      const write = (): void => {
+        sent += part.length;
+        if (!response.destroyed && sent < 1e8) response.write(part, () => setImmediate(write));
+      };
+      response.write('data: ');
+      write();
+    });
+    expect(error).to.include({ code: ErrorCode.EndpointFailed, verdict: Verdict.MayHaveRun });
+    expect(sent).to.be.below(1e8);
+  });
+
+  it('never takes a stream without its end mark for a whole answer', async () => {
+    const error = await runAt((request, response) => {
+      if (request.method === 'POST') response.end('data: {"choices":[]}\n\n');
+      else response.writeHead(404).end();
+    });
+    expect(error).to.include({ code: ErrorCode.Incomplete, verdict: Verdict.Ran });
+  });
+
+  it('tells a refusal from a failure of the engine', async () => {
+    const refused = await runAt((_request, response) => response.writeHead(400).end('no'));
+    expect(refused).to.include({ code: ErrorCode.InvalidRequest, verdict: Verdict.NotRun });
+    server?.close();
+    const failed = await runAt((_request, response) => response.writeHead(500).end('no'));
+    expect(failed).to.include({ code: ErrorCode.EndpointFailed, verdict: Verdict.MayHaveRun });
+  });
+
+  it('says not-run where no connection came about', async () => {
+    await runAt((_request, response) => response.writeHead(400).end('no'));
+    const { port } = server?.address() as AddressInfo;
+    server?.closeAllConnections();
+    await new Promise((resolve) => server?.close(resolve));
+    expect(await run(port)).to.include({ verdict: Verdict.NotRun });
+  });
+});
