--- /dev/null
+++ b/packages/bench/src/integration/once-exchange.test.ts
@@ -0,0 +1,86 @@
+import { expect } from 'chai';
+import { EndpointKind, KEY_GUARD_MS } from '@poplarpick/decisions';
+import { planSite } from '@poplarpick/stand-ins';
+import type { SitePlan } from '@poplarpick/stand-ins';
+import { v7 as makeUuid } from 'uuid';
+import { ProcessFleet } from '../process-fleet/process-fleet.ts';
+import type { SidecarNode } from '../process-fleet/process-fleet.ts';
+import { expectGolden, recordExchange } from './golden-file.ts';
+
+/** One endpoint of the service, so that every key is pinned to it. */
+function planOneEndpoint(): SitePlan {
+  const plan = planSite({ workspaces: 3 });
+  const application = plan.endpoints.find((line) => line.kind === EndpointKind.Application);
+  if (application === undefined) throw new Error('the plan lacks an application');
+  const dataCentres = plan.dataCentres.filter((name) => name === application.dataCentre);
+  return { ...plan, endpoints: [application], dataCentres };
+}
+
+describe('an exchange that must run once, word for word', () => {
+  let fleet: ProcessFleet;
+  let sidecar: SidecarNode;
+
+  before(async () => {
+    const site = { applicationWorkMs: 500 };
+    fleet = await ProcessFleet.start({ plan: planOneEndpoint(), routers: 1, site });
+    sidecar = fleet.findSidecar(fleet.site.plan.endpoints[0]?.name ?? '');
+    await waitMs(KEY_GUARD_MS);
+  });
+
+  after(async () => {
+    await fleet.stop();
+  });
+
+  async function book(name: string, key?: string): Promise<string> {
+    const { workspaces, service, oncePath } = fleet.site.plan;
+    return recordExchange({
+      method: 'POST',
+      url: `${fleet.routerUrls[0] ?? ''}/apps/${service}${oncePath}`,
+      headers: {
+        authorization: `Bearer ${workspaces[0]?.key ?? ''}`,
+        'content-type': 'application/json',
+        ...(key === undefined ? {} : { 'idempotency-key': key }),
+      },
+      body: JSON.stringify({ key: name }),
+    });
+  }
+
+  it('gives a repeated key the first answer', async () => {
+    const key = makeUuid();
+    const first = await book('saturday', key);
+    expectGolden('key-answered', first);
+    expect(await book('saturday', key)).to.equal(first);
+  });
+
+  it('refuses a key with another body', async () => {
+    const key = makeUuid();
+    await book('sunday', key);
+    expectGolden('key-conflict', await book('monday', key));
+  });
+
+  it('refuses a key that is older than the memory', async () => {
+    expectGolden('key-expired', await book('old', makeUuid({ msecs: Date.now() - 600_000 })));
+  });
+
+  it('refuses a key from the future', async () => {
+    expectGolden('key-ahead', await book('ahead', makeUuid({ msecs: Date.now() + 600_000 })));
+  });
+
+  it('says may-have-run when the sidecar is killed while the call runs', async () => {
+    const exchange = book('killed');
+    while ((fleet.site.countRuns().get('killed') ?? 0) === 0) await waitMs(5);
+    await fleet.restartSidecar(sidecar);
+    expectGolden('failed-sidecar-killed', await exchange);
+    expect(fleet.site.countRuns().get('killed')).to.equal(1);
+  });
+
+  it('refuses a key whose endpoint is away', async () => {
+    await sidecar.process.kill();
+    expectGolden('key-endpoint-away', await book('away', makeUuid()));
+    expect(fleet.site.countRuns().get('away')).to.equal(undefined);
+  });
+});
+
+async function waitMs(delayMs: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, delayMs));
+}
