--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -5,6 +5,7 @@
 import { floodCommand } from './flood/app.ts';
 import { fuzzCommand } from './fuzz/app.ts';
 import { latencyCommand } from './latency/app.ts';
+import { powerCommand } from './power/app.ts';
 import { utilisationCommand } from './utilisation/app.ts';
 
 /** One command of the bench. */
@@ -24,5 +25,6 @@
     decisionCostCommand,
     faultsCommand,
     fuzzCommand,
+    powerCommand,
   ];
 }
--- a/packages/bench/src/process-fleet/process-fleet.ts
+++ b/packages/bench/src/process-fleet/process-fleet.ts
@@ -13,6 +13,7 @@
 import { FaultProxy, HostList, planSite, Site } from '@poplarpick/stand-ins';
 import type { SiteOptions, SitePlan } from '@poplarpick/stand-ins';
 import { stringify } from 'smol-toml';
+import { FleetKeys } from './fleet-keys.ts';
 import { FleetProcess } from './fleet-process.ts';
 
 const FLEET = 'bench';
@@ -34,6 +35,8 @@
   direct?: boolean;
   /** Whether each process reaches the configuration service through a fault proxy of its own. */
   serviceProxies?: boolean;
+  /** Whether links use TLS, with certificates of an authority made for the fleet. */
+  trust?: boolean;
 }
 
 /** A router process with its addresses, which stay the same over restarts. */
@@ -73,6 +76,9 @@
   private readonly serviceProxies = new Map<string, FaultProxy>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'poplarpick-'));
 
+  /** Authority and certificates, where the fleet uses them. */
+  keys: FleetKeys | undefined;
+
   private constructor(site: Site, options: ProcessFleetOptions) {
     this.site = site;
     this.options = options;
@@ -85,6 +91,7 @@
     const site = await new Site(options.plan ?? planSite(), options.site).start();
     const fleet = new ProcessFleet(site, options);
     try {
+      if (options.trust === true) fleet.keys = await FleetKeys.make(fleet.folder);
       await fleet.startAll();
     } catch (error) {
       await fleet.stop();
@@ -122,6 +129,13 @@
     await this.noteSidecarStart(sidecar);
   }
 
+  /** Starts another sidecar beside the same endpoint, as a replacement does; the first one is left. */
+  async startSecondSidecar(sidecar: SidecarNode): Promise<void> {
+    sidecar.operators = '';
+    sidecar.process = this.spawnSidecar(sidecar);
+    await this.noteSidecarStart(sidecar);
+  }
+
   /** The fault proxy between a process and the configuration service. Throws where there is none. */
   serviceProxy(host: string): FaultProxy {
     const found = this.serviceProxies.get(host);
@@ -205,6 +219,7 @@
 
   private async startRouter(host: string, dataCentre: string): Promise<void> {
     await this.addServiceProxy(host);
+    await this.keys?.issue({ fleet: FLEET, role: Role.Router, host });
     const process = this.spawnRouter(host, dataCentre);
     const callers = (await process.waitFor('callers.listening'))['address'] ?? '';
     const operators = (await process.waitFor('operators.listening'))['address'] ?? '';
@@ -218,6 +233,7 @@
 
   private async startSidecar(endpoint: string, dataCentre: string): Promise<void> {
     await this.addServiceProxy(hostOf(endpoint));
+    await this.keys?.issue({ fleet: FLEET, role: Role.Sidecar, host: hostOf(endpoint) });
     const proxy = await new FaultProxy({
       target: this.site.endpointUrl(endpoint).replace('http://', ''),
     }).start();
@@ -277,6 +293,7 @@
       host,
       data_centre: dataCentre,
       platform: { configuration: service, hosts: hosts.url },
+      trust: this.keys?.settings(host) ?? { mode: 'none' },
       log: { level: this.options.logLevel ?? 'info' },
     };
   }
