--- a/packages/decisions/src/configuration/settings.ts
+++ b/packages/decisions/src/configuration/settings.ts
@@ -34,6 +34,11 @@
   statsd: address,
 });
 
+const faults = z.strictObject({
+  /** Probability with which a heartbeat or a message about members is lost; for tests only. */
+  message_loss: z.number().min(0).max(1),
+});
+
 /** How the processes of the system trust each other. */
 export enum TrustMode {
   /** Whoever can reach an address is trusted. For trials on one machine. */
@@ -72,6 +77,8 @@
   trust,
   log: log.default({ level: 'info' }),
   metrics: metrics.optional(),
+  /** Faults that the process makes by itself; for tests only. */
+  faults: faults.optional(),
 };
 
 const callers = z.strictObject({
