--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -8,6 +8,7 @@
 import { fairnessCommand } from './fairness/app.ts';
 import { faultsCommand } from './faults/app.ts';
 import { floodCommand } from './flood/app.ts';
+import { fuzzCommand } from './fuzz/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { membershipCommand } from './membership/app.ts';
 import { powerCommand } from './power/app.ts';
@@ -32,6 +33,7 @@
     experimentCommand,
     fairnessCommand,
     faultsCommand,
+    fuzzCommand,
     configCommand,
     drainCommand,
     floodCommand,
--- a/packages/bench/src/integration/once-path.test.ts
+++ b/packages/bench/src/integration/once-path.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai';
 import { v7 as makeUuid } from 'uuid';
-import { callApplication, callChat, CallOutcome } from '@poplarpick/load';
+import { callApplication, callChat, CallOutcome, chatBody } from '@poplarpick/load';
 import { KEY_GUARD_MS } from '@poplarpick/decisions';
+import { expectedAnswer, Fault } from '@poplarpick/stand-ins';
 import { planSmallSite } from '../faults/schedule-run.ts';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
 
@@ -86,6 +87,59 @@
     await callChat({ ...call, signal: abort.signal, onToken: () => abort.abort() });
     await waitUntil(() => runningStreams(fleet) === 0);
   });
+
+  for (const fault of [Fault.Reset, Fault.HalfOpen]) {
+    it(`reads a stream on when the path to the engine breaks by ${fault}`, async () => {
+      const { workspaces, model } = fleet.site.plan;
+      const engines = fleet.sidecars.filter(({ endpoint }) => endpoint.startsWith('model'));
+      const prompt = `path breaks by ${fault}`;
+      const url = fleet.routerUrls[0] ?? '';
+      const call = { url, key: workspaces[0]?.key ?? '', model, prompt, outputTokens: 60 };
+      let tokens = 0;
+      const onToken = (): void => {
+        tokens += 1;
+        if (tokens === 10) engines.forEach(({ proxy }) => (proxy.fault = fault));
+      };
+      const { outcome, text } = await callChat({ ...call, onToken });
+      expect(outcome).to.equal(CallOutcome.Whole);
+      expect(text).to.equal(expectedAnswer(chatBody(call)));
+    });
+  }
+
+  it('keeps retries within a tenth of the requests when every endpoint fails', async () => {
+    const { workspaces, service } = fleet.site.plan;
+    const key = workspaces[2]?.key ?? '';
+    const applications = fleet.sidecars.filter(({ endpoint }) =>
+      endpoint.startsWith('application'),
+    );
+    applications.forEach(({ proxy }) => (proxy.fault = Fault.Cut));
+    const url = fleet.routerUrls[1] ?? '';
+    const events = fleet.routers[1]?.process.events ?? [];
+    const count = (name: string) => events.filter(({ event }) => event === name).length;
+    const before = count('request.finished') + count('request.failed');
+    // A failed endpoint may still be at work, so its slot stays taken for a while and calls wait.
+    const headers = { 'x-request-timeout-ms': '2000' };
+    const calls = Array.from({ length: 60 }, (_, index) => {
+      const body = { key: `failing-${index}` };
+      return callApplication({ url, key, service, path: '/lookups', body, headers });
+    });
+    const results = await Promise.all(calls);
+    applications.forEach(({ proxy }) => (proxy.fault = Fault.None));
+    for (const { code } of results) {
+      expect(code).to.be.oneOf(['deadline_exceeded', 'endpoint_failed']);
+    }
+    expect(count('request.retried')).to.be.within(1, 0.1 * (before + calls.length));
+  });
+
+  it('refuses a key whose endpoint is away, and runs it nowhere else', async () => {
+    const applications = fleet.sidecars.filter(({ endpoint }) =>
+      endpoint.startsWith('application'),
+    );
+    await Promise.all(applications.map(({ process }) => process.kill()));
+    const away = await booking('away', makeUuid());
+    expect(away).to.include({ status: 503, code: 'no_endpoint', verdict: 'not-run' });
+    expect(fleet.site.countRuns().get('away')).to.equal(undefined);
+  });
 });
 
 function runningStreams(fleet: ProcessFleet): number {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -37,3 +37,4 @@
 export * from './burn/count-ring.ts';
 export * from './burn/service-objectives.ts';
 export * from './request/idempotency-memory.ts';
+export * from './request/retry-budget.ts';
--- a/packages/fleet/src/callers/chat-completions.ts
+++ b/packages/fleet/src/callers/chat-completions.ts
@@ -10,6 +10,7 @@
 import { AnswerSink } from '../router/answer-sink.ts';
 import { sendJson } from '../http-gateway.ts';
 import { describeRequestError, REQUEST_ID_HEADER, sendRequestError } from './api-errors.ts';
+import { writeBounded } from './bounded-write.ts';
 import { invalidRequest } from './request-headers.ts';
 
 const chatRequest = z.looseObject({
@@ -90,7 +91,7 @@
     if (!this.includeUsage && isUsageChunk(data)) return;
     this.begin();
     // The chunk passes as the bytes that it came in, without being decoded and encoded again.
-    this.response.write(Buffer.concat([EVENT_BEGIN, data, EVENT_END]));
+    writeBounded(this.response, Buffer.concat([EVENT_BEGIN, data, EVENT_END]));
   }
 
   override finish(): void {
--- a/packages/fleet/src/sidecar/model-engine-client.ts
+++ b/packages/fleet/src/sidecar/model-engine-client.ts
@@ -7,8 +7,11 @@
 
 export { PROMPT_TOKEN_COST } from './chunk-stream.ts';
 
-/** Time within which the next chunk must come. */
-const CHUNK_TIMEOUT_MS = 30_000;
+/** Time within which an engine must begin its answer. */
+const HEADERS_TIMEOUT_MS = 30_000;
+
+/** Time without a chunk after which the stream is opened again. */
+const CHUNK_TIMEOUT_MS = 5_000;
 
 /** Options of a client of an endpoint. */
 export interface ClientOptions {
@@ -19,7 +22,7 @@
 export class ModelEngineClient extends EndpointClient {
   private readonly baseUrl: string;
   private readonly agent = new Agent({
-    headersTimeout: CHUNK_TIMEOUT_MS,
+    headersTimeout: HEADERS_TIMEOUT_MS,
     bodyTimeout: CHUNK_TIMEOUT_MS,
     connections: null,
   });
--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -14,6 +14,12 @@
 /** Time within which the engine must confirm that it halted or ended a stream. */
 const CONTROL_TIMEOUT_MS = 2_000;
 
+/** Breaks in a row without a new event after which a stream is given up. */
+const IDLE_BREAK_LIMIT = 5;
+
+/** Time before a broken stream is opened again, for each break without a new event. */
+const REOPEN_DELAY_MS = 100;
+
 /** Options of a `StreamRun`. */
 export interface StreamRunOptions {
   baseUrl: string;
@@ -28,6 +34,14 @@
   z.object({ suspended: z.literal(true) }),
 ]);
 
+/** A stream that closed without its end mark. */
+class BrokenStreamError extends Error {
+  constructor() {
+    super('the stream closed without its end mark');
+    this.name = 'BrokenStreamError';
+  }
+}
+
 type StreamResponse = Dispatcher.ResponseData;
 
 /** A stream at the engine. */
@@ -37,6 +51,9 @@
   private connection = new AbortController();
   private suspended = false;
   private over = false;
+  /** Whether the engine has begun to answer, so that the stream can be opened again. */
+  private begun = false;
+  private idleBreaks = 0;
 
   constructor(options: StreamRunOptions) {
     this.options = options;
@@ -75,6 +92,11 @@
   resume(): void {
     if (!this.suspended || this.over) return;
     this.suspended = false;
+    this.reopen();
+  }
+
+  /** Reads on from the first event that has not arrived. */
+  private reopen(): void {
     this.connection = new AbortController();
     this.stream.restart();
     const { signal } = this.connection;
@@ -84,22 +106,41 @@
   }
 
   private follow(response: Promise<StreamResponse>, signal: AbortSignal): void {
+    const before = this.stream.eventCount;
     this.read(response, signal).catch((error: unknown) => {
       if (this.over || signal.aborted) return;
-      this.over = true;
-      this.options.listener.onFailure(describeEndpointFailure(error));
+      this.idleBreaks = this.stream.eventCount > before ? 0 : this.idleBreaks + 1;
+      if (this.begun && isBroken(error) && this.idleBreaks <= IDLE_BREAK_LIMIT) this.reopenLater();
+      else this.fail(error);
     });
   }
 
+  private reopenLater(): void {
+    const { signal } = this.connection;
+    setTimeout(() => {
+      if (!this.over && !this.suspended && !signal.aborted) this.reopen();
+    }, this.idleBreaks * REOPEN_DELAY_MS);
+  }
+
+  private fail(error: unknown): void {
+    this.over = true;
+    // The engine lets a stream that lost its reader run on.
+    void this.control('DELETE', '');
+    if (this.begun && isBroken(error)) this.stream.close();
+    else this.options.listener.onFailure(describeEndpointFailure(error));
+  }
+
   private async read(pending: Promise<StreamResponse>, signal: AbortSignal): Promise<void> {
     const response = await pending;
     if (response.statusCode !== 200)
       throw await refusedByEngine(response.statusCode, response.body);
+    this.begun = true;
     for await (const bytes of response.body as AsyncIterable<Buffer>) {
       if (signal.aborted) return;
       this.stream.push(bytes);
     }
     if (signal.aborted) return;
+    if (!this.stream.hasEnded) throw new BrokenStreamError();
     this.over = true;
     this.stream.close();
   }
@@ -123,11 +164,17 @@
   }
 }
 
+/** Whether a stream broke on its way, so that it can be read on, rather than ended with garbage. */
+function isBroken(error: unknown): boolean {
+  if (error instanceof RequestError) return false;
+  return error instanceof BrokenStreamError || (error instanceof Error && 'code' in error);
+}
+
 /** An engine that has restarted knows a suspended stream no more. */
 async function requireStream(response: StreamResponse): Promise<StreamResponse> {
   if (response.statusCode === 200) return response;
   await response.body.dump();
-  const message = `the engine lost a suspended stream: status ${response.statusCode}`;
+  const message = `the engine lost the stream: status ${response.statusCode}`;
   throw new RequestError(message, { code: ErrorCode.Incomplete, verdict: Verdict.Ran });
 }
 
