Let no suspension overtake a resumption

A suspension sent while a resumption is still on its way is answered first, and the engine then runs a stream that the sidecar holds to be suspended. A suspension now waits for the answer to the resumption. The test fails without it.

--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -36,6 +36,8 @@
   private readonly stream: ChunkStream;
   private connection = new AbortController();
   private suspended = false;
+  /** Settles once the engine has answered the latest start or resumption. */
+  private opening: Promise<unknown> = Promise.resolve();
   private over = false;
 
   constructor(options: StreamRunOptions) {
@@ -66,6 +68,8 @@
   }
 
   async suspend(): Promise<boolean> {
+    // A resumption still on its way would overtake the suspension and set the stream going unseen.
+    await this.opening;
     if (this.over) return false;
     this.suspended = await this.control('POST', '/suspend');
     if (this.suspended) this.connection.abort();
@@ -84,6 +88,7 @@
   }
 
   private follow(response: Promise<StreamResponse>, signal: AbortSignal): void {
+    this.opening = response.catch(() => undefined);
     this.read(response, signal).catch((error: unknown) => {
       if (this.over || signal.aborted) return;
       this.over = true;
