--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -16,7 +16,15 @@
   NO_STOP_MARKS,
 } from '@poplarpick/decisions';
 import type { FleetConfiguration, LineCount, StopMarks } from '@poplarpick/decisions';
-import { ErrorCode, Metric, RequestError, Task, Verdict } from '@poplarpick/kernel';
+import {
+  ErrorCode,
+  Metric,
+  RequestError,
+  Task,
+  Verdict,
+  RepairKind,
+  tellRepair,
+} from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { DEADLINE_HEADER } from '../callers/request-headers.ts';
@@ -279,6 +287,7 @@
       request: request.id,
       sidecar: peer.host,
       attempt: request.attempt,
+      waited_ms: Math.round(now - request.arrivedAt),
     });
     const deadlineMs = Math.max(0, request.deadlineAt - now);
     const { id, attempt, job, line } = request;
@@ -374,6 +383,10 @@
       attempt: request.attempt,
       loss,
     });
+    tellRepair(
+      { log: this.log, metrics: this.metrics },
+      { kind: RepairKind.RequestRequeued, cause: loss, subject: request.id },
+    );
     this.queues.putBack(request);
     this.backlog.noteChange(request.line);
   }
