--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -50,6 +50,8 @@
   private readonly stream: ChunkStream;
   private connection = new AbortController();
   private suspended = false;
+  /** Settles once the engine has answered the latest start or resumption. */
+  private opening: Promise<unknown> = Promise.resolve();
   private over = false;
   /** Whether the engine has begun to answer, so that the stream can be opened again. */
   private begun = false;
@@ -83,6 +85,8 @@
   }
 
   async suspend(): Promise<boolean> {
+    // A resumption still on its way would overtake the suspension and set the stream going unseen.
+    await this.opening;
     if (this.over) return false;
     this.suspended = await this.control('POST', '/suspend');
     if (this.suspended) this.connection.abort();
@@ -107,6 +111,7 @@
 
   private follow(response: Promise<StreamResponse>, signal: AbortSignal): void {
     const before = this.stream.eventCount;
+    this.opening = response.catch(() => undefined);
     this.read(response, signal).catch((error: unknown) => {
       if (this.over || signal.aborted) return;
       this.idleBreaks = this.stream.eventCount > before ? 0 : this.idleBreaks + 1;
