--- a/packages/cli/src/fleet-view/fleet-view.test.ts
+++ b/packages/cli/src/fleet-view/fleet-view.test.ts
@@ -5,7 +5,7 @@
 function walkOf(costs: Record<string, number>, controlBytes: number): FleetWalk {
   const identity = { dataCentre: 'd', pid: 1, rssBytes: 1 };
   const configuration = { revision: 3, preset: 'peak', refused: null };
-  const totals = Object.entries(costs).map(([workspace, cost]) => ({ workspace, cost }));
+  const workspaces = Object.entries(costs).map(([workspace, service]) => ({ workspace, service }));
   const backlog = ['a', 'b'].map((workspace) => ({ line: { workspace }, count: 2 }));
   return {
     unreachable: [],
@@ -17,7 +17,7 @@
           configuration,
           links: { controlBytes, receivedControlBytes: 0 },
           requests: { open: 5, backlog },
-          service: [{ kind: 'model', totals }],
+          service: [{ kind: 'model', workspaces }],
         },
       },
       {
--- a/packages/cli/src/fleet-view/fleet-view.ts
+++ b/packages/cli/src/fleet-view/fleet-view.ts
@@ -69,7 +69,8 @@
 
 interface ServiceSection {
   kind?: string;
-  totals?: { workspace: string; cost: number }[];
+  /** Fleet-wide cost over weight. */
+  workspaces?: { workspace: string; service: number }[];
 }
 
 /** Options of `buildFleetView`. */
@@ -145,16 +146,16 @@
 
 function buildWorkspaces({ walk, configuration, previous }: FleetViewOptions): WorkspaceView[] {
   const waiting = new Map<string, number>();
-  const costs = new Map<string, number>();
+  const services = new Map<string, number>();
   for (const { status } of walk.statuses) {
     addWaiting(status, waiting);
-    addCosts(status, costs);
+    addServices(status, services);
   }
-  const names = new Set([...waiting.keys(), ...costs.keys()]);
+  const names = new Set([...waiting.keys(), ...services.keys()]);
   const before = new Map(previous?.workspaces.map((view) => [view.workspace, view.service]));
   const views = [...names].map((workspace) => {
     const weight = configuration === undefined ? 1 : findWeight(configuration, workspace);
-    const service = (costs.get(workspace) ?? 0) / weight;
+    const service = services.get(workspace) ?? 0;
     return { workspace, weight, waiting: waiting.get(workspace) ?? 0, service, share: null };
   });
   const grown = (view: WorkspaceView): number =>
@@ -173,13 +174,13 @@
   }
 }
 
-/** Shards know the same totals more or less late, so the highest holds. */
-function addCosts(status: ProcessStatus, costs: Map<string, number>): void {
+/** Shards know the same accounts more or less late, so the highest holds. */
+function addServices(status: ProcessStatus, services: Map<string, number>): void {
   const sections = status['service'];
   if (!Array.isArray(sections)) return;
   const model = (sections as ServiceSection[]).find(({ kind }) => kind === EndpointKind.Model);
-  for (const { workspace, cost } of model?.totals ?? [])
-    costs.set(workspace, Math.max(costs.get(workspace) ?? 0, cost));
+  for (const { workspace, service } of model?.workspaces ?? [])
+    services.set(workspace, Math.max(services.get(workspace) ?? 0, service));
 }
 
 /** The widest difference of what backlogged workspaces received between two looks. */
