Wait until the state is settled before it is disturbed

The test now waits for the settled state that it means to disturb; what it demands is unchanged. Also, an answer over the limit is ended at the engine through the power gate, which counts it until the engine has confirmed.

--- a/packages/bench/src/integration/orders.test.ts
+++ b/packages/bench/src/integration/orders.test.ts
@@ -70,7 +70,9 @@
   });
 
   it('corrects an engine that ignores fencing numbers and took an old order', async () => {
-    const { process } = fleet.findSidecar(LAX);
+    const { process, operators } = fleet.findSidecar(LAX);
+    // Only a change of a state that the sidecar has seen settled is a correction.
+    await until(async () => (await readOrders(fleet, operators)).settled === true);
     expect(await post(LAX, { fencing: '0', action: 'set-role', value: 'prefill' })).to.equal(200);
     await process.waitFor('repair.order_corrected');
     await until(() => engine(LAX).state.role === 'decode');
@@ -107,10 +109,15 @@
   }
 });
 
+async function readOrders(fleet: ProcessFleet, operators: string): Promise<{ settled?: boolean }> {
+  const { orders } = await fleet.status(operators);
+  return orders as { settled?: boolean };
+}
+
 async function pause(delayMs: number): Promise<void> {
   return new Promise((resolve) => void setTimeout(resolve, delayMs));
 }
 
-async function until(holds: () => boolean): Promise<void> {
-  while (!holds()) await pause(10);
+async function until(holds: () => boolean | Promise<boolean>): Promise<void> {
+  while (!(await holds())) await pause(10);
 }
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -343,7 +343,7 @@
     this.send(execution, execution.append(data, cost));
     for (const follower of execution.followers) this.send(follower, follower.append(data, 0));
     if (execution.size <= ANSWER_LIMIT_BYTES) return;
-    void execution.run?.cancel();
+    this.abandon(execution);
     this.finish(execution, 0, answerTooLarge());
   }
 
