--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -28,7 +28,7 @@
 } from '../parts.ts';
 import type { RequestRecorder } from '../burn/request-recorder.ts';
 import type { AnswerSink } from '../router/answer-sink.ts';
-import { DispatcherMessageKind } from '../router/dispatcher.ts';
+import { DispatcherMessageKind } from '../router/dispatcher-messages.ts';
 import type { Dispatcher } from '../router/dispatcher.ts';
 import { sendRequestError } from './api-errors.ts';
 import {
--- a/packages/fleet/src/router/app.ts
+++ b/packages/fleet/src/router/app.ts
@@ -12,7 +12,8 @@
   plannedStopsKey,
   statusBoardKey,
 } from '../parts.ts';
-import { Dispatcher, DispatcherMessageKind } from './dispatcher.ts';
+import { Dispatcher } from './dispatcher.ts';
+import { DispatcherMessageKind } from './dispatcher-messages.ts';
 
 class RouterPlugin extends Plugin {
   override readonly name = 'router';
--- /dev/null
+++ b/packages/fleet/src/router/dispatcher-messages.ts
@@ -0,0 +1,49 @@
+/** Messages to the dispatcher of a router. */
+import type { FleetConfiguration, StopMarks } from '@poplarpick/decisions';
+import type { Peer } from '../link/link-hub.ts';
+import type { Claim, ClaimAnswer, End, Frame, Refusal, Resume, ResumeAnswer } from '../messages.ts';
+import type { RoutedRequest, Submission } from './routed-request.ts';
+
+/** Kinds of messages to the dispatcher. */
+export enum DispatcherMessageKind {
+  Configure,
+  PlannedStops,
+  Submit,
+  Abandon,
+  Resume,
+  Lose,
+  Claim,
+  Frames,
+  End,
+  Refuse,
+  Tick,
+  /** The time before another attempt has passed. */
+  Retry,
+  AnnounceBacklog,
+}
+
+/** Messages to the dispatcher. */
+export type DispatcherMessage =
+  | { kind: DispatcherMessageKind.Configure; configuration: FleetConfiguration }
+  | { kind: DispatcherMessageKind.PlannedStops; marks: StopMarks }
+  | { kind: DispatcherMessageKind.Submit; submission: Submission }
+  | { kind: DispatcherMessageKind.Abandon; request: string }
+  | {
+      kind: DispatcherMessageKind.Resume;
+      peer: Peer;
+      resume: Resume;
+      answer: (answer: ResumeAnswer) => void;
+    }
+  | { kind: DispatcherMessageKind.Lose; peer: Peer }
+  | {
+      kind: DispatcherMessageKind.Claim;
+      peer: Peer;
+      claim: Claim;
+      answer: (answer: ClaimAnswer) => void;
+    }
+  | { kind: DispatcherMessageKind.Frames; peer: Peer; frames: Frame[] }
+  | { kind: DispatcherMessageKind.End; peer: Peer; end: End }
+  | { kind: DispatcherMessageKind.Refuse; peer: Peer; refusal: Refusal }
+  | { kind: DispatcherMessageKind.Tick }
+  | { kind: DispatcherMessageKind.Retry; request: RoutedRequest }
+  | { kind: DispatcherMessageKind.AnnounceBacklog };
--- a/packages/fleet/src/router/dispatcher.test.ts
+++ b/packages/fleet/src/router/dispatcher.test.ts
@@ -13,7 +13,8 @@
 import type { Peer } from '../link/link-hub.ts';
 import type { ClaimAnswer, Frame, ResumeAnswer } from '../messages.ts';
 import { AnswerSink } from './answer-sink.ts';
-import { Dispatcher, DispatcherMessageKind } from './dispatcher.ts';
+import { Dispatcher } from './dispatcher.ts';
+import { DispatcherMessageKind } from './dispatcher-messages.ts';
 
 const LINE = { pool: 'bookings', workspace: 'spa', pinned: false };
 
--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -14,24 +14,13 @@
   RequestQueues,
   RetryBudget,
   settleAttempt,
-  verdictOfUnfinished,
   findStop,
   NO_STOP_MARKS,
 } from '@poplarpick/decisions';
-import type { FleetConfiguration, LineCount, StopMarks } from '@poplarpick/decisions';
-import {
-  describeError,
-  ErrorCode,
-  Metric,
-  RequestError,
-  Task,
-  Verdict,
-  RepairKind,
-  tellRepair,
-} from '@poplarpick/kernel';
+import type { LineCount } from '@poplarpick/decisions';
+import { ErrorCode, RequestError, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
-import { DEADLINE_HEADER } from '../callers/request-headers.ts';
 import { BacklogAnnouncer } from './backlog-announcer.ts';
 import { NoticeMethod } from '../messages.ts';
 import type {
@@ -45,64 +34,24 @@
   ResumeAnswer,
 } from '../messages.ts';
 import { QueueAdmission } from './queue-admission.ts';
+import { DispatcherMessageKind } from './dispatcher-messages.ts';
+import type { DispatcherMessage } from './dispatcher-messages.ts';
 import { PinnedEndpoints } from './pinned-endpoints.ts';
-import { ResumptionOrder } from './resumption-order.ts';
+import {
+  answerDamaged,
+  answerUnreadable,
+  connectionLost,
+  deadlinePassed,
+  pinnedEndpointAway,
+} from './request-failures.ts';
+import { RequestJournal } from './request-journal.ts';
 import { EndCheck, RoutedRequest } from './routed-request.ts';
 import type { Submission } from './routed-request.ts';
-
-/** Time for which a lost sidecar may come back before its requests are settled without it. */
-export const SIDECAR_GRACE_MS = 8_000;
-
-/** Time after which a caller may ask again whose key is pinned to an endpoint that is away. */
-const AWAY_RETRY_SECONDS = 2;
+import { SidecarRoster } from './sidecar-roster.ts';
 
 /** Period of the look at deadlines and lost sidecars. */
 const TICK_MS = 50;
 
-/** Kinds of messages to the dispatcher. */
-export enum DispatcherMessageKind {
-  Configure,
-  PlannedStops,
-  Submit,
-  Abandon,
-  Resume,
-  Lose,
-  Claim,
-  Frames,
-  End,
-  Refuse,
-  Tick,
-  /** The time before another attempt has passed. */
-  Retry,
-  AnnounceBacklog,
-}
-
-/** Messages to the dispatcher. */
-export type DispatcherMessage =
-  | { kind: DispatcherMessageKind.Configure; configuration: FleetConfiguration }
-  | { kind: DispatcherMessageKind.PlannedStops; marks: StopMarks }
-  | { kind: DispatcherMessageKind.Submit; submission: Submission }
-  | { kind: DispatcherMessageKind.Abandon; request: string }
-  | {
-      kind: DispatcherMessageKind.Resume;
-      peer: Peer;
-      resume: Resume;
-      answer: (answer: ResumeAnswer) => void;
-    }
-  | { kind: DispatcherMessageKind.Lose; peer: Peer }
-  | {
-      kind: DispatcherMessageKind.Claim;
-      peer: Peer;
-      claim: Claim;
-      answer: (answer: ClaimAnswer) => void;
-    }
-  | { kind: DispatcherMessageKind.Frames; peer: Peer; frames: Frame[] }
-  | { kind: DispatcherMessageKind.End; peer: Peer; end: End }
-  | { kind: DispatcherMessageKind.Refuse; peer: Peer; refusal: Refusal }
-  | { kind: DispatcherMessageKind.Tick }
-  | { kind: DispatcherMessageKind.Retry; request: RoutedRequest }
-  | { kind: DispatcherMessageKind.AnnounceBacklog };
-
 /** Options of a `Dispatcher`. */
 export interface DispatcherOptions {
   clock: Clock;
@@ -117,24 +66,17 @@
   failed: number;
 }
 
-interface LostSidecar {
-  incarnation: string;
-  lostAt: number;
-}
-
 /** Holds the queues of a router. */
 export class Dispatcher extends Task<DispatcherMessage> {
   private readonly clock: Clock;
-  private readonly metrics: Metrics;
+  private readonly journal: RequestJournal;
   private readonly queues = new RequestQueues<RoutedRequest>();
   private readonly requests = new Map<string, RoutedRequest>();
-  private readonly sidecars = new Map<string, Peer>();
-  private readonly lost = new Map<string, LostSidecar>();
+  private readonly sidecars = new SidecarRoster();
   private readonly backlog: BacklogAnnouncer;
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
   private readonly budget = new RetryBudget();
   private readonly pinned = new PinnedEndpoints();
-  private readonly resumptions = new ResumptionOrder();
   private readonly ticker: Timer;
   private stops = NO_STOP_MARKS;
   private readonly queueAdmission = new QueueAdmission();
@@ -143,7 +85,7 @@
   constructor(options: DispatcherOptions) {
     super('dispatcher', options.log);
     this.clock = options.clock;
-    this.metrics = options.metrics;
+    this.journal = new RequestJournal(options);
     this.backlog = new BacklogAnnouncer({
       clock: this.clock,
       countLine: (line) => this.queues.countLine(line),
@@ -241,7 +183,7 @@
     this.release(request);
     this.counts.failed += 1;
     this.end(request);
-    this.log.info({ event: 'request.abandoned', request: id });
+    this.journal.noteAbandon(request);
   }
 
   /** Takes a request from its queue, or tells the sidecar that runs it to stop. */
@@ -252,18 +194,16 @@
     }
     const { id, attempt, holder } = request;
     if (holder === undefined) return;
-    this.sidecars.get(holder.host)?.link.notify(NoticeMethod.Cancel, { request: id, attempt });
+    this.sidecars.cancel(holder.host, { request: id, attempt });
   }
 
   private resume(peer: Peer, { sequence, held }: Resume): ResumeAnswer {
     const answer: ResumeAnswer = { resume: [], drop: [] };
-    if (!this.resumptions.accept(peer, sequence)) {
+    if (!this.sidecars.join(peer, sequence)) {
       peer.link.close('overtaken by a later link');
       return answer;
     }
     const kept = new Set<string>();
-    this.lost.delete(peer.host);
-    this.sidecars.set(peer.host, peer);
     for (const reference of held) {
       const request = this.findAttempt(peer, reference);
       if (request === undefined) {
@@ -290,14 +230,11 @@
   }
 
   private lose(peer: Peer): void {
-    if (this.sidecars.get(peer.host) !== peer) return;
-    this.sidecars.delete(peer.host);
-    this.backlog.lose(peer);
-    this.lost.set(peer.host, { incarnation: peer.incarnation, lostAt: this.clock.monotonic() });
+    if (this.sidecars.lose(peer, this.clock.monotonic())) this.backlog.lose(peer);
   }
 
   private claim(peer: Peer, claim: Claim): ClaimAnswer {
-    if (this.sidecars.get(peer.host) !== peer) return {};
+    if (!this.sidecars.isCurrent(peer)) return {};
     // The sidecar refuses by itself, but may not have heard of its mark yet.
     if (findStop(this.stops, peer) !== undefined) return {};
     const request = this.takeFirst(peer, claim);
@@ -305,14 +242,7 @@
     this.backlog.noteChange(request.line);
     const now = this.clock.monotonic();
     request.grantTo({ host: peer.host, incarnation: peer.incarnation }, now);
-    this.metrics.timing(Metric.QueueMs, now - request.arrivedAt);
-    this.log.debug({
-      event: 'request.granted',
-      request: request.id,
-      sidecar: peer.host,
-      attempt: request.attempt,
-      waited_ms: Math.round(now - request.arrivedAt),
-    });
+    this.journal.noteGrant(request, peer.host, now);
     const deadlineMs = Math.max(0, request.deadlineAt - now);
     const { id, attempt, job, line } = request;
     const left = this.queues.countLine(line);
@@ -338,8 +268,7 @@
   private acceptFrame(peer: Peer, frame: Frame): void {
     const request = this.findAttempt(peer, frame);
     if (request?.accept(frame) !== true) return;
-    if (request.frames === 1)
-      this.metrics.timing(Metric.FirstTokenMs, this.clock.monotonic() - request.arrivedAt);
+    if (request.frames === 1) this.journal.noteFirstToken(request, this.clock.monotonic());
     this.deliver(request, frame);
   }
 
@@ -349,11 +278,7 @@
       request.sink.deliver(asBuffer(frame.data));
     } catch (error) {
       this.release(request);
-      const message = `the endpoint's answer cannot be passed on: ${describeError(error)}`;
-      this.fail(
-        request,
-        new RequestError(message, { code: ErrorCode.EndpointFailed, verdict: Verdict.Ran }),
-      );
+      this.fail(request, answerUnreadable(error));
     }
   }
 
@@ -370,27 +295,15 @@
       return;
     }
     if (request.check(end) === EndCheck.Damaged) {
-      this.fail(
-        request,
-        new RequestError('the answer is incomplete', {
-          code: ErrorCode.Incomplete,
-          verdict: Verdict.Ran,
-        }),
-      );
+      this.fail(request, answerDamaged());
       return;
     }
+    this.finish(request, peer, end);
+  }
+
+  private finish(request: RoutedRequest, peer: Peer, end: End): void {
     this.counts.finished += 1;
-    this.metrics.increment(Metric.Requests, 1, { workspace: request.line.workspace });
-    this.log.info({
-      event: 'request.finished',
-      request: request.id,
-      workspace: request.line.workspace,
-      pool: request.line.pool,
-      sidecar: peer.host,
-      attempt: request.attempt,
-      ms: Math.round(this.clock.monotonic() - request.arrivedAt),
-      cost: end.cost,
-    });
+    this.journal.noteFinish(request, peer.host, end, this.clock.monotonic());
     request.sink.finish(end);
     this.end(request);
   }
@@ -415,12 +328,7 @@
     const delayMs = pickRetryDelay(request.attempt, Math.random());
     if (this.clock.monotonic() + delayMs >= request.deadlineAt || !this.budget.take()) return false;
     request.life = settleAttempt(request.life, loss).life;
-    this.log.info({
-      event: 'request.retried',
-      request: request.id,
-      attempt: request.attempt,
-      loss,
-    });
+    this.journal.noteRetry(request, loss);
     this.clock.after(delayMs, () => this.post({ kind: DispatcherMessageKind.Retry, request }));
     return true;
   }
@@ -437,86 +345,44 @@
     const settled = settleAttempt(request.life, loss, !isRepeat || this.budget.take());
     request.life = settled.life;
     if (settled.decision.action === LossAction.Fail) {
-      const { code, verdict } = settled.decision;
-      this.fail(
-        request,
-        new RequestError('the connection to the endpoint was lost', { code, verdict }),
-      );
+      this.fail(request, connectionLost(settled.decision));
       return;
     }
-    this.log.info({
-      event: 'request.requeued',
-      request: request.id,
-      attempt: request.attempt,
-      loss,
-    });
-    tellRepair(
-      { log: this.log, metrics: this.metrics },
-      { kind: RepairKind.RequestRequeued, cause: loss, subject: request.id },
-    );
+    this.journal.noteRequeue(request, loss);
     this.queues.putBack(request);
     this.backlog.noteChange(request.line);
   }
 
   /** Refuses requests that wait for an endpoint that has been away too long: they run nowhere else. */
   private refusePinned(now: number): void {
-    const linked = new Set([...this.sidecars.values()].flatMap((peer) => peer.endpoint ?? []));
+    const linked = this.sidecars.linkedEndpoints();
     this.pinned.note(linked);
     for (const request of this.requests.values()) {
       const { pin } = request.line;
       if (pin === undefined || linked.has(pin) || !this.pinned.isAway(pin, now)) continue;
-      if (request.life.phase === RequestPhase.Queued) this.refuseAway(request, pin);
+      if (request.life.phase !== RequestPhase.Queued) continue;
+      this.release(request);
+      this.fail(request, pinnedEndpointAway(request.life, pin));
     }
   }
 
-  private refuseAway(request: RoutedRequest, pin: string): void {
-    this.release(request);
-    this.fail(
-      request,
-      new RequestError(`endpoint ${pin}, to which the key is pinned, is away`, {
-        code: ErrorCode.NoEndpoint,
-        verdict: verdictOfUnfinished(request.life),
-        retryAfterSeconds: AWAY_RETRY_SECONDS,
-      }),
-    );
-  }
-
   private tick(): void {
     const now = this.clock.monotonic();
     for (const request of this.requests.values()) {
-      if (now >= request.deadlineAt) this.expire(request);
+      if (now < request.deadlineAt) continue;
+      const failure = deadlinePassed(request.life);
+      this.release(request);
+      this.fail(request, failure);
     }
     this.refusePinned(now);
-    for (const [host, { lostAt }] of this.lost) {
-      if (now - lostAt < SIDECAR_GRACE_MS) continue;
-      this.lost.delete(host);
+    for (const host of this.sidecars.takeGone(now)) {
       for (const request of this.heldBy(host)) this.settleLoss(request, AttemptLoss.SidecarGone);
     }
   }
 
-  private expire(request: RoutedRequest): void {
-    const verdict = verdictOfUnfinished(request.life);
-    this.release(request);
-    this.fail(
-      request,
-      new RequestError('the deadline has passed', {
-        code: ErrorCode.DeadlineExceeded,
-        verdict,
-        limit: DEADLINE_HEADER,
-      }),
-    );
-  }
-
   private fail(request: RoutedRequest, error: RequestError): void {
     this.counts.failed += 1;
-    this.metrics.increment(Metric.RequestsFailed, 1, { code: error.code, verdict: error.verdict });
-    this.log.info({
-      event: 'request.failed',
-      request: request.id,
-      workspace: request.line.workspace,
-      code: error.code,
-      verdict: error.verdict,
-    });
+    this.journal.noteFailure(request, error);
     request.sink.fail(error);
     this.end(request);
   }
--- /dev/null
+++ b/packages/fleet/src/router/request-failures.ts
@@ -0,0 +1,46 @@
+/** The failures that a router itself finds, as its callers are told of them. */
+import { verdictOfUnfinished } from '@poplarpick/decisions';
+import type { LossDecision, RequestLife } from '@poplarpick/decisions';
+import { describeError, ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import { DEADLINE_HEADER } from '../callers/request-headers.ts';
+
+/** Time after which a caller may ask again whose key is pinned to an endpoint that is away. */
+const AWAY_RETRY_SECONDS = 2;
+
+/** The caller's deadline has passed. */
+export function deadlinePassed(life: RequestLife): RequestError {
+  return new RequestError('the deadline has passed', {
+    code: ErrorCode.DeadlineExceeded,
+    verdict: verdictOfUnfinished(life),
+    limit: DEADLINE_HEADER,
+  });
+}
+
+/** The only endpoint that may run the request has been away too long. */
+export function pinnedEndpointAway(life: RequestLife, endpoint: string): RequestError {
+  return new RequestError(`endpoint ${endpoint}, to which the key is pinned, is away`, {
+    code: ErrorCode.NoEndpoint,
+    verdict: verdictOfUnfinished(life),
+    retryAfterSeconds: AWAY_RETRY_SECONDS,
+  });
+}
+
+/** The attempt was lost and there is to be no other. */
+export function connectionLost({ code, verdict }: LossDecision): RequestError {
+  return new RequestError('the connection to the endpoint was lost', { code, verdict });
+}
+
+/** The frames that arrived are not those that the sidecar sent. */
+export function answerDamaged(): RequestError {
+  const options = { code: ErrorCode.Incomplete, verdict: Verdict.Ran };
+  return new RequestError('the answer is incomplete', options);
+}
+
+/** A frame is no part of an answer of this kind. */
+export function answerUnreadable(error: unknown): RequestError {
+  const options = { code: ErrorCode.EndpointFailed, verdict: Verdict.Ran };
+  return new RequestError(
+    `the endpoint's answer cannot be passed on: ${describeError(error)}`,
+    options,
+  );
+}
--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -5,12 +5,11 @@
  */
 import { EXECUTION_KEEP_MS } from '@poplarpick/decisions';
 import type { FleetConfiguration } from '@poplarpick/decisions';
-import { ErrorCode, Metric, Task, Verdict } from '@poplarpick/kernel';
-import { RequestError } from '@poplarpick/kernel';
-import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
+import { Metric, Task, Verdict } from '@poplarpick/kernel';
+import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NoticeMethod } from '../messages.ts';
-import type { AttemptReference, Frame, Grant, Refusal, ResumeAnswer } from '../messages.ts';
+import type { AttemptReference, Grant, ResumeAnswer } from '../messages.ts';
 import { AdmissionMessageKind } from './admission-messages.ts';
 import type { AdmissionMessage, AdmissionStatus } from './admission-messages.ts';
 import { Claimer, describeClaim } from './claimer.ts';
@@ -19,6 +18,9 @@
 import { Execution } from './execution.ts';
 import { KeyedRequests } from './keyed-requests.ts';
 import { PowerGate } from './power-gate.ts';
+import { answerTooLarge, findObstacle } from './refusals.ts';
+import type { RefusalReason } from './refusals.ts';
+import { RouterLinks } from './router-links.ts';
 import type { ServiceMeter } from './service-meter.ts';
 import { SuspendedRuns } from './suspended-runs.ts';
 
@@ -51,11 +53,8 @@
   private readonly keyed: KeyedRequests;
   private readonly gate: PowerGate;
   private readonly suspended: SuspendedRuns;
-  private readonly routers = new Map<string, Peer>();
-  /** Routers that have answered the resumption on their link; before, nothing is sent to them. */
-  private readonly resumed = new Set<Peer>();
+  private readonly routers: RouterLinks;
   private readonly executions = new Map<string, Execution>();
-  private readonly outbox = new Map<string, Frame[]>();
   private readonly ticker: Timer;
   private resumptions = 0;
   private running = 0;
@@ -70,6 +69,7 @@
     super('admission', options.log);
     this.options = options;
     this.keyed = new KeyedRequests(options);
+    this.routers = new RouterLinks({ onWaiting: () => this.flushSoon() });
     this.gate = new PowerGate(options);
     this.suspended = new SuspendedRuns({
       onAnswer: (execution, halted) =>
@@ -200,7 +200,7 @@
       .filter((execution) => execution.routerIncarnation === peer.incarnation)
       .map((execution) => ({ request: execution.id, attempt: execution.grant.attempt }));
     this.resumptions += 1;
-    this.routers.set(peer.host, peer);
+    this.routers.join(peer);
     this.claimer.join(peer);
     peer.link
       .call(CallMethod.Resume, { sequence: this.resumptions, held })
@@ -218,23 +218,14 @@
   }
 
   private resume(peer: Peer, answer: ResumeAnswer): void {
-    if (this.routers.get(peer.host) !== peer) return;
-    this.resumed.add(peer);
+    if (!this.routers.isCurrent(peer)) return;
     for (const reference of answer.drop) this.cancel(reference);
-    for (const { request, attempt, from } of answer.resume) {
-      const execution = this.find({ request, attempt });
-      if (execution === undefined) continue;
-      peer.link.notify(NoticeMethod.Frames, { frames: execution.framesFrom(from) });
-      if (execution.end !== undefined) peer.link.notify(NoticeMethod.End, execution.end);
-    }
+    this.routers.resume(peer, answer, (reference) => this.find(reference));
   }
 
   private lose(peer: Peer): void {
-    this.resumed.delete(peer);
     this.claimer.lose(peer);
-    if (this.routers.get(peer.host) !== peer) return;
-    this.routers.delete(peer.host);
-    this.outbox.delete(peer.host);
+    this.routers.lose(peer);
   }
 
   /** Keeps the power budget, goes on with suspended runs, then claims requests for all free slots. */
@@ -288,34 +279,22 @@
     else this.follow(first, execution);
   }
 
-  /** Why a request cannot be started, if so. */
-  private findObstacle(grant: Grant): Omit<Refusal, keyof AttemptReference> | undefined {
-    const verdict = Verdict.NotRun;
-    if (this.isDraining) {
-      const message = 'the endpoint is draining';
-      return { code: ErrorCode.Draining, message, elsewhere: true, verdict };
-    }
-    if (this.running >= this.gate.slots()) {
-      const message = 'the power budget has shrunk';
-      return { code: ErrorCode.NoEndpoint, message, elsewhere: true, verdict };
-    }
-    if (grant.deadlineMs > 0) return undefined;
-    const message = 'the deadline has passed';
-    return { code: ErrorCode.DeadlineExceeded, message, elsewhere: false, verdict };
+  private findObstacle({ deadlineMs }: Grant): RefusalReason | undefined {
+    const hasFreeSlot = this.running < this.gate.slots();
+    return findObstacle({ draining: this.isDraining, hasFreeSlot, deadlineMs });
   }
 
   /** Gives a request the answer of the first one under its key. */
   private follow(first: Execution, execution: Execution): void {
     this.executions.set(execution.id, execution);
     this.options.log.info({ event: 'request.repeated', request: execution.id, first: first.id });
-    for (const frame of first.lead(execution)) this.send(execution, frame);
+    for (const frame of first.lead(execution)) this.routers.send(execution, frame);
     if (first.end !== undefined) this.finishFollower(first, execution);
   }
 
   private finishFollower(first: Execution, follower: Execution): void {
     const end = follower.finishLike(first, this.options.clock.monotonic());
-    this.flush();
-    this.findRouter(follower)?.link.notify(NoticeMethod.End, end);
+    this.routers.sendEnd(follower, end);
   }
 
   private start(execution: Execution): void {
@@ -340,19 +319,12 @@
   private produce(execution: Execution, data: Buffer, cost: number): void {
     if (execution.end !== undefined) return;
     execution.charge?.produce(cost);
-    this.send(execution, execution.append(data, cost));
-    for (const follower of execution.followers) this.send(follower, follower.append(data, 0));
+    this.routers.send(execution, execution.append(data, cost));
+    for (const follower of execution.followers)
+      this.routers.send(follower, follower.append(data, 0));
     if (execution.size <= ANSWER_LIMIT_BYTES) return;
     this.abandon(execution);
-    this.finish(execution, 0, answerTooLarge());
-  }
-
-  private send(execution: Execution, frame: Frame): void {
-    if (this.findRouter(execution) === undefined) return;
-    const waiting = this.outbox.get(execution.router) ?? [];
-    waiting.push(frame);
-    this.outbox.set(execution.router, waiting);
-    this.flushSoon();
+    this.finish(execution, 0, answerTooLarge(ANSWER_LIMIT_BYTES));
   }
 
   private finish(execution: Execution, cost: number, error?: RequestError): void {
@@ -360,10 +332,9 @@
     const end = execution.finish(this.options.clock.monotonic(), cost, error);
     execution.charge?.produce(cost);
     if (error === undefined) this.learn(execution);
-    this.flush();
     // After a failed exchange the endpoint may still be at work.
     if (error?.verdict === Verdict.MayHaveRun) this.abandon(execution);
-    this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
+    this.routers.sendEnd(execution, end);
     this.keyed.end(execution);
     execution.followers.forEach((follower) => this.finishFollower(execution, follower));
     this.freeSlot(execution);
@@ -415,10 +386,7 @@
 
   private flush(): void {
     this.flushing = false;
-    for (const [router, frames] of this.outbox) {
-      this.routers.get(router)?.link.notify(NoticeMethod.Frames, { frames });
-    }
-    this.outbox.clear();
+    this.routers.flush();
   }
 
   private tick(): void {
@@ -433,22 +401,8 @@
     this.schedule();
   }
 
-  /** The router of an execution, if it is linked and knows from where the answer goes on. */
-  private findRouter(execution: Execution): Peer | undefined {
-    const peer = this.routers.get(execution.router);
-    if (peer?.incarnation !== execution.routerIncarnation) return undefined;
-    return this.resumed.has(peer) ? peer : undefined;
-  }
-
   private find({ request, attempt }: AttemptReference): Execution | undefined {
     const execution = this.executions.get(request);
     return execution?.grant.attempt === attempt ? execution : undefined;
   }
 }
-
-function answerTooLarge(): RequestError {
-  return new RequestError(`the endpoint's answer is over ${ANSWER_LIMIT_BYTES} bytes`, {
-    code: ErrorCode.Incomplete,
-    verdict: Verdict.Ran,
-  });
-}
--- /dev/null
+++ b/packages/fleet/src/sidecar/refusals.ts
@@ -0,0 +1,39 @@
+/** The refusals and failures that a sidecar itself finds. */
+import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import type { AttemptReference, Refusal } from '../messages.ts';
+
+/** Why a granted request is not started. */
+export type RefusalReason = Omit<Refusal, keyof AttemptReference>;
+
+/** What decides whether a granted request can start. */
+export interface StartConditions {
+  draining: boolean;
+  /** Whether fewer requests run than the slots allow. */
+  hasFreeSlot: boolean;
+  /** Time left until the caller's deadline. */
+  deadlineMs: number;
+}
+
+/** Why a request cannot be started now, if so. */
+export function findObstacle(conditions: StartConditions): RefusalReason | undefined {
+  const verdict = Verdict.NotRun;
+  if (conditions.draining) {
+    const message = 'the endpoint is draining';
+    return { code: ErrorCode.Draining, message, elsewhere: true, verdict };
+  }
+  if (!conditions.hasFreeSlot) {
+    const message = 'the power budget has shrunk';
+    return { code: ErrorCode.NoEndpoint, message, elsewhere: true, verdict };
+  }
+  if (conditions.deadlineMs > 0) return undefined;
+  const message = 'the deadline has passed';
+  return { code: ErrorCode.DeadlineExceeded, message, elsewhere: false, verdict };
+}
+
+/** The endpoint's answer is larger than a sidecar keeps. */
+export function answerTooLarge(limitBytes: number): RequestError {
+  return new RequestError(`the endpoint's answer is over ${limitBytes} bytes`, {
+    code: ErrorCode.Incomplete,
+    verdict: Verdict.Ran,
+  });
+}
--- /dev/null
+++ b/packages/fleet/src/sidecar/router-links.ts
@@ -0,0 +1,86 @@
+/**
+ * The routers that a sidecar is linked to, and the frames on their way to them. Nothing is sent to a
+ * router before it has answered the resumption on its link, since only then is it known from where each
+ * answer goes on. Frames that are ready at the same moment go in one notice.
+ */
+import type { Peer } from '../link/link-hub.ts';
+import { NoticeMethod } from '../messages.ts';
+import type { End, Frame, ResumeAnswer } from '../messages.ts';
+import type { Execution } from './execution.ts';
+
+/** Options of `RouterLinks`. */
+export interface RouterLinksOptions {
+  /** Called when frames wait to be sent; `flush` is to be called soon. */
+  onWaiting: () => void;
+}
+
+/** Sends answers to routers. */
+export class RouterLinks {
+  private readonly onWaiting: () => void;
+  private readonly peers = new Map<string, Peer>();
+  private readonly resumed = new Set<Peer>();
+  private readonly outbox = new Map<string, Frame[]>();
+
+  constructor(options: RouterLinksOptions) {
+    this.onWaiting = options.onWaiting;
+  }
+
+  join(peer: Peer): void {
+    this.peers.set(peer.host, peer);
+  }
+
+  lose(peer: Peer): void {
+    this.resumed.delete(peer);
+    if (!this.isCurrent(peer)) return;
+    this.peers.delete(peer.host);
+    this.outbox.delete(peer.host);
+  }
+
+  isCurrent(peer: Peer): boolean {
+    return this.peers.get(peer.host) === peer;
+  }
+
+  /** Sends what a router lacks of the answers that it wants to go on with. */
+  resume(
+    peer: Peer,
+    answer: ResumeAnswer,
+    find: (reference: { request: string; attempt: number }) => Execution | undefined,
+  ): void {
+    this.resumed.add(peer);
+    for (const { request, attempt, from } of answer.resume) {
+      const execution = find({ request, attempt });
+      if (execution === undefined) continue;
+      peer.link.notify(NoticeMethod.Frames, { frames: execution.framesFrom(from) });
+      if (execution.end !== undefined) peer.link.notify(NoticeMethod.End, execution.end);
+    }
+  }
+
+  /** Sends a frame soon; where the router is away, the execution keeps it. */
+  send(execution: Execution, frame: Frame): void {
+    if (this.findRouter(execution) === undefined) return;
+    const waiting = this.outbox.get(execution.router) ?? [];
+    waiting.push(frame);
+    this.outbox.set(execution.router, waiting);
+    this.onWaiting();
+  }
+
+  /** Sends an end after the frames before it. */
+  sendEnd(execution: Execution, end: End): void {
+    this.flush();
+    this.findRouter(execution)?.link.notify(NoticeMethod.End, end);
+  }
+
+  flush(): void {
+    for (const [router, frames] of this.outbox) {
+      this.peers.get(router)?.link.notify(NoticeMethod.Frames, { frames });
+    }
+    this.outbox.clear();
+  }
+
+  /** The router of an execution, if it is linked and has resumed. */
+  private findRouter(execution: Execution): Peer | undefined {
+    const peer = this.peers.get(execution.router);
+    if (peer?.incarnation !== execution.routerIncarnation) return undefined;
+    return this.resumed.has(peer) ? peer : undefined;
+  }
+}
