--- a/packages/bench/src/config/app.ts
+++ b/packages/bench/src/config/app.ts
@@ -2,7 +2,7 @@
  * `config`: how long a published revision takes until it is in force in every process, alone and under
  * faults, whether any process ever goes back, and what the configuration service and the links bear.
  */
-import { parseArgs } from 'node:util';
+import { parseFleetOptions } from '../fleet-options.ts';
 import { Random } from '@poplarpick/load';
 import { Fault, ServiceCondition, SitePreset } from '@poplarpick/stand-ins';
 import {
@@ -38,20 +38,12 @@
 };
 
 async function runConfig(args: string[]): Promise<void> {
-  const { values } = parseArgs({
-    args,
-    options: {
-      seed: { type: 'string', default: '1' },
-      processes: { type: 'string', default: '8' },
-      json: { type: 'boolean', default: false },
-    },
-  });
-  const processes = Number(values.processes);
+  const { seed, processes } = parseFleetOptions(args);
   const fleet = await startControlFleet(processes, { serviceProxies: true });
   try {
-    const bench = new ConfigBench(fleet, Number(values.seed));
+    const bench = new ConfigBench(fleet, seed);
     const result = await bench.run();
-    console.log(JSON.stringify({ processes, seed: Number(values.seed), ...result }));
+    console.log(JSON.stringify({ processes, seed, ...result }));
   } finally {
     await fleet.stop();
   }
--- a/packages/bench/src/documents/documents.test.ts
+++ b/packages/bench/src/documents/documents.test.ts
@@ -2,6 +2,7 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
+import { parseRouterSettings, parseSidecarSettings } from '@poplarpick/decisions';
 import { ErrorCode } from '@poplarpick/kernel';
 
 const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
@@ -31,6 +32,16 @@
     expect(missing).to.deep.equal([]);
   });
 
+  it('show settings that a process accepts', () => {
+    const page = readFileSync(join(ROOT, 'docs/operators/install.md'), 'utf8');
+    const blocks = [...page.matchAll(/```toml\n([^`]*)```/g)].map((match) => match[1] ?? '');
+    const router = blocks.find((block) => block.includes('[callers]')) ?? '';
+    const endpoint = blocks.find((block) => block.includes('[endpoint]')) ?? '';
+    expect(parseRouterSettings(router, 'install.md').host).to.equal('entry-1');
+    const common = router.replace(/\[callers\][^[]*/, '').replace(/\[links\][^[]*/, '');
+    expect(parseSidecarSettings(common + endpoint, 'install.md').endpoint.name).to.equal('model-1');
+  });
+
   it('tell callers of every error code', () => {
     const page = readFileSync(join(ROOT, 'docs/callers.md'), 'utf8');
     const missing = Object.values(ErrorCode).filter((code) => !page.includes(`\`${code}\``));
--- a/packages/bench/src/membership/app.ts
+++ b/packages/bench/src/membership/app.ts
@@ -3,7 +3,7 @@
  * lost, how long the fleet needs to one view after every process was cut off from every other, and
  * what all that costs.
  */
-import { parseArgs } from 'node:util';
+import { parseFleetOptions } from '../fleet-options.ts';
 import { Random } from '@poplarpick/load';
 import { Fault } from '@poplarpick/stand-ins';
 import {
@@ -38,16 +38,7 @@
 };
 
 async function runMembership(args: string[]): Promise<void> {
-  const { values } = parseArgs({
-    args,
-    options: {
-      seed: { type: 'string', default: '1' },
-      processes: { type: 'string', default: '8' },
-      json: { type: 'boolean', default: false },
-    },
-  });
-  const processes = Number(values.processes);
-  const seed = Number(values.seed);
+  const { seed, processes } = parseFleetOptions(args);
   const fleet = await startControlFleet(processes, { messageLoss: MESSAGE_LOSS });
   try {
     await waitForOneView(fleet, processes);
