Pause by the platform's own timer, and drop what nothing calls

Cause: ten files wrote the same pause by hand, which node:timers/promises has; one function and one type had no caller left. No assertion is touched.

--- a/packages/bench/src/faults/schedule-caller.ts
+++ b/packages/bench/src/faults/schedule-caller.ts
@@ -2,6 +2,7 @@
  * A caller within a schedule: it sends one request, and sends it again through the next router where
  * that is safe, as the operators' page advises.
  */
+import { setTimeout as pauseMs } from 'node:timers/promises';
 import { callApplication, callChat, CallOutcome, chatBody } from '@poplarpick/load';
 import { expectedAnswer } from '@poplarpick/stand-ins';
 import type { SitePlan } from '@poplarpick/stand-ins';
@@ -134,7 +135,3 @@
   const answer = result.body as { key?: string; run?: number };
   return { outcome, verdict, code, requestId, right: answer.key === call.name, run: answer.run };
 }
-
-async function pauseMs(delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/bench/src/integration/once-exchange.test.ts
+++ b/packages/bench/src/integration/once-exchange.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as waitMs } from 'node:timers/promises';
 import { expect } from 'chai';
 import { EndpointKind, KEY_GUARD_MS } from '@poplarpick/decisions';
 import { planSite } from '@poplarpick/stand-ins';
@@ -80,7 +81,3 @@
     expect(fleet.site.countRuns().get('away')).to.equal(undefined);
   });
 });
-
-async function waitMs(delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/bench/src/integration/once-path.test.ts
+++ b/packages/bench/src/integration/once-path.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as waitMs } from 'node:timers/promises';
 import { expect } from 'chai';
 import { v7 as makeUuid } from 'uuid';
 import { callApplication, callChat, CallOutcome, chatBody } from '@poplarpick/load';
@@ -149,7 +150,3 @@
 async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await waitMs(5);
 }
-
-async function waitMs(delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/bench/src/integration/orders.test.ts
+++ b/packages/bench/src/integration/orders.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import { SitePreset, WeightStore } from '@poplarpick/stand-ins';
 import type { EngineOrders } from '@poplarpick/decisions';
@@ -114,10 +115,6 @@
   return orders as { settled?: boolean };
 }
 
-async function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => void setTimeout(resolve, delayMs));
-}
-
 async function until(holds: () => boolean | Promise<boolean>): Promise<void> {
   while (!(await holds())) await pause(10);
 }
--- a/packages/bench/src/integration/partition.test.ts
+++ b/packages/bench/src/integration/partition.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import { callChat, CallOutcome } from '@poplarpick/load';
 import { Fault, planSite } from '@poplarpick/stand-ins';
@@ -91,7 +92,3 @@
   }
   return longest;
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/bench/src/integration/planned-stop.test.ts
+++ b/packages/bench/src/integration/planned-stop.test.ts
@@ -1,6 +1,7 @@
 import { execFile } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
+import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import { request } from 'undici';
 import { callChat, CallOutcome } from '@poplarpick/load';
@@ -140,7 +141,3 @@
     expect((await callChat(call(0))).outcome).to.equal(CallOutcome.Whole);
   });
 });
-
-async function pause(delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/bench/src/integration/power.test.ts
+++ b/packages/bench/src/integration/power.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import { BudgetCause } from '@poplarpick/decisions';
 import { callChat, CallOutcome, chatBody } from '@poplarpick/load';
@@ -137,10 +138,6 @@
   }
 });
 
-async function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => void setTimeout(resolve, delayMs));
-}
-
 async function until(holds: () => boolean): Promise<void> {
   while (!holds()) await pause(2);
 }
--- a/packages/bench/src/integration/suspension.test.ts
+++ b/packages/bench/src/integration/suspension.test.ts
@@ -1,6 +1,7 @@
 import { createServer, request } from 'node:http';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import { EndpointKind } from '@poplarpick/decisions';
 import { ModelEngineClient } from '@poplarpick/fleet/sidecar/model-engine-client';
@@ -75,7 +76,3 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   return server;
 }
-
-async function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => void setTimeout(resolve, delayMs));
-}
--- a/packages/bench/src/power/app.ts
+++ b/packages/bench/src/power/app.ts
@@ -3,6 +3,7 @@
  * Power is worked out from the engine stand-ins' own counts of what runs, never from the fleet's books.
  */
 import { parseArgs } from 'node:util';
+import { setTimeout as pause } from 'node:timers/promises';
 import { findPreset, parseFleetConfiguration } from '@poplarpick/decisions';
 import { Random } from '@poplarpick/load';
 import { planSite, SitePreset, SiteSize, writeConfiguration } from '@poplarpick/stand-ins';
@@ -116,7 +117,3 @@
     .flatMap(({ process }) => process.events)
     .filter((event) => event['event'] === 'request.suspended').length;
 }
-
-async function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => void setTimeout(resolve, delayMs));
-}
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,4 +1,5 @@
 /** `poplarpick status`: the fleet as its processes see it, once or live. */
+import { setTimeout as pause } from 'node:timers/promises';
 import { Command, Flags } from '@oclif/core';
 import { parseFleetConfiguration } from '@poplarpick/decisions';
 import type { FleetConfiguration } from '@poplarpick/decisions';
@@ -84,7 +85,3 @@
     }
   }
 }
-
-async function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/decisions/src/configuration/fleet-configuration.ts
+++ b/packages/decisions/src/configuration/fleet-configuration.ts
@@ -138,7 +138,6 @@
 
 /** A checked fleet configuration. */
 export type FleetConfiguration = z.output<typeof schema>;
-export type WorkspaceConfiguration = FleetConfiguration['workspaces'][number];
 export type EndpointConfiguration = FleetConfiguration['endpoints'][number];
 export type PresetConfiguration = FleetConfiguration['presets'][number];
 export type EngineOrders = z.output<typeof engineOrders>;
--- a/packages/fleet/src/orders/engine-orders.ts
+++ b/packages/fleet/src/orders/engine-orders.ts
@@ -6,7 +6,6 @@
 import {
   findEngineOrders,
   isLoad,
-  loadSlotMs,
   nextFencingNumber,
   nextLoadSlot,
   planNextOrder,
@@ -192,8 +191,3 @@
   const { reads_per_second, clock_skew_ms } = configuration.weight_store;
   return { readsPerSecond: reads_per_second, clockSkewMs: clock_skew_ms, endpoints };
 }
-
-/** Time after which every endpoint has had a load slot. */
-export function loadRoundMs(options: LoadSlotOptions): number {
-  return loadSlotMs(options) * options.endpoints.length;
-}
