--- /dev/null
+++ b/packages/decisions/src/forwarding/prefix-memory.ts
@@ -0,0 +1,66 @@
+/**
+ * Which prompt parts each endpoint keeps, as far as the routers' own sends tell. An endpoint drops the
+ * parts that were used least recently, so each is remembered up to what the endpoint can hold.
+ */
+import { LRUCache } from 'lru-cache';
+import murmurhash from 'murmurhash';
+import type { Prompt } from './prompt.ts';
+
+/** Share of an endpoint's memory that kept parts may fill beside running requests. */
+const KEPT_SHARE = 0.6;
+
+/** Capacity where an endpoint doesn't say what it holds, in tokens. */
+const DEFAULT_CAPACITY_TOKENS = 500_000;
+
+/** A number that stands for a part and all parts before it. */
+export type PartHash = number;
+
+/** A part of a prompt with the number under which endpoints keep it. */
+export interface HashedPart {
+  hash: PartHash;
+  tokens: number;
+}
+
+/** The parts of a prompt that other requests may share, in order. */
+export function hashSharedParts(prompt: Prompt): HashedPart[] {
+  let path = prompt.model;
+  return prompt.parts.slice(0, -1).map(({ id, tokens }) => {
+    path += `\u0000${id}`;
+    return { hash: murmurhash.v3(path), tokens };
+  });
+}
+
+/** Parts that the endpoints keep. */
+export class PrefixMemory {
+  private readonly kept = new Map<string, LRUCache<PartHash, number>>();
+
+  /** Notes that an endpoint reads a part; true where that was not known. */
+  note(endpoint: string, part: HashedPart, capacityTokens = DEFAULT_CAPACITY_TOKENS): boolean {
+    let parts = this.kept.get(endpoint);
+    if (parts === undefined) {
+      parts = new LRUCache({
+        maxSize: Math.max(1, Math.floor(capacityTokens * KEPT_SHARE)),
+        sizeCalculation: (tokens) => Math.max(1, tokens),
+      });
+      this.kept.set(endpoint, parts);
+    }
+    const isNew = parts.get(part.hash) === undefined;
+    if (isNew) parts.set(part.hash, Math.max(1, part.tokens));
+    return isNew;
+  }
+
+  /** Shared tokens that an endpoint would have to read: those after the last part that it keeps. */
+  missingTokens(endpoint: string, parts: readonly HashedPart[]): number {
+    const kept = this.kept.get(endpoint);
+    let missing = 0;
+    for (const { hash, tokens } of parts) {
+      if (missing > 0 || kept?.has(hash) !== true) missing += tokens;
+    }
+    return missing;
+  }
+
+  /** Forgets an endpoint that has ended. */
+  forget(endpoint: string): void {
+    this.kept.delete(endpoint);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/forwarding/share-window.ts
@@ -0,0 +1,59 @@
+/**
+ * Shares of workspaces: what each asked for in a sliding window, across all routers, and the most that
+ * each may have when the fleet's rate is divided by max-min fairness. Pattern: one workspace sends
+ * many times its usual; the others keep their whole service.
+ */
+
+/** Parts of the window; the oldest leaves as a whole. */
+const PARTS = 8;
+
+/** Tokens asked for in a sliding window. */
+export class DemandWindow {
+  private readonly partMs: number;
+  private readonly parts: { started: number; asked: Map<string, number> }[] = [];
+
+  constructor(windowMs: number) {
+    this.partMs = windowMs / PARTS;
+  }
+
+  /** Notes that `workspace` asked for `tokens`. */
+  add(workspace: string, tokens: number, now: number): void {
+    let part = this.parts.at(-1);
+    if (part === undefined || now - part.started >= this.partMs) {
+      part = { started: now, asked: new Map() };
+      this.parts.push(part);
+    }
+    part.asked.set(workspace, (part.asked.get(workspace) ?? 0) + tokens);
+    this.dropOld(now);
+  }
+
+  /** Tokens that each workspace asked for within the window. */
+  totals(now: number): Map<string, number> {
+    this.dropOld(now);
+    const totals = new Map<string, number>();
+    for (const { asked } of this.parts) {
+      for (const [workspace, tokens] of asked) {
+        totals.set(workspace, (totals.get(workspace) ?? 0) + tokens);
+      }
+    }
+    return totals;
+  }
+
+  private dropOld(now: number): void {
+    while (this.parts[0] !== undefined && now - this.parts[0].started > this.partMs * PARTS) {
+      this.parts.shift();
+    }
+  }
+}
+
+/** The level up to which all demands fit into `capacity` together; infinite where all fit whole. */
+export function findFairLevel(demands: Iterable<number>, capacity: number): number {
+  const sorted = [...demands].sort((a, b) => a - b);
+  let left = capacity;
+  for (const [index, demand] of sorted.entries()) {
+    const level = left / (sorted.length - index);
+    if (demand > level) return level;
+    left -= demand;
+  }
+  return Number.POSITIVE_INFINITY;
+}
--- /dev/null
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -0,0 +1,60 @@
+/**
+ * How calls are written on the wire: which headers carry the id of a request, its deadline, its key
+ * and its prompt. The forwarder works on the decoded form; an adapter supplies the names.
+ */
+import type { Endpoint, Prompt } from '@poplarpick/decisions';
+
+/** A request of a caller, as its head tells it. */
+export interface CallHead {
+  method: string;
+  /** Path and query, as sent. */
+  target: string;
+  host: string;
+  /** Names one attempt of the caller. */
+  requestId: string;
+  /** Time that the caller waits, in ms. */
+  deadlineMs: number | undefined;
+  key: string | undefined;
+  prompt: Prompt | undefined;
+  /** The last event that the caller already has, where it goes on with a stream. */
+  lastEventId: string | undefined;
+  /** Header names and values to pass on, in turns; without those that the forwarder sets itself. */
+  passedHeaders: readonly string[];
+}
+
+/** What the forwarder sets on a request to an endpoint. */
+export interface AttemptHead {
+  call: CallHead;
+  endpoint: Endpoint;
+  /** Time that is left, in ms. */
+  leftMs: number | undefined;
+  workspace: string | undefined;
+  /** Goes on after this event; overrides what the caller sent. */
+  resumeAfter: number | undefined;
+}
+
+/** What the head of an endpoint's answer tells. */
+export interface AnswerHead {
+  status: number;
+  /** The request that it answers; undefined where it doesn't say. */
+  requestId: string | undefined;
+  /** The endpoint states that it has not run the request. */
+  isNotRun: boolean;
+  isEventStream: boolean;
+  /** The body's length in bytes; undefined where it is not given. */
+  lengthBytes: number | undefined;
+  /** Header names and values to pass on, in turns. */
+  passedHeaders: readonly string[];
+}
+
+/** Reads and writes heads. */
+export abstract class CallProtocol {
+  /** Decodes a caller's request. Throws a `RequestError` where it can't be read. */
+  abstract readCall(method: string, target: string, rawHeaders: readonly string[]): CallHead;
+
+  /** Header names and values, in turns, of a request to an endpoint. */
+  abstract writeAttempt(attempt: AttemptHead): string[];
+
+  /** Decodes the head of an endpoint's answer. */
+  abstract readAnswer(status: number, rawHeaders: readonly string[]): AnswerHead;
+}
--- /dev/null
+++ b/packages/forwarder/src/calls/call.ts
@@ -0,0 +1,392 @@
+/**
+ * The life of one call: it is placed, sent, perhaps sent again, and answered. It owns the request to
+ * its end: when the caller leaves, its endpoint is freed; when its time is over, the caller is told.
+ */
+import type { ServerResponse } from 'node:http';
+import { NextStep, planNextStep } from '@poplarpick/decisions';
+import type { Route, StreamEvent } from '@poplarpick/decisions';
+import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import type { Timer } from '@poplarpick/kernel';
+import { partsOf } from '../router-state.ts';
+import type { RouterState } from '../router-state.ts';
+import { AnswerWriter } from './answer-writer.ts';
+import { AttemptOwner, AttemptRun } from './attempt-run.ts';
+import type { AnswerHead, CallHead } from './call-protocol.ts';
+import type { CallPlacement, Place } from './call-placement.ts';
+
+/** Time after the deadline that an endpoint's own answer to it may take, in ms. */
+const DEADLINE_GRACE_MS = 80;
+
+/** Silence of a stream that can go on elsewhere after which it does, in ms. */
+const STREAM_SILENCE_MS = 1_000;
+
+/** Attempts that failed before they were sent, after which a call is refused. */
+const UNSENT_LIMIT = 3;
+
+const FIRST_SERVER_ERROR = 500;
+const SUCCESS_LIMIT = 300;
+
+/** When to come back if there is no endpoint, in seconds. */
+const NO_ENDPOINT_RETRY_S = 0.5;
+
+/** A call that has passed the checks. */
+export interface CallOptions {
+  state: RouterState;
+  placement: CallPlacement;
+  head: CallHead;
+  route: Route;
+  pool: string;
+  workspace: string | undefined;
+  body: Buffer | undefined;
+  response: ServerResponse;
+  /** Monotonic time of arrival, in ms. */
+  arrivedAt: number;
+  /** The connection is to be closed after this answer. */
+  isLastAnswer: () => boolean;
+  /** The key still belongs to the workspace. */
+  isKeyValid: () => boolean;
+  onEnd: (call: Call) => void;
+}
+
+/** One call. */
+export class Call extends AttemptOwner {
+  private readonly options: CallOptions;
+  private readonly writer: AnswerWriter;
+  private readonly excluded = new Set<string>();
+  private run: AttemptRun | undefined;
+  private timer: Timer | undefined;
+  private sentAttempts = 0;
+  private unsentAttempts = 0;
+  private mayHaveRun = false;
+  private lastEventId: number | undefined;
+  private firstEventAt: number | undefined;
+  private isOver = false;
+  private readonly endsAt: number;
+
+  constructor(options: CallOptions) {
+    super();
+    this.options = options;
+    this.writer = new AnswerWriter(options.response, options.isLastAnswer);
+    const { head, route, arrivedAt } = options;
+    this.endsAt = arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+  }
+
+  /** Places and sends the call, or refuses it. */
+  start(): void {
+    const { response, state } = this.options;
+    response.once('close', () => this.callerLeft());
+    this.timer = state.clock.after(this.leftMs() + DEADLINE_GRACE_MS, () => this.timeUp());
+    const place = this.findPlace();
+    if (place === undefined) {
+      this.refuse('no endpoint takes requests', ErrorCode.NoEndpoint, NO_ENDPOINT_RETRY_S);
+      return;
+    }
+    if (this.admit(place)) this.send(place);
+  }
+
+  /** Lets a stream that has fallen silent go on elsewhere, where its route allows that. */
+  checkSilence(now: number): void {
+    const { route } = this.options;
+    const { run } = this;
+    if (run === undefined || !route.isResumable || this.sentAttempts >= route.maxAttempts) return;
+    const isSilent = now - run.lastByteAt > STREAM_SILENCE_MS;
+    if (isSilent && run.place.record.load.isBroken(now)) run.failWith('the stream fell silent');
+  }
+
+  override acceptHead(run: AttemptRun, head: AnswerHead): boolean {
+    const { load } = run.place.record;
+    if (head.isNotRun) {
+      const verdict = Verdict.NotRun;
+      const message = `the endpoint refused with ${head.status}`;
+      this.attemptFailed(run, new RequestError(message, { code: ErrorCode.QueueFull, verdict }));
+      return false;
+    }
+    this.mayHaveRun = true;
+    if (head.status < FIRST_SERVER_ERROR) {
+      load.noteSuccess();
+      return true;
+    }
+    load.noteFailure(this.now());
+    return !this.repeatInsteadOf(run, head);
+  }
+
+  override takeEvent(run: AttemptRun, head: AnswerHead, event: StreamEvent): boolean {
+    if (this.isOutOfOrder(event)) {
+      run.failWith(`event ${event.id ?? '?'} after ${this.lastEventId ?? '?'}`);
+      return true;
+    }
+    if (!run.hasStarted) this.noteFirstEvent(run);
+    if (!this.writer.hasBegun) this.writer.begin(head.status, head.passedHeaders);
+    this.lastEventId = event.id ?? this.lastEventId;
+    const keepsUp = this.writer.write(event.bytes);
+    if (!keepsUp) this.writer.onceDrained(() => run.attempt?.resume());
+    return keepsUp;
+  }
+
+  override endStream(run: AttemptRun, head: AnswerHead): void {
+    if (!this.writer.hasBegun) this.writer.begin(head.status, head.passedHeaders);
+    this.writer.end();
+    this.noteDuration(run);
+    this.finish('ok');
+  }
+
+  override takeWhole(run: AttemptRun, head: AnswerHead, body: Buffer): void {
+    if (this.writer.hasBegun) {
+      this.cut('an answer without events within a stream');
+      return;
+    }
+    if (head.status < SUCCESS_LIMIT) {
+      this.notePlainTime(run);
+      this.noteDuration(run);
+    }
+    this.writer.sendWhole(head.status, head.passedHeaders, body);
+    this.finish(`status_${head.status}`);
+  }
+
+  override attemptFailed(run: AttemptRun, error: RequestError): void {
+    const { route } = this.options;
+    const { record } = run.place;
+    if (error.verdict === Verdict.NotRun) {
+      this.sentAttempts -= 1;
+      this.unsentAttempts += 1;
+    } else this.mayHaveRun = true;
+    if (error.code !== ErrorCode.QueueFull) record.load.noteFailure(this.now());
+    this.excluded.add(record.name);
+    this.run = undefined;
+    this.logAttempt(run, error);
+    if (this.isOver) return;
+    const step = planNextStep({
+      route,
+      verdict: this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun,
+      attempts: Math.max(this.sentAttempts, error.code === ErrorCode.QueueFull ? 1 : 0),
+      hasAnswerBegun: this.writer.hasBegun,
+      lastEventId: this.lastEventId,
+      leftMs: this.leftMs(),
+    });
+    this.follow(step, error);
+  }
+
+  private follow(step: NextStep, error: RequestError): void {
+    switch (step) {
+      case NextStep.Repeat:
+      case NextStep.Resume:
+        if (this.sendAgain()) return;
+        this.giveUp(error);
+        return;
+      case NextStep.Refuse:
+      case NextStep.Fail:
+      case NextStep.Cut:
+        this.giveUp(error);
+    }
+  }
+
+  /** Ends the call with what is true: cut off, may have run, or not run. */
+  private giveUp(error: RequestError): void {
+    if (this.writer.hasBegun) {
+      this.cut(error.message);
+      return;
+    }
+    if (!this.mayHaveRun) {
+      this.refuse(error.message, ErrorCode.NoEndpoint, NO_ENDPOINT_RETRY_S);
+      return;
+    }
+    this.fail(error.message, ErrorCode.EndpointFailed);
+  }
+
+  private findPlace(): Place | undefined {
+    const { route, pool, head, placement } = this.options;
+    return placement.place({ route, pool, prompt: head.prompt, excluded: this.excluded });
+  }
+
+  private admit(place: Place): boolean {
+    const { route, head, workspace, state, placement } = this.options;
+    const isOverShare =
+      workspace !== undefined && head.prompt !== undefined
+        ? state.noteAsked(workspace, head.prompt)
+        : false;
+    const deadlineMs = head.deadlineMs ?? route.timeoutMs;
+    const admission = placement.admit(
+      { route, deadlineMs, leftMs: this.leftMs(), isOverShare },
+      place,
+    );
+    if (admission.isAccepted) return true;
+    const seconds = admission.retryAfterMs / 1_000;
+    const reason = isOverShare ? 'the workspace has had its share' : 'the wait is too long';
+    this.refuse(reason, ErrorCode.QueueFull, seconds, place);
+    return false;
+  }
+
+  private send(place: Place): void {
+    const { head, state, workspace, body, pool } = this.options;
+    const { prompt } = head;
+    this.sentAttempts += 1;
+    if (this.sentAttempts === 1) {
+      state.budgetOf(pool).noteRequest(state.countRouters(), this.now());
+    }
+    if (workspace !== undefined && prompt !== undefined) state.noteGranted(workspace, prompt);
+    state.noteKept(place.record, partsOf(prompt));
+    const heldTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens;
+    const run = new AttemptRun({ owner: this, place, clock: state.clock, heldTokens });
+    this.run = run;
+    const headers = state.protocol.writeAttempt({
+      call: head,
+      endpoint: place.record.endpoint,
+      leftMs: this.leftMs(),
+      workspace,
+      resumeAfter: this.writer.hasBegun ? this.lastEventId : undefined,
+    });
+    const { method, target, requestId } = head;
+    const request = { method, target, requestId, headers, body };
+    run.attempt = place.record.client.send(request, run);
+  }
+
+  /** Sends the call to another endpoint; false where there is none or the budget is spent. */
+  private sendAgain(): boolean {
+    const { state, pool, isKeyValid } = this.options;
+    if (this.unsentAttempts > UNSENT_LIMIT || !isKeyValid()) return false;
+    const place = this.findPlace();
+    if (place === undefined) return false;
+    if (!state.budgetOf(pool).take(state.countRouters(), this.now())) return false;
+    this.send(place);
+    return true;
+  }
+
+  /** An idempotent call that an endpoint failed is tried elsewhere, where another attempt is left. */
+  private repeatInsteadOf(run: AttemptRun, head: AnswerHead): boolean {
+    if (this.writer.hasBegun) return false;
+    const { route } = this.options;
+    const step = planNextStep({
+      route,
+      verdict: Verdict.MayHaveRun,
+      attempts: this.sentAttempts,
+      hasAnswerBegun: false,
+      lastEventId: undefined,
+      leftMs: this.leftMs(),
+    });
+    if (step !== NextStep.Repeat) return false;
+    this.excluded.add(run.place.record.name);
+    if (!this.sendAgain()) return false;
+    const message = `the endpoint answered ${head.status}`;
+    const verdict = Verdict.MayHaveRun;
+    this.logAttempt(run, new RequestError(message, { code: ErrorCode.EndpointFailed, verdict }));
+    return true;
+  }
+
+  private isOutOfOrder(event: StreamEvent): boolean {
+    if (event.id === undefined || this.lastEventId === undefined) return false;
+    return event.id !== this.lastEventId + 1;
+  }
+
+  private noteFirstEvent(run: AttemptRun): void {
+    const { record, tokensAhead, readTokens, hasFreeSlot } = run.place;
+    record.load.noteStarted(run.sent);
+    this.firstEventAt ??= this.now();
+    if (!hasFreeSlot) return;
+    const elapsedMs = this.now() - run.sent.sentAt;
+    const speed = this.options.state.speedOf(this.options.pool);
+    speed.noteFirstEvent(record.name, tokensAhead + readTokens, elapsedMs);
+  }
+
+  private notePlainTime(run: AttemptRun): void {
+    if (!run.place.hasFreeSlot) return;
+    const speed = this.options.state.speedOf(this.options.pool);
+    speed.noteFirstEvent(run.place.record.name, 0, this.now() - run.sent.sentAt);
+  }
+
+  private noteDuration(run: AttemptRun): void {
+    const speed = this.options.state.speedOf(this.options.pool);
+    speed.noteDuration(this.now() - run.sent.sentAt);
+  }
+
+  private callerLeft(): void {
+    if (this.isOver) return;
+    this.run?.abort();
+    this.finish('caller_left');
+  }
+
+  private timeUp(): void {
+    if (this.isOver) return;
+    const hasRun = this.mayHaveRun || this.run !== undefined;
+    this.run?.abort();
+    if (this.writer.hasBegun) this.cut('the time for the request is over');
+    else if (hasRun) this.fail('the time for the request is over', ErrorCode.DeadlineExceeded);
+    else this.refuse('the time for the request is over', ErrorCode.NoEndpoint, 0);
+  }
+
+  private refuse(reason: string, code: ErrorCode, retryAfterSeconds: number, place?: Place): void {
+    const verdict = Verdict.NotRun;
+    this.writer.sendFailure(new RequestError(reason, { code, verdict, retryAfterSeconds }));
+    this.logEnd('refused', reason, place);
+    this.close();
+  }
+
+  private fail(reason: string, code: ErrorCode): void {
+    this.writer.sendFailure(new RequestError(reason, { code, verdict: Verdict.MayHaveRun }));
+    this.logEnd('failed', reason);
+    this.close();
+  }
+
+  private cut(reason: string): void {
+    this.logEnd('cut', reason);
+    this.close();
+    this.writer.cut();
+  }
+
+  private finish(outcome: string): void {
+    this.logEnd(outcome);
+    this.close();
+  }
+
+  private close(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.timer?.stop();
+    this.options.onEnd(this);
+  }
+
+  private logEnd(outcome: string, reason?: string, place = this.run?.place): void {
+    const { head, route, workspace, state, arrivedAt } = this.options;
+    state.log.info({
+      event: 'call.ended',
+      request: head.requestId,
+      outcome,
+      reason,
+      route: route.name,
+      workspace,
+      endpoint: place?.record.endpoint.id,
+      attempts: this.sentAttempts,
+      wait_ms: round(place?.waitMs),
+      service_ms: round(place?.serviceMs),
+      tokens_ahead: place?.tokensAhead,
+      requests_ahead: place?.requestsAhead,
+      read_tokens: place?.readTokens,
+      first_event_ms: round(this.firstEventAt && this.firstEventAt - arrivedAt),
+      total_ms: round(this.now() - arrivedAt),
+      key_age_ms: round(state.freshness.age(this.now())),
+      version: state.routes?.table.version,
+    });
+  }
+
+  private logAttempt(run: AttemptRun, error: RequestError): void {
+    this.options.state.log.info({
+      event: 'call.attempt_failed',
+      request: this.options.head.requestId,
+      endpoint: run.place.record.endpoint.id,
+      reason: error.message,
+      verdict: error.verdict,
+      last_event: this.lastEventId,
+    });
+  }
+
+  private leftMs(): number {
+    return this.endsAt - this.now();
+  }
+
+  private now(): number {
+    return this.options.state.clock.monotonic();
+  }
+}
+
+function round(value: number | undefined): number | undefined {
+  return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
+}
--- /dev/null
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -0,0 +1,115 @@
+/**
+ * The endpoints that take or finish work, with their connections and what is known of their load. An
+ * endpoint that leaves gets nothing new; what runs there runs on. One that starts anew under its old
+ * name is another incarnation: it keeps nothing, and what ran before is lost.
+ */
+import { EndpointLoad, incarnationOf } from '@poplarpick/decisions';
+import type { Endpoint } from '@poplarpick/decisions';
+import type { Logger } from '@poplarpick/kernel';
+import type { EndpointClient } from './endpoint-client.ts';
+
+/** An endpoint with this router's view of it. */
+export interface EndpointRecord {
+  endpoint: Endpoint;
+  /** Names its incarnation. */
+  name: string;
+  client: EndpointClient;
+  load: EndpointLoad;
+  /** Takes no new requests. */
+  isLeaving: boolean;
+}
+
+/** Options of an `EndpointDirectory`. */
+export interface EndpointDirectoryOptions {
+  log: Logger;
+  /** Makes the connections to an endpoint. */
+  connect: (endpoint: Endpoint) => EndpointClient;
+  /** Called when an incarnation is gone for good. */
+  onGone: (record: EndpointRecord) => void;
+}
+
+/** Knows the endpoints. */
+export class EndpointDirectory {
+  private readonly options: EndpointDirectoryOptions;
+  private readonly records = new Map<string, EndpointRecord>();
+
+  constructor(options: EndpointDirectoryOptions) {
+    this.options = options;
+  }
+
+  /** Takes what an endpoint says of itself. */
+  update(endpoint: Endpoint): void {
+    const known = this.records.get(endpoint.id);
+    const name = incarnationOf(endpoint);
+    if (known?.name === name) {
+      this.refresh(known, endpoint);
+      return;
+    }
+    if (known !== undefined) this.replace(known);
+    const record: EndpointRecord = {
+      endpoint,
+      name,
+      client: this.options.connect(endpoint),
+      load: new EndpointLoad(),
+      isLeaving: endpoint.isDraining,
+    };
+    this.records.set(endpoint.id, record);
+    this.log('endpoint.seen', record);
+  }
+
+  /** Notes that an endpoint is gone from the list: it gets no new work and ends what it has. */
+  remove(id: string): void {
+    const record = this.records.get(id);
+    if (record === undefined) return;
+    this.records.delete(id);
+    record.isLeaving = true;
+    record.client.close();
+    this.log('endpoint.gone', record);
+    this.options.onGone(record);
+  }
+
+  /** Endpoints of a pool that take new requests. */
+  takers(pool: string): EndpointRecord[] {
+    return [...this.records.values()].filter(
+      (record) => record.endpoint.pool === pool && !record.isLeaving,
+    );
+  }
+
+  all(): Iterable<EndpointRecord> {
+    return this.records.values();
+  }
+
+  ids(): string[] {
+    return [...this.records.keys()];
+  }
+
+  /** Closes all connections at once. */
+  destroy(): void {
+    for (const { client } of this.records.values()) client.destroy();
+    this.records.clear();
+  }
+
+  private refresh(record: EndpointRecord, endpoint: Endpoint): void {
+    record.endpoint = endpoint;
+    if (!endpoint.isDraining || record.isLeaving) return;
+    record.isLeaving = true;
+    this.log('endpoint.draining', record);
+  }
+
+  private replace(record: EndpointRecord): void {
+    this.log('endpoint.restarted', record);
+    record.isLeaving = true;
+    record.client.destroy();
+    this.options.onGone(record);
+  }
+
+  private log(event: string, { endpoint }: EndpointRecord): void {
+    this.options.log.info({
+      event,
+      endpoint: endpoint.id,
+      pool: endpoint.pool,
+      address: endpoint.address,
+      data_centre: endpoint.dataCentre,
+    });
+  }
+}
--- /dev/null
+++ b/packages/forwarder/src/forwarder.ts
@@ -0,0 +1,128 @@
+/**
+ * A router that forwards straight to endpoints: its state, its callers' side, its exchange with its
+ * peers, and its planned stop.
+ */
+import { Plugin, Role } from '@poplarpick/kernel';
+import type { Clock, Kernel, Timer } from '@poplarpick/kernel';
+import type { CallProtocol } from './calls/call-protocol.ts';
+import { CallIngress } from './ingress/call-ingress.ts';
+import { ReadinessServer } from './ingress/readiness.ts';
+import { PeerExchange } from './peers/peer-exchange.ts';
+import { RouterState } from './router-state.ts';
+import type { RouterBounds } from './router-state.ts';
+
+/** Time for which a stopping router takes connections: until its entry has noticed, in ms. */
+const LISTEN_ON_MS = 2_300;
+
+/** Time after which a stopping router refuses what comes on kept connections, in ms. */
+const REFUSE_AFTER_MS = 2_800;
+
+/** Time before the end of its grace at which a stopping router ends, in ms. */
+const GRACE_MARGIN_MS = 700;
+
+const STOP_CHECK_MS = 50;
+
+/** Options of a `Forwarder`. */
+export interface ForwarderOptions {
+  dataCentre: string;
+  callersAddress: string;
+  readinessAddress: string;
+  readinessPath: string;
+  peersAddress: string;
+  bounds: RouterBounds;
+  /** Time between the signal to stop and the end, in ms. */
+  graceMs: number;
+  protocol: CallProtocol;
+  /** Called when the clocks show that the host may have been suspended. */
+  onSuspension: () => void;
+}
+
+/** The plug-in that runs a forwarding router. */
+export class Forwarder extends Plugin {
+  override readonly name = 'forwarder';
+  override readonly roles = [Role.Router];
+  readonly state: RouterState;
+  private readonly options: ForwarderOptions;
+  private readonly clock: Clock;
+  private readonly ingress: CallIngress;
+  private readonly readiness: ReadinessServer;
+  private readonly peers: PeerExchange;
+  private isStopping = false;
+
+  constructor(options: ForwarderOptions, kernel: Pick<Kernel, 'clock' | 'log'>) {
+    super();
+    this.options = options;
+    this.clock = kernel.clock;
+    const { dataCentre, bounds, protocol } = options;
+    const { clock, log } = kernel;
+    this.state = new RouterState({ clock, log, protocol, dataCentre, bounds });
+    this.ingress = new CallIngress({
+      address: options.callersAddress,
+      state: this.state,
+      onSuspension: options.onSuspension,
+    });
+    this.readiness = new ReadinessServer({
+      address: options.readinessAddress,
+      path: options.readinessPath,
+      isReady: () => this.isReady(),
+    });
+    this.peers = new PeerExchange({
+      address: options.peersAddress,
+      clock,
+      log,
+      table: this.state.peers,
+      describe: () => this.state.describe(),
+      onReport: (report) => this.state.takeReport(report),
+    });
+  }
+
+  setSeeds(seeds: readonly string[]): void {
+    this.peers.setSeeds(seeds);
+  }
+
+  override async start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override async open(): Promise<void> {
+    await this.peers.open();
+    await this.readiness.open();
+    await this.ingress.open();
+  }
+
+  /** Finishes what runs: not ready first, then no new connections, then no new requests. */
+  override async drain(): Promise<void> {
+    this.isStopping = true;
+    this.ingress.beginStop();
+    const startedAt = this.clock.monotonic();
+    await new Promise<void>((resolve) => {
+      const timer: Timer = this.clock.every(STOP_CHECK_MS, () => {
+        if (!this.continueStop(this.clock.monotonic() - startedAt)) return;
+        timer.stop();
+        resolve();
+      });
+    });
+  }
+
+  override async stop(): Promise<void> {
+    this.ingress.stopListening();
+    this.readiness.close();
+    this.peers.close();
+    this.state.endpoints.destroy();
+    return Promise.resolve();
+  }
+
+  /** One step of a planned stop; true when it is done. */
+  private continueStop(elapsedMs: number): boolean {
+    if (elapsedMs >= REFUSE_AFTER_MS) this.ingress.refuseAll();
+    if (elapsedMs < LISTEN_ON_MS) return false;
+    this.ingress.stopListening();
+    if (elapsedMs >= this.options.graceMs - GRACE_MARGIN_MS) return true;
+    return this.ingress.openRequests === 0 && elapsedMs >= REFUSE_AFTER_MS;
+  }
+
+  private isReady(): boolean {
+    if (this.isStopping || this.state.routes === undefined) return false;
+    return this.state.freshness.isTrusted(this.clock.monotonic());
+  }
+}
--- /dev/null
+++ b/packages/forwarder/src/index.ts
@@ -0,0 +1,4 @@
+/** A router that forwards calls straight to endpoints, with what an adapter needs to run it. */
+export * from './calls/call-protocol.ts';
+export * from './forwarder.ts';
+export * from './router-state.ts';
--- /dev/null
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -0,0 +1,224 @@
+/**
+ * The callers' side of a router: an HTTP server that hands each request, once it has arrived whole, to
+ * a call. Node's own parser refuses what could smuggle a second request.
+ */
+import { createServer, STATUS_CODES } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { parseAddress } from '@poplarpick/fleet/address';
+import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
+import { AnswerWriter } from '../calls/answer-writer.ts';
+import { Call } from '../calls/call.ts';
+import { CallPlacement } from '../calls/call-placement.ts';
+import type { RouterState } from '../router-state.ts';
+import { checkCall } from './call-checks.ts';
+
+/** Limits until the first routing table brings the site's own. */
+const FIRST_LIMITS = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Period in which streams are checked for silence, in ms. */
+const SILENCE_CHECK_MS = 250;
+
+/** Period in which the server looks for callers that take too long to send, in ms. */
+const RECEIVE_CHECK_MS = 500;
+
+/** When to come back to a router that is about to stop, in seconds. */
+const STOPPING_RETRY_S = 0.05;
+
+/** Options of a `CallIngress`. */
+export interface CallIngressOptions {
+  address: string;
+  state: RouterState;
+  /** Called when the clocks show that the host may have been suspended. */
+  onSuspension: () => void;
+}
+
+/** Serves callers. */
+export class CallIngress {
+  private readonly options: CallIngressOptions;
+  private readonly placement: CallPlacement;
+  private readonly server: Server;
+  private readonly calls = new Set<Call>();
+  private open_ = 0;
+  private isStopping = false;
+  private refusesAll = false;
+
+  constructor(options: CallIngressOptions) {
+    this.options = options;
+    this.placement = new CallPlacement(options.state);
+    this.server = createServer(
+      {
+        maxHeaderSize: FIRST_LIMITS.headerBytes,
+        headersTimeout: FIRST_LIMITS.headerTimeoutMs,
+        requestTimeout: 0,
+        keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs,
+        connectionsCheckingInterval: RECEIVE_CHECK_MS,
+        noDelay: true,
+      },
+      (request, response) => void this.serve(request, response),
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      answerUnreadable(error, socket);
+    });
+  }
+
+  /** Listens. Rejects when the address can't be had. */
+  async open(): Promise<void> {
+    const { ip, port } = parseAddress(this.options.address);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, () => resolve());
+    });
+    this.options.state.clock.every(SILENCE_CHECK_MS, () => this.checkSilence());
+  }
+
+  /** Requests that are being received or served. */
+  get openRequests(): number {
+    return this.open_;
+  }
+
+  /** Asks callers to close their connections after their next answer. */
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
+  /** Refuses what comes from now on; it has not run and may go elsewhere. */
+  refuseAll(): void {
+    this.refusesAll = true;
+  }
+
+  /** Takes no new connections and closes idle ones. */
+  stopListening(): void {
+    if (this.server.listening) this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { state } = this.options;
+    const arrivedAt = state.clock.monotonic();
+    this.open_ += 1;
+    response.once('close', () => (this.open_ -= 1));
+    const writer = new AnswerWriter(response, () => this.isStopping);
+    try {
+      await this.accept(request, response, arrivedAt);
+    } catch (error) {
+      const failure = toRequestError(error, Verdict.NotRun);
+      this.logRefusal(request, failure, arrivedAt);
+      writer.sendFailure(failure);
+    }
+  }
+
+  private async accept(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: number,
+  ): Promise<void> {
+    const { state } = this.options;
+    const { method = 'GET', url = '/' } = request;
+    const body = await readBody(request, this.limits().bodyBytes);
+    const head = state.protocol.readCall(method, url, request.rawHeaders);
+    if (this.refusesAll) {
+      throw new RequestError('the router is stopping', {
+        code: ErrorCode.Draining,
+        verdict: Verdict.NotRun,
+        retryAfterSeconds: STOPPING_RETRY_S,
+      });
+    }
+    const now = state.clock.monotonic();
+    if (state.freshness.checkClocks(now, state.clock.now())) this.options.onSuspension();
+    const { route, pool, workspace } = checkCall(head, state, now);
+    const call = new Call({
+      state,
+      placement: this.placement,
+      head,
+      route,
+      pool,
+      workspace,
+      body,
+      response,
+      arrivedAt,
+      isLastAnswer: () => this.isStopping,
+      isKeyValid: () => isStillValid(state, head.key, workspace),
+      onEnd: (ended) => this.calls.delete(ended),
+    });
+    this.calls.add(call);
+    call.start();
+  }
+
+  private limits(): typeof FIRST_LIMITS {
+    const limits = this.options.state.routes?.table.limits ?? FIRST_LIMITS;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    return limits;
+  }
+
+  private checkSilence(): void {
+    const now = this.options.state.clock.monotonic();
+    for (const call of this.calls) call.checkSilence(now);
+  }
+
+  private logRefusal(request: IncomingMessage, error: RequestError, arrivedAt: number): void {
+    const { log, freshness, clock, routes } = this.options.state;
+    log.info({
+      event: 'call.refused_unplaced',
+      code: error.code,
+      reason: error.message,
+      target: request.url,
+      host_name: request.headers.host,
+      total_ms: Math.round(clock.monotonic() - arrivedAt),
+      key_age_ms: Math.round(Math.min(1e9, freshness.age(clock.monotonic()))),
+      version: routes?.table.version,
+    });
+  }
+}
+
+function isStillValid(state: RouterState, key: string | undefined, workspace?: string): boolean {
+  if (workspace === undefined) return true;
+  if (!state.freshness.isTrusted(state.clock.monotonic())) return false;
+  return key !== undefined && state.routes?.findWorkspace(key) === workspace;
+}
+
+/** The whole body; undefined where the request has none. Rejects when it is too large or breaks off. */
+async function readBody(request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
+  const { headers } = request;
+  const declared = Number(headers['content-length'] ?? 0);
+  if (declared > limit) throw refuseBody();
+  if (declared === 0 && headers['transfer-encoding'] === undefined) return undefined;
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > limit) throw refuseBody();
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks, size);
+}
+
+function refuseBody(): RequestError {
+  return new RequestError('the body is too large', {
+    code: ErrorCode.BodyTooLarge,
+    verdict: Verdict.NotRun,
+  });
+}
+
+/** Answers what the parser refuses. */
+function answerUnreadable(error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const status = UNREADABLE_STATUS[error.code ?? ''] ?? 400;
+  socket.end(
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+  );
+}
+
+const UNREADABLE_STATUS: Record<string, number> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
--- /dev/null
+++ b/packages/forwarder/src/ingress/readiness.ts
@@ -0,0 +1,43 @@
+/** Tells the platform's entry whether new connections may come here. */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import { parseAddress } from '@poplarpick/fleet/address';
+
+/** Options of a `ReadinessServer`. */
+export interface ReadinessServerOptions {
+  address: string;
+  path: string;
+  isReady: () => boolean;
+}
+
+/** Answers 200 when ready, and 503 otherwise. */
+export class ReadinessServer {
+  private readonly options: ReadinessServerOptions;
+  private readonly server: Server;
+
+  constructor(options: ReadinessServerOptions) {
+    this.options = options;
+    this.server = createServer((request, response) => {
+      const isKnown = request.url?.split('?', 1)[0] === options.path;
+      response.statusCode = isKnown ? this.status() : 404;
+      response.end();
+    });
+  }
+
+  async open(): Promise<void> {
+    const { ip, port } = parseAddress(this.options.address);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, () => resolve());
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private status(): number {
+    return this.options.isReady() ? 200 : 503;
+  }
+}
--- /dev/null
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -0,0 +1,154 @@
+/**
+ * Exchange of reports between routers over UDP. Datagrams need no connections that could fall silent;
+ * a lost one is made good by the next. Routers find each other through a few seeds, and through the
+ * peers that each report names.
+ */
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+import { Packr } from 'msgpackr';
+import { z } from 'zod';
+import { parseAddress } from '@poplarpick/fleet/address';
+import { describeError } from '@poplarpick/kernel';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import type { PeerReport, PeerTable } from './peer-table.ts';
+
+/** Period of the reports, in ms: a few of them within the time to a first event. */
+const REPORT_PERIOD_MS = 80;
+
+/** Reports between two that go to the seeds too, since a seed may have been replaced. */
+const SEED_EVERY = 10;
+
+/** Most addresses that are kept; more are not a fleet but a fault. */
+const ADDRESS_LIMIT = 2_000;
+
+const share = z.object({
+  reading: z.number(),
+  readTokens: z.number(),
+  running: z.number(),
+  heldTokens: z.number(),
+});
+
+/** What a datagram must hold. */
+export const peerReport = z.object({
+  from: z.string(),
+  startedAt: z.number(),
+  sequence: z.number(),
+  version: z.number(),
+  peers: z.array(z.string()),
+  loads: z.array(z.tuple([z.number(), share])),
+  workspaces: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  kept: z.array(z.tuple([z.number(), z.number(), z.number()])),
+});
+
+/** Parts of a report that its sender's state supplies. */
+export type ReportBody = Pick<PeerReport, 'version' | 'loads' | 'workspaces' | 'kept'>;
+
+/** Options of a `PeerExchange`. */
+export interface PeerExchangeOptions {
+  /** `IP:port` to listen on. */
+  address: string;
+  clock: Clock;
+  log: Logger;
+  table: PeerTable;
+  /** This router's state. */
+  describe: () => ReportBody;
+  onReport: (report: PeerReport) => void;
+}
+
+/** Sends and receives reports. */
+export class PeerExchange {
+  private readonly options: PeerExchangeOptions;
+  private readonly packr = new Packr({ useRecords: false });
+  private readonly socket: Socket = createSocket('udp4');
+  private readonly startedAt: number;
+  private seeds: readonly string[] = [];
+  private readonly heard = new Map<string, number>();
+  private sequence = 0;
+  private timer: Timer | undefined;
+  private sendFailures = 0;
+
+  constructor(options: PeerExchangeOptions) {
+    this.options = options;
+    this.startedAt = options.clock.now();
+  }
+
+  setSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds.filter((seed) => seed !== this.options.address);
+  }
+
+  /** Binds the socket and starts to report. Rejects when the address can't be had. */
+  async open(): Promise<void> {
+    const { ip, port } = parseAddress(this.options.address);
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(port, ip, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
+    });
+    this.socket.on('error', (error) => this.logFailure('peers.socket_failed', error));
+    this.socket.on('message', (message) => this.receive(message));
+    this.timer = this.options.clock.every(REPORT_PERIOD_MS, () => this.send());
+  }
+
+  close(): void {
+    this.timer?.stop();
+    this.socket.close();
+  }
+
+  private send(): void {
+    const { clock, table, address, describe } = this.options;
+    const peers = table.live(clock.monotonic()).map(({ from }) => from);
+    this.sequence += 1;
+    const isSeedTurn = this.sequence % SEED_EVERY === 1;
+    const targets = new Set(isSeedTurn ? [...peers, ...this.seeds, ...this.heard.keys()] : peers);
+    targets.delete(address);
+    if (targets.size === 0) return;
+    const report: PeerReport = {
+      from: address,
+      startedAt: this.startedAt,
+      sequence: this.sequence,
+      peers,
+      ...describe(),
+    };
+    const message = this.packr.pack(report);
+    for (const target of targets) this.sendTo(target, message);
+  }
+
+  private sendTo(target: string, message: Buffer): void {
+    const { ip, port } = parseAddress(target);
+    this.socket.send(message, port, ip, (error) => {
+      if (error === null) return;
+      this.sendFailures += 1;
+      if (this.sendFailures === 1) this.logFailure('peers.send_failed', error);
+    });
+  }
+
+  private receive(message: Buffer): void {
+    const report = this.decode(message);
+    if (report === undefined || report.from === this.options.address) return;
+    const now = this.options.clock.monotonic();
+    for (const peer of report.peers) this.remember(peer, now);
+    this.remember(report.from, now);
+    if (this.options.table.take(report, now)) this.options.onReport(report);
+  }
+
+  private decode(message: Buffer): PeerReport | undefined {
+    try {
+      return peerReport.parse(this.packr.unpack(message));
+    } catch (error) {
+      this.logFailure('peers.unreadable_report', error);
+      return undefined;
+    }
+  }
+
+  private remember(peer: string, now: number): void {
+    if (peer === this.options.address) return;
+    if (this.heard.size >= ADDRESS_LIMIT && !this.heard.has(peer)) return;
+    this.heard.set(peer, now);
+  }
+
+  private logFailure(event: string, error: unknown): void {
+    this.options.log.warn({ event, error: describeError(error) });
+  }
+}
--- /dev/null
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -0,0 +1,70 @@
+/**
+ * What the other routers say: their load at each endpoint, what workspaces asked of them and got, and
+ * which prompt parts went where. Every message holds the sender's whole present state, so that lost,
+ * doubled and reordered messages do no harm; what a peer said is forgotten when it falls silent.
+ */
+import type { LoadShare } from '@poplarpick/decisions';
+
+/** Time after which a silent peer no longer counts, in ms: several of its messages are missing. */
+export const PEER_TTL_MS = 1_500;
+
+/** A prompt part at an endpoint; endpoints and parts are named by their hashes. */
+export type KeptPart = [endpoint: number, part: number, tokens: number];
+
+/** Tokens of a workspace within the window: asked for, and granted. */
+export type WorkspaceTokens = [workspace: string, asked: number, granted: number];
+
+/** One router's state as its peers need it. */
+export interface PeerReport {
+  /** `IP:port` at which the sender listens. */
+  from: string;
+  /** Start of the sender's process, in ms since the Unix epoch. */
+  startedAt: number;
+  /** Grows with each report of one process. */
+  sequence: number;
+  /** Version of the sender's routing table. */
+  version: number;
+  /** Addresses of the routers that the sender hears. */
+  peers: string[];
+  loads: [endpoint: number, share: LoadShare][];
+  workspaces: WorkspaceTokens[];
+  kept: KeptPart[];
+}
+
+interface PeerEntry {
+  report: PeerReport;
+  heardAt: number;
+}
+
+/** Latest reports of the peers. */
+export class PeerTable {
+  private readonly entries = new Map<string, PeerEntry>();
+
+  /** Takes a report; false where a newer one of the same router is known. */
+  take(report: PeerReport, now: number): boolean {
+    const known = this.entries.get(report.from)?.report;
+    if (known !== undefined && !isNewer(report, known)) return false;
+    this.entries.set(report.from, { report, heardAt: now });
+    return true;
+  }
+
+  /** Reports of the routers that are heard. */
+  live(now: number): PeerReport[] {
+    const live: PeerReport[] = [];
+    for (const [from, { report, heardAt }] of this.entries) {
+      if (now - heardAt <= PEER_TTL_MS) live.push(report);
+      else this.entries.delete(from);
+    }
+    return live;
+  }
+
+  /** Routers that are heard, with this one. */
+  countRouters(now: number): number {
+    return this.live(now).length + 1;
+  }
+}
+
+function isNewer(report: PeerReport, known: PeerReport): boolean {
+  if (report.startedAt !== known.startedAt) return report.startedAt > known.startedAt;
+  return report.sequence > known.sequence;
+}
--- /dev/null
+++ b/packages/forwarder/src/router-state.ts
@@ -0,0 +1,238 @@
+/**
+ * State of one router that its decisions use: routes, endpoints and their load, the speed of pools,
+ * kept prompt parts, shares of workspaces and budgets. Lost with the process; store and peers bring
+ * it back.
+ */
+import murmurhash from 'murmurhash';
+import {
+  AttemptBudget,
+  DemandWindow,
+  findFairLevel,
+  hashSharedParts,
+  KeyFreshness,
+  PrefixMemory,
+  RouteIndex,
+  shareCost,
+  SpeedModel,
+} from '@poplarpick/decisions';
+import type { HashedPart, LoadShare, Prompt, RoutingTable } from '@poplarpick/decisions';
+import type { Clock, Logger } from '@poplarpick/kernel';
+import { EndpointClient } from './endpoints/endpoint-client.ts';
+import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
+import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
+import type { CallProtocol } from './calls/call-protocol.ts';
+import { PeerTable } from './peers/peer-table.ts';
+import type { KeptPart, PeerReport, WorkspaceTokens } from './peers/peer-table.ts';
+import type { ReportBody } from './peers/peer-exchange.ts';
+
+/** Share of an endpoint's connections that one router may open, since others open some too. */
+const CONNECTION_SHARE = 0.5;
+
+const DEFAULT_CONNECTION_LIMIT = 64;
+
+/** Reports in which a newly kept part is told, so that a lost datagram doesn't hide it. */
+const KEPT_REPEATS = 3;
+
+/** Most kept parts in one report, so that it fits a datagram. */
+const KEPT_PER_REPORT = 200;
+
+/** Bounds that the site sets. */
+export interface RouterBounds {
+  revocationMs: number;
+  shareWindowMs: number;
+  retryRatio: number;
+  retrySlack: number;
+  retryWindowMs: number;
+}
+
+/** Options of a `RouterState`. */
+export interface RouterStateOptions {
+  clock: Clock;
+  log: Logger;
+  protocol: CallProtocol;
+  dataCentre: string;
+  bounds: RouterBounds;
+}
+
+/** State of one router. */
+export class RouterState {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly dataCentre: string;
+  readonly bounds: RouterBounds;
+  readonly protocol: CallProtocol;
+  readonly freshness: KeyFreshness;
+  readonly endpoints: EndpointDirectory;
+  readonly peers = new PeerTable();
+  readonly memory = new PrefixMemory();
+  private readonly asked: DemandWindow;
+  private readonly granted: DemandWindow;
+  private readonly speeds = new Map<string, SpeedModel>();
+  private readonly budgets = new Map<string, AttemptBudget>();
+  private readonly untoldParts: { part: KeptPart; left: number }[] = [];
+  private current: RouteIndex | undefined;
+
+  constructor(options: RouterStateOptions) {
+    this.clock = options.clock;
+    this.log = options.log;
+    this.dataCentre = options.dataCentre;
+    this.bounds = options.bounds;
+    this.protocol = options.protocol;
+    this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
+    this.asked = new DemandWindow(options.bounds.shareWindowMs);
+    this.granted = new DemandWindow(options.bounds.shareWindowMs);
+    this.endpoints = new EndpointDirectory({
+      log: options.log,
+      connect: (endpoint) =>
+        new EndpointClient({
+          address: endpoint.address,
+          connectionLimit: this.connectionLimit(endpoint.pool),
+          protocol: options.protocol,
+        }),
+      onGone: (record) => this.forget(record),
+    });
+  }
+
+  /** The routes in force; undefined before any is known. */
+  get routes(): RouteIndex | undefined {
+    return this.current;
+  }
+
+  /** Puts a routing table in force; an older one than that in force is ignored. */
+  configure(table: RoutingTable): void {
+    if (this.current !== undefined && table.version <= this.current.table.version) return;
+    this.current = new RouteIndex(table);
+    this.log.info({
+      event: 'routes.in_force',
+      version: table.version,
+      routes: table.routes.length,
+      workspaces: table.workspaces?.length ?? 0,
+    });
+  }
+
+  speedOf(pool: string): SpeedModel {
+    return getOrMake(this.speeds, pool, () => new SpeedModel());
+  }
+
+  budgetOf(pool: string): AttemptBudget {
+    const { retryRatio, retrySlack, retryWindowMs } = this.bounds;
+    return getOrMake(
+      this.budgets,
+      pool,
+      () => new AttemptBudget({ ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs }),
+    );
+  }
+
+  countRouters(): number {
+    return this.peers.countRouters(this.clock.monotonic());
+  }
+
+  /** Notes that a workspace asks for a prompt; returns whether it has had its fair share already. */
+  noteAsked(workspace: string, prompt: Prompt): boolean {
+    const now = this.clock.monotonic();
+    this.asked.add(workspace, shareCost(prompt), now);
+    const rate = this.current?.table.tokensPerSecond ?? 0;
+    if (rate === 0) return false;
+    const demands = this.asked.totals(now);
+    let granted = this.granted.totals(now).get(workspace) ?? 0;
+    for (const report of this.peers.live(now)) {
+      for (const [name, asked, got] of report.workspaces) {
+        demands.set(name, (demands.get(name) ?? 0) + asked);
+        if (name === workspace) granted += got;
+      }
+    }
+    const capacity = (rate * this.bounds.shareWindowMs) / 1_000;
+    return granted >= findFairLevel(demands.values(), capacity);
+  }
+
+  noteGranted(workspace: string, prompt: Prompt): void {
+    this.granted.add(workspace, shareCost(prompt), this.clock.monotonic());
+  }
+
+  /** Notes that an endpoint reads the shared parts of a prompt. */
+  noteKept(record: EndpointRecord, parts: readonly HashedPart[]): void {
+    const capacity = this.current?.findPool(record.endpoint.pool)?.batch?.cacheTokens;
+    for (const part of parts) {
+      if (!this.memory.note(record.name, part, capacity)) continue;
+      const kept: KeptPart = [murmurhash.v3(record.name), part.hash, part.tokens];
+      this.untoldParts.push({ part: kept, left: KEPT_REPEATS });
+    }
+  }
+
+  /** This router's state for its peers. */
+  describe(): ReportBody {
+    const loads: [number, LoadShare][] = [];
+    for (const { name, load } of this.endpoints.all()) {
+      const share = load.ownShare();
+      if (share.reading + share.running > 0) loads.push([murmurhash.v3(name), share]);
+    }
+    return {
+      version: this.current?.table.version ?? 0,
+      loads,
+      workspaces: this.describeWorkspaces(),
+      kept: this.takeUntoldParts(),
+    };
+  }
+
+  /** Takes a peer's state. */
+  takeReport(report: PeerReport): void {
+    const now = this.clock.monotonic();
+    const byHash = new Map<number, EndpointRecord>();
+    for (const record of this.endpoints.all()) byHash.set(murmurhash.v3(record.name), record);
+    const loads = new Map(report.loads);
+    for (const [hash, record] of byHash) {
+      const share = loads.get(hash);
+      record.load.notePeer(report.from, share ?? EMPTY_SHARE, now);
+    }
+    for (const [hash, part, tokens] of report.kept) {
+      const record = byHash.get(hash);
+      if (record === undefined) continue;
+      const capacity = this.current?.findPool(record.endpoint.pool)?.batch?.cacheTokens;
+      this.memory.note(record.name, { hash: part, tokens }, capacity);
+    }
+  }
+
+  private describeWorkspaces(): WorkspaceTokens[] {
+    const now = this.clock.monotonic();
+    const granted = this.granted.totals(now);
+    return [...this.asked.totals(now)].map(([workspace, asked]) => [
+      workspace,
+      Math.round(asked),
+      Math.round(granted.get(workspace) ?? 0),
+    ]);
+  }
+
+  private takeUntoldParts(): KeptPart[] {
+    const told = this.untoldParts.splice(0, KEPT_PER_REPORT);
+    for (const entry of told) {
+      entry.left -= 1;
+      if (entry.left > 0) this.untoldParts.push(entry);
+    }
+    return told.map(({ part }) => part);
+  }
+
+  private connectionLimit(pool: string): number {
+    const limit = this.current?.findPool(pool)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT;
+    return Math.max(1, Math.floor(limit * CONNECTION_SHARE));
+  }
+
+  private forget(record: EndpointRecord): void {
+    this.memory.forget(record.name);
+    this.speedOf(record.endpoint.pool).forget(record.name);
+  }
+}
+
+const EMPTY_SHARE: LoadShare = { reading: 0, readTokens: 0, running: 0, heldTokens: 0 };
+
+/** The shared parts of a prompt; none where there is no prompt. */
+export function partsOf(prompt: Prompt | undefined): HashedPart[] {
+  return prompt === undefined ? [] : hashSharedParts(prompt);
+}
+
+function getOrMake<Key, Value>(map: Map<Key, Value>, key: Key, make: () => Value): Value {
+  const known = map.get(key);
+  if (known !== undefined) return known;
+  const made = make();
+  map.set(key, made);
+  return made;
+}
