--- a/packages/decisions/src/forwarding/placement.ts
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -1,8 +1,13 @@
 /**
- * Placement of one request among the endpoints of its pool. Pattern: many routers send prompts that
- * share long beginnings. A prompt goes where its first event comes soonest, and leaves the endpoint
- * that keeps its beginning only where that saves far more than the reading that it repeats, since
- * others wait for that reading too.
+ * Placement of one request among the endpoints of its pool.
+ *
+ * Prompts: many routers send prompts that share long beginnings. Costs are counted in prompt tokens.
+ * Reading a beginning again costs its tokens, since others wait for that reading; being late costs a
+ * share of the request's size; work ahead counts a little, so that short beginnings go where it is
+ * calm while long ones stay. A beginning that no endpoint keeps yet goes to the same one from every
+ * router of a data centre.
+ *
+ * Plain requests: the endpoint that answers soonest.
  */
 import { rankByRendezvous } from '../rendezvous/rendezvous.ts';
 
@@ -10,12 +15,12 @@
 export interface Candidate {
   /** Incarnation of the endpoint. */
   name: string;
-  /** Time until the endpoint would begin to read the request, in ms. */
-  waitMs: number;
-  /** Time to read what the endpoint doesn't keep of the prompt, in ms. */
-  readMs: number;
-  /** Part of `readMs` that goes to beginnings which other requests share. */
-  sharedReadMs: number;
+  /** Expected time to the first event or the answer, in ms. */
+  firstEventMs: number;
+  /** Prompt tokens that are ahead of the request. */
+  tokensAhead: number;
+  /** Tokens of shared beginnings that the endpoint doesn't keep. */
+  missingTokens: number;
   /** In the router's own data centre. */
   isNear: boolean;
   /** Share of requests that failed there lately. */
@@ -23,50 +28,116 @@
   isBroken: boolean;
 }
 
-/** Weight of repeated reading against waiting. */
-const REPEATED_READING_WEIGHT = 2;
+/** A request with a prompt. */
+export interface PromptPlacement {
+  /** Names the shared beginning. */
+  affinity: string;
+  /** Prompt tokens and answer tokens, the latter by their cost. */
+  sizeTokens: number;
+  bodyBytes: number;
+  /** Time within which the first event is on time, in ms. */
+  objectiveMs: number;
+}
 
-/** Cost of leaving the data centre, in ms of waiting. */
-const FAR_COST_MS = 6;
+/** Cost of being one objective late, as a share of the request's size. */
+const LATE_SHARE = 0.35;
 
-/** Cost of an endpoint that fails every request, in ms of waiting. */
-const FAILURE_COST_MS = 1_000;
+/** Share of the objective up to which an expected time counts as safely on time. */
+const SAFE_SHARE = 0.7;
 
-/** Cost of an endpoint that seems broken, in ms of waiting; larger than any wait that is accepted. */
-const BROKEN_COST_MS = 20_000;
+/** Share of the objective over which lateness becomes certain. */
+const UNSURE_SHARE = 0.5;
 
-/** The best of the candidates; undefined where there are none. */
-export function placeRequest(
-  affinity: string | undefined,
-  candidates: readonly Candidate[],
-): Candidate | undefined {
-  const home = affinity === undefined ? undefined : findHome(affinity, candidates);
-  let best: Candidate | undefined;
-  let least = Number.POSITIVE_INFINITY;
-  for (const candidate of candidates) {
-    const cost = costOf(candidate, candidate === home);
-    if (cost >= least) continue;
-    best = candidate;
-    least = cost;
-  }
-  return best;
+/** Cost of each token ahead. */
+const AHEAD_WEIGHT = 0.15;
+
+/** Preference for the common first endpoint of a beginning that none keeps, as a share of its tokens. */
+const HOME_SHARE = 0.3;
+
+/** Cost of leaving the data centre, in tokens: for each request, and for each byte of its body. */
+const FAR_TOKENS = { request: 60, bodyByte: 0.015 };
+
+/** Cost of an endpoint that fails every request, as a share of the request's size. */
+const FAILURE_SHARE = 1.5;
+
+/** Cost of an endpoint that seems broken, as a share of the request's size. */
+const BROKEN_SHARE = 20;
+
+/** The best endpoint for a prompt; undefined where there is none. */
+export function placePrompt<Option extends Candidate>(
+  request: PromptPlacement,
+  candidates: readonly Option[],
+): Option | undefined {
+  const home = findHome(request.affinity, candidates);
+  return cheapest(candidates, (candidate) => {
+    const bonus = candidate === home ? HOME_SHARE * candidate.missingTokens : 0;
+    return promptCost(request, candidate) - bonus;
+  });
+}
+
+function promptCost(request: PromptPlacement, candidate: Candidate): number {
+  const { sizeTokens, objectiveMs, bodyBytes } = request;
+  const overMs = candidate.firstEventMs - objectiveMs * SAFE_SHARE;
+  const lateness = Math.max(0, overMs / (objectiveMs * UNSURE_SHARE));
+  const far = candidate.isNear ? 0 : FAR_TOKENS.request + bodyBytes * FAR_TOKENS.bodyByte;
+  const trouble =
+    candidate.failures * FAILURE_SHARE + (candidate.isBroken ? BROKEN_SHARE : 0);
+  return (
+    candidate.missingTokens +
+    candidate.tokensAhead * AHEAD_WEIGHT +
+    lateness * LATE_SHARE * sizeTokens +
+    trouble * sizeTokens +
+    far
+  );
 }
 
-/** The endpoint to read a beginning that none keeps yet: the same one at every router. */
-function findHome(affinity: string, candidates: readonly Candidate[]): Candidate | undefined {
+/** The endpoint for a beginning that none keeps yet: the same at every router of the data centre. */
+function findHome<Option extends Candidate>(
+  affinity: string,
+  candidates: readonly Option[],
+): Option | undefined {
   const sound = candidates.filter(({ isBroken }) => !isBroken);
-  if (sound.some(({ sharedReadMs }) => sharedReadMs === 0)) return undefined;
+  if (sound.some(({ missingTokens }) => missingTokens === 0)) return undefined;
+  const near = sound.filter(({ isNear }) => isNear);
+  const choice = near.length > 0 ? near : sound;
   const [first] = rankByRendezvous(
     affinity,
-    sound.map(({ name }) => name),
+    choice.map(({ name }) => name),
   );
-  return sound.find(({ name }) => name === first);
+  return choice.find(({ name }) => name === first);
+}
+
+/** Cost of leaving the data centre for a plain request, in ms. */
+const FAR_MS = 6;
+
+/** Cost of a plain endpoint that fails every request, in ms. */
+const FAILURE_MS = 1_000;
+
+/** Cost of a plain endpoint that seems broken, in ms. */
+const BROKEN_MS = 20_000;
+
+/** The best endpoint for a request without a prompt; undefined where there is none. */
+export function placePlain<Option extends Candidate>(
+  candidates: readonly Option[],
+): Option | undefined {
+  return cheapest(candidates, (candidate) => {
+    const far = candidate.isNear ? 0 : FAR_MS;
+    const broken = candidate.isBroken ? BROKEN_MS : 0;
+    return candidate.firstEventMs + far + broken + candidate.failures * FAILURE_MS;
+  });
 }
 
-function costOf(candidate: Candidate, isHome: boolean): number {
-  const repeated = isHome ? 0 : candidate.sharedReadMs * REPEATED_READING_WEIGHT;
-  const far = candidate.isNear ? 0 : FAR_COST_MS;
-  const broken = candidate.isBroken ? BROKEN_COST_MS : 0;
-  const failures = candidate.failures * FAILURE_COST_MS;
-  return candidate.waitMs + candidate.readMs + repeated + far + broken + failures;
+function cheapest<Option extends Candidate>(
+  candidates: readonly Option[],
+  costOf: (candidate: Option) => number,
+): Option | undefined {
+  let best: Option | undefined;
+  let least = Number.POSITIVE_INFINITY;
+  for (const candidate of candidates) {
+    const cost = costOf(candidate);
+    if (cost >= least) continue;
+    best = candidate;
+    least = cost;
+  }
+  return best;
 }
--- a/packages/forwarder/src/calls/call-placement.ts
+++ b/packages/forwarder/src/calls/call-placement.ts
@@ -1,5 +1,5 @@
 /** Gathers what placement and admission need to know of a request, and asks them. */
-import { admitRequest, affinityKey, placeRequest, sharedTokens } from '@poplarpick/decisions';
+import { admitRequest, affinityKey, placePlain, placePrompt, sharedTokens } from '@poplarpick/decisions';
 import type { Admission, Candidate, Prompt, Route } from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { partsOf } from '../router-state.ts';
@@ -8,6 +8,9 @@
 /** Share of an endpoint's memory that running requests may fill; beyond it, the newest are dropped. */
 const HELD_SHARE = 0.9;
 
+/** Cost of a token of an answer against one of a prompt: it takes a step of its own. */
+const OUTPUT_WEIGHT = 10;
+
 /** Time for each request at a plain endpoint beside the slots, in ms, so that ties go to the emptier. */
 const TIE_MS = 1;
 
@@ -19,19 +22,20 @@
   route: Route;
   pool: string;
   prompt: Prompt | undefined;
+  bodyBytes: number;
   /** Incarnations that have failed it already. */
   excluded: ReadonlySet<string>;
 }
 
 /** Where a request goes, and what that was decided from. */
-export interface Place {
+export interface Place extends Candidate {
   record: EndpointRecord;
+  /** Time until the endpoint begins with the request, in ms. */
   waitMs: number;
+  /** Time from then to the first event, in ms. */
   serviceMs: number;
   /** Prompt tokens that the endpoint must read for it. */
   readTokens: number;
-  /** Prompt tokens ahead of it. */
-  tokensAhead: number;
   /** Requests of all routers at the endpoint. */
   requestsAhead: number;
   hasFreeSlot: boolean;
@@ -58,16 +62,17 @@
   place(request: PlacementRequest): Place | undefined {
     const takers = this.state.endpoints
       .takers(request.pool)
-      .filter(({ name }) => !request.excluded.has(name));
-    const places = new Map<Candidate, Place>();
-    for (const record of takers) {
-      const { candidate, place } = this.assess(record, request);
-      places.set(candidate, place);
+      .filter(({ name, client }) => !request.excluded.has(name) && !client.isFull);
+    const batch = this.state.routes?.findPool(request.pool)?.batch;
+    const { prompt, route, bodyBytes } = request;
+    if (batch === undefined || prompt === undefined) {
+      return placePlain(takers.map((record) => this.assessPlain(record)));
     }
-    const { prompt } = request;
-    const affinity = prompt === undefined ? undefined : affinityKey(prompt);
-    const best = placeRequest(affinity, [...places.keys()]);
-    return best === undefined ? undefined : places.get(best);
+    const options = takers.map((record) => this.assessModel(record, prompt, batch.cacheTokens));
+    const { objectiveMs } = route;
+    const affinity = affinityKey(prompt);
+    const sizeTokens = prompt.inputTokens + OUTPUT_WEIGHT * prompt.outputTokens;
+    return placePrompt({ affinity, sizeTokens, bodyBytes, objectiveMs }, options);
   }
 
   /** Whether a request is accepted at its place. */
@@ -86,77 +91,61 @@
     return admitRequest(input, Math.random());
   }
 
-  private assess(
-    record: EndpointRecord,
-    request: PlacementRequest,
-  ): { candidate: Candidate; place: Place } {
-    const batch = this.state.routes?.findPool(request.pool)?.batch;
-    const { prompt } = request;
-    const isModel = batch !== undefined && prompt !== undefined;
-    return isModel ? this.assessModel(record, prompt, batch.cacheTokens) : this.assessPlain(record);
-  }
-
-  private assessModel(
-    record: EndpointRecord,
-    prompt: Prompt,
-    cacheTokens: number,
-  ): { candidate: Candidate; place: Place } {
+  private assessModel(record: EndpointRecord, prompt: Prompt, cacheTokens: number): Place {
     const now = this.state.clock.monotonic();
     const speed = this.state.speedOf(record.endpoint.pool);
     const share = record.load.totalShare(now);
-    const missing = this.state.memory.missingTokens(record.name, partsOf(prompt));
-    const readTokens = Math.max(0, prompt.inputTokens - sharedTokens(prompt)) + missing;
+    const missingTokens = this.state.memory.missingTokens(record.name, partsOf(prompt));
+    const readTokens = Math.max(0, prompt.inputTokens - sharedTokens(prompt)) + missingTokens;
     const requestsAhead = share.reading + share.running;
     const isFull = share.heldTokens + prompt.inputTokens > cacheTokens * HELD_SHARE;
     const slotWait = this.slotWait(record, requestsAhead, isFull);
     const waitMs = speed.readMs(record.name, share.readTokens) + slotWait;
-    const candidate: Candidate = {
-      name: record.name,
-      waitMs,
-      readMs: speed.readMs(record.name, readTokens),
-      sharedReadMs: speed.readMs(record.name, missing),
-      isNear: record.endpoint.dataCentre === this.state.dataCentre,
-      failures: record.load.recentFailures,
-      isBroken: record.load.isBroken(now),
-    };
-    const place: Place = {
-      record,
+    const serviceMs = speed.firstEventMs(record.name, readTokens);
+    return {
+      ...this.describe(record, now),
+      firstEventMs: waitMs + serviceMs,
+      tokensAhead: share.readTokens,
+      missingTokens,
       waitMs,
-      serviceMs: speed.firstEventMs(record.name, readTokens),
+      serviceMs,
       readTokens,
-      tokensAhead: share.readTokens,
       requestsAhead,
       hasFreeSlot: slotWait === 0,
     };
-    return { candidate, place };
   }
 
-  private assessPlain(record: EndpointRecord): { candidate: Candidate; place: Place } {
+  private assessPlain(record: EndpointRecord): Place {
     const now = this.state.clock.monotonic();
     const speed = this.state.speedOf(record.endpoint.pool);
     const share = record.load.totalShare(now);
     const requestsAhead = share.reading + share.running;
-    const slotWait = this.slotWait(record, requestsAhead, false);
+    const waitMs = this.slotWait(record, requestsAhead, false);
     const serviceMs = speed.firstEventMs(record.name, 0);
-    const candidate: Candidate = {
+    return {
+      ...this.describe(record, now),
+      firstEventMs: waitMs + serviceMs + requestsAhead * TIE_MS,
+      tokensAhead: 0,
+      missingTokens: 0,
+      waitMs,
+      serviceMs,
+      readTokens: 0,
+      requestsAhead,
+      hasFreeSlot: waitMs === 0,
+    };
+  }
+
+  private describe(
+    record: EndpointRecord,
+    now: number,
+  ): Pick<Place, 'record' | 'name' | 'isNear' | 'failures' | 'isBroken'> {
+    return {
+      record,
       name: record.name,
-      waitMs: slotWait + requestsAhead * TIE_MS,
-      readMs: serviceMs,
-      sharedReadMs: 0,
       isNear: record.endpoint.dataCentre === this.state.dataCentre,
       failures: record.load.recentFailures,
       isBroken: record.load.isBroken(now),
     };
-    const place: Place = {
-      record,
-      waitMs: slotWait,
-      serviceMs,
-      readTokens: 0,
-      tokensAhead: 0,
-      requestsAhead,
-      hasFreeSlot: slotWait === 0,
-    };
-    return { candidate, place };
   }
 
   /** Time until a slot is free, in ms: requests end one after the other. */
--- a/packages/forwarder/src/calls/call-protocol.ts
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -41,8 +41,8 @@
   /** The endpoint states that it has not run the request. */
   isNotRun: boolean;
   isEventStream: boolean;
-  /** The body's length in bytes; undefined where it is not given. */
-  lengthBytes: number | undefined;
+  /** The body's end is marked; otherwise the answer ends with its connection. */
+  isFramed: boolean;
   /** Header names and values to pass on, in turns. */
   passedHeaders: readonly string[];
 }
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -194,8 +194,10 @@
   }
 
   private findPlace(): Place | undefined {
-    const { route, pool, head, placement } = this.options;
-    return placement.place({ route, pool, prompt: head.prompt, excluded: this.excluded });
+    const { route, pool, head, placement, body } = this.options;
+    const { excluded } = this;
+    const bodyBytes = body?.length ?? 0;
+    return placement.place({ route, pool, prompt: head.prompt, bodyBytes, excluded });
   }
 
   private admit(place: Place): boolean {
@@ -360,6 +362,7 @@
       tokens_ahead: place?.tokensAhead,
       requests_ahead: place?.requestsAhead,
       read_tokens: place?.readTokens,
+      missing_tokens: place?.missingTokens,
       first_event_ms: round(this.firstEventAt && this.firstEventAt - arrivedAt),
       total_ms: round(this.now() - arrivedAt),
       key_age_ms: round(state.freshness.age(this.now())),
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -1,10 +1,10 @@
 /**
- * Connections to one endpoint, pooled by undici. One request is on a connection at a time; aborting a
- * request closes its connection, which makes the endpoint stop. Each failure tells whether the request
- * may have run: it can't have before it was written.
+ * Connections to one endpoint, each an undici client with one request at a time. Aborting a request
+ * closes its connection, which makes the endpoint stop. Each failure tells whether the request may have
+ * run: it can't have before it was written.
  */
-import { Pool } from 'undici';
-import type { Dispatcher } from 'undici';
+import { Client } from 'undici';
+import type { buildConnector, Dispatcher } from 'undici';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { AnswerHead, CallProtocol } from '../calls/call-protocol.ts';
 import { ConnectError, connectEndpoint } from './endpoint-connector.ts';
@@ -49,28 +49,31 @@
 
 /** Sends requests to one endpoint. */
 export class EndpointClient {
-  private readonly pool: Pool;
   private readonly options: EndpointClientOptions;
+  private readonly idle: EndpointConnection[] = [];
+  private readonly connections = new Set<EndpointConnection>();
+  private isClosed = false;
 
   constructor(options: EndpointClientOptions) {
     this.options = options;
-    this.pool = new Pool(`http://${options.address}`, {
-      connections: options.connectionLimit,
-      pipelining: 1,
-      connect: connectEndpoint,
-      keepAliveTimeout: IDLE_MS,
-      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    // Connection failures reach the requests that waited for them.
-    this.pool.on('connectionError', () => undefined);
+  }
+
+  /** True when every connection is busy and no more may be opened. */
+  get isFull(): boolean {
+    return this.idle.length === 0 && this.connections.size >= this.options.connectionLimit;
   }
 
   /** Sends a request; what comes of it goes to the observer. */
   send(request: AttemptRequest, observer: AttemptObserver): Attempt {
-    const attempt = new Attempt(request.requestId, this.options.protocol, observer);
-    this.pool.dispatch(
+    const connection = this.idle.pop() ?? this.connect();
+    const attempt = new Attempt({
+      requestId: request.requestId,
+      protocol: this.options.protocol,
+      observer,
+      connection,
+      onOver: () => this.release(connection),
+    });
+    connection.client.dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
         path: request.target,
@@ -84,28 +87,84 @@
 
   /** Closes idle connections now and the others when their requests end. */
   close(): void {
-    this.pool.close().catch(() => undefined);
+    this.isClosed = true;
+    for (const connection of this.idle.splice(0)) this.discard(connection);
   }
 
   /** Closes all connections at once. */
   destroy(): void {
-    this.pool.destroy().catch(() => undefined);
+    this.isClosed = true;
+    this.idle.length = 0;
+    for (const connection of this.connections) this.discard(connection);
+  }
+
+  private connect(): EndpointConnection {
+    const connection = new EndpointConnection(this.options.address);
+    this.connections.add(connection);
+    return connection;
+  }
+
+  /** Keeps the connection for the next request; the newest used is used first. */
+  private release(connection: EndpointConnection): void {
+    if (this.isClosed) this.discard(connection);
+    else this.idle.push(connection);
+  }
+
+  private discard(connection: EndpointConnection): void {
+    this.connections.delete(connection);
+    connection.client.destroy().catch(() => undefined);
   }
 }
 
+/** One connection, opened anew when it was closed. */
+class EndpointConnection {
+  readonly client: Client;
+  /** The socket in use ended with an error. */
+  wasReset = false;
+
+  constructor(address: string) {
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      connect: (options, callback) => this.open(options, callback),
+      keepAliveTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
+    this.wasReset = false;
+    connectEndpoint(options, (...result) => {
+      // Comes before the client's own listener, which takes a reset for the end of an unframed answer.
+      result[1]?.on('error', () => {
+        this.wasReset = true;
+      });
+      callback(...result);
+    });
+  }
+}
+
+/** Options of an `Attempt`. */
+interface AttemptOptions {
+  requestId: string;
+  protocol: CallProtocol;
+  observer: AttemptObserver;
+  connection: EndpointConnection;
+  /** Called once the connection is free. */
+  onOver: () => void;
+}
+
 /** One request at one endpoint. */
 export class Attempt implements Dispatcher.DispatchHandler {
-  private readonly requestId: string;
-  private readonly protocol: CallProtocol;
-  private readonly observer: AttemptObserver;
+  private readonly options: AttemptOptions;
   private controller: Dispatcher.DispatchController | undefined;
   private isOver = false;
   private isWritten = false;
+  private isFramed = true;
 
-  constructor(requestId: string, protocol: CallProtocol, observer: AttemptObserver) {
-    this.requestId = requestId;
-    this.protocol = protocol;
-    this.observer = observer;
+  constructor(options: AttemptOptions) {
+    this.options = options;
   }
 
   /** Stops the attempt without a word to the observer; the connection is closed. */
@@ -127,28 +186,35 @@
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (this.isOver || status < FIRST_FINAL_STATUS) return;
-    const raw = readRawHeaders(controller);
-    const head = this.protocol.readAnswer(status, raw);
-    if (head.requestId !== this.requestId) {
+    const { protocol, requestId, observer } = this.options;
+    const head = protocol.readAnswer(status, readRawHeaders(controller));
+    this.isFramed = head.isFramed;
+    if (head.requestId !== requestId) {
       this.fail('the endpoint answered another request', Verdict.MayHaveRun);
       controller.abort(new Error('foreign answer'));
       return;
     }
-    this.observer.onHead(head);
+    observer.onHead(head);
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isOver) return;
-    if (!this.observer.onBytes(chunk) && !this.isOver) controller.pause();
+    if (!this.options.observer.onBytes(chunk) && !this.isOver) controller.pause();
   }
 
   onResponseEnd(): void {
+    this.options.onOver();
     if (this.isOver) return;
+    if (!this.isFramed && this.options.connection.wasReset) {
+      this.fail('the connection was reset within an answer without a length', Verdict.MayHaveRun);
+      return;
+    }
     this.isOver = true;
-    this.observer.onEnd();
+    this.options.observer.onEnd();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.options.onOver();
     const isUnsent = !this.isWritten || error instanceof ConnectError;
     this.fail(error.message, isUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
   }
@@ -157,7 +223,7 @@
     if (this.isOver) return;
     this.isOver = true;
     const code = verdict === Verdict.NotRun ? ErrorCode.NoEndpoint : ErrorCode.ConnectionLost;
-    this.observer.onFailure(new RequestError(reason, { code, verdict }));
+    this.options.observer.onFailure(new RequestError(reason, { code, verdict }));
   }
 }
 
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -106,6 +106,7 @@
       event: 'routes.in_force',
       version: table.version,
       routes: table.routes.length,
+      tokens_per_second: table.tokensPerSecond,
       workspaces: table.workspaces?.length ?? 0,
     });
   }
