Hold requests beyond a workspace's share back behind the others

Change: beyond its share a request is accepted only where hardly anything is ahead (0.03 of its objective; 0.3 before).

--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -30,7 +30,7 @@
 }
 
 /** Longest wait in objectives: over its share, within its share, and for one that came back. */
-const WAIT_LIMIT = { overShare: 0.3, usual: 0.9, returning: 1.5 };
+const WAIT_LIMIT = { overShare: 0.03, usual: 0.9, returning: 1.5 };
 
 /** Share of the time left that may pass before the first event. */
 const LEFT_SHARE = 0.8;
--- a/packages/decisions/src/forwarding/placement.ts
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -80,8 +80,7 @@
   const overMs = candidate.firstEventMs - objectiveMs * SAFE_SHARE;
   const lateness = Math.max(0, overMs / (objectiveMs * UNSURE_SHARE));
   const far = candidate.isNear ? 0 : FAR_TOKENS.request + bodyBytes * FAR_TOKENS.bodyByte;
-  const trouble =
-    candidate.failures * FAILURE_SHARE + (candidate.isBroken ? BROKEN_SHARE : 0);
+  const trouble = candidate.failures * FAILURE_SHARE + (candidate.isBroken ? BROKEN_SHARE : 0);
   return (
     candidate.missingTokens +
     candidate.tokensAhead * AHEAD_WEIGHT +
--- a/packages/forwarder/src/calls/call-placement.ts
+++ b/packages/forwarder/src/calls/call-placement.ts
@@ -1,5 +1,11 @@
 /** Gathers what placement and admission need to know of a request, and asks them. */
-import { admitRequest, affinityKey, placePlain, placePrompt, sharedTokens } from '@poplarpick/decisions';
+import {
+  admitRequest,
+  affinityKey,
+  placePlain,
+  placePrompt,
+  sharedTokens,
+} from '@poplarpick/decisions';
 import type { Admission, Candidate, Prompt, Route } from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { partsOf } from '../router-state.ts';
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -61,6 +61,7 @@
   private lastEventId: number | undefined;
   private firstEventAt: number | undefined;
   private isOver = false;
+  private isOverShare = false;
   private readonly endsAt: number;
 
   constructor(options: CallOptions) {
@@ -202,18 +203,18 @@
 
   private admit(place: Place): boolean {
     const { route, head, workspace, state, placement } = this.options;
-    const isOverShare =
+    this.isOverShare =
       workspace !== undefined && head.prompt !== undefined
         ? state.noteAsked(workspace, head.prompt)
         : false;
     const deadlineMs = head.deadlineMs ?? route.timeoutMs;
     const admission = placement.admit(
-      { route, deadlineMs, leftMs: this.leftMs(), isOverShare },
+      { route, deadlineMs, leftMs: this.leftMs(), isOverShare: this.isOverShare },
       place,
     );
     if (admission.isAccepted) return true;
     const seconds = admission.retryAfterMs / 1_000;
-    const reason = isOverShare ? 'the workspace has had its share' : 'the wait is too long';
+    const reason = this.isOverShare ? 'the workspace has had its share' : 'the wait is too long';
     this.refuse(reason, ErrorCode.QueueFull, seconds, place);
     return false;
   }
@@ -356,6 +357,7 @@
       route: route.name,
       workspace,
       endpoint: place?.record.endpoint.id,
+      over_share: this.isOverShare,
       attempts: this.sentAttempts,
       wait_ms: round(place?.waitMs),
       service_ms: round(place?.serviceMs),
