--- /dev/null
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -0,0 +1,51 @@
+import { expect } from 'chai';
+import { admitRequest } from './admission.ts';
+import type { AdmissionInput } from './admission.ts';
+
+const HALF = 0.5;
+
+function input(part: Partial<AdmissionInput>): AdmissionInput {
+  return {
+    waitMs: 0,
+    serviceMs: 100,
+    objectiveMs: 400,
+    leftMs: 10_000,
+    shareUsed: 0,
+    isReturning: false,
+    ...part,
+  };
+}
+
+describe('admission', () => {
+  it('accepts what can be on time, and refuses at once what waits too long', () => {
+    expect(admitRequest(input({ waitMs: 300 }), HALF).isAccepted).to.equal(true);
+    const refused = admitRequest(input({ waitMs: 900 }), HALF);
+    expect(refused.isAccepted).to.equal(false);
+    expect(refused.retryAfterMs).to.be.greaterThan(0);
+  });
+
+  it('does not count the reading of the request itself against it', () => {
+    expect(admitRequest(input({ serviceMs: 900 }), HALF).isAccepted).to.equal(true);
+  });
+
+  it('refuses what its caller would not wait for', () => {
+    expect(admitRequest(input({ serviceMs: 900, leftMs: 1_000 }), HALF).isAccepted).to.equal(false);
+  });
+
+  it('holds a workspace beyond its share back while others wait, and serves it when all is calm', () => {
+    expect(admitRequest(input({ shareUsed: 1.2, waitMs: 100 }), HALF).isAccepted).to.equal(false);
+    expect(admitRequest(input({ shareUsed: 1.2 }), HALF).isAccepted).to.equal(true);
+  });
+
+  it('lets a request that came back wait longer than a new one', () => {
+    const waitMs = 500;
+    expect(admitRequest(input({ waitMs }), HALF).isAccepted).to.equal(false);
+    expect(admitRequest(input({ waitMs, isReturning: true }), HALF).isAccepted).to.equal(true);
+  });
+
+  it('spreads the returns', () => {
+    const early = admitRequest(input({ waitMs: 900 }), 0).retryAfterMs;
+    const late = admitRequest(input({ waitMs: 900 }), 1).retryAfterMs;
+    expect(late - early).to.be.greaterThan(100);
+  });
+});
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -1,9 +1,10 @@
 /**
  * Admission of one request at its best endpoint: accept, or refuse at once with the time after which
  * to come back. Pattern: more is asked than the engines can read. Accepting all makes all late, so
- * the wait ahead of a request is bounded; a workspace that has had its share gives way first, and a
- * request that was refused before goes before new ones. The request's own reading doesn't count: a
- * long prompt waits no longer than a short one.
+ * the wait ahead of a request is bounded; a workspace that has had its share gives way first. Such a
+ * workspace has its share filled by requests that can still be on time; within its share, a request
+ * that was refused before goes before new ones. The request's own reading doesn't count: a long prompt
+ * waits no longer than a short one.
  */
 
 /** What is known of a request at the moment of its admission. */
@@ -16,8 +17,8 @@
   objectiveMs: number;
   /** Time that its caller still waits, in ms. */
   leftMs: number;
-  /** Its workspace has had its fair share of the window. */
-  isOverShare: boolean;
+  /** What its workspace has had of its fair share of the window. */
+  shareUsed: number;
   /** It was refused before and has come back. */
   isReturning: boolean;
 }
@@ -25,6 +26,8 @@
 /** What becomes of a request. */
 export interface Admission {
   isAccepted: boolean;
+  /** Its workspace has had its share. */
+  isOverShare: boolean;
   /** Time after which a refused request may come back, in ms. */
   retryAfterMs: number;
 }
@@ -35,20 +38,34 @@
 /** Share of the time left that may pass before the first event. */
 const LEFT_SHARE = 0.8;
 
+/** Share up to which requests that came back are served; the rest is for those still on time. */
+const RETURNING_SHARE = 0.7;
+
 /** Bounds of the time after which a request may come back, in ms. */
 const RETRY_LIMITS_MS = { least: 150, most: 2_000 };
 
+/** Time after which a workspace beyond its share may come back, in ms: when its share has moved on. */
+const SHARE_RETRY_MS = { base: 1_000, spread: 2_000 };
+
 /** Decides about one request. `random` in 0..1 spreads the returns. */
 export function admitRequest(input: AdmissionInput, random: number): Admission {
-  const limitMs = waitLimit(input) * input.objectiveMs;
+  const isOverShare = input.shareUsed >= (input.isReturning ? RETURNING_SHARE : 1);
+  const limitMs = waitLimit(input, isOverShare) * input.objectiveMs;
   const fits = input.waitMs + input.serviceMs < input.leftMs * LEFT_SHARE;
-  if (input.waitMs <= limitMs && fits) return { isAccepted: true, retryAfterMs: 0 };
+  if (input.waitMs <= limitMs && fits) return { isAccepted: true, isOverShare, retryAfterMs: 0 };
+  const retryAfterMs = isOverShare
+    ? SHARE_RETRY_MS.base + SHARE_RETRY_MS.spread * random
+    : returnAfterWait(input, limitMs, random);
+  return { isAccepted: false, isOverShare, retryAfterMs };
+}
+
+/** The time until the wait is short enough, spread out so that not all return at once. */
+function returnAfterWait(input: AdmissionInput, limitMs: number, random: number): number {
   const excessMs = Math.max(input.waitMs - limitMs, 0) + input.objectiveMs * (0.25 + random / 2);
-  const retryAfterMs = Math.min(RETRY_LIMITS_MS.most, Math.max(RETRY_LIMITS_MS.least, excessMs));
-  return { isAccepted: false, retryAfterMs };
+  return Math.min(RETRY_LIMITS_MS.most, Math.max(RETRY_LIMITS_MS.least, excessMs));
 }
 
-function waitLimit(input: AdmissionInput): number {
-  if (input.isOverShare) return WAIT_LIMIT.overShare;
+function waitLimit(input: AdmissionInput, isOverShare: boolean): number {
+  if (isOverShare) return WAIT_LIMIT.overShare;
   return input.isReturning ? WAIT_LIMIT.returning : WAIT_LIMIT.usual;
 }
--- /dev/null
+++ b/packages/decisions/src/forwarding/attempt-budget.test.ts
@@ -0,0 +1,35 @@
+import { expect } from 'chai';
+import { AttemptBudget } from './attempt-budget.ts';
+
+const OPTIONS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
+
+/** Most second attempts in any window when every request fails at every router. */
+function worstWindow(routers: number, requestsPerS: number, seconds: number): number {
+  const budgets = Array.from({ length: routers }, () => new AttemptBudget(OPTIONS));
+  const taken: number[] = [];
+  for (let now = 0; now < seconds * 1_000; now += 1_000 / requestsPerS) {
+    const budget = budgets[Math.floor(now * 7) % routers];
+    budget?.noteRequest(routers, now);
+    while (budget?.take(routers, now) === true) taken.push(now);
+  }
+  return Math.max(
+    ...taken.map((start) => taken.filter((at) => at >= start && at < start + 10_000).length),
+  );
+}
+
+describe('attempt budget', () => {
+  it('keeps ratio x requests + slack in every window, over all routers', () => {
+    for (const routers of [1, 2, 6, 28]) {
+      for (const requestsPerS of [1, 20, 100]) {
+        const bound = OPTIONS.ratio * requestsPerS * 10 + OPTIONS.slack;
+        expect(worstWindow(routers, requestsPerS, 40)).to.be.at.most(bound);
+      }
+    }
+  });
+
+  it('allows second attempts on a quiet day', () => {
+    const budget = new AttemptBudget(OPTIONS);
+    budget.noteRequest(6, 0);
+    expect(budget.take(6, 10)).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/decisions/src/forwarding/routing-table.test.ts
@@ -0,0 +1,74 @@
+import { expect } from 'chai';
+import { CallKind, pickTarget, RouteIndex } from './routing-table.ts';
+import type { Route, RoutingTable } from './routing-table.ts';
+
+function route(part: Partial<Route>): Route {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/',
+    kind: CallKind.Idempotent,
+    timeoutMs: 1_000,
+    objectiveMs: 100,
+    pauseMs: 100,
+    targets: [{ pool: 'p', weight: 1 }],
+    maxAttempts: 1,
+    isPublic: false,
+    isResumable: false,
+    ...part,
+  };
+}
+
+function table(part: Partial<RoutingTable>): RoutingTable {
+  const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  return { version: 1, routes: [], pools: [], limits, tokensPerSecond: 0, ...part };
+}
+
+describe('routing table', () => {
+  it('finds the longest prefix of the host, whatever the case and port of its name', () => {
+    const routes = [
+      route({ name: 'all' }),
+      route({ name: 'deep', pathPrefix: '/x/y/' }),
+      route({ name: 'mid', pathPrefix: '/x/' }),
+      route({ name: 'other', host: 'b.example', pathPrefix: '/x/y/z/' }),
+    ];
+    const index = new RouteIndex(table({ routes }));
+    expect(index.findRoute('A.Example:8080', '/x/y/z/1')?.name).to.equal('deep');
+    expect(index.findRoute('a.example', '/x/1')?.name).to.equal('mid');
+    expect(index.findRoute('a.example', '/x')?.name).to.equal('all');
+    expect(index.findRoute('c.example', '/x/')).to.equal(undefined);
+  });
+
+  it('splits requests by weight, and the same request always the same way', () => {
+    const split = route({
+      targets: [
+        { pool: 'big', weight: 90 },
+        { pool: 'small', weight: 10 },
+      ],
+    });
+    const ids = Array.from({ length: 5_000 }, (_, at) => `id-${at}`);
+    const small = ids.filter((id) => pickTarget(split, id) === 'small').length;
+    expect(small).to.be.within(400, 600);
+    expect(pickTarget(split, 'id-7')).to.equal(pickTarget(split, 'id-7'));
+  });
+
+  it('never picks a pool without weight', () => {
+    const split = route({
+      targets: [
+        { pool: 'gone', weight: 0 },
+        { pool: 'here', weight: 1 },
+      ],
+    });
+    const picked = new Set(Array.from({ length: 500 }, (_, at) => pickTarget(split, `${at}`)));
+    expect([...picked]).to.deep.equal(['here']);
+  });
+
+  it('knows workspaces by any of their keys, and which routes need none', () => {
+    const index = new RouteIndex(table({ workspaces: [{ name: 'w', keys: ['k1', 'k2'] }] }));
+    expect(index.findWorkspace('k2')).to.equal('w');
+    expect(index.findWorkspace('k3')).to.equal(undefined);
+    expect(index.needsKey(route({}))).to.equal(true);
+    expect(index.needsKey(route({ isPublic: true }))).to.equal(false);
+    expect(new RouteIndex(table({})).needsKey(route({}))).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/decisions/src/forwarding/share-window.test.ts
@@ -0,0 +1,28 @@
+import { expect } from 'chai';
+import { DemandWindow, findFairLevel } from './share-window.ts';
+
+describe('shares of workspaces', () => {
+  it('sets no level where all demands fit', () => {
+    expect(findFairLevel([10, 20, 30], 60)).to.equal(Number.POSITIVE_INFINITY);
+  });
+
+  it('gives small demands whole and divides the rest evenly', () => {
+    expect(findFairLevel([10, 100, 500], 110)).to.equal(50);
+    expect(findFairLevel([500, 500], 100)).to.equal(50);
+  });
+
+  it('leaves the others whole when one workspace floods', () => {
+    const others = Array.from({ length: 15 }, () => 20);
+    const level = findFairLevel([...others, 10_000], 400);
+    expect(level).to.equal(100);
+  });
+
+  it('forgets what is older than the window', () => {
+    const window = new DemandWindow(4_000);
+    window.add('a', 100, 0);
+    window.add('b', 50, 3_000);
+    expect(window.totals(3_500).get('a')).to.equal(100);
+    expect(window.totals(4_600).get('a')).to.equal(undefined);
+    expect(window.totals(4_600).get('b')).to.equal(50);
+  });
+});
--- a/packages/forwarder/src/calls/call-placement.ts
+++ b/packages/forwarder/src/calls/call-placement.ts
@@ -50,9 +50,10 @@
 /** What a request waits for at most, and on whose behalf. */
 export interface AdmissionRequest {
   route: Route;
-  deadlineMs: number;
   leftMs: number;
-  isOverShare: boolean;
+  /** What the request's workspace has had of its fair share. */
+  shareUsed: number;
+  isReturning: boolean;
 }
 
 /** Places and admits requests. */
@@ -81,20 +82,22 @@
     return placePrompt({ affinity, sizeTokens, bodyBytes, objectiveMs }, options);
   }
 
-  /** Whether a request is accepted at its place. */
-  admit(request: AdmissionRequest, place: Place): Admission {
-    const { route, deadlineMs, leftMs, isOverShare } = request;
+  /** Whether a caller has evidently been refused before: it has waited already. */
+  isReturning(route: Route, deadlineMs: number): boolean {
     const usual = Math.max(this.usualDeadlines.get(route.name) ?? 0, deadlineMs);
     this.usualDeadlines.set(route.name, usual);
-    const input = {
-      waitMs: place.waitMs,
-      serviceMs: place.serviceMs,
-      objectiveMs: route.objectiveMs,
-      leftMs,
-      isOverShare,
-      isReturning: deadlineMs < usual * RETURNING_SHARE,
-    };
-    return admitRequest(input, Math.random());
+    return deadlineMs < usual * RETURNING_SHARE;
+  }
+
+  /** Whether a request is accepted at its place. */
+  admit(request: AdmissionRequest, place: Place): Admission {
+    const { route, leftMs, shareUsed, isReturning } = request;
+    const { waitMs, serviceMs } = place;
+    const { objectiveMs } = route;
+    return admitRequest(
+      { waitMs, serviceMs, objectiveMs, leftMs, shareUsed, isReturning },
+      Math.random(),
+    );
   }
 
   private assessModel(record: EndpointRecord, prompt: Prompt, cacheTokens: number): Place {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -23,6 +23,7 @@
 /** Attempts that failed before they were sent, after which a call is refused. */
 const UNSENT_LIMIT = 3;
 
+const MS_PER_SECOND = 1_000;
 const FIRST_SERVER_ERROR = 500;
 const SUCCESS_LIMIT = 300;
 
@@ -61,7 +62,7 @@
   private lastEventId: number | undefined;
   private firstEventAt: number | undefined;
   private isOver = false;
-  private isOverShare = false;
+  private shareUsed = 0;
   private readonly endsAt: number;
 
   constructor(options: CallOptions) {
@@ -202,23 +203,29 @@
   }
 
   private admit(place: Place): boolean {
-    const { route, head, workspace, state, placement } = this.options;
-    this.isOverShare =
-      workspace !== undefined && head.prompt !== undefined
-        ? state.noteAsked(workspace, head.prompt)
-        : false;
-    const deadlineMs = head.deadlineMs ?? route.timeoutMs;
-    const admission = placement.admit(
-      { route, deadlineMs, leftMs: this.leftMs(), isOverShare: this.isOverShare },
-      place,
-    );
+    const { route, head, placement } = this.options;
+    const isReturning = placement.isReturning(route, head.deadlineMs ?? route.timeoutMs);
+    this.shareUsed = this.noteAsked(isReturning);
+    const { shareUsed } = this;
+    const leftMs = this.leftMs();
+    const admission = placement.admit({ route, leftMs, shareUsed, isReturning }, place);
     if (admission.isAccepted) return true;
-    const seconds = admission.retryAfterMs / 1_000;
-    const reason = this.isOverShare ? 'the workspace has had its share' : 'the wait is too long';
+    const seconds = admission.retryAfterMs / MS_PER_SECOND;
+    const reason = admission.isOverShare
+      ? 'the workspace has had its share'
+      : 'the wait is too long';
     this.refuse(reason, ErrorCode.QueueFull, seconds, place);
     return false;
   }
 
+  /** Notes the demand of the workspace; returns what it has had of its share. */
+  private noteAsked(isReturning: boolean): number {
+    const { head, workspace, state } = this.options;
+    if (workspace === undefined || head.prompt === undefined) return 0;
+    if (!isReturning) state.noteAsked(workspace, head.prompt);
+    return state.shareUsed(workspace);
+  }
+
   private send(place: Place): void {
     const { head, state, workspace, body, pool } = this.options;
     const { prompt } = head;
@@ -357,7 +364,7 @@
       route: route.name,
       workspace,
       endpoint: place?.record.endpoint.id,
-      over_share: this.isOverShare,
+      share_used: Number(this.shareUsed.toFixed(2)),
       attempts: this.sentAttempts,
       wait_ms: round(place?.waitMs),
       service_ms: round(place?.serviceMs),
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -36,6 +36,8 @@
 /** Most kept parts in one report, so that it fits a datagram. */
 const KEPT_PER_REPORT = 200;
 
+const MS_PER_SECOND = 1_000;
+
 /** Bounds that the site sets. */
 export interface RouterBounds {
   revocationMs: number;
@@ -128,12 +130,16 @@
     return this.peers.countRouters(this.clock.monotonic());
   }
 
-  /** Notes that a workspace asks for a prompt; returns whether it has had its fair share already. */
-  noteAsked(workspace: string, prompt: Prompt): boolean {
+  /** Notes that a workspace asks for a prompt for the first time. */
+  noteAsked(workspace: string, prompt: Prompt): void {
+    this.asked.add(workspace, shareCost(prompt), this.clock.monotonic());
+  }
+
+  /** What a workspace has had of its fair share of the window; 0 where all demands fit. */
+  shareUsed(workspace: string): number {
     const now = this.clock.monotonic();
-    this.asked.add(workspace, shareCost(prompt), now);
     const rate = this.current?.table.tokensPerSecond ?? 0;
-    if (rate === 0) return false;
+    if (rate === 0) return 0;
     const demands = this.asked.totals(now);
     let granted = this.granted.totals(now).get(workspace) ?? 0;
     for (const report of this.peers.live(now)) {
@@ -142,8 +148,8 @@
         if (name === workspace) granted += got;
       }
     }
-    const capacity = (rate * this.bounds.shareWindowMs) / 1_000;
-    return granted >= findFairLevel(demands.values(), capacity);
+    const capacity = (rate * this.bounds.shareWindowMs) / MS_PER_SECOND;
+    return granted / findFairLevel(demands.values(), capacity);
   }
 
   noteGranted(workspace: string, prompt: Prompt): void {
