Share what the engines make beyond the nominal rate fairly too

Change: a second level of max-min fairness over what is granted; beyond 1.15 of it a workspace leaves it to others.

--- a/packages/decisions/src/forwarding/admission.test.ts
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -3,6 +3,7 @@
 import type { AdmissionInput } from './admission.ts';
 
 const HALF = 0.5;
+const BEYOND = { ofShare: 1.2, ofSurplus: 0.8 };
 
 function input(part: Partial<AdmissionInput>): AdmissionInput {
   return {
@@ -10,7 +11,7 @@
     serviceMs: 100,
     objectiveMs: 400,
     leftMs: 10_000,
-    shareUsed: 0,
+    shareUse: { ofShare: 0, ofSurplus: 0 },
     isReturning: false,
     ...part,
   };
@@ -33,8 +34,21 @@
   });
 
   it('holds a workspace beyond its share back while others wait, and serves it when all is calm', () => {
-    expect(admitRequest(input({ shareUsed: 1.2, waitMs: 100 }), HALF).isAccepted).to.equal(false);
-    expect(admitRequest(input({ shareUsed: 1.2 }), HALF).isAccepted).to.equal(true);
+    expect(admitRequest(input({ shareUse: BEYOND, waitMs: 100 }), HALF).isAccepted).to.equal(false);
+    expect(admitRequest(input({ shareUse: BEYOND }), HALF).isAccepted).to.equal(true);
+  });
+
+  it('leaves the surplus to workspaces that got less of it, though nothing is ahead', () => {
+    const shareUse = { ofShare: 8, ofSurplus: 1.5 };
+    expect(admitRequest(input({ shareUse }), HALF).isAccepted).to.equal(false);
+  });
+
+  it('fills the share of a workspace with requests that can still be on time', () => {
+    const shareUse = { ofShare: 0.8, ofSurplus: 0.8 };
+    const waitMs = 200;
+    expect(admitRequest(input({ shareUse, waitMs }), HALF).isAccepted).to.equal(true);
+    const returning = input({ shareUse, waitMs, isReturning: true });
+    expect(admitRequest(returning, HALF).isAccepted).to.equal(false);
   });
 
   it('lets a request that came back wait longer than a new one', () => {
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -7,6 +7,8 @@
  * waits no longer than a short one.
  */
 
+import type { ShareUse } from './share-window.ts';
+
 /** What is known of a request at the moment of its admission. */
 export interface AdmissionInput {
   /** Time until the best endpoint would begin with the request, in ms. */
@@ -17,8 +19,8 @@
   objectiveMs: number;
   /** Time that its caller still waits, in ms. */
   leftMs: number;
-  /** What its workspace has had of its fair share of the window. */
-  shareUsed: number;
+  /** What its workspace has had of its fair shares of the window. */
+  shareUse: ShareUse;
   /** It was refused before and has come back. */
   isReturning: boolean;
 }
@@ -41,6 +43,9 @@
 /** Share up to which requests that came back are served; the rest is for those still on time. */
 const RETURNING_SHARE = 0.7;
 
+/** Share of the surplus beyond which a workspace leaves it to others that were refused. */
+const SURPLUS_LIMIT = 1.15;
+
 /** Bounds of the time after which a request may come back, in ms. */
 const RETRY_LIMITS_MS = { least: 150, most: 2_000 };
 
@@ -49,10 +54,12 @@
 
 /** Decides about one request. `random` in 0..1 spreads the returns. */
 export function admitRequest(input: AdmissionInput, random: number): Admission {
-  const isOverShare = input.shareUsed >= (input.isReturning ? RETURNING_SHARE : 1);
+  const isOverShare = input.shareUse.ofShare >= (input.isReturning ? RETURNING_SHARE : 1);
   const limitMs = waitLimit(input, isOverShare) * input.objectiveMs;
   const fits = input.waitMs + input.serviceMs < input.leftMs * LEFT_SHARE;
-  if (input.waitMs <= limitMs && fits) return { isAccepted: true, isOverShare, retryAfterMs: 0 };
+  const isGreedy = input.shareUse.ofSurplus > SURPLUS_LIMIT;
+  if (input.waitMs <= limitMs && fits && !isGreedy)
+    return { isAccepted: true, isOverShare, retryAfterMs: 0 };
   const retryAfterMs = isOverShare
     ? SHARE_RETRY_MS.base + SHARE_RETRY_MS.spread * random
     : returnAfterWait(input, limitMs, random);
--- a/packages/decisions/src/forwarding/share-window.test.ts
+++ b/packages/decisions/src/forwarding/share-window.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { DemandWindow, findFairLevel } from './share-window.ts';
+import { DemandWindow, findFairLevel, measureShare } from './share-window.ts';
 
 describe('shares of workspaces', () => {
   it('sets no level where all demands fit', () => {
@@ -17,6 +17,27 @@
     expect(level).to.equal(100);
   });
 
+  it('shares the surplus evenly between workspaces that ask for more than their share', () => {
+    const asked = new Map([
+      ['near', 1_600],
+      ['far', 1_000],
+    ]);
+    const granted = new Map([
+      ['near', 1_500],
+      ['far', 350],
+    ]);
+    const near = measureShare('near', { asked, granted, nominal: 350 });
+    const far = measureShare('far', { asked, granted, nominal: 350 });
+    expect(near.ofShare).to.be.greaterThan(1);
+    expect(near.ofSurplus).to.be.greaterThan(1.15);
+    expect(far.ofSurplus).to.be.lessThan(1);
+  });
+
+  it('speaks of no share where all that is asked is granted', () => {
+    const all = new Map([['a', 900]]);
+    expect(measureShare('a', { asked: all, granted: all, nominal: 350 }).ofSurplus).to.equal(0);
+  });
+
   it('forgets what is older than the window', () => {
     const window = new DemandWindow(4_000);
     window.add('a', 100, 0);
--- a/packages/decisions/src/forwarding/share-window.ts
+++ b/packages/decisions/src/forwarding/share-window.ts
@@ -57,3 +57,34 @@
   }
   return Number.POSITIVE_INFINITY;
 }
+
+/** Growth over what was granted up to which demands count as served; short of it some are refused. */
+const SERVED_SLACK = 1.1;
+
+/** What all workspaces asked for and got within the window, in tokens. */
+export interface FleetDemand {
+  asked: ReadonlyMap<string, number>;
+  granted: ReadonlyMap<string, number>;
+  /** What the endpoints are held to produce in the window. */
+  nominal: number;
+}
+
+/** What a workspace has had, against the levels of max-min fairness; 0 where all demands fit. */
+export interface ShareUse {
+  /** Of its share of what the endpoints are held to produce. */
+  ofShare: number;
+  /** Of its share of what they do produce, where that is more: the surplus is shared fairly too. */
+  ofSurplus: number;
+}
+
+/** Measures one workspace's use of its shares. */
+export function measureShare(workspace: string, demand: FleetDemand): ShareUse {
+  const had = demand.granted.get(workspace) ?? 0;
+  let grantedTotal = 0;
+  for (const tokens of demand.granted.values()) grantedTotal += tokens;
+  const produced = Math.max(demand.nominal, grantedTotal * SERVED_SLACK);
+  return {
+    ofShare: had / findFairLevel(demand.asked.values(), demand.nominal),
+    ofSurplus: had / findFairLevel(demand.asked.values(), produced),
+  };
+}
--- a/packages/forwarder/src/calls/call-placement.ts
+++ b/packages/forwarder/src/calls/call-placement.ts
@@ -6,7 +6,7 @@
   placePrompt,
   sharedTokens,
 } from '@poplarpick/decisions';
-import type { Admission, Candidate, Prompt, Route } from '@poplarpick/decisions';
+import type { Admission, Candidate, Prompt, Route, ShareUse } from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { partsOf } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
@@ -51,8 +51,8 @@
 export interface AdmissionRequest {
   route: Route;
   leftMs: number;
-  /** What the request's workspace has had of its fair share. */
-  shareUsed: number;
+  /** What the request's workspace has had of its fair shares. */
+  shareUse: ShareUse;
   isReturning: boolean;
 }
 
@@ -91,11 +91,11 @@
 
   /** Whether a request is accepted at its place. */
   admit(request: AdmissionRequest, place: Place): Admission {
-    const { route, leftMs, shareUsed, isReturning } = request;
+    const { route, leftMs, shareUse, isReturning } = request;
     const { waitMs, serviceMs } = place;
     const { objectiveMs } = route;
     return admitRequest(
-      { waitMs, serviceMs, objectiveMs, leftMs, shareUsed, isReturning },
+      { waitMs, serviceMs, objectiveMs, leftMs, shareUse, isReturning },
       Math.random(),
     );
   }
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -4,7 +4,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import { NextStep, planNextStep } from '@poplarpick/decisions';
-import type { Route, StreamEvent } from '@poplarpick/decisions';
+import type { Route, ShareUse, StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import { partsOf } from '../router-state.ts';
@@ -27,6 +27,8 @@
 const FIRST_SERVER_ERROR = 500;
 const SUCCESS_LIMIT = 300;
 
+const NO_SHARE: ShareUse = { ofShare: 0, ofSurplus: 0 };
+
 /** When to come back if there is no endpoint, in seconds. */
 const NO_ENDPOINT_RETRY_S = 0.5;
 
@@ -62,7 +64,7 @@
   private lastEventId: number | undefined;
   private firstEventAt: number | undefined;
   private isOver = false;
-  private shareUsed = 0;
+  private shareUse: ShareUse = NO_SHARE;
   private readonly endsAt: number;
 
   constructor(options: CallOptions) {
@@ -205,10 +207,10 @@
   private admit(place: Place): boolean {
     const { route, head, placement } = this.options;
     const isReturning = placement.isReturning(route, head.deadlineMs ?? route.timeoutMs);
-    this.shareUsed = this.noteAsked(isReturning);
-    const { shareUsed } = this;
+    this.shareUse = this.noteAsked(isReturning);
+    const { shareUse } = this;
     const leftMs = this.leftMs();
-    const admission = placement.admit({ route, leftMs, shareUsed, isReturning }, place);
+    const admission = placement.admit({ route, leftMs, shareUse, isReturning }, place);
     if (admission.isAccepted) return true;
     const seconds = admission.retryAfterMs / MS_PER_SECOND;
     const reason = admission.isOverShare
@@ -219,11 +221,11 @@
   }
 
   /** Notes the demand of the workspace; returns what it has had of its share. */
-  private noteAsked(isReturning: boolean): number {
+  private noteAsked(isReturning: boolean): ShareUse {
     const { head, workspace, state } = this.options;
-    if (workspace === undefined || head.prompt === undefined) return 0;
+    if (workspace === undefined || head.prompt === undefined) return NO_SHARE;
     if (!isReturning) state.noteAsked(workspace, head.prompt);
-    return state.shareUsed(workspace);
+    return state.shareUse(workspace);
   }
 
   private send(place: Place): void {
@@ -364,7 +366,8 @@
       route: route.name,
       workspace,
       endpoint: place?.record.endpoint.id,
-      share_used: Number(this.shareUsed.toFixed(2)),
+      share_used: Number(this.shareUse.ofShare.toFixed(2)),
+      surplus_used: Number(this.shareUse.ofSurplus.toFixed(2)),
       attempts: this.sentAttempts,
       wait_ms: round(place?.waitMs),
       service_ms: round(place?.serviceMs),
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -7,15 +7,15 @@
 import {
   AttemptBudget,
   DemandWindow,
-  findFairLevel,
   hashSharedParts,
+  measureShare,
   KeyFreshness,
   PrefixMemory,
   RouteIndex,
   shareCost,
   SpeedModel,
 } from '@poplarpick/decisions';
-import type { HashedPart, LoadShare, Prompt, RoutingTable } from '@poplarpick/decisions';
+import type { HashedPart, LoadShare, Prompt, RoutingTable, ShareUse } from '@poplarpick/decisions';
 import type { Clock, Logger } from '@poplarpick/kernel';
 import { EndpointClient } from './endpoints/endpoint-client.ts';
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
@@ -135,21 +135,21 @@
     this.asked.add(workspace, shareCost(prompt), this.clock.monotonic());
   }
 
-  /** What a workspace has had of its fair share of the window; 0 where all demands fit. */
-  shareUsed(workspace: string): number {
+  /** What a workspace has had of its fair share of the window. */
+  shareUse(workspace: string): ShareUse {
     const now = this.clock.monotonic();
     const rate = this.current?.table.tokensPerSecond ?? 0;
-    if (rate === 0) return 0;
-    const demands = this.asked.totals(now);
-    let granted = this.granted.totals(now).get(workspace) ?? 0;
+    if (rate === 0) return { ofShare: 0, ofSurplus: 0 };
+    const asked = this.asked.totals(now);
+    const granted = this.granted.totals(now);
     for (const report of this.peers.live(now)) {
-      for (const [name, asked, got] of report.workspaces) {
-        demands.set(name, (demands.get(name) ?? 0) + asked);
-        if (name === workspace) granted += got;
+      for (const [name, itsAsked, itsGranted] of report.workspaces) {
+        asked.set(name, (asked.get(name) ?? 0) + itsAsked);
+        granted.set(name, (granted.get(name) ?? 0) + itsGranted);
       }
     }
-    const capacity = (rate * this.bounds.shareWindowMs) / MS_PER_SECOND;
-    return granted / findFairLevel(demands.values(), capacity);
+    const nominal = (rate * this.bounds.shareWindowMs) / MS_PER_SECOND;
+    return measureShare(workspace, { asked, granted, nominal });
   }
 
   noteGranted(workspace: string, prompt: Prompt): void {
