--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -21,7 +21,9 @@
 }
 
 const patterns = process.argv.slice(2);
-const files = globSync(patterns.length > 0 ? patterns : ['{packages/*,platform}/src/**/*.test.ts']).sort();
+const files = globSync(
+  patterns.length > 0 ? patterns : ['{packages/*,platform}/src/**/*.test.ts'],
+).sort();
 const known = readKnownRed();
 const jobs = Math.max(1, Math.min(MOST_JOBS, Math.floor(availableParallelism() / CORES_PER_JOB)));
 const mocha = new Mocha({
