Let work beyond the shares in as far as the others stay on time

Change: the bound follows the share of late requests within their shares, over all routers (0.3 objectives when calm, 0.03 pressed).

--- a/packages/decisions/src/forwarding/admission.test.ts
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -12,6 +12,7 @@
     objectiveMs: 400,
     leftMs: 10_000,
     shareUse: { ofShare: 0, ofSurplus: 0 },
+    surplusLimit: 0.03,
     isReturning: false,
     ...part,
   };
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -21,6 +21,8 @@
   leftMs: number;
   /** What its workspace has had of its fair shares of the window. */
   shareUse: ShareUse;
+  /** Longest wait beyond the share, in objectives. */
+  surplusLimit: number;
   /** It was refused before and has come back. */
   isReturning: boolean;
 }
@@ -34,8 +36,8 @@
   retryAfterMs: number;
 }
 
-/** Longest wait in objectives: over its share, within its share, and for one that came back. */
-const WAIT_LIMIT = { overShare: 0.03, usual: 0.9, returning: 1.5 };
+/** Longest wait in objectives within the share: for a new request, and for one that came back. */
+const WAIT_LIMIT = { usual: 0.9, returning: 1.5 };
 
 /** Share of the time left that may pass before the first event. */
 const LEFT_SHARE = 0.8;
@@ -46,6 +48,9 @@
 /** Share of the surplus beyond which a workspace leaves it to others that were refused. */
 const SURPLUS_LIMIT = 1.15;
 
+/** Wait limit beyond the share under which the surplus is contended. */
+const CONTENDED_LIMIT = 0.3;
+
 /** Bounds of the time after which a request may come back, in ms. */
 const RETRY_LIMITS_MS = { least: 150, most: 2_000 };
 
@@ -57,7 +62,7 @@
   const isOverShare = input.shareUse.ofShare >= (input.isReturning ? RETURNING_SHARE : 1);
   const limitMs = waitLimit(input, isOverShare) * input.objectiveMs;
   const fits = input.waitMs + input.serviceMs < input.leftMs * LEFT_SHARE;
-  const isGreedy = input.shareUse.ofSurplus > SURPLUS_LIMIT;
+  const isGreedy = input.shareUse.ofSurplus > SURPLUS_LIMIT && input.surplusLimit < CONTENDED_LIMIT;
   if (input.waitMs <= limitMs && fits && !isGreedy)
     return { isAccepted: true, isOverShare, retryAfterMs: 0 };
   const retryAfterMs = isOverShare
@@ -73,6 +78,6 @@
 }
 
 function waitLimit(input: AdmissionInput, isOverShare: boolean): number {
-  if (isOverShare) return WAIT_LIMIT.overShare;
+  if (isOverShare) return input.surplusLimit;
   return input.isReturning ? WAIT_LIMIT.returning : WAIT_LIMIT.usual;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -51,3 +51,4 @@
 export * from './forwarding/routing-table.ts';
 export * from './forwarding/share-window.ts';
 export * from './forwarding/speed-model.ts';
+export * from './forwarding/surplus-gauge.ts';
--- a/packages/forwarder/src/calls/call-placement.ts
+++ b/packages/forwarder/src/calls/call-placement.ts
@@ -94,10 +94,16 @@
     const { route, leftMs, shareUse, isReturning } = request;
     const { waitMs, serviceMs } = place;
     const { objectiveMs } = route;
-    return admitRequest(
-      { waitMs, serviceMs, objectiveMs, leftMs, shareUse, isReturning },
+    const { pool } = place.record.endpoint;
+    const surplusLimit = this.state.surplusLimit(pool);
+    const admission = admitRequest(
+      { waitMs, serviceMs, objectiveMs, leftMs, shareUse, surplusLimit, isReturning },
       Math.random(),
     );
+    if (!admission.isAccepted && !admission.isOverShare) {
+      this.state.gaugeOf(pool).noteRefused();
+    }
+    return admission;
   }
 
   private assessModel(record: EndpointRecord, prompt: Prompt, cacheTokens: number): Place {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -293,12 +293,22 @@
     const { record, tokensAhead, readTokens, hasFreeSlot } = run.place;
     record.load.noteStarted(run.sent);
     this.firstEventAt ??= this.now();
+    if (this.shareUse.ofShare < 1) this.noteServed(run);
     if (!hasFreeSlot) return;
     const elapsedMs = this.now() - run.sent.sentAt;
     const speed = this.options.state.speedOf(this.options.pool);
     speed.noteFirstEvent(record.name, tokensAhead + readTokens, elapsedMs);
   }
 
+  private noteServed(run: AttemptRun): void {
+    const { state, pool, route, arrivedAt } = this.options;
+    state.gaugeOf(pool).noteServed({
+      objectiveMs: route.objectiveMs,
+      firstEventMs: this.now() - arrivedAt,
+      serviceMs: run.place.serviceMs,
+    });
+  }
+
   private notePlainTime(run: AttemptRun): void {
     if (!run.place.hasFreeSlot) return;
     const speed = this.options.state.speedOf(this.options.pool);
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -38,10 +38,14 @@
   loads: z.array(z.tuple([z.number(), share])),
   workspaces: z.array(z.tuple([z.string(), z.number(), z.number()])),
   kept: z.array(z.tuple([z.number(), z.number(), z.number()])),
+  lateRates: z.array(z.tuple([z.number(), z.number()])),
 });
 
 /** Parts of a report that its sender's state supplies. */
-export type ReportBody = Pick<PeerReport, 'version' | 'loads' | 'workspaces' | 'kept'>;
+export type ReportBody = Pick<
+  PeerReport,
+  'version' | 'loads' | 'workspaces' | 'kept' | 'lateRates'
+>;
 
 /** Options of a `PeerExchange`. */
 export interface PeerExchangeOptions {
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -29,6 +29,8 @@
   loads: [endpoint: number, share: LoadShare][];
   workspaces: WorkspaceTokens[];
   kept: KeptPart[];
+  /** Share of late requests by pool, which its hash names. */
+  lateRates: [pool: number, rate: number][];
 }
 
 interface PeerEntry {
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -14,6 +14,7 @@
   RouteIndex,
   shareCost,
   SpeedModel,
+  SurplusGauge,
 } from '@poplarpick/decisions';
 import type { HashedPart, LoadShare, Prompt, RoutingTable, ShareUse } from '@poplarpick/decisions';
 import type { Clock, Logger } from '@poplarpick/kernel';
@@ -70,6 +71,7 @@
   private readonly asked: DemandWindow;
   private readonly granted: DemandWindow;
   private readonly speeds = new Map<string, SpeedModel>();
+  private readonly gauges = new Map<string, SurplusGauge>();
   private readonly budgets = new Map<string, AttemptBudget>();
   private readonly untoldParts: { part: KeptPart; left: number }[] = [];
   private current: RouteIndex | undefined;
@@ -117,6 +119,21 @@
     return getOrMake(this.speeds, pool, () => new SpeedModel());
   }
 
+  gaugeOf(pool: string): SurplusGauge {
+    return getOrMake(this.gauges, pool, () => new SurplusGauge());
+  }
+
+  /** Longest wait of a request beyond its share, in objectives. */
+  surplusLimit(pool: string): number {
+    const hash = murmurhash.v3(pool);
+    const peerRates: number[] = [];
+    for (const { lateRates } of this.peers.live(this.clock.monotonic())) {
+      const entry = lateRates.find(([name]) => name === hash);
+      if (entry !== undefined) peerRates.push(entry[1]);
+    }
+    return this.gaugeOf(pool).waitLimit(peerRates);
+  }
+
   budgetOf(pool: string): AttemptBudget {
     const { retryRatio, retrySlack, retryWindowMs } = this.bounds;
     return getOrMake(
@@ -178,6 +195,7 @@
       loads,
       workspaces: this.describeWorkspaces(),
       kept: this.takeUntoldParts(),
+      lateRates: [...this.gauges].map(([pool, gauge]) => [murmurhash.v3(pool), gauge.rate]),
     };
   }
 
