--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -368,6 +368,10 @@
 
   private logEnd(outcome: string, reason?: string, place = this.run?.place): void {
     const { head, route, workspace, state, arrivedAt } = this.options;
+    const firstEventMs = this.firstEventAt && this.firstEventAt - arrivedAt;
+    const totalMs = this.now() - arrivedAt;
+    const attempts = this.sentAttempts;
+    state.metrics.noteCall({ route: route.name, outcome, attempts, firstEventMs, totalMs });
     state.log.info({
       event: 'call.ended',
       request: head.requestId,
@@ -378,21 +382,22 @@
       endpoint: place?.record.endpoint.id,
       share_used: Number(this.shareUse.ofShare.toFixed(2)),
       surplus_used: Number(this.shareUse.ofSurplus.toFixed(2)),
-      attempts: this.sentAttempts,
+      attempts,
       wait_ms: round(place?.waitMs),
       service_ms: round(place?.serviceMs),
       tokens_ahead: place?.tokensAhead,
       requests_ahead: place?.requestsAhead,
       read_tokens: place?.readTokens,
       missing_tokens: place?.missingTokens,
-      first_event_ms: round(this.firstEventAt && this.firstEventAt - arrivedAt),
-      total_ms: round(this.now() - arrivedAt),
+      first_event_ms: round(firstEventMs),
+      total_ms: round(totalMs),
       key_age_ms: round(state.freshness.age(this.now())),
       version: state.routes?.table.version,
     });
   }
 
   private logAttempt(run: AttemptRun, error: RequestError): void {
+    this.options.state.metrics.noteFailedAttempt(error.verdict);
     this.options.state.log.info({
       event: 'call.attempt_failed',
       request: this.options.head.requestId,
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -29,6 +29,10 @@
   readinessAddress: string;
   readinessPath: string;
   peersAddress: string;
+  /** Where metrics are served as text; nowhere by default. */
+  metricsAddress?: string | undefined;
+  /** Log lines that were dropped so far. */
+  logLinesDropped?: () => number;
   bounds: RouterBounds;
   /** Time between the signal to stop and the end, in ms. */
   graceMs: number;
@@ -53,9 +57,16 @@
     super();
     this.options = options;
     this.clock = kernel.clock;
-    const { dataCentre, bounds, protocol } = options;
+    const { dataCentre, bounds, protocol, logLinesDropped } = options;
     const { clock, log } = kernel;
-    this.state = new RouterState({ clock, log, protocol, dataCentre, bounds });
+    this.state = new RouterState({
+      clock,
+      log,
+      protocol,
+      dataCentre,
+      bounds,
+      ...(logLinesDropped === undefined ? {} : { logLinesDropped }),
+    });
     this.ingress = new CallIngress({
       address: options.callersAddress,
       state: this.state,
@@ -86,6 +97,8 @@
 
   override async open(): Promise<void> {
     await this.peers.open();
+    const { metricsAddress } = this.options;
+    if (metricsAddress !== undefined) await this.state.metrics.open(metricsAddress);
     await this.readiness.open();
     await this.ingress.open();
   }
@@ -107,6 +120,7 @@
   override async stop(): Promise<void> {
     this.ingress.stopListening();
     this.readiness.close();
+    this.state.metrics.close();
     this.peers.close();
     this.state.endpoints.destroy();
     return Promise.resolve();
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -163,7 +163,8 @@
   }
 
   private logRefusal(request: IncomingMessage, error: RequestError, arrivedAt: number): void {
-    const { log, freshness, clock, routes } = this.options.state;
+    const { log, freshness, clock, routes, metrics } = this.options.state;
+    metrics.noteUnplaced(error.code);
     log.info({
       event: 'call.refused_unplaced',
       code: error.code,
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -24,6 +24,7 @@
 import type { CallProtocol } from './calls/call-protocol.ts';
 import { PeerTable } from './peers/peer-table.ts';
 import type { KeptPart, PeerReport, WorkspaceTokens } from './peers/peer-table.ts';
+import { RouterMetrics } from './router-metrics.ts';
 import type { ReportBody } from './peers/peer-exchange.ts';
 
 /** Share of an endpoint's connections that one router may open, since others open some too. */
@@ -55,6 +56,8 @@
   protocol: CallProtocol;
   dataCentre: string;
   bounds: RouterBounds;
+  /** Log lines that were dropped so far. */
+  logLinesDropped?: () => number;
 }
 
 /** State of one router. */
@@ -68,6 +71,7 @@
   readonly endpoints: EndpointDirectory;
   readonly peers = new PeerTable();
   readonly memory = new PrefixMemory();
+  readonly metrics: RouterMetrics;
   private readonly asked: DemandWindow;
   private readonly granted: DemandWindow;
   private readonly speeds = new Map<string, SpeedModel>();
@@ -83,6 +87,13 @@
     this.bounds = options.bounds;
     this.protocol = options.protocol;
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
+    this.metrics = new RouterMetrics({
+      keyAgeMs: () => this.freshness.age(this.clock.monotonic()),
+      routesVersion: () => this.current?.table.version ?? 0,
+      endpoints: () => this.endpoints.ids().length,
+      routers: () => this.countRouters(),
+      logLinesDropped: options.logLinesDropped ?? (() => 0),
+    });
     this.asked = new DemandWindow(options.bounds.shareWindowMs);
     this.granted = new DemandWindow(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,5 @@
 /** The kernel: plug-in registry, tasks, clock, logs, metrics and the failure types all roles share. */
+export * from './bounded-output.ts';
 export * from './clock.ts';
 export * from './kernel.ts';
 export * from './log.ts';
