Learn at a restart what the engines keep

Cause: a router that starts anew knows of no kept prompt parts and sends beginnings to new homes; after a planned or forced restart of all of them 1 to 3 M tokens were read again. Change: at a start that isn't the system's first, each model engine is asked once for its list. Parts are now named by their own id alone, as the engines list them.

--- a/packages/decisions/src/forwarding/prefix-memory.ts
+++ b/packages/decisions/src/forwarding/prefix-memory.ts
@@ -6,16 +6,13 @@
 import murmurhash from 'murmurhash';
 import type { Prompt } from './prompt.ts';
 
-/** Share of an endpoint's memory that kept parts may fill beside running requests. */
-const KEPT_SHARE = 0.6;
-
 /** Capacity where an endpoint doesn't say what it holds, in tokens. */
 const DEFAULT_CAPACITY_TOKENS = 500_000;
 
-/** A number that stands for a part and all parts before it. */
+/** A number that stands for a part of a model's prompts. */
 export type PartHash = number;
 
-/** A part of a prompt with the number under which endpoints keep it. */
+/** A part of a prompt with its number. */
 export interface HashedPart {
   hash: PartHash;
   tokens: number;
@@ -23,11 +20,14 @@
 
 /** The parts of a prompt that other requests may share, in order. */
 export function hashSharedParts(prompt: Prompt): HashedPart[] {
-  let path = prompt.model;
-  return prompt.parts.slice(0, -1).map(({ id, tokens }) => {
-    path += `\u0000${id}`;
-    return { hash: murmurhash.v3(path), tokens };
-  });
+  return prompt.parts
+    .slice(0, -1)
+    .map(({ id, tokens }) => ({ hash: hashPart(prompt.model, id), tokens }));
+}
+
+/** The number of a part. */
+export function hashPart(model: string, id: string): PartHash {
+  return murmurhash.v3(`${model}\u0000${id}`);
 }
 
 /** Parts that the endpoints keep. */
@@ -39,7 +39,7 @@
     let parts = this.kept.get(endpoint);
     if (parts === undefined) {
       parts = new LRUCache({
-        maxSize: Math.max(1, Math.floor(capacityTokens * KEPT_SHARE)),
+        maxSize: Math.max(1, capacityTokens),
         sizeCalculation: (tokens) => Math.max(1, tokens),
       });
       this.kept.set(endpoint, parts);
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -79,6 +79,10 @@
     return this.records.values();
   }
 
+  find(id: string): EndpointRecord | undefined {
+    return this.records.get(id);
+  }
+
   ids(): string[] {
     return [...this.records.keys()];
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -194,6 +194,15 @@
     }
   }
 
+  /** Notes the parts that an endpoint says it keeps; its peers have asked it themselves. */
+  noteListed(id: string, parts: readonly HashedPart[]): void {
+    const record = this.endpoints.find(id);
+    if (record === undefined) return;
+    const capacity = this.current?.findPool(record.endpoint.pool)?.batch?.cacheTokens;
+    for (const part of parts) this.memory.note(record.name, part, capacity);
+    this.log.info({ event: 'endpoint.cache_read', endpoint: id, parts: parts.length });
+  }
+
   /** This router's state for its peers. */
   describe(): ReportBody {
     const loads: [number, LoadShare][] = [];
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -51,6 +51,8 @@
   eventPauseMs?: number;
   /** Event after which a stream from the start is broken off; none by default. */
   breakAfter?: number;
+  /** Prompt parts that it says it keeps, as it lists them. */
+  kept?: unknown[];
 }
 
 const DEFAULT_EVENTS = 5;
@@ -106,6 +108,12 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === '/v1/kv-list') {
+      const list = { epoch: 1, next: 1, held: this.options.kept ?? [] };
+      response.setHeader('Content-Type', 'application/json');
+      response.end(JSON.stringify(list));
+      return;
+    }
     this.arrivals += 1;
     const requestId = String(request.headers['attempt-id']);
     const body = await readBody(request);
