--- a/packages/decisions/src/forwarding/placement.ts
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -49,7 +49,7 @@
 const UNSURE_SHARE = 0.5;
 
 /** Cost of each token ahead. */
-const AHEAD_WEIGHT = 0.06;
+const AHEAD_WEIGHT = 0.03;
 
 /** Preference for the common first endpoint of a beginning that none keeps, as a share of its tokens. */
 const HOME_SHARE = 0.3;
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -82,7 +82,7 @@
       clock,
       log,
       table: this.state.peers,
-      describe: () => this.state.describe(),
+      describe: (hasWorkspaces) => this.state.describe(hasWorkspaces),
       onReport: (report) => this.state.takeReport(report),
     });
   }
--- /dev/null
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -0,0 +1,101 @@
+import { createSocket } from 'node:dgram';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
+import { PeerExchange } from './peer-exchange.ts';
+import { PEER_TTL_MS, PeerTable } from './peer-table.ts';
+import type { PeerReport } from './peer-table.ts';
+
+const WAIT_LIMIT_MS = 5_000;
+
+function report(part: Partial<PeerReport>): PeerReport {
+  return {
+    from: '127.0.0.1:1',
+    startedAt: 1,
+    sequence: 1,
+    version: 1,
+    loads: [],
+    kept: [],
+    lateRates: [],
+    ...part,
+  };
+}
+
+async function freePort(): Promise<number> {
+  const socket = createSocket('udp4');
+  await new Promise<void>((resolve) => socket.bind(0, '127.0.0.1', resolve));
+  const { port } = socket.address();
+  await new Promise<void>((resolve) => socket.close(() => resolve()));
+  return port;
+}
+
+async function waitFor(isTrue: () => boolean): Promise<void> {
+  const endsAt = Date.now() + WAIT_LIMIT_MS;
+  while (!isTrue()) {
+    if (Date.now() > endsAt) throw new Error('not true in time');
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
+
+describe('table of peers', () => {
+  it('ignores doubled and late reports, and takes those of a restarted process', () => {
+    const table = new PeerTable();
+    expect(table.take(report({ sequence: 5 }), 0)).to.equal(true);
+    expect(table.take(report({ sequence: 5 }), 0)).to.equal(false);
+    expect(table.take(report({ sequence: 4 }), 0)).to.equal(false);
+    expect(table.take(report({ startedAt: 2, sequence: 1 }), 0)).to.equal(true);
+    expect(table.take(report({ startedAt: 1, sequence: 99 }), 0)).to.equal(false);
+  });
+
+  it('keeps what was told of workspaces until it is told anew, and forgets silent peers', () => {
+    const table = new PeerTable();
+    table.take(report({ workspaces: [['w', 10, 5]] }), 0);
+    table.take(report({ sequence: 2 }), 100);
+    expect(table.live(200)[0]?.workspaces).to.deep.equal([['w', 10, 5]]);
+    expect(table.countRouters(200)).to.equal(2);
+    expect(table.countRouters(100 + PEER_TTL_MS + 1)).to.equal(1);
+  });
+});
+
+describe('exchange between routers', () => {
+  const exchanges: PeerExchange[] = [];
+
+  async function start(address: string, seeds: string[]): Promise<PeerTable> {
+    const table = new PeerTable();
+    const exchange = new PeerExchange({
+      address,
+      clock: new SystemClock(),
+      log: createLogger({ level: LogLevel.Silent }),
+      table,
+      describe: () => ({ version: 1, loads: [], kept: [], lateRates: [] }),
+      onReport: () => undefined,
+    });
+    exchanges.push(exchange);
+    exchange.setSeeds(seeds);
+    await exchange.open();
+    return table;
+  }
+
+  afterEach(() => {
+    for (const exchange of exchanges.splice(0)) exchange.close();
+  });
+
+  it('brings routers together that share only a seed, and takes unreadable datagrams calmly', async () => {
+    const ports = await Promise.all([freePort(), freePort(), freePort()]);
+    const [seed = '', second = '', third = ''] = ports.map((port) => `127.0.0.1:${port}`);
+    const tables = await Promise.all([
+      start(seed, [seed]),
+      start(second, [seed]),
+      start(third, [seed]),
+    ]);
+    const noise = createSocket('udp4');
+    for (const [bytes] of fc.sample(fc.tuple(fc.uint8Array({ maxLength: 60 })), {
+      seed: 3,
+      numRuns: 200,
+    })) {
+      noise.send(bytes, ports[0] ?? 0, '127.0.0.1');
+    }
+    await waitFor(() => tables.every((table) => table.countRouters(performance.now()) === 3));
+    noise.close();
+  });
+});
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -13,30 +13,26 @@
 import type { PeerReport, PeerTable } from './peer-table.ts';
 
 /** Period of the reports, in ms: a few of them within the time to a first event. */
-const REPORT_PERIOD_MS = 80;
+const REPORT_PERIOD_MS = 100;
 
-/** Reports between two that go to the seeds too, since a seed may have been replaced. */
-const SEED_EVERY = 10;
+/** Reports from one to the next that names the peers and goes to the seeds too. */
+const PEERS_EVERY = 10;
+
+/** Reports from one to the next that tells of workspaces, whose window is many times longer. */
+const WORKSPACES_EVERY = 4;
 
 /** Most addresses that are kept; more are not a fleet but a fault. */
 const ADDRESS_LIMIT = 2_000;
 
-const share = z.object({
-  reading: z.number(),
-  readTokens: z.number(),
-  running: z.number(),
-  heldTokens: z.number(),
-});
-
 /** What a datagram must hold. */
 export const peerReport = z.object({
   from: z.string(),
   startedAt: z.number(),
   sequence: z.number(),
   version: z.number(),
-  peers: z.array(z.string()),
-  loads: z.array(z.tuple([z.number(), share])),
-  workspaces: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  peers: z.array(z.string()).optional(),
+  loads: z.array(z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()])),
+  workspaces: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
   kept: z.array(z.tuple([z.number(), z.number(), z.number()])),
   lateRates: z.array(z.tuple([z.number(), z.number()])),
 });
@@ -55,7 +51,7 @@
   log: Logger;
   table: PeerTable;
   /** This router's state. */
-  describe: () => ReportBody;
+  describe: (hasWorkspaces: boolean) => ReportBody;
   onReport: (report: PeerReport) => void;
 }
 
@@ -104,16 +100,16 @@
     const { clock, table, address, describe } = this.options;
     const peers = table.live(clock.monotonic()).map(({ from }) => from);
     this.sequence += 1;
-    const isSeedTurn = this.sequence % SEED_EVERY === 1;
-    const targets = new Set(isSeedTurn ? [...peers, ...this.seeds, ...this.heard.keys()] : peers);
+    const isPeersTurn = this.sequence % PEERS_EVERY === 1;
+    const targets = new Set(isPeersTurn ? [...peers, ...this.seeds, ...this.heard.keys()] : peers);
     targets.delete(address);
     if (targets.size === 0) return;
     const report: PeerReport = {
       from: address,
       startedAt: this.startedAt,
       sequence: this.sequence,
-      peers,
-      ...describe(),
+      ...(isPeersTurn ? { peers } : {}),
+      ...describe(this.sequence % WORKSPACES_EVERY === 1),
     };
     const message = this.packr.pack(report);
     for (const target of targets) this.sendTo(target, message);
@@ -132,7 +128,7 @@
     const report = this.decode(message);
     if (report === undefined || report.from === this.options.address) return;
     const now = this.options.clock.monotonic();
-    for (const peer of report.peers) this.remember(peer, now);
+    for (const peer of report.peers ?? []) this.remember(peer, now);
     this.remember(report.from, now);
     if (this.options.table.take(report, now)) this.options.onReport(report);
   }
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -1,13 +1,20 @@
 /**
  * What the other routers say: their load at each endpoint, what workspaces asked of them and got, and
- * which prompt parts went where. Every message holds the sender's whole present state, so that lost,
- * doubled and reordered messages do no harm; what a peer said is forgotten when it falls silent.
+ * which prompt parts went where. Messages hold the sender's present state and no changes to it, so that
+ * lost, doubled and reordered ones do no harm; what a peer said is forgotten when it falls silent.
  */
-import type { LoadShare } from '@poplarpick/decisions';
-
 /** Time after which a silent peer no longer counts, in ms: several of its messages are missing. */
 export const PEER_TTL_MS = 1_500;
 
+/** What one router has at an endpoint, which its hash names; in the order of `LoadShare`. */
+export type EndpointShare = [
+  endpoint: number,
+  reading: number,
+  readTokens: number,
+  running: number,
+  heldTokens: number,
+];
+
 /** A prompt part at an endpoint; endpoints and parts are named by their hashes. */
 export type KeptPart = [endpoint: number, part: number, tokens: number];
 
@@ -24,10 +31,11 @@
   sequence: number;
   /** Version of the sender's routing table. */
   version: number;
-  /** Addresses of the routers that the sender hears. */
-  peers: string[];
-  loads: [endpoint: number, share: LoadShare][];
-  workspaces: WorkspaceTokens[];
+  /** Addresses of the routers that the sender hears; told now and then. */
+  peers?: string[] | undefined;
+  loads: EndpointShare[];
+  /** Told now and then, since they change slowly; what was told last holds until then. */
+  workspaces?: WorkspaceTokens[] | undefined;
   kept: KeptPart[];
   /** Share of late requests by pool, which its hash names. */
   lateRates: [pool: number, rate: number][];
@@ -46,7 +54,8 @@
   take(report: PeerReport, now: number): boolean {
     const known = this.entries.get(report.from)?.report;
     if (known !== undefined && !isNewer(report, known)) return false;
-    this.entries.set(report.from, { report, heardAt: now });
+    const workspaces = report.workspaces ?? known?.workspaces;
+    this.entries.set(report.from, { report: { ...report, workspaces }, heardAt: now });
     return true;
   }
 
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -23,7 +23,7 @@
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
 import type { CallProtocol } from './calls/call-protocol.ts';
 import { PeerTable } from './peers/peer-table.ts';
-import type { KeptPart, PeerReport, WorkspaceTokens } from './peers/peer-table.ts';
+import type { EndpointShare, KeptPart, PeerReport, WorkspaceTokens } from './peers/peer-table.ts';
 import { RouterMetrics } from './router-metrics.ts';
 import type { ReportBody } from './peers/peer-exchange.ts';
 
@@ -171,7 +171,7 @@
     const asked = this.asked.totals(now);
     const granted = this.granted.totals(now);
     for (const report of this.peers.live(now)) {
-      for (const [name, itsAsked, itsGranted] of report.workspaces) {
+      for (const [name, itsAsked, itsGranted] of report.workspaces ?? []) {
         asked.set(name, (asked.get(name) ?? 0) + itsAsked);
         granted.set(name, (granted.get(name) ?? 0) + itsGranted);
       }
@@ -204,16 +204,24 @@
   }
 
   /** This router's state for its peers. */
-  describe(): ReportBody {
-    const loads: [number, LoadShare][] = [];
+  describe(hasWorkspaces: boolean): ReportBody {
+    const loads: EndpointShare[] = [];
     for (const { name, load } of this.endpoints.all()) {
       const share = load.ownShare();
-      if (share.reading + share.running > 0) loads.push([murmurhash.v3(name), share]);
+      if (share.reading + share.running === 0) continue;
+      const { reading, readTokens, running, heldTokens } = share;
+      loads.push([
+        murmurhash.v3(name),
+        reading,
+        Math.round(readTokens),
+        running,
+        Math.round(heldTokens),
+      ]);
     }
     return {
       version: this.current?.table.version ?? 0,
       loads,
-      workspaces: this.describeWorkspaces(),
+      ...(hasWorkspaces ? { workspaces: this.describeWorkspaces() } : {}),
       kept: this.takeUntoldParts(),
       lateRates: [...this.gauges].map(([pool, gauge]) => [murmurhash.v3(pool), gauge.rate]),
     };
@@ -224,7 +232,7 @@
     const now = this.clock.monotonic();
     const byHash = new Map<number, EndpointRecord>();
     for (const record of this.endpoints.all()) byHash.set(murmurhash.v3(record.name), record);
-    const loads = new Map(report.loads);
+    const loads = new Map(report.loads.map((entry) => [entry[0], readShare(entry)]));
     for (const [hash, record] of byHash) {
       const share = loads.get(hash);
       record.load.notePeer(report.from, share ?? EMPTY_SHARE, now);
@@ -267,6 +275,11 @@
   }
 }
 
+function readShare(entry: EndpointShare): LoadShare {
+  const [, reading, readTokens, running, heldTokens] = entry;
+  return { reading, readTokens, running, heldTokens };
+}
+
 const EMPTY_SHARE: LoadShare = { reading: 0, readTokens: 0, running: 0, heldTokens: 0 };
 
 /** The shared parts of a prompt; none where there is no prompt. */
