--- a/packages/kernel/src/documentation.test.ts
+++ b/packages/kernel/src/documentation.test.ts
@@ -17,7 +17,9 @@
 
 /** Events that the code logs: whole names, and the beginnings of names that end in a value. */
 function listEvents(): { names: Set<string>; prefixes: Set<string> } {
-  const files = globSync('packages/{kernel,fleet,cli}/src/**/*.ts', { cwd: ROOT });
+  const files = globSync('{packages/{kernel,fleet,cli,forwarder},platform}/src/**/*.ts', {
+    cwd: ROOT,
+  });
   const names = new Set<string>();
   const prefixes = new Set<string>();
   for (const file of files.filter((name) => !name.endsWith('.test.ts'))) {
