--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'results/'] },
+  { ignores: ['dist/', 'node_modules/', 'results/', 'target/'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
