--- a/packages/decisions/src/forwarding/next-step.test.ts
+++ b/packages/decisions/src/forwarding/next-step.test.ts
@@ -19,7 +19,7 @@
     route: {
       name: 'r',
       host: 'h',
-      pathPrefix: '/',
+      prefix: '/',
       kind: given.kind,
       timeoutMs: 1_000,
       objectiveMs: 100,
--- a/packages/decisions/src/forwarding/routing-table.test.ts
+++ b/packages/decisions/src/forwarding/routing-table.test.ts
@@ -6,7 +6,7 @@
   return {
     name: 'r',
     host: 'a.example',
-    pathPrefix: '/',
+    prefix: '/',
     kind: CallKind.Idempotent,
     timeoutMs: 1_000,
     objectiveMs: 100,
@@ -28,9 +28,9 @@
   it('finds the longest prefix of the host, whatever the case and port of its name', () => {
     const routes = [
       route({ name: 'all' }),
-      route({ name: 'deep', pathPrefix: '/x/y/' }),
-      route({ name: 'mid', pathPrefix: '/x/' }),
-      route({ name: 'other', host: 'b.example', pathPrefix: '/x/y/z/' }),
+      route({ name: 'deep', prefix: '/x/y/' }),
+      route({ name: 'mid', prefix: '/x/' }),
+      route({ name: 'other', host: 'b.example', prefix: '/x/y/z/' }),
     ];
     const index = new RouteIndex(table({ routes }));
     expect(index.findRoute('A.Example:8080', '/x/y/z/1')?.name).to.equal('deep');
--- a/packages/decisions/src/forwarding/routing-table.ts
+++ b/packages/decisions/src/forwarding/routing-table.ts
@@ -24,7 +24,7 @@
 export interface Route {
   name: string;
   host: string;
-  pathPrefix: string;
+  prefix: string;
   kind: CallKind;
   /** Longest time that a caller may be kept waiting, in ms. */
   timeoutMs: number;
@@ -100,7 +100,7 @@
       this.byHost.set(host, [...(this.byHost.get(host) ?? []), route]);
     }
     for (const routes of this.byHost.values()) {
-      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+      routes.sort((a, b) => b.prefix.length - a.prefix.length);
     }
     for (const pool of table.pools) this.pools.set(pool.name, pool);
     for (const { name, keys } of table.workspaces ?? []) {
@@ -112,7 +112,7 @@
   findRoute(host: string, path: string): Route | undefined {
     const name = host.toLowerCase();
     const routes = this.byHost.get(name) ?? this.byHost.get(name.replace(/:\d+$/, '')) ?? [];
-    return routes.find((route) => path.startsWith(route.pathPrefix));
+    return routes.find((route) => path.startsWith(route.prefix));
   }
 
   findPool(name: string): Pool | undefined {
--- /dev/null
+++ b/packages/forwarder/src/calls/call-journal.ts
@@ -0,0 +1,86 @@
+/** What is told of one call: a log line for each failed attempt and one for its end, and its metrics. */
+import type { Route, ShareUse } from '@poplarpick/decisions';
+import type { RequestError } from '@poplarpick/kernel';
+import type { RouterState } from '../router-state.ts';
+import type { AttemptRun } from './attempt-run.ts';
+import type { CallHead } from './call-protocol.ts';
+import type { Place } from './call-placement.ts';
+
+/** Options of a `CallJournal`. */
+export interface CallJournalOptions {
+  state: RouterState;
+  head: CallHead;
+  route: Route;
+  workspace: string | undefined;
+  /** Monotonic time of arrival, in ms. */
+  arrivedAt: number;
+}
+
+/** How a call ended, and what that was decided from. */
+export interface CallEnd {
+  outcome: string;
+  reason: string | undefined;
+  place: Place | undefined;
+  shareUse: ShareUse;
+  /** Attempts that reached an endpoint. */
+  attempts: number;
+  /** Monotonic time of the first event; undefined where there was none. */
+  firstEventAt: number | undefined;
+}
+
+/** Tells what becomes of one call. */
+export class CallJournal {
+  private readonly options: CallJournalOptions;
+
+  constructor(options: CallJournalOptions) {
+    this.options = options;
+  }
+
+  noteFailedAttempt(run: AttemptRun, error: RequestError, lastEventId: number | undefined): void {
+    const { state, head } = this.options;
+    state.metrics.noteFailedAttempt(error.verdict);
+    state.log.info({
+      event: 'call.attempt_failed',
+      request: head.requestId,
+      endpoint: run.place.record.endpoint.id,
+      reason: error.message,
+      verdict: error.verdict,
+      last_event: lastEventId,
+    });
+  }
+
+  noteEnd(end: CallEnd): void {
+    const { head, route, workspace, state, arrivedAt } = this.options;
+    const { outcome, reason, place, shareUse, attempts, firstEventAt } = end;
+    const now = state.clock.monotonic();
+    const firstEventMs = firstEventAt && firstEventAt - arrivedAt;
+    const totalMs = now - arrivedAt;
+    state.metrics.noteCall({ route: route.name, outcome, attempts, firstEventMs, totalMs });
+    state.log.info({
+      event: 'call.ended',
+      request: head.requestId,
+      outcome,
+      reason,
+      route: route.name,
+      workspace,
+      endpoint: place?.record.endpoint.id,
+      share_used: Number(shareUse.ofShare.toFixed(2)),
+      surplus_used: Number(shareUse.ofSurplus.toFixed(2)),
+      attempts,
+      wait_ms: round(place?.waitMs),
+      service_ms: round(place?.serviceMs),
+      tokens_ahead: place?.tokensAhead,
+      requests_ahead: place?.requestsAhead,
+      read_tokens: place?.readTokens,
+      missing_tokens: place?.missingTokens,
+      first_event_ms: round(firstEventMs),
+      total_ms: round(totalMs),
+      key_age_ms: round(state.freshness.age(now)),
+      version: state.routes?.table.version,
+    });
+  }
+}
+
+function round(value: number | undefined): number | undefined {
+  return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
+}
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -11,6 +11,7 @@
 import type { RouterState } from '../router-state.ts';
 import { AnswerWriter } from './answer-writer.ts';
 import { AttemptOwner, AttemptRun } from './attempt-run.ts';
+import { CallJournal } from './call-journal.ts';
 import type { AnswerHead, CallHead } from './call-protocol.ts';
 import type { CallPlacement, Place } from './call-placement.ts';
 
@@ -56,7 +57,10 @@
   private readonly options: CallOptions;
   private readonly writer: AnswerWriter;
   private readonly excluded = new Set<string>();
+  private readonly journal: CallJournal;
   private run: AttemptRun | undefined;
+  /** Where the call was placed last. */
+  private place: Place | undefined;
   private timer: Timer | undefined;
   private sentAttempts = 0;
   private unsentAttempts = 0;
@@ -71,6 +75,7 @@
     super();
     this.options = options;
     this.writer = new AnswerWriter(options.response, options.isLastAnswer);
+    this.journal = new CallJournal(options);
     const { head, route, arrivedAt } = options;
     this.endsAt = arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   }
@@ -81,6 +86,7 @@
     response.once('close', () => this.callerLeft());
     this.timer = state.clock.after(this.leftMs() + DEADLINE_GRACE_MS, () => this.timeUp());
     const place = this.findPlace();
+    this.place = place;
     if (place === undefined) {
       this.refuse('no endpoint takes requests', ErrorCode.NoEndpoint, NO_ENDPOINT_RETRY_S);
       return;
@@ -157,7 +163,7 @@
     if (error.code !== ErrorCode.QueueFull) record.load.noteFailure(this.now());
     this.excluded.add(record.name);
     this.run = undefined;
-    this.logAttempt(run, error);
+    this.journal.noteFailedAttempt(run, error, this.lastEventId);
     if (this.isOver) return;
     const step = planNextStep({
       route,
@@ -216,7 +222,7 @@
     const reason = admission.isOverShare
       ? 'the workspace has had its share'
       : 'the wait is too long';
-    this.refuse(reason, ErrorCode.QueueFull, seconds, place);
+    this.refuse(reason, ErrorCode.QueueFull, seconds);
     return false;
   }
 
@@ -229,6 +235,7 @@
   }
 
   private send(place: Place): void {
+    this.place = place;
     const { head, state, workspace, body, pool } = this.options;
     const { prompt } = head;
     this.sentAttempts += 1;
@@ -280,7 +287,8 @@
     if (!this.sendAgain()) return false;
     const message = `the endpoint answered ${head.status}`;
     const verdict = Verdict.MayHaveRun;
-    this.logAttempt(run, new RequestError(message, { code: ErrorCode.EndpointFailed, verdict }));
+    const error = new RequestError(message, { code: ErrorCode.EndpointFailed, verdict });
+    this.journal.noteFailedAttempt(run, error, undefined);
     return true;
   }
 
@@ -335,10 +343,10 @@
     else this.refuse('the time for the request is over', ErrorCode.NoEndpoint, 0);
   }
 
-  private refuse(reason: string, code: ErrorCode, retryAfterSeconds: number, place?: Place): void {
+  private refuse(reason: string, code: ErrorCode, retryAfterSeconds: number): void {
     const verdict = Verdict.NotRun;
     this.writer.sendFailure(new RequestError(reason, { code, verdict, retryAfterSeconds }));
-    this.logEnd('refused', reason, place);
+    this.logEnd('refused', reason);
     this.close();
   }
 
@@ -366,45 +374,14 @@
     this.options.onEnd(this);
   }
 
-  private logEnd(outcome: string, reason?: string, place = this.run?.place): void {
-    const { head, route, workspace, state, arrivedAt } = this.options;
-    const firstEventMs = this.firstEventAt && this.firstEventAt - arrivedAt;
-    const totalMs = this.now() - arrivedAt;
-    const attempts = this.sentAttempts;
-    state.metrics.noteCall({ route: route.name, outcome, attempts, firstEventMs, totalMs });
-    state.log.info({
-      event: 'call.ended',
-      request: head.requestId,
+  private logEnd(outcome: string, reason?: string): void {
+    this.journal.noteEnd({
       outcome,
       reason,
-      route: route.name,
-      workspace,
-      endpoint: place?.record.endpoint.id,
-      share_used: Number(this.shareUse.ofShare.toFixed(2)),
-      surplus_used: Number(this.shareUse.ofSurplus.toFixed(2)),
-      attempts,
-      wait_ms: round(place?.waitMs),
-      service_ms: round(place?.serviceMs),
-      tokens_ahead: place?.tokensAhead,
-      requests_ahead: place?.requestsAhead,
-      read_tokens: place?.readTokens,
-      missing_tokens: place?.missingTokens,
-      first_event_ms: round(firstEventMs),
-      total_ms: round(totalMs),
-      key_age_ms: round(state.freshness.age(this.now())),
-      version: state.routes?.table.version,
-    });
-  }
-
-  private logAttempt(run: AttemptRun, error: RequestError): void {
-    this.options.state.metrics.noteFailedAttempt(error.verdict);
-    this.options.state.log.info({
-      event: 'call.attempt_failed',
-      request: this.options.head.requestId,
-      endpoint: run.place.record.endpoint.id,
-      reason: error.message,
-      verdict: error.verdict,
-      last_event: this.lastEventId,
+      place: this.place,
+      shareUse: this.shareUse,
+      attempts: this.sentAttempts,
+      firstEventAt: this.firstEventAt,
     });
   }
 
@@ -416,7 +393,3 @@
     return this.options.state.clock.monotonic();
   }
 }
-
-function round(value: number | undefined): number | undefined {
-  return value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
-}
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -3,7 +3,7 @@
  * peers, and its planned stop.
  */
 import { Plugin, Role } from '@poplarpick/kernel';
-import type { Clock, Kernel, Timer } from '@poplarpick/kernel';
+import type { Clock, Kernel, Logger, Timer } from '@poplarpick/kernel';
 import type { CallProtocol } from './calls/call-protocol.ts';
 import { CallIngress } from './ingress/call-ingress.ts';
 import { ReadinessServer } from './ingress/readiness.ts';
@@ -48,6 +48,8 @@
   readonly state: RouterState;
   private readonly options: ForwarderOptions;
   private readonly clock: Clock;
+  private readonly log: Logger;
+  private wasReady = false;
   private readonly ingress: CallIngress;
   private readonly readiness: ReadinessServer;
   private readonly peers: PeerExchange;
@@ -57,6 +59,7 @@
     super();
     this.options = options;
     this.clock = kernel.clock;
+    this.log = kernel.log;
     const { dataCentre, bounds, protocol, logLinesDropped } = options;
     const { clock, log } = kernel;
     this.state = new RouterState({
@@ -135,8 +138,21 @@
     return this.ingress.openRequests === 0 && elapsedMs >= REFUSE_AFTER_MS;
   }
 
+  /** Whether new connections may come here; a change is told. */
   private isReady(): boolean {
-    if (this.isStopping || this.state.routes === undefined) return false;
-    return this.state.freshness.isTrusted(this.clock.monotonic());
+    const reason = this.unreadyReason();
+    const isReady = reason === undefined;
+    if (isReady !== this.wasReady) {
+      this.log.info({ event: isReady ? 'router.ready' : 'router.not_ready', reason });
+    }
+    this.wasReady = isReady;
+    return isReady;
+  }
+
+  private unreadyReason(): string | undefined {
+    if (this.isStopping) return 'the router is stopping';
+    if (this.state.routes === undefined) return 'no routes are known yet';
+    const isTrusted = this.state.freshness.isTrusted(this.clock.monotonic());
+    return isTrusted ? undefined : 'the keys may be out of date';
   }
 }
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -44,7 +44,7 @@
   private readonly placement: CallPlacement;
   private readonly server: Server;
   private readonly calls = new Set<Call>();
-  private open_ = 0;
+  private unanswered = 0;
   private isStopping = false;
   private refusesAll = false;
 
@@ -79,7 +79,7 @@
 
   /** Requests that are being received or served. */
   get openRequests(): number {
-    return this.open_;
+    return this.unanswered;
   }
 
   /** Asks callers to close their connections after their next answer. */
@@ -101,8 +101,8 @@
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { state } = this.options;
     const arrivedAt = state.clock.monotonic();
-    this.open_ += 1;
-    response.once('close', () => (this.open_ -= 1));
+    this.unanswered += 1;
+    response.once('close', () => (this.unanswered -= 1));
     const writer = new AnswerWriter(response, () => this.isStopping);
     try {
       await this.accept(request, response, arrivedAt);
