Send nothing on for callers that left while the router stood still

Change: two turns pass between a request's arrival and its placement, and one whose connection has ended is dropped.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -121,6 +121,8 @@
     const { state } = this.options;
     const { method = 'GET', url = '/' } = request;
     const body = await readBody(request, this.limits().bodyBytes);
+    await letConnectionsEnd();
+    if (hasLeft(request)) return;
     const head = state.protocol.readCall(method, url, request.rawHeaders);
     if (this.refusesAll) {
       throw new RequestError('the router is stopping', {
@@ -178,6 +180,19 @@
   }
 }
 
+/**
+ * Lets the event loop read its connections once more. After a standstill a request and the end of its
+ * connection wait together, and the end is read one turn later.
+ */
+async function letConnectionsEnd(): Promise<void> {
+  await new Promise(setImmediate);
+  await new Promise(setImmediate);
+}
+
+function hasLeft({ socket }: IncomingMessage): boolean {
+  return socket.destroyed || socket.readableEnded || socket.writableEnded;
+}
+
 function isStillValid(state: RouterState, key: string | undefined, workspace?: string): boolean {
   if (workspace === undefined) return true;
   if (!state.freshness.isTrusted(state.clock.monotonic())) return false;
