Hash a prompt's parts once for all endpoints, and drop what nothing uses

Cause: placement hashed the same shared parts anew for every endpoint of the pool, the memory of an endpoint was looked up in three places, and a limit of events was declared and never used. Behaviour is unchanged; the tests of the forwarder, its decisions and the platform folder pass.

--- a/packages/decisions/src/forwarding/event-splitter.ts
+++ b/packages/decisions/src/forwarding/event-splitter.ts
@@ -15,9 +15,6 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id: ?(\d+)\r?$/m;
 
-/** Largest event that is taken, in bytes; what is longer is no event stream. */
-export const EVENT_LIMIT_BYTES = 1_048_576;
-
 /** Collects chunks and hands out the whole events in them. */
 export class EventSplitter {
   private rest: Buffer = Buffer.alloc(0);
--- a/packages/forwarder/src/calls/call-placement.ts
+++ b/packages/forwarder/src/calls/call-placement.ts
@@ -6,7 +6,14 @@
   placePrompt,
   sharedTokens,
 } from '@poplarpick/decisions';
-import type { Admission, Candidate, Prompt, Route, ShareUse } from '@poplarpick/decisions';
+import type {
+  Admission,
+  Candidate,
+  HashedPart,
+  Prompt,
+  Route,
+  ShareUse,
+} from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { partsOf } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
@@ -75,7 +82,10 @@
     if (batch === undefined || prompt === undefined) {
       return placePlain(takers.map((record) => this.assessPlain(record)));
     }
-    const options = takers.map((record) => this.assessModel(record, prompt, batch.cacheTokens));
+    const parts = partsOf(prompt);
+    const options = takers.map((record) =>
+      this.assessModel(record, prompt, parts, batch.cacheTokens),
+    );
     const { objectiveMs } = route;
     const affinity = affinityKey(prompt);
     const sizeTokens = prompt.inputTokens + OUTPUT_WEIGHT * prompt.outputTokens;
@@ -106,11 +116,16 @@
     return admission;
   }
 
-  private assessModel(record: EndpointRecord, prompt: Prompt, cacheTokens: number): Place {
+  private assessModel(
+    record: EndpointRecord,
+    prompt: Prompt,
+    parts: readonly HashedPart[],
+    cacheTokens: number,
+  ): Place {
     const now = this.state.clock.monotonic();
     const speed = this.state.speedOf(record.endpoint.pool);
     const share = record.load.totalShare(now);
-    const missingTokens = this.state.memory.missingTokens(record.name, partsOf(prompt));
+    const missingTokens = this.state.memory.missingTokens(record.name, parts);
     const readTokens = Math.max(0, prompt.inputTokens - sharedTokens(prompt)) + missingTokens;
     const requestsAhead = share.reading + share.running;
     const isFull = share.heldTokens + prompt.inputTokens > cacheTokens * HELD_SHARE;
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -186,7 +186,7 @@
 
   /** Notes that an endpoint reads the shared parts of a prompt. */
   noteKept(record: EndpointRecord, parts: readonly HashedPart[]): void {
-    const capacity = this.current?.findPool(record.endpoint.pool)?.batch?.cacheTokens;
+    const capacity = this.cacheTokens(record);
     for (const part of parts) {
       if (!this.memory.note(record.name, part, capacity)) continue;
       const kept: KeptPart = [murmurhash.v3(record.name), part.hash, part.tokens];
@@ -198,7 +198,7 @@
   noteListed(id: string, parts: readonly HashedPart[]): void {
     const record = this.endpoints.find(id);
     if (record === undefined) return;
-    const capacity = this.current?.findPool(record.endpoint.pool)?.batch?.cacheTokens;
+    const capacity = this.cacheTokens(record);
     for (const part of parts) this.memory.note(record.name, part, capacity);
     this.log.info({ event: 'endpoint.cache_read', endpoint: id, parts: parts.length });
   }
@@ -240,7 +240,7 @@
     for (const [hash, part, tokens] of report.kept) {
       const record = byHash.get(hash);
       if (record === undefined) continue;
-      const capacity = this.current?.findPool(record.endpoint.pool)?.batch?.cacheTokens;
+      const capacity = this.cacheTokens(record);
       this.memory.note(record.name, { hash: part, tokens }, capacity);
     }
   }
@@ -264,6 +264,11 @@
     return told.map(({ part }) => part);
   }
 
+  /** Tokens that an endpoint can keep; undefined where its pool doesn't say. */
+  private cacheTokens({ endpoint }: EndpointRecord): number | undefined {
+    return this.current?.findPool(endpoint.pool)?.batch?.cacheTokens;
+  }
+
   private connectionLimit(pool: string): number {
     const limit = this.current?.findPool(pool)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT;
     return Math.max(1, Math.floor(limit * CONNECTION_SHARE));
