--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -106,6 +106,7 @@
       share_used: Number(shareUsage.shareUsed.toFixed(2)),
       surplus_used: Number(shareUsage.surplusUsed.toFixed(2)),
       returning: isCallerRetry,
+      deadline_ms: head.deadlineMs,
       attempts,
       share_tokens: head.prompt && fairShareCost(head.prompt),
       wait_ms: roundFinite(placement?.waitMs),
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -108,6 +108,7 @@
   }
 
   override async open(): Promise<void> {
+    this.state.eventLoopDelay.start();
     await this.peers.open();
     await this.relay.open();
     const { metricsAddress } = this.options;
@@ -134,6 +135,7 @@
   }
 
   override async stop(): Promise<void> {
+    this.state.eventLoopDelay.stop();
     this.ingress.stopListening();
     this.readiness.close();
     this.state.metrics.close();
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -14,6 +14,7 @@
     routers: () => 1,
     logLinesDropped: () => 0,
     remainingRetries: () => 7,
+    eventLoopDelayMs: () => 20,
   });
 }
 
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -22,6 +22,8 @@
   logLinesDropped: () => number;
   /** Retries that the budgets of all pools still allow this router. */
   remainingRetries: () => number;
+  /** Mean delay of the event loop. */
+  eventLoopDelayMs: () => number;
 }
 
 /** How one call ended. */
@@ -132,6 +134,11 @@
       'Retries that the budgets of all pools still allow this router',
       source.remainingRetries,
     );
+    this.addGauge(
+      'poplarpick_event_loop_delay_seconds',
+      'Mean time by which timers of the event loop fire late',
+      () => source.eventLoopDelayMs() / MS_PER_SECOND,
+    );
     this.addGauge(
       'poplarpick_log_lines_dropped',
       'Log lines dropped because the log reader was too slow',
