Failing tests: callers whose deadlines differ

Cause: the replay told its routers which requests were retries, gave all callers of a kind the same deadline and sent a retry to the router that had refused it, so no test met a wrong guess.

--- a/packages/bench/src/admission/admission.test.ts
+++ b/packages/bench/src/admission/admission.test.ts
@@ -20,6 +20,11 @@
     });
   }
 
+  it("keeps the credit where callers' deadlines differ", () => {
+    const [, , routers] = compareAdmission({ ...OVERLOAD, seed: 1, deadlineSpread: 0.3 }).rows;
+    expect(routers?.ofLimit).to.be.greaterThan(MIN_SHARE_OF_BOUND);
+  });
+
   it('gives the same result for the same seed', () => {
     const run = { ...OVERLOAD, seconds: 6, seed: 4 };
     expect(compareAdmission(run)).to.deep.equal(compareAdmission(run));
--- a/packages/bench/src/admission/app.ts
+++ b/packages/bench/src/admission/app.ts
@@ -78,7 +78,7 @@
 export const admissionCommand = {
   name: 'admission',
   summary:
-    'placement and admission at the worst load, replayed  [--seed N] [--seconds N] [--load X] [--engines N] [--tokens-per-engine N] [--routers N] [--json]',
+    'placement and admission at the worst load, replayed  [--seed N] [--seconds N] [--load X] [--engines N] [--tokens-per-engine N] [--routers N] [--deadline-spread X] [--json]',
   run: runAdmission,
 };
 
@@ -108,6 +108,7 @@
       engines: { type: 'string', default: '6' },
       'tokens-per-engine': { type: 'string', default: '60000' },
       routers: { type: 'string', default: '5' },
+      'deadline-spread': { type: 'string', default: '0' },
       json: { type: 'boolean', default: false },
     },
   });
@@ -118,6 +119,7 @@
     engines: Number(values.engines),
     tokensPerEngine: Number(values['tokens-per-engine']),
     routers: Number(values.routers),
+    deadlineSpread: Number(values['deadline-spread']),
   });
   if (!values.json) console.table(rows);
   console.log(JSON.stringify({ limit, rows }));
@@ -134,6 +136,8 @@
   /** Assumed throughput of one engine, from which the fair shares are computed. */
   tokensPerEngine: number;
   routers: number;
+  /** Largest deviation of callers' deadlines from those of their kind, as a fraction. */
+  deadlineSpread?: number;
 }
 
 /** Replays the same arrivals under each policy. */
@@ -141,13 +145,13 @@
   rows: PolicyResult[];
   limit: number;
 } {
-  const { seed, seconds, engines, tokensPerEngine, routers } = options;
+  const { seed, seconds, engines, tokensPerEngine, routers, deadlineSpread = 0 } = options;
   const kinds = WORKLOAD.kinds.map((kind) => ({
     ...kind,
     requestsPerSecond: kind.requestsPerSecond * options.load,
   }));
   const arrivals = generateArrivals(
-    { ...WORKLOAD, kinds },
+    { ...WORKLOAD, kinds, deadlineSpread },
     { random: new Random(seed), routers, durationMs: seconds * SECOND_MS },
   );
   const tokensPerSecond = tokensPerEngine * engines;
--- a/packages/bench/src/admission/replay.ts
+++ b/packages/bench/src/admission/replay.ts
@@ -86,14 +86,15 @@
         this.submit(arrival, false, now);
       } else if (now === retry?.at) {
         this.pendingRetries.shift();
-        this.submit(retry.arrival, true, now);
+        const routerIndex = retry.arrival.retryRouterIndex;
+        this.submit({ ...retry.arrival, routerIndex }, true, now);
       } else this.stepEngines(now);
     }
   }
 
   private submit(arrival: Arrival, isRetry: boolean, now: number): void {
     const { policy } = this.options;
-    const remainingMs = arrival.atMs + arrival.kind.deadlineMs - now;
+    const remainingMs = arrival.atMs + arrival.deadlineMs - now;
     const decision = policy.decide(arrival, { isRetry, remainingMs, now }, this.engines);
     const engine =
       decision.engineIndex === undefined ? undefined : this.engines[decision.engineIndex];
@@ -140,7 +141,7 @@
   private cancelExpired(now: number): void {
     for (const request of [...this.activeRequests.values()]) {
       const { arrival, run } = request;
-      if (now < arrival.atMs + arrival.kind.deadlineMs) continue;
+      if (now < arrival.atMs + arrival.deadlineMs) continue;
       if (run !== undefined) run.isCancelled = true;
       this.finish(request, RequestOutcome.Unfinished, now);
     }
--- a/packages/bench/src/admission/router-policy.ts
+++ b/packages/bench/src/admission/router-policy.ts
@@ -97,7 +97,8 @@
     const request = { route, pool: POOL, prompt, bodyBytes: 0, excluded: new Set<string>() };
     const placement = placer.place(request);
     if (placement === undefined) return { engineIndex: undefined, retryAfterMs: 500 };
-    const { isRetry: isCallerRetry, remainingMs } = attempt;
+    const { remainingMs } = attempt;
+    const isCallerRetry = placer.isCallerRetry(route, remainingMs);
     if (!isCallerRetry) state.recordDemand(workspace, prompt);
     const shareUsage = state.shareUsage(workspace);
     const admission = placer.admit({ route, remainingMs, shareUsage, isCallerRetry }, placement);
--- a/packages/bench/src/admission/workload.ts
+++ b/packages/bench/src/admission/workload.ts
@@ -40,6 +40,8 @@
   kinds: readonly RequestKind[];
   workspaces: number;
   floods: FloodSchedule;
+  /** Largest deviation of a caller's deadline from that of the request's kind, as a fraction; 0 by default. */
+  deadlineSpread?: number;
 }
 
 /** The first attempt of a request. */
@@ -49,8 +51,12 @@
   kind: RequestKind;
   workspace: string;
   prompt: Prompt;
+  /** Time from the first attempt to the caller's deadline, in ms. */
+  deadlineMs: number;
   /** Index of the router that the caller sends it to. */
   routerIndex: number;
+  /** Index of the router that receives the retry of a refused request. */
+  retryRouterIndex: number;
 }
 
 /** Size of each workspace relative to the next larger one. */
@@ -77,7 +83,18 @@
         const isFlooding = floodingWorkspaces(workload, atMs).has(index);
         if (!isFlooding && random.uniform() > 1 / workload.floods.rateFactor) continue;
         const prompt = generatePrompt(kind, random);
-        arrivals.push({ atMs, kind, workspace, prompt, routerIndex: pickRouter(random, routers) });
+        const routerIndex = pickRouter(random, routers);
+        const retryRouterIndex = (routerIndex + 1) % routers;
+        const deadlineMs = drawDeadline(kind, workload.deadlineSpread ?? 0, random);
+        arrivals.push({
+          atMs,
+          kind,
+          workspace,
+          prompt,
+          deadlineMs,
+          routerIndex,
+          retryRouterIndex,
+        });
       }
     }
   }
@@ -105,6 +122,11 @@
   return random.uniform() < 0.5 ? 0 : random.integer(routers);
 }
 
+function drawDeadline(kind: RequestKind, spread: number, random: Random): number {
+  if (spread === 0) return kind.deadlineMs;
+  return kind.deadlineMs * (1 + spread * (random.uniform() * 2 - 1));
+}
+
 function generatePrompt(kind: RequestKind, random: Random): Prompt {
   const segments: PromptSegment[] = kind.prefixLevels.map(({ prefixes, tokens }, level) => ({
     id: `${kind.name}/${level}/${random.integer(prefixes)}`,
