Decide about a request in a time that does not grow with the number of routers

Cause: for each request a router added up the loads that each peer reported for each endpoint and the usage that each peer reported for each workspace; for each report it hashed all endpoints and checked every entry with a schema of its own. Change: EndpointLoad keeps its sums up to date; FairShareLedger keeps the fleet's sums and levels for 25 ms and adds its own records meanwhile; one function checks a list of a report; the hash of an incarnation is kept in its record. The format of reports is as before.

--- a/packages/bench/src/decision-cost/app.ts
+++ b/packages/bench/src/decision-cost/app.ts
@@ -1,11 +1,12 @@
 /**
  * `decision-cost`: measures the time of one fair-share decision with the updates that go with it. A
  * decision picks and charges the waiting workspace with the least service, and sets a new total for one
- * workspace, as a received report does.
+ * workspace, as a received report does. Also measures the decisions of a platform router about one request.
  */
 import { parseArgs } from 'node:util';
 import { FairShareOrder } from '@poplarpick/decisions';
 import { Random } from '@poplarpick/load';
+import { measurePlacementTime } from './placement-time.ts';
 
 const WARM_UP_DECISIONS = 20_000;
 const DECISIONS = 200_000;
@@ -14,10 +15,18 @@
 /** Factor on the number of workspaces in the second measurement, which shows how the cost scales. */
 const GROWTH_FACTOR = 10;
 
+/** Sizes of fleets for which the decisions of a platform router are measured. */
+const PLACEMENT_FLEETS = [
+  { routers: 4, endpoints: 13, workspaces: 16 },
+  { routers: 28, endpoints: 36, workspaces: 30 },
+  { routers: 100, endpoints: 36, workspaces: 30 },
+];
+
 /** Entry of the `decision-cost` command. */
 export const decisionCostCommand = {
   name: 'decision-cost',
-  summary: 'time of one fair-share decision  [--workspaces N] [--backlogged N] [--seed N] [--json]',
+  summary:
+    'time of one fair-share decision, and of placement on the platform  [--workspaces N] [--backlogged N] [--seed N] [--json]',
   run: runDecisionCost,
 };
 
@@ -41,7 +50,9 @@
     seed,
   };
   const microsecondsTenfold = measureDecisionTime(grownOptions);
-  const result = { microseconds, microsecondsTenfold, workspaces, backlogged, seed };
+  const placement = PLACEMENT_FLEETS.map((fleet) => ({ ...fleet, ...measurePlacementTime(fleet) }));
+  if (!values.json) console.table(placement);
+  const result = { microseconds, microsecondsTenfold, workspaces, backlogged, seed, placement };
   if (!values.json) console.table(result);
   console.log(JSON.stringify(result));
   return Promise.resolve();
--- /dev/null
+++ b/packages/bench/src/decision-cost/placement-time.ts
@@ -0,0 +1,199 @@
+/**
+ * Measures the processor time that a platform router spends on the decisions about one request (share usage,
+ * placement and admission) and on one report of a peer, for fleets of different sizes.
+ */
+import { CallKind } from '@poplarpick/decisions';
+import type { Endpoint, Prompt, Route } from '@poplarpick/decisions';
+import { CallPlacer, RouterState } from '@poplarpick/forwarder';
+import type { PeerReport } from '@poplarpick/forwarder';
+import { Clock, createLogger, LogLevel } from '@poplarpick/kernel';
+import type { Timer } from '@poplarpick/kernel';
+import { Random } from '@poplarpick/load';
+import { PlatformHeaderCodec } from '@poplarpick/platform/platform-header-codec';
+
+const POOL = 'pool';
+const REPORT_PERIOD_MS = 100;
+/** Time between two requests at the router, in ms. */
+const REQUEST_INTERVAL_MS = 5;
+const ROUNDS = 10;
+const REQUESTS_PER_ROUND = 200;
+const PREFIXES = 100;
+const MICROSECONDS_PER_MS = 1_000;
+
+const ROUTE: Route = {
+  name: 'stream',
+  host: 'h',
+  prefix: '/',
+  kind: CallKind.Stream,
+  timeoutMs: 15_000,
+  objectiveMs: 500,
+  pauseMs: 300,
+  targets: [{ pool: POOL, weight: 1 }],
+  maxAttempts: 1,
+  isPublic: false,
+  isResumable: false,
+};
+
+/** Size of a fleet. */
+export interface FleetSize {
+  routers: number;
+  endpoints: number;
+  workspaces: number;
+}
+
+/** Processor times in microseconds, each the least of several rounds. */
+export interface PlacementTime {
+  perRequest: number;
+  perReport: number;
+}
+
+/** A clock that the measurement advances. */
+class ManualClock extends Clock {
+  nowMs = 0;
+
+  override now(): number {
+    return this.nowMs;
+  }
+
+  override monotonic(): number {
+    return this.nowMs;
+  }
+
+  override after(): Timer {
+    return { stop: () => undefined };
+  }
+
+  override every(): Timer {
+    return { stop: () => undefined };
+  }
+}
+
+/** Measures one router of a fleet in which every router has requests at every endpoint. */
+export function measurePlacementTime(size: FleetSize): PlacementTime {
+  const clock = new ManualClock();
+  const state = createState(clock, size);
+  const placer = new CallPlacer(state);
+  const random = new Random(1);
+  let sequence = 0;
+  const receiveReports = (): void => {
+    sequence += 1;
+    for (let peer = 1; peer < size.routers; peer += 1) {
+      const report = buildReport(state, size, peer, sequence);
+      if (state.peers.accept(report, clock.nowMs)) state.applyReport(report);
+    }
+  };
+  let perRequest = Number.POSITIVE_INFINITY;
+  let perReport = Number.POSITIVE_INFINITY;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    let reportMs = 0;
+    let requestMs = 0;
+    for (let index = 0; index < REQUESTS_PER_ROUND; index += 1) {
+      if ((index * REQUEST_INTERVAL_MS) % REPORT_PERIOD_MS === 0)
+        reportMs += measureMs(receiveReports);
+      clock.nowMs += REQUEST_INTERVAL_MS;
+      const workspace = `workspace-${random.integer(size.workspaces)}`;
+      const prompt = createPrompt(random, round * REQUESTS_PER_ROUND + index);
+      requestMs += measureMs(() => decide(state, placer, workspace, prompt));
+    }
+    const reports =
+      (REQUESTS_PER_ROUND * REQUEST_INTERVAL_MS * (size.routers - 1)) / REPORT_PERIOD_MS;
+    perRequest = Math.min(perRequest, (requestMs * MICROSECONDS_PER_MS) / REQUESTS_PER_ROUND);
+    perReport = Math.min(perReport, (reportMs * MICROSECONDS_PER_MS) / Math.max(1, reports));
+  }
+  return { perRequest, perReport };
+}
+
+function decide(state: RouterState, placer: CallPlacer, workspace: string, prompt: Prompt): void {
+  const isCallerRetry = state.recordArrival(workspace, prompt);
+  const shareUsage = state.shareUsage(workspace);
+  const request = { route: ROUTE, pool: POOL, prompt, bodyBytes: 0, excluded: new Set<string>() };
+  const placement = placer.place(request);
+  if (placement === undefined) throw new Error('no endpoint');
+  const admission = { route: ROUTE, remainingMs: ROUTE.timeoutMs, shareUsage, isCallerRetry };
+  const { isAccepted, isOverShare } = placer.admit(admission, placement);
+  if (isAccepted) state.recordGrant(workspace, prompt, isOverShare);
+  else state.recordRefusal(workspace, prompt);
+}
+
+function createState(clock: Clock, size: FleetSize): RouterState {
+  const state = new RouterState({
+    clock,
+    log: createLogger({ level: LogLevel.Silent }),
+    protocol: new PlatformHeaderCodec(),
+    dataCentre: 'z-0',
+    bounds: {
+      revocationMs: 5_000,
+      shareWindowMs: 4_000,
+      retryRatio: 0.2,
+      retrySlack: 50,
+      retryWindowMs: 10_000,
+    },
+  });
+  state.applyRoutingTable({
+    version: 1,
+    routes: [ROUTE],
+    pools: [{ name: POOL, connectionLimit: 500, batch: { cacheTokens: 800_000 } }],
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    tokensPerSecond: 1_000_000,
+  });
+  for (let index = 0; index < size.endpoints; index += 1) {
+    state.endpoints.update(createEndpoint(index));
+  }
+  return state;
+}
+
+function createEndpoint(index: number): Endpoint {
+  return {
+    id: `endpoint-${index}`,
+    startedAt: 1,
+    pool: POOL,
+    address: `127.0.0.1:${index + 1}`,
+    dataCentre: `z-${index % 4}`,
+    slots: 32,
+    isDraining: false,
+  };
+}
+
+function buildReport(
+  state: RouterState,
+  size: FleetSize,
+  peer: number,
+  sequence: number,
+): PeerReport {
+  const endpoints = [...state.endpoints.all()];
+  return {
+    from: `127.0.0.${peer}:1`,
+    startedAt: 1,
+    sequence,
+    version: 1,
+    loads: endpoints.map(({ incarnationHash }) => [incarnationHash, 1, 400, 1, 6_000]),
+    workspaces: Array.from({ length: size.workspaces }, (_, index) => [
+      `workspace-${index}`,
+      20_000 * index,
+      10_000 * index,
+      0,
+    ]),
+    kept: [],
+    lateRates: [],
+    refused: [],
+  };
+}
+
+function createPrompt(random: Random, id: number): Prompt {
+  return {
+    model: 'm',
+    segments: [
+      { id: `shared-${random.integer(PREFIXES)}`, tokens: 5_000 },
+      { id: `own-${id}`, tokens: 800 },
+    ],
+    inputTokens: 5_800,
+    maxOutputTokens: 300,
+    outputTokens: 200,
+  };
+}
+
+function measureMs(run: () => void): number {
+  const startedAt = performance.now();
+  run();
+  return performance.now() - startedAt;
+}
--- a/packages/decisions/src/forwarding/endpoint-load.ts
+++ b/packages/decisions/src/forwarding/endpoint-load.ts
@@ -3,7 +3,8 @@
  * requests and of the loads that its peers report. Engines admit requests in order of arrival and prefill
  * prompts before they generate output. The wait of a new request therefore follows from the prompt tokens
  * that await prefill and from the slots in use. Load reports of the engines themselves aren't used, since
- * they are stale on arrival.
+ * they are stale on arrival. Both sums are kept up to date with each change, because placement reads them
+ * for every endpoint at every request.
  */
 
 /** Totals of the in-flight requests at an endpoint. */
@@ -54,7 +55,13 @@
 /** Tracks the load and health of one endpoint. */
 export class EndpointLoad {
   private readonly inFlight = new Set<InFlightRequest>();
-  private readonly peerLoads = new Map<string, { load: LoadTotals; receivedAt: number }>();
+  /** Sum of `inFlight`. */
+  private readonly ownTotals = createTotals();
+  private readonly peerLoads = new Map<string, PeerLoad>();
+  /** Sum of `peerLoads`. */
+  private peerTotals = createTotals();
+  /** Earliest time at which one of the peer loads may expire, in ms. */
+  private nextExpiryAt = Number.POSITIVE_INFINITY;
   private failureAverage = 0;
   private consecutiveFailures = 0;
   private unhealthyUntil = Number.NEGATIVE_INFINITY;
@@ -64,15 +71,20 @@
   recordSent(prefillTokens: number, kvCacheTokens: number, now: number): InFlightRequest {
     const request = { sentAt: now, prefillTokens, kvCacheTokens, hasStarted: false };
     this.inFlight.add(request);
+    addTotals(this.ownTotals, toTotals(request), 1);
     return request;
   }
 
   recordStarted(request: InFlightRequest): void {
+    if (request.hasStarted) return;
+    const isInFlight = this.inFlight.has(request);
+    if (isInFlight) addTotals(this.ownTotals, toTotals(request), -1);
     request.hasStarted = true;
+    if (isInFlight) addTotals(this.ownTotals, toTotals(request), 1);
   }
 
   recordEnded(request: InFlightRequest): void {
-    this.inFlight.delete(request);
+    if (this.inFlight.delete(request)) addTotals(this.ownTotals, toTotals(request), -1);
   }
 
   /** Records that bytes arrived from the endpoint. */
@@ -96,7 +108,11 @@
 
   /** Stores the load that a peer reports for this endpoint, replacing its previous report. */
   applyPeerLoad(peer: string, load: LoadTotals, now: number): void {
+    const previous = this.peerLoads.get(peer);
+    if (previous !== undefined) addTotals(this.peerTotals, previous.load, -1);
+    addTotals(this.peerTotals, load, 1);
     this.peerLoads.set(peer, { load, receivedAt: now });
+    this.nextExpiryAt = Math.min(this.nextExpiryAt, now + PEER_LOAD_TTL_MS);
   }
 
   /** Moving average of the fraction of failed requests, in 0..1. */
@@ -112,6 +128,7 @@
 
   /** True if requests have started here and none has received a byte within the stall timeout. */
   isStalled(now: number): boolean {
+    if (now - this.lastByteAt <= STALL_TIMEOUT_MS) return false;
     let earliestSentAt = Number.POSITIVE_INFINITY;
     for (const request of this.inFlight) {
       if (request.hasStarted) earliestSentAt = Math.min(earliestSentAt, request.sentAt);
@@ -121,32 +138,54 @@
 
   /** Load from this router's own requests. */
   ownLoad(): LoadTotals {
-    const totals: LoadTotals = { pending: 0, prefillTokens: 0, running: 0, kvCacheTokens: 0 };
-    for (const request of this.inFlight) {
-      totals.kvCacheTokens += request.kvCacheTokens;
-      if (request.hasStarted) {
-        totals.running += 1;
-        continue;
-      }
-      totals.pending += 1;
-      totals.prefillTokens += request.prefillTokens;
-    }
-    return totals;
+    return { ...this.ownTotals };
   }
 
   /** Load from all routers. */
   totalLoad(now: number): LoadTotals {
-    const total = this.ownLoad();
+    if (now > this.nextExpiryAt) this.expirePeerLoads(now);
+    const total = { ...this.ownTotals };
+    addTotals(total, this.peerTotals, 1);
+    return total;
+  }
+
+  /** Drops expired loads and adds up the others again. */
+  private expirePeerLoads(now: number): void {
+    this.peerTotals = createTotals();
+    this.nextExpiryAt = Number.POSITIVE_INFINITY;
     for (const [peer, { load, receivedAt }] of this.peerLoads) {
-      if (now - receivedAt > PEER_LOAD_TTL_MS) {
+      const expiresAt = receivedAt + PEER_LOAD_TTL_MS;
+      if (now > expiresAt) {
         this.peerLoads.delete(peer);
         continue;
       }
-      total.pending += load.pending;
-      total.prefillTokens += load.prefillTokens;
-      total.running += load.running;
-      total.kvCacheTokens += load.kvCacheTokens;
+      addTotals(this.peerTotals, load, 1);
+      this.nextExpiryAt = Math.min(this.nextExpiryAt, expiresAt);
     }
-    return total;
   }
 }
+
+/** The load that one peer reported, and the monotonic time of its receipt, in ms. */
+interface PeerLoad {
+  load: LoadTotals;
+  receivedAt: number;
+}
+
+function createTotals(): LoadTotals {
+  return { pending: 0, prefillTokens: 0, running: 0, kvCacheTokens: 0 };
+}
+
+/** The part of one request in the totals. */
+function toTotals(request: InFlightRequest): LoadTotals {
+  const { hasStarted, prefillTokens, kvCacheTokens } = request;
+  return hasStarted
+    ? { pending: 0, prefillTokens: 0, running: 1, kvCacheTokens }
+    : { pending: 1, prefillTokens, running: 0, kvCacheTokens };
+}
+
+function addTotals(totals: LoadTotals, load: LoadTotals, factor: 1 | -1): void {
+  totals.pending += factor * load.pending;
+  totals.prefillTokens += factor * load.prefillTokens;
+  totals.running += factor * load.running;
+  totals.kvCacheTokens += factor * load.kvCacheTokens;
+}
--- a/packages/decisions/src/forwarding/fair-share-ledger.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.ts
@@ -4,9 +4,12 @@
  * only made from surplus capacity, are counted separately and don't use up the share. Otherwise a
  * workspace that got surplus tokens during a second of low load would have requests within its share
  * refused for them in the next, busy second.
+ *
+ * Adding up the windows of all routers costs time in proportion to routers and workspaces. The sums and the
+ * fair levels are therefore kept for a short while, and only this router's own records are added meanwhile.
  */
-import { SlidingTokenWindow, measureShareUsage } from './max-min-share.ts';
-import type { ShareUsage } from './max-min-share.ts';
+import { SlidingTokenWindow, findFairLevels } from './max-min-share.ts';
+import type { FairLevels, FleetUsage, ShareUsage } from './max-min-share.ts';
 
 /**
  * Tokens demanded by and granted to one workspace within the window, as one router reports them to its
@@ -19,12 +22,33 @@
   overShare: number,
 ];
 
+/** Time for which the sums over all routers are kept, in ms; peers report their usage less often. */
+const FLEET_USAGE_TTL_MS = 25;
+
+/** Options of a measurement of share usage. */
+export interface ShareMeasurement {
+  workspace: string;
+  /** Returns the entries that the other routers report. */
+  readPeerUsage: () => Iterable<WorkspaceUsage>;
+  /** Nominal capacity of the fleet. */
+  tokensPerMs: number;
+  now: number;
+}
+
+/** Sums over all routers and the fair levels that follow from them, at one time. */
+interface FleetUsageSnapshot {
+  usage: FleetUsage;
+  levels: FairLevels;
+  takenAt: number;
+}
+
 /** The token accounts of one router's workspaces. */
 export class FairShareLedger {
   private readonly windowMs: number;
   private readonly demanded: SlidingTokenWindow;
   private readonly withinShare: SlidingTokenWindow;
   private readonly overShare: SlidingTokenWindow;
+  private fleet: FleetUsageSnapshot | undefined;
 
   constructor(windowMs: number) {
     this.windowMs = windowMs;
@@ -36,12 +60,16 @@
   /** Records the demand of a new request. Retries of the same request must not be recorded again. */
   recordDemand(workspace: string, tokens: number, now: number): void {
     this.demanded.add(workspace, tokens, now);
+    if (this.fleet !== undefined) addTokens(this.fleet.usage.demanded, workspace, tokens);
   }
 
   /** Records tokens granted to a workspace, either within its share or over it. */
   recordGrant(workspace: string, tokens: number, isOverShare: boolean, now: number): void {
     const window = isOverShare ? this.overShare : this.withinShare;
     window.add(workspace, tokens, now);
+    if (this.fleet === undefined) return;
+    const { usage } = this.fleet;
+    addTokens(isOverShare ? usage.overShare : usage.withinShare, workspace, tokens);
   }
 
   /** This router's usage by workspace, for its reports to peers. Token counts are rounded. */
@@ -56,26 +84,38 @@
     ]);
   }
 
-  /**
-   * Measures how much of its fair shares a workspace has used. `peerUsage` holds the entries that the other
-   * routers report, and `tokensPerMs` the fleet's nominal capacity.
-   */
-  measureUsage(
-    workspace: string,
-    peerUsage: Iterable<WorkspaceUsage>,
-    tokensPerMs: number,
-    now: number,
-  ): ShareUsage {
+  /** Measures how much of its fair shares a workspace has used. */
+  measureUsage(measurement: ShareMeasurement): ShareUsage {
+    const { workspace } = measurement;
+    const { usage, levels } = this.currentFleetUsage(measurement);
+    const withinShare = usage.withinShare.get(workspace) ?? 0;
+    const overShare = usage.overShare.get(workspace) ?? 0;
+    return {
+      shareUsed: withinShare / levels.nominal,
+      surplusUsed: (withinShare + overShare) / levels.inUse,
+    };
+  }
+
+  private currentFleetUsage(measurement: ShareMeasurement): FleetUsageSnapshot {
+    const { now, tokensPerMs, readPeerUsage } = measurement;
+    if (this.fleet !== undefined && now - this.fleet.takenAt < FLEET_USAGE_TTL_MS)
+      return this.fleet;
+    const usage = this.sumUsage(readPeerUsage(), now);
+    const levels = findFairLevels(usage, tokensPerMs * this.windowMs);
+    this.fleet = { usage, levels, takenAt: now };
+    return this.fleet;
+  }
+
+  private sumUsage(peerUsage: Iterable<WorkspaceUsage>, now: number): FleetUsage {
     const demanded = this.demanded.totals(now);
     const withinShare = this.withinShare.totals(now);
     const overShare = this.overShare.totals(now);
-    for (const [peerWorkspace, peerDemanded, peerWithinShare, peerOverShare] of peerUsage) {
-      addTokens(demanded, peerWorkspace, peerDemanded);
-      addTokens(withinShare, peerWorkspace, peerWithinShare);
-      addTokens(overShare, peerWorkspace, peerOverShare);
+    for (const [workspace, peerDemanded, peerWithinShare, peerOverShare] of peerUsage) {
+      addTokens(demanded, workspace, peerDemanded);
+      addTokens(withinShare, workspace, peerWithinShare);
+      addTokens(overShare, workspace, peerOverShare);
     }
-    const nominalTokens = tokensPerMs * this.windowMs;
-    return measureShareUsage(workspace, { demanded, withinShare, overShare, nominalTokens });
+    return { demanded, withinShare, overShare };
   }
 }
 
--- a/packages/decisions/src/forwarding/max-min-share.test.ts
+++ b/packages/decisions/src/forwarding/max-min-share.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { SlidingTokenWindow, findMaxMinLevel, measureShareUsage } from './max-min-share.ts';
+import { SlidingTokenWindow, findFairLevels, findMaxMinLevel } from './max-min-share.ts';
 
 describe('max-min fair shares', () => {
   it('has an infinite level if all demands fit', () => {
@@ -26,18 +26,16 @@
       ['near', 1_500],
       ['far', 350],
     ]);
-    const usage = { demanded, withinShare, overShare: new Map(), nominalTokens: 350 };
-    const near = measureShareUsage('near', usage);
-    const far = measureShareUsage('far', usage);
-    expect(near.shareUsed).to.be.greaterThan(1);
-    expect(near.surplusUsed).to.be.greaterThan(1.15);
-    expect(far.surplusUsed).to.be.lessThan(1);
+    const levels = findFairLevels({ demanded, withinShare, overShare: new Map() }, 350);
+    expect(1_500 / levels.nominal).to.be.greaterThan(1);
+    expect(1_500 / levels.inUse).to.be.greaterThan(1.15);
+    expect(350 / levels.inUse).to.be.lessThan(1);
   });
 
   it('reports no surplus usage if all demand is granted', () => {
     const all = new Map([['a', 900]]);
-    const usage = { demanded: all, withinShare: all, overShare: new Map(), nominalTokens: 350 };
-    expect(measureShareUsage('a', usage).surplusUsed).to.equal(0);
+    const usage = { demanded: all, withinShare: all, overShare: new Map<string, number>() };
+    expect(900 / findFairLevels(usage, 350).inUse).to.equal(0);
   });
 
   it('drops counts that are older than the window', () => {
--- a/packages/decisions/src/forwarding/max-min-share.ts
+++ b/packages/decisions/src/forwarding/max-min-share.ts
@@ -75,13 +75,22 @@
 
 /** Demand and grants of all workspaces within the window, in tokens. */
 export interface FleetUsage {
-  demanded: ReadonlyMap<string, number>;
+  demanded: Map<string, number>;
   /** Tokens granted to requests that were within their workspace's fair share. */
-  withinShare: ReadonlyMap<string, number>;
+  withinShare: Map<string, number>;
   /** Tokens granted from the surplus to requests that were over their workspace's fair share. */
-  overShare: ReadonlyMap<string, number>;
-  /** Nominal capacity: tokens that the endpoints are expected to produce within the window. */
-  nominalTokens: number;
+  overShare: Map<string, number>;
+}
+
+/** Max-min fair levels within the window, in tokens; infinite if all demands fit. */
+export interface FairLevels {
+  /** Level of the nominal capacity. */
+  nominal: number;
+  /**
+   * Level of the capacity in use, which exceeds the nominal one when the endpoints produce more than
+   * expected, so that the surplus is shared fairly too.
+   */
+  inUse: number;
 }
 
 /**
@@ -91,24 +100,20 @@
 export interface ShareUsage {
   /** Fraction of its share of the nominal capacity, counting grants within the share only. */
   shareUsed: number;
-  /**
-   * Fraction of its share of the capacity in use, counting all grants. This capacity exceeds the nominal
-   * one when the endpoints produce more than expected, so that the surplus is shared fairly too.
-   */
+  /** Fraction of its share of the capacity in use, counting all grants. */
   surplusUsed: number;
 }
 
-/** Computes how much of its fair shares one workspace has used. */
-export function measureShareUsage(workspace: string, usage: FleetUsage): ShareUsage {
-  const { demanded, withinShare, overShare, nominalTokens } = usage;
-  const grantedWithinShare = withinShare.get(workspace) ?? 0;
-  const grantedOverShare = overShare.get(workspace) ?? 0;
+/**
+ * Finds the fair levels. `nominalTokens` is what the endpoints are expected to produce within the window.
+ */
+export function findFairLevels(usage: FleetUsage, nominalTokens: number): FairLevels {
+  const { demanded, withinShare, overShare } = usage;
   const totalGranted = sumTokens(withinShare) + sumTokens(overShare);
   const capacity = Math.max(nominalTokens, totalGranted * CAPACITY_HEADROOM);
   return {
-    shareUsed: grantedWithinShare / findMaxMinLevel(demanded.values(), nominalTokens),
-    surplusUsed:
-      (grantedWithinShare + grantedOverShare) / findMaxMinLevel(demanded.values(), capacity),
+    nominal: findMaxMinLevel(demanded.values(), nominalTokens),
+    inUse: findMaxMinLevel(demanded.values(), capacity),
   };
 }
 
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -3,6 +3,7 @@
  * finishes the running ones. An endpoint that restarts under the same id is a new incarnation: its caches
  * are empty, and requests of the old incarnation are lost.
  */
+import murmurhash from 'murmurhash';
 import { EndpointLoad, incarnationOf } from '@poplarpick/decisions';
 import type { Endpoint } from '@poplarpick/decisions';
 import type { Logger } from '@poplarpick/kernel';
@@ -13,6 +14,8 @@
   endpoint: Endpoint;
   /** Identifies the incarnation, see `incarnationOf`. */
   incarnation: string;
+  /** Hash of the incarnation, which identifies it in the reports of routers. */
+  incarnationHash: number;
   client: EndpointClient;
   load: EndpointLoad;
   /** The endpoint gets no new requests. */
@@ -49,6 +52,7 @@
     const record: EndpointRecord = {
       endpoint,
       incarnation,
+      incarnationHash: murmurhash.v3(incarnation),
       client: this.options.createClient(endpoint),
       load: new EndpointLoad(),
       isDraining: endpoint.isDraining,
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -5,3 +5,4 @@
 export * from './router-state.ts';
 export * from './calls/call-latency-recorder.ts';
 export * from './calls/call-placer.ts';
+export * from './peers/peer-table.ts';
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -10,7 +10,8 @@
 import { parseAddress } from '@poplarpick/fleet/address';
 import { describeError } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
-import type { PeerReport, PeerTable } from './peer-table.ts';
+import type { WorkspaceUsage } from '@poplarpick/decisions';
+import type { CachedSegmentEntry, EndpointLoadEntry, PeerReport, PeerTable } from './peer-table.ts';
 
 /** Period of the reports, in ms; several are sent within the usual time to a first event. */
 const REPORT_PERIOD_MS = 100;
@@ -31,13 +32,30 @@
   sequence: z.number(),
   version: z.number(),
   peers: z.array(z.string()).optional(),
-  loads: z.array(z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()])),
-  workspaces: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).optional(),
-  kept: z.array(z.tuple([z.number(), z.number(), z.number()])),
-  lateRates: z.array(z.tuple([z.number(), z.number()])),
-  refused: z.array(z.number()).optional(),
+  loads: listOf<EndpointLoadEntry>((entry) => isNumbers(entry, 5)),
+  workspaces: listOf<WorkspaceUsage>(isWorkspaceUsage).optional(),
+  kept: listOf<CachedSegmentEntry>((entry) => isNumbers(entry, 3)),
+  lateRates: listOf<[number, number]>((entry) => isNumbers(entry, 2)),
+  refused: listOf<number>(Number.isFinite).optional(),
 });
 
+/**
+ * A list that one function checks. A schema for each entry takes most of the time that a report costs, and
+ * the number of reports and the size of each grow with the fleet.
+ */
+function listOf<Entry>(isEntry: (entry: unknown) => boolean): z.ZodType<Entry[]> {
+  return z.custom<Entry[]>((list) => Array.isArray(list) && list.every(isEntry));
+}
+
+function isNumbers(entry: unknown, length: number): boolean {
+  return Array.isArray(entry) && entry.length === length && entry.every(Number.isFinite);
+}
+
+function isWorkspaceUsage(entry: unknown): boolean {
+  if (!Array.isArray(entry) || typeof entry[0] !== 'string') return false;
+  return isNumbers(entry.slice(1), 3);
+}
+
 /** Fields of a report that come from the router's state. */
 export type ReportBody = Pick<
   PeerReport,
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -234,13 +234,12 @@
     const now = this.clock.monotonic();
     const tokensPerSecond = this.routeIndex?.table.tokensPerSecond ?? 0;
     if (tokensPerSecond === 0) return { shareUsed: 0, surplusUsed: 0 };
-    const peerUsage = this.peers.live(now).flatMap(({ workspaces }) => workspaces ?? []);
-    return this.fairShareLedger.measureUsage(
+    return this.fairShareLedger.measureUsage({
       workspace,
-      peerUsage,
-      tokensPerSecond / MS_PER_SECOND,
+      readPeerUsage: () => this.peers.live(now).flatMap(({ workspaces }) => workspaces ?? []),
+      tokensPerMs: tokensPerSecond / MS_PER_SECOND,
       now,
-    );
+    });
   }
 
   /** Records the cost of a request that is sent to an endpoint. */
@@ -254,11 +253,7 @@
     const capacity = this.cacheTokens(record);
     for (const segment of segments) {
       if (!this.prefixCacheIndex.recordCached(record.incarnation, segment, capacity)) continue;
-      const entry: CachedSegmentEntry = [
-        murmurhash.v3(record.incarnation),
-        segment.hash,
-        segment.tokens,
-      ];
+      const entry: CachedSegmentEntry = [record.incarnationHash, segment.hash, segment.tokens];
       this.pendingAnnouncements.push({ segment: entry, remaining: SEGMENT_ANNOUNCEMENTS });
     }
   }
@@ -279,12 +274,12 @@
   /** Builds the report to this router's peers. */
   buildReport(includesWorkspaces: boolean): ReportBody {
     const loads: EndpointLoadEntry[] = [];
-    for (const { incarnation, load } of this.endpoints.all()) {
+    for (const { incarnationHash, load } of this.endpoints.all()) {
       const ownLoad = load.ownLoad();
       if (ownLoad.pending + ownLoad.running === 0) continue;
       const { pending, prefillTokens, running, kvCacheTokens } = ownLoad;
       loads.push([
-        murmurhash.v3(incarnation),
+        incarnationHash,
         pending,
         Math.round(prefillTokens),
         running,
@@ -306,27 +301,25 @@
     };
   }
 
-  /** Applies a peer's report: its load at each endpoint and its newly cached segments. */
+  /** Applies a peer's report: its load at each endpoint, newly cached segments and refused requests. */
   applyReport(report: PeerReport): void {
     const now = this.clock.monotonic();
-    const recordsByHash = new Map<number, EndpointRecord>();
-    for (const record of this.endpoints.all())
-      recordsByHash.set(murmurhash.v3(record.incarnation), record);
     const loads = new Map(report.loads.map((entry) => [entry[0], toLoadTotals(entry)]));
-    for (const [hash, record] of recordsByHash) {
-      const peerLoad = loads.get(hash);
-      record.load.applyPeerLoad(report.from, peerLoad ?? EMPTY_LOAD, now);
+    for (const { incarnationHash, load } of this.endpoints.all()) {
+      load.applyPeerLoad(report.from, loads.get(incarnationHash) ?? EMPTY_LOAD, now);
     }
     for (const fingerprint of report.refused ?? []) this.refusedRequests.record(fingerprint, now);
-    for (const [hash, segmentHash, tokens] of report.kept) {
-      const record = recordsByHash.get(hash);
+    if (report.kept.length > 0) this.applyCachedSegments(report.kept);
+  }
+
+  private applyCachedSegments(entries: readonly CachedSegmentEntry[]): void {
+    const recordsByHash = new Map<number, EndpointRecord>();
+    for (const record of this.endpoints.all()) recordsByHash.set(record.incarnationHash, record);
+    for (const [endpointHash, hash, tokens] of entries) {
+      const record = recordsByHash.get(endpointHash);
       if (record === undefined) continue;
       const capacity = this.cacheTokens(record);
-      this.prefixCacheIndex.recordCached(
-        record.incarnation,
-        { hash: segmentHash, tokens },
-        capacity,
-      );
+      this.prefixCacheIndex.recordCached(record.incarnation, { hash, tokens }, capacity);
     }
   }
 
