Accept several callers' connections in one iteration of the event loop

Cause: libuv accepts one connection of a listening socket in each iteration of the event loop. With many active streams an iteration takes a tenth of a second and more on a quarter of a core, so a router accepted some ten connections a second and its backlog overflowed, while the one check of its readiness a second was accepted in time on another socket. Change: 16 listening sockets share the callers' port.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -5,13 +5,13 @@
 import { createServer, STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
-import { listenOn } from '@poplarpick/fleet/address';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import { ResponseWriter } from '../calls/response-writer.ts';
 import { Call } from '../calls/call.ts';
 import { CallPlacer } from '../calls/call-placer.ts';
 import type { RouterState } from '../router-state.ts';
 import { checkCall } from './call-checks.ts';
+import { CallerListener } from './caller-listener.ts';
 
 /** Limits until the first routing table arrives with the site's own. */
 const INITIAL_LIMITS = {
@@ -53,6 +53,7 @@
   private readonly options: CallIngressOptions;
   private readonly placer: CallPlacer;
   private readonly server: Server;
+  private readonly listener: CallerListener;
   private readonly calls = new Set<Call>();
   /** Open requests: from the arrival of the head to the end of the response. */
   private openCount = 0;
@@ -78,11 +79,13 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       respondToParserError(error, socket);
     });
+    const { address, state } = options;
+    this.listener = new CallerListener({ address, server: this.server, log: state.log });
   }
 
   /** Starts listening. Rejects when the address can't be bound. */
   async open(): Promise<void> {
-    await listenOn(this.server, this.options.address);
+    await this.listener.open();
     this.options.state.clock.every(STALL_CHECK_PERIOD_MS, () => this.checkStalls());
   }
 
@@ -108,7 +111,7 @@
 
   /** Accepts no more connections and closes idle ones. */
   stopListening(): void {
-    if (this.server.listening) this.server.close();
+    this.listener.close();
     this.server.closeIdleConnections();
   }
 
