Report a router without processor time as not ready, and move its callers

Cause: readiness asked for state only. A balancer that hashes callers sent a flooding one's 400 connections a second to one router of a quarter of a core, which serves about 50 streams a second. A router with a busy event loop reports not ready and closes connections; the test failed before.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -56,3 +56,4 @@
 export * from './forwarding/latency-estimator.ts';
 export * from './forwarding/surplus-limiter.ts';
 export * from './forwarding/refused-requests.ts';
+export * from './forwarding/overload-detector.ts';
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -108,7 +108,7 @@
   }
 
   override async open(): Promise<void> {
-    this.state.eventLoopDelay.start();
+    this.state.eventLoop.start();
     await this.peers.open();
     await this.relay.open();
     const { metricsAddress } = this.options;
@@ -135,7 +135,7 @@
   }
 
   override async stop(): Promise<void> {
-    this.state.eventLoopDelay.stop();
+    this.state.eventLoop.stop();
     this.ingress.stopListening();
     this.readiness.close();
     this.state.metrics.close();
@@ -170,6 +170,7 @@
   private notReadyReason(): string | undefined {
     if (this.isDraining) return 'the router is stopping';
     if (this.state.routes === undefined) return 'no routes are known yet';
+    if (this.state.eventLoop.isOverloaded) return 'the router has too little processor time';
     const areKeysFresh = this.state.freshness.isFresh(this.clock.monotonic());
     return areKeysFresh ? undefined : 'the keys may be out of date';
   }
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -119,7 +119,7 @@
     const { state } = this.options;
     const arrivedAt = state.clock.monotonic();
     const isAfterCutoff = this.trackRequest(response);
-    const writer = new ResponseWriter(response, () => this.isDraining);
+    const writer = new ResponseWriter(response, () => this.shouldCloseConnections());
     try {
       await this.accept({ request, response, arrivedAt, isAfterCutoff });
     } catch (error) {
@@ -129,6 +129,10 @@
     }
   }
 
+  private shouldCloseConnections(): boolean {
+    return this.isDraining || this.options.state.eventLoop.shouldMoveCallers;
+  }
+
   /** Counts a request as open until its response closes; true if it began after the cutoff. */
   private trackRequest(response: ServerResponse): boolean {
     const isAfterCutoff = this.isPastCutoff;
@@ -163,7 +167,7 @@
       body,
       response,
       arrivedAt,
-      shouldCloseConnection: () => this.isDraining,
+      shouldCloseConnection: () => this.shouldCloseConnections(),
       isKeyValid: () => isKeyStillValid(state, head.apiKey, workspace),
       onEnd: (ended) => this.calls.delete(ended),
     });
--- a/packages/forwarder/src/ingress/caller-listener.ts
+++ b/packages/forwarder/src/ingress/caller-listener.ts
@@ -14,7 +14,13 @@
 import type { Logger } from '@poplarpick/kernel';
 
 /** Number of listening sockets, and so of connections accepted in one iteration of the event loop. */
-const LISTENING_SOCKETS = 16;
+const LISTENING_SOCKETS = 8;
+
+/**
+ * Most connections that wait at one socket to be accepted. A longer queue would be served after its
+ * callers have given up.
+ */
+const BACKLOG = 32;
 
 /** Options of a `CallerListener`. */
 export interface CallerListenerOptions {
@@ -73,7 +79,7 @@
 async function listen(server: Server, { ip, port }: Address): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen({ host: ip, port, reusePort: true }, () => {
+    server.listen({ host: ip, port, backlog: BACKLOG, reusePort: true }, () => {
       server.off('error', reject);
       resolve();
     });
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -15,6 +15,7 @@
     logLinesDropped: () => 0,
     remainingRetries: () => 7,
     eventLoopDelayMs: () => 20,
+    eventLoopUtilization: () => 0.5,
   });
 }
 
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -24,6 +24,8 @@
   remainingRetries: () => number;
   /** Mean delay of the event loop. */
   eventLoopDelayMs: () => number;
+  /** Mean fraction of time in which the event loop has work. */
+  eventLoopUtilization: () => number;
 }
 
 /** How one call ended. */
@@ -139,6 +141,11 @@
       'Mean time by which timers of the event loop fire late',
       () => source.eventLoopDelayMs() / MS_PER_SECOND,
     );
+    this.addGauge(
+      'poplarpick_event_loop_utilization',
+      'Mean fraction of time in which the event loop has work',
+      source.eventLoopUtilization,
+    );
     this.addGauge(
       'poplarpick_log_lines_dropped',
       'Log lines dropped because the log reader was too slow',
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -34,7 +34,7 @@
 import type { CallProtocol } from './calls/call-protocol.ts';
 import { PeerTable } from './peers/peer-table.ts';
 import type { EndpointLoadEntry, CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
-import { EventLoopDelay } from './event-loop-delay.ts';
+import { EventLoopMonitor } from './event-loop-monitor.ts';
 import { RouterMetrics } from './router-metrics.ts';
 import type { ReportBody } from './peers/peer-exchange.ts';
 
@@ -96,7 +96,7 @@
   readonly peers = new PeerTable();
   readonly prefixCacheIndex = new PrefixCacheIndex();
   readonly logRateLimiter = new LogRateLimiter();
-  readonly eventLoopDelay: EventLoopDelay;
+  readonly eventLoop: EventLoopMonitor;
   readonly metrics: RouterMetrics;
   private readonly fairShareLedger: FairShareLedger;
   private readonly latencyEstimators = new Map<string, LatencyEstimator>();
@@ -120,7 +120,7 @@
     this.logOutput = options.logOutput;
     this.random = options.random ?? Math.random;
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
-    this.eventLoopDelay = new EventLoopDelay({ clock: options.clock, log: options.log });
+    this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
     this.metrics = new RouterMetrics({
       keyAgeMs: () => this.freshness.ageMs(this.clock.monotonic()),
       routesVersion: () => this.routeIndex?.table.version ?? 0,
@@ -128,7 +128,8 @@
       routers: () => this.countRouters(),
       logLinesDropped: () => this.logOutput?.dropped ?? 0,
       remainingRetries: () => this.remainingRetries(),
-      eventLoopDelayMs: () => this.eventLoopDelay.meanMs,
+      eventLoopDelayMs: () => this.eventLoop.meanDelayMs,
+      eventLoopUtilization: () => this.eventLoop.utilization,
     });
     this.fairShareLedger = new FairShareLedger(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
