--- a/packages/stand-ins/src/platform/platform-store.ts
+++ b/packages/stand-ins/src/platform/platform-store.ts
@@ -1,6 +1,6 @@
 /**
  * Stand-in for the read side of the users' metadata store: paged range reads, long-polling watches,
- * compaction of the change history, and simulated failures.
+ * compaction of the change history, return from an older copy, and simulated failures.
  */
 import type { ServerResponse } from 'node:http';
 import { sendJson } from '@poplarpick/fleet';
@@ -32,6 +32,13 @@
 /** Items per page of a range read. */
 const PAGE_ITEMS = 3;
 
+/** The state of a store at one time. */
+interface StoreCopy {
+  items: StoredItem[];
+  history: StoredItem[];
+  revision: number;
+}
+
 /** A revisioned key-value store with the read protocol of the metadata store. */
 export class PlatformStore extends StandIn {
   condition = StoreCondition.Healthy;
@@ -41,7 +48,10 @@
   private history: StoredItem[] = [];
   private compactedRevision = FIRST_REVISION;
   private revision = FIRST_REVISION;
+  private era = 1;
   private readonly pendingWatches = new Set<() => void>();
+  /** Responses of the pending watches. */
+  private readonly pendingResponses = new Set<ServerResponse>();
 
   constructor() {
     super('platform-store');
@@ -66,6 +76,28 @@
     this.notifyWatches();
   }
 
+  /** Copies the current state, for `restore`. */
+  copy(): StoreCopy {
+    return {
+      items: [...this.items.values()],
+      history: [...this.history],
+      revision: this.revision,
+    };
+  }
+
+  /**
+   * Returns to an earlier state: later changes are lost, and their revisions are given out again. Pending
+   * watches are cut, since the store was away for a moment.
+   */
+  restore(copy: StoreCopy): void {
+    this.items.clear();
+    for (const item of copy.items) this.items.set(item.key, item);
+    this.history = [...copy.history];
+    this.revision = copy.revision;
+    this.era += 1;
+    for (const response of [...this.pendingResponses]) response.destroy();
+  }
+
   protected override routes(): StandInRoute[] {
     return [
       {
@@ -113,7 +145,7 @@
     const after = Number(query.get('after'));
     const answerIfPossible = (): boolean => {
       if (response.writableEnded) return true;
-      if (after < this.compactedRevision) {
+      if (after < this.compactedRevision || after > this.revision) {
         sendJson(response, 410, { error: 'gone' });
         return true;
       }
@@ -136,8 +168,10 @@
     const endWatch = (): void => {
       clearTimeout(timer);
       this.pendingWatches.delete(answerAndEnd);
+      this.pendingResponses.delete(response);
     };
     this.pendingWatches.add(answerAndEnd);
+    this.pendingResponses.add(response);
     response.once('close', endWatch);
   }
 
@@ -145,6 +179,7 @@
   private admit(request: GatewayRequest, response: ServerResponse): boolean {
     const path = request.originalUrl.split('?', 1)[0] ?? '';
     this.calls.set(path, (this.calls.get(path) ?? 0) + 1);
+    response.setHeader('Store-Era', this.era);
     switch (this.condition) {
       case StoreCondition.Healthy:
         return true;
