Share the replay's clock and split the measurement of placement time

Cause: the clock stood twice in the bench, and one function measured, built and counted. Change: replay-clock.ts; PlacementMeasurement with short methods. No router code.

--- a/packages/bench/src/admission/router-policy.ts
+++ b/packages/bench/src/admission/router-policy.ts
@@ -9,11 +9,11 @@
   RouterState,
 } from '@poplarpick/forwarder';
 import type { Placement } from '@poplarpick/forwarder';
-import { Clock, createLogger, LogLevel } from '@poplarpick/kernel';
-import type { Timer } from '@poplarpick/kernel';
+import { createLogger, LogLevel } from '@poplarpick/kernel';
 import type { Random } from '@poplarpick/load';
 import { PlatformHeaderCodec } from '@poplarpick/platform/platform-header-codec';
 import type { EngineParameters } from './engine-model.ts';
+import { ReplayClock } from './replay-clock.ts';
 import { RoutingPolicy } from './routing-policy.ts';
 import type { RoutingDecision } from './routing-policy.ts';
 import type { Arrival, RequestKind } from './workload.ts';
@@ -25,27 +25,6 @@
 const WORKSPACE_REPORT_INTERVAL = 4;
 const SHARE_WINDOW_MS = 4_000;
 
-/** A clock that stands at the simulated time; its timers never fire. */
-class ReplayClock extends Clock {
-  nowMs = 0;
-
-  override now(): number {
-    return this.nowMs;
-  }
-
-  override monotonic(): number {
-    return this.nowMs;
-  }
-
-  override after(): Timer {
-    return { stop: () => undefined };
-  }
-
-  override every(): Timer {
-    return { stop: () => undefined };
-  }
-}
-
 /** An accepted request with the state that its end must update. */
 interface AcceptedCall {
   router: number;
--- a/packages/bench/src/decision-cost/placement-time.ts
+++ b/packages/bench/src/decision-cost/placement-time.ts
@@ -6,15 +6,17 @@
 import type { Endpoint, Prompt, Route } from '@poplarpick/decisions';
 import { CallPlacer, RouterState } from '@poplarpick/forwarder';
 import type { PeerReport } from '@poplarpick/forwarder';
-import { Clock, createLogger, LogLevel } from '@poplarpick/kernel';
-import type { Timer } from '@poplarpick/kernel';
+import { createLogger, LogLevel } from '@poplarpick/kernel';
+import type { Clock } from '@poplarpick/kernel';
 import { Random } from '@poplarpick/load';
+import { ReplayClock } from '../admission/replay-clock.ts';
 import { PlatformHeaderCodec } from '@poplarpick/platform/platform-header-codec';
 
 const POOL = 'pool';
-const REPORT_PERIOD_MS = 100;
 /** Time between two requests at the router, in ms. */
 const REQUEST_INTERVAL_MS = 5;
+/** Requests between two reports of each peer. */
+const REQUESTS_PER_REPORT = 20;
 const ROUNDS = 10;
 const REQUESTS_PER_ROUND = 200;
 const PREFIXES = 100;
@@ -47,60 +49,60 @@
   perReport: number;
 }
 
-/** A clock that the measurement advances. */
-class ManualClock extends Clock {
-  nowMs = 0;
-
-  override now(): number {
-    return this.nowMs;
-  }
+/** Measures one router of a fleet in which every router has requests at every endpoint. */
+export function measurePlacementTime(size: FleetSize): PlacementTime {
+  const measurement = new PlacementMeasurement(size);
+  const rounds = Array.from({ length: ROUNDS }, () => measurement.runRound());
+  return {
+    perRequest: Math.min(...rounds.map(({ perRequest }) => perRequest)),
+    perReport: Math.min(...rounds.map(({ perReport }) => perReport)),
+  };
+}
 
-  override monotonic(): number {
-    return this.nowMs;
+/** One router in simulated time that receives requests, and the reports of its peers. */
+class PlacementMeasurement {
+  private readonly size: FleetSize;
+  private readonly clock = new ReplayClock();
+  private readonly state: RouterState;
+  private readonly placer: CallPlacer;
+  private readonly random = new Random(1);
+  private sequence = 0;
+  private requests = 0;
+
+  constructor(size: FleetSize) {
+    this.size = size;
+    this.state = createState(this.clock, size);
+    this.placer = new CallPlacer(this.state);
   }
 
-  override after(): Timer {
-    return { stop: () => undefined };
+  runRound(): PlacementTime {
+    let requestMs = 0;
+    let reportMs = 0;
+    for (let index = 0; index < REQUESTS_PER_ROUND; index += 1) {
+      if (index % REQUESTS_PER_REPORT === 0) reportMs += measureMs(() => this.receiveReports());
+      this.clock.nowMs += REQUEST_INTERVAL_MS;
+      requestMs += measureMs(() => this.receiveRequest());
+    }
+    const reports = (REQUESTS_PER_ROUND / REQUESTS_PER_REPORT) * (this.size.routers - 1);
+    return {
+      perRequest: (requestMs * MICROSECONDS_PER_MS) / REQUESTS_PER_ROUND,
+      perReport: (reportMs * MICROSECONDS_PER_MS) / reports,
+    };
   }
 
-  override every(): Timer {
-    return { stop: () => undefined };
+  private receiveReports(): void {
+    this.sequence += 1;
+    for (let peer = 1; peer < this.size.routers; peer += 1) {
+      const report = buildReport(this.state, this.size, peer, this.sequence);
+      if (this.state.peers.accept(report, this.clock.nowMs)) this.state.applyReport(report);
+    }
   }
-}
 
-/** Measures one router of a fleet in which every router has requests at every endpoint. */
-export function measurePlacementTime(size: FleetSize): PlacementTime {
-  const clock = new ManualClock();
-  const state = createState(clock, size);
-  const placer = new CallPlacer(state);
-  const random = new Random(1);
-  let sequence = 0;
-  const receiveReports = (): void => {
-    sequence += 1;
-    for (let peer = 1; peer < size.routers; peer += 1) {
-      const report = buildReport(state, size, peer, sequence);
-      if (state.peers.accept(report, clock.nowMs)) state.applyReport(report);
-    }
-  };
-  let perRequest = Number.POSITIVE_INFINITY;
-  let perReport = Number.POSITIVE_INFINITY;
-  for (let round = 0; round < ROUNDS; round += 1) {
-    let reportMs = 0;
-    let requestMs = 0;
-    for (let index = 0; index < REQUESTS_PER_ROUND; index += 1) {
-      if ((index * REQUEST_INTERVAL_MS) % REPORT_PERIOD_MS === 0)
-        reportMs += measureMs(receiveReports);
-      clock.nowMs += REQUEST_INTERVAL_MS;
-      const workspace = `workspace-${random.integer(size.workspaces)}`;
-      const prompt = createPrompt(random, round * REQUESTS_PER_ROUND + index);
-      requestMs += measureMs(() => decide(state, placer, workspace, prompt));
-    }
-    const reports =
-      (REQUESTS_PER_ROUND * REQUEST_INTERVAL_MS * (size.routers - 1)) / REPORT_PERIOD_MS;
-    perRequest = Math.min(perRequest, (requestMs * MICROSECONDS_PER_MS) / REQUESTS_PER_ROUND);
-    perReport = Math.min(perReport, (reportMs * MICROSECONDS_PER_MS) / Math.max(1, reports));
+  private receiveRequest(): void {
+    const workspace = `workspace-${this.random.integer(this.size.workspaces)}`;
+    this.requests += 1;
+    decide(this.state, this.placer, workspace, createPrompt(this.random, this.requests));
   }
-  return { perRequest, perReport };
 }
 
 function decide(state: RouterState, placer: CallPlacer, workspace: string, prompt: Prompt): void {
