Send nothing new to an engine that says it leaves or asks for a pause

Cause: an endpoint drained only by the store's word, and `Retry-After` of an engine's refusal was not read. An engine could say in each of its responses that it leaves and still get requests until the store said so; a full engine got the next request at once.

Change: `EndpointAvailability` is the one state of an incarnation: it drains by the word of the store, of the endpoint's own response or of a peer's report, or it pauses. The directory keeps it when an entry lapses and returns. A drain ends with the incarnation only, since a later "ready" is older state. Reports list the incarnations that told the sender that they leave. If all endpoints of a pool pause, callers are refused at once until the first pause ends, spread over some time. Pauses aren't shared with peers: the engine asks this router, and the others may be far below what it can take.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,6 +40,7 @@
 export * from './request/retry-budget.ts';
 export * from './forwarding/admission.ts';
 export * from './forwarding/shared-retry-budget.ts';
+export * from './forwarding/endpoint-availability.ts';
 export * from './forwarding/endpoint-load.ts';
 export * from './forwarding/endpoint.ts';
 export * from './forwarding/event-splitter.ts';
--- a/packages/forwarder/src/calls/call-protocol.ts
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -2,7 +2,7 @@
  * Interface of the codec for the heads of requests and responses. The forwarder works on the decoded
  * form; an adapter defines which headers carry the request id, deadline, API key and prompt.
  */
-import type { Endpoint, Prompt } from '@poplarpick/decisions';
+import type { Endpoint, PauseRequest, Prompt } from '@poplarpick/decisions';
 
 /** Decoded head of a caller's request. */
 export interface CallHead {
@@ -40,6 +40,10 @@
   requestId: string | undefined;
   /** The endpoint guarantees that it has not run the request. */
   isNotRun: boolean;
+  /** The endpoint says that it is about to stop: it finishes its requests and wants no new ones. */
+  isDraining: boolean;
+  /** The endpoint refused the request and wants no others from this router for a while. */
+  pause: PauseRequest | undefined;
   isEventStream: boolean;
   /** The body has a length or is chunked; otherwise it ends when the connection closes. */
   isFramed: boolean;
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -4,10 +4,16 @@
  * disconnects, and sends an error when the deadline expires.
  */
 import type { ServerResponse } from 'node:http';
-import { FailureAction, decideFailureAction } from '@poplarpick/decisions';
+import {
+  decideFailureAction,
+  DrainSource,
+  FailureAction,
+  retryAfterPauseMs,
+} from '@poplarpick/decisions';
 import type { Route, ShareUsage, StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
+import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import { ResponseWriter } from './response-writer.ts';
@@ -106,7 +112,7 @@
     const placement = this.selectEndpoint();
     this.placement = placement;
     if (placement === undefined) {
-      this.refuse('no endpoint takes requests', ErrorCode.NoEndpoint, NO_ENDPOINT_RETRY_S);
+      this.refuseWithoutEndpoint('no endpoint takes requests');
       return;
     }
     if (this.admit(placement)) this.send(placement);
@@ -124,7 +130,9 @@
   }
 
   override acceptHead(attempt: CallAttempt, head: ResponseHead): boolean {
-    const { load } = attempt.placement.record;
+    const { record } = attempt.placement;
+    const { load } = record;
+    this.recordNotices(record, head);
     if (head.isNotRun) {
       const verdict = Verdict.NotRun;
       const message = `the endpoint refused with ${head.status}`;
@@ -230,7 +238,7 @@
       return;
     }
     if (!this.mayHaveRun) {
-      this.refuse(error.message, ErrorCode.NoEndpoint, NO_ENDPOINT_RETRY_S);
+      this.refuseWithoutEndpoint(error.message);
       return;
     }
     this.fail(error.message, ErrorCode.EndpointFailed);
@@ -354,6 +362,24 @@
     else this.refuse('the time for the request is over', ErrorCode.NoEndpoint, 0);
   }
 
+  /** Records what an endpoint says of itself in a response. */
+  private recordNotices(record: EndpointRecord, head: ResponseHead): void {
+    const { endpoints } = this.options.state;
+    if (head.isDraining) endpoints.drain(record, DrainSource.Endpoint);
+    if (head.pause !== undefined) endpoints.pause(record, head.pause);
+  }
+
+  /** Refuses the call because no endpoint is left for it; if all are paused, until the first pause ends. */
+  private refuseWithoutEndpoint(reason: string): void {
+    const { state, pool } = this.options;
+    const pauseMs = state.endpoints.timeUntilAvailableMs(pool);
+    const retryAfterSeconds =
+      pauseMs === undefined
+        ? NO_ENDPOINT_RETRY_S
+        : retryAfterPauseMs(pauseMs, state.random()) / MS_PER_SECOND;
+    this.refuse(reason, ErrorCode.NoEndpoint, retryAfterSeconds);
+  }
+
   private refuse(reason: string, code: ErrorCode, retryAfterSeconds: number): void {
     const { head, workspace, state } = this.options;
     if (workspace !== undefined && head.prompt !== undefined)
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -3,10 +3,17 @@
  * finishes the running ones. An endpoint that restarts under the same id is a new incarnation: its caches
  * are empty, and requests of the old incarnation are lost.
  */
+import { LRUCache } from 'lru-cache';
 import murmurhash from 'murmurhash';
-import { EndpointLoad, incarnationOf } from '@poplarpick/decisions';
-import type { Endpoint } from '@poplarpick/decisions';
-import type { Logger } from '@poplarpick/kernel';
+import {
+  DrainSource,
+  EndpointAvailability,
+  EndpointLoad,
+  incarnationOf,
+  MAX_PAUSE_MS,
+} from '@poplarpick/decisions';
+import type { Endpoint, PauseRequest } from '@poplarpick/decisions';
+import type { Clock, Logger } from '@poplarpick/kernel';
 import type { EndpointClient } from './endpoint-client.ts';
 
 /** An endpoint with this router's connections to it and load on it. */
@@ -18,23 +25,38 @@
   incarnationHash: number;
   client: EndpointClient;
   load: EndpointLoad;
-  /** The endpoint gets no new requests. */
-  isDraining: boolean;
+  availability: EndpointAvailability;
 }
 
+/** Removed incarnations whose availability is kept, as a bound on the memory of a long-lived router. */
+const MAX_REMOVED_INCARNATIONS = 1_000;
+
 /** Options of an `EndpointDirectory`. */
 export interface EndpointDirectoryOptions {
+  clock: Clock;
   log: Logger;
   /** Creates the connection pool for an endpoint. */
   createClient: (endpoint: Endpoint) => EndpointClient;
   /** Called when an incarnation was removed or replaced. */
   onRemoved: (record: EndpointRecord) => void;
+  /** Called when a source says for the first time that an endpoint drains. */
+  onDrain: (record: EndpointRecord, source: DrainSource) => void;
+  /** Called when an endpoint begins a pause. */
+  onPause: (record: EndpointRecord) => void;
 }
 
 /** Stores the known endpoints by id. */
 export class EndpointDirectory {
   private readonly options: EndpointDirectoryOptions;
   private readonly records = new Map<string, EndpointRecord>();
+  private readonly recordsByHash = new Map<number, EndpointRecord>();
+  /**
+   * Availability of removed incarnations. An entry that expires while the store is away may come back, and
+   * what the endpoint has said of itself is still valid then.
+   */
+  private readonly removed = new LRUCache<string, EndpointAvailability>({
+    max: MAX_REMOVED_INCARNATIONS,
+  });
 
   constructor(options: EndpointDirectoryOptions) {
     this.options = options;
@@ -55,18 +77,43 @@
       incarnationHash: murmurhash.v3(incarnation),
       client: this.options.createClient(endpoint),
       load: new EndpointLoad(),
-      isDraining: endpoint.isDraining,
+      availability: this.removed.get(incarnation) ?? new EndpointAvailability(),
     };
     this.records.set(endpoint.id, record);
+    this.recordsByHash.set(record.incarnationHash, record);
     this.log('endpoint.seen', record);
+    if (endpoint.isDraining) this.drain(record, DrainSource.Store);
+  }
+
+  /** Records that an endpoint drains. It gets no new requests, and its idle connections are closed. */
+  drain(record: EndpointRecord, source: DrainSource): void {
+    if (!record.availability.recordDrain(source)) return;
+    record.client.close();
+    this.log('endpoint.draining', record, { source });
+    this.options.onDrain(record, source);
+  }
+
+  /** Records that an endpoint asked this router for a pause. */
+  pause(record: EndpointRecord, { text, durationMs }: PauseRequest): void {
+    if (durationMs === undefined) {
+      this.log('endpoint.pause_unreadable', record, { asked: text });
+      return;
+    }
+    if (!record.availability.recordPause(durationMs, this.now())) return;
+    const isBounded = durationMs > MAX_PAUSE_MS;
+    const pauseMs = Math.round(Math.min(durationMs, MAX_PAUSE_MS));
+    this.log('endpoint.paused', record, {
+      pause_ms: pauseMs,
+      asked: isBounded ? text : undefined,
+    });
+    this.options.onPause(record);
   }
 
   /** Removes an endpoint: it gets no new requests, and the running ones may finish. */
   remove(id: string): void {
     const record = this.records.get(id);
     if (record === undefined) return;
-    this.records.delete(id);
-    record.isDraining = true;
+    this.forget(record);
     record.client.close();
     this.log('endpoint.gone', record);
     this.options.onRemoved(record);
@@ -74,11 +121,32 @@
 
   /** Endpoints of a pool that accept new requests. */
   findAvailable(pool: string): EndpointRecord[] {
+    const now = this.now();
     return [...this.records.values()].filter(
-      (record) => record.endpoint.pool === pool && !record.isDraining,
+      (record) => record.endpoint.pool === pool && record.availability.takesRequests(now),
     );
   }
 
+  /**
+   * Time until a pool without available endpoints has one again because a pause ends, in ms; undefined if it
+   * has one now, or if no pause is in progress.
+   */
+  timeUntilAvailableMs(pool: string): number | undefined {
+    const now = this.now();
+    let shortestMs = Number.POSITIVE_INFINITY;
+    for (const { endpoint, availability } of this.records.values()) {
+      if (endpoint.pool !== pool || availability.isDraining) continue;
+      shortestMs = Math.min(shortestMs, availability.remainingPauseMs(now));
+    }
+    const isPaused = shortestMs > 0 && Number.isFinite(shortestMs);
+    return isPaused ? shortestMs : undefined;
+  }
+
+  /** The incarnation with this hash, if it is known. */
+  findByHash(incarnationHash: number): EndpointRecord | undefined {
+    return this.recordsByHash.get(incarnationHash);
+  }
+
   all(): Iterable<EndpointRecord> {
     return this.records.values();
   }
@@ -109,30 +177,44 @@
   destroy(): void {
     for (const { client } of this.records.values()) client.destroy();
     this.records.clear();
+    this.recordsByHash.clear();
   }
 
   /** Updates the record of a known incarnation; one that drains doesn't become available again. */
   private refresh(record: EndpointRecord, endpoint: Endpoint): void {
     record.endpoint = endpoint;
-    if (!endpoint.isDraining || record.isDraining) return;
-    record.isDraining = true;
-    this.log('endpoint.draining', record);
+    if (endpoint.isDraining) this.drain(record, DrainSource.Store);
   }
 
   private replace(record: EndpointRecord): void {
     this.log('endpoint.restarted', record);
-    record.isDraining = true;
+    this.forget(record);
     record.client.destroy();
     this.options.onRemoved(record);
   }
 
-  private log(event: string, { endpoint }: EndpointRecord): void {
+  private forget(record: EndpointRecord): void {
+    this.records.delete(record.endpoint.id);
+    this.recordsByHash.delete(record.incarnationHash);
+    this.removed.set(record.incarnation, record.availability);
+  }
+
+  private now(): number {
+    return this.options.clock.monotonic();
+  }
+
+  private log(
+    event: string,
+    { endpoint }: EndpointRecord,
+    fields: Record<string, string | number | undefined> = {},
+  ): void {
     this.options.log.info({
       event,
       endpoint: endpoint.id,
       pool: endpoint.pool,
       address: endpoint.address,
       data_centre: endpoint.dataCentre,
+      ...fields,
     });
   }
 }
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -37,6 +37,7 @@
   kept: listOf<CachedSegmentEntry>((entry) => isNumbers(entry, 3)),
   lateRates: listOf<[number, number]>((entry) => isNumbers(entry, 2)),
   refused: listOf<number>(Number.isFinite).optional(),
+  draining: listOf<number>(Number.isFinite).optional(),
 });
 
 /**
@@ -59,7 +60,7 @@
 /** Fields of a report that come from the router's state. */
 export type ReportBody = Pick<
   PeerReport,
-  'version' | 'loads' | 'workspaces' | 'kept' | 'lateRates' | 'refused'
+  'version' | 'loads' | 'workspaces' | 'kept' | 'lateRates' | 'refused' | 'draining'
 >;
 
 /** Options of a `PeerExchange`. */
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -41,6 +41,11 @@
   lateRates: [pool: number, rate: number][];
   /** Fingerprints of newly refused requests; missing in reports of older versions. */
   refused?: RequestFingerprint[] | undefined;
+  /**
+   * Hashes of the incarnations that told the sender that they drain; missing in reports of older versions.
+   * Each report lists all of them, so that lost reports do no harm.
+   */
+  draining?: number[] | undefined;
 }
 
 interface PeerEntry {
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { listenOn } from '@poplarpick/fleet/address';
+import type { DrainSource } from '@poplarpick/decisions';
 import { Verdict } from '@poplarpick/kernel';
 
 /** Bucket bounds of the latency histograms, in seconds. */
@@ -71,6 +72,18 @@
     labelNames: ['endpoint', 'verdict'],
     registers: [this.registry],
   });
+  private readonly drains = new Counter({
+    name: 'poplarpick_endpoint_drains_total',
+    help: 'Statements that an endpoint drains, the first of each source, by pool and source',
+    labelNames: ['pool', 'source'],
+    registers: [this.registry],
+  });
+  private readonly pauses = new Counter({
+    name: 'poplarpick_endpoint_pauses_total',
+    help: 'Pauses that endpoints asked for with a refusal, by pool',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
   private readonly unplacedCalls = new Counter({
     name: 'poplarpick_calls_unplaced_total',
     help: 'Calls that were refused before they were placed, by code',
@@ -195,6 +208,14 @@
     this.serviceLevelCalls.inc({ route, quality: isGood ? 'good' : 'bad' });
   }
 
+  recordDrain(pool: string, source: DrainSource): void {
+    this.drains.inc({ pool, source });
+  }
+
+  recordPause(pool: string): void {
+    this.pauses.inc({ pool });
+  }
+
   recordUnplaced(code: string): void {
     this.unplacedCalls.inc({ code });
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -11,6 +11,7 @@
   LogRateLimiter,
   PrefixCacheIndex,
   RouteIndex,
+  DrainSource,
   fairShareCost,
   FairShareLedger,
   fingerprintRequest,
@@ -133,6 +134,7 @@
     });
     this.fairShareLedger = new FairShareLedger(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
+      clock: options.clock,
       log: options.log,
       createClient: (endpoint) =>
         new EndpointClient({
@@ -141,6 +143,8 @@
           protocol: options.protocol,
         }),
       onRemoved: (record) => this.removeEndpointState(record),
+      onDrain: ({ endpoint }, source) => this.metrics.recordDrain(endpoint.pool, source),
+      onPause: ({ endpoint }) => this.metrics.recordPause(endpoint.pool),
     });
   }
 
@@ -275,7 +279,9 @@
   /** Builds the report to this router's peers. */
   buildReport(includesWorkspaces: boolean): ReportBody {
     const loads: EndpointLoadEntry[] = [];
-    for (const { incarnationHash, load } of this.endpoints.all()) {
+    const draining: number[] = [];
+    for (const { incarnationHash, load, availability } of this.endpoints.all()) {
+      if (availability.hasAnnouncedDrain) draining.push(incarnationHash);
       const ownLoad = load.ownLoad();
       if (ownLoad.pending + ownLoad.running === 0) continue;
       const { pending, prefillTokens, running, kvCacheTokens } = ownLoad;
@@ -299,10 +305,14 @@
         limiter.lateRate,
       ]),
       refused: this.takeRefusals(),
+      draining,
     };
   }
 
-  /** Applies a peer's report: its load at each endpoint, newly cached segments and refused requests. */
+  /**
+   * Applies a peer's report: its load at each endpoint, newly cached segments, refused requests and
+   * endpoints that drain.
+   */
   applyReport(report: PeerReport): void {
     const now = this.clock.monotonic();
     const loads = new Map(report.loads.map((entry) => [entry[0], toLoadTotals(entry)]));
@@ -310,14 +320,16 @@
       load.applyPeerLoad(report.from, loads.get(incarnationHash) ?? EMPTY_LOAD, now);
     }
     for (const fingerprint of report.refused ?? []) this.refusedRequests.record(fingerprint, now);
+    for (const hash of report.draining ?? []) {
+      const record = this.endpoints.findByHash(hash);
+      if (record !== undefined) this.endpoints.drain(record, DrainSource.Peer);
+    }
     if (report.kept.length > 0) this.applyCachedSegments(report.kept);
   }
 
   private applyCachedSegments(entries: readonly CachedSegmentEntry[]): void {
-    const recordsByHash = new Map<number, EndpointRecord>();
-    for (const record of this.endpoints.all()) recordsByHash.set(record.incarnationHash, record);
     for (const [endpointHash, hash, tokens] of entries) {
-      const record = recordsByHash.get(endpointHash);
+      const record = this.endpoints.findByHash(endpointHash);
       if (record === undefined) continue;
       const capacity = this.cacheTokens(record);
       this.prefixCacheIndex.recordCached(record.incarnation, { hash, tokens }, capacity);
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -68,6 +68,10 @@
   readonly runs: ExecutedRequest[] = [];
   /** Number of requests received, executed or not. */
   arrivals = 0;
+  /** Marks every response with the statement that the engine is about to stop. */
+  isLeaving = false;
+  /** Value of `Retry-After` in refusals; none by default. */
+  retryAfter: string | undefined;
   chooseBehaviour: (request: IncomingMessage) => EngineBehaviour = () =>
     EngineBehaviour.CompleteAnswer;
   readonly options: PlatformEngineOptions;
@@ -124,6 +128,7 @@
       return;
     }
     this.arrivals += 1;
+    if (this.isLeaving) response.setHeader('Server-Leaving', '1');
     const requestId = String(request.headers['attempt-id']);
     const body = await readBody(request);
     const expected = request.headers['expect-instance'];
@@ -133,6 +138,7 @@
     }
     const behaviour = this.chooseBehaviour(request);
     if (behaviour === EngineBehaviour.Refuse) {
+      if (this.retryAfter !== undefined) response.setHeader('Retry-After', this.retryAfter);
       response.writeHead(503, { 'Attempt-Id': requestId, 'Not-Executed': '1' }).end();
       return;
     }
