Apply the configured limit of a request's head

Cause: `limits.headerBytes` was decoded and never used; the parser's own limit of 16,384 bytes held. The parser now reads up to 65,536 bytes, and a head above the configured size gets 431 before its body is read.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -21,6 +21,18 @@
   idleTimeoutMs: 15_000,
 };
 
+/**
+ * Largest head of a request that the HTTP parser reads, in bytes. The limit of the routing table is checked
+ * after that, since the parser's own can't be changed while the server runs.
+ */
+const PARSER_HEADER_BYTES = 65_536;
+
+/** Bytes around the name and the value of a header: colon, space and line break. */
+const HEADER_OVERHEAD_BYTES = 4;
+
+/** Bytes around the method and the target in the request line: two spaces, the version and a line break. */
+const REQUEST_LINE_OVERHEAD_BYTES = 12;
+
 /** Period of the check for stalled streams, in ms. */
 const STALL_CHECK_PERIOD_MS = 250;
 
@@ -67,7 +79,7 @@
     this.placer = new CallPlacer(options.state);
     this.server = createServer(
       {
-        maxHeaderSize: INITIAL_LIMITS.headerBytes,
+        maxHeaderSize: PARSER_HEADER_BYTES,
         headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
         requestTimeout: 0,
         keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
@@ -149,7 +161,9 @@
     const { state } = this.options;
     const { request, response, arrivedAt, isAfterCutoff } = exchange;
     const { method = 'GET', url = '/' } = request;
-    const body = await readBody(request, this.currentLimits().bodyBytes);
+    const limits = this.currentLimits();
+    if (headBytes(request) > limits.headerBytes) throw createHeadTooLargeError();
+    const body = await readBody(request, limits.bodyBytes);
     await waitForDisconnects();
     if (hasDisconnected(request)) return;
     if (isAfterCutoff) throw createDrainingError();
@@ -224,6 +238,13 @@
   return key !== undefined && state.routes?.findWorkspace(key) === workspace;
 }
 
+/** Size of the head of a request, in bytes. */
+function headBytes({ method = '', url = '', rawHeaders }: IncomingMessage): number {
+  let bytes = method.length + url.length + REQUEST_LINE_OVERHEAD_BYTES;
+  for (const text of rawHeaders) bytes += text.length;
+  return bytes + (rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
+}
+
 /** Reads the complete body; undefined without one. Rejects if it is too large or incomplete. */
 async function readBody(request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
   const { headers } = request;
@@ -248,6 +269,13 @@
   });
 }
 
+function createHeadTooLargeError(): RequestError {
+  return new RequestError('the headers are too large', {
+    code: ErrorCode.HeadersTooLarge,
+    verdict: Verdict.NotRun,
+  });
+}
+
 function createBodyTooLargeError(): RequestError {
   return new RequestError('the body is too large', {
     code: ErrorCode.BodyTooLarge,
