Forget addresses of routers that no report names any more

Cause: `PeerExchange` kept each address that it ever heard of and sent it a report every second. After ten minutes without a mention it is forgotten; until then the sides of a partition find each other again.

--- a/packages/forwarder/src/peers/peer-exchange.test.ts
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -1,6 +1,8 @@
 import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { pack } from 'msgpackr';
 import { findFreePort } from '@poplarpick/stand-ins';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import { PeerExchange } from './peer-exchange.ts';
@@ -8,6 +10,8 @@
 import type { PeerReport } from './peer-table.ts';
 
 const WAIT_TIMEOUT_MS = 5_000;
+/** Period of the reports that go to all known addresses, in ms. */
+const FULL_LIST_PERIOD_MS = 1_100;
 
 function makeReport(overrides: Partial<PeerReport>): PeerReport {
   return {
@@ -22,6 +26,15 @@
   };
 }
 
+/** The system's clock, which a test can advance. */
+class AdvancingClock extends SystemClock {
+  advancedMs = 0;
+
+  override monotonic(): number {
+    return super.monotonic() + this.advancedMs;
+  }
+}
+
 async function waitFor(condition: () => boolean): Promise<void> {
   const deadline = Date.now() + WAIT_TIMEOUT_MS;
   while (!condition()) {
@@ -30,6 +43,16 @@
   }
 }
 
+async function sleep(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function bind(port: number): Promise<Socket> {
+  const socket = createSocket('udp4');
+  await new Promise<void>((resolve) => socket.bind(port, '127.0.0.1', resolve));
+  return socket;
+}
+
 describe('peer table', () => {
   it('ignores duplicate and late reports, and accepts those of a restarted process', () => {
     const table = new PeerTable();
@@ -53,11 +76,15 @@
 describe('peer exchange', () => {
   const exchanges: PeerExchange[] = [];
 
-  async function start(address: string, seeds: string[]): Promise<PeerTable> {
+  async function start(
+    address: string,
+    seeds: string[],
+    clock = new SystemClock(),
+  ): Promise<PeerTable> {
     const table = new PeerTable();
     const exchange = new PeerExchange({
       address,
-      clock: new SystemClock(),
+      clock,
       log: createLogger({ level: LogLevel.Silent }),
       table,
       buildReport: () => ({ version: 1, loads: [], kept: [], lateRates: [] }),
@@ -92,4 +119,25 @@
     await waitFor(() => tables.every((table) => table.countRouters(performance.now()) === 3));
     noise.close();
   });
+
+  it('forgets an address that no report has named for ten minutes', async () => {
+    const [port, silentPort] = await Promise.all([findFreePort(), findFreePort()]);
+    const clock = new AdvancingClock();
+    const address = `127.0.0.1:${port}`;
+    const silent = await bind(silentPort);
+    let received = 0;
+    silent.on('message', () => (received += 1));
+    await start(address, [], clock);
+    silent.send(pack(makeReport({ from: `127.0.0.1:${silentPort}` })), port, '127.0.0.1');
+    await waitFor(() => received > 0);
+    clock.advancedMs = 500_000;
+    const beforeTtl = received;
+    await waitFor(() => received > beforeTtl);
+    clock.advancedMs = 700_000;
+    await sleep(FULL_LIST_PERIOD_MS);
+    const afterTtl = received;
+    await sleep(2 * FULL_LIST_PERIOD_MS);
+    expect(received).to.equal(afterTtl);
+    silent.close();
+  });
 });
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -25,6 +25,12 @@
 /** Most addresses that are stored, as a bound on faulty reports; no fleet has as many routers. */
 const MAX_KNOWN_ADDRESSES = 2_000;
 
+/**
+ * Time after which an address that no report names any more is forgotten, in ms. Until then, routers that a
+ * partition has kept apart find each other again.
+ */
+const ADDRESS_TTL_MS = 600_000;
+
 /** Validates a decoded datagram. */
 export const peerReportSchema = z.object({
   from: z.string(),
@@ -136,6 +142,7 @@
     const peers = this.livePeerAddresses();
     this.sequence += 1;
     const includesPeers = this.sequence % REPORTS_PER_PEER_LIST === 1;
+    if (includesPeers) this.forgetAddresses();
     const targets = new Set(
       includesPeers ? [...peers, ...this.seeds, ...this.knownAddresses.keys()] : peers,
     );
@@ -187,6 +194,13 @@
     this.knownAddresses.set(peer, now);
   }
 
+  private forgetAddresses(): void {
+    const oldest = this.options.clock.monotonic() - ADDRESS_TTL_MS;
+    for (const [address, namedAt] of this.knownAddresses) {
+      if (namedAt < oldest) this.knownAddresses.delete(address);
+    }
+  }
+
   private logFailure(event: string, error: unknown): void {
     this.options.log.warn({ event, error: describeError(error) });
   }
