Take newer routes from a peer when the store has returned from an older copy

Cause: a router that started then listed the older configuration, which the store confirmed, and never asked a peer although their reports named a newer version. It now asks a peer that is ahead and takes newer routes however old their confirmation is. The new test failed before.

--- a/packages/decisions/src/forwarding/peer-state.test.ts
+++ b/packages/decisions/src/forwarding/peer-state.test.ts
@@ -38,6 +38,13 @@
     expect(accepted).to.deep.equal({ routesConfirmedAt: undefined, endpointsConfirmedAt: 8_100 });
   });
 
+  it('replaces older routes even if the store has confirmed those later', () => {
+    const own = { version: 3, routesAgeMs: 0, endpointsAgeMs: 0 };
+    const peer = { version: 5, routesAgeMs: 1_200, endpointsAgeMs: 1_200 };
+    const accepted = selectFresherState(own, peer, 10_000, 10_000);
+    expect(accepted).to.deep.equal({ routesConfirmedAt: 8_800, endpointsConfirmedAt: undefined });
+  });
+
   it('is requested less often while it does not help', () => {
     expect(peerRequestDelayMs(0)).to.equal(300);
     expect(peerRequestDelayMs(2)).to.equal(1_200);
--- a/packages/decisions/src/forwarding/peer-state.ts
+++ b/packages/decisions/src/forwarding/peer-state.ts
@@ -4,6 +4,9 @@
  * peer's state and its staleness, and accepts only the parts that were confirmed more recently than its
  * own. Peer state never counts as fresher than the time at which it was requested, since the delay of the
  * response is unknown.
+ *
+ * Newer routes are accepted however old their confirmation is. A store that has returned from an older copy
+ * confirms older routes to a router that starts then, while its peers still have the newer ones.
  */
 
 /** Version and staleness of one router's copy of the store's state. */
@@ -59,13 +62,23 @@
 ): AcceptedPeerState {
   const peerRoutesConfirmedAt = requestedAt - peer.routesAgeMs;
   const peerEndpointsConfirmedAt = requestedAt - peer.endpointsAgeMs;
-  const isPeerBehind = peer.version === undefined || peer.version < (own.version ?? peer.version);
   return {
-    routesConfirmedAt:
-      isPeerBehind || peerRoutesConfirmedAt <= now - own.routesAgeMs
-        ? undefined
-        : peerRoutesConfirmedAt,
+    routesConfirmedAt: areRoutesFresher(own, peer, peerRoutesConfirmedAt, now)
+      ? peerRoutesConfirmedAt
+      : undefined,
     endpointsConfirmedAt:
       peerEndpointsConfirmedAt <= now - own.endpointsAgeMs ? undefined : peerEndpointsConfirmedAt,
   };
 }
+
+/** True if the peer has a newer version of the routes, or has had the same version confirmed later. */
+function areRoutesFresher(
+  own: StoreStateAge,
+  peer: StoreStateAge,
+  peerRoutesConfirmedAt: number,
+  now: number,
+): boolean {
+  if (peer.version === undefined) return false;
+  if (own.version === undefined || peer.version > own.version) return true;
+  return peer.version === own.version && peerRoutesConfirmedAt > now - own.routesAgeMs;
+}
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -76,6 +76,13 @@
     return live;
   }
 
+  /** Addresses of the live peers whose routes are newer than `version`. */
+  findAhead(version: number, now: number): string[] {
+    return this.live(now)
+      .filter((report) => report.version > version)
+      .map(({ from }) => from);
+  }
+
   /** Number of live routers, including this one. */
   countRouters(now: number): number {
     return this.live(now).length + 1;
--- a/packages/forwarder/src/peers/state-relay.ts
+++ b/packages/forwarder/src/peers/state-relay.ts
@@ -1,6 +1,7 @@
 /**
  * Passes the state of the store (routes and endpoints) between routers over HTTP. Serves a snapshot to
- * peers, and requests one from one peer at a time while this router's own state is missing or stale.
+ * peers, and requests one from one peer at a time while this router's own state is missing or stale, or while
+ * the reports of peers name newer routes.
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -87,12 +88,14 @@
 
   private async requestIfStale(): Promise<void> {
     const { state, peers } = this.options;
-    if (!needsPeerState(state.storeStateAge(), state.freshness.maxAgeMs)) {
+    const own = state.storeStateAge();
+    const ahead = state.peers.findAhead(own.version ?? 0, state.clock.monotonic());
+    if (ahead.length === 0 && !needsPeerState(own, state.freshness.maxAgeMs)) {
       this.unhelpfulRequests = 0;
       this.wasLastFresher = false;
       return;
     }
-    const candidates = peers();
+    const candidates = ahead.length > 0 ? ahead : peers();
     const peer = candidates[this.peerIndex % Math.max(1, candidates.length)];
     if (peer === undefined) return;
     try {
