Exchange one report between two data centres instead of one between any two routers

Cause: each router sent its whole state to every other one ten times a second, so that messages, bytes and checks grew with the square of the fleet.

Change: within a data centre every router reports to all others as before. Two relays of each data centre, elected by rendezvous hashing without a message, take turns to send the sums over its routers to a relay of each other one, which passes them on. Seeds hear of every router and introduce those that know fewer members. Routers of older versions get the reports of all. Datagrams have a largest size; what doesn't fit is left out by priority and what can't be read is logged once a minute. A report costs what it names, not the number of endpoints.

--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -5,6 +5,7 @@
 import { configCommand } from './config/app.ts';
 import { decisionCostCommand } from './decision-cost/app.ts';
 import { drainCommand } from './drain/app.ts';
+import { exchangeCommand } from './exchange/app.ts';
 import { experimentCommand } from './experiment/app.ts';
 import { fairnessCommand } from './fairness/app.ts';
 import { faultsCommand } from './faults/app.ts';
@@ -33,6 +34,7 @@
     capacityCommand,
     compareCommand,
     decisionCostCommand,
+    exchangeCommand,
     experimentCommand,
     fairnessCommand,
     faultsCommand,
--- a/packages/decisions/src/forwarding/surplus-limiter.test.ts
+++ b/packages/decisions/src/forwarding/surplus-limiter.test.ts
@@ -25,7 +25,7 @@
   it('lowers the limit if other routers see late requests', () => {
     const limiter = new SurplusLimiter();
     serve(limiter, 100, 150);
-    expect(limiter.waitLimit([0.1, 0.1])).to.be.lessThan(0.05);
+    expect(limiter.waitLimit({ rate: 0.1, routers: 2 })).to.be.lessThan(0.05);
   });
 
   it('ignores prompts whose prefill takes the whole objective', () => {
--- a/packages/decisions/src/forwarding/surplus-limiter.ts
+++ b/packages/decisions/src/forwarding/surplus-limiter.ts
@@ -30,6 +30,14 @@
   serviceMs: number;
 }
 
+/** Late requests in a pool as the other routers report them. */
+export interface PeerLateRate {
+  /** Mean fraction of late requests, in 0..1. */
+  rate: number;
+  /** Routers that report one. */
+  routers: number;
+}
+
 /** Derives the surplus wait limit of one pool from the lateness of requests within their fair share. */
 export class SurplusLimiter {
   private smoothedLateRate = 0;
@@ -50,13 +58,13 @@
   }
 
   /**
-   * Longest wait of a request over its fair share, as a multiple of the objective. `peerRates` are the late
-   * rates that the other routers report for this pool.
+   * Longest wait of a request over its fair share, as a multiple of the objective. `peers` has the mean late
+   * rate that the other routers report for this pool, and their number.
    */
-  waitLimit(peerRates: readonly number[] = []): number {
+  waitLimit(peers: PeerLateRate = { rate: 0, routers: 0 }): number {
     const { low, high } = LATE_RATE_RANGE;
-    const rateSum = [this.smoothedLateRate, ...peerRates].reduce((sum, rate) => sum + rate, 0);
-    const meanRate = rateSum / (peerRates.length + 1);
+    const rateSum = this.smoothedLateRate + peers.rate * peers.routers;
+    const meanRate = rateSum / (peers.routers + 1);
     const overload = Math.min(1, Math.max(0, (meanRate - low) / (high - low)));
     return WAIT_LIMIT_RANGE.max + (WAIT_LIMIT_RANGE.min - WAIT_LIMIT_RANGE.max) * overload;
   }
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -84,6 +84,7 @@
     });
     this.peers = new PeerExchange({
       address: options.peersAddress,
+      dataCentre,
       clock,
       log,
       table: this.state.peers,
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -6,3 +6,4 @@
 export * from './calls/call-latency-recorder.ts';
 export * from './calls/call-placer.ts';
 export * from './peers/peer-table.ts';
+export * from './peers/report-exchange.ts';
--- a/packages/forwarder/src/peers/peer-exchange.test.ts
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -84,6 +84,7 @@
     const table = new PeerTable();
     const exchange = new PeerExchange({
       address,
+      dataCentre: 'z',
       clock,
       log: createLogger({ level: LogLevel.Silent }),
       table,
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -1,14 +1,18 @@
 /**
- * Latest reports of the other routers: their load at each endpoint, the demand and grants of workspaces,
- * and newly cached prompt segments. A report contains the sender's full state rather than deltas, so
- * lost, duplicated and reordered reports do no harm. The report of a silent peer expires.
+ * Latest reports of other routers: their load at each endpoint, the demand and grants of workspaces, and newly
+ * cached prompt segments. A report contains the sender's full state rather than deltas, so lost, duplicated
+ * and reordered reports do no harm. The report of a silent sender expires.
+ *
+ * Routers of the own data centre report for themselves. Of each other data centre there is one group report
+ * with the sums over its routers, whichever of its relays has sent it.
  */
-import type { RequestFingerprint, WorkspaceUsage } from '@poplarpick/decisions';
+import type { PeerLateRate, RequestFingerprint, WorkspaceUsage } from '@poplarpick/decisions';
+import type { MemberEntry } from './member-directory.ts';
 
-/** Time without reports after which a peer is considered gone, in ms; several in a row are missing by then. */
+/** Time without reports after which a sender is considered gone, in ms; several in a row are missing by then. */
 export const PEER_TTL_MS = 1_500;
 
-/** One router's load at an endpoint: the hash of its incarnation, then the fields of `LoadTotals`. */
+/** Load at an endpoint: the hash of its incarnation, then the fields of `LoadTotals`. */
 export type EndpointLoadEntry = [
   endpoint: number,
   pending: number,
@@ -20,7 +24,10 @@
 /** A prompt segment cached by an endpoint: hashes of the incarnation and the segment, and its tokens. */
 export type CachedSegmentEntry = [endpoint: number, segment: number, tokens: number];
 
-/** Report of one router to its peers; sent in MessagePack under these field names. */
+/** Rate of late requests in a pool, which is named by its hash. */
+export type LateRateEntry = [pool: number, rate: number];
+
+/** Report of one router, or of all routers of a data centre; sent in MessagePack under these field names. */
 export interface PeerReport {
   /** `IP:port` at which the sender listens. */
   from: string;
@@ -30,15 +37,26 @@
   sequence: number;
   /** Version of the sender's routing table. */
   version: number;
-  /** Addresses of the sender's live peers; only in some of the reports. */
+  /** Data centre of the sender; missing in reports of older versions. */
+  dataCentre?: string | undefined;
+  /** Number of routers whose sums a group report contains; missing in the report of one router. */
+  routers?: number | undefined;
+  /** Addresses of the sender's live peers, for older versions; only in some of the reports. */
   peers?: string[] | undefined;
+  /** Live routers that the sender knows, in a group report those of its data centre; only in some reports. */
+  members?: MemberEntry[] | undefined;
+  /**
+   * Number of live members that the sender knows. Present where the report has no other purpose than to tell
+   * that the sender runs.
+   */
+  knownMembers?: number | undefined;
   loads: EndpointLoadEntry[];
   /** Only in some of the reports, since it changes slowly; the last one received remains valid. */
   workspaces?: WorkspaceUsage[] | undefined;
   /** Newly cached prompt segments. */
   kept: CachedSegmentEntry[];
-  /** Rate of late requests by the hash of the pool's name. */
-  lateRates: [pool: number, rate: number][];
+  /** Late rates, in a group report the means over its routers. */
+  lateRates: LateRateEntry[];
   /** Fingerprints of newly refused requests; missing in reports of older versions. */
   refused?: RequestFingerprint[] | undefined;
   /**
@@ -48,35 +66,48 @@
   draining?: number[] | undefined;
 }
 
+/** Identifies what a report is about: one router, or the routers of a data centre. */
+export function reportSubject(report: PeerReport): string {
+  return isGroupReport(report) ? `group ${report.dataCentre}` : report.from;
+}
+
+/** Whether a report contains the sums over the routers of a data centre. */
+export function isGroupReport(
+  report: PeerReport,
+): report is PeerReport & { dataCentre: string; routers: number } {
+  return report.routers !== undefined && report.dataCentre !== undefined;
+}
+
 interface PeerEntry {
   report: PeerReport;
   receivedAt: number;
 }
 
-/** Stores the latest report of each peer. */
+/** Stores the latest report of each subject. */
 export class PeerTable {
   private readonly entries = new Map<string, PeerEntry>();
 
-  /** Stores a report; false if it isn't newer than the one stored for the same router. */
+  /** Stores a report; false if it isn't newer than the one stored for the same subject. */
   accept(report: PeerReport, now: number): boolean {
-    const latest = this.entries.get(report.from)?.report;
+    const subject = reportSubject(report);
+    const latest = this.entries.get(subject)?.report;
     if (latest !== undefined && !isNewer(report, latest)) return false;
     const workspaces = report.workspaces ?? latest?.workspaces;
-    this.entries.set(report.from, { report: { ...report, workspaces }, receivedAt: now });
+    this.entries.set(subject, { report: { ...report, workspaces }, receivedAt: now });
     return true;
   }
 
-  /** Reports of the live peers; removes expired ones. */
+  /** Reports that are still valid; removes expired ones. */
   live(now: number): PeerReport[] {
     const live: PeerReport[] = [];
-    for (const [from, { report, receivedAt }] of this.entries) {
+    for (const [subject, { report, receivedAt }] of this.entries) {
       if (now - receivedAt <= PEER_TTL_MS) live.push(report);
-      else this.entries.delete(from);
+      else this.entries.delete(subject);
     }
     return live;
   }
 
-  /** Addresses of the live peers whose routes are newer than `version`. */
+  /** Addresses of the live senders whose routes are newer than `version`. */
   findAhead(version: number, now: number): string[] {
     return this.live(now)
       .filter((report) => report.version > version)
@@ -85,11 +116,26 @@
 
   /** Number of live routers, including this one. */
   countRouters(now: number): number {
-    return this.live(now).length + 1;
+    return this.live(now).reduce((count, { routers = 1 }) => count + routers, 1);
+  }
+
+  /** Mean rate of late requests in a pool over the live peers, and their number. */
+  meanLateRate(poolHash: number, now: number): PeerLateRate {
+    let sum = 0;
+    let counted = 0;
+    for (const { lateRates, routers = 1 } of this.live(now)) {
+      const entry = lateRates.find(([hash]) => hash === poolHash);
+      if (entry === undefined) continue;
+      sum += entry[1] * routers;
+      counted += routers;
+    }
+    return { rate: counted === 0 ? 0 : sum / counted, routers: counted };
   }
 }
 
+/** Whether a report replaces another one of its subject. Relays of a data centre number theirs independently. */
 function isNewer(report: PeerReport, other: PeerReport): boolean {
+  if (report.from !== other.from) return true;
   if (report.startedAt !== other.startedAt) return report.startedAt > other.startedAt;
   return report.sequence > other.sequence;
 }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -3,6 +3,7 @@
  * estimates, the prefix cache index, the fair-share ledger and the retry budgets. A restarted process
  * rebuilds it from the store and from its peers' reports.
  */
+import { LRUCache } from 'lru-cache';
 import murmurhash from 'murmurhash';
 import {
   SharedRetryBudget,
@@ -33,11 +34,11 @@
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
 import type { CallProtocol } from './calls/call-protocol.ts';
-import { PeerTable } from './peers/peer-table.ts';
+import { PeerTable, reportSubject } from './peers/peer-table.ts';
 import type { EndpointLoadEntry, CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
 import { RouterMetrics } from './router-metrics.ts';
-import type { ReportBody } from './peers/peer-exchange.ts';
+import type { ReportBody } from './peers/report-exchange.ts';
 
 /** Fraction of an endpoint's connection limit that one router may use, since other routers connect too. */
 const CONNECTION_FRACTION = 0.5;
@@ -54,6 +55,9 @@
 /** Most refused requests in one report, so that it fits into a datagram. */
 const MAX_REFUSALS_PER_REPORT = 1_000;
 
+/** Most routers and data centres whose latest loads are remembered, as a bound on faulty reports. */
+const MAX_SUBJECTS = 2_000;
+
 const MS_PER_SECOND = 1_000;
 
 /** Limits from the site's settings. */
@@ -108,6 +112,8 @@
   private readonly refusedRequests = new RefusedRequests();
   /** Refusals that the next report announces. */
   private unannouncedRefusals: RequestFingerprint[] = [];
+  /** Hashes of the endpoints at which the latest report of each subject named a load. */
+  private readonly loadedEndpoints = new LRUCache<string, Set<number>>({ max: MAX_SUBJECTS });
   private routeIndex: RouteIndex | undefined;
   /** Monotonic time at which the list of endpoints was last confirmed as complete, in ms. */
   private endpointsConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -191,13 +197,8 @@
 
   /** Longest wait of a request over its workspace's share, as a multiple of the objective. */
   surplusWaitLimit(pool: string): number {
-    const poolHash = murmurhash.v3(pool);
-    const peerRates: number[] = [];
-    for (const { lateRates } of this.peers.live(this.clock.monotonic())) {
-      const entry = lateRates.find(([hash]) => hash === poolHash);
-      if (entry !== undefined) peerRates.push(entry[1]);
-    }
-    return this.surplusLimiter(pool).waitLimit(peerRates);
+    const peers = this.peers.meanLateRate(murmurhash.v3(pool), this.clock.monotonic());
+    return this.surplusLimiter(pool).waitLimit(peers);
   }
 
   retryBudget(pool: string): SharedRetryBudget {
@@ -315,10 +316,7 @@
    */
   applyReport(report: PeerReport): void {
     const now = this.clock.monotonic();
-    const loads = new Map(report.loads.map((entry) => [entry[0], toLoadTotals(entry)]));
-    for (const { incarnationHash, load } of this.endpoints.all()) {
-      load.applyPeerLoad(report.from, loads.get(incarnationHash) ?? EMPTY_LOAD, now);
-    }
+    this.applyLoads(reportSubject(report), report.loads, now);
     for (const fingerprint of report.refused ?? []) this.refusedRequests.record(fingerprint, now);
     for (const hash of report.draining ?? []) {
       const record = this.endpoints.findByHash(hash);
@@ -327,6 +325,25 @@
     if (report.kept.length > 0) this.applyCachedSegments(report.kept);
   }
 
+  /**
+   * Applies the loads that a report names. Those that the previous report of the same subject named and this
+   * one doesn't have ended.
+   */
+  private applyLoads(subject: string, loads: readonly EndpointLoadEntry[], now: number): void {
+    const previous = this.loadedEndpoints.get(subject) ?? new Set();
+    const current = new Set<number>();
+    for (const entry of loads) {
+      const [hash] = entry;
+      current.add(hash);
+      this.endpoints.findByHash(hash)?.load.applyPeerLoad(subject, toLoadTotals(entry), now);
+    }
+    for (const hash of previous) {
+      if (!current.has(hash))
+        this.endpoints.findByHash(hash)?.load.applyPeerLoad(subject, EMPTY_LOAD, now);
+    }
+    this.loadedEndpoints.set(subject, current);
+  }
+
   private applyCachedSegments(entries: readonly CachedSegmentEntry[]): void {
     for (const [endpointHash, hash, tokens] of entries) {
       const record = this.endpoints.findByHash(endpointHash);
