Let one router of a data centre read the store for the others

Cause: each router listed and watched two prefixes of the store by itself, 2 to 3 calls a second a router.

Change: the routers of a data centre with four or more rank themselves by rendezvous hashing. The first reads the store, the others ask it for its state every 300 ms and confirm theirs by its age at the time of the request. A router whose state reaches 1.8 s, later by rank, reads the store until a higher rank helps again. Where keys must be confirmed more often than a takeover takes, all read.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -56,6 +56,7 @@
 export * from './forwarding/fair-share-ledger.ts';
 export * from './forwarding/max-min-share.ts';
 export * from './forwarding/latency-estimator.ts';
+export * from './forwarding/store-reader-policy.ts';
 export * from './forwarding/surplus-limiter.ts';
 export * from './forwarding/refused-requests.ts';
 export * from './forwarding/overload-detector.ts';
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -50,6 +50,7 @@
   private readonly options: EndpointDirectoryOptions;
   private readonly records = new Map<string, EndpointRecord>();
   private readonly recordsByHash = new Map<number, EndpointRecord>();
+  private changeCount = 0;
   /**
    * Availability of removed incarnations. An entry that expires while the store is away may come back, and
    * what the endpoint has said of itself is still valid then.
@@ -62,8 +63,14 @@
     this.options = options;
   }
 
+  /** Increases whenever the list of endpoints may have changed. */
+  get changes(): number {
+    return this.changeCount;
+  }
+
   /** Adds or updates an endpoint; replaces the record if its incarnation has changed. */
   update(endpoint: Endpoint): void {
+    this.changeCount += 1;
     const existing = this.records.get(endpoint.id);
     const incarnation = incarnationOf(endpoint);
     if (existing?.incarnation === incarnation) {
@@ -194,6 +201,7 @@
   }
 
   private forget(record: EndpointRecord): void {
+    this.changeCount += 1;
     this.records.delete(record.endpoint.id);
     this.recordsByHash.delete(record.incarnationHash);
     this.removed.set(record.incarnation, record.availability);
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -8,7 +8,8 @@
 import { CallIngress } from './ingress/call-ingress.ts';
 import { ReadinessServer } from './ingress/readiness.ts';
 import { PeerExchange } from './peers/peer-exchange.ts';
-import { StateRelay } from './peers/state-relay.ts';
+import { StateFollower } from './peers/state-follower.ts';
+import { StateServer } from './peers/state-server.ts';
 import { RouterState } from './router-state.ts';
 import type { RouterBounds } from './router-state.ts';
 
@@ -38,6 +39,10 @@
   /** Time between the signal to stop and the end of the process, in ms. */
   graceMs: number;
   protocol: CallProtocol;
+  /** The whole system starts for the first time. */
+  isFirstStart: boolean;
+  /** Called with whether this router has to read the store, when that changes. */
+  onReaderChange: (isReader: boolean) => void;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
 }
@@ -54,7 +59,8 @@
   private readonly ingress: CallIngress;
   private readonly readiness: ReadinessServer;
   private readonly peers: PeerExchange;
-  private readonly relay: StateRelay;
+  private readonly stateServer: StateServer;
+  private readonly stateFollower: StateFollower;
   private isDraining = false;
 
   constructor(options: ForwarderOptions, kernel: Pick<Kernel, 'clock' | 'log'>) {
@@ -92,12 +98,19 @@
       onReport: (report) => this.state.applyReport(report),
       onBytes: (direction, bytes) => this.state.metrics.recordReportBytes(direction, bytes),
     });
-    this.relay = new StateRelay({
+    this.stateServer = new StateServer({
       address: options.peersAddress,
       state: this.state,
-      peers: () => this.peers.peerAddresses(),
       onSuspension: options.onSuspension,
     });
+    this.stateFollower = new StateFollower({
+      address: options.peersAddress,
+      state: this.state,
+      isFirstStart: options.isFirstStart,
+      localPeers: () => this.peers.localPeerAddresses(),
+      peers: () => this.peers.peerAddresses(),
+      onReaderChange: options.onReaderChange,
+    });
   }
 
   setSeeds(seeds: readonly string[]): void {
@@ -111,7 +124,8 @@
   override async open(): Promise<void> {
     this.state.eventLoop.start();
     await this.peers.open();
-    await this.relay.open();
+    await this.stateServer.open();
+    this.stateFollower.open();
     const { metricsAddress } = this.options;
     if (metricsAddress !== undefined) await this.state.metrics.open(metricsAddress);
     await this.readiness.open();
@@ -141,7 +155,8 @@
     this.readiness.close();
     this.state.metrics.close();
     this.peers.close();
-    this.relay.close();
+    this.stateServer.close();
+    this.stateFollower.close();
     this.state.endpoints.destroy();
     return Promise.resolve();
   }
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -59,6 +59,11 @@
     return this.exchange.peerAddresses();
   }
 
+  /** Addresses of the live routers of this data centre. */
+  localPeerAddresses(): readonly string[] {
+    return this.exchange.localPeerAddresses();
+  }
+
   private sendTo(target: string, message: Buffer): void {
     const { ip, port } = parseAddress(target);
     this.options.onBytes('sent', message.length);
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -97,6 +97,11 @@
     return addresses.size > 0 ? [...addresses] : [...this.seeds];
   }
 
+  /** Addresses of the live routers of this data centre, as of the latest turn. */
+  localPeerAddresses(): readonly string[] {
+    return this.localPeers;
+  }
+
   /** Sends the reports of one turn. */
   send(): void {
     const now = this.options.clock.monotonic();
--- /dev/null
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -0,0 +1,234 @@
+/**
+ * Gets the state of the store (routes and endpoints) from other routers over HTTP. A router that follows a
+ * reader of its data centre asks it several times a second. Any router asks its peers one after the other
+ * while its own state is missing or gets too old, or while the reports of some of them name newer routes.
+ */
+import { Agent, request } from 'undici';
+import {
+  needsPeerState,
+  peerRequestDelayMs,
+  selectFresherState,
+  StoreReaderPolicy,
+  SUSPENSION_THRESHOLD_MS,
+} from '@poplarpick/decisions';
+import type { AcceptedPeerState, StoreAccess, StoreStateAge } from '@poplarpick/decisions';
+import { describeError } from '@poplarpick/kernel';
+import type { Timer } from '@poplarpick/kernel';
+import { ControlCall } from '../router-metrics.ts';
+import type { RouterState } from '../router-state.ts';
+import { STATE_PATH } from './state-server.ts';
+import { stateSnapshotSchema } from './state-snapshot.ts';
+import type { StateSnapshot } from './state-snapshot.ts';
+
+/** Timeout for a peer's complete response, in ms: many round trips. */
+const RESPONSE_TIMEOUT_MS = 500;
+
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Period of the decisions on how to get the state, in ms. */
+const CHECK_PERIOD_MS = 100;
+
+/** Time between two requests to the router that is followed, in ms. */
+const FOLLOW_PERIOD_MS = 300;
+
+/** Time between two requests of a reader to the router that it could follow again, in ms. */
+const RETURN_PERIOD_MS = 1_000;
+
+/** Range of the random index of the first peer, so that routers don't all ask the same one. */
+const INITIAL_INDEX_RANGE = 1_000;
+
+/** Time after the first start of the whole system in which routers get to know each other, in ms. */
+const FIRST_START_GRACE_MS = 1_500;
+
+/** Options of a `StateFollower`. */
+export interface StateFollowerOptions {
+  /** `IP:port` by which the peers know this router. */
+  address: string;
+  state: RouterState;
+  /** The whole system starts for the first time. */
+  isFirstStart: boolean;
+  /** Addresses of the live routers of the same data centre. */
+  localPeers: () => readonly string[];
+  /** Addresses of all peers from which the state may be requested. */
+  peers: () => string[];
+  /** Called with whether this router has to read the store, when that changes. */
+  onReaderChange: (isReader: boolean) => void;
+}
+
+/** Requests snapshots from other routers, and decides whether this one reads the store. */
+export class StateFollower {
+  private readonly options: StateFollowerOptions;
+  private readonly policy: StoreReaderPolicy;
+  private readonly agent = new Agent({
+    pipelining: 1,
+    connections: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+  private timer: Timer | undefined;
+  private isReader = false;
+  /** Monotonic time of the next request, in ms. */
+  private nextRequestAt = 0;
+  /** Consecutive requests that failed or brought nothing fresher, while this router's state was too old. */
+  private unhelpfulRequests = 0;
+  /** Index of the peer to ask; advances when a peer was no help. */
+  private peerIndex = Math.floor(Math.random() * INITIAL_INDEX_RANGE);
+  /** Whether the last request brought fresher state from a peer that isn't followed; only a change is logged. */
+  private wasLastTaken = false;
+  private isRequesting = false;
+
+  constructor(options: StateFollowerOptions) {
+    this.options = options;
+    const { state, address, isFirstStart } = options;
+    const startedAt = state.clock.monotonic();
+    this.policy = new StoreReaderPolicy({
+      address,
+      dataCentre: state.dataCentre,
+      maxStateAgeMs: state.freshness.maxAgeMs,
+      readsFrom: isFirstStart ? startedAt + FIRST_START_GRACE_MS : startedAt,
+    });
+  }
+
+  /** Starts to decide and to ask. */
+  open(): void {
+    this.check();
+    this.timer = this.options.state.clock.every(CHECK_PERIOD_MS, () => this.check());
+  }
+
+  close(): void {
+    this.timer?.stop();
+    this.agent.destroy().catch(() => undefined);
+  }
+
+  private check(): void {
+    const { state, localPeers } = this.options;
+    const now = state.clock.monotonic();
+    const own = state.storeStateAge();
+    const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
+    const access = this.policy.decide(localPeers(), ageMs, now);
+    this.setReader(access.isReader, ageMs);
+    if (this.isRequesting || now < this.nextRequestAt) return;
+    const target = this.selectTarget(access, own, now);
+    if (target === undefined) return;
+    this.isRequesting = true;
+    void this.ask(target, access).finally(() => (this.isRequesting = false));
+  }
+
+  private setReader(isReader: boolean, ageMs: number): void {
+    if (isReader === this.isReader) return;
+    this.isReader = isReader;
+    const { state, onReaderChange } = this.options;
+    const age = Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+    state.log.info({ event: isReader ? 'store.reading' : 'store.following', age_ms: age });
+    onReaderChange(isReader);
+  }
+
+  /** The router to ask now, if any: one with newer routes, any peer if the state is too old, or the source. */
+  private selectTarget(access: StoreAccess, own: StoreStateAge, now: number): string | undefined {
+    const { state, peers } = this.options;
+    const ahead = state.peers.findAhead(own.version ?? 0, now);
+    if (ahead.length > 0) return this.pick(ahead);
+    if (!needsPeerState(own, state.freshness.maxAgeMs)) return access.source;
+    const isSourceTurn = this.unhelpfulRequests % 2 === 0;
+    return isSourceTurn && access.source !== undefined ? access.source : this.pick(peers());
+  }
+
+  private pick(candidates: readonly string[]): string | undefined {
+    return candidates[this.peerIndex % Math.max(1, candidates.length)];
+  }
+
+  private async ask(target: string, access: StoreAccess): Promise<void> {
+    const { state } = this.options;
+    try {
+      const isFresher = await this.requestFrom(target, target === access.source);
+      state.metrics.recordControlCall(ControlCall.Peer, true);
+      this.scheduleNext(isFresher);
+    } catch (error) {
+      state.metrics.recordControlCall(ControlCall.Peer, false);
+      if (target === access.source) this.policy.recordFailure(target, state.clock.monotonic());
+      this.scheduleNext(false);
+      const reason = describeError(error).split('\n')[0];
+      state.log.debug({ event: 'peers.state_not_told', peer: target, reason });
+    }
+  }
+
+  private scheduleNext(isFresher: boolean): void {
+    const { state } = this.options;
+    this.unhelpfulRequests = isFresher ? 0 : this.unhelpfulRequests + 1;
+    this.peerIndex += isFresher ? 0 : 1;
+    const isNeeded = needsPeerState(state.storeStateAge(), state.freshness.maxAgeMs);
+    const periodMs = this.policy.isReader ? RETURN_PERIOD_MS : FOLLOW_PERIOD_MS;
+    const delayMs = isNeeded ? peerRequestDelayMs(this.unhelpfulRequests) : periodMs;
+    this.nextRequestAt = state.clock.monotonic() + delayMs;
+  }
+
+  /** Requests a snapshot from one peer; true if it was fresher than this router's state. */
+  private async requestFrom(peer: string, isSource: boolean): Promise<boolean> {
+    const { state } = this.options;
+    const { clock } = state;
+    const requestedAt = clock.monotonic();
+    const clockOffset = clock.now() - requestedAt;
+    const query = new URLSearchParams({
+      version: String(state.routes?.table.version ?? ''),
+      endpoints: state.endpointsHash(),
+    });
+    const { statusCode, body } = await request(`http://${peer}${STATE_PATH}?${query.toString()}`, {
+      dispatcher: this.agent,
+      signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
+    });
+    const content = await body.json();
+    if (statusCode !== 200) throw new Error(`status ${statusCode}`);
+    const snapshot = stateSnapshotSchema.parse(content);
+    const now = clock.monotonic();
+    // The host may have been suspended during the request, so the response may be older than it seems.
+    if (clock.now() - now - clockOffset > SUSPENSION_THRESHOLD_MS) return false;
+    const age = snapshotAge(snapshot);
+    const ageMs = Math.max(age.routesAgeMs, age.endpointsAgeMs);
+    if (isSource) this.policy.recordAnswer(peer, ageMs, now);
+    const accepted = selectFresherState(state.storeStateAge(), age, requestedAt, now);
+    return this.applySnapshot(peer, snapshot, accepted, isSource);
+  }
+
+  private applySnapshot(
+    peer: string,
+    snapshot: StateSnapshot,
+    accepted: AcceptedPeerState,
+    isSource: boolean,
+  ): boolean {
+    const { state } = this.options;
+    if (accepted.routesConfirmedAt !== undefined) {
+      if (snapshot.routes !== undefined) state.applyRoutingTable(snapshot.routes);
+      state.freshness.confirm(accepted.routesConfirmedAt);
+    }
+    if (accepted.endpointsConfirmedAt !== undefined) {
+      if (snapshot.endpoints !== undefined) state.endpoints.replaceAll(snapshot.endpoints);
+      state.confirmEndpoints(accepted.endpointsConfirmedAt);
+    }
+    const isFresher =
+      accepted.routesConfirmedAt !== undefined || accepted.endpointsConfirmedAt !== undefined;
+    const isTaken = isFresher && !isSource;
+    if (isTaken && !this.wasLastTaken) this.logAccepted(peer, snapshot, accepted);
+    this.wasLastTaken = isTaken;
+    return isFresher;
+  }
+
+  private logAccepted(peer: string, snapshot: StateSnapshot, accepted: AcceptedPeerState): void {
+    const { log, clock } = this.options.state;
+    const now = clock.monotonic();
+    log.info({
+      event: 'peers.state_taken',
+      peer,
+      version: snapshot.version,
+      key_age_ms: accepted.routesConfirmedAt && Math.round(now - accepted.routesConfirmedAt),
+      endpoints_age_ms:
+        accepted.endpointsConfirmedAt && Math.round(now - accepted.endpointsConfirmedAt),
+    });
+  }
+}
+
+function snapshotAge(snapshot: StateSnapshot): StoreStateAge {
+  return {
+    version: snapshot.version,
+    routesAgeMs: snapshot.routesAgeMs ?? Number.POSITIVE_INFINITY,
+    endpointsAgeMs: snapshot.endpointsAgeMs ?? Number.POSITIVE_INFINITY,
+  };
+}
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -38,6 +38,7 @@
 import type { EndpointLoadEntry, CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
 import { RouterMetrics } from './router-metrics.ts';
+import { hashEndpoints } from './peers/state-snapshot.ts';
 import type { ReportBody } from './peers/report-exchange.ts';
 
 /** Fraction of an endpoint's connection limit that one router may use, since other routers connect too. */
@@ -114,6 +115,8 @@
   private unannouncedRefusals: RequestFingerprint[] = [];
   /** Hashes of the endpoints at which the latest report of each subject named a load. */
   private readonly loadedEndpoints = new LRUCache<string, Set<number>>({ max: MAX_SUBJECTS });
+  /** Hash of the list of endpoints, and the state of the directory that it belongs to. */
+  private listHash: { hash: string; changes: number } | undefined;
   private routeIndex: RouteIndex | undefined;
   /** Monotonic time at which the list of endpoints was last confirmed as complete, in ms. */
   private endpointsConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -187,6 +190,15 @@
     };
   }
 
+  /** Hash of the list of endpoints, for the comparison with that of another router. */
+  endpointsHash(): string {
+    const { changes } = this.endpoints;
+    if (this.listHash?.changes === changes) return this.listHash.hash;
+    const hash = hashEndpoints(this.endpoints.list());
+    this.listHash = { hash, changes };
+    return hash;
+  }
+
   latencyEstimator(pool: string): LatencyEstimator {
     return getOrCreate(this.latencyEstimators, pool, () => new LatencyEstimator());
   }
