--- a/packages/decisions/src/forwarding/report-relays.ts
+++ b/packages/decisions/src/forwarding/report-relays.ts
@@ -33,8 +33,9 @@
 
 /**
  * The relay that passes on the announcements of one router of its data centre. Announcements are passed on
- * once, unlike sums, which every relay sends in full.
+ * once, unlike sums, which every relay sends in full. A relay passes on its own.
  */
 export function selectAnnouncer(relays: readonly string[], router: string): string | undefined {
+  if (relays.includes(router)) return router;
   return rankByRendezvous(`announce ${router}`, relays)[0];
 }
