--- a/packages/bench/src/decision-cost/app.ts
+++ b/packages/bench/src/decision-cost/app.ts
@@ -19,7 +19,9 @@
 const PLACEMENT_FLEETS = [
   { routers: 4, endpoints: 13, workspaces: 16 },
   { routers: 28, endpoints: 36, workspaces: 30 },
+  { routers: 68, endpoints: 88, workspaces: 60 },
   { routers: 100, endpoints: 36, workspaces: 30 },
+  { routers: 300, endpoints: 88, workspaces: 60 },
 ];
 
 /** Entry of the `decision-cost` command. */
--- a/packages/bench/src/exchange/exchange.test.ts
+++ b/packages/bench/src/exchange/exchange.test.ts
@@ -43,6 +43,13 @@
     expect(large.remoteBytesPerSecond / small.remoteBytesPerSecond).to.be.lessThan(2.5);
   });
 
+  it('are no more at a router if there are twice as many data centres', () => {
+    const small = replay({ routers: 28, dataCentres: 4, loss: 0, hasFailures: false });
+    const large = replay({ routers: 56, dataCentres: 8, loss: 0, hasFailures: false });
+    const growth = large.datagramsPerRouterSecond / small.datagramsPerRouterSecond;
+    expect(growth).to.be.lessThan(1.5);
+  });
+
   it('stay small and few if one data centre has one router', () => {
     const result = replay({ routers: 4, loss: 0, hasFailures: false });
     expect(result.unconverged).to.deep.equal([]);
