Follow only a router that reads the store itself, and ask whoever has the freshest state

Followers took the reader's state, which it had from peers, for that of the store, so that nobody took over in time, and asked others at random with growing pauses: two requests reached an engine 3.7 s after the store had acknowledged that it drains (bound 3 s, DRAIN).

Only a router that has read it lately is followed; from an age of 1.6 s on, a router asks the one that reports the freshest state.

--- a/packages/decisions/src/forwarding/store-reader-policy.ts
+++ b/packages/decisions/src/forwarding/store-reader-policy.ts
@@ -5,8 +5,11 @@
  * The routers of a data centre rank themselves by rendezvous hashing. The first one reads the store, the
  * others ask it for its state several times a second. No message is needed to take over: a router whose state
  * gets older than a working reader would let it become reads the store itself until a router that ranks
- * higher helps again. Lower ranks wait a little longer, so that they find the one before them reading instead
- * of all turning to the store at once.
+ * higher reads it again. Lower ranks wait a little longer, so that they find the one before them reading
+ * instead of all turning to the store at once.
+ *
+ * Only a router that reads the store successfully is followed. One that the store turns away may still have
+ * fresh state, but from others, and those could be its own followers.
  *
  * Where a data centre has few routers, each reads the store, which is quicker and hardly costs more. So does
  * each where keys must be confirmed more often than a follower can be sure of.
@@ -16,26 +19,29 @@
 /** Least number of routers in a data centre of which some follow. */
 const MIN_ROUTERS_TO_FOLLOW = 4;
 
+/** Least bound on the age of the state, in ms, that leaves time for a takeover by any rank. */
+const MIN_BOUND_TO_FOLLOW_MS = 3_000;
+
 /**
  * Age of the state at which a follower of the highest rank takes over, in ms: more than the time between two
  * confirmations by the store and the time between two requests to the reader together.
  */
 const TAKEOVER_AGE_MS = 1_800;
 
-/** Least bound on the age of the state, in ms, that leaves time for a takeover by any rank. */
-const MIN_BOUND_TO_FOLLOW_MS = 3_000;
-
 /** Further age for each lower rank, in ms, in which the one before reads the store. */
 const TAKEOVER_STEP_MS = 100;
 
 /** Most lower ranks that wait longer, so that the state never gets too old to serve. */
 const MAX_TAKEOVER_STEPS = 5;
 
-/** Largest age at which the state of another router helps, in ms. */
-const MAX_HELPFUL_AGE_MS = 1_500;
+/** Time that the first reader has on the first start of the whole system before others take over, in ms. */
+const FIRST_READ_MS = 1_000;
+
+/** Longest time since a successful read of the store, in ms, for which a router is followed. */
+const MAX_READ_AGE_MS = 1_700;
 
-/** Time for which a router that didn't help is asked only if there is no other, in ms. */
-const UNHELPFUL_MS = 1_500;
+/** Time for which a router that didn't answer is not followed, in ms. */
+const FAILURE_MS = 1_500;
 
 /** Options of a `StoreReaderPolicy`. */
 export interface StoreReaderPolicyOptions {
@@ -45,24 +51,32 @@
   /** Age of the state above which a router serves no request with a key, in ms. */
   maxStateAgeMs: number;
   /**
-   * Monotonic time before which a router doesn't read the store, in ms, since it may not know its peers yet.
+   * Monotonic time in ms before which a router doesn't read the store, since the whole system starts for the
+   * first time and it may not know its peers yet; undefined otherwise.
    */
-  readsFrom: number;
+  firstReadAt?: number | undefined;
+}
+
+/** A live router of the same data centre. */
+export interface NearbyRouter {
+  address: string;
+  /** Time since it last read the store successfully, in ms; undefined if it doesn't tell. */
+  readAgeMs: number | undefined;
 }
 
 /** How a router gets the state of the store. */
 export interface StoreAccess {
   isReader: boolean;
-  /** The router of the same data centre to ask; undefined for the one that all others ask. */
+  /** The router of the same data centre to ask; undefined if there is none. */
   source: string | undefined;
 }
 
 /** Decides the access of one router. */
 export class StoreReaderPolicy {
   private readonly options: StoreReaderPolicyOptions;
-  /** This router reads the store until another one helps. */
+  /** This router reads the store until another one can be followed. */
   private isReading = false;
-  private readonly unhelpfulUntil = new Map<string, number>();
+  private readonly failedUntil = new Map<string, number>();
 
   constructor(options: StoreReaderPolicyOptions) {
     this.options = options;
@@ -73,40 +87,58 @@
     return this.isReading;
   }
 
-  /** Decides how to get the state, from the addresses of the live routers nearby and the age of the state. */
-  decide(nearby: readonly string[], stateAgeMs: number, now: number): StoreAccess {
-    const { address, dataCentre, maxStateAgeMs, readsFrom } = this.options;
-    const ranked = rankByRendezvous(`store ${dataCentre}`, [address, ...nearby]);
-    const higher = ranked.slice(0, ranked.indexOf(address));
-    const canFollow =
-      ranked.length >= MIN_ROUTERS_TO_FOLLOW && maxStateAgeMs >= MIN_BOUND_TO_FOLLOW_MS;
-    const source = canFollow ? this.selectSource(higher, now) : undefined;
-    if (now < readsFrom) return { isReader: false, source };
-    if (source === undefined) this.isReading = true;
-    if (stateAgeMs >= takeoverAgeMs(higher.length)) this.isReading = true;
+  /** Decides how to get the state, from the live routers nearby and the age of the state in ms. */
+  decide(nearby: readonly NearbyRouter[], stateAgeMs: number, now: number): StoreAccess {
+    const higher = this.rankHigher(nearby);
+    const source = this.selectSource(higher, now);
+    const isFirst = higher.length === 0;
+    const mayRead = now >= (this.options.firstReadAt ?? now);
+    const isDue = stateAgeMs >= takeoverAgeMs(higher.length) && now >= this.takeoverFrom();
+    if (mayRead && (isFirst || isDue)) this.isReading = true;
     return { isReader: this.isReading, source };
   }
 
-  /** Records the answer of a source, whose state was `ageMs` old when it was asked. */
-  recordAnswer(source: string, ageMs: number, now: number): void {
-    if (ageMs > MAX_HELPFUL_AGE_MS) {
+  /** Records the answer of a source that has read the store successfully `readAgeMs` before. */
+  recordAnswer(source: string, readAgeMs: number, now: number): void {
+    if (readAgeMs > MAX_READ_AGE_MS) {
       this.recordFailure(source, now);
       return;
     }
     this.isReading = false;
-    this.unhelpfulUntil.delete(source);
+    this.failedUntil.delete(source);
   }
 
   /** Records that a source didn't answer. */
   recordFailure(source: string, now: number): void {
-    this.unhelpfulUntil.set(source, now + UNHELPFUL_MS);
+    this.failedUntil.set(source, now + FAILURE_MS);
   }
 
-  private selectSource(higher: readonly string[], now: number): string | undefined {
-    for (const [address, until] of this.unhelpfulUntil) {
-      if (now >= until) this.unhelpfulUntil.delete(address);
+  /** The routers that rank before this one, the first one first; none if this one doesn't follow. */
+  private rankHigher(nearby: readonly NearbyRouter[]): NearbyRouter[] {
+    const { address, dataCentre, maxStateAgeMs } = this.options;
+    if (nearby.length + 1 < MIN_ROUTERS_TO_FOLLOW) return [];
+    if (maxStateAgeMs < MIN_BOUND_TO_FOLLOW_MS) return [];
+    const byAddress = new Map(nearby.map((router) => [router.address, router]));
+    const ranked = rankByRendezvous(`store ${dataCentre}`, [address, ...byAddress.keys()]);
+    return ranked
+      .slice(0, ranked.indexOf(address))
+      .flatMap((higher) => byAddress.get(higher) ?? []);
+  }
+
+  private selectSource(higher: readonly NearbyRouter[], now: number): string | undefined {
+    for (const [address, until] of this.failedUntil) {
+      if (now >= until) this.failedUntil.delete(address);
     }
-    return higher.find((address) => !this.unhelpfulUntil.has(address)) ?? higher[0];
+    const source = higher.find(
+      ({ address, readAgeMs }) =>
+        readAgeMs !== undefined && readAgeMs <= MAX_READ_AGE_MS && !this.failedUntil.has(address),
+    );
+    return source?.address;
+  }
+
+  private takeoverFrom(): number {
+    const { firstReadAt } = this.options;
+    return firstReadAt === undefined ? Number.NEGATIVE_INFINITY : firstReadAt + FIRST_READ_MS;
   }
 }
 
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -107,7 +107,7 @@
       address: options.peersAddress,
       state: this.state,
       isFirstStart: options.isFirstStart,
-      localPeers: () => this.peers.localPeerAddresses(),
+      localReports: () => this.peers.localReports(),
       peers: () => this.peers.peerAddresses(),
       onReaderChange: options.onReaderChange,
     });
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:dgram';
 import { parseAddress } from '@poplarpick/fleet/address';
 import type { Timer } from '@poplarpick/kernel';
+import type { PeerReport } from './peer-table.ts';
 import { REPORT_PERIOD_MS, ReportExchange } from './report-exchange.ts';
 import type { ReportExchangeOptions } from './report-exchange.ts';
 
@@ -59,9 +60,9 @@
     return this.exchange.peerAddresses();
   }
 
-  /** Addresses of the live routers of this data centre. */
-  localPeerAddresses(): readonly string[] {
-    return this.exchange.localPeerAddresses();
+  /** Latest reports of the live routers of this data centre. */
+  localReports(): PeerReport[] {
+    return this.exchange.readLocalReports();
   }
 
   private sendTo(target: string, message: Buffer): void {
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -37,6 +37,10 @@
   sequence: number;
   /** Version of the sender's routing table. */
   version: number;
+  /** Age of the sender's routes or endpoints, whichever is older, in ms; missing if it has none. */
+  stateAgeMs?: number | undefined;
+  /** Time since the sender last read the store successfully, in ms; missing if it never has. */
+  readAgeMs?: number | undefined;
   /** Data centre of the sender; missing in reports of older versions. */
   dataCentre?: string | undefined;
   /** Number of routers whose sums a group report contains; missing in the report of one router. */
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -24,6 +24,8 @@
   startedAt: z.number(),
   sequence: z.number(),
   version: z.number(),
+  stateAgeMs: z.number().optional(),
+  readAgeMs: z.number().optional(),
   dataCentre: z.string().optional(),
   routers: z.int().min(1).optional(),
   peers: z.array(z.string()).optional(),
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -40,7 +40,15 @@
 /** Fields of a report that come from the router's state. */
 export type ReportBody = Pick<
   PeerReport,
-  'version' | 'loads' | 'workspaces' | 'kept' | 'lateRates' | 'refused' | 'draining'
+  | 'version'
+  | 'stateAgeMs'
+  | 'readAgeMs'
+  | 'loads'
+  | 'workspaces'
+  | 'kept'
+  | 'lateRates'
+  | 'refused'
+  | 'draining'
 >;
 
 /** Body of a report that only tells about members. */
@@ -97,9 +105,9 @@
     return addresses.size > 0 ? [...addresses] : [...this.seeds];
   }
 
-  /** Addresses of the live routers of this data centre, as of the latest turn. */
-  localPeerAddresses(): readonly string[] {
-    return this.localPeers;
+  /** Latest reports of the live routers of this data centre. */
+  readLocalReports(): PeerReport[] {
+    return this.localReports(this.options.clock.monotonic());
   }
 
   /** Sends the reports of one turn. */
@@ -198,6 +206,8 @@
       startedAt: this.startedAt,
       sequence: this.sequence,
       version: body.version,
+      stateAgeMs: body.stateAgeMs,
+      readAgeMs: body.readAgeMs,
       dataCentre,
       ...(includesMembers ? { members: this.listLocalMembers() } : {}),
       ...sumReports([own, ...this.localReports(now)], includesWorkspaces),
--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -19,6 +19,7 @@
 import { STATE_PATH } from './state-server.ts';
 import { stateSnapshotSchema } from './state-snapshot.ts';
 import type { StateSnapshot } from './state-snapshot.ts';
+import type { PeerReport } from './peer-table.ts';
 
 /** Timeout for a peer's complete response, in ms: many round trips. */
 const RESPONSE_TIMEOUT_MS = 500;
@@ -34,6 +35,18 @@
 /** Time between two requests of a reader to the router that it could follow again, in ms. */
 const RETURN_PERIOD_MS = 1_000;
 
+/**
+ * Age of the state in ms from which any router with a fresher one is asked. Neither the store nor a reader lets
+ * it get so old while they respond.
+ */
+const STALE_AGE_MS = 1_600;
+
+/** Least difference in ms by which another router's state must be fresher to be worth a request. */
+const MIN_GAIN_MS = 300;
+
+/** Time for which a router that didn't answer is not asked, in ms. */
+const FAILURE_MS = 1_500;
+
 /** Range of the random index of the first peer, so that routers don't all ask the same one. */
 const INITIAL_INDEX_RANGE = 1_000;
 
@@ -47,8 +60,8 @@
   state: RouterState;
   /** The whole system starts for the first time. */
   isFirstStart: boolean;
-  /** Addresses of the live routers of the same data centre. */
-  localPeers: () => readonly string[];
+  /** Latest reports of the live routers of the same data centre. */
+  localReports: () => PeerReport[];
   /** Addresses of all peers from which the state may be requested. */
   peers: () => string[];
   /** Called with whether this router has to read the store, when that changes. */
@@ -75,6 +88,8 @@
   /** Whether the last request brought fresher state from a peer that isn't followed; only a change is logged. */
   private wasLastTaken = false;
   private isRequesting = false;
+  /** Routers that didn't answer, with the monotonic time until which they aren't asked, in ms. */
+  private readonly failedUntil = new Map<string, number>();
 
   constructor(options: StateFollowerOptions) {
     this.options = options;
@@ -84,7 +99,7 @@
       address,
       dataCentre: state.dataCentre,
       maxStateAgeMs: state.freshness.maxAgeMs,
-      readsFrom: isFirstStart ? startedAt + FIRST_START_GRACE_MS : startedAt,
+      firstReadAt: isFirstStart ? startedAt + FIRST_START_GRACE_MS : undefined,
     });
   }
 
@@ -100,11 +115,12 @@
   }
 
   private check(): void {
-    const { state, localPeers } = this.options;
+    const { state, localReports } = this.options;
     const now = state.clock.monotonic();
     const own = state.storeStateAge();
     const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
-    const access = this.policy.decide(localPeers(), ageMs, now);
+    const nearby = localReports().map(({ from, readAgeMs }) => ({ address: from, readAgeMs }));
+    const access = this.policy.decide(nearby, ageMs, now);
     this.setReader(access.isReader, ageMs);
     if (this.isRequesting || now < this.nextRequestAt) return;
     const target = this.selectTarget(access, own, now);
@@ -122,14 +138,31 @@
     onReaderChange(isReader);
   }
 
-  /** The router to ask now, if any: one with newer routes, any peer if the state is too old, or the source. */
+  /**
+   * The router to ask now, if any: one with newer routes, the freshest one if the state is stale, any peer if
+   * none says that it is fresher and the state is too old, or else the source.
+   */
   private selectTarget(access: StoreAccess, own: StoreStateAge, now: number): string | undefined {
     const { state, peers } = this.options;
     const ahead = state.peers.findAhead(own.version ?? 0, now);
     if (ahead.length > 0) return this.pick(ahead);
-    if (!needsPeerState(own, state.freshness.maxAgeMs)) return access.source;
-    const isSourceTurn = this.unhelpfulRequests % 2 === 0;
-    return isSourceTurn && access.source !== undefined ? access.source : this.pick(peers());
+    const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
+    const fresher = ageMs >= STALE_AGE_MS ? this.selectFreshest(ageMs, now) : undefined;
+    if (fresher !== undefined) return fresher;
+    return needsPeerState(own, state.freshness.maxAgeMs) ? this.pick(peers()) : access.source;
+  }
+
+  /** The router that reports the freshest state, if that is fresher than this router's by more than a little. */
+  private selectFreshest(ageMs: number, now: number): string | undefined {
+    let freshest: string | undefined;
+    let leastAgeMs = ageMs - MIN_GAIN_MS;
+    for (const { from, stateAgeMs } of this.options.state.peers.live(now)) {
+      const hasFailed = now < (this.failedUntil.get(from) ?? 0);
+      if (hasFailed || stateAgeMs === undefined || stateAgeMs >= leastAgeMs) continue;
+      freshest = from;
+      leastAgeMs = stateAgeMs;
+    }
+    return freshest;
   }
 
   private pick(candidates: readonly string[]): string | undefined {
@@ -144,21 +177,33 @@
       this.scheduleNext(isFresher);
     } catch (error) {
       state.metrics.recordControlCall(ControlCall.Peer, false);
-      if (target === access.source) this.policy.recordFailure(target, state.clock.monotonic());
+      const now = state.clock.monotonic();
+      if (target === access.source) this.policy.recordFailure(target, now);
+      this.recordFailure(target, now);
       this.scheduleNext(false);
       const reason = describeError(error).split('\n')[0];
       state.log.debug({ event: 'peers.state_not_told', peer: target, reason });
     }
   }
 
+  private recordFailure(target: string, now: number): void {
+    for (const [address, until] of this.failedUntil) {
+      if (now >= until) this.failedUntil.delete(address);
+    }
+    this.failedUntil.set(target, now + FAILURE_MS);
+  }
+
   private scheduleNext(isFresher: boolean): void {
     const { state } = this.options;
     this.unhelpfulRequests = isFresher ? 0 : this.unhelpfulRequests + 1;
     this.peerIndex += isFresher ? 0 : 1;
-    const isNeeded = needsPeerState(state.storeStateAge(), state.freshness.maxAgeMs);
-    const periodMs = this.policy.isReader ? RETURN_PERIOD_MS : FOLLOW_PERIOD_MS;
-    const delayMs = isNeeded ? peerRequestDelayMs(this.unhelpfulRequests) : periodMs;
-    this.nextRequestAt = state.clock.monotonic() + delayMs;
+    const now = state.clock.monotonic();
+    const own = state.storeStateAge();
+    const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
+    const isHopeless = ageMs >= STALE_AGE_MS && this.selectFreshest(ageMs, now) === undefined;
+    const isReturning = this.policy.isReader && ageMs < STALE_AGE_MS;
+    const periodMs = isReturning ? RETURN_PERIOD_MS : FOLLOW_PERIOD_MS;
+    this.nextRequestAt = now + (isHopeless ? peerRequestDelayMs(this.unhelpfulRequests) : periodMs);
   }
 
   /** Requests a snapshot from one peer; true if it was fresher than this router's state. */
@@ -182,8 +227,7 @@
     // The host may have been suspended during the request, so the response may be older than it seems.
     if (clock.now() - now - clockOffset > SUSPENSION_THRESHOLD_MS) return false;
     const age = snapshotAge(snapshot);
-    const ageMs = Math.max(age.routesAgeMs, age.endpointsAgeMs);
-    if (isSource) this.policy.recordAnswer(peer, ageMs, now);
+    if (isSource) this.policy.recordAnswer(peer, snapshot.readAgeMs ?? Infinity, now);
     const accepted = selectFresherState(state.storeStateAge(), age, requestedAt, now);
     return this.applySnapshot(peer, snapshot, accepted, isSource);
   }
--- a/packages/forwarder/src/peers/state-server.ts
+++ b/packages/forwarder/src/peers/state-server.ts
@@ -53,11 +53,13 @@
     const { clock, freshness } = state;
     if (freshness.detectSuspension(clock.monotonic(), clock.now())) onSuspension();
     const { version, routesAgeMs, endpointsAgeMs } = state.storeStateAge();
+    const readAgeMs = state.storeReadAgeMs();
     const hasSameRoutes = query.get('version') === String(version ?? '');
     const hasSameEndpoints = query.get('endpoints') === state.endpointsHash();
     return {
       ...(Number.isFinite(routesAgeMs) ? { routesAgeMs } : {}),
       ...(Number.isFinite(endpointsAgeMs) ? { endpointsAgeMs } : {}),
+      ...(Number.isFinite(readAgeMs) ? { readAgeMs } : {}),
       ...(version === undefined ? {} : { version }),
       ...(hasSameRoutes || state.routes === undefined ? {} : { routes: state.routes.table }),
       ...(hasSameEndpoints ? {} : { endpoints: state.endpoints.list() }),
--- a/packages/forwarder/src/peers/state-snapshot.ts
+++ b/packages/forwarder/src/peers/state-snapshot.ts
@@ -54,6 +54,8 @@
   routesAgeMs?: number | undefined;
   /** Time since the list of endpoints was last confirmed as complete, in ms; absent if it never was. */
   endpointsAgeMs?: number | undefined;
+  /** Time since the router itself last read the store, in ms; absent if it never has. */
+  readAgeMs?: number | undefined;
   version?: number | undefined;
   /** Absent if the requesting router has the same version. */
   routes?: RoutingTable | undefined;
@@ -65,6 +67,7 @@
 export const stateSnapshotSchema = z.object({
   routesAgeMs: z.number().nonnegative().optional(),
   endpointsAgeMs: z.number().nonnegative().optional(),
+  readAgeMs: z.number().nonnegative().optional(),
   version: z.number().optional(),
   routes: routingTableSchema.optional(),
   endpoints: z.array(endpointSchema).optional(),
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -120,6 +120,8 @@
   private routeIndex: RouteIndex | undefined;
   /** Monotonic time at which the list of endpoints was last confirmed as complete, in ms. */
   private endpointsConfirmedAt = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which this router itself last read the store, in ms. */
+  private storeReadAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: RouterStateOptions) {
     this.clock = options.clock;
@@ -175,6 +177,16 @@
     });
   }
 
+  /** Records that this router itself has read the store, whose routes and endpoints it last read at `at`. */
+  recordStoreRead(at: number): void {
+    this.storeReadAt = Math.max(this.storeReadAt, at);
+  }
+
+  /** Time since this router itself has read the store, in ms; infinite if it never has. */
+  storeReadAgeMs(): number {
+    return this.clock.monotonic() - this.storeReadAt;
+  }
+
   /** Records that the list of endpoints was complete at monotonic time `at`. */
   confirmEndpoints(at: number): void {
     this.endpointsConfirmedAt = Math.max(this.endpointsConfirmedAt, at);
@@ -308,6 +320,7 @@
     }
     return {
       version: this.routeIndex?.table.version ?? 0,
+      ...this.reportAges(),
       loads,
       ...(includesWorkspaces
         ? { workspaces: this.fairShareLedger.snapshot(this.clock.monotonic()) }
@@ -322,6 +335,16 @@
     };
   }
 
+  private reportAges(): Pick<ReportBody, 'stateAgeMs' | 'readAgeMs'> {
+    const { routesAgeMs, endpointsAgeMs } = this.storeStateAge();
+    const stateAgeMs = Math.max(routesAgeMs, endpointsAgeMs);
+    const readAgeMs = this.storeReadAgeMs();
+    return {
+      ...(Number.isFinite(stateAgeMs) ? { stateAgeMs: Math.round(stateAgeMs) } : {}),
+      ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
+    };
+  }
+
   /**
    * Applies a peer's report: its load at each endpoint, newly cached segments, refused requests and
    * endpoints that drain.
