--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -3,6 +3,7 @@
  * estimates, the prefix cache index, the fair-share ledger and the retry budgets. A restarted process
  * rebuilds it from the store and from its peers' reports.
  */
+import { LRUCache } from 'lru-cache';
 import murmurhash from 'murmurhash';
 import {
   SharedRetryBudget,
@@ -11,6 +12,7 @@
   LogRateLimiter,
   PrefixCacheIndex,
   RouteIndex,
+  DrainSource,
   fairShareCost,
   FairShareLedger,
   fingerprintRequest,
@@ -32,11 +34,12 @@
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
 import type { CallProtocol } from './calls/call-protocol.ts';
-import { PeerTable } from './peers/peer-table.ts';
+import { PeerTable, reportSubject } from './peers/peer-table.ts';
 import type { EndpointLoadEntry, CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
 import { RouterMetrics } from './router-metrics.ts';
-import type { ReportBody } from './peers/peer-exchange.ts';
+import { hashEndpoints } from './peers/state-snapshot.ts';
+import type { ReportBody } from './peers/report-exchange.ts';
 
 /** Fraction of an endpoint's connection limit that one router may use, since other routers connect too. */
 const CONNECTION_FRACTION = 0.5;
@@ -53,6 +56,9 @@
 /** Most refused requests in one report, so that it fits into a datagram. */
 const MAX_REFUSALS_PER_REPORT = 1_000;
 
+/** Most routers and data centres whose latest loads are remembered, as a bound on faulty reports. */
+const MAX_SUBJECTS = 2_000;
+
 const MS_PER_SECOND = 1_000;
 
 /** Limits from the site's settings. */
@@ -107,9 +113,15 @@
   private readonly refusedRequests = new RefusedRequests();
   /** Refusals that the next report announces. */
   private unannouncedRefusals: RequestFingerprint[] = [];
+  /** Hashes of the endpoints at which the latest report of each subject named a load. */
+  private readonly loadedEndpoints = new LRUCache<string, Set<number>>({ max: MAX_SUBJECTS });
+  /** Hash of the list of endpoints, and the state of the directory that it belongs to. */
+  private listHash: { hash: string; changes: number } | undefined;
   private routeIndex: RouteIndex | undefined;
   /** Monotonic time at which the list of endpoints was last confirmed as complete, in ms. */
   private endpointsConfirmedAt = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which this router itself last read the store, in ms. */
+  private storeReadAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: RouterStateOptions) {
     this.clock = options.clock;
@@ -133,6 +145,7 @@
     });
     this.fairShareLedger = new FairShareLedger(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
+      clock: options.clock,
       log: options.log,
       createClient: (endpoint) =>
         new EndpointClient({
@@ -141,6 +154,8 @@
           protocol: options.protocol,
         }),
       onRemoved: (record) => this.removeEndpointState(record),
+      onDrain: ({ endpoint }, source) => this.metrics.recordDrain(endpoint.pool, source),
+      onPause: ({ endpoint }) => this.metrics.recordPause(endpoint.pool),
     });
   }
 
@@ -162,6 +177,16 @@
     });
   }
 
+  /** Records that this router itself has read the store, whose routes and endpoints it last read at `at`. */
+  recordStoreRead(at: number): void {
+    this.storeReadAt = Math.max(this.storeReadAt, at);
+  }
+
+  /** Time since this router itself has read the store, in ms; infinite if it never has. */
+  storeReadAgeMs(): number {
+    return this.clock.monotonic() - this.storeReadAt;
+  }
+
   /** Records that the list of endpoints was complete at monotonic time `at`. */
   confirmEndpoints(at: number): void {
     this.endpointsConfirmedAt = Math.max(this.endpointsConfirmedAt, at);
@@ -177,6 +202,15 @@
     };
   }
 
+  /** Hash of the list of endpoints, for the comparison with that of another router. */
+  endpointsHash(): string {
+    const { changes } = this.endpoints;
+    if (this.listHash?.changes === changes) return this.listHash.hash;
+    const hash = hashEndpoints(this.endpoints.list());
+    this.listHash = { hash, changes };
+    return hash;
+  }
+
   latencyEstimator(pool: string): LatencyEstimator {
     return getOrCreate(this.latencyEstimators, pool, () => new LatencyEstimator());
   }
@@ -187,13 +221,8 @@
 
   /** Longest wait of a request over its workspace's share, as a multiple of the objective. */
   surplusWaitLimit(pool: string): number {
-    const poolHash = murmurhash.v3(pool);
-    const peerRates: number[] = [];
-    for (const { lateRates } of this.peers.live(this.clock.monotonic())) {
-      const entry = lateRates.find(([hash]) => hash === poolHash);
-      if (entry !== undefined) peerRates.push(entry[1]);
-    }
-    return this.surplusLimiter(pool).waitLimit(peerRates);
+    const peers = this.peers.meanLateRate(murmurhash.v3(pool), this.clock.monotonic());
+    return this.surplusLimiter(pool).waitLimit(peers);
   }
 
   retryBudget(pool: string): SharedRetryBudget {
@@ -275,7 +304,9 @@
   /** Builds the report to this router's peers. */
   buildReport(includesWorkspaces: boolean): ReportBody {
     const loads: EndpointLoadEntry[] = [];
-    for (const { incarnationHash, load } of this.endpoints.all()) {
+    const draining: number[] = [];
+    for (const { incarnationHash, load, availability } of this.endpoints.all()) {
+      if (availability.hasAnnouncedDrain) draining.push(incarnationHash);
       const ownLoad = load.ownLoad();
       if (ownLoad.pending + ownLoad.running === 0) continue;
       const { pending, prefillTokens, running, kvCacheTokens } = ownLoad;
@@ -289,6 +320,7 @@
     }
     return {
       version: this.routeIndex?.table.version ?? 0,
+      ...this.reportAges(),
       loads,
       ...(includesWorkspaces
         ? { workspaces: this.fairShareLedger.snapshot(this.clock.monotonic()) }
@@ -299,25 +331,57 @@
         limiter.lateRate,
       ]),
       refused: this.takeRefusals(),
+      draining,
+    };
+  }
+
+  private reportAges(): Pick<ReportBody, 'stateAgeMs' | 'readAgeMs'> {
+    const { routesAgeMs, endpointsAgeMs } = this.storeStateAge();
+    const stateAgeMs = Math.max(routesAgeMs, endpointsAgeMs);
+    const readAgeMs = this.storeReadAgeMs();
+    return {
+      ...(Number.isFinite(stateAgeMs) ? { stateAgeMs: Math.round(stateAgeMs) } : {}),
+      ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
     };
   }
 
-  /** Applies a peer's report: its load at each endpoint, newly cached segments and refused requests. */
+  /**
+   * Applies a peer's report: its load at each endpoint, newly cached segments, refused requests and
+   * endpoints that drain.
+   */
   applyReport(report: PeerReport): void {
     const now = this.clock.monotonic();
-    const loads = new Map(report.loads.map((entry) => [entry[0], toLoadTotals(entry)]));
-    for (const { incarnationHash, load } of this.endpoints.all()) {
-      load.applyPeerLoad(report.from, loads.get(incarnationHash) ?? EMPTY_LOAD, now);
-    }
+    this.applyLoads(reportSubject(report), report.loads, now);
     for (const fingerprint of report.refused ?? []) this.refusedRequests.record(fingerprint, now);
+    for (const hash of report.draining ?? []) {
+      const record = this.endpoints.findByHash(hash);
+      if (record !== undefined) this.endpoints.drain(record, DrainSource.Peer);
+    }
     if (report.kept.length > 0) this.applyCachedSegments(report.kept);
   }
 
+  /**
+   * Applies the loads that a report names. Those that the previous report of the same subject named and this
+   * one doesn't have ended.
+   */
+  private applyLoads(subject: string, loads: readonly EndpointLoadEntry[], now: number): void {
+    const previous = this.loadedEndpoints.get(subject) ?? new Set();
+    const current = new Set<number>();
+    for (const entry of loads) {
+      const [hash] = entry;
+      current.add(hash);
+      this.endpoints.findByHash(hash)?.load.applyPeerLoad(subject, toLoadTotals(entry), now);
+    }
+    for (const hash of previous) {
+      if (!current.has(hash))
+        this.endpoints.findByHash(hash)?.load.applyPeerLoad(subject, EMPTY_LOAD, now);
+    }
+    this.loadedEndpoints.set(subject, current);
+  }
+
   private applyCachedSegments(entries: readonly CachedSegmentEntry[]): void {
-    const recordsByHash = new Map<number, EndpointRecord>();
-    for (const record of this.endpoints.all()) recordsByHash.set(record.incarnationHash, record);
     for (const [endpointHash, hash, tokens] of entries) {
-      const record = recordsByHash.get(endpointHash);
+      const record = this.endpoints.findByHash(endpointHash);
       if (record === undefined) continue;
       const capacity = this.cacheTokens(record);
       this.prefixCacheIndex.recordCached(record.incarnation, { hash, tokens }, capacity);
