Ask a router that is known to be fresher without waiting for the pause between blind requests

Cause: the pause between requests to peers that don't help grew to 2.4 s, and every answer of a reader that the store had turned away counted as one that didn't help. The pause now applies to blind requests only.

--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -79,11 +79,13 @@
   });
   private timer: Timer | undefined;
   private isReader = false;
-  /** Monotonic time of the next request, in ms. */
-  private nextRequestAt = 0;
-  /** Consecutive requests that failed or brought nothing fresher, while this router's state was too old. */
+  /** Monotonic time of the latest request, in ms. */
+  private requestedAt = Number.NEGATIVE_INFINITY;
+  /** Monotonic time before which no peer is asked of which nothing fresher is known, in ms. */
+  private nextBlindRequestAt = Number.NEGATIVE_INFINITY;
+  /** Consecutive requests to such peers that failed or brought nothing fresher. */
   private unhelpfulRequests = 0;
-  /** Index of the peer to ask; advances when a peer was no help. */
+  /** Index of the peer to ask blindly; advances when a peer was no help. */
   private peerIndex = Math.floor(Math.random() * INITIAL_INDEX_RANGE);
   /** Whether the last request brought fresher state from a peer that isn't followed; only a change is logged. */
   private wasLastTaken = false;
@@ -122,10 +124,11 @@
     const nearby = localReports().map(({ from, readAgeMs }) => ({ address: from, readAgeMs }));
     const access = this.policy.decide(nearby, ageMs, now);
     this.setReader(access.isReader, ageMs);
-    if (this.isRequesting || now < this.nextRequestAt) return;
+    if (this.isRequesting) return;
     const target = this.selectTarget(access, own, now);
     if (target === undefined) return;
     this.isRequesting = true;
+    this.requestedAt = now;
     void this.ask(target, access).finally(() => (this.isRequesting = false));
   }
 
@@ -143,13 +146,27 @@
    * none says that it is fresher and the state is too old, or else the source.
    */
   private selectTarget(access: StoreAccess, own: StoreStateAge, now: number): string | undefined {
-    const { state, peers } = this.options;
-    const ahead = state.peers.findAhead(own.version ?? 0, now);
-    if (ahead.length > 0) return this.pick(ahead);
+    const sinceRequestMs = now - this.requestedAt;
+    if (sinceRequestMs < FOLLOW_PERIOD_MS) return undefined;
+    const { state } = this.options;
     const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
-    const fresher = ageMs >= STALE_AGE_MS ? this.selectFreshest(ageMs, now) : undefined;
+    const fresher =
+      this.pick(state.peers.findAhead(own.version ?? 0, now)) ??
+      (ageMs >= STALE_AGE_MS ? this.selectFreshest(ageMs, now) : undefined);
     if (fresher !== undefined) return fresher;
-    return needsPeerState(own, state.freshness.maxAgeMs) ? this.pick(peers()) : access.source;
+    if (needsPeerState(own, state.freshness.maxAgeMs)) return this.selectBlindly(now);
+    this.unhelpfulRequests = 0;
+    const isDue = sinceRequestMs >= (access.isReader ? RETURN_PERIOD_MS : FOLLOW_PERIOD_MS);
+    return isDue ? access.source : undefined;
+  }
+
+  /** Any peer, less and less often while that doesn't help. */
+  private selectBlindly(now: number): string | undefined {
+    if (now < this.nextBlindRequestAt) return undefined;
+    this.nextBlindRequestAt = now + peerRequestDelayMs(this.unhelpfulRequests);
+    this.unhelpfulRequests += 1;
+    this.peerIndex += 1;
+    return this.pick(this.options.peers());
   }
 
   /** The router that reports the freshest state, if that is fresher than this router's by more than a little. */
@@ -174,13 +191,12 @@
     try {
       const isFresher = await this.requestFrom(target, target === access.source);
       state.metrics.recordControlCall(ControlCall.Peer, true);
-      this.scheduleNext(isFresher);
+      if (isFresher) this.unhelpfulRequests = 0;
     } catch (error) {
       state.metrics.recordControlCall(ControlCall.Peer, false);
       const now = state.clock.monotonic();
       if (target === access.source) this.policy.recordFailure(target, now);
       this.recordFailure(target, now);
-      this.scheduleNext(false);
       const reason = describeError(error).split('\n')[0];
       state.log.debug({ event: 'peers.state_not_told', peer: target, reason });
     }
@@ -193,19 +209,6 @@
     this.failedUntil.set(target, now + FAILURE_MS);
   }
 
-  private scheduleNext(isFresher: boolean): void {
-    const { state } = this.options;
-    this.unhelpfulRequests = isFresher ? 0 : this.unhelpfulRequests + 1;
-    this.peerIndex += isFresher ? 0 : 1;
-    const now = state.clock.monotonic();
-    const own = state.storeStateAge();
-    const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
-    const isHopeless = ageMs >= STALE_AGE_MS && this.selectFreshest(ageMs, now) === undefined;
-    const isReturning = this.policy.isReader && ageMs < STALE_AGE_MS;
-    const periodMs = isReturning ? RETURN_PERIOD_MS : FOLLOW_PERIOD_MS;
-    this.nextRequestAt = now + (isHopeless ? peerRequestDelayMs(this.unhelpfulRequests) : periodMs);
-  }
-
   /** Requests a snapshot from one peer; true if it was fresher than this router's state. */
   private async requestFrom(peer: string, isSource: boolean): Promise<boolean> {
     const { state } = this.options;
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -70,8 +70,8 @@
   arrivals = 0;
   /** Marks every response with the statement that the engine is about to stop. */
   isLeaving = false;
-  /** Value of `Retry-After` in refusals; none by default. */
-  retryAfter: string | undefined;
+  /** Returns the value of `Retry-After` in a refusal; none by default. */
+  chooseRetryAfter: () => string | undefined = () => undefined;
   chooseBehaviour: (request: IncomingMessage) => EngineBehaviour = () =>
     EngineBehaviour.CompleteAnswer;
   readonly options: PlatformEngineOptions;
@@ -138,7 +138,8 @@
     }
     const behaviour = this.chooseBehaviour(request);
     if (behaviour === EngineBehaviour.Refuse) {
-      if (this.retryAfter !== undefined) response.setHeader('Retry-After', this.retryAfter);
+      const retryAfter = this.chooseRetryAfter();
+      if (retryAfter !== undefined) response.setHeader('Retry-After', retryAfter);
       response.writeHead(503, { 'Attempt-Id': requestId, 'Not-Executed': '1' }).end();
       return;
     }
