Don't let a router that is ahead and doesn't answer keep others from being asked

Cause: a router whose reports name newer routes was asked every 300 ms while its last report was valid, also if it was gone or had no newer routes after all, and nobody else meanwhile. It is left out for 1.5 s now. Found by reading.

--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -44,7 +44,7 @@
 /** Least difference in ms by which another router's state must be fresher to be worth a request. */
 const MIN_GAIN_MS = 300;
 
-/** Time for which a router that didn't answer is not asked, in ms. */
+/** Time for which a router that didn't answer, or had nothing fresher, is not asked again, in ms. */
 const FAILURE_MS = 1_500;
 
 /** Range of the random index of the first peer, so that routers don't all ask the same one. */
@@ -90,7 +90,7 @@
   /** Whether the last request brought fresher state from a peer that isn't followed; only a change is logged. */
   private wasLastTaken = false;
   private isRequesting = false;
-  /** Routers that didn't answer, with the monotonic time until which they aren't asked, in ms. */
+  /** Routers that didn't help, with the monotonic time until which they aren't asked again, in ms. */
   private readonly failedUntil = new Map<string, number>();
 
   constructor(options: StateFollowerOptions) {
@@ -151,7 +151,7 @@
     const { state } = this.options;
     const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
     const fresher =
-      this.pick(state.peers.findAhead(own.version ?? 0, now)) ??
+      this.pick(this.findAhead(own, now)) ??
       (ageMs >= STALE_AGE_MS ? this.selectFreshest(ageMs, now) : undefined);
     if (fresher !== undefined) return fresher;
     if (needsPeerState(own, state.freshness.maxAgeMs)) return this.selectBlindly(now);
@@ -160,6 +160,12 @@
     return isDue ? access.source : undefined;
   }
 
+  /** The routers that report newer routes, without those that didn't help lately. */
+  private findAhead(own: StoreStateAge, now: number): string[] {
+    const ahead = this.options.state.peers.findAhead(own.version ?? 0, now);
+    return ahead.filter((address) => !this.hasFailed(address, now));
+  }
+
   /** Any peer, less and less often while that doesn't help. */
   private selectBlindly(now: number): string | undefined {
     if (now < this.nextBlindRequestAt) return undefined;
@@ -174,8 +180,8 @@
     let freshest: string | undefined;
     let leastAgeMs = ageMs - MIN_GAIN_MS;
     for (const { from, stateAgeMs } of this.options.state.peers.live(now)) {
-      const hasFailed = now < (this.failedUntil.get(from) ?? 0);
-      if (hasFailed || stateAgeMs === undefined || stateAgeMs >= leastAgeMs) continue;
+      if (stateAgeMs === undefined || stateAgeMs >= leastAgeMs) continue;
+      if (this.hasFailed(from, now)) continue;
       freshest = from;
       leastAgeMs = stateAgeMs;
     }
@@ -189,9 +195,11 @@
   private async ask(target: string, access: StoreAccess): Promise<void> {
     const { state } = this.options;
     try {
-      const isFresher = await this.requestFrom(target, target === access.source);
+      const isSource = target === access.source;
+      const isFresher = await this.requestFrom(target, isSource);
       state.metrics.recordControlCall(ControlCall.Peer, true);
       if (isFresher) this.unhelpfulRequests = 0;
+      else if (!isSource) this.recordFailure(target, state.clock.monotonic());
     } catch (error) {
       state.metrics.recordControlCall(ControlCall.Peer, false);
       const now = state.clock.monotonic();
@@ -202,6 +210,10 @@
     }
   }
 
+  private hasFailed(address: string, now: number): boolean {
+    return now < (this.failedUntil.get(address) ?? 0);
+  }
+
   private recordFailure(target: string, now: number): void {
     for (const [address, until] of this.failedUntil) {
       if (now >= until) this.failedUntil.delete(address);
@@ -230,7 +242,8 @@
     // The host may have been suspended during the request, so the response may be older than it seems.
     if (clock.now() - now - clockOffset > SUSPENSION_THRESHOLD_MS) return false;
     const age = snapshotAge(snapshot);
-    if (isSource) this.policy.recordAnswer(peer, snapshot.readAgeMs ?? Infinity, now);
+    if (isSource)
+      this.policy.recordAnswer(peer, snapshot.readAgeMs ?? Number.POSITIVE_INFINITY, now);
     const accepted = selectFresherState(state.storeStateAge(), age, requestedAt, now);
     return this.applySnapshot(peer, snapshot, accepted, isSource);
   }
