--- a/packages/forwarder/src/peers/group-report.ts
+++ b/packages/forwarder/src/peers/group-report.ts
@@ -2,13 +2,8 @@
  * Builds the group report of a data centre: the sums over its routers, and the announcements that this relay
  * passes on for some of them.
  */
-import type { RequestFingerprint, WorkspaceUsage } from '@poplarpick/decisions';
-import type {
-  CachedSegmentEntry,
-  EndpointLoadEntry,
-  LateRateEntry,
-  PeerReport,
-} from './peer-table.ts';
+import type { RequestFingerprint } from '@poplarpick/decisions';
+import type { CachedSegmentEntry, LateRateEntry, PeerReport } from './peer-table.ts';
 import type { ReportBody } from './report-exchange.ts';
 
 /** Most cached segments in one group report, so that it fits into a datagram; the others follow. */
@@ -50,43 +45,35 @@
 export function sumReports(reports: readonly ReportBody[], includesWorkspaces: boolean): GroupSums {
   const sums: GroupSums = {
     routers: reports.length,
-    loads: sumLoads(reports),
+    loads: sumEntries(reports.flatMap(({ loads }) => loads)),
     lateRates: meanLateRates(reports),
     draining: [...new Set(reports.flatMap(({ draining }) => draining ?? []))],
   };
-  return includesWorkspaces ? { ...sums, workspaces: sumWorkspaces(reports) } : sums;
-}
-
-function sumLoads(reports: readonly ReportBody[]): EndpointLoadEntry[] {
-  const sums = new Map<number, EndpointLoadEntry>();
-  for (const { loads } of reports) {
-    for (const entry of loads) {
-      const sum = sums.get(entry[0]);
-      if (sum === undefined) sums.set(entry[0], [...entry]);
-      else for (let field = 1; field < entry.length; field += 1) addField(sum, entry, field);
-    }
-  }
-  return [...sums.values()];
+  if (!includesWorkspaces) return sums;
+  const workspaces = sumEntries(reports.flatMap((report) => report.workspaces ?? []));
+  return { ...sums, workspaces };
 }
 
-function sumWorkspaces(reports: readonly ReportBody[]): WorkspaceUsage[] {
-  const sums = new Map<string, WorkspaceUsage>();
-  for (const { workspaces = [] } of reports) {
-    for (const entry of workspaces) {
-      const sum = sums.get(entry[0]);
-      if (sum === undefined) sums.set(entry[0], [...entry]);
-      else for (let field = 1; field < entry.length; field += 1) addField(sum, entry, field);
-    }
+/** Adds up the numbers of the entries with the same first field. */
+function sumEntries<Entry extends [key: string | number, ...numbers: number[]]>(
+  entries: readonly Entry[],
+): Entry[] {
+  const sums = new Map<string | number, Entry>();
+  for (const entry of entries) {
+    const sum = sums.get(entry[0]);
+    if (sum === undefined) sums.set(entry[0], [...entry]);
+    else addNumbers(sum, entry);
   }
   return [...sums.values()];
 }
 
-function addField(
-  sum: (string | number)[],
-  entry: readonly (string | number)[],
-  field: number,
+function addNumbers<Entry extends [key: string | number, ...numbers: number[]]>(
+  sum: Entry,
+  entry: Entry,
 ): void {
-  sum[field] = Number(sum[field]) + Number(entry[field]);
+  for (let field = 1; field < entry.length; field += 1) {
+    sum[field] = Number(sum[field]) + Number(entry[field]);
+  }
 }
 
 /** Mean late rate of each pool over the routers that report one. */
