Keep the endpoints that a router reads from the store when it takes newer routes from a peer

Cause: a router asks a peer whose reports name newer routes, also while it reads the store itself. It then took the peer's endpoints too if those had been confirmed a little later. Its own list could still be the newer one, since a watch that tells a change confirms only the time of its request: an engine whose deletion it had seen came back, and the watch didn't tell the deletion again.

Change: a router that reads the store takes a peer's endpoints only while its own are stale, and lists the engines again after that.

--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -43,6 +43,8 @@
   isFirstStart: boolean;
   /** Called with whether this router has to read the store, when that changes. */
   onReaderChange: (isReader: boolean) => void;
+  /** Called when the endpoints that were read from the store were replaced with the list of a peer. */
+  onEndpointsReplaced: () => void;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
 }
@@ -110,6 +112,7 @@
       localReports: () => this.peers.localReports(),
       peers: () => this.peers.peerAddresses(),
       onReaderChange: options.onReaderChange,
+      onEndpointsReplaced: options.onEndpointsReplaced,
     });
   }
 
--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -66,6 +66,8 @@
   peers: () => string[];
   /** Called with whether this router has to read the store, when that changes. */
   onReaderChange: (isReader: boolean) => void;
+  /** Called when a router that reads the store has replaced its endpoints with the list of a peer. */
+  onEndpointsReplaced: () => void;
 }
 
 /** Requests snapshots from other routers, and decides whether this one reads the store. */
@@ -259,18 +261,34 @@
       if (snapshot.routes !== undefined) state.applyRoutingTable(snapshot.routes);
       state.freshness.confirm(accepted.routesConfirmedAt);
     }
-    if (accepted.endpointsConfirmedAt !== undefined) {
-      if (snapshot.endpoints !== undefined) state.endpoints.replaceAll(snapshot.endpoints);
-      state.confirmEndpoints(accepted.endpointsConfirmedAt);
-    }
-    const isFresher =
-      accepted.routesConfirmedAt !== undefined || accepted.endpointsConfirmedAt !== undefined;
+    const hasFresherEndpoints = this.applyEndpoints(snapshot, accepted);
+    const isFresher = accepted.routesConfirmedAt !== undefined || hasFresherEndpoints;
     const isTaken = isFresher && !isSource;
     if (isTaken && !this.wasLastTaken) this.logAccepted(peer, snapshot, accepted);
     this.wasLastTaken = isTaken;
     return isFresher;
   }
 
+  /**
+   * Applies the endpoints of a snapshot; true if they are fresher. A router that reads the store takes them only
+   * while its own are stale: its list may be newer than the last confirmation tells, and a deletion that it has
+   * seen would not be repeated.
+   */
+  private applyEndpoints(
+    { endpoints }: StateSnapshot,
+    { endpointsConfirmedAt }: AcceptedPeerState,
+  ): boolean {
+    const { state, onEndpointsReplaced } = this.options;
+    if (endpointsConfirmedAt === undefined) return false;
+    if (this.isReader && state.storeStateAge().endpointsAgeMs < STALE_AGE_MS) return false;
+    if (endpoints !== undefined) {
+      state.endpoints.replaceAll(endpoints);
+      if (this.isReader) onEndpointsReplaced();
+    }
+    state.confirmEndpoints(endpointsConfirmedAt);
+    return true;
+  }
+
   private logAccepted(peer: string, snapshot: StateSnapshot, accepted: AcceptedPeerState): void {
     const { log, clock } = this.options.state;
     const now = clock.monotonic();
