One memory of routers that failed lately, one age of the state, one report builder for tests

Read-through of the exchange and the store readers, no change of behaviour: - the policy of store readers and the follower each kept a map of failed routers, with the same time and the same clean-up: RecentFailures serves both; - the age of the older part of a state was computed in four places: oldestAgeMs; - a relay copied its queue of announcements with each report it received: it is appended to in place; - two tests built the same empty report.

--- a/packages/decisions/src/forwarding/peer-state.ts
+++ b/packages/decisions/src/forwarding/peer-state.ts
@@ -19,6 +19,11 @@
   endpointsAgeMs: number;
 }
 
+/** Age of the older part of a state, in ms. */
+export function oldestAgeMs({ routesAgeMs, endpointsAgeMs }: StoreStateAge): number {
+  return Math.max(routesAgeMs, endpointsAgeMs);
+}
+
 /** The parts of a peer's state to accept, with confirmation times on this router's monotonic clock. */
 export interface AcceptedPeerState {
   /** Undefined if the peer's routes are an older version, or weren't confirmed more recently. */
@@ -39,7 +44,7 @@
 /** True if a router has no routes yet, or if its state is getting close to the age of `maxAgeMs`. */
 export function needsPeerState(own: StoreStateAge, maxAgeMs: number): boolean {
   if (own.version === undefined) return true;
-  return Math.max(own.routesAgeMs, own.endpointsAgeMs) > maxAgeMs * REQUEST_AGE_FRACTION;
+  return oldestAgeMs(own) > maxAgeMs * REQUEST_AGE_FRACTION;
 }
 
 /** Delay until the next request to a peer after a number of consecutive unhelpful responses, in ms. */
--- a/packages/decisions/src/forwarding/store-reader-policy.ts
+++ b/packages/decisions/src/forwarding/store-reader-policy.ts
@@ -15,6 +15,7 @@
  * each where keys must be confirmed more often than a follower can be sure of.
  */
 import { rankByRendezvous } from '../rendezvous/rendezvous.ts';
+import { RecentFailures } from './recent-failures.ts';
 
 /** Least number of routers in a data centre of which some follow. */
 const MIN_ROUTERS_TO_FOLLOW = 4;
@@ -40,9 +41,6 @@
 /** Longest time since a successful read of the store, in ms, for which a router is followed. */
 const MAX_READ_AGE_MS = 1_700;
 
-/** Time for which a router that didn't answer is not followed, in ms. */
-const FAILURE_MS = 1_500;
-
 /** Options of a `StoreReaderPolicy`. */
 export interface StoreReaderPolicyOptions {
   /** `IP:port` of this router, by which its peers know it. */
@@ -76,7 +74,7 @@
   private readonly options: StoreReaderPolicyOptions;
   /** This router reads the store until another one can be followed. */
   private isReading = false;
-  private readonly failedUntil = new Map<string, number>();
+  private readonly failures = new RecentFailures();
 
   constructor(options: StoreReaderPolicyOptions) {
     this.options = options;
@@ -105,12 +103,12 @@
       return;
     }
     this.isReading = false;
-    this.failedUntil.delete(source);
+    this.failures.clear(source);
   }
 
   /** Records that a source didn't answer. */
   recordFailure(source: string, now: number): void {
-    this.failedUntil.set(source, now + FAILURE_MS);
+    this.failures.record(source, now);
   }
 
   /** The routers that rank before this one, the first one first; none if this one doesn't follow. */
@@ -126,12 +124,9 @@
   }
 
   private selectSource(higher: readonly NearbyRouter[], now: number): string | undefined {
-    for (const [address, until] of this.failedUntil) {
-      if (now >= until) this.failedUntil.delete(address);
-    }
     const source = higher.find(
       ({ address, readAgeMs }) =>
-        readAgeMs !== undefined && readAgeMs <= MAX_READ_AGE_MS && !this.failedUntil.has(address),
+        readAgeMs !== undefined && readAgeMs <= MAX_READ_AGE_MS && !this.failures.has(address, now),
     );
     return source?.address;
   }
--- a/packages/forwarder/src/peers/group-report.ts
+++ b/packages/forwarder/src/peers/group-report.ts
@@ -17,13 +17,13 @@
 
 /** Announcements of routers that wait to be passed on. */
 export class AnnouncementQueue {
-  private segments: CachedSegmentEntry[] = [];
-  private refusals: RequestFingerprint[] = [];
+  private readonly segments: CachedSegmentEntry[] = [];
+  private readonly refusals: RequestFingerprint[] = [];
 
   /** Adds the announcements of one report. */
   add({ kept, refused = [] }: Pick<PeerReport, 'kept' | 'refused'>): void {
-    this.segments = [...this.segments, ...kept].slice(-MAX_WAITING);
-    this.refusals = [...this.refusals, ...refused].slice(-MAX_WAITING);
+    append(this.segments, kept);
+    append(this.refusals, refused);
   }
 
   /** Takes the announcements of the next group report. */
@@ -35,6 +35,12 @@
   }
 }
 
+/** Appends to a queue in place, since one is appended to with each report, and drops the oldest entries. */
+function append<Entry>(queue: Entry[], entries: readonly Entry[]): void {
+  queue.push(...entries);
+  queue.splice(0, queue.length - MAX_WAITING);
+}
+
 /** The sums of a group report. */
 export type GroupSums = Pick<
   PeerReport,
--- a/packages/forwarder/src/peers/peer-exchange.test.ts
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -7,25 +7,12 @@
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import { PeerExchange } from './peer-exchange.ts';
 import { PEER_TTL_MS, PeerTable } from './peer-table.ts';
-import type { PeerReport } from './peer-table.ts';
+import { makeReport } from './testing-reports.ts';
 
 const WAIT_TIMEOUT_MS = 5_000;
 /** Period of the reports that go to all known addresses, in ms. */
 const FULL_LIST_PERIOD_MS = 1_100;
 
-function makeReport(overrides: Partial<PeerReport>): PeerReport {
-  return {
-    from: '127.0.0.1:1',
-    startedAt: 1,
-    sequence: 1,
-    version: 1,
-    loads: [],
-    kept: [],
-    lateRates: [],
-    ...overrides,
-  };
-}
-
 /** The system's clock, which a test can advance. */
 class AdvancingClock extends SystemClock {
   advancedMs = 0;
--- a/packages/forwarder/src/peers/report-exchange.test.ts
+++ b/packages/forwarder/src/peers/report-exchange.test.ts
@@ -6,6 +6,7 @@
 import { decodeReport, encodeReport, MAX_DATAGRAM_BYTES } from './report-codec.ts';
 import { ReportExchange } from './report-exchange.ts';
 import type { ReportBody } from './report-exchange.ts';
+import { makeReport } from './testing-reports.ts';
 
 const TURNS = 12;
 const FUZZ_OPTIONS = { seed: 5, numRuns: 1_000 };
@@ -19,19 +20,6 @@
   }
 }
 
-function makeReport(overrides: Partial<PeerReport>): PeerReport {
-  return {
-    from: '10.0.0.2:1',
-    startedAt: 1,
-    sequence: 1,
-    version: 1,
-    loads: [],
-    kept: [],
-    lateRates: [],
-    ...overrides,
-  };
-}
-
 /** One router whose datagrams are kept. */
 class TestRouter {
   readonly clock = new TestClock();
--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -6,7 +6,9 @@
 import { Agent, request } from 'undici';
 import {
   needsPeerState,
+  oldestAgeMs,
   peerRequestDelayMs,
+  RecentFailures,
   selectFresherState,
   StoreReaderPolicy,
   SUSPENSION_THRESHOLD_MS,
@@ -44,9 +46,6 @@
 /** Least difference in ms by which another router's state must be fresher to be worth a request. */
 const MIN_GAIN_MS = 300;
 
-/** Time for which a router that didn't answer, or had nothing fresher, is not asked again, in ms. */
-const FAILURE_MS = 1_500;
-
 /** Range of the random index of the first peer, so that routers don't all ask the same one. */
 const INITIAL_INDEX_RANGE = 1_000;
 
@@ -92,8 +91,8 @@
   /** Whether the last request brought fresher state from a peer that isn't followed; only a change is logged. */
   private wasLastTaken = false;
   private isRequesting = false;
-  /** Routers that didn't help, with the monotonic time until which they aren't asked again, in ms. */
-  private readonly failedUntil = new Map<string, number>();
+  /** Routers that didn't answer or had nothing fresher; they aren't asked again for a while. */
+  private readonly failures = new RecentFailures();
 
   constructor(options: StateFollowerOptions) {
     this.options = options;
@@ -122,7 +121,7 @@
     const { state, localReports } = this.options;
     const now = state.clock.monotonic();
     const own = state.storeStateAge();
-    const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
+    const ageMs = oldestAgeMs(own);
     const nearby = localReports().map(({ from, readAgeMs }) => ({ address: from, readAgeMs }));
     const access = this.policy.decide(nearby, ageMs, now);
     this.setReader(access.isReader, ageMs);
@@ -151,7 +150,7 @@
     const sinceRequestMs = now - this.requestedAt;
     if (sinceRequestMs < FOLLOW_PERIOD_MS) return undefined;
     const { state } = this.options;
-    const ageMs = Math.max(own.routesAgeMs, own.endpointsAgeMs);
+    const ageMs = oldestAgeMs(own);
     const fresher =
       this.pick(this.findAhead(own, now)) ??
       (ageMs >= STALE_AGE_MS ? this.selectFreshest(ageMs, now) : undefined);
@@ -165,7 +164,7 @@
   /** The routers that report newer routes, without those that didn't help lately. */
   private findAhead(own: StoreStateAge, now: number): string[] {
     const ahead = this.options.state.peers.findAhead(own.version ?? 0, now);
-    return ahead.filter((address) => !this.hasFailed(address, now));
+    return ahead.filter((address) => !this.failures.has(address, now));
   }
 
   /** Any peer, less and less often while that doesn't help. */
@@ -183,7 +182,7 @@
     let leastAgeMs = ageMs - MIN_GAIN_MS;
     for (const { from, stateAgeMs } of this.options.state.peers.live(now)) {
       if (stateAgeMs === undefined || stateAgeMs >= leastAgeMs) continue;
-      if (this.hasFailed(from, now)) continue;
+      if (this.failures.has(from, now)) continue;
       freshest = from;
       leastAgeMs = stateAgeMs;
     }
@@ -201,28 +200,17 @@
       const isFresher = await this.requestFrom(target, isSource);
       state.metrics.recordControlCall(ControlCall.Peer, true);
       if (isFresher) this.unhelpfulRequests = 0;
-      else if (!isSource) this.recordFailure(target, state.clock.monotonic());
+      else if (!isSource) this.failures.record(target, state.clock.monotonic());
     } catch (error) {
       state.metrics.recordControlCall(ControlCall.Peer, false);
       const now = state.clock.monotonic();
       if (target === access.source) this.policy.recordFailure(target, now);
-      this.recordFailure(target, now);
+      this.failures.record(target, now);
       const reason = describeError(error).split('\n')[0];
       state.log.debug({ event: 'peers.state_not_told', peer: target, reason });
     }
   }
 
-  private hasFailed(address: string, now: number): boolean {
-    return now < (this.failedUntil.get(address) ?? 0);
-  }
-
-  private recordFailure(target: string, now: number): void {
-    for (const [address, until] of this.failedUntil) {
-      if (now >= until) this.failedUntil.delete(address);
-    }
-    this.failedUntil.set(target, now + FAILURE_MS);
-  }
-
   /** Requests a snapshot from one peer; true if it was fresher than this router's state. */
   private async requestFrom(peer: string, isSource: boolean): Promise<boolean> {
     const { state } = this.options;
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -17,6 +17,7 @@
   FairShareLedger,
   fingerprintRequest,
   LatencyEstimator,
+  oldestAgeMs,
   RefusedRequests,
   SurplusLimiter,
 } from '@poplarpick/decisions';
@@ -336,8 +337,7 @@
   }
 
   private reportAges(): Pick<ReportBody, 'stateAgeMs' | 'readAgeMs'> {
-    const { routesAgeMs, endpointsAgeMs } = this.storeStateAge();
-    const stateAgeMs = Math.max(routesAgeMs, endpointsAgeMs);
+    const stateAgeMs = oldestAgeMs(this.storeStateAge());
     const readAgeMs = this.storeReadAgeMs();
     return {
       ...(Number.isFinite(stateAgeMs) ? { stateAgeMs: Math.round(stateAgeMs) } : {}),
