--- a/packages/bench/src/exchange/exchange-replay.ts
+++ b/packages/bench/src/exchange/exchange-replay.ts
@@ -109,6 +109,7 @@
         draining: [],
       }),
       onReport: () => undefined,
+      onRejected: () => undefined,
       transmit: (target, message) => network.send(this.address, target, message),
     });
     exchange.setSeeds(network.seeds);
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -98,6 +98,7 @@
       table: this.state.peers,
       buildReport: (includesWorkspaces) => this.state.buildReport(includesWorkspaces),
       onReport: (report) => this.state.applyReport(report),
+      onRejected: () => this.state.metrics.recordRejectedReport(),
       onBytes: (direction, bytes) => this.state.metrics.recordReportBytes(direction, bytes),
     });
     this.stateServer = new StateServer({
--- a/packages/forwarder/src/peers/peer-exchange.test.ts
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -77,6 +77,7 @@
       table,
       buildReport: () => ({ version: 1, loads: [], kept: [], lateRates: [] }),
       onReport: () => undefined,
+      onRejected: () => undefined,
       onBytes: () => undefined,
     });
     exchanges.push(exchange);
@@ -108,6 +109,18 @@
     noise.close();
   });
 
+  it('goes on after a report whose sender is no address', async () => {
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    const [first = '', second = ''] = ports.map((port) => `127.0.0.1:${port}`);
+    const table = await start(first, []);
+    const forger = createSocket('udp4');
+    forger.send(pack(makeReport({ from: 'noise', dataCentre: 'z' })), ports[0] ?? 0, '127.0.0.1');
+    await sleep(FULL_LIST_PERIOD_MS);
+    await start(second, [first]);
+    await waitFor(() => table.countRouters(performance.now()) === 2);
+    forger.close();
+  });
+
   it('forgets an address that no report has named for ten minutes', async () => {
     const [port, silentPort] = await Promise.all([findFreePort(), findFreePort()]);
     const clock = new AdvancingClock();
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -1,4 +1,9 @@
-/** Encodes reports as MessagePack datagrams, and decodes and checks those of other routers. */
+/**
+ * Encodes reports as MessagePack datagrams, and decodes and checks those of other routers. Anyone on the network
+ * can send a datagram, and it may have been corrupted, so numbers are checked for their range and addresses for
+ * their form: the sums over all routers and the sockets rely on them.
+ */
+import { isIPv4 } from 'node:net';
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
 import type { WorkspaceUsage } from '@poplarpick/decisions';
@@ -16,25 +21,33 @@
  */
 export const MAX_DATAGRAM_BYTES = 16_000;
 
+/** Largest count in a report, in requests or tokens: far above any real one, and exact in sums over all routers. */
+const MAX_COUNT = 1_000_000_000_000;
+
+/** Most routers that one group report may stand for. */
+const MAX_ROUTERS = 10_000;
+
+const MAX_PORT = 65_535;
+
 const packr = new Packr({ useRecords: false });
 
 /** Validates a decoded datagram. */
 export const peerReportSchema = z.object({
-  from: z.string(),
+  from: z.string().refine(isAddress),
   startedAt: z.number(),
   sequence: z.number(),
   version: z.number(),
-  stateAgeMs: z.number().optional(),
-  readAgeMs: z.number().optional(),
+  stateAgeMs: z.number().nonnegative().optional(),
+  readAgeMs: z.number().nonnegative().optional(),
   dataCentre: z.string().optional(),
-  routers: z.int().min(1).optional(),
-  peers: z.array(z.string()).optional(),
+  routers: z.int().min(1).max(MAX_ROUTERS).optional(),
+  peers: listOf<string>(isAddress).optional(),
   members: listOf<MemberEntry>(isMember).optional(),
   knownMembers: z.number().optional(),
-  loads: listOf<EndpointLoadEntry>((entry) => isNumbers(entry, 5)),
+  loads: listOf<EndpointLoadEntry>((entry) => isCounts(entry, 5)),
   workspaces: listOf<WorkspaceUsage>(isWorkspaceUsage).optional(),
-  kept: listOf<CachedSegmentEntry>((entry) => isNumbers(entry, 3)),
-  lateRates: listOf<LateRateEntry>((entry) => isNumbers(entry, 2)),
+  kept: listOf<CachedSegmentEntry>((entry) => isCounts(entry, 3)),
+  lateRates: listOf<LateRateEntry>(isLateRate),
   refused: listOf<number>(Number.isFinite).optional(),
   draining: listOf<number>(Number.isFinite).optional(),
 }) satisfies z.ZodType<PeerReport>;
@@ -47,19 +60,37 @@
   return z.custom<Entry[]>((list) => Array.isArray(list) && list.every(isEntry));
 }
 
-function isNumbers(entry: unknown, length: number): boolean {
-  return Array.isArray(entry) && entry.length === length && entry.every(Number.isFinite);
+function isCount(value: unknown): value is number {
+  return Number.isInteger(value) && Number(value) >= 0 && Number(value) <= MAX_COUNT;
+}
+
+function isCounts(entry: unknown, length: number): boolean {
+  return Array.isArray(entry) && entry.length === length && entry.every(isCount);
 }
 
 function isWorkspaceUsage(entry: unknown): boolean {
   if (!Array.isArray(entry) || typeof entry[0] !== 'string') return false;
-  return isNumbers(entry.slice(1), 3);
+  return isCounts(entry.slice(1), 3);
+}
+
+function isLateRate(entry: unknown): boolean {
+  if (!Array.isArray(entry) || entry.length !== 2) return false;
+  const [pool, rate] = entry as unknown[];
+  return isCount(pool) && typeof rate === 'number' && rate >= 0 && rate <= 1;
 }
 
 function isMember(entry: unknown): boolean {
-  return (
-    Array.isArray(entry) && entry.length === 2 && entry.every((text) => typeof text === 'string')
-  );
+  if (!Array.isArray(entry) || entry.length !== 2) return false;
+  const [address, dataCentre] = entry as unknown[];
+  return isAddress(address) && typeof dataCentre === 'string';
+}
+
+/** Whether a value is an address of the form `IP:port`. */
+function isAddress(value: unknown): boolean {
+  if (typeof value !== 'string') return false;
+  const separator = value.lastIndexOf(':');
+  const port = Number(value.slice(separator + 1));
+  return isIPv4(value.slice(0, separator)) && port > 0 && port <= MAX_PORT && isCount(port);
 }
 
 /** Decodes a datagram. Throws when it is no valid report. */
--- a/packages/forwarder/src/peers/report-exchange.test.ts
+++ b/packages/forwarder/src/peers/report-exchange.test.ts
@@ -9,6 +9,7 @@
 import { makeReport } from './testing-reports.ts';
 
 const TURNS = 12;
+const NOISE_DATAGRAMS = 10_000;
 const FUZZ_OPTIONS = { seed: 5, numRuns: 1_000 };
 
 /** A clock that stands at the time of the test. */
@@ -26,6 +27,7 @@
   readonly table = new PeerTable();
   readonly received: PeerReport[] = [];
   readonly logLines: string[] = [];
+  rejected = 0;
   sent: { target: string; report: PeerReport }[] = [];
   body: ReportBody = { version: 1, loads: [], kept: [], lateRates: [], refused: [], draining: [] };
   readonly exchange: ReportExchange;
@@ -39,6 +41,7 @@
       table: this.table,
       buildReport: () => this.body,
       onReport: (report) => this.received.push(report),
+      onRejected: () => (this.rejected += 1),
       transmit: (target, message) => {
         this.sent.push({ target, report: decodeReport(message) });
       },
@@ -203,4 +206,40 @@
     const tooMany = Array.from({ length: 10 }, () => loads).flat();
     expect(encodeReport(makeReport({ loads: tooMany }))).to.equal(undefined);
   });
+
+  const forgeries: [name: string, forged: Partial<PeerReport>][] = [
+    ['a sender without a port', { from: 'noise' }],
+    ['a sender with an impossible port', { from: '10.0.0.2:70000' }],
+    ['a sender that is no IP address', { from: '10.0.0;2:1' }],
+    ['a peer that is no address', { peers: ['noise'] }],
+    ['a member that is no address', { members: [['noise', 'a']] }],
+    ['a negative load', { loads: [[1, -2, 3, 4, 5]] }],
+    ['an absurdly large load', { loads: [[1, 2, 1e300, 4, 5]] }],
+    ['a negative usage', { workspaces: [['w', -1, 0, 0]] }],
+    ['an absurdly large usage', { workspaces: [['w', 1e300, 0, 0]] }],
+    ['a fractional usage', { workspaces: [['w', 0.1, 0, 0]] }],
+    ['a late rate above 1', { lateRates: [[1, 1.5]] }],
+  ];
+  for (const [name, forged] of forgeries) {
+    it(`are rejected with ${name}`, () => {
+      const router = new TestRouter('10.0.0.1:1', 'a');
+      router.receive(makeReport({ dataCentre: 'a', ...forged }));
+      expect(router.received).to.deep.equal([]);
+      expect(router.rejected).to.equal(1);
+    });
+  }
+
+  it('are dropped and counted by the thousand, while valid ones are accepted', () => {
+    const router = new TestRouter('10.0.0.1:1', 'a');
+    const valid = makeReport({ dataCentre: 'a', loads: [[1, 2, 3, 4, 5]] });
+    const encoded = encodeReport(valid) ?? Buffer.alloc(0);
+    const cut = encoded.subarray(0, encoded.length / 2);
+    for (let count = 0; count < NOISE_DATAGRAMS; count += 1) {
+      router.exchange.receive(cut, '10.0.0.2:1');
+    }
+    router.receive(valid);
+    expect(router.rejected).to.equal(NOISE_DATAGRAMS);
+    expect(router.logLines.filter((line) => line.includes('unreadable'))).to.have.length(1);
+    expect(router.received).to.have.length(1);
+  });
 });
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -65,6 +65,8 @@
   /** Builds the fields of a report that come from this router's state. */
   buildReport: (includesWorkspaces: boolean) => ReportBody;
   onReport: (report: PeerReport) => void;
+  /** Called for each datagram that is no valid report. */
+  onRejected: () => void;
   /** Sends a datagram. */
   transmit: (target: string, message: Buffer) => void;
 }
@@ -318,6 +320,7 @@
     try {
       return decodeReport(message);
     } catch (error) {
+      this.options.onRejected();
       this.logFailure('peers.unreadable_report', error);
       return undefined;
     }
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -129,6 +129,11 @@
     labelNames: ['direction'],
     registers: [this.registry],
   });
+  private readonly rejectedReports = new Counter({
+    name: 'poplarpick_reports_rejected_total',
+    help: 'Datagrams from other hosts that were no valid report',
+    registers: [this.registry],
+  });
   private server: Server | undefined;
 
   constructor(source: MetricsSource) {
@@ -194,6 +199,10 @@
     this.reportBytes.inc({ direction }, bytes);
   }
 
+  recordRejectedReport(): void {
+    this.rejectedReports.inc();
+  }
+
   /** Counts a call as good (complete and on time) or bad, unless its caller disconnected. */
   private recordServiceLevel({
     route,
