--- a/packages/bench/src/capacity/design-links.ts
+++ b/packages/bench/src/capacity/design-links.ts
@@ -1,7 +1,7 @@
 /** Number of links of each role at the design size, from the functions that select links. */
 import { selectNeighbours, selectRoutersForSidecar } from '@poplarpick/decisions';
 import { DESIGN_SIZE } from './design-size.ts';
-import type { DesignLinks } from './projection.ts';
+import type { DesignLinks } from './capacity-terms.ts';
 
 /** Nodes of each role whose links are counted. Links are selected by hash, so a sample is representative. */
 const SAMPLE_SIZE = 100;
--- a/packages/bench/src/capacity/page.ts
+++ b/packages/bench/src/capacity/page.ts
@@ -1,6 +1,7 @@
 /** Renders the tables of the capacity page between their markers from a result. */
 import type { ConfigurationPoint } from './configuration-cost.ts';
-import type { CapacityLine, DesignLinks } from './projection.ts';
+import type { CapacityLine } from './capacity-line.ts';
+import type { DesignLinks } from './capacity-terms.ts';
 import type { MeasuredSlope } from './slopes.ts';
 import type { Sweep } from './sweeps.ts';
 
--- a/packages/bench/src/capacity/projection.ts
+++ b/packages/bench/src/capacity/projection.ts
@@ -5,112 +5,24 @@
 import { MAX_POLLS_PER_SECOND, READERS_PER_DATA_CENTRE } from '@poplarpick/decisions';
 import { fitLine } from '@poplarpick/load';
 import type { LineFit } from '@poplarpick/load';
-import type { ConfigurationPoint } from './configuration-cost.ts';
-import { DESIGN_SIZE, LIMITS, SECONDS_PER_DAY } from './design-size.ts';
-import type { NodeRates } from './node-rates.ts';
-import { CapacityRole, fitSlopes } from './slopes.ts';
-import type { MeasuredSlope } from './slopes.ts';
+import { createLine } from './capacity-line.ts';
+import type { CapacityLine } from './capacity-line.ts';
+import { CHANGES_PER_SECOND, round, TermBuilder } from './capacity-terms.ts';
+import type { CapacityInput, CapacityTerm, DesignLinks } from './capacity-terms.ts';
+import { DESIGN_SIZE, LIMITS } from './design-size.ts';
+import {
+  projectControlCpu,
+  projectControlMessages,
+  projectControlVolume,
+  projectMemory,
+} from './node-projection.ts';
+import type { DesignNode } from './node-projection.ts';
+import { CapacityRole } from './slopes.ts';
 import { LOAD_SIDECARS, SweepName } from './sweeps.ts';
-import type { Sweep, SweepPoint } from './sweeps.ts';
 
-/** One summand of a line. */
-export interface CapacityTerm {
-  name: string;
-  value: number;
-  /** Standard error of the value, from the fit. */
-  error: number;
-}
-
-/** Projected use of one resource by one role. */
-export interface CapacityLine {
-  role: CapacityRole;
-  quantity: string;
-  unit: string;
-  value: number;
-  error: number;
-  limit: number | null;
-  over: boolean;
-  mechanism: string;
-  /** Remedy if the line exceeds its limit, or what fails first. */
-  remark: string;
-  terms: CapacityTerm[];
-}
-
-/** Measurements that the lines are computed from. */
-export interface CapacityInput {
-  sweeps: Sweep[];
-  configurations: ConfigurationPoint[];
-  /** Links of a node of each role at the design size. */
-  links: DesignLinks;
-}
-
-/** Mean number of links of a node of each role at the design size. */
-export interface DesignLinks {
-  routersOfSidecar: number;
-  sidecarsOfRouter: number;
-  routersOfRouter: number;
-}
-
-const CHANGES_PER_SECOND = DESIGN_SIZE.changesPerDay / SECONDS_PER_DAY;
 const REQUESTS_PER_ROUTER = DESIGN_SIZE.requestsPerSecond / DESIGN_SIZE.routers;
 const REQUESTS_PER_SIDECAR = DESIGN_SIZE.requestsPerSecond / DESIGN_SIZE.sidecars;
 
-/** Builds terms from the measured slopes. */
-class TermBuilder {
-  private readonly slopes: MeasuredSlope[];
-  private readonly input: CapacityInput;
-
-  constructor(input: CapacityInput) {
-    this.input = input;
-    this.slopes = fitSlopes(input.sweeps);
-  }
-
-  /** Term of a slope times a quantity of the design size. */
-  slopeTerm(
-    role: MeasuredSlope['role'],
-    sweep: SweepName,
-    quantity: keyof NodeRates,
-    count: number,
-  ): CapacityTerm {
-    const { fit, varied } = this.findSlope(role, sweep, quantity);
-    const name = `${round(fit.slope)} × ${round(count)} (${varied})`;
-    return { name, value: fit.slope * count, error: fit.slopeError * count };
-  }
-
-  /** Term of the fit's intercept. */
-  constantTerm(
-    role: MeasuredSlope['role'],
-    sweep: SweepName,
-    quantity: keyof NodeRates,
-  ): CapacityTerm {
-    const { fit } = this.findSlope(role, sweep, quantity);
-    return { name: `constant part (${sweep})`, value: fit.intercept, error: fit.residual };
-  }
-
-  /** Fits a measure of the configuration documents by their share of the design size. */
-  fitConfigurations(selectValue: (point: ConfigurationPoint) => number): LineFit {
-    return fitLine(
-      this.input.configurations.map((point) => ({ x: point.share, y: selectValue(point) })),
-    );
-  }
-
-  findPoints(name: SweepName): SweepPoint[] {
-    return this.input.sweeps.find((sweep) => sweep.name === name)?.points ?? [];
-  }
-
-  private findSlope(
-    role: MeasuredSlope['role'],
-    sweep: SweepName,
-    quantity: keyof NodeRates,
-  ): MeasuredSlope {
-    const found = this.slopes.find(
-      (slope) => slope.role === role && slope.sweep === sweep && slope.quantity === quantity,
-    );
-    if (found === undefined) throw new Error(`sweep ${sweep} was not measured`);
-    return found;
-  }
-}
-
 /** Projects all lines of the page. */
 export function projectLines(input: CapacityInput): CapacityLine[] {
   const builder = new TermBuilder(input);
@@ -123,50 +35,28 @@
 
 function projectRouterLines(builder: TermBuilder, links: DesignLinks): CapacityLine[] {
   const role = CapacityRole.Router;
-  const controlTerms = (quantity: keyof NodeRates): CapacityTerm[] => [
-    builder.constantTerm(role, SweepName.Sidecars, quantity),
-    builder.slopeTerm(role, SweepName.Sidecars, quantity, links.sidecarsOfRouter),
-    builder.slopeTerm(role, SweepName.Neighbours, quantity, links.routersOfRouter),
-    builder.slopeTerm(role, SweepName.Backlog, quantity, DESIGN_SIZE.backloggedWorkspaces),
-    builder.slopeTerm(role, SweepName.Requests, quantity, REQUESTS_PER_ROUTER),
-  ];
+  const { backloggedWorkspaces } = DESIGN_SIZE;
   const tokensPerSecond = DESIGN_SIZE.tokensPerSecond / DESIGN_SIZE.routers;
+  const router: DesignNode = {
+    role,
+    builder,
+    linkTerms: (quantity) => [
+      builder.constantTerm(role, SweepName.Sidecars, quantity),
+      builder.slopeTerm(role, SweepName.Sidecars, quantity, links.sidecarsOfRouter),
+      builder.slopeTerm(role, SweepName.Neighbours, quantity, links.routersOfRouter),
+    ],
+    loadTerms: (quantity) => [
+      builder.slopeTerm(role, SweepName.Backlog, quantity, backloggedWorkspaces),
+      builder.slopeTerm(role, SweepName.Requests, quantity, REQUESTS_PER_ROUTER),
+    ],
+  };
   return [
-    createLine({
-      role,
-      quantity: 'control volume',
-      unit: 'bytes/s',
-      limit: LIMITS.controlBytesPerSecond,
-      terms: [
-        ...controlTerms('controlBytes'),
-        configurationChangeTerm(builder, role, 'controlBytes'),
-      ],
-      mechanism: 'heartbeats, backlog notices, claims, reports, changes of the configuration',
-      remark:
-        'send changes of the configuration rather than whole documents; leave heartbeats out on busy links',
-    }),
-    createLine({
-      role,
-      quantity: 'control messages',
-      unit: 'messages/s',
-      terms: controlTerms('controlMessages'),
-      mechanism: 'the same',
-      remark: 'grows with the sidecars linked to a router',
-    }),
-    createLine({
-      role,
-      quantity: 'processor time of control',
-      unit: 'cores',
-      limit: LIMITS.controlCpu,
-      terms: [
-        builder.constantTerm(role, SweepName.Sidecars, 'cpu'),
-        builder.slopeTerm(role, SweepName.Sidecars, 'cpu', links.sidecarsOfRouter),
-        builder.slopeTerm(role, SweepName.Neighbours, 'cpu', links.routersOfRouter),
-        configurationChangeTerm(builder, role, 'cpu'),
-      ],
-      mechanism: 'links without load; taking in of each revision',
-      remark: 'reports and heartbeats, message by message',
-    }),
+    projectControlVolume(
+      router,
+      'send changes of the configuration rather than whole documents; leave heartbeats out on busy links',
+    ),
+    projectControlMessages(router, 'grows with the sidecars linked to a router'),
+    projectControlCpu(router),
     createLine({
       role,
       quantity: 'processor time of requests and answers',
@@ -178,85 +68,38 @@
       mechanism: 'token frames from links to callers',
       remark: 'a router is one thread; over one core, more routers or fewer frames are needed',
     }),
-    createLine({
-      role,
-      quantity: 'private memory',
-      unit: 'bytes',
-      limit: LIMITS.controlMemoryBytes,
-      terms: [
-        builder.constantTerm(role, SweepName.Sidecars, 'anonBytes'),
-        builder.slopeTerm(role, SweepName.Sidecars, 'anonBytes', links.sidecarsOfRouter),
-        builder.slopeTerm(role, SweepName.Neighbours, 'anonBytes', links.routersOfRouter),
-        configurationMemoryTerm(builder),
-      ],
-      mechanism: 'runtime and libraries, link buffers, the parsed configuration',
-      remark:
-        'the runtime alone takes most of it; the limit is for control, the figure is the whole process',
-    }),
+    projectMemory(
+      router,
+      'the runtime alone takes most of it; the limit is for control, the figure is the whole process',
+    ),
   ];
 }
 
 function projectSidecarLines(builder: TermBuilder, links: DesignLinks): CapacityLine[] {
   const role = CapacityRole.Sidecar;
-  const controlTerms = (quantity: keyof NodeRates): CapacityTerm[] => [
-    builder.constantTerm(role, SweepName.Routers, quantity),
-    builder.slopeTerm(role, SweepName.Routers, quantity, links.routersOfSidecar),
-    builder.slopeTerm(
-      role,
-      SweepName.Backlog,
-      quantity,
-      DESIGN_SIZE.backloggedWorkspaces * links.routersOfSidecar,
-    ),
-    // The sweep varies the requests of one router, which are spread over `LOAD_SIDECARS` sidecars.
-    builder.slopeTerm(role, SweepName.Requests, quantity, REQUESTS_PER_SIDECAR * LOAD_SIDECARS),
-  ];
+  const waiting = DESIGN_SIZE.backloggedWorkspaces * links.routersOfSidecar;
+  // The sweep varies the requests of one router, which are spread over `LOAD_SIDECARS` sidecars.
+  const requests = REQUESTS_PER_SIDECAR * LOAD_SIDECARS;
+  const sidecar: DesignNode = {
+    role,
+    builder,
+    linkTerms: (quantity) => [
+      builder.constantTerm(role, SweepName.Routers, quantity),
+      builder.slopeTerm(role, SweepName.Routers, quantity, links.routersOfSidecar),
+    ],
+    loadTerms: (quantity) => [
+      builder.slopeTerm(role, SweepName.Backlog, quantity, waiting),
+      builder.slopeTerm(role, SweepName.Requests, quantity, requests),
+    ],
+  };
   return [
-    createLine({
-      role,
-      quantity: 'control volume',
-      unit: 'bytes/s',
-      limit: LIMITS.controlBytesPerSecond,
-      terms: [
-        ...controlTerms('controlBytes'),
-        configurationChangeTerm(builder, role, 'controlBytes'),
-      ],
-      mechanism: 'heartbeats, backlog notices, claims, reports, changes of the configuration',
-      remark: 'reports and totals that carry what changed alone; changes instead of documents',
-    }),
-    createLine({
-      role,
-      quantity: 'control messages',
-      unit: 'messages/s',
-      terms: controlTerms('controlMessages'),
-      mechanism: 'the same',
-      remark: 'grows with the routers linked to a sidecar',
-    }),
-    createLine({
-      role,
-      quantity: 'processor time of control',
-      unit: 'cores',
-      limit: LIMITS.controlCpu,
-      terms: [
-        builder.constantTerm(role, SweepName.Routers, 'cpu'),
-        builder.slopeTerm(role, SweepName.Routers, 'cpu', links.routersOfSidecar),
-        configurationChangeTerm(builder, role, 'cpu'),
-      ],
-      mechanism: 'links without load; taking in of each revision',
-      remark: 'reports and heartbeats, message by message',
-    }),
-    createLine({
-      role,
-      quantity: 'private memory',
-      unit: 'bytes',
-      limit: LIMITS.controlMemoryBytes,
-      terms: [
-        builder.constantTerm(role, SweepName.Routers, 'anonBytes'),
-        builder.slopeTerm(role, SweepName.Routers, 'anonBytes', links.routersOfSidecar),
-        configurationMemoryTerm(builder),
-      ],
-      mechanism: 'runtime and libraries, link buffers, the parsed configuration',
-      remark: 'the runtime alone takes most of it',
-    }),
+    projectControlVolume(
+      sidecar,
+      'reports and totals that carry what changed alone; changes instead of documents',
+    ),
+    projectControlMessages(sidecar, 'grows with the routers linked to a sidecar'),
+    projectControlCpu(sidecar),
+    projectMemory(sidecar, 'the runtime alone takes most of it'),
   ];
 }
 
@@ -362,46 +205,3 @@
     error: propagationTime.slopeError * documentBytes * hops,
   };
 }
-
-/** Term of the cost that configuration changes at the design size cause on one node. */
-function configurationChangeTerm(
-  builder: TermBuilder,
-  role: MeasuredSlope['role'],
-  quantity: keyof NodeRates,
-): CapacityTerm {
-  const documentBytes = builder.fitConfigurations((point) => point.documentBytes);
-  const size = documentBytes.intercept + documentBytes.slope;
-  const constantTerm = builder.constantTerm(role, SweepName.Changes, quantity);
-  const sizeTerm = builder.slopeTerm(role, SweepName.Changes, quantity, size);
-  return {
-    name: `${round(CHANGES_PER_SECOND)} changes/s of a document of ${round(size)} bytes`,
-    value: CHANGES_PER_SECOND * (constantTerm.value + sizeTerm.value),
-    error: CHANGES_PER_SECOND * (constantTerm.error + sizeTerm.error),
-  };
-}
-
-function configurationMemoryTerm(builder: TermBuilder): CapacityTerm {
-  const heapBytes = builder.fitConfigurations((point) => point.heapBytes);
-  const documentBytes = builder.fitConfigurations((point) => point.documentBytes);
-  return {
-    name: 'parsed configuration and its text',
-    value: heapBytes.intercept + heapBytes.slope + documentBytes.intercept + documentBytes.slope,
-    error: heapBytes.slopeError + documentBytes.slopeError,
-  };
-}
-
-type LineDraft = Pick<
-  CapacityLine,
-  'role' | 'quantity' | 'unit' | 'mechanism' | 'remark' | 'terms'
-> & { limit?: number };
-
-function createLine(draft: LineDraft): CapacityLine {
-  const value = draft.terms.reduce((sum, term) => sum + term.value, 0);
-  const error = Math.sqrt(draft.terms.reduce((sum, term) => sum + term.error ** 2, 0));
-  const limit = draft.limit ?? null;
-  return { ...draft, value, error, limit, over: limit !== null && value > limit };
-}
-
-function round(value: number): number {
-  return Number(value.toPrecision(3));
-}
