--- a/packages/forwarder/src/peers/peer-table.test.ts
+++ b/packages/forwarder/src/peers/peer-table.test.ts
@@ -21,4 +21,12 @@
     expect([...table.workspaceUsage(PEER_TTL_MS + 50)]).to.deep.equal(USAGE);
     expect([...table.workspaceUsage(PEER_TTL_MS + 150)]).to.deep.equal([]);
   });
+
+  it('tells the ages of live reports, apart for the own data centre and for others', () => {
+    const table = new PeerTable();
+    table.accept(makeReport({ from: 'silent', dataCentre: 'a' }), 0);
+    table.accept(makeReport({ from: 'x', dataCentre: 'a' }), PEER_TTL_MS);
+    table.accept(makeReport({ from: 'y', dataCentre: 'b', routers: 3 }), PEER_TTL_MS + 20);
+    expect(table.reportAges('a', PEER_TTL_MS + 50)).to.deep.equal({ local: [50], remote: [30] });
+  });
 });
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -8,6 +8,7 @@
  */
 import { PeerUsage } from '@poplarpick/decisions';
 import type { PeerLateRate, RequestFingerprint, WorkspaceUsage } from '@poplarpick/decisions';
+import type { ReportAges } from '../router-metrics.ts';
 import type { MemberEntry } from './member-directory.ts';
 
 /** Time without reports after which a sender is considered gone, in ms; several in a row are missing by then. */
@@ -114,6 +115,17 @@
     return live;
   }
 
+  /** Ages in ms of the live reports, apart for the routers of `dataCentre` and for other data centres. */
+  reportAges(dataCentre: string, now: number): ReportAges {
+    const ages: ReportAges = { local: [], remote: [] };
+    for (const { report, receivedAt } of this.entries.values()) {
+      if (now - receivedAt > PEER_TTL_MS) continue;
+      const group = report.dataCentre === dataCentre ? ages.local : ages.remote;
+      group.push(now - receivedAt);
+    }
+    return ages;
+  }
+
   /** Usage of workspaces, added up over the live reports. */
   workspaceUsage(now: number): Iterable<WorkspaceUsage> {
     this.live(now);
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -16,6 +16,7 @@
     remainingRetries: () => 7,
     eventLoopDelayMs: () => 20,
     eventLoopUtilization: () => 0.5,
+    reportAges: () => ({ local: [30, 10, 20], remote: [] }),
   });
 }
 
@@ -56,6 +57,13 @@
     expect(await metrics.read()).not.to.include('endpoint="e1"');
   });
 
+  it('show the median and the 99th percentile of the ages of reports', async () => {
+    const text = await makeMetrics().read();
+    expect(text).to.include('poplarpick_report_age_seconds{senders="local",quantile="0.5"} 0.02');
+    expect(text).to.include('poplarpick_report_age_seconds{senders="local",quantile="0.99"} 0.03');
+    expect(text).not.to.include('senders="remote"');
+  });
+
   it('are all documented on the metrics page', async () => {
     const metrics = makeMetrics();
     metrics.recordCall(endedCall({}));
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -27,8 +27,20 @@
   eventLoopDelayMs: () => number;
   /** Mean fraction of time in which the event loop has work. */
   eventLoopUtilization: () => number;
+  reportAges: () => ReportAges;
 }
 
+/** Ages in ms of the latest report of each live sender. */
+export interface ReportAges {
+  /** Routers of the own data centre. */
+  local: number[];
+  /** Group reports of the other data centres. */
+  remote: number[];
+}
+
+/** Quantiles of the ages of reports that are exposed. */
+const REPORT_AGE_QUANTILES = [0.5, 0.99];
+
 /** How one call ended. */
 export interface EndedCall {
   route: string;
@@ -169,6 +181,7 @@
       'Log lines dropped because the log reader was too slow',
       source.logLinesDropped,
     );
+    this.addReportAges(source.reportAges);
   }
 
   recordCall(call: EndedCall): void {
@@ -251,6 +264,24 @@
     this.server?.closeAllConnections();
   }
 
+  private addReportAges(read: () => ReportAges): void {
+    new Gauge({
+      name: 'poplarpick_report_age_seconds',
+      help: 'Age of the latest reports, by the data centre of their senders and quantile',
+      labelNames: ['senders', 'quantile'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [senders, agesMs] of Object.entries(read())) {
+          for (const quantile of REPORT_AGE_QUANTILES) {
+            const ageMs = findQuantile(agesMs, quantile);
+            if (ageMs !== undefined) this.set({ senders, quantile }, ageMs / MS_PER_SECOND);
+          }
+        }
+      },
+    });
+  }
+
   private addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
@@ -262,3 +293,9 @@
     });
   }
 }
+
+/** The value below which a fraction of the values lie, by nearest rank; undefined without values. */
+function findQuantile(values: readonly number[], quantile: number): number | undefined {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.max(0, Math.ceil(quantile * sorted.length) - 1)];
+}
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -143,6 +143,7 @@
       remainingRetries: () => this.remainingRetries(),
       eventLoopDelayMs: () => this.eventLoop.meanDelayMs,
       eventLoopUtilization: () => this.eventLoop.utilization,
+      reportAges: () => this.peers.reportAges(this.dataCentre, this.clock.monotonic()),
     });
     this.fairShareLedger = new FairShareLedger(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
