Drop expired reports in one place

live() and reportAges() each compared ages with the limit, and workspaceUsage() built a list only for its side effect. Behaviour is the same.

--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -107,19 +107,15 @@
 
   /** Reports that are still valid; removes expired ones. */
   live(now: number): PeerReport[] {
-    const live: PeerReport[] = [];
-    for (const [subject, { report, receivedAt }] of this.entries) {
-      if (now - receivedAt <= PEER_TTL_MS) live.push(report);
-      else this.remove(subject);
-    }
-    return live;
+    this.dropExpired(now);
+    return Array.from(this.entries.values(), ({ report }) => report);
   }
 
   /** Ages in ms of the live reports, apart for the routers of `dataCentre` and for other data centres. */
   reportAges(dataCentre: string, now: number): ReportAges {
     const ages: ReportAges = { local: [], remote: [] };
+    this.dropExpired(now);
     for (const { report, receivedAt } of this.entries.values()) {
-      if (now - receivedAt > PEER_TTL_MS) continue;
       const group = report.dataCentre === dataCentre ? ages.local : ages.remote;
       group.push(now - receivedAt);
     }
@@ -128,7 +124,7 @@
 
   /** Usage of workspaces, added up over the live reports. */
   workspaceUsage(now: number): Iterable<WorkspaceUsage> {
-    this.live(now);
+    this.dropExpired(now);
     return this.usage.totals();
   }
 
@@ -157,9 +153,12 @@
     return { rate: counted === 0 ? 0 : sum / counted, routers: counted };
   }
 
-  private remove(subject: string): void {
-    this.entries.delete(subject);
-    this.usage.remove(subject);
+  private dropExpired(now: number): void {
+    for (const [subject, { receivedAt }] of this.entries) {
+      if (now - receivedAt <= PEER_TTL_MS) continue;
+      this.entries.delete(subject);
+      this.usage.remove(subject);
+    }
   }
 }
 
