--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -53,6 +53,8 @@
   eventPauseMs?: number;
   /** Events after which a stream read from the start is reset, within the next event; never by default. */
   resetAfterEvent?: number;
+  /** Event after which a stream read from the start pauses once, and for how long; never by default. */
+  silence?: { afterEvent: number; durationMs: number };
   /** Entries of the list of cached prompts that `GET /v1/kv-list` returns. */
   cachedPrompts?: unknown[];
 }
@@ -157,6 +159,7 @@
       events = DEFAULT_EVENTS,
       eventPauseMs = DEFAULT_PAUSE_MS,
       resetAfterEvent,
+      silence,
     } = this.options;
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
     response.writeHead(200, {
@@ -172,7 +175,8 @@
         return;
       }
       response.write(`id: ${id}\ndata: event ${id}\n\n`);
-      await sleep(eventPauseMs);
+      const isSilent = id === silence?.afterEvent && first === 1;
+      await sleep(isSilent ? silence.durationMs : eventPauseMs);
       if (response.destroyed) return;
     }
     response.end();
