--- /dev/null
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -0,0 +1,90 @@
+/**
+ * Selects the endpoints for the attempts of one call. A further attempt needs an endpoint that has not failed
+ * the call, an API key that still belongs to the workspace, and a retry from the budget that all routers share.
+ */
+import type { Route } from '@poplarpick/decisions';
+import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
+import type { RouterState } from '../router-state.ts';
+import type { CallHead } from './call-protocol.ts';
+import type { CallPlacer, Placement } from './call-placer.ts';
+
+/** Most attempts of a call that may fail before they reach an endpoint; those don't count as sent. */
+const MAX_UNSENT_ATTEMPTS = 3;
+
+/** Why a call gets no further attempt. */
+export enum RetryObstacle {
+  Unreachable = 'unreachable',
+  Key = 'key',
+  NoEndpoint = 'no-endpoint',
+  Budget = 'budget',
+}
+
+/** Options of an `AttemptPlanner`. */
+export interface AttemptPlannerOptions {
+  state: RouterState;
+  placer: CallPlacer;
+  head: CallHead;
+  route: Route;
+  pool: string;
+  body: Buffer | undefined;
+  /** Whether the API key still belongs to the workspace. */
+  isKeyValid: () => boolean;
+}
+
+/** Selects the endpoints of one call. */
+export class AttemptPlanner {
+  private readonly options: AttemptPlannerOptions;
+  private readonly excluded = new Set<string>();
+  private latestObstacle: RetryObstacle | undefined;
+  private unsent = 0;
+
+  constructor(options: AttemptPlannerOptions) {
+    this.options = options;
+  }
+
+  /** Why the latest further attempt was not granted; undefined if it was, or if none was requested. */
+  get obstacle(): RetryObstacle | undefined {
+    return this.latestObstacle;
+  }
+
+  /** Attempts that failed before they reached an endpoint. */
+  get unsentAttempts(): number {
+    return this.unsent;
+  }
+
+  recordUnsent(): void {
+    this.unsent += 1;
+  }
+
+  /** Excludes an endpoint from all further attempts. */
+  exclude(record: EndpointRecord): void {
+    this.excluded.add(record.incarnation);
+  }
+
+  /** Selects the best endpoint; undefined if none is available. */
+  selectEndpoint(): Placement | undefined {
+    const { route, pool, head, placer, body } = this.options;
+    const { excluded } = this;
+    const bodyBytes = body?.length ?? 0;
+    return placer.place({ route, pool, prompt: head.prompt, bodyBytes, excluded });
+  }
+
+  /** Selects an endpoint for a further attempt and takes a retry from the budget; undefined if not granted. */
+  acquireRetry(): Placement | undefined {
+    const result = this.tryAcquire();
+    const isObstacle = typeof result === 'string';
+    this.latestObstacle = isObstacle ? result : undefined;
+    return isObstacle ? undefined : result;
+  }
+
+  private tryAcquire(): Placement | RetryObstacle {
+    const { state, pool, isKeyValid } = this.options;
+    if (this.unsent > MAX_UNSENT_ATTEMPTS) return RetryObstacle.Unreachable;
+    if (!isKeyValid()) return RetryObstacle.Key;
+    const placement = this.selectEndpoint();
+    if (placement === undefined) return RetryObstacle.NoEndpoint;
+    const now = state.clock.monotonic();
+    const isGranted = state.retryBudget(pool).tryAcquire(state.countRouters(), now);
+    return isGranted ? placement : RetryObstacle.Budget;
+  }
+}
--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -3,6 +3,7 @@
 import type { Route, ShareUsage } from '@poplarpick/decisions';
 import type { RequestError } from '@poplarpick/kernel';
 import type { RouterState } from '../router-state.ts';
+import type { RetryObstacle } from './attempt-planner.ts';
 import type { CallAttempt } from './call-attempt.ts';
 import type { CallHead } from './call-protocol.ts';
 import type { Placement } from './call-placer.ts';
@@ -28,6 +29,8 @@
   isCallerRetry: boolean;
   /** Attempts that reached, or may have reached, an endpoint. */
   attempts: number;
+  /** Why the latest further attempt was not granted; undefined if it was, or if none was requested. */
+  retryObstacle: RetryObstacle | undefined;
   /** Monotonic time of the first event, in ms; undefined if there was none. */
   firstEventAt: number | undefined;
 }
@@ -78,8 +81,8 @@
   /** Records the metrics of a call that has ended and logs it; lines about successful calls are rate-limited. */
   recordEnd(summary: CallSummary): void {
     const { head, route, workspace, state, arrivedAt } = this.options;
-    const { outcome, reason, placement, shareUsage, isCallerRetry, attempts, firstEventAt } =
-      summary;
+    const { outcome, reason, placement, shareUsage, isCallerRetry } = summary;
+    const { attempts, retryObstacle, firstEventAt } = summary;
     const now = state.clock.monotonic();
     const firstEventMs = firstEventAt && firstEventAt - arrivedAt;
     const totalMs = now - arrivedAt;
@@ -108,6 +111,7 @@
       returning: isCallerRetry,
       deadline_ms: head.deadlineMs,
       attempts,
+      not_retried: retryObstacle,
       share_tokens: head.prompt && fairShareCost(head.prompt),
       wait_ms: roundFinite(placement?.waitMs),
       service_ms: roundFinite(placement?.serviceMs),
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -16,6 +16,7 @@
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
+import { AttemptPlanner } from './attempt-planner.ts';
 import { ResponseWriter } from './response-writer.ts';
 import { AttemptHandler, CallAttempt } from './call-attempt.ts';
 import { CallReporter } from './call-reporter.ts';
@@ -32,9 +33,6 @@
  */
 const STALL_TIMEOUT_MS = 1_000;
 
-/** Most attempts of a call that may fail before they reach an endpoint; those don't count as sent. */
-const MAX_UNSENT_ATTEMPTS = 3;
-
 const MS_PER_SECOND = 1_000;
 const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
@@ -67,7 +65,7 @@
 export class Call extends AttemptHandler {
   private readonly options: CallOptions;
   private readonly writer: ResponseWriter;
-  private readonly excluded = new Set<string>();
+  private readonly planner: AttemptPlanner;
   private readonly reporter: CallReporter;
   private readonly latencyRecorder: CallLatencyRecorder;
   private attempt: CallAttempt | undefined;
@@ -76,8 +74,6 @@
   private deadlineTimer: Timer | undefined;
   /** Attempts that reached, or may have reached, an endpoint. */
   private sentAttempts = 0;
-  /** Attempts that failed before they reached an endpoint. */
-  private unsentAttempts = 0;
   /** An endpoint may have run the request. */
   private mayHaveRun = false;
   private lastEventId: number | undefined;
@@ -95,6 +91,7 @@
     super();
     this.options = options;
     this.writer = new ResponseWriter(options.response, options.shouldCloseConnection);
+    this.planner = new AttemptPlanner(options);
     this.reporter = new CallReporter(options);
     this.latencyRecorder = new CallLatencyRecorder(options);
     const { head, route, arrivedAt } = options;
@@ -109,7 +106,7 @@
       this.handleDeadline(),
     );
     this.recordArrival();
-    const placement = this.selectEndpoint();
+    const placement = this.planner.selectEndpoint();
     this.placement = placement;
     if (placement === undefined) {
       this.refuseWithoutEndpoint('no endpoint takes requests');
@@ -194,7 +191,7 @@
     if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
     else if (!wasRefused) this.uncountAttempt();
     if (!wasRefused) record.load.recordFailure(this.now());
-    this.excluded.add(record.incarnation);
+    this.planner.exclude(record);
     this.attempt = undefined;
     this.reporter.recordFailedAttempt(attempt, error, this.lastEventId);
     if (this.isEnded) return;
@@ -211,7 +208,7 @@
   /** Counts the latest attempt as unsent: it failed before it reached an endpoint. */
   private uncountAttempt(): void {
     this.sentAttempts -= 1;
-    this.unsentAttempts += 1;
+    this.planner.recordUnsent();
   }
 
   private perform(action: FailureAction, error: RequestError): void {
@@ -244,13 +241,6 @@
     this.fail(error.message, ErrorCode.EndpointFailed);
   }
 
-  private selectEndpoint(): Placement | undefined {
-    const { route, pool, head, placer, body } = this.options;
-    const { excluded } = this;
-    const bodyBytes = body?.length ?? 0;
-    return placer.place({ route, pool, prompt: head.prompt, bodyBytes, excluded });
-  }
-
   /** Records the demand of the workspace, unless the call is a caller's retry. */
   private recordArrival(): void {
     const { head, workspace, state } = this.options;
@@ -279,7 +269,7 @@
     const { head, state, workspace, body, pool } = this.options;
     const { prompt } = head;
     this.sentAttempts += 1;
-    if (this.sentAttempts + this.unsentAttempts === 1) {
+    if (this.sentAttempts + this.planner.unsentAttempts === 1) {
       state.retryBudget(pool).recordRequest(state.countRouters(), this.now());
     }
     if (workspace !== undefined && prompt !== undefined) {
@@ -307,16 +297,10 @@
     attempt.request = placement.record.client.send(request, attempt);
   }
 
-  /**
-   * Sends the call to another endpoint. Returns false if none is available, the retry budget is exhausted,
-   * the API key is no longer valid, or too many attempts didn't reach an endpoint.
-   */
+  /** Sends the call to another endpoint; false if no further attempt is granted. */
   private trySendElsewhere(): boolean {
-    const { state, pool, isKeyValid } = this.options;
-    if (this.unsentAttempts > MAX_UNSENT_ATTEMPTS || !isKeyValid()) return false;
-    const placement = this.selectEndpoint();
+    const placement = this.planner.acquireRetry();
     if (placement === undefined) return false;
-    if (!state.retryBudget(pool).tryAcquire(state.countRouters(), this.now())) return false;
     this.send(placement);
     return true;
   }
@@ -333,7 +317,7 @@
       remainingMs: this.remainingMs(),
     });
     if (action !== FailureAction.Retry) return false;
-    this.excluded.add(attempt.placement.record.incarnation);
+    this.planner.exclude(attempt.placement.record);
     if (!this.trySendElsewhere()) return false;
     const message = `the endpoint answered ${head.status}`;
     const verdict = Verdict.MayHaveRun;
@@ -422,6 +406,7 @@
       shareUsage: this.shareUsage,
       isCallerRetry: this.isCallerRetry,
       attempts: this.sentAttempts,
+      retryObstacle: this.planner.obstacle,
       firstEventAt: this.firstEventAt,
     });
   }
