Leave a silent stream at its endpoint until another attempt is granted

Callers of resumable streams saw their responses cut while the endpoint was sound and only silent for a second or so. Cause: the check for stalled streams failed the attempt, which closes its connection, and asked for another attempt after that. All streams of an endpoint fall silent together at all routers, so the retry budget was exhausted for most; others had lost their API key to a newer configuration. Both end a response that has begun.

The check now asks first. Without another attempt the stream stays where it is and goes on with its endpoint; call.stalled says why. What a retry needs (key, endpoint, budget) is unchanged.

--- a/packages/cli/src/explain/log-timeline.ts
+++ b/packages/cli/src/explain/log-timeline.ts
@@ -137,6 +137,8 @@
   [FAILED_ATTEMPT_EVENT]: (f) =>
     `the attempt at endpoint ${readField(f, 'endpoint')} failed: ${readField(f, 'reason')} (${readField(f, 'verdict')})` +
     (f['last_event'] === undefined ? '' : `; the caller had events up to ${f['last_event']}`),
+  'call.stalled': (f) =>
+    `endpoint ${readField(f, 'endpoint')} is silent; the stream stays there (${readField(f, 'not_retried')})`,
   'call.refused_unplaced': (f) =>
     `refused before it was placed: ${readField(f, 'reason')}; key age ${readField(f, 'key_age_ms')} ms, routes ${readField(f, 'version')}`,
   'call.ended': formatEnd,
--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -38,6 +38,7 @@
 /** Logs one call and records its metrics. */
 export class CallReporter {
   private readonly options: CallReporterOptions;
+  private hasLoggedStall = false;
 
   constructor(options: CallReporterOptions) {
     this.options = options;
@@ -78,6 +79,19 @@
     });
   }
 
+  /** Logs, once per call, that a stream stays at a silent endpoint, and why. */
+  recordStall(attempt: CallAttempt, obstacle: RetryObstacle | undefined): void {
+    if (this.hasLoggedStall) return;
+    this.hasLoggedStall = true;
+    const { state, head } = this.options;
+    state.log.info({
+      event: 'call.stalled',
+      request: head.requestId,
+      endpoint: attempt.placement.record.endpoint.id,
+      not_retried: obstacle,
+    });
+  }
+
   /** Records the metrics of a call that has ended and logs it; lines about successful calls are rate-limited. */
   recordEnd(summary: CallSummary): void {
     const { head, route, workspace, state, arrivedAt } = this.options;
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -115,15 +115,24 @@
     if (this.admit(placement)) this.send(placement);
   }
 
-  /** Fails the attempt of a stalled stream, so that it is resumed elsewhere, if its route allows that. */
+  /**
+   * Moves a stalled stream to another endpoint. It stays where it is unless another attempt is granted, since a
+   * sound endpoint may be silent for a while.
+   */
   checkStall(now: number): void {
-    const { route } = this.options;
     const { attempt } = this;
-    if (attempt === undefined || !route.isResumable || this.sentAttempts >= route.maxAttempts)
+    if (attempt === undefined || !this.isStalled(attempt, now)) return;
+    const { record } = attempt.placement;
+    this.planner.exclude(record);
+    const placement = this.planner.acquireRetry();
+    if (placement === undefined) {
+      this.reporter.recordStall(attempt, this.planner.obstacle);
       return;
-    const isStalled = now - attempt.lastByteAt > STALL_TIMEOUT_MS;
-    if (isStalled && attempt.placement.record.load.isUnhealthy(now))
-      attempt.fail('the stream fell silent');
+    }
+    attempt.abort();
+    record.load.recordFailure(now);
+    this.reporter.recordFailedAttempt(attempt, createStallError(), this.lastEventId);
+    this.send(placement);
   }
 
   override acceptHead(attempt: CallAttempt, head: ResponseHead): boolean {
@@ -185,7 +194,6 @@
   }
 
   override handleFailure(attempt: CallAttempt, error: RequestError): void {
-    const { route } = this.options;
     const { record } = attempt.placement;
     const wasRefused = error.code === ErrorCode.QueueFull;
     if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
@@ -195,14 +203,27 @@
     this.attempt = undefined;
     this.reporter.recordFailedAttempt(attempt, error, this.lastEventId);
     if (this.isEnded) return;
-    const action = decideFailureAction({
-      route,
-      verdict: this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun,
+    const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
+    this.perform(this.decideAction(verdict), error);
+  }
+
+  private decideAction(verdict: Verdict): FailureAction {
+    return decideFailureAction({
+      route: this.options.route,
+      verdict,
       attempts: this.sentAttempts,
       hasResponseBegun: this.writer.hasBegun,
       remainingMs: this.remainingMs(),
     });
-    this.perform(action, error);
+  }
+
+  /** Whether the attempt is a stream that has received nothing for long and could go on elsewhere. */
+  private isStalled(attempt: CallAttempt, now: number): boolean {
+    if (!this.options.route.isResumable || now - attempt.lastByteAt <= STALL_TIMEOUT_MS)
+      return false;
+    if (!attempt.placement.record.load.isUnhealthy(now)) return false;
+    const action = this.decideAction(Verdict.MayHaveRun);
+    return action === FailureAction.Retry || action === FailureAction.Resume;
   }
 
   /** Counts the latest attempt as unsent: it failed before it reached an endpoint. */
@@ -308,15 +329,7 @@
   /** Retries a call elsewhere after a server error, if it may be retried; true if it was sent again. */
   private tryRetryInsteadOf(attempt: CallAttempt, head: ResponseHead): boolean {
     if (this.writer.hasBegun) return false;
-    const { route } = this.options;
-    const action = decideFailureAction({
-      route,
-      verdict: Verdict.MayHaveRun,
-      attempts: this.sentAttempts,
-      hasResponseBegun: false,
-      remainingMs: this.remainingMs(),
-    });
-    if (action !== FailureAction.Retry) return false;
+    if (this.decideAction(Verdict.MayHaveRun) !== FailureAction.Retry) return false;
     this.planner.exclude(attempt.placement.record);
     if (!this.trySendElsewhere()) return false;
     const message = `the endpoint answered ${head.status}`;
@@ -419,3 +432,10 @@
     return this.options.state.clock.monotonic();
   }
 }
+
+function createStallError(): RequestError {
+  return new RequestError('the stream fell silent', {
+    code: ErrorCode.IncompleteAnswer,
+    verdict: Verdict.MayHaveRun,
+  });
+}
