Failing tests: a moved call that may have run is refused, and a slow caller moves a stream

Without a response head, a refusal by the next endpoint becomes 503, which promises that the call has not run. Cause of the second: a stream that its router has paused because the caller doesn't read receives no bytes, and the check takes that for silence of the endpoint.

--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -51,6 +51,8 @@
   events?: number;
   /** Pause between two events, in milliseconds. */
   eventPauseMs?: number;
+  /** Bytes by which each event is padded; none by default. */
+  eventBytes?: number;
   /** Events after which a stream read from the start is reset, within the next event; never by default. */
   resetAfterEvent?: number;
   /** Event after which a stream read from the start pauses once, and for how long; never by default. */
@@ -160,6 +162,7 @@
       eventPauseMs = DEFAULT_PAUSE_MS,
       resetAfterEvent,
       silence,
+      eventBytes = 0,
     } = this.options;
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
     response.writeHead(200, {
@@ -167,6 +170,7 @@
       'Response-Seal': this.options.id,
       'Content-Type': 'text/event-stream',
     });
+    const padding = '.'.repeat(eventBytes);
     for (let id = first; id <= events; id += 1) {
       if (id - 1 === resetAfterEvent && first === 1) {
         response.write(`id: ${id}\ndata: half`);
@@ -174,7 +178,7 @@
         request.socket.resetAndDestroy();
         return;
       }
-      response.write(`id: ${id}\ndata: event ${id}\n\n`);
+      response.write(`id: ${id}\ndata: event ${id}${padding}\n\n`);
       const isSilent = id === silence?.afterEvent && first === 1;
       await sleep(isSilent ? silence.durationMs : eventPauseMs);
       if (response.destroyed) return;
