Keep the attempt at a silent endpoint until another one has an accepted response

Cause: Call.checkStall aborted the attempt at the silent endpoint before it was known whether the next endpoint takes the stream. A refusal, an error, a reset or a failed connection there cut a response that had begun. The abort also skipped the record that the silent endpoint may have run the call, so that a refusal became 503.

The stream goes on at the earlier endpoint if the later one fails, or if the earlier one speaks first. What a retry needs is unchanged; a retry that is given up stays counted in the budget.

--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -16,6 +16,8 @@
 
 /** Receives the events and the result of an attempt. */
 export abstract class AttemptHandler {
+  /** Called when the request is being written to the endpoint. */
+  abstract handleWritten(attempt: CallAttempt): void;
   /** Called with the head of a response; returns false to discard the response. */
   abstract acceptHead(attempt: CallAttempt, head: ResponseHead): boolean;
   /** Called with each complete event of a stream; returns false to apply backpressure. */
@@ -66,6 +68,10 @@
     return this.inFlight.hasStarted;
   }
 
+  override onWritten(): void {
+    if (!this.isEnded) this.handler.handleWritten(this);
+  }
+
   override onHead(head: ResponseHead): void {
     this.recordBytes();
     this.head = head;
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -16,6 +16,7 @@
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
+import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
 import { ResponseWriter } from './response-writer.ts';
 import { AttemptHandler, CallAttempt } from './call-attempt.ts';
@@ -66,6 +67,7 @@
   private readonly options: CallOptions;
   private readonly writer: ResponseWriter;
   private readonly planner: AttemptPlanner;
+  private readonly handover: AttemptHandover;
   private readonly reporter: CallReporter;
   private readonly latencyRecorder: CallLatencyRecorder;
   private attempt: CallAttempt | undefined;
@@ -92,6 +94,10 @@
     this.options = options;
     this.writer = new ResponseWriter(options.response, options.shouldCloseConnection);
     this.planner = new AttemptPlanner(options);
+    this.handover = new AttemptHandover({
+      clock: options.state.clock,
+      onReplaced: (earlier) => this.recordReplaced(earlier),
+    });
     this.reporter = new CallReporter(options);
     this.latencyRecorder = new CallLatencyRecorder(options);
     const { head, route, arrivedAt } = options;
@@ -116,25 +122,26 @@
   }
 
   /**
-   * Moves a stalled stream to another endpoint. It stays where it is unless another attempt is granted, since a
-   * sound endpoint may be silent for a while.
+   * Hands a stalled stream over to another endpoint. It stays where it is unless another attempt is granted and
+   * the other endpoint takes it, since a sound endpoint may be silent for a while.
    */
   checkStall(now: number): void {
     const { attempt } = this;
-    if (attempt === undefined || !this.isStalled(attempt, now)) return;
-    const { record } = attempt.placement;
-    this.planner.exclude(record);
+    if (attempt === undefined || this.handover.isPending || !this.isStalled(attempt, now)) return;
+    this.planner.exclude(attempt.placement.record);
     const placement = this.planner.acquireRetry();
     if (placement === undefined) {
       this.reporter.recordStall(attempt, this.planner.obstacle);
       return;
     }
-    attempt.abort();
-    record.load.recordFailure(now);
-    this.reporter.recordFailedAttempt(attempt, createStallError(), this.lastEventId);
+    this.handover.begin(attempt);
     this.send(placement);
   }
 
+  override handleWritten(attempt: CallAttempt): void {
+    if (!this.handover.isEarlier(attempt)) this.handover.limitOverlap();
+  }
+
   override acceptHead(attempt: CallAttempt, head: ResponseHead): boolean {
     const { record } = attempt.placement;
     const { load } = record;
@@ -149,6 +156,11 @@
       return false;
     }
     this.mayHaveRun = true;
+    if (this.handover.isPending && !this.canTakeOver(head)) {
+      this.handleFailure(attempt, createAnswerError(head));
+      return false;
+    }
+    this.settleHandover(attempt);
     if (head.status < MIN_SERVER_ERROR_STATUS) {
       load.recordSuccess();
       return true;
@@ -158,6 +170,7 @@
   }
 
   override handleEvent(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): boolean {
+    this.settleHandover(attempt);
     if (this.isOutOfOrder(event)) {
       attempt.fail(`event ${event.id ?? '?'} after ${this.lastEventId ?? '?'}`);
       return true;
@@ -174,6 +187,7 @@
   }
 
   override handleStreamEnd(attempt: CallAttempt, head: ResponseHead): void {
+    this.settleHandover(attempt);
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.writer.end();
     this.latencyRecorder.recordDuration(attempt);
@@ -200,13 +214,51 @@
     else if (!wasRefused) this.uncountAttempt();
     if (!wasRefused) record.load.recordFailure(this.now());
     this.planner.exclude(record);
-    this.attempt = undefined;
     this.reporter.recordFailedAttempt(attempt, error, this.lastEventId);
-    if (this.isEnded) return;
+    if (this.isEnded || this.goOnWithout(attempt)) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
     this.perform(this.decideAction(verdict), error);
   }
 
+  /** Whether the response of an attempt can be the caller's, or go on with it. */
+  private canTakeOver({ isEventStream, status }: ResponseHead): boolean {
+    if (this.writer.hasBegun) return isEventStream && status < MIN_REDIRECT_STATUS;
+    return status < MIN_SERVER_ERROR_STATUS;
+  }
+
+  /** Ends a pending handover in favour of the attempt whose endpoint has proved that it goes on. */
+  private settleHandover(attempt: CallAttempt): void {
+    if (!this.handover.isEarlier(attempt)) {
+      this.handover.complete();
+      return;
+    }
+    this.attempt?.abort();
+    this.goBack();
+  }
+
+  /** Continues with the other attempt of a pending handover after one has failed; false if there is none. */
+  private goOnWithout(failed: CallAttempt): boolean {
+    if (!this.handover.isPending) {
+      this.attempt = undefined;
+      return false;
+    }
+    if (this.handover.isEarlier(failed)) this.handover.end();
+    else this.goBack();
+    return true;
+  }
+
+  /** Makes the earlier attempt of a pending handover the current one again. */
+  private goBack(): void {
+    this.attempt = this.handover.end();
+    this.placement = this.attempt?.placement;
+  }
+
+  private recordReplaced(earlier: CallAttempt): void {
+    this.mayHaveRun = true;
+    earlier.placement.record.load.recordFailure(this.now());
+    this.reporter.recordFailedAttempt(earlier, createStallError(), this.lastEventId);
+  }
+
   private decideAction(verdict: Verdict): FailureAction {
     return decideFailureAction({
       route: this.options.route,
@@ -332,10 +384,7 @@
     if (this.decideAction(Verdict.MayHaveRun) !== FailureAction.Retry) return false;
     this.planner.exclude(attempt.placement.record);
     if (!this.trySendElsewhere()) return false;
-    const message = `the endpoint answered ${head.status}`;
-    const verdict = Verdict.MayHaveRun;
-    const error = new RequestError(message, { code: ErrorCode.EndpointFailed, verdict });
-    this.reporter.recordFailedAttempt(attempt, error, undefined);
+    this.reporter.recordFailedAttempt(attempt, createAnswerError(head), undefined);
     return true;
   }
 
@@ -346,19 +395,24 @@
 
   private handleCallerDisconnect(): void {
     if (this.isEnded) return;
-    this.attempt?.abort();
+    this.abortAttempts();
     this.finish('caller_left');
   }
 
   private handleDeadline(): void {
     if (this.isEnded) return;
     const mayHaveRun = this.mayHaveRun || this.attempt !== undefined;
-    this.attempt?.abort();
+    this.abortAttempts();
     if (this.writer.hasBegun) this.abortResponse('the time for the request is over');
     else if (mayHaveRun) this.fail('the time for the request is over', ErrorCode.DeadlineExceeded);
     else this.refuse('the time for the request is over', ErrorCode.NoEndpoint, 0);
   }
 
+  private abortAttempts(): void {
+    this.handover.end()?.abort();
+    this.attempt?.abort();
+  }
+
   /** Records what an endpoint says of itself in a response. */
   private recordNotices(record: EndpointRecord, head: ResponseHead): void {
     const { endpoints } = this.options.state;
@@ -439,3 +493,10 @@
     verdict: Verdict.MayHaveRun,
   });
 }
+
+function createAnswerError({ status }: ResponseHead): RequestError {
+  return new RequestError(`the endpoint answered ${status}`, {
+    code: ErrorCode.EndpointFailed,
+    verdict: Verdict.MayHaveRun,
+  });
+}
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -19,6 +19,8 @@
 
 /** Receives the response to one request. */
 export abstract class ResponseObserver {
+  /** Called when the request is being written. */
+  abstract onWritten(): void;
   /** Called with the head of the response. Throws to refuse it. */
   abstract onHead(head: ResponseHead): void;
   /** Called with bytes of the body; returns false to pause until `EndpointRequest.resume`. */
@@ -181,8 +183,12 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
-    if (this.isEnded) controller.abort(new Error('aborted'));
-    else this.wasWritten = true;
+    if (this.isEnded) {
+      controller.abort(new Error('aborted'));
+      return;
+    }
+    this.wasWritten = true;
+    this.options.observer.onWritten();
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -44,6 +44,14 @@
   wasLeft: boolean;
 }
 
+/** A pause within a stream. */
+export interface EngineSilence {
+  afterEvent: number;
+  durationMs: number;
+  /** Ends the pause early; it is not ended early by default. */
+  endedBy?: Promise<void>;
+}
+
 /** Options of a `PlatformEngine`. */
 export interface PlatformEngineOptions {
   id: string;
@@ -56,7 +64,7 @@
   /** Events after which a stream read from the start is reset, within the next event; never by default. */
   resetAfterEvent?: number;
   /** Event after which a stream read from the start pauses once, and for how long; never by default. */
-  silence?: { afterEvent: number; durationMs: number };
+  silence?: EngineSilence;
   /** Entries of the list of cached prompts that `GET /v1/kv-list` returns. */
   cachedPrompts?: unknown[];
 }
@@ -180,7 +188,7 @@
       }
       response.write(`id: ${id}\ndata: event ${id}${padding}\n\n`);
       const isSilent = id === silence?.afterEvent && first === 1;
-      await sleep(isSilent ? silence.durationMs : eventPauseMs);
+      await (isSilent ? waitForEnd(silence) : sleep(eventPauseMs));
       if (response.destroyed) return;
     }
     response.end();
@@ -239,6 +247,10 @@
   setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
 
+async function waitForEnd({ durationMs, endedBy }: EngineSilence): Promise<void> {
+  await Promise.race(endedBy === undefined ? [sleep(durationMs)] : [sleep(durationMs), endedBy]);
+}
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
