Skip a check for stalled streams that the router itself makes late

Cause: after a pause of the router, its timers run before its sockets are read. All streams then look silent, and the check sends them to other endpoints until the retry budget is exhausted.

Evidence: the test of silent-engine-moves.test.ts about a suspended router failed (one further attempt sent after 1.4 s without processor time) and passes.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -36,6 +36,12 @@
 /** Period of the check for stalled streams, in ms. */
 const STALL_CHECK_PERIOD_MS = 250;
 
+/**
+ * Time since the previous check for stalled streams after which a check is skipped, in ms. The router itself was
+ * suspended then, and may not have read what its endpoints have sent.
+ */
+const LATE_STALL_CHECK_MS = 2 * STALL_CHECK_PERIOD_MS;
+
 /** Period of the server's check for callers that exceed the header timeout, in ms. */
 const TIMEOUT_CHECK_PERIOD_MS = 500;
 
@@ -73,9 +79,12 @@
   /** Open requests that began after the cutoff. */
   private openAfterCutoffCount = 0;
   private isPastCutoff = false;
+  /** Monotonic time of the latest check for stalled streams, in ms. */
+  private stallsCheckedAt: number;
 
   constructor(options: CallIngressOptions) {
     this.options = options;
+    this.stallsCheckedAt = options.state.clock.monotonic();
     this.placer = new CallPlacer(options.state);
     this.server = createServer(
       {
@@ -199,6 +208,9 @@
 
   private checkStalls(): void {
     const now = this.options.state.clock.monotonic();
+    const isLate = now - this.stallsCheckedAt > LATE_STALL_CHECK_MS;
+    this.stallsCheckedAt = now;
+    if (isLate) return;
     for (const call of this.calls) call.checkStall(now);
   }
 
