Don't take a stream that waits for its caller for a silent one

Cause: a router pauses the endpoint of a stream while its caller doesn't read. No bytes arrive then, and the check for stalled streams moved the stream to another endpoint. The time of silence now ends with a pause and begins again when reading goes on.

--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -36,8 +36,10 @@
   /** The attempt's entry in the load of the endpoint. */
   readonly inFlight: InFlightRequest;
   request: EndpointRequest | undefined;
+  /** Whether reading is paused, since the caller doesn't keep up. */
+  private isReadPaused = false;
   /** Monotonic time at which bytes were last received, in ms; initially the time of sending. */
-  lastByteAt: number;
+  private lastByteAt: number;
   private readonly handler: AttemptHandler;
   private readonly clock: Clock;
   private readonly splitter = new EventSplitter();
@@ -68,6 +70,11 @@
     return this.inFlight.hasStarted;
   }
 
+  /** Monotonic time since which the endpoint is silent, in ms; undefined while reading is paused. */
+  get silentSince(): number | undefined {
+    return this.isReadPaused ? undefined : this.lastByteAt;
+  }
+
   override onWritten(): void {
     if (!this.isEnded) this.handler.handleWritten(this);
   }
@@ -110,6 +117,13 @@
     this.handler.handleFailure(this, error);
   }
 
+  /** Reads on after the caller has caught up. */
+  resume(): void {
+    if (this.isReadPaused) this.lastByteAt = this.clock.monotonic();
+    this.isReadPaused = false;
+    this.request?.resume();
+  }
+
   /** Cancels the attempt without calling the handler. */
   abort(): void {
     this.close();
@@ -134,6 +148,7 @@
       if (this.isEnded) return true;
       canContinue = this.handler.handleEvent(this, head, event) && canContinue;
     }
+    this.isReadPaused = !canContinue;
     return canContinue;
   }
 
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -182,7 +182,7 @@
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.lastEventId = event.id ?? this.lastEventId;
     const canContinue = this.writer.write(event.bytes);
-    if (!canContinue) this.writer.onceDrained(() => attempt.request?.resume());
+    if (!canContinue) this.writer.onceDrained(() => attempt.resume());
     return canContinue;
   }
 
@@ -271,8 +271,9 @@
 
   /** Whether the attempt is a stream that has received nothing for long and could go on elsewhere. */
   private isStalled(attempt: CallAttempt, now: number): boolean {
-    if (!this.options.route.isResumable || now - attempt.lastByteAt <= STALL_TIMEOUT_MS)
-      return false;
+    const { silentSince } = attempt;
+    if (!this.options.route.isResumable || silentSince === undefined) return false;
+    if (now - silentSince <= STALL_TIMEOUT_MS) return false;
     if (!attempt.placement.record.load.isUnhealthy(now)) return false;
     const action = this.decideAction(Verdict.MayHaveRun);
     return action === FailureAction.Retry || action === FailureAction.Resume;
