Don't close a link for silence after the process itself was suspended

Cause: after a pause, a process runs its timers before it reads its sockets. Link.checkHeartbeat closed links as silent although heartbeats were pending.

A peer that hears nothing for 1.6 s still closes its side.

--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -18,6 +18,12 @@
 /** Time without any received bytes after which the link is closed. */
 export const HEARTBEAT_TIMEOUT_MS = 1_600;
 
+/**
+ * Time since the previous check of the heartbeats after which a check is late. The process itself was suspended
+ * then, and may not have read what the other side has sent.
+ */
+const LATE_CHECK_MS = 2 * HEARTBEAT_PERIOD_MS;
+
 /** Timeout of a call. */
 const CALL_TIMEOUT_MS = 5_000;
 
@@ -80,6 +86,7 @@
   private isDrainScheduled = false;
   private lastReceivedAt: number;
   private lastSentAt = -Infinity;
+  private lastCheckedAt: number;
   private closed = false;
   private shouldDrop: (() => boolean) | undefined;
   /** Whether messages other than the hello and heartbeats are accepted. */
@@ -97,6 +104,7 @@
       new JSONRPCClient((payload: JSONRPCRequest) => this.send(payload)),
     );
     this.lastReceivedAt = this.clock.monotonic();
+    this.lastCheckedAt = this.lastReceivedAt;
     this.handleNotification(NotificationMethod.Heartbeat, () => undefined);
     this.heartbeatTimer = this.clock.every(HEARTBEAT_PERIOD_MS, () => this.checkHeartbeat());
     this.attachSocketListeners();
@@ -264,12 +272,15 @@
   }
 
   private checkHeartbeat(): void {
-    if (this.clock.monotonic() - this.lastReceivedAt > HEARTBEAT_TIMEOUT_MS) {
+    const now = this.clock.monotonic();
+    const isLate = now - this.lastCheckedAt > LATE_CHECK_MS;
+    this.lastCheckedAt = now;
+    if (!isLate && now - this.lastReceivedAt > HEARTBEAT_TIMEOUT_MS) {
       this.close('silent');
       return;
     }
     // Any message sent recently serves as a heartbeat.
-    if (this.clock.monotonic() - this.lastSentAt < HEARTBEAT_PERIOD_MS / 2) return;
+    if (now - this.lastSentAt < HEARTBEAT_PERIOD_MS / 2) return;
     this.notify(NotificationMethod.Heartbeat, {});
   }
 
