--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -16,6 +16,8 @@
 
 /** Receives the events and the result of an attempt. */
 export abstract class AttemptHandler {
+  /** Called when the request is being written to the endpoint. */
+  abstract handleWritten(attempt: CallAttempt): void;
   /** Called with the head of a response; returns false to discard the response. */
   abstract acceptHead(attempt: CallAttempt, head: ResponseHead): boolean;
   /** Called with each complete event of a stream; returns false to apply backpressure. */
@@ -34,8 +36,10 @@
   /** The attempt's entry in the load of the endpoint. */
   readonly inFlight: InFlightRequest;
   request: EndpointRequest | undefined;
+  /** Whether reading is paused, since the caller doesn't keep up. */
+  private isReadPaused = false;
   /** Monotonic time at which bytes were last received, in ms; initially the time of sending. */
-  lastByteAt: number;
+  private lastByteAt: number;
   private readonly handler: AttemptHandler;
   private readonly clock: Clock;
   private readonly splitter = new EventSplitter();
@@ -66,6 +70,15 @@
     return this.inFlight.hasStarted;
   }
 
+  /** Monotonic time since which the endpoint is silent, in ms; undefined while reading is paused. */
+  get silentSince(): number | undefined {
+    return this.isReadPaused ? undefined : this.lastByteAt;
+  }
+
+  override onWritten(): void {
+    if (!this.isEnded) this.handler.handleWritten(this);
+  }
+
   override onHead(head: ResponseHead): void {
     this.recordBytes();
     this.head = head;
@@ -104,6 +117,13 @@
     this.handler.handleFailure(this, error);
   }
 
+  /** Reads on after the caller has caught up. */
+  resume(): void {
+    if (this.isReadPaused) this.lastByteAt = this.clock.monotonic();
+    this.isReadPaused = false;
+    this.request?.resume();
+  }
+
   /** Cancels the attempt without calling the handler. */
   abort(): void {
     this.close();
@@ -128,6 +148,7 @@
       if (this.isEnded) return true;
       canContinue = this.handler.handleEvent(this, head, event) && canContinue;
     }
+    this.isReadPaused = !canContinue;
     return canContinue;
   }
 
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -44,6 +44,14 @@
   wasLeft: boolean;
 }
 
+/** A pause within a stream. */
+export interface EngineSilence {
+  afterEvent: number;
+  durationMs: number;
+  /** Ends the pause early; it is not ended early by default. */
+  endedBy?: Promise<void>;
+}
+
 /** Options of a `PlatformEngine`. */
 export interface PlatformEngineOptions {
   id: string;
@@ -51,10 +59,12 @@
   events?: number;
   /** Pause between two events, in milliseconds. */
   eventPauseMs?: number;
+  /** Bytes by which each event is padded; none by default. */
+  eventBytes?: number;
   /** Events after which a stream read from the start is reset, within the next event; never by default. */
   resetAfterEvent?: number;
   /** Event after which a stream read from the start pauses once, and for how long; never by default. */
-  silence?: { afterEvent: number; durationMs: number };
+  silence?: EngineSilence;
   /** Entries of the list of cached prompts that `GET /v1/kv-list` returns. */
   cachedPrompts?: unknown[];
 }
@@ -160,6 +170,7 @@
       eventPauseMs = DEFAULT_PAUSE_MS,
       resetAfterEvent,
       silence,
+      eventBytes = 0,
     } = this.options;
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
     response.writeHead(200, {
@@ -167,6 +178,7 @@
       'Response-Seal': this.options.id,
       'Content-Type': 'text/event-stream',
     });
+    const padding = '.'.repeat(eventBytes);
     for (let id = first; id <= events; id += 1) {
       if (id - 1 === resetAfterEvent && first === 1) {
         response.write(`id: ${id}\ndata: half`);
@@ -174,9 +186,9 @@
         request.socket.resetAndDestroy();
         return;
       }
-      response.write(`id: ${id}\ndata: event ${id}\n\n`);
+      response.write(`id: ${id}\ndata: event ${id}${padding}\n\n`);
       const isSilent = id === silence?.afterEvent && first === 1;
-      await sleep(isSilent ? silence.durationMs : eventPauseMs);
+      await (isSilent ? waitForEnd(silence) : sleep(eventPauseMs));
       if (response.destroyed) return;
     }
     response.end();
@@ -235,6 +247,10 @@
   setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
 
+async function waitForEnd({ durationMs, endedBy }: EngineSilence): Promise<void> {
+  await Promise.race(endedBy === undefined ? [sleep(durationMs)] : [sleep(durationMs), endedBy]);
+}
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
