--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -23,6 +23,10 @@
   Error = 'error',
   /** Refuses the request with status 503 without executing it. */
   Refuse = 'refuse',
+  /** Refuses the request without `Content-Length`, and closes the connection normally after a while. */
+  UnframedRefusal = 'unframed-refusal',
+  /** Refuses the request without `Content-Length`, and resets the connection after a while. */
+  UnframedRefusalReset = 'unframed-refusal-reset',
   /** Answers with the attempt id of another request. */
   WrongAttemptId = 'foreign',
   /** Sends bytes that are not an HTTP response. */
@@ -74,6 +78,8 @@
   isLeaving = false;
   /** Returns the value of `Retry-After` in a refusal; none by default. */
   chooseRetryAfter: () => string | undefined = () => undefined;
+  /** Awaited before each answer without events. */
+  awaitAnswer: () => Promise<void> = () => Promise.resolve();
   chooseBehaviour: (request: IncomingMessage) => EngineBehaviour = () =>
     EngineBehaviour.CompleteAnswer;
   readonly options: PlatformEngineOptions;
@@ -145,13 +151,20 @@
       response.writeHead(503, { 'Attempt-Id': requestId, 'Not-Executed': '1' }).end();
       return;
     }
+    if (UNFRAMED_REFUSALS.has(behaviour)) {
+      sendUnframedRefusal(response.socket as Socket, requestId, behaviour);
+      return;
+    }
     const { method = '', url: target = '', headers } = request;
     const run: ExecutedRequest = { requestId, method, target, headers, body, wasLeft: false };
     this.runs.push(run);
     response.once('close', () => (run.wasLeft = !response.writableFinished));
     if (STREAM_TARGET.test(target) && behaviour === EngineBehaviour.CompleteAnswer) {
       await this.sendStream(request, response);
-    } else this.sendAnswer(behaviour, requestId, response);
+      return;
+    }
+    await this.awaitAnswer();
+    if (!response.destroyed) this.sendAnswer(behaviour, requestId, response);
   }
 
   private async sendStream(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -222,6 +235,8 @@
         return;
       case EngineBehaviour.CompleteAnswer:
       case EngineBehaviour.Refuse:
+      case EngineBehaviour.UnframedRefusal:
+      case EngineBehaviour.UnframedRefusalReset:
         response.writeHead(200, { 'Attempt-Id': requestId, 'Response-Seal': this.options.id });
         response.end('body');
     }
@@ -231,6 +246,24 @@
 /** Delay before a reset, so that the bytes already written are sent. */
 const RESET_DELAY_MS = 30;
 
+/** Time for which an unframed refusal leaves its connection open, in milliseconds. */
+const REFUSAL_END_DELAY_MS = 150;
+
+const UNFRAMED_REFUSALS = new Set([
+  EngineBehaviour.UnframedRefusal,
+  EngineBehaviour.UnframedRefusalReset,
+]);
+
+function sendUnframedRefusal(socket: Socket, requestId: string, behaviour: EngineBehaviour): void {
+  socket.write(
+    `HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${requestId}\r\nNot-Executed: 1\r\n\r\nfull`,
+  );
+  setTimeout(() => {
+    if (behaviour === EngineBehaviour.UnframedRefusal) socket.end();
+    else socket.resetAndDestroy();
+  }, REFUSAL_END_DELAY_MS);
+}
+
 function resetAfterDelay(socket: Socket): void {
   setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
