Serve the requests of one connection one after another

Callers that send a request behind another on one connection saw the connection close without an answer to it, although an engine had run it: CallIngress.serve passed each request on at once, and when the earlier response said `Connection: close` (a drain, or a router out of processor time), node closed the connection and dropped the queued response. Two tests, behind an answer and behind a stream, failed so: the engine had run the second request and the caller got nothing. A request now waits in its connection's CallerConnection until the earlier responses have ended; if they have closed the connection, hasDisconnected drops it before it is passed on, so the caller may repeat it. Answers to pipelined requests went out in order before as well.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -11,6 +11,7 @@
 import { CallPlacer } from '../calls/call-placer.ts';
 import type { RouterState } from '../router-state.ts';
 import { checkCall } from './call-checks.ts';
+import { CallerConnections } from './caller-connection.ts';
 import { CallerListener } from './caller-listener.ts';
 
 /** Limits until the first routing table arrives with the site's own. */
@@ -58,6 +59,8 @@
   arrivedAt: number;
   /** The request began after the cutoff of a drain. */
   isAfterCutoff: boolean;
+  /** Resolves when the responses to earlier requests on the connection have ended. */
+  turn: Promise<void>;
 }
 
 /** Accepts requests from callers. */
@@ -66,6 +69,7 @@
   private readonly placer: CallPlacer;
   private readonly server: Server;
   private readonly listener: CallerListener;
+  private readonly connections = new CallerConnections();
   private readonly calls = new Set<Call>();
   /** Open requests: from the arrival of the head to the end of the response. */
   private openCount = 0;
@@ -131,9 +135,10 @@
     const { state } = this.options;
     const arrivedAt = state.clock.monotonic();
     const isAfterCutoff = this.trackRequest(response);
+    const turn = this.connections.of(request.socket).add({ request, response });
     const writer = new ResponseWriter(response, () => this.shouldCloseConnections());
     try {
-      await this.accept({ request, response, arrivedAt, isAfterCutoff });
+      await this.accept({ request, response, arrivedAt, isAfterCutoff, turn });
     } catch (error) {
       const failure = toRequestError(error, Verdict.NotRun);
       this.logRefusal(request, failure, arrivedAt);
@@ -159,11 +164,12 @@
 
   private async accept(exchange: Exchange): Promise<void> {
     const { state } = this.options;
-    const { request, response, arrivedAt, isAfterCutoff } = exchange;
+    const { request, response, arrivedAt, isAfterCutoff, turn } = exchange;
     const { method = 'GET', url = '/' } = request;
     const limits = this.currentLimits();
     if (headBytes(request) > limits.headerBytes) throw createHeadTooLargeError();
     const body = await readBody(request, limits.bodyBytes);
+    await turn;
     await waitForDisconnects();
     if (hasDisconnected(request)) return;
     if (isAfterCutoff) throw createDrainingError();
