Log each whole request that is dropped with its connection

A caller that got neither an answer nor a refusal found no trace of its request at the router: when the router had read it whole and its connection had ended, CallIngress.accept returned without a log line. The line `call.dropped` names the request and says that no endpoint has run it.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -171,7 +171,10 @@
     const body = await readBody(request, limits.bodyBytes);
     await turn;
     await waitForDisconnects();
-    if (hasDisconnected(request)) return;
+    if (hasDisconnected(request)) {
+      this.logDrop(request, arrivedAt);
+      return;
+    }
     if (isAfterCutoff) throw createDrainingError();
     const head = state.protocol.decodeCall(method, url, request.rawHeaders);
     const now = state.clock.monotonic();
@@ -208,6 +211,20 @@
     for (const call of this.calls) call.checkStall(now);
   }
 
+  /** Logs that a whole request is not passed on, since its response could not be sent. */
+  private logDrop(request: IncomingMessage, arrivedAt: number): void {
+    const { log, clock, routes, protocol } = this.options.state;
+    const { socket } = request;
+    log.info({
+      event: 'call.dropped',
+      request: protocol.decodeRequestId(request.rawHeaders),
+      reason: socket.readableEnded ? 'the caller has ended' : 'the connection is ended',
+      target: request.url,
+      total_ms: Math.round(clock.monotonic() - arrivedAt),
+      version: routes?.table.version,
+    });
+  }
+
   private logRefusal(request: IncomingMessage, error: RequestError, arrivedAt: number): void {
     const { log, freshness, clock, routes, metrics, protocol } = this.options.state;
     metrics.recordUnplaced(error.code);
