Reject bytes behind a request after its answer, not within it

Callers saw a whole request answered with 400 or 408, a stream broken off, or neither an answer nor a refusal, when bytes followed on the same connection that node's parser rejects: no request, anything behind a request with `Connection: close`, or a head that exceeds the header timeout. CallIngress.respondToParserError ended the socket at once, although responses to whole requests were still due on it; requests that had just been read were dropped by hasDisconnected, and an answer still in the socket's buffer was cut by socket.destroy(). Seven tests failed so. The rejection now waits in the CallerConnection until the responses to the whole requests before it have ended; a request that becomes whole after its rejection is not passed on. A caller that has ended its side still counts as gone, and bytes with no answer due are still rejected at once (tests of both 400s passed before and pass now).

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -93,7 +93,7 @@
       (request, response) => void this.serve(request, response),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      respondToParserError(error, socket);
+      this.respondToParserError(error, socket);
     });
     const { address, state } = options;
     this.listener = new CallerListener({ address, server: this.server, log: state.log });
@@ -211,6 +211,19 @@
     for (const call of this.calls) call.checkStall(now);
   }
 
+  /** Responds to bytes that the HTTP parser rejects, after the responses to the requests before them. */
+  private respondToParserError(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (error.code === 'ECONNRESET' || (!socket.writable && socket.writableFinished)) {
+      socket.destroy();
+      return;
+    }
+    const status = PARSER_ERROR_STATUS[error.code ?? ''] ?? 400;
+    const rejection = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+    // A caller that has ended its side doesn't wait for its responses.
+    if (socket.readableEnded) socket.end(rejection);
+    else this.connections.of(socket).rejectRest(rejection);
+  }
+
   /** Logs that a whole request is not passed on, since its response could not be sent. */
   private logDrop(request: IncomingMessage, arrivedAt: number): void {
     const { log, clock, routes, protocol } = this.options.state;
@@ -306,18 +319,6 @@
   });
 }
 
-/** Responds to a request that the HTTP parser rejects. */
-function respondToParserError(error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const status = PARSER_ERROR_STATUS[error.code ?? ''] ?? 400;
-  socket.end(
-    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-  );
-}
-
 const PARSER_ERROR_STATUS: Record<string, number> = {
   HPE_HEADER_OVERFLOW: 431,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -51,6 +51,8 @@
 /** Options of a `PlatformEngine`. */
 export interface PlatformEngineOptions {
   id: string;
+  /** Body of an answer without events; `body` by default. */
+  answer?: string;
   /** Number of events of a stream. */
   events?: number;
   /** Pause between two events, in milliseconds. */
@@ -238,7 +240,7 @@
       case EngineBehaviour.UnframedRefusal:
       case EngineBehaviour.UnframedRefusalReset:
         response.writeHead(200, { 'Attempt-Id': requestId, 'Response-Seal': this.options.id });
-        response.end('body');
+        response.end(this.options.answer ?? 'body');
     }
   }
 }
