Put changed timeouts in force with the configuration, not with the next request

A caller that used a kept connection within the idle limit in force saw it closed without an answer, and one whose head took longer than an earlier header limit got 408: CallIngress.currentLimits applied the timeouts only when the next request arrived, and node had armed the timer of an idle connection with the limit at its latest response. Three tests failed so: a longer idle limit while a connection is idle, a longer one during a stream, and a longer header limit. The timeouts are now applied when a routing table comes into force, and idle connections get the longer time at once. A shorter limit leaves their time as it was, since their callers were told it in `Keep-Alive`.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import { ResponseWriter } from '../calls/response-writer.ts';
 import { Call } from '../calls/call.ts';
@@ -34,6 +34,9 @@
 /** Bytes around the method and the target in the request line: two spaces, the version and a line break. */
 const REQUEST_LINE_OVERHEAD_BYTES = 12;
 
+/** Time beyond the idle limit after which an idle connection is closed, in ms. */
+const IDLE_MARGIN_MS = 1_000;
+
 /** Period of the check for stalled streams, in ms. */
 const STALL_CHECK_PERIOD_MS = 250;
 
@@ -87,13 +90,14 @@
         headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
         requestTimeout: 0,
         keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
+        keepAliveTimeoutBuffer: IDLE_MARGIN_MS,
         connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS,
         noDelay: true,
       },
       (request, response) => void this.serve(request, response),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      this.respondToParserError(error, socket);
+      this.respondToParserError(error, socket as Socket);
     });
     const { address, state } = options;
     this.listener = new CallerListener({ address, server: this.server, log: state.log });
@@ -101,8 +105,11 @@
 
   /** Starts listening. Rejects when the address can't be bound. */
   async open(): Promise<void> {
+    const { state } = this.options;
+    this.applyTimeouts();
+    state.onRoutesChange(() => this.applyTimeouts());
     await this.listener.open();
-    this.options.state.clock.every(STALL_CHECK_PERIOD_MS, () => this.checkStalls());
+    state.clock.every(STALL_CHECK_PERIOD_MS, () => this.checkStalls());
   }
 
   /** Number of requests that are being received or served. */
@@ -198,12 +205,17 @@
     call.start();
   }
 
-  /** Returns the current limits, and applies their timeouts to the server. */
   private currentLimits(): typeof INITIAL_LIMITS {
-    const limits = this.options.state.routes?.table.limits ?? INITIAL_LIMITS;
-    this.server.headersTimeout = limits.headerTimeoutMs;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
-    return limits;
+    return this.options.state.routes?.table.limits ?? INITIAL_LIMITS;
+  }
+
+  /** Applies the current timeouts to the server and to the connections that are idle now. */
+  private applyTimeouts(): void {
+    const { headerTimeoutMs, idleTimeoutMs } = this.currentLimits();
+    const isLonger = idleTimeoutMs > this.server.keepAliveTimeout;
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+    if (isLonger) this.connections.extendIdleTimeout(idleTimeoutMs + IDLE_MARGIN_MS);
   }
 
   private checkStalls(): void {
@@ -212,7 +224,7 @@
   }
 
   /** Responds to bytes that the HTTP parser rejects, after the responses to the requests before them. */
-  private respondToParserError(error: NodeJS.ErrnoException, socket: Duplex): void {
+  private respondToParserError(error: NodeJS.ErrnoException, socket: Socket): void {
     if (error.code === 'ECONNRESET' || (!socket.writable && socket.writableFinished)) {
       socket.destroy();
       return;
--- a/packages/forwarder/src/ingress/caller-connection.ts
+++ b/packages/forwarder/src/ingress/caller-connection.ts
@@ -4,20 +4,32 @@
  * HTTP parser rejects end a connection only after the responses to the whole requests before them.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
 
-/** Connections with requests, by their sockets. */
+/** Open connections that have had a request, by their sockets. */
 export class CallerConnections {
-  private readonly connections = new WeakMap<Duplex, CallerConnection>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   /** The connection of a socket. */
-  of(socket: Duplex): CallerConnection {
+  of(socket: Socket): CallerConnection {
     const existing = this.connections.get(socket);
     if (existing !== undefined) return existing;
     const connection = new CallerConnection(socket);
+    if (socket.destroyed) return connection;
     this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
     return connection;
   }
+
+  /**
+   * Lets the connections that are idle now stay open for this time, counted from now, in ms. Those that may
+   * stay longer keep their time, since their callers were told it with the latest response.
+   */
+  extendIdleTimeout(timeoutMs: number): void {
+    for (const [socket, connection] of this.connections) {
+      if (connection.isIdle && (socket.timeout ?? 0) < timeoutMs) socket.setTimeout(timeoutMs);
+    }
+  }
 }
 
 /** A request and its open response. */
@@ -30,14 +42,19 @@
 export class CallerConnection {
   /** In the order of the requests. */
   private exchanges: OpenExchange[] = [];
-  private readonly socket: Duplex;
+  private readonly socket: Socket;
   /** Last bytes to send, once the responses that are still due have ended. */
   private rejection: string | undefined;
 
-  constructor(socket: Duplex) {
+  constructor(socket: Socket) {
     this.socket = socket;
   }
 
+  /** No response is due. */
+  get isIdle(): boolean {
+    return this.exchanges.length === 0;
+  }
+
   /** Adds a request. Resolves when the responses to all earlier ones have ended. */
   async add(exchange: OpenExchange): Promise<void> {
     const previous = this.exchanges.at(-1);
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -119,6 +119,7 @@
   /** Hash of the list of endpoints, and the state of the directory that it belongs to. */
   private listHash: { hash: string; changes: number } | undefined;
   private routeIndex: RouteIndex | undefined;
+  private readonly routesListeners: (() => void)[] = [];
   /** Monotonic time at which the list of endpoints was last confirmed as complete, in ms. */
   private endpointsConfirmedAt = Number.NEGATIVE_INFINITY;
   /** Monotonic time at which this router itself last read the store, in ms. */
@@ -177,6 +178,12 @@
       tokens_per_second: table.tokensPerSecond,
       workspaces: table.workspaces?.length ?? 0,
     });
+    for (const listener of this.routesListeners) listener();
+  }
+
+  /** Calls `listener` whenever other routes are in force. */
+  onRoutesChange(listener: () => void): void {
+    this.routesListeners.push(listener);
   }
 
   /** Records that this router itself has read the store, whose routes and endpoints it last read at `at`. */
