--- a/packages/cli/src/explain/log-timeline.test.ts
+++ b/packages/cli/src/explain/log-timeline.test.ts
@@ -46,6 +46,16 @@
     expect(timeline?.lines[1]?.text).to.include('0.82 of its share');
   });
 
+  it('explains a request without an answer that no endpoint has run', () => {
+    const timeline = buildTimeline(
+      line(5, `event=call.dropped request=${ID} reason="the connection is ended" total_ms=2`),
+    );
+    expect(timeline?.conclusion).to.equal(
+      'It has not run, and has no answer: the connection is ended.',
+    );
+    expect(timeline?.lines[0]?.text).to.include('dropped before it was placed');
+  });
+
   it('adds other failures at the endpoint and events of the endpoint and the router', () => {
     const failed = 'event=call.attempt_failed';
     const timeline = buildTimeline(
--- a/packages/cli/src/explain/log-timeline.ts
+++ b/packages/cli/src/explain/log-timeline.ts
@@ -139,6 +139,7 @@
     (f['last_event'] === undefined ? '' : `; the caller had events up to ${f['last_event']}`),
   'call.refused_unplaced': (f) =>
     `refused before it was placed: ${readField(f, 'reason')}; key age ${readField(f, 'key_age_ms')} ms, routes ${readField(f, 'version')}`,
+  'call.dropped': (f) => `dropped before it was placed: ${readField(f, 'reason')}`,
   'call.ended': formatEnd,
   [ROUTES_EVENT]: (f) => `routes of version ${readField(f, 'version')} in force`,
   'store.lost': (f) =>
@@ -174,6 +175,7 @@
 
 const CONCLUSION_FORMATTERS: Record<string, (fields: Fields) => string> = {
   'call.refused_unplaced': (f) => `It has not run: ${readField(f, 'reason')}.`,
+  'call.dropped': (f) => `It has not run, and has no answer: ${readField(f, 'reason')}.`,
   'call.ended': formatConclusion,
 };
 
