Read a pending request before an idle connection is closed

A caller whose whole request reached the router's host in time, while the router was stalled, got neither an answer nor a refusal: after a stall the event loop runs its timers before it reads its sockets, so node's idle timer closed the connection with the request unread. The test stalls a router for 2 s after a change to an idle limit of 500 ms and failed so. CallIngress now lets the event loop poll its sockets first, and closes the connection only if no bytes have arrived; connections that stay idle are still closed (tested). waitForDisconnects, which did the same for the end of a connection, is pollSockets now.

--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -99,6 +99,7 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.respondToParserError(error, socket as Socket);
     });
+    this.server.on('timeout', (socket) => void closeIfIdle(socket));
     const { address, state } = options;
     this.listener = new CallerListener({ address, server: this.server, log: state.log });
   }
@@ -177,7 +178,7 @@
     if (headBytes(request) > limits.headerBytes) throw createHeadTooLargeError();
     const body = await readBody(request, limits.bodyBytes);
     await turn;
-    await waitForDisconnects();
+    await pollSockets();
     if (hasDisconnected(request)) {
       this.logDrop(request, arrivedAt);
       return;
@@ -271,11 +272,21 @@
  * Lets the event loop poll its sockets once more. After the process was stalled, a request and the end
  * of its connection may both be pending; the event loop reads the end one iteration after the request.
  */
-async function waitForDisconnects(): Promise<void> {
+async function pollSockets(): Promise<void> {
   await new Promise(setImmediate);
   await new Promise(setImmediate);
 }
 
+/**
+ * Closes a connection whose idle time is over. After the process was stalled, a request may be pending on it;
+ * the event loop runs its timers before it reads that request.
+ */
+async function closeIfIdle(socket: Socket): Promise<void> {
+  const { bytesRead } = socket;
+  await pollSockets();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
+
 function hasDisconnected({ socket }: IncomingMessage): boolean {
   return socket.destroyed || socket.readableEnded || socket.writableEnded;
 }
