--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -4,13 +4,14 @@
  */
 import { createServer, STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import { ResponseWriter } from '../calls/response-writer.ts';
 import { Call } from '../calls/call.ts';
 import { CallPlacer } from '../calls/call-placer.ts';
 import type { RouterState } from '../router-state.ts';
 import { checkCall } from './call-checks.ts';
+import { CallerConnections } from './caller-connection.ts';
 import { CallerListener } from './caller-listener.ts';
 
 /** Limits until the first routing table arrives with the site's own. */
@@ -33,6 +34,9 @@
 /** Bytes around the method and the target in the request line: two spaces, the version and a line break. */
 const REQUEST_LINE_OVERHEAD_BYTES = 12;
 
+/** Time beyond the idle limit after which an idle connection is closed, in ms. */
+const IDLE_MARGIN_MS = 1_000;
+
 /** Period of the check for stalled streams, in ms. */
 const STALL_CHECK_PERIOD_MS = 250;
 
@@ -64,6 +68,8 @@
   arrivedAt: number;
   /** The request began after the cutoff of a drain. */
   isAfterCutoff: boolean;
+  /** Resolves when the responses to earlier requests on the connection have ended. */
+  turn: Promise<void>;
 }
 
 /** Accepts requests from callers. */
@@ -72,6 +78,7 @@
   private readonly placer: CallPlacer;
   private readonly server: Server;
   private readonly listener: CallerListener;
+  private readonly connections = new CallerConnections();
   private readonly calls = new Set<Call>();
   /** Open requests: from the arrival of the head to the end of the response. */
   private openCount = 0;
@@ -92,22 +99,27 @@
         headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
         requestTimeout: 0,
         keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
+        keepAliveTimeoutBuffer: IDLE_MARGIN_MS,
         connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS,
         noDelay: true,
       },
       (request, response) => void this.serve(request, response),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      respondToParserError(error, socket);
+      this.respondToParserError(error, socket as Socket);
     });
+    this.server.on('timeout', (socket) => void closeIfIdle(socket));
     const { address, state } = options;
     this.listener = new CallerListener({ address, server: this.server, log: state.log });
   }
 
   /** Starts listening. Rejects when the address can't be bound. */
   async open(): Promise<void> {
+    const { state } = this.options;
+    this.applyTimeouts();
+    state.onRoutesChange(() => this.applyTimeouts());
     await this.listener.open();
-    this.options.state.clock.every(STALL_CHECK_PERIOD_MS, () => this.checkStalls());
+    state.clock.every(STALL_CHECK_PERIOD_MS, () => this.checkStalls());
   }
 
   /** Number of requests that are being received or served. */
@@ -140,9 +152,10 @@
     const { state } = this.options;
     const arrivedAt = state.clock.monotonic();
     const isAfterCutoff = this.trackRequest(response);
+    const turn = this.connections.of(request.socket).add({ request, response });
     const writer = new ResponseWriter(response, () => this.shouldCloseConnections());
     try {
-      await this.accept({ request, response, arrivedAt, isAfterCutoff });
+      await this.accept({ request, response, arrivedAt, isAfterCutoff, turn });
     } catch (error) {
       const failure = toRequestError(error, Verdict.NotRun);
       this.logRefusal(request, failure, arrivedAt);
@@ -168,13 +181,17 @@
 
   private async accept(exchange: Exchange): Promise<void> {
     const { state } = this.options;
-    const { request, response, arrivedAt, isAfterCutoff } = exchange;
+    const { request, response, arrivedAt, isAfterCutoff, turn } = exchange;
     const { method = 'GET', url = '/' } = request;
     const limits = this.currentLimits();
     if (headBytes(request) > limits.headerBytes) throw createHeadTooLargeError();
     const body = await readBody(request, limits.bodyBytes);
-    await waitForDisconnects();
-    if (hasDisconnected(request)) return;
+    await turn;
+    await pollSockets();
+    if (hasDisconnected(request)) {
+      this.logDrop(request, arrivedAt);
+      return;
+    }
     if (isAfterCutoff) throw createDrainingError();
     const head = state.protocol.decodeCall(method, url, request.rawHeaders);
     const now = state.clock.monotonic();
@@ -198,12 +215,17 @@
     call.start();
   }
 
-  /** Returns the current limits, and applies their timeouts to the server. */
   private currentLimits(): typeof INITIAL_LIMITS {
-    const limits = this.options.state.routes?.table.limits ?? INITIAL_LIMITS;
-    this.server.headersTimeout = limits.headerTimeoutMs;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
-    return limits;
+    return this.options.state.routes?.table.limits ?? INITIAL_LIMITS;
+  }
+
+  /** Applies the current timeouts to the server and to the connections that are idle now. */
+  private applyTimeouts(): void {
+    const { headerTimeoutMs, idleTimeoutMs } = this.currentLimits();
+    const isLonger = idleTimeoutMs > this.server.keepAliveTimeout;
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+    if (isLonger) this.connections.extendIdleTimeout(idleTimeoutMs + IDLE_MARGIN_MS);
   }
 
   private checkStalls(): void {
@@ -214,6 +236,33 @@
     for (const call of this.calls) call.checkStall(now);
   }
 
+  /** Responds to bytes that the HTTP parser rejects, after the responses to the requests before them. */
+  private respondToParserError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (error.code === 'ECONNRESET' || (!socket.writable && socket.writableFinished)) {
+      socket.destroy();
+      return;
+    }
+    const status = PARSER_ERROR_STATUS[error.code ?? ''] ?? 400;
+    const rejection = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+    // A caller that has ended its side doesn't wait for its responses.
+    if (socket.readableEnded) socket.end(rejection);
+    else this.connections.of(socket).rejectRest(rejection);
+  }
+
+  /** Logs that a whole request is not passed on, since its response could not be sent. */
+  private logDrop(request: IncomingMessage, arrivedAt: number): void {
+    const { log, clock, routes, protocol } = this.options.state;
+    const { socket } = request;
+    log.info({
+      event: 'call.dropped',
+      request: protocol.decodeRequestId(request.rawHeaders),
+      reason: socket.readableEnded ? 'the caller has ended' : 'the connection is ended',
+      target: request.url,
+      total_ms: Math.round(clock.monotonic() - arrivedAt),
+      version: routes?.table.version,
+    });
+  }
+
   private logRefusal(request: IncomingMessage, error: RequestError, arrivedAt: number): void {
     const { log, freshness, clock, routes, metrics, protocol } = this.options.state;
     metrics.recordUnplaced(error.code);
@@ -235,11 +284,21 @@
  * Lets the event loop poll its sockets once more. After the process was stalled, a request and the end
  * of its connection may both be pending; the event loop reads the end one iteration after the request.
  */
-async function waitForDisconnects(): Promise<void> {
+async function pollSockets(): Promise<void> {
   await new Promise(setImmediate);
   await new Promise(setImmediate);
 }
 
+/**
+ * Closes a connection whose idle time is over. After the process was stalled, a request may be pending on it;
+ * the event loop runs its timers before it reads that request.
+ */
+async function closeIfIdle(socket: Socket): Promise<void> {
+  const { bytesRead } = socket;
+  await pollSockets();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
+
 function hasDisconnected({ socket }: IncomingMessage): boolean {
   return socket.destroyed || socket.readableEnded || socket.writableEnded;
 }
@@ -295,18 +354,6 @@
   });
 }
 
-/** Responds to a request that the HTTP parser rejects. */
-function respondToParserError(error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const status = PARSER_ERROR_STATUS[error.code ?? ''] ?? 400;
-  socket.end(
-    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-  );
-}
-
 const PARSER_ERROR_STATUS: Record<string, number> = {
   HPE_HEADER_OVERFLOW: 431,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
