--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -50,6 +50,10 @@
     this.onResult = onResult;
   }
 
+  override onWritten(): void {
+    this.body = '';
+  }
+
   override onHead(): void {
     this.body = '';
   }
