--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -2,6 +2,7 @@
 import { CallKind, fairShareCost } from '@poplarpick/decisions';
 import type { Route, ShareUsage } from '@poplarpick/decisions';
 import type { RequestError } from '@poplarpick/kernel';
+import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import type { RetryObstacle } from './attempt-planner.ts';
 import type { CallAttempt } from './call-attempt.ts';
@@ -75,6 +76,7 @@
       reason: error.message,
       verdict: error.verdict,
       last_event: lastEventId,
+      segments: sharedSegmentHashes(head.prompt).join(',') || undefined,
       second_attempts_left: Math.floor(state.retryBudget(pool).remaining),
     });
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -28,6 +28,7 @@
   Prompt,
   RequestFingerprint,
   RoutingTable,
+  SegmentHash,
   ShareUsage,
 } from '@poplarpick/decisions';
 import type { Clock, Logger, LogOutput } from '@poplarpick/kernel';
@@ -441,6 +442,11 @@
   return prompt === undefined ? [] : hashSharedPrefix(prompt);
 }
 
+/** Hashes of the segments of a prompt that other requests may share; empty without a prompt. */
+export function sharedSegmentHashes(prompt: Prompt | undefined): SegmentHash[] {
+  return sharedSegments(prompt).map(({ hash }) => hash);
+}
+
 function getOrCreate<Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value {
   const existing = map.get(key);
   if (existing !== undefined) return existing;
