--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -55,6 +55,10 @@
   resetAfterEvent?: number;
   /** Event after which a stream read from the start pauses once, and for how long; never by default. */
   silence?: { afterEvent: number; durationMs: number };
+  /** Prompt segment that crashes the engine shortly after it has begun to answer; none by default. */
+  poisonSegment?: string;
+  /** Called when the engine has crashed. */
+  onCrash?: () => void;
   /** Entries of the list of cached prompts that `GET /v1/kv-list` returns. */
   cachedPrompts?: unknown[];
 }
@@ -65,6 +69,9 @@
 const DEFAULT_EVENTS = 5;
 const DEFAULT_PAUSE_MS = 5;
 
+/** Time from the begin of a run to the crash that a poison segment causes, in milliseconds. */
+const CRASH_DELAY_MS = 60;
+
 /** HTTP server with the protocol of a platform engine. */
 export class PlatformEngine {
   readonly runs: ExecutedRequest[] = [];
@@ -101,6 +108,7 @@
 
   async stop(): Promise<void> {
     for (const socket of this.sockets) socket.destroy();
+    if (!this.server.listening) return;
     await new Promise<void>((resolve) => this.server.close(() => resolve()));
   }
 
@@ -149,11 +157,31 @@
     const run: ExecutedRequest = { requestId, method, target, headers, body, wasLeft: false };
     this.runs.push(run);
     response.once('close', () => (run.wasLeft = !response.writableFinished));
+    if (this.isPoison(request)) {
+      await sleep(CRASH_DELAY_MS);
+      await this.crash();
+      return;
+    }
     if (STREAM_TARGET.test(target) && behaviour === EngineBehaviour.CompleteAnswer) {
       await this.sendStream(request, response);
     } else this.sendAnswer(behaviour, requestId, response);
   }
 
+  private isPoison({ headers }: IncomingMessage): boolean {
+    const { poisonSegment } = this.options;
+    if (poisonSegment === undefined) return false;
+    const segments = String(headers['prompt-prefix'] ?? '').split(',');
+    return segments.some((segment) => segment.split(':')[0] === poisonSegment);
+  }
+
+  /** Ends all connections and accepts no more. */
+  private async crash(): Promise<void> {
+    if (!this.server.listening) return;
+    const stopped = this.stop();
+    this.options.onCrash?.();
+    await stopped;
+  }
+
   private async sendStream(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const {
       events = DEFAULT_EVENTS,
