Block prompt segments under which endpoints crash

Callers of any route saw their answers broken off every second or so, because each request with one segment in its prompt crashed the engine that began to answer it. Cause: a crash made the endpoint suspect, never the prompt, so each router sent the next such request to the next endpoint.

A router now notes which shared segments were in prompts that had just begun, or not yet begun, to be answered when an endpoint ended them and stayed silent (one that breaks off single answers goes on). Routers tell each other these crashes, and the survivals of suspects. A segment that is in three crashes at different times, with no survivor since and with others surviving, is refused with 503 prompt_blocked for 60 s, then for longer. One survivor acquits it. A suspect isn't repeated at another endpoint.

The announcements of cached segments use the same queue as those of crashes.

--- a/packages/decisions/src/forwarding/endpoint-load.ts
+++ b/packages/decisions/src/forwarding/endpoint-load.ts
@@ -92,6 +92,11 @@
     this.lastByteAt = now;
   }
 
+  /** Monotonic time at which bytes were last received, in ms; -Infinity before the first. */
+  get lastReceivedAt(): number {
+    return this.lastByteAt;
+  }
+
   recordSuccess(): void {
     this.consecutiveFailures = 0;
     this.failureAverage *= FAILURE_DECAY;
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -4,6 +4,7 @@
  */
 import type { Route } from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
+import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
 import type { CallPlacer, Placement } from './call-placer.ts';
@@ -17,6 +18,8 @@
   Key = 'key',
   NoEndpoint = 'no-endpoint',
   Budget = 'budget',
+  /** A segment of the prompt is blocked, or has not survived its latest crash. */
+  Poison = 'poison',
 }
 
 /** Options of an `AttemptPlanner`. */
@@ -77,10 +80,17 @@
     return isObstacle ? undefined : result;
   }
 
+  private mayBePoison(): boolean {
+    const { poison } = this.options.state;
+    const hashes = sharedSegmentHashes(this.options.head.prompt);
+    return poison.findBlocked(hashes) !== undefined || poison.isSuspect(hashes);
+  }
+
   private tryAcquire(): Placement | RetryObstacle {
     const { state, pool, isKeyValid } = this.options;
     if (this.unsent > MAX_UNSENT_ATTEMPTS) return RetryObstacle.Unreachable;
     if (!isKeyValid()) return RetryObstacle.Key;
+    if (this.mayBePoison()) return RetryObstacle.Poison;
     const placement = this.selectEndpoint();
     if (placement === undefined) return RetryObstacle.NoEndpoint;
     const now = state.clock.monotonic();
--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -36,6 +36,8 @@
   request: EndpointRequest | undefined;
   /** Monotonic time at which bytes were last received, in ms; initially the time of sending. */
   lastByteAt: number;
+  /** Monotonic time of the first event, in ms; undefined before it. */
+  firstEventAt: number | undefined;
   private readonly handler: AttemptHandler;
   private readonly clock: Clock;
   private readonly splitter = new EventSplitter();
@@ -126,6 +128,7 @@
     let canContinue = true;
     for (const event of this.splitter.push(chunk)) {
       if (this.isEnded) return true;
+      this.firstEventAt ??= this.lastByteAt;
       canContinue = this.handler.handleEvent(this, head, event) && canContinue;
     }
     return canContinue;
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -14,7 +14,8 @@
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
-import { sharedSegments } from '../router-state.ts';
+import { AttemptEvidence } from '../poison/attempt-evidence.ts';
+import { sharedSegmentHashes, sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
 import { ResponseWriter } from './response-writer.ts';
@@ -66,6 +67,7 @@
   private readonly options: CallOptions;
   private readonly writer: ResponseWriter;
   private readonly planner: AttemptPlanner;
+  private readonly evidence: AttemptEvidence;
   private readonly reporter: CallReporter;
   private readonly latencyRecorder: CallLatencyRecorder;
   private attempt: CallAttempt | undefined;
@@ -92,6 +94,7 @@
     this.options = options;
     this.writer = new ResponseWriter(options.response, options.shouldCloseConnection);
     this.planner = new AttemptPlanner(options);
+    this.evidence = new AttemptEvidence({ state: options.state, prompt: options.head.prompt });
     this.reporter = new CallReporter(options);
     this.latencyRecorder = new CallLatencyRecorder(options);
     const { head, route, arrivedAt } = options;
@@ -105,6 +108,7 @@
     this.deadlineTimer = state.clock.after(this.remainingMs() + DEADLINE_GRACE_MS, () =>
       this.handleDeadline(),
     );
+    if (this.refuseIfBlocked()) return;
     this.recordArrival();
     const placement = this.planner.selectEndpoint();
     this.placement = placement;
@@ -176,6 +180,7 @@
   override handleStreamEnd(attempt: CallAttempt, head: ResponseHead): void {
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.writer.end();
+    this.evidence.recordCompleted(attempt, head.isFramed);
     this.latencyRecorder.recordDuration(attempt);
     this.finish('ok');
   }
@@ -186,6 +191,7 @@
       return;
     }
     if (head.status < MIN_REDIRECT_STATUS) {
+      this.evidence.recordCompleted(attempt, head.isFramed);
       this.latencyRecorder.recordPlainResponse(attempt);
       this.latencyRecorder.recordDuration(attempt);
     }
@@ -201,6 +207,7 @@
     if (!wasRefused) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.attempt = undefined;
+    this.evidence.recordFailed(attempt, error);
     this.reporter.recordFailedAttempt(attempt, error, this.lastEventId);
     if (this.isEnded) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
@@ -262,6 +269,18 @@
     this.fail(error.message, ErrorCode.EndpointFailed);
   }
 
+  /** Refuses a prompt that would crash its endpoint; true if it was refused. */
+  private refuseIfBlocked(): boolean {
+    const { head, state } = this.options;
+    const blocked = state.poison.findBlocked(sharedSegmentHashes(head.prompt));
+    if (blocked === undefined) return false;
+    const reason = `segment ${blocked.segment} of the prompt has crashed endpoints`;
+    const retryAfterSeconds = blocked.remainingMs / MS_PER_SECOND;
+    const code = ErrorCode.PromptBlocked;
+    this.endRefused(new RequestError(reason, { code, verdict: Verdict.NotRun, retryAfterSeconds }));
+    return true;
+  }
+
   /** Records the demand of the workspace, unless the call is a caller's retry. */
   private recordArrival(): void {
     const { head, workspace, state } = this.options;
@@ -382,8 +401,12 @@
     if (workspace !== undefined && head.prompt !== undefined)
       state.recordRefusal(workspace, head.prompt);
     const verdict = Verdict.NotRun;
-    this.writer.sendError(new RequestError(reason, { code, verdict, retryAfterSeconds }));
-    this.recordEnd('refused', reason);
+    this.endRefused(new RequestError(reason, { code, verdict, retryAfterSeconds }));
+  }
+
+  private endRefused(error: RequestError): void {
+    this.writer.sendError(error);
+    this.recordEnd('refused', error.message);
     this.close();
   }
 
--- a/packages/forwarder/src/peers/group-report.ts
+++ b/packages/forwarder/src/peers/group-report.ts
@@ -3,7 +3,14 @@
  * passes on for some of them.
  */
 import type { RequestFingerprint } from '@poplarpick/decisions';
-import type { CachedSegmentEntry, LateRateEntry, PeerReport } from './peer-table.ts';
+import type {
+  BlockedSegmentEntry,
+  CachedSegmentEntry,
+  LateRateEntry,
+  PeerReport,
+  SegmentCrashEntry,
+  SegmentSurvivalEntry,
+} from './peer-table.ts';
 import type { ReportBody } from './report-exchange.ts';
 
 /** Most cached segments in one group report, so that it fits into a datagram; the others follow. */
@@ -12,25 +19,38 @@
 /** Most refused requests in one group report, so that it fits into a datagram. */
 const MAX_REFUSALS = 1_000;
 
+/** Most crashes and most survivals in one group report, so that it fits into a datagram. */
+const MAX_POISON_ENTRIES = 200;
+
 /** Most announcements that wait for the next group report, as a bound on memory; the oldest are dropped. */
 const MAX_WAITING = 4_000;
 
+/** The announcements of a report. */
+type AnnouncingReport = Pick<PeerReport, 'kept' | 'refused' | 'crashes' | 'survivals'>;
+
 /** Announcements of routers that wait to be passed on. */
 export class AnnouncementQueue {
   private readonly segments: CachedSegmentEntry[] = [];
   private readonly refusals: RequestFingerprint[] = [];
+  private readonly crashes: SegmentCrashEntry[] = [];
+  private readonly survivals: SegmentSurvivalEntry[] = [];
 
   /** Adds the announcements of one report. */
-  add({ kept, refused = [] }: Pick<PeerReport, 'kept' | 'refused'>): void {
+  add(report: AnnouncingReport): void {
+    const { kept, refused = [], crashes = [], survivals = [] } = report;
     append(this.segments, kept);
     append(this.refusals, refused);
+    append(this.crashes, crashes);
+    append(this.survivals, survivals);
   }
 
   /** Takes the announcements of the next group report. */
-  take(): { kept: CachedSegmentEntry[]; refused: RequestFingerprint[] } {
+  take(): Required<AnnouncingReport> {
     return {
       kept: this.segments.splice(0, MAX_SEGMENTS),
       refused: this.refusals.splice(0, MAX_REFUSALS),
+      crashes: this.crashes.splice(0, MAX_POISON_ENTRIES),
+      survivals: this.survivals.splice(0, MAX_POISON_ENTRIES),
     };
   }
 }
@@ -44,7 +64,7 @@
 /** The sums of a group report. */
 export type GroupSums = Pick<
   PeerReport,
-  'routers' | 'loads' | 'workspaces' | 'lateRates' | 'draining'
+  'routers' | 'loads' | 'workspaces' | 'lateRates' | 'draining' | 'blocked'
 >;
 
 /** Adds up the reports of a data centre's routers. Workspaces are left out unless `includesWorkspaces`. */
@@ -54,6 +74,7 @@
     loads: sumEntries(reports.flatMap(({ loads }) => loads)),
     lateRates: meanLateRates(reports),
     draining: [...new Set(reports.flatMap(({ draining }) => draining ?? []))],
+    blocked: mergeBlocked(reports.flatMap(({ blocked }) => blocked ?? [])),
   };
   if (!includesWorkspaces) return sums;
   const workspaces = sumEntries(reports.flatMap((report) => report.workspaces ?? []));
@@ -82,6 +103,17 @@
   }
 }
 
+/** The blocks of all routers; of one segment the one that lasts longest. */
+function mergeBlocked(entries: readonly BlockedSegmentEntry[]): BlockedSegmentEntry[] {
+  const merged = new Map<number, BlockedSegmentEntry>();
+  for (const entry of entries) {
+    const [segment, , remainingMs] = entry;
+    const longest = merged.get(segment);
+    if (longest === undefined || longest[2] < remainingMs) merged.set(segment, entry);
+  }
+  return [...merged.values()];
+}
+
 /** Mean late rate of each pool over the routers that report one. */
 function meanLateRates(reports: readonly ReportBody[]): LateRateEntry[] {
   const rates = new Map<number, number[]>();
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -26,6 +26,15 @@
 /** A prompt segment cached by an endpoint: hashes of the incarnation and the segment, and its tokens. */
 export type CachedSegmentEntry = [endpoint: number, segment: number, tokens: number];
 
+/** A crash of an endpoint under a request with a prompt segment: their hashes, and the time since, in ms. */
+export type SegmentCrashEntry = [endpoint: number, segment: number, ageMs: number];
+
+/** A request with a prompt segment that an endpoint answered without a crash, and the time since, in ms. */
+export type SegmentSurvivalEntry = [segment: number, ageMs: number];
+
+/** A blocked prompt segment, the time since it was blocked, and the time until its release, in ms. */
+export type BlockedSegmentEntry = [segment: number, ageMs: number, remainingMs: number];
+
 /** Rate of late requests in a pool, which is named by its hash. */
 export type LateRateEntry = [pool: number, rate: number];
 
@@ -70,6 +79,12 @@
    * Each report lists all of them, so that lost reports do no harm.
    */
   draining?: number[] | undefined;
+  /** Crashes in which prompt segments were suspects; missing in reports of older versions. */
+  crashes?: SegmentCrashEntry[] | undefined;
+  /** Survivals of prompt segments that had been suspects; missing in reports of older versions. */
+  survivals?: SegmentSurvivalEntry[] | undefined;
+  /** All prompt segments that the sender blocks; missing in reports of older versions. */
+  blocked?: BlockedSegmentEntry[] | undefined;
 }
 
 /** Identifies what a report is about: one router, or the routers of a data centre. */
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -9,10 +9,13 @@
 import type { WorkspaceUsage } from '@poplarpick/decisions';
 import type { MemberEntry } from './member-directory.ts';
 import type {
+  BlockedSegmentEntry,
   CachedSegmentEntry,
   EndpointLoadEntry,
   LateRateEntry,
   PeerReport,
+  SegmentCrashEntry,
+  SegmentSurvivalEntry,
 } from './peer-table.ts';
 
 /**
@@ -29,6 +32,9 @@
 
 const MAX_PORT = 65_535;
 
+/** Longest time until a release that is accepted, in ms; a router blocks no segment for longer. */
+const MAX_BLOCK_MS = 1_000_000;
+
 const packr = new Packr({ useRecords: false });
 
 /** Validates a decoded datagram. */
@@ -50,6 +56,9 @@
   lateRates: listOf<LateRateEntry>(isLateRate),
   refused: listOf<number>(Number.isFinite).optional(),
   draining: listOf<number>(Number.isFinite).optional(),
+  crashes: listOf<SegmentCrashEntry>((entry) => isCounts(entry, 3)).optional(),
+  survivals: listOf<SegmentSurvivalEntry>((entry) => isCounts(entry, 2)).optional(),
+  blocked: listOf<BlockedSegmentEntry>(isBlockedSegment).optional(),
 }) satisfies z.ZodType<PeerReport>;
 
 /**
@@ -79,6 +88,10 @@
   return isCount(pool) && typeof rate === 'number' && rate >= 0 && rate <= 1;
 }
 
+function isBlockedSegment(entry: unknown): boolean {
+  return isCounts(entry, 3) && (entry as BlockedSegmentEntry)[2] <= MAX_BLOCK_MS;
+}
+
 function isMember(entry: unknown): boolean {
   if (!Array.isArray(entry) || entry.length !== 2) return false;
   const [address, dataCentre] = entry as unknown[];
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -49,6 +49,9 @@
   | 'lateRates'
   | 'refused'
   | 'draining'
+  | 'crashes'
+  | 'survivals'
+  | 'blocked'
 >;
 
 /** Body of a report that only tells about members. */
--- /dev/null
+++ b/packages/forwarder/src/poison/attempt-evidence.ts
@@ -0,0 +1,52 @@
+/**
+ * Tells the poison guard what the end of an attempt says about the segments of its prompt. Poison crashes the
+ * endpoint as soon as it begins to answer, so an attempt that has been answered for a while has survived.
+ */
+import type { Prompt, SegmentHash } from '@poplarpick/decisions';
+import { ErrorCode, Verdict } from '@poplarpick/kernel';
+import type { RequestError } from '@poplarpick/kernel';
+import type { CallAttempt } from '../calls/call-attempt.ts';
+import { sharedSegmentHashes } from '../router-state.ts';
+import type { RouterState } from '../router-state.ts';
+
+/** Time from the first event after which an attempt has survived, in ms. */
+const SURVIVAL_MS = 1_000;
+
+const LOSS_CODES = new Set([ErrorCode.ConnectionLost, ErrorCode.IncompleteAnswer]);
+
+/** Options of an `AttemptEvidence`. */
+export interface AttemptEvidenceOptions {
+  state: RouterState;
+  prompt: Prompt | undefined;
+}
+
+/** Evidence from the attempts of one call. */
+export class AttemptEvidence {
+  private readonly state: RouterState;
+  private readonly hashes: readonly SegmentHash[];
+
+  constructor({ state, prompt }: AttemptEvidenceOptions) {
+    this.state = state;
+    this.hashes = sharedSegmentHashes(prompt);
+  }
+
+  /** Records a complete answer. One that ends with its connection may also have been broken off. */
+  recordCompleted(attempt: CallAttempt, isFramed: boolean): void {
+    if (this.hashes.length === 0) return;
+    if (isFramed || this.hasSurvived(attempt)) this.state.poison.recordSurvival(this.hashes);
+    else this.state.poison.recordUnframedEnd(attempt.placement.record, this.hashes);
+  }
+
+  /** Records a failed attempt: its endpoint may have crashed. */
+  recordFailed(attempt: CallAttempt, error: RequestError): void {
+    if (this.hashes.length === 0 || error.verdict === Verdict.NotRun) return;
+    if (this.hasSurvived(attempt)) this.state.poison.recordSurvival(this.hashes);
+    else if (LOSS_CODES.has(error.code))
+      this.state.poison.recordLoss(attempt.placement.record, this.hashes);
+  }
+
+  private hasSurvived({ firstEventAt }: CallAttempt): boolean {
+    if (firstEventAt === undefined) return false;
+    return this.state.clock.monotonic() - firstEventAt > SURVIVAL_MS;
+  }
+}
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -16,6 +16,7 @@
     remainingRetries: () => 7,
     eventLoopDelayMs: () => 20,
     eventLoopUtilization: () => 0.5,
+    blockedSegments: () => 0,
     reportAges: () => ({ local: [30, 10, 20], remote: [] }),
   });
 }
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -27,6 +27,8 @@
   eventLoopDelayMs: () => number;
   /** Mean fraction of time in which the event loop has work. */
   eventLoopUtilization: () => number;
+  /** Prompt segments that this router blocks. */
+  blockedSegments: () => number;
   reportAges: () => ReportAges;
 }
 
@@ -176,6 +178,11 @@
       'Mean fraction of time in which the event loop has work',
       source.eventLoopUtilization,
     );
+    this.addGauge(
+      'poplarpick_prompt_segments_blocked',
+      'Prompt segments that are blocked, since they have crashed endpoints',
+      source.blockedSegments,
+    );
     this.addGauge(
       'poplarpick_log_lines_dropped',
       'Log lines dropped because the log reader was too slow',
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -39,6 +39,8 @@
 import { PeerTable, reportSubject } from './peers/peer-table.ts';
 import type { EndpointLoadEntry, CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
+import { PoisonGuard } from './poison/poison-guard.ts';
+import { RepeatedAnnouncements } from './poison/repeated-announcements.ts';
 import { RouterMetrics } from './router-metrics.ts';
 import { hashEndpoints } from './peers/state-snapshot.ts';
 import type { ReportBody } from './peers/report-exchange.ts';
@@ -49,9 +51,6 @@
 /** Connection limit of an endpoint whose pool isn't in the routing table. */
 const DEFAULT_CONNECTION_LIMIT = 64;
 
-/** Reports that repeat a newly cached prompt segment, in case datagrams are lost. */
-const SEGMENT_ANNOUNCEMENTS = 3;
-
 /** Most cached prompt segments in one report, so that it fits into a datagram. */
 const MAX_SEGMENTS_PER_REPORT = 200;
 
@@ -105,13 +104,14 @@
   readonly prefixCacheIndex = new PrefixCacheIndex();
   readonly logRateLimiter = new LogRateLimiter();
   readonly eventLoop: EventLoopMonitor;
+  readonly poison: PoisonGuard;
   readonly metrics: RouterMetrics;
   private readonly fairShareLedger: FairShareLedger;
   private readonly latencyEstimators = new Map<string, LatencyEstimator>();
   private readonly surplusLimiters = new Map<string, SurplusLimiter>();
   private readonly retryBudgets = new Map<string, SharedRetryBudget>();
-  /** Newly cached segments, with the number of reports in which each is still to be sent. */
-  private readonly pendingAnnouncements: { segment: CachedSegmentEntry; remaining: number }[] = [];
+  /** Newly cached segments. */
+  private readonly cacheAnnouncements = new RepeatedAnnouncements<CachedSegmentEntry>();
   private readonly refusedRequests = new RefusedRequests();
   /** Refusals that the next report announces. */
   private unannouncedRefusals: RequestFingerprint[] = [];
@@ -144,8 +144,14 @@
       remainingRetries: () => this.remainingRetries(),
       eventLoopDelayMs: () => this.eventLoop.meanDelayMs,
       eventLoopUtilization: () => this.eventLoop.utilization,
+      blockedSegments: () => this.poison.blockedCount,
       reportAges: () => this.peers.reportAges(this.dataCentre, this.clock.monotonic()),
     });
+    this.poison = new PoisonGuard({
+      clock: options.clock,
+      log: options.log,
+      findEndpoint: (hash) => this.endpoints.findByHash(hash),
+    });
     this.fairShareLedger = new FairShareLedger(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
       clock: options.clock,
@@ -287,7 +293,7 @@
     for (const segment of segments) {
       if (!this.prefixCacheIndex.recordCached(record.incarnation, segment, capacity)) continue;
       const entry: CachedSegmentEntry = [record.incarnationHash, segment.hash, segment.tokens];
-      this.pendingAnnouncements.push({ segment: entry, remaining: SEGMENT_ANNOUNCEMENTS });
+      this.cacheAnnouncements.add(entry, this.clock.monotonic());
     }
   }
 
@@ -328,13 +334,14 @@
       ...(includesWorkspaces
         ? { workspaces: this.fairShareLedger.snapshot(this.clock.monotonic()) }
         : {}),
-      kept: this.takeAnnouncements(),
+      kept: this.cacheAnnouncements.take(MAX_SEGMENTS_PER_REPORT).map(({ entry }) => entry),
       lateRates: [...this.surplusLimiters].map(([pool, limiter]) => [
         murmurhash.v3(pool),
         limiter.lateRate,
       ]),
       refused: this.takeRefusals(),
       draining,
+      ...this.poison.buildReport(),
     };
   }
 
@@ -360,6 +367,7 @@
       if (record !== undefined) this.endpoints.drain(record, DrainSource.Peer);
     }
     if (report.kept.length > 0) this.applyCachedSegments(report.kept);
+    this.poison.applyReport(report);
   }
 
   /**
@@ -390,16 +398,6 @@
     }
   }
 
-  /** Takes the next announcements; those to be repeated go to the end of the queue. */
-  private takeAnnouncements(): CachedSegmentEntry[] {
-    const batch = this.pendingAnnouncements.splice(0, MAX_SEGMENTS_PER_REPORT);
-    for (const entry of batch) {
-      entry.remaining -= 1;
-      if (entry.remaining > 0) this.pendingAnnouncements.push(entry);
-    }
-    return batch.map(({ segment }) => segment);
-  }
-
   /** Takes the refusals to announce. Beyond the maximum, the oldest are dropped: their retries are near. */
   private takeRefusals(): RequestFingerprint[] {
     const refusals = this.unannouncedRefusals.slice(-MAX_REFUSALS_PER_REPORT);
