--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -14,7 +14,8 @@
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
-import { sharedSegments } from '../router-state.ts';
+import { AttemptEvidence } from '../poison/attempt-evidence.ts';
+import { sharedSegmentHashes, sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
@@ -68,6 +69,7 @@
   private readonly writer: ResponseWriter;
   private readonly planner: AttemptPlanner;
   private readonly handover: AttemptHandover;
+  private readonly evidence: AttemptEvidence;
   private readonly reporter: CallReporter;
   private readonly latencyRecorder: CallLatencyRecorder;
   private attempt: CallAttempt | undefined;
@@ -98,6 +100,7 @@
       clock: options.state.clock,
       onReplaced: (earlier) => this.recordReplaced(earlier),
     });
+    this.evidence = new AttemptEvidence({ state: options.state, prompt: options.head.prompt });
     this.reporter = new CallReporter(options);
     this.latencyRecorder = new CallLatencyRecorder(options);
     const { head, route, arrivedAt } = options;
@@ -111,6 +114,7 @@
     this.deadlineTimer = state.clock.after(this.remainingMs() + DEADLINE_GRACE_MS, () =>
       this.handleDeadline(),
     );
+    if (this.refuseIfBlocked()) return;
     this.recordArrival();
     const placement = this.planner.selectEndpoint();
     this.placement = placement;
@@ -190,6 +194,7 @@
     this.settleHandover(attempt);
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.writer.end();
+    this.evidence.recordCompleted(attempt, head.isFramed);
     this.latencyRecorder.recordDuration(attempt);
     this.finish('ok');
   }
@@ -200,6 +205,7 @@
       return;
     }
     if (head.status < MIN_REDIRECT_STATUS) {
+      this.evidence.recordCompleted(attempt, head.isFramed);
       this.latencyRecorder.recordPlainResponse(attempt);
       this.latencyRecorder.recordDuration(attempt);
     }
@@ -214,6 +220,7 @@
     else if (!wasRefused) this.uncountAttempt();
     if (!wasRefused) record.load.recordFailure(this.now());
     this.planner.exclude(record);
+    this.evidence.recordFailed(attempt, error);
     this.reporter.recordFailedAttempt(attempt, error, this.lastEventId);
     if (this.isEnded || this.goOnWithout(attempt)) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
@@ -315,6 +322,18 @@
     this.fail(error.message, ErrorCode.EndpointFailed);
   }
 
+  /** Refuses a prompt that would crash its endpoint; true if it was refused. */
+  private refuseIfBlocked(): boolean {
+    const { head, state } = this.options;
+    const blocked = state.poison.findBlocked(sharedSegmentHashes(head.prompt));
+    if (blocked === undefined) return false;
+    const reason = `segment ${blocked.segment} of the prompt has crashed endpoints`;
+    const retryAfterSeconds = blocked.remainingMs / MS_PER_SECOND;
+    const code = ErrorCode.PromptBlocked;
+    this.endRefused(new RequestError(reason, { code, verdict: Verdict.NotRun, retryAfterSeconds }));
+    return true;
+  }
+
   /** Records the demand of the workspace, unless the call is a caller's retry. */
   private recordArrival(): void {
     const { head, workspace, state } = this.options;
@@ -437,8 +456,12 @@
     if (workspace !== undefined && head.prompt !== undefined)
       state.recordRefusal(workspace, head.prompt);
     const verdict = Verdict.NotRun;
-    this.writer.sendError(new RequestError(reason, { code, verdict, retryAfterSeconds }));
-    this.recordEnd('refused', reason);
+    this.endRefused(new RequestError(reason, { code, verdict, retryAfterSeconds }));
+  }
+
+  private endRefused(error: RequestError): void {
+    this.writer.sendError(error);
+    this.recordEnd('refused', error.message);
     this.close();
   }
 
