Check the retry budget before an endpoint is selected for a retry

A stalled stream asks for another attempt in each check, and without a retry left the selection was for nothing. The order of the reasons in not_retried changes where both are missing: budget comes before no-endpoint.

--- a/packages/decisions/src/forwarding/shared-retry-budget.ts
+++ b/packages/decisions/src/forwarding/shared-retry-budget.ts
@@ -43,10 +43,15 @@
     return this.available ?? 0;
   }
 
+  /** Whether the budget has a retry to take. */
+  hasRetry(routers: number, now: number): boolean {
+    this.refill(routers, now);
+    return this.remaining >= 1;
+  }
+
   /** Takes one retry from the budget; false if none is left. */
   tryAcquire(routers: number, now: number): boolean {
-    this.refill(routers, now);
-    if ((this.available ?? 0) < 1) return false;
+    if (!this.hasRetry(routers, now)) return false;
     this.available = (this.available ?? 0) - 1;
     return true;
   }
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -91,10 +91,13 @@
     if (this.unsent > MAX_UNSENT_ATTEMPTS) return RetryObstacle.Unreachable;
     if (!isKeyValid()) return RetryObstacle.Key;
     if (this.mayBePoison()) return RetryObstacle.Poison;
+    const budget = state.retryBudget(pool);
+    const routers = state.countRouters();
+    const now = state.clock.monotonic();
+    if (!budget.hasRetry(routers, now)) return RetryObstacle.Budget;
     const placement = this.selectEndpoint();
     if (placement === undefined) return RetryObstacle.NoEndpoint;
-    const now = state.clock.monotonic();
-    const isGranted = state.retryBudget(pool).tryAcquire(state.countRouters(), now);
-    return isGranted ? placement : RetryObstacle.Budget;
+    budget.tryAcquire(routers, now);
+    return placement;
   }
 }
