Split the admission of a call from its state machine

What decides on admission and builds the refusals is call-admission.ts now; behaviour is the same but that a blocked prompt is refused by the same path as the others.

--- /dev/null
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -0,0 +1,115 @@
+/**
+ * Admission of one call: whether its prompt may be served, what it counts against its workspace's share, and
+ * whether its wait at the selected endpoint is worthwhile. Builds the errors of calls that are refused; none of
+ * those has run.
+ */
+import { retryAfterPauseMs } from '@poplarpick/decisions';
+import type { Route, ShareUsage } from '@poplarpick/decisions';
+import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import { sharedSegmentHashes } from '../router-state.ts';
+import type { RouterState } from '../router-state.ts';
+import type { CallHead } from './call-protocol.ts';
+import type { CallPlacer, Placement } from './call-placer.ts';
+
+const MS_PER_SECOND = 1_000;
+
+const NO_SHARE_USAGE: ShareUsage = { shareUsed: 0, surplusUsed: 0 };
+
+/** Value of `Retry-After` when no endpoint is available, in seconds. */
+const NO_ENDPOINT_RETRY_S = 0.5;
+
+/** Options of a `CallAdmission`. */
+export interface CallAdmissionOptions {
+  state: RouterState;
+  placer: CallPlacer;
+  head: CallHead;
+  route: Route;
+  pool: string;
+  workspace: string | undefined;
+}
+
+/** Decides on the admission of one call. */
+export class CallAdmission {
+  private readonly options: CallAdmissionOptions;
+  private usage = NO_SHARE_USAGE;
+  private isRetry = false;
+  private isBeyondShare = false;
+
+  constructor(options: CallAdmissionOptions) {
+    this.options = options;
+  }
+
+  /** Usage of the workspace's share when the call arrived. */
+  get shareUsage(): ShareUsage {
+    return this.usage;
+  }
+
+  /** The caller was refused before and has retried. */
+  get isCallerRetry(): boolean {
+    return this.isRetry;
+  }
+
+  /** The workspace had used up its fair share when the call was admitted. */
+  get isOverShare(): boolean {
+    return this.isBeyondShare;
+  }
+
+  /** The refusal of a prompt that would crash its endpoint; undefined if it may be served. */
+  checkPrompt(): RequestError | undefined {
+    const { head, state } = this.options;
+    const blocked = state.poison.findBlocked(sharedSegmentHashes(head.prompt));
+    if (blocked === undefined) return undefined;
+    const reason = `segment ${blocked.segment} of the prompt has crashed endpoints`;
+    return createRefusal(reason, ErrorCode.PromptBlocked, blocked.remainingMs);
+  }
+
+  /** Records the demand of the workspace, unless the call is a caller's retry. */
+  recordArrival(): void {
+    const { head, workspace, state } = this.options;
+    if (workspace === undefined || head.prompt === undefined) return;
+    this.isRetry = state.recordArrival(workspace, head.prompt);
+    this.usage = state.shareUsage(workspace);
+  }
+
+  /** The refusal of a call whose wait is too long; undefined if it is admitted. `remainingMs` is until its deadline. */
+  checkWait(placement: Placement, remainingMs: number): RequestError | undefined {
+    const { route, placer } = this.options;
+    const { usage: shareUsage, isRetry: isCallerRetry } = this;
+    const admission = placer.admit({ route, remainingMs, shareUsage, isCallerRetry }, placement);
+    this.isBeyondShare = admission.isOverShare;
+    if (admission.isAccepted) return undefined;
+    const reason = admission.isOverShare
+      ? 'the workspace has had its share'
+      : 'the wait is too long';
+    return createRefusal(reason, ErrorCode.QueueFull, admission.retryAfterMs);
+  }
+
+  /** The refusal of a call for which no endpoint is left; if all are paused, until the first pause ends. */
+  createNoEndpointError(reason: string): RequestError {
+    const { state, pool } = this.options;
+    const pauseMs = state.endpoints.timeUntilAvailableMs(pool);
+    const retryAfterMs =
+      pauseMs === undefined
+        ? NO_ENDPOINT_RETRY_S * MS_PER_SECOND
+        : retryAfterPauseMs(pauseMs, state.random());
+    return createRefusal(reason, ErrorCode.NoEndpoint, retryAfterMs);
+  }
+
+  /** The refusal of a call whose deadline has passed before it was sent. */
+  createDeadlineError(reason: string): RequestError {
+    return createRefusal(reason, ErrorCode.NoEndpoint, 0);
+  }
+
+  /** Records a refusal, so that the caller's retry is recognized. A blocked prompt is expected to stay away. */
+  recordRefusal({ code }: RequestError): void {
+    const { head, workspace, state } = this.options;
+    if (code === ErrorCode.PromptBlocked) return;
+    if (workspace === undefined || head.prompt === undefined) return;
+    state.recordRefusal(workspace, head.prompt);
+  }
+}
+
+function createRefusal(reason: string, code: ErrorCode, retryAfterMs: number): RequestError {
+  const retryAfterSeconds = retryAfterMs / MS_PER_SECOND;
+  return new RequestError(reason, { code, verdict: Verdict.NotRun, retryAfterSeconds });
+}
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -4,21 +4,17 @@
  * disconnects, and sends an error when the deadline expires.
  */
 import type { ServerResponse } from 'node:http';
-import {
-  decideFailureAction,
-  DrainSource,
-  FailureAction,
-  retryAfterPauseMs,
-} from '@poplarpick/decisions';
-import type { Route, ShareUsage, StreamEvent } from '@poplarpick/decisions';
+import { decideFailureAction, DrainSource, FailureAction } from '@poplarpick/decisions';
+import type { Route, StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { AttemptEvidence } from '../poison/attempt-evidence.ts';
-import { sharedSegmentHashes, sharedSegments } from '../router-state.ts';
+import { sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
+import { CallAdmission } from './call-admission.ts';
 import { ResponseWriter } from './response-writer.ts';
 import { AttemptHandler, CallAttempt } from './call-attempt.ts';
 import { CallReporter } from './call-reporter.ts';
@@ -35,15 +31,9 @@
  */
 const STALL_TIMEOUT_MS = 1_000;
 
-const MS_PER_SECOND = 1_000;
 const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
 
-const NO_SHARE_USAGE: ShareUsage = { shareUsed: 0, surplusUsed: 0 };
-
-/** Value of `Retry-After` when no endpoint is available, in seconds. */
-const NO_ENDPOINT_RETRY_S = 0.5;
-
 /** A call that has passed the checks of the ingress, and its dependencies. */
 export interface CallOptions {
   state: RouterState;
@@ -67,6 +57,7 @@
 export class Call extends AttemptHandler {
   private readonly options: CallOptions;
   private readonly writer: ResponseWriter;
+  private readonly admission: CallAdmission;
   private readonly planner: AttemptPlanner;
   private readonly handover: AttemptHandover;
   private readonly evidence: AttemptEvidence;
@@ -83,11 +74,6 @@
   private lastEventId: number | undefined;
   private firstEventAt: number | undefined;
   private isEnded = false;
-  private shareUsage: ShareUsage = NO_SHARE_USAGE;
-  /** The caller was refused before and has retried. */
-  private isCallerRetry = false;
-  /** The workspace had used up its fair share when the call was admitted. */
-  private isOverShare = false;
   /** Monotonic time of the deadline, in ms. */
   private readonly deadlineAt: number;
 
@@ -95,6 +81,7 @@
     super();
     this.options = options;
     this.writer = new ResponseWriter(options.response, options.shouldCloseConnection);
+    this.admission = new CallAdmission(options);
     this.planner = new AttemptPlanner(options);
     this.handover = new AttemptHandover({
       clock: options.state.clock,
@@ -114,15 +101,18 @@
     this.deadlineTimer = state.clock.after(this.remainingMs() + DEADLINE_GRACE_MS, () =>
       this.handleDeadline(),
     );
-    if (this.refuseIfBlocked()) return;
-    this.recordArrival();
-    const placement = this.planner.selectEndpoint();
-    this.placement = placement;
-    if (placement === undefined) {
-      this.refuseWithoutEndpoint('no endpoint takes requests');
-      return;
-    }
-    if (this.admit(placement)) this.send(placement);
+    const refusal = this.admission.checkPrompt() ?? this.place();
+    if (refusal !== undefined) this.refuse(refusal);
+    else if (this.placement !== undefined) this.send(this.placement);
+  }
+
+  /** Selects the first endpoint; the refusal if there is none or its wait is too long. */
+  private place(): RequestError | undefined {
+    this.admission.recordArrival();
+    this.placement = this.planner.selectEndpoint();
+    if (this.placement === undefined)
+      return this.admission.createNoEndpointError('no endpoint takes requests');
+    return this.admission.checkWait(this.placement, this.remainingMs());
   }
 
   /**
@@ -181,7 +171,7 @@
     }
     if (!attempt.hasStarted) {
       this.firstEventAt ??= this.now();
-      this.latencyRecorder.recordFirstEvent(attempt, this.shareUsage.shareUsed < 1);
+      this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
     }
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.lastEventId = event.id ?? this.lastEventId;
@@ -316,47 +306,12 @@
       return;
     }
     if (!this.mayHaveRun) {
-      this.refuseWithoutEndpoint(error.message);
+      this.refuse(this.admission.createNoEndpointError(error.message));
       return;
     }
     this.fail(error.message, ErrorCode.EndpointFailed);
   }
 
-  /** Refuses a prompt that would crash its endpoint; true if it was refused. */
-  private refuseIfBlocked(): boolean {
-    const { head, state } = this.options;
-    const blocked = state.poison.findBlocked(sharedSegmentHashes(head.prompt));
-    if (blocked === undefined) return false;
-    const reason = `segment ${blocked.segment} of the prompt has crashed endpoints`;
-    const retryAfterSeconds = blocked.remainingMs / MS_PER_SECOND;
-    const code = ErrorCode.PromptBlocked;
-    this.endRefused(new RequestError(reason, { code, verdict: Verdict.NotRun, retryAfterSeconds }));
-    return true;
-  }
-
-  /** Records the demand of the workspace, unless the call is a caller's retry. */
-  private recordArrival(): void {
-    const { head, workspace, state } = this.options;
-    if (workspace === undefined || head.prompt === undefined) return;
-    this.isCallerRetry = state.recordArrival(workspace, head.prompt);
-    this.shareUsage = state.shareUsage(workspace);
-  }
-
-  private admit(placement: Placement): boolean {
-    const { route, placer } = this.options;
-    const { shareUsage, isCallerRetry } = this;
-    const remainingMs = this.remainingMs();
-    const admission = placer.admit({ route, remainingMs, shareUsage, isCallerRetry }, placement);
-    this.isOverShare = admission.isOverShare;
-    if (admission.isAccepted) return true;
-    const retryAfterSeconds = admission.retryAfterMs / MS_PER_SECOND;
-    const reason = admission.isOverShare
-      ? 'the workspace has had its share'
-      : 'the wait is too long';
-    this.refuse(reason, ErrorCode.QueueFull, retryAfterSeconds);
-    return false;
-  }
-
   private send(placement: Placement): void {
     this.placement = placement;
     const { head, state, workspace, body, pool } = this.options;
@@ -366,7 +321,7 @@
       state.retryBudget(pool).recordRequest(state.countRouters(), this.now());
     }
     if (workspace !== undefined && prompt !== undefined) {
-      state.recordGrant(workspace, prompt, this.isOverShare);
+      state.recordGrant(workspace, prompt, this.admission.isOverShare);
     }
     state.recordCached(placement.record, sharedSegments(prompt));
     const kvCacheTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens;
@@ -425,7 +380,7 @@
     this.abortAttempts();
     if (this.writer.hasBegun) this.abortResponse('the time for the request is over');
     else if (mayHaveRun) this.fail('the time for the request is over', ErrorCode.DeadlineExceeded);
-    else this.refuse('the time for the request is over', ErrorCode.NoEndpoint, 0);
+    else this.refuse(this.admission.createDeadlineError('the time for the request is over'));
   }
 
   private abortAttempts(): void {
@@ -440,26 +395,8 @@
     if (head.pause !== undefined) endpoints.pause(record, head.pause);
   }
 
-  /** Refuses the call because no endpoint is left for it; if all are paused, until the first pause ends. */
-  private refuseWithoutEndpoint(reason: string): void {
-    const { state, pool } = this.options;
-    const pauseMs = state.endpoints.timeUntilAvailableMs(pool);
-    const retryAfterSeconds =
-      pauseMs === undefined
-        ? NO_ENDPOINT_RETRY_S
-        : retryAfterPauseMs(pauseMs, state.random()) / MS_PER_SECOND;
-    this.refuse(reason, ErrorCode.NoEndpoint, retryAfterSeconds);
-  }
-
-  private refuse(reason: string, code: ErrorCode, retryAfterSeconds: number): void {
-    const { head, workspace, state } = this.options;
-    if (workspace !== undefined && head.prompt !== undefined)
-      state.recordRefusal(workspace, head.prompt);
-    const verdict = Verdict.NotRun;
-    this.endRefused(new RequestError(reason, { code, verdict, retryAfterSeconds }));
-  }
-
-  private endRefused(error: RequestError): void {
+  private refuse(error: RequestError): void {
+    this.admission.recordRefusal(error);
     this.writer.sendError(error);
     this.recordEnd('refused', error.message);
     this.close();
@@ -494,8 +431,8 @@
       outcome,
       reason,
       placement: this.placement,
-      shareUsage: this.shareUsage,
-      isCallerRetry: this.isCallerRetry,
+      shareUsage: this.admission.shareUsage,
+      isCallerRetry: this.admission.isCallerRetry,
       attempts: this.sentAttempts,
       retryObstacle: this.planner.obstacle,
       firstEventAt: this.firstEventAt,
