Split streams in linear time

A router spent seconds of its only thread on an event that came in many chunks: EventSplitter joined and searched all bytes of the event again for each chunk, so that all other calls waited.

The splitter now remembers only the end of the last line between two chunks, and collects an incomplete event in a buffer that doubles. A list of chunks would have cost an object per byte when an engine sends chunks of one byte.

--- a/packages/decisions/src/forwarding/event-splitter.test.ts
+++ b/packages/decisions/src/forwarding/event-splitter.test.ts
@@ -1,9 +1,28 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { EventSplitter } from './event-splitter.ts';
+import type { StreamEvent } from './event-splitter.ts';
 
 const STREAM = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: no id\n\nid:3\ndata: c';
 
+const LARGE_EVENT_BYTES = 4_194_304;
+const SMALL_CHUNK_BYTES = 256;
+/** A few ms when each byte is handled once; many seconds when all bytes are joined for each chunk. */
+const MAX_LARGE_EVENT_MS = 1_000;
+
+function describeEvent({ bytes, id }: StreamEvent): string {
+  return `${id ?? 'none'} ${JSON.stringify(bytes.toString('latin1'))}`;
+}
+
+/** The events of a whole stream, found with a regular expression. */
+function splitByPattern(whole: Buffer): string[] {
+  const events = whole.toString('latin1').match(/[^]*?\n\r?\n/g) ?? [];
+  return events.map((text) => {
+    const id = /^id: ?(\d+)\r?$/m.exec(text)?.[1];
+    return `${id ?? 'none'} ${JSON.stringify(text)}`;
+  });
+}
+
 describe('event splitter', () => {
   it('returns complete events with their ids and buffers the incomplete one', () => {
     const splitter = new EventSplitter();
@@ -36,4 +55,49 @@
       { seed: 7, numRuns: 300 },
     );
   });
+
+  it('returns the same events of any bytes in any chunks as of the whole at once', () => {
+    const piece = fc.constantFrom(
+      '\n',
+      '\r',
+      '\n\n',
+      '\n\r\n',
+      'id: 7',
+      'id:8',
+      'data: a',
+      'x',
+      ' ',
+    );
+    const chunks = fc.array(
+      fc.array(piece, { maxLength: 6 }).map((pieces) => Buffer.from(pieces.join(''))),
+      { maxLength: 12 },
+    );
+    fc.assert(
+      fc.property(chunks, (parts) => {
+        const split = new EventSplitter();
+        const atOnce = new EventSplitter();
+        const events = parts.flatMap((part) => split.push(part));
+        const expected = atOnce.push(Buffer.concat(parts));
+        expect(events.map(describeEvent)).to.deep.equal(expected.map(describeEvent));
+        expect(events.map(describeEvent)).to.deep.equal(splitByPattern(Buffer.concat(parts)));
+        expect(split.pendingBytes).to.equal(atOnce.pendingBytes);
+      }),
+      { seed: 11, numRuns: 2_000 },
+    );
+  });
+
+  for (const [name, line] of [
+    ['one line', 'x'],
+    ['many lines', '\n:'],
+  ] as const) {
+    it(`takes a large event of ${name} in small chunks in linear time`, () => {
+      const splitter = new EventSplitter();
+      const chunk = Buffer.from(line.repeat(SMALL_CHUNK_BYTES / line.length));
+      const startedAt = performance.now();
+      for (let bytes = 0; bytes < LARGE_EVENT_BYTES; bytes += chunk.length) splitter.push(chunk);
+      expect(performance.now() - startedAt).to.be.lessThan(MAX_LARGE_EVENT_MS);
+      const [event] = splitter.push(Buffer.from('\n\n'));
+      expect(event?.bytes.length).to.equal(LARGE_EVENT_BYTES + 2);
+    });
+  }
 });
--- a/packages/decisions/src/forwarding/event-splitter.ts
+++ b/packages/decisions/src/forwarding/event-splitter.ts
@@ -1,8 +1,9 @@
 /**
  * Splits a stream of server-sent events into complete events without changing their bytes, and parses their
  * ids. Only complete events are forwarded, so that a stream can resume at another endpoint after the last
- * one.
+ * one. Each byte is looked at once: between two chunks, only the end of the last line is remembered.
  */
+import { ByteAccumulator } from './byte-accumulator.ts';
 
 /** A complete event. */
 export interface StreamEvent {
@@ -16,9 +17,18 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id: ?(\d+)\r?$/m;
 
+/** What the latest bytes of an incomplete event are, as far as they can belong to its end. */
+enum LineEnd {
+  None,
+  LineFeed,
+  /** A line feed and a carriage return. */
+  CarriageReturn,
+}
+
 /** Buffers chunks and returns the complete events in them. */
 export class EventSplitter {
-  private incomplete: Buffer = Buffer.alloc(0);
+  private readonly incomplete = new ByteAccumulator();
+  private lineEnd = LineEnd.None;
 
   /** Number of buffered bytes that belong to an incomplete event. */
   get pendingBytes(): number {
@@ -27,26 +37,44 @@
 
   /** Adds a chunk; returns the events that it completes. */
   push(chunk: Buffer): StreamEvent[] {
-    const data = this.incomplete.length === 0 ? chunk : Buffer.concat([this.incomplete, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
-    for (let end = findEventEnd(data, start); end > 0; end = findEventEnd(data, start)) {
-      const bytes = data.subarray(start, end);
+    for (let end = this.findEventEnd(chunk, 0); end >= 0; end = this.findEventEnd(chunk, start)) {
+      const bytes = this.completeEvent(chunk.subarray(start, end));
       events.push({ bytes, id: parseEventId(bytes) });
       start = end;
     }
-    this.incomplete = data.subarray(start);
+    if (start < chunk.length) this.incomplete.push(chunk.subarray(start));
     return events;
   }
-}
 
-/** Index after the blank line that ends the event at `start`, or -1 if the event is incomplete. */
-function findEventEnd(data: Buffer, start: number): number {
-  for (let at = data.indexOf(LINE_FEED, start); at >= 0; at = data.indexOf(LINE_FEED, at + 1)) {
-    if (data[at + 1] === LINE_FEED) return at + 2;
-    if (data[at + 1] === CARRIAGE_RETURN && data[at + 2] === LINE_FEED) return at + 3;
+  private completeEvent(lastBytes: Buffer): Buffer {
+    if (this.incomplete.length === 0) return lastBytes;
+    this.incomplete.push(lastBytes);
+    return this.incomplete.take();
+  }
+
+  /** Index after the blank line that ends the current event, or -1 if the event is incomplete. */
+  private findEventEnd(chunk: Buffer, start: number): number {
+    let at = start;
+    while (at < chunk.length) {
+      if (this.lineEnd === LineEnd.None) {
+        const lineFeed = chunk.indexOf(LINE_FEED, at);
+        if (lineFeed < 0) return -1;
+        this.lineEnd = LineEnd.LineFeed;
+        at = lineFeed + 1;
+      } else if (chunk[at] === LINE_FEED) {
+        this.lineEnd = LineEnd.None;
+        return at + 1;
+      } else if (this.lineEnd === LineEnd.LineFeed && chunk[at] === CARRIAGE_RETURN) {
+        this.lineEnd = LineEnd.CarriageReturn;
+        at += 1;
+      } else {
+        this.lineEnd = LineEnd.None;
+      }
+    }
+    return -1;
   }
-  return -1;
 }
 
 function parseEventId(bytes: Buffer): number | undefined {
