Limit what is read of an answer that does not end

An engine that sent a body, or an event, without end was read until the deadline of its call: the caller waited as long, and an event took memory without a limit. A response that was refused or replaced by a retry was read without any limit, on a connection that counted against the limit of its service and that no later abort closed.

An attempt now fails as soon as its body exceeds MAX_BODY_BYTES, and as soon as an incomplete event does; a stream as a whole has no limit. A body is collected in one buffer, so that chunks of one byte cost no object each. A discarded response is read for 64 KiB and 500 ms, so that its connection can be reused if it ends by then, and its connection is closed otherwise.

--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a call at an endpoint: counts in the endpoint's load while it runs, splits a stream
  * into events or buffers the body of another response, and reports the result to the call.
  */
-import { EventSplitter } from '@poplarpick/decisions';
+import { ByteAccumulator, EventSplitter } from '@poplarpick/decisions';
 import type { InFlightRequest, StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
@@ -14,6 +14,12 @@
 /** Largest body of a response without events, in bytes; it is buffered before it is forwarded. */
 const MAX_BODY_BYTES = 4_194_304;
 
+/**
+ * Most bytes of an incomplete event: it is buffered as a body is, so it may be as large as one. A stream as a
+ * whole has no limit.
+ */
+const MAX_EVENT_BYTES = MAX_BODY_BYTES;
+
 /** Receives the events and the result of an attempt. */
 export abstract class AttemptHandler {
   /** Called when the request is being written to the endpoint. */
@@ -45,8 +51,7 @@
   private readonly handler: AttemptHandler;
   private readonly clock: Clock;
   private readonly splitter = new EventSplitter();
-  private readonly body: Buffer[] = [];
-  private bodyBytes = 0;
+  private readonly body = new ByteAccumulator();
   private head: ResponseHead | undefined;
   private isEnded = false;
   private isResponseRejected = false;
@@ -86,15 +91,17 @@
     this.head = head;
     if (!head.isEventStream) this.placement.record.load.recordStarted(this.inFlight);
     this.isResponseRejected = !this.handler.acceptHead(this, head);
-    if (this.isResponseRejected) this.close();
+    if (!this.isResponseRejected) return;
+    this.close();
+    this.request?.discard();
   }
 
   override onBytes(chunk: Buffer): boolean {
     this.recordBytes();
     if (this.isResponseRejected || this.head === undefined) return true;
     if (this.head.isEventStream) return this.forwardEvents(chunk, this.head);
-    this.bodyBytes += chunk.length;
-    if (this.bodyBytes <= MAX_BODY_BYTES) this.body.push(chunk);
+    if (this.body.length + chunk.length > MAX_BODY_BYTES) this.fail('the answer is too large');
+    else this.body.push(chunk);
     return true;
   }
 
@@ -104,13 +111,9 @@
       this.fail('the stream ended within an event');
       return;
     }
-    if (this.bodyBytes > MAX_BODY_BYTES) {
-      this.fail('the answer is too large');
-      return;
-    }
     this.close();
     if (this.head.isEventStream) this.handler.handleStreamEnd(this, this.head);
-    else this.handler.handleResponse(this, this.head, Buffer.concat(this.body));
+    else this.handler.handleResponse(this, this.head, this.body.take());
   }
 
   override onFailure(error: RequestError): void {
@@ -151,6 +154,10 @@
       this.firstEventAt ??= this.lastByteAt;
       canContinue = this.handler.handleEvent(this, head, event) && canContinue;
     }
+    if (this.splitter.pendingBytes > MAX_EVENT_BYTES) {
+      this.fail('an event is too large');
+      return true;
+    }
     this.isReadPaused = !canContinue;
     return canContinue;
   }
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -1,7 +1,8 @@
 /**
  * Connection pool for one endpoint. Each connection is an undici client that carries one request at a
  * time. Aborting a request closes its connection, which cancels the request at the endpoint. Each failure
- * tells whether the request may have run; it can't have run before it was written.
+ * tells whether the request may have run; it can't have run before it was written. An endpoint may send
+ * without end: the bytes that bring a response no further, and those of a discarded response, have limits.
  */
 import { Client } from 'undici';
 import type { buildConnector, Dispatcher } from 'undici';
@@ -17,6 +18,15 @@
 
 const MIN_FINAL_STATUS = 200;
 
+/**
+ * Most bytes of a discarded response that are read, so that its connection can be reused. More would cost more
+ * than a new connection.
+ */
+const MAX_DISCARDED_BYTES = 65_536;
+
+/** Time in which a discarded response must end, in ms; its connection is closed then. */
+const DISCARD_TIMEOUT_MS = 500;
+
 /** Receives the response to one request. */
 export abstract class ResponseObserver {
   /** Called when the request is being written. */
@@ -165,6 +175,8 @@
   /** undici has begun to write the request. */
   private wasWritten = false;
   private isFramed = true;
+  private discardedBytes = 0;
+  private discardTimer: NodeJS.Timeout | undefined;
 
   constructor(options: EndpointRequestOptions) {
     this.options = options;
@@ -174,7 +186,17 @@
   abort(): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    this.controller?.abort(new Error('aborted'));
+    this.closeConnection();
+  }
+
+  /**
+   * Ends the request without calling the observer. The rest of the response is read if it is short, so that the
+   * connection can be reused; otherwise the connection is closed.
+   */
+  discard(): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.discardTimer = setTimeout(() => this.closeConnection(), DISCARD_TIMEOUT_MS).unref();
   }
 
   resume(): void {
@@ -205,12 +227,15 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.isEnded) return;
+    if (this.isEnded) {
+      this.discardBytes(chunk.length);
+      return;
+    }
     if (!this.options.observer.onBytes(chunk) && !this.isEnded) controller.pause();
   }
 
   onResponseEnd(): void {
-    this.options.onReleased();
+    this.release();
     if (this.isEnded) return;
     if (!this.isFramed && this.options.connection.wasReset) {
       this.fail('the connection was reset within an answer without a length', Verdict.MayHaveRun);
@@ -221,11 +246,25 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.options.onReleased();
+    this.release();
     const wasUnsent = !this.wasWritten || error instanceof ConnectError;
     this.fail(error.message, wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
   }
 
+  private discardBytes(count: number): void {
+    this.discardedBytes += count;
+    if (this.discardedBytes > MAX_DISCARDED_BYTES) this.closeConnection();
+  }
+
+  private closeConnection(): void {
+    this.controller?.abort(new Error('aborted'));
+  }
+
+  private release(): void {
+    clearTimeout(this.discardTimer);
+    this.options.onReleased();
+  }
+
   private fail(reason: string, verdict: Verdict): void {
     if (this.isEnded) return;
     this.isEnded = true;
