Close connections whose bytes bring no response further

An engine that sent a status line, empty lines, blanks in a header or trailer, interim heads, a chunk extension or a chunk size without end was read until the deadline of its call, and callers got a 504 then, on every route. Empty lines behind a complete response were read for ever. undici limits the names and values of headers only, and its parser skips all these bytes.

ProgressGuard counts the bytes that the parser has taken since a request or a body began or a part of a body came, and closes the connection after 64 KiB (plus at most one read). Bytes that wait while reading is paused don't count. The attempt then fails with this reason, and is retried where its route allows.

--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -9,6 +9,7 @@
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { ResponseHead, CallProtocol } from '../calls/call-protocol.ts';
 import { ConnectError, connectEndpoint } from './endpoint-connector.ts';
+import { ProgressGuard } from './progress-guard.ts';
 
 /** Idle time after which a connection is closed, in ms, if the endpoint states no limit of its own. */
 const KEEP_ALIVE_MS = 10_000;
@@ -133,6 +134,7 @@
   readonly client: Client;
   /** The current socket has ended with an error. */
   wasReset = false;
+  private progressGuard: ProgressGuard | undefined;
 
   constructor(address: string) {
     this.client = new Client(`http://${address}`, {
@@ -145,6 +147,11 @@
     });
   }
 
+  /** Called when a request or the body of a response begins, and with each part of a body. */
+  recordProgress(): void {
+    this.progressGuard?.recordProgress();
+  }
+
   private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
     this.wasReset = false;
     connectEndpoint(options, (...result) => {
@@ -153,6 +160,7 @@
         this.wasReset = true;
       });
       callback(...result);
+      this.progressGuard = result[1] === null ? undefined : new ProgressGuard(result[1]);
     });
   }
 }
@@ -210,11 +218,13 @@
       return;
     }
     this.wasWritten = true;
+    this.options.connection.recordProgress();
     this.options.observer.onWritten();
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (this.isEnded || status < MIN_FINAL_STATUS) return;
+    this.options.connection.recordProgress();
     const { protocol, requestId, observer } = this.options;
     const head = protocol.decodeResponse(status, readRawHeaders(controller));
     this.isFramed = head.isFramed;
@@ -227,6 +237,7 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.options.connection.recordProgress();
     if (this.isEnded) {
       this.discardBytes(chunk.length);
       return;
