--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -1,13 +1,15 @@
 /**
  * Connection pool for one endpoint. Each connection is an undici client that carries one request at a
  * time. Aborting a request closes its connection, which cancels the request at the endpoint. Each failure
- * tells whether the request may have run; it can't have run before it was written.
+ * tells whether the request may have run; it can't have run before it was written. An endpoint may send
+ * without end: the bytes that bring a response no further, and those of a discarded response, have limits.
  */
 import { Client } from 'undici';
 import type { buildConnector, Dispatcher } from 'undici';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { ResponseHead, CallProtocol } from '../calls/call-protocol.ts';
 import { ConnectError, connectEndpoint } from './endpoint-connector.ts';
+import { ProgressGuard } from './progress-guard.ts';
 
 /** Idle time after which a connection is closed, in ms, if the endpoint states no limit of its own. */
 const KEEP_ALIVE_MS = 10_000;
@@ -17,6 +19,15 @@
 
 const MIN_FINAL_STATUS = 200;
 
+/**
+ * Most bytes of a discarded response that are read, so that its connection can be reused. More would cost more
+ * than a new connection.
+ */
+const MAX_DISCARDED_BYTES = 65_536;
+
+/** Time in which a discarded response must end, in ms; its connection is closed then. */
+const DISCARD_TIMEOUT_MS = 500;
+
 /** Receives the response to one request. */
 export abstract class ResponseObserver {
   /** Called when the request is being written. */
@@ -123,6 +134,7 @@
   readonly client: Client;
   /** The current socket has ended with an error. */
   wasReset = false;
+  private progressGuard: ProgressGuard | undefined;
 
   constructor(address: string) {
     this.client = new Client(`http://${address}`, {
@@ -135,6 +147,11 @@
     });
   }
 
+  /** Called when a request or the body of a response begins, and with each part of a body. */
+  recordProgress(): void {
+    this.progressGuard?.recordProgress();
+  }
+
   private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
     this.wasReset = false;
     connectEndpoint(options, (...result) => {
@@ -143,6 +160,7 @@
         this.wasReset = true;
       });
       callback(...result);
+      this.progressGuard = result[1] === null ? undefined : new ProgressGuard(result[1]);
     });
   }
 }
@@ -165,6 +183,8 @@
   /** undici has begun to write the request. */
   private wasWritten = false;
   private isFramed = true;
+  private discardedBytes = 0;
+  private discardTimer: NodeJS.Timeout | undefined;
 
   constructor(options: EndpointRequestOptions) {
     this.options = options;
@@ -174,7 +194,17 @@
   abort(): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    this.controller?.abort(new Error('aborted'));
+    this.closeConnection();
+  }
+
+  /**
+   * Ends the request without calling the observer. The rest of the response is read if it is short, so that the
+   * connection can be reused; otherwise the connection is closed.
+   */
+  discard(): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.discardTimer = setTimeout(() => this.closeConnection(), DISCARD_TIMEOUT_MS).unref();
   }
 
   resume(): void {
@@ -188,11 +218,13 @@
       return;
     }
     this.wasWritten = true;
+    this.options.connection.recordProgress();
     this.options.observer.onWritten();
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (this.isEnded || status < MIN_FINAL_STATUS) return;
+    this.options.connection.recordProgress();
     const { protocol, requestId, observer } = this.options;
     const head = protocol.decodeResponse(status, readRawHeaders(controller));
     this.isFramed = head.isFramed;
@@ -205,12 +237,16 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.isEnded) return;
+    this.options.connection.recordProgress();
+    if (this.isEnded) {
+      this.discardBytes(chunk.length);
+      return;
+    }
     if (!this.options.observer.onBytes(chunk) && !this.isEnded) controller.pause();
   }
 
   onResponseEnd(): void {
-    this.options.onReleased();
+    this.release();
     if (this.isEnded) return;
     if (!this.isFramed && this.options.connection.wasReset) {
       this.fail('the connection was reset within an answer without a length', Verdict.MayHaveRun);
@@ -221,11 +257,25 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.options.onReleased();
+    this.release();
     const wasUnsent = !this.wasWritten || error instanceof ConnectError;
     this.fail(error.message, wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
   }
 
+  private discardBytes(count: number): void {
+    this.discardedBytes += count;
+    if (this.discardedBytes > MAX_DISCARDED_BYTES) this.closeConnection();
+  }
+
+  private closeConnection(): void {
+    this.controller?.abort(new Error('aborted'));
+  }
+
+  private release(): void {
+    clearTimeout(this.discardTimer);
+    this.options.onReleased();
+  }
+
   private fail(reason: string, verdict: Verdict): void {
     if (this.isEnded) return;
     this.isEnded = true;
