Replay of prompts that crash engines, in simulated time

The detection of poison segments had unit tests and one test with processes, and no figures over many fleets.

--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -14,6 +14,7 @@
 import { fuzzCommand } from './fuzz/app.ts';
 import { latencyCommand } from './latency/app.ts';
 import { membershipCommand } from './membership/app.ts';
+import { poisonCommand } from './poison/app.ts';
 import { powerCommand } from './power/app.ts';
 import { profileCommand } from './profile/app.ts';
 import { smokeCommand } from './smoke/app.ts';
@@ -45,6 +46,7 @@
     floodCommand,
     latencyCommand,
     membershipCommand,
+    poisonCommand,
     powerCommand,
     profileCommand,
     smokeCommand,
--- /dev/null
+++ b/packages/bench/src/poison/poison-replay.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai';
+import { findBrokenBounds } from './poison-bounds.ts';
+import { Day, planDay } from './poison-day.ts';
+import { PoisonReplay } from './poison-replay.ts';
+import type { PoisonResult } from './poison-tally.ts';
+
+/** Small enough for CI; the command plays larger fleets. */
+const SIZES = { routers: 4, dataCentres: 2, engines: 8, requestsPerSecond: 80, durationMs: 30_000 };
+const POISON_PER_SECOND = 3;
+
+function replay(day: Day, seed: number): PoisonResult {
+  const plan = planDay(day, seed, SIZES);
+  const poisonPerSecond = plan.poisonPerSecond > 0 ? POISON_PER_SECOND : 0;
+  return new PoisonReplay({ ...plan, poisonPerSecond }).run();
+}
+
+describe('the replay of prompts that crash engines', () => {
+  for (const day of [
+    Day.PoisonMiddle,
+    Day.PoisonFirst,
+    Day.SingleCrashes,
+    Day.RollingRestart,
+    Day.CrashTogether,
+    Day.Resets,
+  ]) {
+    it(`keeps the bounds on the day ${day}`, () => {
+      const results = [1, 2].map((seed) => replay(day, seed));
+      expect(results.filter((result) => findBrokenBounds(result).length > 0)).to.deep.equal([]);
+    });
+  }
+
+  it('blocks the poison segment at every router', () => {
+    expect(replay(Day.PoisonMiddle, 1).blockDelayMs).to.be.a('number');
+  });
+
+  it('leads to the same figures with the same seed', () => {
+    expect(replay(Day.PoisonAndCrashes, 3)).to.deep.equal(replay(Day.PoisonAndCrashes, 3));
+  });
+});
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -7,3 +7,5 @@
 export * from './calls/call-placer.ts';
 export * from './peers/peer-table.ts';
 export * from './peers/report-exchange.ts';
+export * from './poison/attempt-evidence.ts';
+export * from './poison/poison-guard.ts';
--- a/packages/forwarder/src/poison/poison-guard.ts
+++ b/packages/forwarder/src/poison/poison-guard.ts
@@ -33,12 +33,15 @@
   Peer = 'peer',
 }
 
+/** What the guard needs to know of an endpoint. */
+export type WatchedEndpoint = Pick<EndpointRecord, 'endpoint' | 'incarnationHash' | 'load'>;
+
 /** Options of a `PoisonGuard`. */
 export interface PoisonGuardOptions {
   clock: Clock;
   log: Logger;
   /** Finds an endpoint by the hash of its incarnation. */
-  findEndpoint: (incarnationHash: number) => EndpointRecord | undefined;
+  findEndpoint: (incarnationHash: number) => WatchedEndpoint | undefined;
 }
 
 /** Finds and blocks poison segments. */
@@ -72,7 +75,7 @@
   }
 
   /** Records that the connection of an attempt was lost that had just begun, or not begun to be answered. */
-  recordLoss(record: EndpointRecord, segments: readonly SegmentHash[]): void {
+  recordLoss(record: WatchedEndpoint, segments: readonly SegmentHash[]): void {
     if (segments.length === 0) return;
     const lostAt = this.now();
     this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
@@ -81,7 +84,7 @@
   }
 
   /** Records an answer that ended with its connection: its request has survived if the endpoint goes on. */
-  recordUnframedEnd(record: EndpointRecord, segments: readonly SegmentHash[]): void {
+  recordUnframedEnd(record: WatchedEndpoint, segments: readonly SegmentHash[]): void {
     const endedAt = this.now();
     this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
       if (hasSpokenSince(record, endedAt)) this.recordSurvival(segments, endedAt);
@@ -134,7 +137,7 @@
   }
 
   private recordCrash(
-    record: EndpointRecord,
+    record: WatchedEndpoint,
     segments: readonly SegmentHash[],
     lostAt: number,
   ): void {
@@ -169,6 +172,6 @@
   }
 }
 
-function hasSpokenSince({ load }: EndpointRecord, at: number): boolean {
+function hasSpokenSince({ load }: WatchedEndpoint, at: number): boolean {
   return load.lastReceivedAt > at + READ_DELAY_MS;
 }
