--- a/packages/bench/src/poison/poison-replay.test.ts
+++ b/packages/bench/src/poison/poison-replay.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { findBrokenBounds } from './poison-bounds.ts';
 import { Day, planDay } from './poison-day.ts';
+import type { DayOverrides } from './poison-day.ts';
 import { PoisonReplay } from './poison-replay.ts';
 import type { PoisonResult } from './poison-tally.ts';
 
@@ -8,8 +9,11 @@
 const SIZES = { routers: 4, dataCentres: 2, engines: 8, requestsPerSecond: 80, durationMs: 30_000 };
 const POISON_PER_SECOND = 3;
 
-function replay(day: Day, seed: number): PoisonResult {
-  const plan = planDay(day, seed, SIZES);
+/** Long enough for the first release of a blocked segment and the crashes after it. */
+const AFTER_RELEASE_MS = 80_000;
+
+function replay(day: Day, seed: number, overrides: DayOverrides = {}): PoisonResult {
+  const plan = planDay(day, seed, { ...SIZES, ...overrides });
   const poisonPerSecond = plan.poisonPerSecond > 0 ? POISON_PER_SECOND : 0;
   return new PoisonReplay({ ...plan, poisonPerSecond }).run();
 }
@@ -21,6 +25,7 @@
     Day.SingleCrashes,
     Day.RollingRestart,
     Day.CrashTogether,
+    Day.CrashLoop,
     Day.Resets,
   ]) {
     it(`keeps the bounds on the day ${day}`, () => {
@@ -29,6 +34,13 @@
     });
   }
 
+  it('lets few poison requests reach engines after a block ends', () => {
+    const results = [1, 2].map((seed) =>
+      replay(Day.PoisonMiddle, seed, { durationMs: AFTER_RELEASE_MS }),
+    );
+    expect(results.filter((result) => findBrokenBounds(result).length > 0)).to.deep.equal([]);
+  });
+
   it('blocks the poison segment at every router', () => {
     expect(replay(Day.PoisonMiddle, 1).blockDelayMs).to.be.a('number');
   });
