Probe a released prompt segment with one request at a time

Each router now releases a segment up to 60 s later than it was blocked for, so that one of them tries first, and lets one request through at a time until one has survived, or the crash is known. A survival during the probation is told to the peers.

--- a/packages/bench/src/poison/poison-replay.test.ts
+++ b/packages/bench/src/poison/poison-replay.test.ts
@@ -9,8 +9,8 @@
 const SIZES = { routers: 4, dataCentres: 2, engines: 8, requestsPerSecond: 80, durationMs: 30_000 };
 const POISON_PER_SECOND = 3;
 
-/** Long enough for the first release of a blocked segment and the crashes after it. */
-const AFTER_RELEASE_MS = 80_000;
+/** Long enough for the first release of a blocked segment at all routers, and the crashes after it. */
+const AFTER_RELEASE_MS = 140_000;
 
 function replay(day: Day, seed: number, overrides: DayOverrides = {}): PoisonResult {
   const plan = planDay(day, seed, { ...SIZES, ...overrides });
--- a/packages/bench/src/poison/replay-router.ts
+++ b/packages/bench/src/poison/replay-router.ts
@@ -18,6 +18,8 @@
   /** Time to the first report, in ms. */
   firstTurnMs: number;
   transmit: (target: string, message: Buffer) => void;
+  /** Source of random numbers in 0..1. */
+  random: () => number;
 }
 
 /** One process of a router. */
@@ -41,7 +43,12 @@
     this.dataCentre = dataCentre;
     this.clock = clock;
     this.startedAt = clock.monotonic();
-    this.guard = new PoisonGuard({ clock, log, findEndpoint: (hash) => this.records.get(hash) });
+    this.guard = new PoisonGuard({
+      clock,
+      log,
+      findEndpoint: (hash) => this.records.get(hash),
+      random: options.random,
+    });
     this.exchange = new ReportExchange({
       address,
       dataCentre,
--- a/packages/bench/src/poison/router-fleet.ts
+++ b/packages/bench/src/poison/router-fleet.ts
@@ -51,6 +51,7 @@
       seeds: this.addresses.slice(0, SEEDS),
       clock,
       firstTurnMs: random.uniform() * FIRST_TURN_MS,
+      random: () => random.uniform(),
       transmit: (target, message) => this.transmit(address, target, message),
     });
     this.routers.set(address, router);
--- a/packages/decisions/src/forwarding/poison-segments.test.ts
+++ b/packages/decisions/src/forwarding/poison-segments.test.ts
@@ -93,6 +93,20 @@
     expect(second.releasedAt - second.blockedAt).to.equal(2 * firstMs);
   });
 
+  it('lets one request at a time through after a release, until one has survived', () => {
+    const segments = new PoisonSegments({ releaseDelayMs: 5_000 });
+    crash(segments, [POISON], 0, 3);
+    const [block] = segments.listBlocked(3_000);
+    if (block === undefined) throw new Error('nothing is blocked');
+    const releasedAt = block.releasedAt + 5_000;
+    expect(isBlocked(segments, POISON, releasedAt - 1)).to.equal(true);
+    expect(isBlocked(segments, POISON, releasedAt)).to.equal(false);
+    segments.recordAdmitted([POISON], releasedAt);
+    expect(isBlocked(segments, POISON, releasedAt + 1)).to.equal(true);
+    expect(segments.recordSurvival([POISON], releasedAt + 2)).to.deep.equal([POISON]);
+    expect(isBlocked(segments, POISON, releasedAt + 3)).to.equal(false);
+  });
+
   it('takes a block from a peer, but not one that a survival has ended', () => {
     const segments = new PoisonSegments();
     const block = { segment: POISON, blockedAt: 1_000, releasedAt: 60_000 };
--- a/packages/decisions/src/forwarding/poison-segments.ts
+++ b/packages/decisions/src/forwarding/poison-segments.ts
@@ -7,7 +7,9 @@
  *
  * Routers tell each other the crashes and survivals that they see. Both are kept as times, of which the latest
  * counts, so lost, repeated and reordered reports lead to the same state. A blocked segment is released after a
- * while, in case the evidence was a coincidence; it is then blocked again, for longer, after a single crash.
+ * while, in case the evidence was a coincidence; it is then blocked again, for longer, after a single crash. Routers
+ * release it one after the other, and each lets one request at a time through until one has survived, so that a
+ * segment that still is poison reaches few engines.
  */
 import { LRUCache } from 'lru-cache';
 import type { SegmentHash } from './prefix-cache-index.ts';
@@ -35,6 +37,9 @@
 /** Time after its release during which a single crash blocks a segment again, in ms. */
 const PROBATION_MS = 300_000;
 
+/** Time for which the first request after a release keeps others back at its router, in ms. */
+const PROBE_MS = 10_000;
+
 /** Difference between two routers' times of release below which they count as equal, in ms. */
 const RELEASE_TOLERANCE_MS = 1_000;
 
@@ -56,6 +61,12 @@
   releasedAt: number;
 }
 
+/** Options of a `PoisonSegments`. */
+export interface PoisonSegmentsOptions {
+  /** Time by which this router releases segments later than it tells its peers, in ms. */
+  releaseDelayMs?: number;
+}
+
 /** What a crash has led to. */
 export interface CrashResult {
   /** Segments that are blocked since. */
@@ -75,6 +86,8 @@
   releasedAt: number;
   /** Length of the latest block, in ms; 0 if it was never blocked. */
   blockMs: number;
+  /** Monotonic time until which a request that was let through keeps others back, in ms. */
+  probedUntil: number;
 }
 
 /** Tracks the evidence against prompt segments, and those that are blocked. */
@@ -83,6 +96,11 @@
   /** Monotonic time of the latest survival of each segment, in ms. */
   private readonly survivedAt = new LRUCache<SegmentHash, number>({ max: MAX_SURVIVORS });
   private survivals = 0;
+  private readonly releaseDelayMs: number;
+
+  constructor({ releaseDelayMs = 0 }: PoisonSegmentsOptions = {}) {
+    this.releaseDelayMs = releaseDelayMs;
+  }
 
   /** Records that an endpoint crashed at time `at` under requests that had just begun and have these segments. */
   recordCrash(
@@ -122,10 +140,13 @@
     const record = this.records.get(segment);
     if (record === undefined) return false;
     const wasBlocked = record.releasedAt > at && record.suspectSince < at;
+    const wasOnProbation = isOnProbation(record, at) && record.blockedAt < at;
     if (wasBlocked) record.releasedAt = at;
     if (record.blockedAt < at || wasBlocked) record.blockMs = 0;
     return (
-      wasBlocked || [...record.crashedAt.values()].some((time) => time > previous && time < at)
+      wasBlocked ||
+      wasOnProbation ||
+      [...record.crashedAt.values()].some((time) => time > previous && time < at)
     );
   }
 
@@ -145,12 +166,21 @@
   findBlocked(segments: readonly SegmentHash[], now: number): BlockedSegment | undefined {
     for (const segment of segments) {
       const record = this.records.peek(segment);
-      if (record === undefined || now >= record.releasedAt) continue;
-      return { segment, blockedAt: record.blockedAt, releasedAt: record.releasedAt };
+      if (record === undefined) continue;
+      const releasedAt = this.localRelease(record);
+      if (now < releasedAt) return { segment, blockedAt: record.blockedAt, releasedAt };
     }
     return undefined;
   }
 
+  /** Records that a request with these segments, none of which is blocked, is let through. */
+  recordAdmitted(segments: readonly SegmentHash[], now: number): void {
+    for (const segment of segments) {
+      const record = this.records.peek(segment);
+      if (record !== undefined && isOnProbation(record, now)) record.probedUntil = now + PROBE_MS;
+    }
+  }
+
   /** Whether one of these segments was a suspect in a crash that no request with it has survived since. */
   hasSuspect(segments: readonly SegmentHash[], now: number): boolean {
     return segments.some((segment) => {
@@ -168,6 +198,12 @@
     return blocked;
   }
 
+  /** Time at which this router lets the next request with the segment through. */
+  private localRelease({ blockMs, releasedAt, probedUntil }: SegmentRecord): number {
+    if (blockMs === 0) return releasedAt;
+    return Math.max(releasedAt + this.releaseDelayMs, probedUntil);
+  }
+
   private createRecord(segment: SegmentHash): SegmentRecord {
     const record: SegmentRecord = {
       crashedAt: new Map(),
@@ -176,6 +212,7 @@
       blockedAt: Number.NEGATIVE_INFINITY,
       releasedAt: Number.NEGATIVE_INFINITY,
       blockMs: 0,
+      probedUntil: Number.NEGATIVE_INFINITY,
     };
     this.records.set(segment, record);
     return record;
@@ -196,8 +233,7 @@
   /** Whether the crashes prove a segment to be poison. After a block, one crash confirms the earlier proof. */
   private isProven(segment: SegmentHash, record: SegmentRecord, now: number): boolean {
     const crashes = this.countCrashes(segment, record, now);
-    const isOnProbation = record.blockMs > 0 && now < record.releasedAt + PROBATION_MS;
-    if (isOnProbation) return crashes > 0;
+    if (isOnProbation(record, now)) return crashes > 0;
     const otherSurvivals = this.survivals - record.survivalsBefore;
     return crashes >= MIN_CRASHES && otherSurvivals >= MIN_OTHER_SURVIVALS;
   }
@@ -234,6 +270,10 @@
   }
 }
 
+function isOnProbation({ blockMs, releasedAt }: SegmentRecord, now: number): boolean {
+  return blockMs > 0 && now < releasedAt + PROBATION_MS;
+}
+
 function forgetOldest(crashedAt: Map<number, number>): void {
   const [oldest] = crashedAt.keys();
   if (oldest !== undefined) crashedAt.delete(oldest);
--- a/packages/forwarder/src/poison/poison-guard.ts
+++ b/packages/forwarder/src/poison/poison-guard.ts
@@ -16,6 +16,9 @@
 /** Time in which bytes may still be read that were sent before the end of an attempt, in ms. */
 const READ_DELAY_MS = 100;
 
+/** Time within which the routers release a segment one after the other, in ms. */
+const RELEASE_SPREAD_MS = 60_000;
+
 /** Most crashes or survivals in one report, so that it fits into a datagram. */
 const MAX_ENTRIES_PER_REPORT = 200;
 
@@ -42,17 +45,21 @@
   log: Logger;
   /** Finds an endpoint by the hash of its incarnation. */
   findEndpoint: (incarnationHash: number) => WatchedEndpoint | undefined;
+  /** Source of random numbers in 0..1. */
+  random?: () => number;
 }
 
 /** Finds and blocks poison segments. */
 export class PoisonGuard {
   private readonly options: PoisonGuardOptions;
-  private readonly segments = new PoisonSegments();
+  private readonly segments: PoisonSegments;
   private readonly crashes = new RepeatedAnnouncements<[endpoint: number, segment: number]>();
   private readonly survivals = new RepeatedAnnouncements<SegmentHash>();
 
   constructor(options: PoisonGuardOptions) {
     this.options = options;
+    const { random = Math.random } = options;
+    this.segments = new PoisonSegments({ releaseDelayMs: random() * RELEASE_SPREAD_MS });
   }
 
   /** Number of segments that are blocked. */
@@ -60,13 +67,19 @@
     return this.segments.listBlocked(this.now()).length;
   }
 
-  /** The first of these segments that is blocked, and the time until its release in ms. */
+  /**
+   * The first of these segments that is blocked, and the time until its release in ms. If none is, the request is
+   * taken to be sent: with a segment that was released a moment ago it keeps others back.
+   */
   findBlocked(
     segments: readonly SegmentHash[],
   ): { segment: SegmentHash; remainingMs: number } | undefined {
     const now = this.now();
     const blocked = this.segments.findBlocked(segments, now);
-    return blocked && { segment: blocked.segment, remainingMs: blocked.releasedAt - now };
+    if (blocked !== undefined)
+      return { segment: blocked.segment, remainingMs: blocked.releasedAt - now };
+    this.segments.recordAdmitted(segments, now);
+    return undefined;
   }
 
   /** Whether one of these segments may be poison, so that a request with it is not repeated. */
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -151,6 +151,7 @@
       clock: options.clock,
       log: options.log,
       findEndpoint: (hash) => this.endpoints.findByHash(hash),
+      random: this.random,
     });
     this.fairShareLedger = new FairShareLedger(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
