--- a/packages/forwarder/src/poison/poison-guard.ts
+++ b/packages/forwarder/src/poison/poison-guard.ts
@@ -16,6 +16,9 @@
 /** Time in which bytes may still be read that were sent before the end of an attempt, in ms. */
 const READ_DELAY_MS = 100;
 
+/** Time within which the routers release a segment one after the other, in ms. */
+const RELEASE_SPREAD_MS = 60_000;
+
 /** Most crashes or survivals in one report, so that it fits into a datagram. */
 const MAX_ENTRIES_PER_REPORT = 200;
 
@@ -33,23 +36,30 @@
   Peer = 'peer',
 }
 
+/** What the guard needs to know of an endpoint. */
+export type WatchedEndpoint = Pick<EndpointRecord, 'endpoint' | 'incarnationHash' | 'load'>;
+
 /** Options of a `PoisonGuard`. */
 export interface PoisonGuardOptions {
   clock: Clock;
   log: Logger;
   /** Finds an endpoint by the hash of its incarnation. */
-  findEndpoint: (incarnationHash: number) => EndpointRecord | undefined;
+  findEndpoint: (incarnationHash: number) => WatchedEndpoint | undefined;
+  /** Source of random numbers in 0..1. */
+  random?: () => number;
 }
 
 /** Finds and blocks poison segments. */
 export class PoisonGuard {
   private readonly options: PoisonGuardOptions;
-  private readonly segments = new PoisonSegments();
+  private readonly segments: PoisonSegments;
   private readonly crashes = new RepeatedAnnouncements<[endpoint: number, segment: number]>();
   private readonly survivals = new RepeatedAnnouncements<SegmentHash>();
 
   constructor(options: PoisonGuardOptions) {
     this.options = options;
+    const { random = Math.random } = options;
+    this.segments = new PoisonSegments({ releaseDelayMs: random() * RELEASE_SPREAD_MS });
   }
 
   /** Number of segments that are blocked. */
@@ -57,13 +67,19 @@
     return this.segments.listBlocked(this.now()).length;
   }
 
-  /** The first of these segments that is blocked, and the time until its release in ms. */
+  /**
+   * The first of these segments that is blocked, and the time until its release in ms. If none is, the request is
+   * taken to be sent: with a segment that was released a moment ago it keeps others back.
+   */
   findBlocked(
     segments: readonly SegmentHash[],
   ): { segment: SegmentHash; remainingMs: number } | undefined {
     const now = this.now();
     const blocked = this.segments.findBlocked(segments, now);
-    return blocked && { segment: blocked.segment, remainingMs: blocked.releasedAt - now };
+    if (blocked !== undefined)
+      return { segment: blocked.segment, remainingMs: blocked.releasedAt - now };
+    this.segments.recordAdmitted(segments, now);
+    return undefined;
   }
 
   /** Whether one of these segments may be poison, so that a request with it is not repeated. */
@@ -72,7 +88,7 @@
   }
 
   /** Records that the connection of an attempt was lost that had just begun, or not begun to be answered. */
-  recordLoss(record: EndpointRecord, segments: readonly SegmentHash[]): void {
+  recordLoss(record: WatchedEndpoint, segments: readonly SegmentHash[]): void {
     if (segments.length === 0) return;
     const lostAt = this.now();
     this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
@@ -81,7 +97,7 @@
   }
 
   /** Records an answer that ended with its connection: its request has survived if the endpoint goes on. */
-  recordUnframedEnd(record: EndpointRecord, segments: readonly SegmentHash[]): void {
+  recordUnframedEnd(record: WatchedEndpoint, segments: readonly SegmentHash[]): void {
     const endedAt = this.now();
     this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
       if (hasSpokenSince(record, endedAt)) this.recordSurvival(segments, endedAt);
@@ -134,7 +150,7 @@
   }
 
   private recordCrash(
-    record: EndpointRecord,
+    record: WatchedEndpoint,
     segments: readonly SegmentHash[],
     lostAt: number,
   ): void {
@@ -169,6 +185,6 @@
   }
 }
 
-function hasSpokenSince({ load }: EndpointRecord, at: number): boolean {
+function hasSpokenSince({ load }: WatchedEndpoint, at: number): boolean {
   return load.lastReceivedAt > at + READ_DELAY_MS;
 }
