Release blocked segments sooner, and see crashes behind answers without a length

A segment that was blocked by coincidence stayed so for 60 to 120 s; a block now lasts 30 s and is released within 30 s more, one request at a time, so that poison still reaches about one engine with each release. What lets a request through after a release is recorded on its own, so that looking a block up changes nothing.

--- a/packages/bench/src/poison/poison-replay.ts
+++ b/packages/bench/src/poison/poison-replay.ts
@@ -93,6 +93,7 @@
     const router = this.random.pick(running);
     const blocked = router.guard.findBlocked(request.hashes);
     if (blocked === undefined) {
+      router.guard.recordAdmitted(request.hashes);
       this.send(router, request, 1);
       return;
     }
--- a/packages/decisions/src/forwarding/poison-segments.ts
+++ b/packages/decisions/src/forwarding/poison-segments.ts
@@ -30,7 +30,7 @@
 const MIN_OTHER_SURVIVALS = 5;
 
 /** Time for which a segment is blocked for the first time, in ms; it doubles each time. */
-const FIRST_BLOCK_MS = 60_000;
+const FIRST_BLOCK_MS = 30_000;
 
 const MAX_BLOCK_MS = 900_000;
 
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -57,8 +57,12 @@
   /** The refusal of a prompt that would crash its endpoint; undefined if it may be served. */
   checkPrompt(): RequestError | undefined {
     const { head, state } = this.options;
-    const blocked = state.poison.findBlocked(sharedSegmentHashes(head.prompt));
-    if (blocked === undefined) return undefined;
+    const hashes = sharedSegmentHashes(head.prompt);
+    const blocked = state.poison.findBlocked(hashes);
+    if (blocked === undefined) {
+      state.poison.recordAdmitted(hashes);
+      return undefined;
+    }
     const reason = `segment ${blocked.segment} of the prompt has crashed endpoints`;
     return createRefusal(reason, ErrorCode.PromptBlocked, blocked.remainingMs);
   }
--- a/packages/forwarder/src/poison/poison-guard.test.ts
+++ b/packages/forwarder/src/poison/poison-guard.test.ts
@@ -112,6 +112,18 @@
     expect(guard.isSuspect([SHARED])).to.equal(false);
   });
 
+  it('takes an answer that ends with its connection for a crash if others are lost and the endpoint is silent', () => {
+    const guard = makeGuard();
+    const crashed = addEndpoint(92);
+    guard.recordUnframedEnd(crashed, [POISON]);
+    guard.recordLoss(crashed, [OTHER]);
+    const alone = addEndpoint(93);
+    guard.recordUnframedEnd(alone, [SHARED]);
+    clock.advance(300);
+    expect(guard.isSuspect([POISON])).to.equal(true);
+    expect(guard.isSuspect([SHARED])).to.equal(false);
+  });
+
   it('ignores the crash that a peer reports of an endpoint that goes on', () => {
     const guard = makeGuard();
     const record = addEndpoint(5);
--- a/packages/forwarder/src/poison/poison-guard.ts
+++ b/packages/forwarder/src/poison/poison-guard.ts
@@ -3,6 +3,7 @@
  * endpoint has crashed if it ends an attempt and is silent from then on; a router waits for a moment before it
  * draws that conclusion, since endpoints also break off single answers.
  */
+import { LRUCache } from 'lru-cache';
 import { PoisonSegments } from '@poplarpick/decisions';
 import type { BlockedSegment, SegmentHash } from '@poplarpick/decisions';
 import type { Clock, Logger } from '@poplarpick/kernel';
@@ -17,7 +18,10 @@
 const READ_DELAY_MS = 100;
 
 /** Time within which the routers release a segment one after the other, in ms. */
-const RELEASE_SPREAD_MS = 60_000;
+const RELEASE_SPREAD_MS = 30_000;
+
+/** Most endpoints whose latest loss is remembered, as a bound on memory. */
+const MAX_ENDPOINTS = 5_000;
 
 /** Most crashes or survivals in one report, so that it fits into a datagram. */
 const MAX_ENTRIES_PER_REPORT = 200;
@@ -53,6 +57,8 @@
 export class PoisonGuard {
   private readonly options: PoisonGuardOptions;
   private readonly segments: PoisonSegments;
+  /** Monotonic time of the latest lost attempt at each endpoint, by the hash of its incarnation, in ms. */
+  private readonly latestLosses = new LRUCache<number, number>({ max: MAX_ENDPOINTS });
   private readonly crashes = new RepeatedAnnouncements<[endpoint: number, segment: number]>();
   private readonly survivals = new RepeatedAnnouncements<SegmentHash>();
 
@@ -67,19 +73,18 @@
     return this.segments.listBlocked(this.now()).length;
   }
 
-  /**
-   * The first of these segments that is blocked, and the time until its release in ms. If none is, the request is
-   * taken to be sent: with a segment that was released a moment ago it keeps others back.
-   */
+  /** The first of these segments that is blocked, and the time until its release in ms. */
   findBlocked(
     segments: readonly SegmentHash[],
   ): { segment: SegmentHash; remainingMs: number } | undefined {
     const now = this.now();
     const blocked = this.segments.findBlocked(segments, now);
-    if (blocked !== undefined)
-      return { segment: blocked.segment, remainingMs: blocked.releasedAt - now };
-    this.segments.recordAdmitted(segments, now);
-    return undefined;
+    return blocked && { segment: blocked.segment, remainingMs: blocked.releasedAt - now };
+  }
+
+  /** Records that a request is let through; with a segment that was released lately it keeps others back. */
+  recordAdmitted(segments: readonly SegmentHash[]): void {
+    this.segments.recordAdmitted(segments, this.now());
   }
 
   /** Whether one of these segments may be poison, so that a request with it is not repeated. */
@@ -91,16 +96,21 @@
   recordLoss(record: WatchedEndpoint, segments: readonly SegmentHash[]): void {
     if (segments.length === 0) return;
     const lostAt = this.now();
+    this.latestLosses.set(record.incarnationHash, lostAt);
     this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
       if (!hasSpokenSince(record, lostAt)) this.recordCrash(record, segments, lostAt);
     });
   }
 
-  /** Records an answer that ended with its connection: its request has survived if the endpoint goes on. */
+  /**
+   * Records an answer that ended with its connection. Its request has survived if the endpoint goes on. If other
+   * attempts were lost at the same time and the endpoint is silent since, it has crashed under this one too.
+   */
   recordUnframedEnd(record: WatchedEndpoint, segments: readonly SegmentHash[]): void {
     const endedAt = this.now();
     this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
       if (hasSpokenSince(record, endedAt)) this.recordSurvival(segments, endedAt);
+      else if (this.hasLostOthers(record, endedAt)) this.recordCrash(record, segments, endedAt);
     });
   }
 
@@ -144,6 +154,12 @@
     for (const entry of blocked) this.applyBlock(entry, now);
   }
 
+  /** Whether attempts at the endpoint were lost at about this time. */
+  private hasLostOthers({ incarnationHash }: WatchedEndpoint, at: number): boolean {
+    const lostAt = this.latestLosses.get(incarnationHash) ?? Number.NEGATIVE_INFINITY;
+    return Math.abs(lostAt - at) <= READ_DELAY_MS;
+  }
+
   private applyBlock([segment, ageMs, remainingMs]: BlockedSegmentEntry, now: number): void {
     const blocked = { segment, blockedAt: now - ageMs, releasedAt: now + remainingMs };
     if (this.segments.applyBlock(blocked, now)) this.logBlocked([blocked], BlockSource.Peer);
