--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -15,13 +15,13 @@
 const MAX_BODY_BYTES = 4_194_304;
 
 /**
- * Most bytes of an incomplete event, which is buffered; sound engines send events larger than a body may be. A
- * stream as a whole has no limit.
+ * Most bytes of an incomplete event: it is buffered as a body is, so it may be as large as one. A stream as a
+ * whole has no limit.
  */
-const MAX_EVENT_BYTES = 4 * MAX_BODY_BYTES;
+const MAX_EVENT_BYTES = MAX_BODY_BYTES;
 
-/** Most chunks of an incomplete event: each chunk costs time, also one of a single byte. */
-const MAX_EVENT_CHUNKS = 1_048_576;
+/** Most chunks of a body or an incomplete event: each chunk costs time, also one of a single byte. */
+const MAX_CHUNKS = 131_072;
 
 /** Receives the events and the result of an attempt. */
 export abstract class AttemptHandler {
@@ -54,8 +54,8 @@
   private readonly handler: AttemptHandler;
   private readonly clock: Clock;
   private readonly splitter = new EventSplitter();
-  /** Chunks of the incomplete event. */
-  private eventChunks = 0;
+  /** Chunks of the body, or of the incomplete event. */
+  private chunks = 0;
   private readonly body = new ByteAccumulator();
   private head: ResponseHead | undefined;
   private isEnded = false;
@@ -105,7 +105,9 @@
     this.recordBytes();
     if (this.isResponseRejected || this.head === undefined) return true;
     if (this.head.isEventStream) return this.forwardEvents(chunk, this.head);
-    if (this.body.length + chunk.length > MAX_BODY_BYTES) this.fail('the answer is too large');
+    this.chunks += 1;
+    const isTooLarge = this.body.length + chunk.length > MAX_BODY_BYTES || this.chunks > MAX_CHUNKS;
+    if (isTooLarge) this.fail('the answer is too large');
     else this.body.push(chunk);
     return true;
   }
@@ -155,13 +157,13 @@
   private forwardEvents(chunk: Buffer, head: ResponseHead): boolean {
     let canContinue = true;
     const events = this.splitter.push(chunk);
-    this.eventChunks = events.length > 0 ? 0 : this.eventChunks + 1;
+    this.chunks = events.length > 0 ? 0 : this.chunks + 1;
     for (const event of events) {
       if (this.isEnded) return true;
       this.firstEventAt ??= this.lastByteAt;
       canContinue = this.handler.handleEvent(this, head, event) && canContinue;
     }
-    if (this.splitter.pendingBytes > MAX_EVENT_BYTES || this.eventChunks > MAX_EVENT_CHUNKS) {
+    if (this.splitter.pendingBytes > MAX_EVENT_BYTES || this.chunks > MAX_CHUNKS) {
       this.fail('an event is too large');
       return true;
     }
