Hash the shared segments of a prompt once per call

Admission, planner, evidence and reporter of a call each hashed them again, on the path of every request; the call now hands them the hashes. The check whether a prompt may be poison stood in the planner and in the replay and is one method of the guard; the longest block is one constant, so that the codec takes at most what a router sends (900 s instead of 1,000 s).

--- a/packages/bench/src/poison/replay-router.ts
+++ b/packages/bench/src/poison/replay-router.ts
@@ -80,13 +80,14 @@
     return record;
   }
 
-  evidenceOf({ prompt }: ReplayRequest): AttemptEvidence {
-    return new AttemptEvidence({ state: { poison: this.guard, clock: this.clock }, prompt });
+  evidenceOf({ hashes }: ReplayRequest): AttemptEvidence {
+    const state = { poison: this.guard, clock: this.clock };
+    return new AttemptEvidence({ state, segmentHashes: hashes });
   }
 
   /** Whether a failed request may be sent to another engine. */
   mayRepeat({ hashes }: ReplayRequest): boolean {
-    return this.guard.findBlocked(hashes) === undefined && !this.guard.isSuspect(hashes);
+    return !this.guard.mayBePoison(hashes);
   }
 
   /** Ends the process, and with it its attempts. */
--- a/packages/bench/src/poison/request-source.ts
+++ b/packages/bench/src/poison/request-source.ts
@@ -24,7 +24,6 @@
   isPoison: boolean;
   /** Whether the first segment is the one that poison requests have, too. */
   isNearPoison: boolean;
-  prompt: Prompt;
   hashes: readonly SegmentHash[];
   /** Whether the request may go on at another engine. */
   isResumable: boolean;
@@ -73,13 +72,11 @@
   }
 
   private make(ids: readonly string[]): ReplayRequest {
-    const prompt = makePrompt(ids);
     const { random } = this;
     return {
       isPoison: false,
       isNearPoison: false,
-      prompt,
-      hashes: hashSharedPrefix(prompt).map(({ hash }) => hash),
+      hashes: hashSharedPrefix(makePrompt(ids)).map(({ hash }) => hash),
       isResumable: random.uniform() < RESUMABLE_SHARE,
       waitMs: WAIT_MS.least + random.uniform() * (WAIT_MS.most - WAIT_MS.least),
       answerMs: ANSWER_MS.least * (ANSWER_MS.most / ANSWER_MS.least) ** random.uniform(),
--- a/packages/decisions/src/forwarding/poison-segments.ts
+++ b/packages/decisions/src/forwarding/poison-segments.ts
@@ -32,7 +32,8 @@
 /** Time for which a segment is blocked for the first time, in ms; it doubles each time. */
 const FIRST_BLOCK_MS = 30_000;
 
-const MAX_BLOCK_MS = 900_000;
+/** Longest time for which a segment is blocked, in ms. */
+export const MAX_BLOCK_MS = 900_000;
 
 /** Time after its release during which a single crash blocks a segment again, in ms. */
 const PROBATION_MS = 300_000;
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -2,9 +2,8 @@
  * Selects the endpoints for the attempts of one call. A further attempt needs an endpoint that has not failed
  * the call, an API key that still belongs to the workspace, and a retry from the budget that all routers share.
  */
-import type { Route } from '@poplarpick/decisions';
+import type { Route, SegmentHash } from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
-import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
 import type { CallPlacer, Placement } from './call-placer.ts';
@@ -30,6 +29,8 @@
   route: Route;
   pool: string;
   body: Buffer | undefined;
+  /** Hashes of the prompt's shared segments; empty without a prompt. */
+  segmentHashes: readonly SegmentHash[];
   /** Whether the API key still belongs to the workspace. */
   isKeyValid: () => boolean;
 }
@@ -80,17 +81,11 @@
     return isObstacle ? undefined : result;
   }
 
-  private mayBePoison(): boolean {
-    const { poison } = this.options.state;
-    const hashes = sharedSegmentHashes(this.options.head.prompt);
-    return poison.findBlocked(hashes) !== undefined || poison.isSuspect(hashes);
-  }
-
   private tryAcquire(): Placement | RetryObstacle {
-    const { state, pool, isKeyValid } = this.options;
+    const { state, pool, isKeyValid, segmentHashes } = this.options;
     if (this.unsent > MAX_UNSENT_ATTEMPTS) return RetryObstacle.Unreachable;
     if (!isKeyValid()) return RetryObstacle.Key;
-    if (this.mayBePoison()) return RetryObstacle.Poison;
+    if (state.poison.mayBePoison(segmentHashes)) return RetryObstacle.Poison;
     const budget = state.retryBudget(pool);
     const routers = state.countRouters();
     const now = state.clock.monotonic();
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -4,9 +4,8 @@
  * those has run.
  */
 import { retryAfterPauseMs } from '@poplarpick/decisions';
-import type { Route, ShareUsage } from '@poplarpick/decisions';
+import type { Route, SegmentHash, ShareUsage } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
-import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
 import type { CallPlacer, Placement } from './call-placer.ts';
@@ -15,8 +14,8 @@
 
 const NO_SHARE_USAGE: ShareUsage = { shareUsed: 0, surplusUsed: 0 };
 
-/** Value of `Retry-After` when no endpoint is available, in seconds. */
-const NO_ENDPOINT_RETRY_S = 0.5;
+/** Value of `Retry-After` when no endpoint is available, in ms. */
+const NO_ENDPOINT_RETRY_MS = 500;
 
 /** Options of a `CallAdmission`. */
 export interface CallAdmissionOptions {
@@ -26,6 +25,8 @@
   route: Route;
   pool: string;
   workspace: string | undefined;
+  /** Hashes of the prompt's shared segments; empty without a prompt. */
+  segmentHashes: readonly SegmentHash[];
 }
 
 /** Decides on the admission of one call. */
@@ -56,11 +57,10 @@
 
   /** The refusal of a prompt that would crash its endpoint; undefined if it may be served. */
   checkPrompt(): RequestError | undefined {
-    const { head, state } = this.options;
-    const hashes = sharedSegmentHashes(head.prompt);
-    const blocked = state.poison.findBlocked(hashes);
+    const { segmentHashes, state } = this.options;
+    const blocked = state.poison.findBlocked(segmentHashes);
     if (blocked === undefined) {
-      state.poison.recordAdmitted(hashes);
+      state.poison.recordAdmitted(segmentHashes);
       return undefined;
     }
     const reason = `segment ${blocked.segment} of the prompt has crashed endpoints`;
@@ -93,9 +93,7 @@
     const { state, pool } = this.options;
     const pauseMs = state.endpoints.timeUntilAvailableMs(pool);
     const retryAfterMs =
-      pauseMs === undefined
-        ? NO_ENDPOINT_RETRY_S * MS_PER_SECOND
-        : retryAfterPauseMs(pauseMs, state.random());
+      pauseMs === undefined ? NO_ENDPOINT_RETRY_MS : retryAfterPauseMs(pauseMs, state.random());
     return createRefusal(reason, ErrorCode.NoEndpoint, retryAfterMs);
   }
 
--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -1,8 +1,7 @@
 /** Writes the log lines of one call (sent and failed attempts, and its end) and updates the metrics. */
 import { CallKind, fairShareCost } from '@poplarpick/decisions';
-import type { Route, ShareUsage } from '@poplarpick/decisions';
+import type { Route, SegmentHash, ShareUsage } from '@poplarpick/decisions';
 import type { RequestError } from '@poplarpick/kernel';
-import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import type { RetryObstacle } from './attempt-planner.ts';
 import type { CallAttempt } from './call-attempt.ts';
@@ -16,6 +15,8 @@
   route: Route;
   pool: string;
   workspace: string | undefined;
+  /** Hashes of the prompt's shared segments; empty without a prompt. */
+  segmentHashes: readonly SegmentHash[];
   /** Monotonic time of arrival, in ms. */
   arrivedAt: number;
 }
@@ -67,7 +68,7 @@
     error: RequestError,
     lastEventId: number | undefined,
   ): void {
-    const { state, head, pool } = this.options;
+    const { state, head, pool, segmentHashes } = this.options;
     state.metrics.recordFailedAttempt(failedAttempt.placement.record.endpoint.id, error.verdict);
     state.log.info({
       event: 'call.attempt_failed',
@@ -76,7 +77,7 @@
       reason: error.message,
       verdict: error.verdict,
       last_event: lastEventId,
-      segments: sharedSegmentHashes(head.prompt).join(',') || undefined,
+      segments: segmentHashes.join(',') || undefined,
       second_attempts_left: Math.floor(state.retryBudget(pool).remaining),
     });
   }
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -10,7 +10,7 @@
 import type { Timer } from '@poplarpick/kernel';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { AttemptEvidence } from '../poison/attempt-evidence.ts';
-import { sharedSegments } from '../router-state.ts';
+import { sharedSegmentHashes, sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
@@ -81,14 +81,15 @@
     super();
     this.options = options;
     this.writer = new ResponseWriter(options.response, options.shouldCloseConnection);
-    this.admission = new CallAdmission(options);
-    this.planner = new AttemptPlanner(options);
+    const segmentHashes = sharedSegmentHashes(options.head.prompt);
+    this.admission = new CallAdmission({ ...options, segmentHashes });
+    this.planner = new AttemptPlanner({ ...options, segmentHashes });
     this.handover = new AttemptHandover({
       clock: options.state.clock,
       onReplaced: (earlier) => this.recordReplaced(earlier),
     });
-    this.evidence = new AttemptEvidence({ state: options.state, prompt: options.head.prompt });
-    this.reporter = new CallReporter(options);
+    this.evidence = new AttemptEvidence({ state: options.state, segmentHashes });
+    this.reporter = new CallReporter({ ...options, segmentHashes });
     this.latencyRecorder = new CallLatencyRecorder(options);
     const { head, route, arrivedAt } = options;
     this.deadlineAt = arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -214,7 +214,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     if (this.isEnded) {
-      controller.abort(new Error('aborted'));
+      this.closeConnection();
       return;
     }
     this.wasWritten = true;
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -6,6 +6,7 @@
 import { isIPv4 } from 'node:net';
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
+import { MAX_BLOCK_MS } from '@poplarpick/decisions';
 import type { WorkspaceUsage } from '@poplarpick/decisions';
 import type { MemberEntry } from './member-directory.ts';
 import type {
@@ -32,9 +33,6 @@
 
 const MAX_PORT = 65_535;
 
-/** Longest time until a release that is accepted, in ms; a router blocks no segment for longer. */
-const MAX_BLOCK_MS = 1_000_000;
-
 const packr = new Packr({ useRecords: false });
 
 /** Validates a decoded datagram. */
--- a/packages/forwarder/src/poison/attempt-evidence.ts
+++ b/packages/forwarder/src/poison/attempt-evidence.ts
@@ -2,11 +2,10 @@
  * Tells the poison guard what the end of an attempt says about the segments of its prompt. Poison crashes the
  * endpoint as soon as it begins to answer, so an attempt that has been answered for a while has survived.
  */
-import type { Prompt, SegmentHash } from '@poplarpick/decisions';
+import type { SegmentHash } from '@poplarpick/decisions';
 import { ErrorCode, Verdict } from '@poplarpick/kernel';
 import type { RequestError } from '@poplarpick/kernel';
 import type { CallAttempt } from '../calls/call-attempt.ts';
-import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
 import type { WatchedEndpoint } from './poison-guard.ts';
 
@@ -23,7 +22,8 @@
 /** Options of an `AttemptEvidence`. */
 export interface AttemptEvidenceOptions {
   state: Pick<RouterState, 'poison' | 'clock'>;
-  prompt: Prompt | undefined;
+  /** Hashes of the prompt's shared segments; empty without a prompt. */
+  segmentHashes: readonly SegmentHash[];
 }
 
 /** Evidence from the attempts of one call. */
@@ -31,9 +31,9 @@
   private readonly state: AttemptEvidenceOptions['state'];
   private readonly hashes: readonly SegmentHash[];
 
-  constructor({ state, prompt }: AttemptEvidenceOptions) {
+  constructor({ state, segmentHashes }: AttemptEvidenceOptions) {
     this.state = state;
-    this.hashes = sharedSegmentHashes(prompt);
+    this.hashes = segmentHashes;
   }
 
   /** Records a complete answer. One that ends with its connection may also have been broken off. */
--- a/packages/forwarder/src/poison/poison-guard.ts
+++ b/packages/forwarder/src/poison/poison-guard.ts
@@ -87,7 +87,12 @@
     this.segments.recordAdmitted(segments, this.now());
   }
 
-  /** Whether one of these segments may be poison, so that a request with it is not repeated. */
+  /** Whether one of these segments is blocked or a suspect, so that a request with it is not repeated. */
+  mayBePoison(segments: readonly SegmentHash[]): boolean {
+    return this.findBlocked(segments) !== undefined || this.isSuspect(segments);
+  }
+
+  /** Whether one of these segments was in a crash that no request with it has survived since. */
   isSuspect(segments: readonly SegmentHash[]): boolean {
     return this.segments.hasSuspect(segments, this.now());
   }
