--- a/packages/bench/src/poison/poison-tally.ts
+++ b/packages/bench/src/poison/poison-tally.ts
@@ -18,15 +18,14 @@
 /** Time after the fifth crash after which the bound holds, in ms. */
 export const STABLE_WINDOW_MS = 3_000;
 
+/** The part of a day's plan that its figures are listed with. */
+type PlayedDay = Pick<
+  DayPlan,
+  'day' | 'seed' | 'routers' | 'dataCentres' | 'engines' | 'requestsPerSecond' | 'poisonPerSecond'
+>;
+
 /** The figures of a replay. */
-export interface PoisonResult {
-  day: string;
-  seed: number;
-  routers: number;
-  dataCentres: number;
-  engines: number;
-  requestsPerSecond: number;
-  poisonPerSecond: number;
+export interface PoisonResult extends PlayedDay {
   crashes: number;
   poisonCrashes: number;
   /** Poison requests that reach engines later than the bound allows, without those of routers that just started. */
