--- a/packages/decisions/src/forwarding/endpoint.ts
+++ b/packages/decisions/src/forwarding/endpoint.ts
@@ -10,6 +10,11 @@
    */
   startedAt: number;
   pool: string;
+  /**
+   * Version of the endpoint's software; undefined if it names none. A stream can't go on at another version than
+   * the one that began it.
+   */
+  version?: string | undefined;
   /** `IP:port`. */
   address: string;
   dataCentre: string;
--- a/packages/forwarder/src/calls/call-protocol.ts
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -18,6 +18,11 @@
   prompt: Prompt | undefined;
   /** Id of the last event that the caller has received, when it resumes a stream. */
   lastEventId: string | undefined;
+  /**
+   * Id of the request that brought the first event of the stream that the caller resumes; undefined if it names
+   * none, or resumes no stream.
+   */
+  resumedRequestId: string | undefined;
   /** Alternating names and values of the headers to forward, without those that the forwarder sets. */
   forwardedHeaders: readonly string[];
 }
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -81,7 +81,7 @@
     this.changeCount += 1;
     const existing = this.records.get(endpoint.id);
     const incarnation = incarnationOf(endpoint);
-    if (existing?.incarnation === incarnation) {
+    if (existing?.incarnation === incarnation && existing.endpoint.version === endpoint.version) {
       this.refresh(existing, endpoint);
       return;
     }
@@ -234,6 +234,7 @@
       event,
       endpoint: endpoint.id,
       pool: endpoint.pool,
+      version: endpoint.version,
       address: endpoint.address,
       data_centre: endpoint.dataCentre,
       ...fields,
