--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -79,7 +79,7 @@
   onRequest?: (isPoison: boolean) => void;
   /** Called when the engine has crashed. */
   onCrash?: () => void;
-  /** Entries of the list of cached prompts that `GET /v1/kv-list` returns. */
+  /** Entries of the list of cached prompts that `GET /v1/kv-list` returns, besides those of the runs. */
   cachedPrompts?: unknown[];
 }
 
@@ -158,7 +158,7 @@
 
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/v1/kv-list') {
-      const list = { epoch: 1, next: 1, held: this.options.cachedPrompts ?? [] };
+      const list = { epoch: 1, next: 1, held: this.listCachedSegments() };
       response.setHeader('Content-Type', 'application/json');
       response.end(JSON.stringify(list));
       return;
@@ -204,6 +204,19 @@
     if (!response.destroyed) this.sendAnswer(behaviour, requestId, response);
   }
 
+  /** Entries of `GET /v1/kv-list`: the segments of the prompts that were run are cached. */
+  private listCachedSegments(): unknown[] {
+    const segments = new Map<string, unknown>();
+    for (const { headers } of this.runs) {
+      const model = String(headers.model ?? '');
+      for (const segment of String(headers['prompt-prefix'] ?? '').split(',')) {
+        const [id = '', tokens] = segment.split(':');
+        if (id !== '') segments.set(id, ['', id, Number(tokens), model]);
+      }
+    }
+    return [...(this.options.cachedPrompts ?? []), ...segments.values()];
+  }
+
   private isPoison({ headers }: IncomingMessage, body: string): boolean {
     const { poisonBody, poisonSegment } = this.options;
     if (poisonBody !== undefined && body === poisonBody) return true;
