Resume streams only at the version that began them

Callers saw streams that were joined from two versions of an engine, answered 200 and whole. Cause: nothing read an engine's version or Resumes, so that placement treated all engines of a pool alike, within an answer and when a caller took a stream up.

A call is bound to the pool and version of the endpoint that sent its first event, as listed when the attempt was sent. A caller's resumption is bound from the start. Its origin is found in the router's memory, at three keepers that any router can compute from the stream's key, by inference while one version only was listed for longer than a stream can last, or from the lists of cached prompts that a router reads when it starts: the last segment of a prompt is cached only where it was read. Otherwise it is refused at once (503, not run). Routers tell each other how far back they know the listed versions, so that this outlives each single router.

--- /dev/null
+++ b/packages/decisions/src/forwarding/version-history.ts
@@ -0,0 +1,149 @@
+/**
+ * Which versions of each pool have been listed lately. While only one version of a pool has been listed for longer
+ * than a stream can last, that version has begun every stream of the pool, and nobody needs to remember it.
+ *
+ * A router knows only what was listed since it started. Routers tell each other how far back they know, so that this
+ * knowledge outlives each single one of them; only the loss of all routers at once loses it.
+ */
+import { LRUCache } from 'lru-cache';
+import type { Endpoint } from './endpoint.ts';
+
+/**
+ * Longest time between two confirmations of the list of endpoints, in ms, in which no endpoint can have come, begun
+ * a stream and gone unseen.
+ */
+const MAX_GAP_MS = 3_000;
+
+/** Most versions that are remembered after their last endpoint has gone, as a bound on faulty entries. */
+const MAX_DEPARTED_VERSIONS = 1_000;
+
+/** Time for which a departed version is told, and furthest that a history reaches back, in ms. */
+const MAX_REACH_MS = 3_600_000;
+
+/**
+ * Least difference in ms by which the departure that another router tells must be later than the one known here.
+ * Reports arrive late, so that routers would otherwise move it on by telling it to each other.
+ */
+const MIN_DEPARTURE_CHANGE_MS = 1_000;
+
+/** A version of which an endpoint has gone, and the time since, in ms. An empty version is an unreadable one. */
+export type DepartedVersionEntry = [pool: string, version: string, ageMs: number];
+
+/** What a router tells others of its history. */
+export interface VersionHistoryReport {
+  /** Time for which the sender knows all versions that were listed, in ms; missing if that isn't long. */
+  versionsKnownMs?: number | undefined;
+  /** Versions that were listed in that time, besides those that are listed now. */
+  departedVersions?: DepartedVersionEntry[] | undefined;
+}
+
+/** What is asked of a history. */
+export interface OnlyVersionQuery {
+  pool: string;
+  /** The endpoints that are listed now, of all pools. */
+  endpoints: Iterable<Endpoint>;
+  /** Time for which no other version may have been listed, in ms. */
+  horizonMs: number;
+  /** Largest age of the list of endpoints, in ms. */
+  maxListAgeMs: number;
+  now: number;
+}
+
+/** Options of a `VersionHistory`. */
+export interface VersionHistoryOptions {
+  /** The whole system starts for the first time, so nothing was listed before. */
+  isFirstStart: boolean;
+}
+
+/** The versions that were listed, as far back as this router knows. */
+export class VersionHistory {
+  private readonly isFirstStart: boolean;
+  /** Monotonic time since which all listed versions are known, in ms; infinite if none are. */
+  private knownSince = Number.POSITIVE_INFINITY;
+  /** Monotonic time of the latest confirmation of the list, in ms. */
+  private confirmedAt: number | undefined;
+  /** Monotonic time at which an endpoint of the version was last listed, in ms, by pool and version. */
+  private readonly departedAt = new LRUCache<string, number>({ max: MAX_DEPARTED_VERSIONS });
+
+  constructor({ isFirstStart }: VersionHistoryOptions) {
+    this.isFirstStart = isFirstStart;
+  }
+
+  /**
+   * Records that the list of endpoints was complete at monotonic time `at`. `isContinuous` tells that all changes
+   * since the previous confirmation were applied one by one.
+   */
+  confirm(at: number, isContinuous: boolean): void {
+    const { confirmedAt } = this;
+    if (confirmedAt === undefined) this.knownSince = this.isFirstStart ? -Infinity : at;
+    else if (!isContinuous && at - confirmedAt > MAX_GAP_MS) this.knownSince = at;
+    this.confirmedAt = Math.max(confirmedAt ?? at, at);
+  }
+
+  /** Records that an endpoint is no longer listed. */
+  recordDeparted({ pool, version }: Endpoint, now: number): void {
+    this.departedAt.set(toKey(pool, version ?? ''), now);
+  }
+
+  /** Forgets how far back the history reaches: the host was suspended, and versions may have come and gone. */
+  reset(now: number): void {
+    this.knownSince = now;
+  }
+
+  /** The only version of a pool that was listed within the horizon; undefined if there were more, or may have been. */
+  findOnlyVersion(query: OnlyVersionQuery): string | undefined {
+    const { pool, endpoints, horizonMs, maxListAgeMs, now } = query;
+    if (this.confirmedAt === undefined || now - this.confirmedAt > maxListAgeMs) return undefined;
+    if (now - this.knownSince < horizonMs) return undefined;
+    const versions = this.departedSince(pool, now - horizonMs);
+    for (const endpoint of endpoints) {
+      if (endpoint.pool === pool) versions.add(endpoint.version ?? '');
+    }
+    const [only] = versions;
+    return versions.size === 1 && only !== '' ? only : undefined;
+  }
+
+  /** The report to other routers. */
+  buildReport(now: number): VersionHistoryReport {
+    const departed: DepartedVersionEntry[] = [];
+    for (const [key, at] of this.departedAt.entries()) {
+      const ageMs = Math.round(now - at);
+      if (ageMs <= MAX_REACH_MS) departed.push([...fromKey(key), ageMs]);
+    }
+    const knownMs = Math.floor(Math.min(now - this.knownSince, MAX_REACH_MS));
+    return {
+      ...(knownMs > 0 ? { versionsKnownMs: knownMs } : {}),
+      ...(departed.length > 0 ? { departedVersions: departed } : {}),
+    };
+  }
+
+  /** Adds what another router knows. */
+  applyReport({ versionsKnownMs, departedVersions = [] }: VersionHistoryReport, now: number): void {
+    for (const [pool, version, ageMs] of departedVersions) {
+      const key = toKey(pool, version);
+      const at = now - ageMs;
+      const isNews = at > (this.departedAt.get(key) ?? -Infinity) + MIN_DEPARTURE_CHANGE_MS;
+      if (isNews) this.departedAt.set(key, at);
+    }
+    if (versionsKnownMs === undefined || this.confirmedAt === undefined) return;
+    this.knownSince = Math.min(this.knownSince, now - versionsKnownMs);
+  }
+
+  private departedSince(pool: string, since: number): Set<string> {
+    const versions = new Set<string>();
+    for (const [key, at] of this.departedAt.entries()) {
+      const [departedPool, version] = fromKey(key);
+      if (departedPool === pool && at >= since) versions.add(version);
+    }
+    return versions;
+  }
+}
+
+function toKey(pool: string, version: string): string {
+  return `${pool}\u0000${version}`;
+}
+
+function fromKey(key: string): [pool: string, version: string] {
+  const [pool = '', version = ''] = key.split('\u0000');
+  return [pool, version];
+}
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -2,11 +2,12 @@
  * Selects the endpoints for the attempts of one call. A further attempt needs an endpoint that has not failed
  * the call, an API key that still belongs to the workspace, and a retry from the budget that all routers share.
  */
-import type { Route, SuspectHash } from '@poplarpick/decisions';
+import type { Endpoint, Route, SuspectHash } from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
 import type { CallPlacer, Placement } from './call-placer.ts';
+import type { StreamBinding } from './stream-binding.ts';
 
 /** Most attempts of a call that may fail before they reach an endpoint; those don't count as sent. */
 const MAX_UNSENT_ATTEMPTS = 3;
@@ -29,6 +30,7 @@
   route: Route;
   pool: string;
   body: Buffer | undefined;
+  binding: StreamBinding;
   /** Hashes of what may crash an endpoint: the request as a whole, and the shared segments of its prompt. */
   suspectHashes: readonly SuspectHash[];
   /** Whether the API key still belongs to the workspace. */
@@ -67,10 +69,11 @@
 
   /** Selects the best endpoint; undefined if none is available. */
   selectEndpoint(): Placement | undefined {
-    const { route, pool, head, placer, body } = this.options;
+    const { route, pool, head, placer, body, binding } = this.options;
     const { excluded } = this;
     const bodyBytes = body?.length ?? 0;
-    return placer.place({ route, pool, prompt: head.prompt, bodyBytes, excluded });
+    const allows = (endpoint: Endpoint): boolean => binding.allows(endpoint);
+    return placer.place({ route, pool, prompt: head.prompt, bodyBytes, excluded, allows });
   }
 
   /** Selects an endpoint for a further attempt and takes a retry from the budget; undefined if not granted. */
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -9,6 +9,7 @@
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
 import type { CallPlacer, Placement } from './call-placer.ts';
+import type { StreamBinding } from './stream-binding.ts';
 
 const MS_PER_SECOND = 1_000;
 
@@ -25,6 +26,7 @@
   route: Route;
   pool: string;
   workspace: string | undefined;
+  binding: StreamBinding;
   /** Hashes of what may crash an endpoint: the request as a whole, and the shared segments of its prompt. */
   suspectHashes: readonly SuspectHash[];
 }
@@ -101,7 +103,8 @@
    * all have got what they take, until one takes another request.
    */
   createNoEndpointError(reason: string): RequestError {
-    const { state, pool } = this.options;
+    const { state, pool, binding } = this.options;
+    if (binding.isStranded) return createStrandedError();
     const pauseMs = state.endpoints.timeUntilAvailableMs(pool);
     if (pauseMs !== undefined) {
       const retryAfterMs = retryAfterPauseMs(pauseMs, state.random());
@@ -127,6 +130,14 @@
   }
 }
 
+/** The refusal of a stream that can't go on, since no endpoint of its version is left. */
+function createStrandedError(): RequestError {
+  return new RequestError('no endpoint of the version that began the stream is left', {
+    code: ErrorCode.StreamNotResumable,
+    verdict: Verdict.NotRun,
+  });
+}
+
 function createRefusal(reason: string, code: ErrorCode, retryAfterMs: number): RequestError {
   const retryAfterSeconds = retryAfterMs / MS_PER_SECOND;
   return new RequestError(reason, { code, verdict: Verdict.NotRun, retryAfterSeconds });
--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -3,7 +3,7 @@
  * into events or buffers the body of another response, and reports the result to the call.
  */
 import { ByteAccumulator, EventSplitter } from '@poplarpick/decisions';
-import type { InFlightRequest, StreamEvent } from '@poplarpick/decisions';
+import type { Endpoint, InFlightRequest, StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
 import { ResponseObserver } from '../endpoints/endpoint-client.ts';
@@ -42,6 +42,8 @@
 /** One attempt of a call. */
 export class CallAttempt extends ResponseObserver {
   readonly placement: Placement;
+  /** The endpoint as it was listed when the attempt was sent. */
+  readonly endpoint: Endpoint;
   /** The attempt's entry in the load of the endpoint. */
   readonly inFlight: InFlightRequest;
   request: EndpointRequest | undefined;
@@ -70,6 +72,7 @@
     super();
     this.handler = options.handler;
     this.placement = options.placement;
+    this.endpoint = options.placement.record.endpoint;
     this.clock = options.clock;
     const now = options.clock.monotonic();
     this.lastByteAt = now;
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -11,6 +11,7 @@
 } from '@poplarpick/decisions';
 import type {
   AdmissionDecision,
+  Endpoint,
   PlacementCandidate,
   HashedSegment,
   Prompt,
@@ -38,6 +39,8 @@
   bodyBytes: number;
   /** Incarnations at which the request has failed already. */
   excluded: ReadonlySet<string>;
+  /** Whether an endpoint may serve the request; by default each one may. */
+  allows?: (endpoint: Endpoint) => boolean;
 }
 
 /** The endpoint selected for a request, with the estimates that led to it. */
@@ -78,9 +81,11 @@
 
   /** Selects the best endpoint for a request; undefined if none is available. */
   place(request: PlacementRequest): Placement | undefined {
+    const { excluded, allows = () => true } = request;
     const available = this.state.endpoints
       .findAvailable(request.pool)
-      .filter(({ incarnation, client }) => !request.excluded.has(incarnation) && !client.isFull);
+      .filter(({ incarnation, client }) => !excluded.has(incarnation) && !client.isFull)
+      .filter(({ endpoint }) => allows(endpoint));
     const batch = this.state.routes?.findPool(request.pool)?.batch;
     const { prompt, route, bodyBytes } = request;
     if (batch === undefined || prompt === undefined) {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import { decideFailureAction, DrainSource, FailureAction } from '@poplarpick/decisions';
-import type { Route, StreamEvent } from '@poplarpick/decisions';
+import type { Route, StreamEvent, StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import { AttemptEvidence } from '../poison/attempt-evidence.ts';
@@ -21,6 +21,7 @@
 import { CallLatencyRecorder } from './call-latency-recorder.ts';
 import type { ResponseHead, CallHead } from './call-protocol.ts';
 import type { CallPlacer, Placement } from './call-placer.ts';
+import { StreamBinding } from './stream-binding.ts';
 
 /** Time after the deadline that an endpoint's own timeout response may take to arrive, in ms. */
 const DEADLINE_GRACE_MS = 80;
@@ -41,6 +42,8 @@
   head: CallHead;
   route: Route;
   pool: string;
+  /** Origin of the stream that the call resumes; undefined if it resumes none. */
+  origin: StreamOrigin | undefined;
   workspace: string | undefined;
   body: Buffer | undefined;
   response: ServerResponse;
@@ -57,6 +60,7 @@
 export class Call extends AttemptHandler {
   private readonly options: CallOptions;
   private readonly writer: ResponseWriter;
+  private readonly binding: StreamBinding;
   private readonly admission: CallAdmission;
   private readonly planner: AttemptPlanner;
   private readonly handover: AttemptHandover;
@@ -85,8 +89,10 @@
     const requestHash = hashRequest({ ...head, workspace, body });
     const segmentHashes = sharedSegmentHashes(head.prompt);
     const suspectHashes = [requestHash, ...segmentHashes];
-    this.admission = new CallAdmission({ ...options, suspectHashes });
-    this.planner = new AttemptPlanner({ ...options, suspectHashes });
+    this.binding = new StreamBinding(options);
+    const { binding } = this;
+    this.admission = new CallAdmission({ ...options, binding, suspectHashes });
+    this.planner = new AttemptPlanner({ ...options, binding, suspectHashes });
     this.handover = new AttemptHandover({
       clock: options.state.clock,
       onReplaced: (earlier) => this.recordReplaced(earlier),
@@ -175,6 +181,7 @@
     }
     if (!attempt.hasStarted) {
       this.firstEventAt ??= this.now();
+      this.binding.recordEvent(attempt.endpoint);
       this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
     }
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -47,6 +47,8 @@
   createClient: (endpoint: Endpoint) => EndpointClient;
   /** Called when an incarnation was removed or replaced. */
   onRemoved: (record: EndpointRecord) => void;
+  /** Called with an endpoint as it was when its entry names another version now. */
+  onVersionChange?: (previous: Endpoint) => void;
   /** Called when a source says for the first time that an endpoint drains. */
   onDrain: (record: EndpointRecord, source: DrainSource) => void;
   /** Called when an endpoint begins a pause. */
@@ -81,7 +83,7 @@
     this.changeCount += 1;
     const existing = this.records.get(endpoint.id);
     const incarnation = incarnationOf(endpoint);
-    if (existing?.incarnation === incarnation && existing.endpoint.version === endpoint.version) {
+    if (existing?.incarnation === incarnation) {
       this.refresh(existing, endpoint);
       return;
     }
@@ -197,7 +199,9 @@
 
   /** Updates the record of a known incarnation; one that drains doesn't become available again. */
   private refresh(record: EndpointRecord, endpoint: Endpoint): void {
+    const previous = record.endpoint;
     record.endpoint = endpoint;
+    if (previous.version !== endpoint.version) this.options.onVersionChange?.(previous);
     if (endpoint.isDraining) this.drain(record, DrainSource.Store);
   }
 
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -11,6 +11,9 @@
 import { StateFollower } from './peers/state-follower.ts';
 import { StateServer } from './peers/state-server.ts';
 import { RouterState } from './router-state.ts';
+import { OriginExchange } from './streams/origin-exchange.ts';
+import { isOriginMessage } from './streams/origin-message.ts';
+import { ResumptionResolver } from './streams/resumption-resolver.ts';
 import type { RouterBounds } from './router-state.ts';
 
 /**
@@ -61,6 +64,7 @@
   private readonly ingress: CallIngress;
   private readonly readiness: ReadinessServer;
   private readonly peers: PeerExchange;
+  private readonly origins: OriginExchange;
   private readonly stateServer: StateServer;
   private readonly stateFollower: StateFollower;
   private isDraining = false;
@@ -70,20 +74,39 @@
     this.options = options;
     this.clock = kernel.clock;
     this.log = kernel.log;
-    const { dataCentre, bounds, protocol, logOutput } = options;
+    const { dataCentre, bounds, protocol, logOutput, isFirstStart } = options;
     const { clock, log } = kernel;
+    const onSuspension = (): void => {
+      this.state.streams.recordSuspension();
+      options.onSuspension();
+    };
     this.state = new RouterState({
       clock,
       log,
       protocol,
       dataCentre,
       bounds,
+      isFirstStart,
       logOutput,
     });
+    this.origins = new OriginExchange({
+      address: options.peersAddress,
+      clock,
+      log,
+      origins: this.state.streams,
+      routers: () => this.peers.routerAddresses(),
+      transmit: (target, message) => this.peers.transmit(target, message),
+    });
     this.ingress = new CallIngress({
       address: options.callersAddress,
       state: this.state,
-      onSuspension: options.onSuspension,
+      resumptions: new ResumptionResolver({
+        clock,
+        log,
+        origins: this.state.streams,
+        exchange: this.origins,
+      }),
+      onSuspension,
     });
     this.readiness = new ReadinessServer({
       address: options.readinessAddress,
@@ -100,16 +123,17 @@
       onReport: (report) => this.state.applyReport(report),
       onRejected: () => this.state.metrics.recordRejectedReport(),
       onBytes: (direction, bytes) => this.state.metrics.recordReportBytes(direction, bytes),
+      acceptMessage: (message, sender) => this.acceptOriginMessage(message, sender),
     });
     this.stateServer = new StateServer({
       address: options.peersAddress,
       state: this.state,
-      onSuspension: options.onSuspension,
+      onSuspension,
     });
     this.stateFollower = new StateFollower({
       address: options.peersAddress,
       state: this.state,
-      isFirstStart: options.isFirstStart,
+      isFirstStart,
       localReports: () => this.peers.localReports(),
       peers: () => this.peers.peerAddresses(),
       onReaderChange: options.onReaderChange,
@@ -158,6 +182,7 @@
     this.ingress.stopListening();
     this.readiness.close();
     this.state.metrics.close();
+    this.origins.close();
     this.peers.close();
     this.stateServer.close();
     this.stateFollower.close();
@@ -165,6 +190,13 @@
     return Promise.resolve();
   }
 
+  /** Accepts a message about the origins of streams; false if it isn't one. */
+  private acceptOriginMessage(message: Buffer, sender: string): boolean {
+    if (!isOriginMessage(message)) return false;
+    this.origins.receive(message, sender);
+    return true;
+  }
+
   /** Advances the drain; true when it is done. */
   private advanceDrain(drainStartedAt: number): boolean {
     const now = this.clock.monotonic();
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -5,12 +5,17 @@
 import { createServer, STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { CallKind } from '@poplarpick/decisions';
+import type { StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
+import type { CallHead } from '../calls/call-protocol.ts';
 import { ResponseWriter } from '../calls/response-writer.ts';
 import { Call } from '../calls/call.ts';
 import { CallPlacer } from '../calls/call-placer.ts';
 import type { RouterState } from '../router-state.ts';
+import type { ResumptionResolver } from '../streams/resumption-resolver.ts';
 import { checkCall } from './call-checks.ts';
+import type { CheckedCall } from './call-checks.ts';
 import { CallerConnections } from './caller-connection.ts';
 import { CallerListener } from './caller-listener.ts';
 
@@ -56,6 +61,7 @@
 export interface CallIngressOptions {
   address: string;
   state: RouterState;
+  resumptions: ResumptionResolver;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
 }
@@ -196,13 +202,20 @@
     const head = state.protocol.decodeCall(method, url, request.rawHeaders);
     const now = state.clock.monotonic();
     if (state.freshness.detectSuspension(now, state.clock.now())) this.options.onSuspension();
-    const { route, pool, workspace } = checkCall(head, state, now);
+    const checked = checkCall(head, state, now);
+    const origin = await this.resolveOrigin(head, checked);
+    if (origin !== undefined && hasDisconnected(request)) {
+      this.logDrop(request, arrivedAt);
+      return;
+    }
+    const { route, workspace } = checked;
     const call = new Call({
       state,
       placer: this.placer,
       head,
       route,
-      pool,
+      pool: origin?.pool ?? checked.pool,
+      origin,
       workspace,
       body,
       response,
@@ -215,6 +228,20 @@
     call.start();
   }
 
+  /** The origin of the stream that a call resumes; undefined if it resumes none. Rejects if it can't be proved. */
+  private async resolveOrigin(
+    head: CallHead,
+    { route, workspace }: CheckedCall,
+  ): Promise<StreamOrigin | undefined> {
+    const isResumption =
+      route.kind === CallKind.Stream && route.isResumable && head.lastEventId !== undefined;
+    if (!isResumption) return undefined;
+    const origin = await this.options.resumptions.resolve({ head, route, workspace });
+    const { apiKey } = head;
+    if (!isKeyStillValid(this.options.state, apiKey, workspace)) throw createKeyError();
+    return origin;
+  }
+
   private currentLimits(): typeof INITIAL_LIMITS {
     return this.options.state.routes?.table.limits ?? INITIAL_LIMITS;
   }
@@ -340,6 +367,14 @@
   });
 }
 
+/** The refusal of a call whose key was taken away, or may have been, while its stream was looked up. */
+function createKeyError(): RequestError {
+  return new RequestError('the key may have been revoked', {
+    code: ErrorCode.NoEndpoint,
+    verdict: Verdict.NotRun,
+  });
+}
+
 function createHeadTooLargeError(): RequestError {
   return new RequestError('the headers are too large', {
     code: ErrorCode.HeadersTooLarge,
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -1,4 +1,4 @@
-/** UDP socket of the exchange of reports between routers. */
+/** UDP socket of the exchange of reports between routers, and of other messages between them. */
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 import { parseAddress } from '@poplarpick/fleet/address';
@@ -11,6 +11,8 @@
 export interface PeerExchangeOptions extends Omit<ReportExchangeOptions, 'transmit'> {
   /** Called with the size of each datagram in bytes. */
   onBytes: (direction: 'sent' | 'received', bytes: number) => void;
+  /** Called with each datagram; true if it is another message than a report. By default, none is. */
+  acceptMessage?: (message: Buffer, sender: string) => boolean;
 }
 
 /** Sends and receives reports over UDP. */
@@ -24,7 +26,7 @@
     this.options = options;
     this.exchange = new ReportExchange({
       ...options,
-      transmit: (target, message) => this.sendTo(target, message),
+      transmit: (target, message) => this.transmit(target, message),
     });
   }
 
@@ -45,7 +47,9 @@
     this.socket.on('error', (error) => this.exchange.logFailure('peers.socket_failed', error));
     this.socket.on('message', (message, { address, port: senderPort }) => {
       this.options.onBytes('received', message.length);
-      this.exchange.receive(message, `${address}:${senderPort}`);
+      const sender = `${address}:${senderPort}`;
+      if (this.options.acceptMessage?.(message, sender) !== true)
+        this.exchange.receive(message, sender);
     });
     this.timer = this.options.clock.every(REPORT_PERIOD_MS, () => this.exchange.send());
   }
@@ -65,7 +69,13 @@
     return this.exchange.readLocalReports();
   }
 
-  private sendTo(target: string, message: Buffer): void {
+  /** Addresses of all other live routers. */
+  routerAddresses(): string[] {
+    return this.exchange.routerAddresses();
+  }
+
+  /** Sends a datagram to another router. */
+  transmit(target: string, message: Buffer): void {
     const { ip, port } = parseAddress(target);
     this.options.onBytes('sent', message.length);
     this.socket.send(message, port, ip, (error) => {
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -8,6 +8,7 @@
  */
 import { PeerUsage } from '@poplarpick/decisions';
 import type {
+  DepartedVersionEntry,
   PeerGroup,
   PeerLateRate,
   RequestFingerprint,
@@ -103,6 +104,10 @@
   limits?: EndpointLimitEntry[] | undefined;
   /** Needs at all endpoints with a limit that the sender knows; missing in reports of older versions. */
   needs?: EndpointNeedEntry[] | undefined;
+  /** How far back the sender knows which versions were listed, see `VersionHistoryReport`. */
+  versionsKnownMs?: number | undefined;
+  /** Versions that were listed in that time and are no longer. */
+  departedVersions?: DepartedVersionEntry[] | undefined;
 }
 
 /** Identifies what a report is about: one router, or the routers of a data centre. */
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -7,7 +7,7 @@
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
 import { MAX_BLOCK_MS } from '@poplarpick/decisions';
-import type { WorkspaceUsage } from '@poplarpick/decisions';
+import type { DepartedVersionEntry, WorkspaceUsage } from '@poplarpick/decisions';
 import type { MemberEntry } from './member-directory.ts';
 import type {
   BlockedSuspectEntry,
@@ -61,6 +61,8 @@
   blocked: listOf<BlockedSuspectEntry>(isBlockedSuspect).optional(),
   limits: listOf<EndpointLimitEntry>((entry) => isCounts(entry, 3)).optional(),
   needs: listOf<EndpointNeedEntry>((entry) => isCounts(entry, 3)).optional(),
+  versionsKnownMs: z.number().nonnegative().optional(),
+  departedVersions: listOf<DepartedVersionEntry>(isDepartedVersion).optional(),
 }) satisfies z.ZodType<PeerReport>;
 
 /**
@@ -94,6 +96,12 @@
   return isCounts(entry, 3) && (entry as BlockedSuspectEntry)[2] <= MAX_BLOCK_MS;
 }
 
+function isDepartedVersion(entry: unknown): boolean {
+  if (!Array.isArray(entry) || entry.length !== 3) return false;
+  const [pool, version, ageMs] = entry as unknown[];
+  return typeof pool === 'string' && typeof version === 'string' && isCount(ageMs);
+}
+
 function isMember(entry: unknown): boolean {
   if (!Array.isArray(entry) || entry.length !== 2) return false;
   const [address, dataCentre] = entry as unknown[];
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -54,6 +54,8 @@
   | 'blocked'
   | 'limits'
   | 'needs'
+  | 'versionsKnownMs'
+  | 'departedVersions'
 >;
 
 /** Body of a report that only tells about members. */
@@ -112,6 +114,12 @@
     return addresses.size > 0 ? [...addresses] : [...this.seeds];
   }
 
+  /** Addresses of all other live routers. */
+  routerAddresses(): string[] {
+    const now = this.options.clock.monotonic();
+    return this.members.listLive(now).map(([address]) => address);
+  }
+
   /** Latest reports of the live routers of this data centre. */
   readLocalReports(): PeerReport[] {
     return this.localReports(this.options.clock.monotonic());
@@ -216,6 +224,8 @@
       stateAgeMs: body.stateAgeMs,
       readAgeMs: body.readAgeMs,
       dataCentre,
+      versionsKnownMs: body.versionsKnownMs,
+      departedVersions: body.departedVersions,
       ...(includesMembers ? { members: this.listLocalMembers() } : {}),
       ...sumReports([own, ...this.localReports(now)], includesWorkspaces),
       ...this.announcements.take(),
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -43,6 +43,7 @@
 import { PoisonGuard } from './poison/poison-guard.ts';
 import { RepeatedAnnouncements } from './poison/repeated-announcements.ts';
 import { RouterMetrics } from './router-metrics.ts';
+import { StreamOrigins } from './streams/stream-origins.ts';
 import { hashEndpoints } from './peers/state-snapshot.ts';
 import type { ReportBody } from './peers/report-exchange.ts';
 
@@ -84,6 +85,8 @@
   protocol: CallProtocol;
   dataCentre: string;
   bounds: RouterBounds;
+  /** The whole system starts for the first time; by default it has run before. */
+  isFirstStart?: boolean;
   /** Output that `log` writes to. */
   logOutput?: LogOutput | undefined;
   /** Returns a number in [0, 1) that spreads the retry times of callers; `Math.random` by default. */
@@ -107,6 +110,7 @@
   readonly eventLoop: EventLoopMonitor;
   readonly poison: PoisonGuard;
   readonly limits: LimitTracker;
+  readonly streams: StreamOrigins;
   readonly metrics: RouterMetrics;
   private readonly fairShareLedger: FairShareLedger;
   private readonly latencyEstimators = new Map<string, LatencyEstimator>();
@@ -170,9 +174,15 @@
           protocol: options.protocol,
         }),
       onRemoved: (record) => this.removeEndpointState(record),
+      onVersionChange: (previous) => this.streams.recordDeparted(previous),
       onDrain: ({ endpoint }, source) => this.metrics.recordDrain(endpoint.pool, source),
       onPause: ({ endpoint }) => this.metrics.recordPause(endpoint.pool),
     });
+    this.streams = new StreamOrigins({
+      clock: options.clock,
+      isFirstStart: options.isFirstStart ?? false,
+      endpoints: () => this.endpoints.list(),
+    });
     this.limits = new LimitTracker({
       clock: options.clock,
       log: options.log,
@@ -190,6 +200,7 @@
   applyRoutingTable(table: RoutingTable): void {
     if (this.routeIndex !== undefined && table.version <= this.routeIndex.table.version) return;
     this.routeIndex = new RouteIndex(table);
+    this.streams.recordRoutes(table);
     this.log.info({
       event: 'routes.in_force',
       version: table.version,
@@ -215,8 +226,12 @@
     return this.clock.monotonic() - this.storeReadAt;
   }
 
-  /** Records that the list of endpoints was complete at monotonic time `at`. */
-  confirmEndpoints(at: number): void {
+  /**
+   * Records that the list of endpoints was complete at monotonic time `at`. `isContinuous` tells that all changes
+   * since the previous call were applied one by one.
+   */
+  confirmEndpoints(at: number, isContinuous = false): void {
+    this.streams.confirmEndpoints(at, isContinuous);
     this.endpointsConfirmedAt = Math.max(this.endpointsConfirmedAt, at);
   }
 
@@ -322,7 +337,11 @@
    */
   recordCacheListing(id: string, segments: readonly HashedSegment[]): void {
     const record = this.endpoints.find(id);
-    if (record === undefined) return;
+    if (record === undefined) {
+      this.streams.recordListEnded(id);
+      return;
+    }
+    this.streams.recordListing(record.endpoint, segments);
     const capacity = this.cacheTokens(record);
     for (const segment of segments)
       this.prefixCacheIndex.recordCached(record.incarnation, segment, capacity);
@@ -363,6 +382,7 @@
       draining,
       ...this.poison.buildReport(),
       ...this.limits.buildReport(),
+      ...this.streams.buildReport(),
     };
   }
 
@@ -390,6 +410,7 @@
     if (report.kept.length > 0) this.applyCachedSegments(report.kept);
     this.poison.applyReport(report);
     this.limits.applyReport(report);
+    this.streams.applyReport(report);
   }
 
   /**
@@ -445,6 +466,7 @@
 
   private removeEndpointState(record: EndpointRecord): void {
     this.limits.remove(record);
+    this.streams.recordDeparted(record.endpoint);
     this.metrics.removeEndpoint(record.endpoint.id);
     this.prefixCacheIndex.removeEndpoint(record.incarnation);
     this.latencyEstimator(record.endpoint.pool).removeEndpoint(record.incarnation);
--- /dev/null
+++ b/packages/forwarder/src/streams/origin-exchange.ts
@@ -0,0 +1,199 @@
+/**
+ * Keeps the origins of streams at other routers, so that a stream can go on after the router that began it has gone.
+ * Each stream has a few keepers among the routers, which any router can compute from its key. The router that begins
+ * a stream tells them; one at which a caller resumes it asks them.
+ */
+import { rankByRendezvous } from '@poplarpick/decisions';
+import type { StreamKey, StreamOrigin } from '@poplarpick/decisions';
+import { describeError } from '@poplarpick/kernel';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import {
+  decodeOriginMessage,
+  encodeOriginMessage,
+  MAX_KEYS_PER_RECORD,
+  OriginMessageKind,
+} from './origin-message.ts';
+import type { OriginMessage, OriginRecord } from './origin-message.ts';
+import type { StreamOrigins } from './stream-origins.ts';
+
+/** Keepers of each stream. */
+const KEEPERS = 3;
+
+/** Longest time that a record waits for others to the same router, in ms. */
+const RECORD_DELAY_MS = 30;
+
+/** Time after which a question is asked again, since datagrams get lost, and after which it has no answer, in ms. */
+const QUERY_REPEAT_MS = 60;
+const QUERY_TIMEOUT_MS = 180;
+
+/** Shortest time between two log lines about invalid messages, in ms. */
+const LOG_PERIOD_MS = 60_000;
+
+/** What the keepers of a stream know. */
+export interface KeeperAnswer {
+  /** Undefined if no keeper that answered remembers the stream. */
+  origin: StreamOrigin | undefined;
+  /** At least one keeper has answered. */
+  hasAnswered: boolean;
+}
+
+/** A question for the origin of one stream, asked of several keepers. */
+class PendingQuery {
+  readonly result: Promise<KeeperAnswer>;
+  private readonly unansweredKeepers: Set<string>;
+  private hasAnswered = false;
+  private resolve: (answer: KeeperAnswer) => void = () => undefined;
+
+  constructor(keepers: readonly string[]) {
+    this.unansweredKeepers = new Set(keepers);
+    this.result = new Promise((resolve) => (this.resolve = resolve));
+  }
+
+  /** The keepers that haven't answered yet. */
+  get unanswered(): Iterable<string> {
+    return this.unansweredKeepers;
+  }
+
+  /** Records the answer of a keeper. The first one that remembers the stream counts, else the last one. */
+  recordAnswer(keeper: string, origin: StreamOrigin | undefined): void {
+    if (!this.unansweredKeepers.delete(keeper)) return;
+    this.hasAnswered = true;
+    if (origin !== undefined || this.unansweredKeepers.size === 0) this.finish(origin);
+  }
+
+  finish(origin: StreamOrigin | undefined): void {
+    this.resolve({ origin, hasAnswered: this.hasAnswered });
+  }
+}
+
+/** Options of an `OriginExchange`. */
+export interface OriginExchangeOptions {
+  /** `IP:port` by which other routers know this one. */
+  address: string;
+  clock: Clock;
+  log: Logger;
+  origins: StreamOrigins;
+  /** Addresses of the other live routers. */
+  routers: () => string[];
+  /** Sends a datagram. */
+  transmit: (target: string, message: Buffer) => void;
+}
+
+/** Tells and asks keepers. */
+export class OriginExchange {
+  private readonly options: OriginExchangeOptions;
+  /** Records that wait to be sent, by target and origin. */
+  private readonly waiting = new Map<string, { target: string; record: OriginRecord }>();
+  private readonly queries = new Map<StreamKey, PendingQuery>();
+  private sendTimer: Timer | undefined;
+  private loggedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: OriginExchangeOptions) {
+    this.options = options;
+    options.origins.onUninferable((key, origin, keepMs) => this.tell(key, origin, keepMs));
+  }
+
+  close(): void {
+    this.sendTimer?.stop();
+  }
+
+  /** Asks the keepers of a stream for its origin. */
+  async ask(key: StreamKey): Promise<KeeperAnswer> {
+    const pending = this.queries.get(key);
+    if (pending !== undefined) return pending.result;
+    const targets = this.selectKeepers(key);
+    if (targets.length === 0) return { origin: undefined, hasAnswered: false };
+    const query = this.createQuery(key, targets);
+    this.queries.set(key, query);
+    this.sendQuery(key, query);
+    return query.result;
+  }
+
+  /** Accepts a message from the router at `sender`. */
+  receive(datagram: Buffer, sender: string): void {
+    const message = this.decode(datagram);
+    switch (message?.kind) {
+      case OriginMessageKind.Record:
+        for (const key of message.keys)
+          this.options.origins.record(key, message.origin, message.keepMs);
+        return;
+      case OriginMessageKind.Query: {
+        const origin = this.options.origins.findRecorded(message.key);
+        this.send(sender, { kind: OriginMessageKind.Answer, key: message.key, origin });
+        return;
+      }
+      case OriginMessageKind.Answer:
+        this.queries.get(message.key)?.recordAnswer(sender, message.origin);
+        return;
+      case undefined:
+    }
+  }
+
+  private createQuery(key: StreamKey, targets: readonly string[]): PendingQuery {
+    const { clock } = this.options;
+    const query = new PendingQuery(targets);
+    const timers = [
+      clock.after(QUERY_REPEAT_MS, () => this.sendQuery(key, query)),
+      clock.after(QUERY_TIMEOUT_MS, () => query.finish(undefined)),
+    ];
+    void query.result.then(() => {
+      for (const timer of timers) timer.stop();
+      this.queries.delete(key);
+    });
+    return query;
+  }
+
+  /** Tells the keepers of a stream its origin, together with other streams that begin within a moment. */
+  private tell(key: StreamKey, origin: StreamOrigin, keepMs: number): void {
+    for (const target of this.selectKeepers(key)) {
+      const id = [target, origin.pool, origin.version, keepMs].join('\u0000');
+      const keys = this.waiting.get(id)?.record.keys ?? [];
+      const record = {
+        kind: OriginMessageKind.Record,
+        origin,
+        keepMs,
+        keys: [...keys, key],
+      } as const;
+      this.waiting.set(id, { target, record });
+      if (record.keys.length >= MAX_KEYS_PER_RECORD) this.sendRecords();
+    }
+    this.sendTimer ??= this.options.clock.after(RECORD_DELAY_MS, () => this.sendRecords());
+  }
+
+  private sendRecords(): void {
+    this.sendTimer?.stop();
+    this.sendTimer = undefined;
+    for (const { target, record } of this.waiting.values()) this.send(target, record);
+    this.waiting.clear();
+  }
+
+  private sendQuery(key: StreamKey, { unanswered }: PendingQuery): void {
+    for (const target of unanswered) this.send(target, { kind: OriginMessageKind.Query, key });
+  }
+
+  private send(target: string, message: OriginMessage): void {
+    this.options.transmit(target, encodeOriginMessage(message));
+  }
+
+  /** The other routers among the keepers of a stream. */
+  private selectKeepers(key: StreamKey): string[] {
+    const { address, routers } = this.options;
+    return rankByRendezvous(String(key), [address, ...routers()])
+      .slice(0, KEEPERS)
+      .filter((keeper) => keeper !== address);
+  }
+
+  private decode(datagram: Buffer): OriginMessage | undefined {
+    const { clock, log } = this.options;
+    try {
+      return decodeOriginMessage(datagram);
+    } catch (error) {
+      const now = clock.monotonic();
+      if (now - this.loggedAt < LOG_PERIOD_MS) return undefined;
+      this.loggedAt = now;
+      const reason = describeError(error).split('\n')[0];
+      log.warn({ event: 'peers.unreadable_origin', reason });
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -0,0 +1,171 @@
+/**
+ * What this router knows of the origins of streams: those that it has begun or was told, the versions that were
+ * listed lately, and the prompts that endpoints had cached when it started.
+ */
+import {
+  CachedPrompts,
+  hashSegment,
+  originOf,
+  StreamOriginTable,
+  VersionHistory,
+} from '@poplarpick/decisions';
+import type {
+  Endpoint,
+  HashedSegment,
+  Prompt,
+  Route,
+  RoutingTable,
+  StreamKey,
+  StreamOrigin,
+  VersionHistoryReport,
+} from '@poplarpick/decisions';
+import type { Clock } from '@poplarpick/kernel';
+import { RouteMoves } from './route-moves.ts';
+
+/**
+ * Number of timeouts of its route after which a stream is over for certain: its own, and that of a caller's
+ * resumption of which no router remembers anything.
+ */
+const TIMEOUTS_PER_STREAM = 2;
+
+/** Age of the list of endpoints, in ms, up to which no router can have seen a new version long before this one. */
+const FRESH_LIST_MS = 3_000;
+
+/** Called with a stream that has begun and whose origin other routers can't infer; `keepMs` is how long it matters. */
+export type OriginListener = (key: StreamKey, origin: StreamOrigin, keepMs: number) => void;
+
+/** Options of `StreamOrigins`. */
+export interface StreamOriginsOptions {
+  clock: Clock;
+  /** The whole system starts for the first time. */
+  isFirstStart: boolean;
+  /** The endpoints that are listed now. */
+  endpoints: () => Endpoint[];
+}
+
+/** Finds the origins of streams. */
+export class StreamOrigins {
+  private readonly options: StreamOriginsOptions;
+  private readonly table = new StreamOriginTable();
+  private readonly history: VersionHistory;
+  private readonly cachedPrompts = new CachedPrompts();
+  private readonly routeMoves = new RouteMoves();
+  private readonly listeners: OriginListener[] = [];
+  /** Endpoints whose lists of cached prompts are still awaited; undefined before that is known. */
+  private awaitedLists: Set<string> | undefined;
+
+  constructor(options: StreamOriginsOptions) {
+    this.options = options;
+    const { isFirstStart } = options;
+    this.history = new VersionHistory({ isFirstStart });
+    if (isFirstStart) this.awaitedLists = new Set();
+  }
+
+  /** Whether endpoints may still list cached prompts that this router asked for when it started. */
+  get awaitsLists(): boolean {
+    return this.awaitedLists === undefined || this.awaitedLists.size > 0;
+  }
+
+  /** Calls `listener` for each stream whose origin other routers can't infer. */
+  onUninferable(listener: OriginListener): void {
+    this.listeners.push(listener);
+  }
+
+  /** Remembers the origin of a stream that this router has begun or gone on with. */
+  recordBegun(key: StreamKey, origin: StreamOrigin, route: Route): void {
+    const keepMs = streamHorizonMs(route);
+    this.record(key, origin, keepMs);
+    if (this.inferOrigin(route, FRESH_LIST_MS) !== undefined) return;
+    for (const listener of this.listeners) listener(key, origin, keepMs);
+  }
+
+  /** Remembers the origin of a stream for `keepMs`. */
+  record(key: StreamKey, origin: StreamOrigin, keepMs: number): void {
+    this.table.record(key, origin, keepMs, this.now());
+  }
+
+  /** The origin that is remembered for a stream. */
+  findRecorded(key: StreamKey): StreamOrigin | undefined {
+    return this.table.find(key, this.now());
+  }
+
+  /**
+   * The origin of every stream of a route that can still go on, if there is only one. A router that can't infer it
+   * tells the keepers of a stream when it begins one. So if a keeper has answered that it knows nothing, the
+   * beginning router has inferred the origin, and the own list of endpoints may be older than otherwise.
+   */
+  findOnlyOrigin(route: Route, hasKeeperAnswered: boolean): StreamOrigin | undefined {
+    return this.inferOrigin(route, hasKeeperAnswered ? route.timeoutMs : FRESH_LIST_MS);
+  }
+
+  /** The origin of the endpoints that had the last segment of a prompt cached when this router started. */
+  findCached(prompt: Prompt | undefined, route: Route): StreamOrigin | undefined {
+    const last = prompt?.segments.at(-1);
+    if (prompt === undefined || last === undefined) return undefined;
+    const hash = hashSegment(prompt.model, last.id);
+    return this.cachedPrompts.findOrigin(hash, streamHorizonMs(route), this.now());
+  }
+
+  /** Records the endpoints whose lists of cached prompts this router asks for. */
+  recordListsRequested(ids: readonly string[]): void {
+    this.awaitedLists = new Set(ids);
+  }
+
+  /** Records the segments that an endpoint lists as cached. */
+  recordListing(endpoint: Endpoint, segments: readonly HashedSegment[]): void {
+    this.cachedPrompts.recordListing(originOf(endpoint), segments, this.now());
+    this.recordListEnded(endpoint.id);
+  }
+
+  /** Records that no list of an endpoint will come. */
+  recordListEnded(id: string): void {
+    this.awaitedLists?.delete(id);
+  }
+
+  /** Records that the list of endpoints was complete at `at`, see `VersionHistory.confirm`. */
+  confirmEndpoints(at: number, isContinuous: boolean): void {
+    this.history.confirm(at, isContinuous);
+  }
+
+  recordDeparted(endpoint: Endpoint): void {
+    this.history.recordDeparted(endpoint, this.now());
+  }
+
+  recordRoutes(table: RoutingTable): void {
+    this.routeMoves.recordTable(table, this.now());
+  }
+
+  /** Forgets how far back the versions are known, since the host was suspended. */
+  recordSuspension(): void {
+    this.history.reset(this.now());
+  }
+
+  buildReport(): VersionHistoryReport {
+    return this.history.buildReport(this.now());
+  }
+
+  applyReport(report: VersionHistoryReport): void {
+    this.history.applyReport(report, this.now());
+  }
+
+  private inferOrigin(route: Route, maxListAgeMs: number): StreamOrigin | undefined {
+    const { targets } = route;
+    const pool = targets[0]?.pool;
+    const horizonMs = streamHorizonMs(route);
+    const now = this.now();
+    if (pool === undefined || targets.length > 1) return undefined;
+    if (this.routeMoves.hasMoved(route, now - horizonMs)) return undefined;
+    const endpoints = this.options.endpoints();
+    const version = this.history.findOnlyVersion({ pool, endpoints, horizonMs, maxListAgeMs, now });
+    return version === undefined ? undefined : { pool, version };
+  }
+
+  private now(): number {
+    return this.options.clock.monotonic();
+  }
+}
+
+/** Time after which a stream of a route is over for certain, in ms. */
+function streamHorizonMs({ timeoutMs }: Route): number {
+  return TIMEOUTS_PER_STREAM * timeoutMs;
+}
