Find the version of a stream whose caller doesn't name the request that began it

Origins are remembered by the last segment of the prompt as well, which a resumption repeats; where streams of two versions share it, it proves nothing. The keepers of a stream follow from its prompt.

--- a/packages/decisions/src/forwarding/stream-origin-table.ts
+++ b/packages/decisions/src/forwarding/stream-origin-table.ts
@@ -1,12 +1,14 @@
 /** Memory of the origins of streams, each for a limited time. */
 import { LRUCache } from 'lru-cache';
+import { isSameOrigin } from './stream-origin.ts';
 import type { StreamKey, StreamOrigin } from './stream-origin.ts';
 
 /** Most streams that are remembered, as a bound on memory; the oldest are forgotten first. */
 const MAX_STREAMS = 50_000;
 
 interface Entry {
-  origin: StreamOrigin;
+  /** Undefined if streams of several origins were recorded under the key. */
+  origin: StreamOrigin | undefined;
   /** Monotonic time until which the entry is valid, in ms. */
   validUntil: number;
 }
@@ -15,15 +17,21 @@
 export class StreamOriginTable {
   private readonly entries = new LRUCache<StreamKey, Entry>({ max: MAX_STREAMS });
 
-  /** Remembers an origin for `keepMs`. The first origin of a stream stays; a repetition renews it. */
+  /** Remembers an origin for `keepMs`. If another one is remembered, neither of them is known to be right. */
   record(key: StreamKey, origin: StreamOrigin, keepMs: number, now: number): void {
-    const known = this.find(key, now);
-    this.entries.set(key, { origin: known ?? origin, validUntil: now + keepMs });
+    const known = this.findEntry(key, now);
+    const isAgreed =
+      known === undefined || (known.origin !== undefined && isSameOrigin(known.origin, origin));
+    this.entries.set(key, { origin: isAgreed ? origin : undefined, validUntil: now + keepMs });
   }
 
-  /** The origin of a stream; undefined if it isn't remembered. */
+  /** The origin of a stream; undefined if none is remembered, or several are. */
   find(key: StreamKey, now: number): StreamOrigin | undefined {
+    return this.findEntry(key, now)?.origin;
+  }
+
+  private findEntry(key: StreamKey, now: number): Entry | undefined {
     const entry = this.entries.get(key);
-    return entry !== undefined && now < entry.validUntil ? entry.origin : undefined;
+    return entry !== undefined && now < entry.validUntil ? entry : undefined;
   }
 }
--- a/packages/decisions/src/forwarding/stream-origin.ts
+++ b/packages/decisions/src/forwarding/stream-origin.ts
@@ -4,6 +4,7 @@
  */
 import murmurhash from 'murmurhash';
 import type { Endpoint } from './endpoint.ts';
+import type { Prompt } from './prompt.ts';
 
 /** Where a stream may go on. */
 export interface StreamOrigin {
@@ -11,18 +12,46 @@
   version: string;
 }
 
-/** Identifies a stream: 53 bits of a hash of its caller's workspace and the id of the request that began it. */
+/** A key under which the origin of a stream is remembered: 53 bits of a hash. */
 export type StreamKey = number;
 
+/** What identifies a stream, also when its caller resumes it under another request id. */
+export interface StreamIdentity {
+  /** Undefined where anyone may call. */
+  workspace: string | undefined;
+  /** Id of the request that brought the first event; undefined if a caller that resumes a stream names none. */
+  requestId: string | undefined;
+  prompt: Prompt | undefined;
+}
+
+/** The keys of a stream. */
+export interface StreamKeys {
+  /** By the id of the request that began it. */
+  byRequest: StreamKey | undefined;
+  /** By the last segment of its prompt, which belongs to one request or session. */
+  byPrompt: StreamKey | undefined;
+}
+
 const HIGH_BITS_FACTOR = 0x20_0000;
 const LOW_BITS_SHIFT = 11;
 
 /** Seed of the second of the two 32-bit hashes of a stream key. */
 const SECOND_SEED = 0x9e37_79b9;
 
-/** Computes the key of a stream. The workspace is undefined where anyone may call. */
-export function toStreamKey(workspace: string | undefined, requestId: string): StreamKey {
-  const text = `${workspace ?? ''}\u0000${requestId}`;
+/** Computes the keys of a stream. */
+export function toStreamKeys({ workspace = '', requestId, prompt }: StreamIdentity): StreamKeys {
+  const segment = prompt?.segments.at(-1);
+  return {
+    byRequest: requestId === undefined ? undefined : hashKey([workspace, requestId]),
+    byPrompt:
+      prompt === undefined || segment === undefined
+        ? undefined
+        : hashKey([workspace, prompt.model, segment.id]),
+  };
+}
+
+function hashKey(parts: readonly string[]): StreamKey {
+  const text = parts.join('\u0000');
   const lowBits = murmurhash.v3(text, SECOND_SEED) >>> LOW_BITS_SHIFT;
   return murmurhash.v3(text) * HIGH_BITS_FACTOR + lowBits;
 }
--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -3,7 +3,7 @@
  * first event of its stream, and bound to that endpoint's origin from then on. One that resumes a stream is bound
  * from the start.
  */
-import { isOfOrigin, originOf, toStreamKey } from '@poplarpick/decisions';
+import { isOfOrigin, originOf, toStreamKeys } from '@poplarpick/decisions';
 import type { Endpoint, Route, StreamOrigin } from '@poplarpick/decisions';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
@@ -54,7 +54,8 @@
     this.isBound = true;
     this.origin = originOf(endpoint);
     if (this.origin === undefined) return;
-    const key = toStreamKey(workspace, head.resumedRequestId ?? head.requestId);
-    state.streams.recordBegun(key, this.origin, route);
+    const { prompt, resumedRequestId, requestId } = head;
+    const keys = toStreamKeys({ workspace, requestId: resumedRequestId ?? requestId, prompt });
+    state.streams.recordBegun(keys, this.origin, route);
   }
 }
--- a/packages/forwarder/src/streams/origin-exchange.ts
+++ b/packages/forwarder/src/streams/origin-exchange.ts
@@ -1,10 +1,10 @@
 /**
  * Keeps the origins of streams at other routers, so that a stream can go on after the router that began it has gone.
- * Each stream has a few keepers among the routers, which any router can compute from its key. The router that begins
+ * Each stream has a few keepers among the routers, which any router can compute from its keys. The router that begins
  * a stream tells them; one at which a caller resumes it asks them.
  */
 import { rankByRendezvous } from '@poplarpick/decisions';
-import type { StreamKey, StreamOrigin } from '@poplarpick/decisions';
+import type { StreamKey, StreamKeys, StreamOrigin } from '@poplarpick/decisions';
 import { describeError } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import {
@@ -19,6 +19,9 @@
 /** Keepers of each stream. */
 const KEEPERS = 3;
 
+/** Most keys of one stream. */
+const KEYS_PER_STREAM = 2;
+
 /** Longest time that a record waits for others to the same router, in ms. */
 const RECORD_DELAY_MS = 30;
 
@@ -90,19 +93,20 @@
 
   constructor(options: OriginExchangeOptions) {
     this.options = options;
-    options.origins.onUninferable((key, origin, keepMs) => this.tell(key, origin, keepMs));
+    options.origins.onUninferable((keys, origin, keepMs) => this.tell(keys, origin, keepMs));
   }
 
   close(): void {
     this.sendTimer?.stop();
   }
 
-  /** Asks the keepers of a stream for its origin. */
-  async ask(key: StreamKey): Promise<KeeperAnswer> {
+  /** Asks the keepers of a stream for its origin: by its request if the caller names it, else by its prompt. */
+  async ask(keys: StreamKeys): Promise<KeeperAnswer> {
+    const key = keys.byRequest ?? keys.byPrompt;
+    const targets = this.selectKeepers(keys);
+    if (key === undefined || targets.length === 0) return { origin: undefined, hasAnswered: false };
     const pending = this.queries.get(key);
     if (pending !== undefined) return pending.result;
-    const targets = this.selectKeepers(key);
-    if (targets.length === 0) return { origin: undefined, hasAnswered: false };
     const query = this.createQuery(key, targets);
     this.queries.set(key, query);
     this.sendQuery(key, query);
@@ -144,18 +148,15 @@
   }
 
   /** Tells the keepers of a stream its origin, together with other streams that begin within a moment. */
-  private tell(key: StreamKey, origin: StreamOrigin, keepMs: number): void {
-    for (const target of this.selectKeepers(key)) {
+  private tell(streamKeys: StreamKeys, origin: StreamOrigin, keepMs: number): void {
+    const { byRequest, byPrompt } = streamKeys;
+    const added = [byRequest, byPrompt].filter((key) => key !== undefined);
+    for (const target of this.selectKeepers(streamKeys)) {
       const id = [target, origin.pool, origin.version, keepMs].join('\u0000');
-      const keys = this.waiting.get(id)?.record.keys ?? [];
-      const record = {
-        kind: OriginMessageKind.Record,
-        origin,
-        keepMs,
-        keys: [...keys, key],
-      } as const;
+      const keys = [...(this.waiting.get(id)?.record.keys ?? []), ...added];
+      const record = { kind: OriginMessageKind.Record, origin, keepMs, keys } as const;
       this.waiting.set(id, { target, record });
-      if (record.keys.length >= MAX_KEYS_PER_RECORD) this.sendRecords();
+      if (keys.length > MAX_KEYS_PER_RECORD - KEYS_PER_STREAM) this.sendRecords();
     }
     this.sendTimer ??= this.options.clock.after(RECORD_DELAY_MS, () => this.sendRecords());
   }
@@ -175,10 +176,10 @@
     this.options.transmit(target, encodeOriginMessage(message));
   }
 
-  /** The other routers among the keepers of a stream. */
-  private selectKeepers(key: StreamKey): string[] {
+  /** The other routers among the keepers of a stream. They follow from its prompt, which each request repeats. */
+  private selectKeepers({ byRequest, byPrompt }: StreamKeys): string[] {
     const { address, routers } = this.options;
-    return rankByRendezvous(String(key), [address, ...routers()])
+    return rankByRendezvous(String(byPrompt ?? byRequest), [address, ...routers()])
       .slice(0, KEEPERS)
       .filter((keeper) => keeper !== address);
   }
--- a/packages/forwarder/src/streams/origin-message.ts
+++ b/packages/forwarder/src/streams/origin-message.ts
@@ -22,6 +22,7 @@
   origin: StreamOrigin;
   /** Time for which the origin matters, in ms. */
   keepMs: number;
+  /** One or two keys of each stream. */
   keys: readonly StreamKey[];
 }
 
@@ -40,7 +41,7 @@
 
 export type OriginMessage = OriginRecord | OriginQuery | OriginAnswer;
 
-/** Most streams in one record, so that it fits into a datagram. */
+/** Most keys in one record, so that it fits into a datagram. */
 export const MAX_KEYS_PER_RECORD = 500;
 
 /** Longest time for which an origin may be kept, in ms. */
--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -3,7 +3,7 @@
  * versions that were listed lately, or from the prompts that endpoints have cached. A stream whose origin can't be
  * proved is refused, since at another version it would be joined from two texts.
  */
-import { toStreamKey } from '@poplarpick/decisions';
+import { toStreamKeys } from '@poplarpick/decisions';
 import type { Route, StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger } from '@poplarpick/kernel';
@@ -79,20 +79,17 @@
     workspace,
   }: Resumption): Promise<{ origin: StreamOrigin; proof: OriginProof } | undefined> {
     const { origins, exchange } = this.options;
-    const { resumedRequestId } = head;
-    let hasAnswered = false;
-    if (resumedRequestId !== undefined) {
-      const key = toStreamKey(workspace, resumedRequestId);
-      const recorded = origins.findRecorded(key);
-      if (recorded !== undefined) return { origin: recorded, proof: OriginProof.Memory };
-      const answer = await exchange.ask(key);
-      if (answer.origin !== undefined) return { origin: answer.origin, proof: OriginProof.Keeper };
-      ({ hasAnswered } = answer);
-    }
+    const { prompt, resumedRequestId: requestId } = head;
+    const keys = toStreamKeys({ workspace, requestId, prompt });
+    const key = keys.byRequest ?? keys.byPrompt;
+    const recorded = key === undefined ? undefined : origins.findRecorded(key);
+    if (recorded !== undefined) return { origin: recorded, proof: OriginProof.Memory };
+    const { origin, hasAnswered } = await exchange.ask(keys);
+    if (origin !== undefined) return { origin, proof: OriginProof.Keeper };
     const only = origins.findOnlyOrigin(route, hasAnswered);
     if (only !== undefined) return { origin: only, proof: OriginProof.OnlyVersion };
     await this.waitForLists();
-    const cached = origins.findCached(head.prompt, route);
+    const cached = origins.findCached(prompt, route);
     return cached === undefined ? undefined : { origin: cached, proof: OriginProof.CachedPrompt };
   }
 
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -16,6 +16,7 @@
   Route,
   RoutingTable,
   StreamKey,
+  StreamKeys,
   StreamOrigin,
   VersionHistoryReport,
 } from '@poplarpick/decisions';
@@ -32,7 +33,7 @@
 const FRESH_LIST_MS = 3_000;
 
 /** Called with a stream that has begun and whose origin other routers can't infer; `keepMs` is how long it matters. */
-export type OriginListener = (key: StreamKey, origin: StreamOrigin, keepMs: number) => void;
+export type OriginListener = (keys: StreamKeys, origin: StreamOrigin, keepMs: number) => void;
 
 /** Options of `StreamOrigins`. */
 export interface StreamOriginsOptions {
@@ -72,19 +73,20 @@
   }
 
   /** Remembers the origin of a stream that this router has begun or gone on with. */
-  recordBegun(key: StreamKey, origin: StreamOrigin, route: Route): void {
+  recordBegun(keys: StreamKeys, origin: StreamOrigin, route: Route): void {
     const keepMs = streamHorizonMs(route);
-    this.record(key, origin, keepMs);
+    for (const key of [keys.byRequest, keys.byPrompt])
+      if (key !== undefined) this.record(key, origin, keepMs);
     if (this.inferOrigin(route, FRESH_LIST_MS) !== undefined) return;
-    for (const listener of this.listeners) listener(key, origin, keepMs);
+    for (const listener of this.listeners) listener(keys, origin, keepMs);
   }
 
-  /** Remembers the origin of a stream for `keepMs`. */
+  /** Remembers the origin of the stream with a key for `keepMs`. */
   record(key: StreamKey, origin: StreamOrigin, keepMs: number): void {
     this.table.record(key, origin, keepMs, this.now());
   }
 
-  /** The origin that is remembered for a stream. */
+  /** The origin that is remembered for the stream with a key. */
   findRecorded(key: StreamKey): StreamOrigin | undefined {
     return this.table.find(key, this.now());
   }
