--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -3,7 +3,6 @@
  * estimates, the prefix cache index, the fair-share ledger and the retry budgets. A restarted process
  * rebuilds it from the store and from its peers' reports.
  */
-import { LRUCache } from 'lru-cache';
 import murmurhash from 'murmurhash';
 import {
   SharedRetryBudget,
@@ -12,7 +11,6 @@
   LogRateLimiter,
   PrefixCacheIndex,
   RouteIndex,
-  DrainSource,
   fairShareCost,
   FairShareLedger,
   fingerprintRequest,
@@ -24,9 +22,7 @@
 import type {
   HashedSegment,
   StoreStateAge,
-  LoadTotals,
   Prompt,
-  RequestFingerprint,
   RoutingTable,
   SegmentHash,
   ShareUsage,
@@ -37,11 +33,12 @@
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
 import { LimitTracker } from './endpoints/limit-tracker.ts';
 import type { CallProtocol } from './calls/call-protocol.ts';
-import { PeerTable, reportSubject } from './peers/peer-table.ts';
-import type { EndpointLoadEntry, CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
+import { PeerTable } from './peers/peer-table.ts';
+import type { CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
+import { RouterReports } from './peers/router-reports.ts';
+import type { ReportHead } from './peers/router-reports.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
 import { PoisonGuard } from './poison/poison-guard.ts';
-import { RepeatedAnnouncements } from './poison/repeated-announcements.ts';
 import { RouterMetrics } from './router-metrics.ts';
 import { StreamOrigins } from './streams/stream-origins.ts';
 import { hashEndpoints } from './peers/state-snapshot.ts';
@@ -53,15 +50,6 @@
 /** Connection limit of an endpoint whose pool isn't in the routing table. */
 const DEFAULT_CONNECTION_LIMIT = 64;
 
-/** Most cached prompt segments in one report, so that it fits into a datagram. */
-const MAX_SEGMENTS_PER_REPORT = 200;
-
-/** Most refused requests in one report, so that it fits into a datagram. */
-const MAX_REFUSALS_PER_REPORT = 1_000;
-
-/** Most routers and data centres whose latest loads are remembered, as a bound on faulty reports. */
-const MAX_SUBJECTS = 2_000;
-
 const MS_PER_SECOND = 1_000;
 
 /** Limits from the site's settings. */
@@ -116,13 +104,8 @@
   private readonly latencyEstimators = new Map<string, LatencyEstimator>();
   private readonly surplusLimiters = new Map<string, SurplusLimiter>();
   private readonly retryBudgets = new Map<string, SharedRetryBudget>();
-  /** Newly cached segments. */
-  private readonly cacheAnnouncements = new RepeatedAnnouncements<CachedSegmentEntry>();
   private readonly refusedRequests = new RefusedRequests();
-  /** Refusals that the next report announces. */
-  private unannouncedRefusals: RequestFingerprint[] = [];
-  /** Hashes of the endpoints at which the latest report of each subject named a load. */
-  private readonly loadedEndpoints = new LRUCache<string, Set<number>>({ max: MAX_SUBJECTS });
+  private readonly reports: RouterReports;
   /** Hash of the list of endpoints, and the state of the directory that it belongs to. */
   private listHash: { hash: string; changes: number } | undefined;
   private routeIndex: RouteIndex | undefined;
@@ -189,6 +172,18 @@
       endpoints: this.endpoints,
       peers: this.peers,
     });
+    this.reports = new RouterReports({
+      clock: options.clock,
+      endpoints: this.endpoints,
+      fairShareLedger: this.fairShareLedger,
+      limits: this.limits,
+      poison: this.poison,
+      refusedRequests: this.refusedRequests,
+      streams: this.streams,
+      surplusLimiters: this.surplusLimiters,
+      describeState: () => this.describeState(),
+      onCachedSegment: (entry) => this.applyCachedSegment(entry),
+    });
   }
 
   /** The current routes; undefined until the first routing table arrives. */
@@ -299,7 +294,7 @@
     const fingerprint = fingerprintRequest(workspace, prompt);
     if (fingerprint === undefined) return;
     this.refusedRequests.record(fingerprint, this.clock.monotonic());
-    this.unannouncedRefusals.push(fingerprint);
+    this.reports.announceRefusal(fingerprint);
   }
 
   /** Usage of a workspace's fair shares in the window, over all routers. */
@@ -326,8 +321,7 @@
     const capacity = this.cacheTokens(record);
     for (const segment of segments) {
       if (!this.prefixCacheIndex.recordCached(record.incarnation, segment, capacity)) continue;
-      const entry: CachedSegmentEntry = [record.incarnationHash, segment.hash, segment.tokens];
-      this.cacheAnnouncements.add(entry, this.clock.monotonic());
+      this.reports.announceCached([record.incarnationHash, segment.hash, segment.tokens]);
     }
   }
 
@@ -350,102 +344,29 @@
 
   /** Builds the report to this router's peers. */
   buildReport(includesWorkspaces: boolean): ReportBody {
-    this.limits.refresh();
-    const loads: EndpointLoadEntry[] = [];
-    const draining: number[] = [];
-    for (const { incarnationHash, load, availability } of this.endpoints.all()) {
-      if (availability.hasAnnouncedDrain) draining.push(incarnationHash);
-      const ownLoad = load.ownLoad();
-      if (ownLoad.pending + ownLoad.running === 0) continue;
-      const { pending, prefillTokens, running, kvCacheTokens } = ownLoad;
-      loads.push([
-        incarnationHash,
-        pending,
-        Math.round(prefillTokens),
-        running,
-        Math.round(kvCacheTokens),
-      ]);
-    }
-    return {
-      version: this.routeIndex?.table.version ?? 0,
-      ...this.reportAges(),
-      loads,
-      ...(includesWorkspaces
-        ? { workspaces: this.fairShareLedger.snapshot(this.clock.monotonic()) }
-        : {}),
-      kept: this.cacheAnnouncements.take(MAX_SEGMENTS_PER_REPORT).map(({ entry }) => entry),
-      lateRates: [...this.surplusLimiters].map(([pool, limiter]) => [
-        murmurhash.v3(pool),
-        limiter.lateRate,
-      ]),
-      refused: this.takeRefusals(),
-      draining,
-      ...this.poison.buildReport(),
-      ...this.limits.buildReport(),
-      ...this.streams.buildReport(),
-    };
+    return this.reports.build(includesWorkspaces);
+  }
+
+  /** Applies a peer's report. */
+  applyReport(report: PeerReport): void {
+    this.reports.apply(report);
   }
 
-  private reportAges(): Pick<ReportBody, 'stateAgeMs' | 'readAgeMs'> {
+  private describeState(): ReportHead {
     const stateAgeMs = oldestAgeMs(this.storeStateAge());
     const readAgeMs = this.storeReadAgeMs();
     return {
+      version: this.routeIndex?.table.version ?? 0,
       ...(Number.isFinite(stateAgeMs) ? { stateAgeMs: Math.round(stateAgeMs) } : {}),
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
     };
   }
 
-  /**
-   * Applies a peer's report: its load at each endpoint, newly cached segments, refused requests and
-   * endpoints that drain.
-   */
-  applyReport(report: PeerReport): void {
-    const now = this.clock.monotonic();
-    this.applyLoads(reportSubject(report), report.loads, now);
-    for (const fingerprint of report.refused ?? []) this.refusedRequests.record(fingerprint, now);
-    for (const hash of report.draining ?? []) {
-      const record = this.endpoints.findByHash(hash);
-      if (record !== undefined) this.endpoints.drain(record, DrainSource.Peer);
-    }
-    if (report.kept.length > 0) this.applyCachedSegments(report.kept);
-    this.poison.applyReport(report);
-    this.limits.applyReport(report);
-    this.streams.applyReport(report);
-  }
-
-  /**
-   * Applies the loads that a report names. Those that the previous report of the same subject named and this
-   * one doesn't have ended.
-   */
-  private applyLoads(subject: string, loads: readonly EndpointLoadEntry[], now: number): void {
-    const previous = this.loadedEndpoints.get(subject) ?? new Set();
-    const current = new Set<number>();
-    for (const entry of loads) {
-      const [hash] = entry;
-      current.add(hash);
-      this.endpoints.findByHash(hash)?.load.applyPeerLoad(subject, toLoadTotals(entry), now);
-    }
-    for (const hash of previous) {
-      if (!current.has(hash))
-        this.endpoints.findByHash(hash)?.load.applyPeerLoad(subject, EMPTY_LOAD, now);
-    }
-    this.loadedEndpoints.set(subject, current);
-  }
-
-  private applyCachedSegments(entries: readonly CachedSegmentEntry[]): void {
-    for (const [endpointHash, hash, tokens] of entries) {
-      const record = this.endpoints.findByHash(endpointHash);
-      if (record === undefined) continue;
-      const capacity = this.cacheTokens(record);
-      this.prefixCacheIndex.recordCached(record.incarnation, { hash, tokens }, capacity);
-    }
-  }
-
-  /** Takes the refusals to announce. Beyond the maximum, the oldest are dropped: their retries are near. */
-  private takeRefusals(): RequestFingerprint[] {
-    const refusals = this.unannouncedRefusals.slice(-MAX_REFUSALS_PER_REPORT);
-    this.unannouncedRefusals = [];
-    return refusals;
+  private applyCachedSegment([endpointHash, hash, tokens]: CachedSegmentEntry): void {
+    const record = this.endpoints.findByHash(endpointHash);
+    if (record === undefined) return;
+    const capacity = this.cacheTokens(record);
+    this.prefixCacheIndex.recordCached(record.incarnation, { hash, tokens }, capacity);
   }
 
   /** Capacity of an endpoint's KV cache in tokens; undefined if its pool doesn't define it. */
@@ -473,13 +394,6 @@
   }
 }
 
-function toLoadTotals(entry: EndpointLoadEntry): LoadTotals {
-  const [, pending, prefillTokens, running, kvCacheTokens] = entry;
-  return { pending, prefillTokens, running, kvCacheTokens };
-}
-
-const EMPTY_LOAD: LoadTotals = { pending: 0, prefillTokens: 0, running: 0, kvCacheTokens: 0 };
-
 /** The segments of a prompt that other requests may share; empty without a prompt. */
 export function sharedSegments(prompt: Prompt | undefined): HashedSegment[] {
   return prompt === undefined ? [] : hashSharedPrefix(prompt);
