Admit resumed streams before new ones

A stream that broke has passed admission before; if it isn't resumed, that work is lost. A resumption now counts as within its workspace's share, with the wait limit of a caller retry. It waits only for lists that could tell another version than the one found, at most 0.7 s.

--- a/packages/decisions/src/forwarding/admission.test.ts
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -30,6 +30,14 @@
     expect(decideAdmission(input({ serviceMs: 900 }), HALF).isAccepted).to.equal(true);
   });
 
+  it('accepts a request that resumes a stream though its workspace has used up its share', () => {
+    const shareUsage = { shareUsed: 8, surplusUsed: 1.5 };
+    const resumption = input({ shareUsage, waitMs: 500, isResumption: true });
+    expect(decideAdmission(resumption, HALF)).to.include({ isAccepted: true, isOverShare: false });
+    const late = input({ waitMs: 700, isResumption: true });
+    expect(decideAdmission(late, HALF).isAccepted).to.equal(false);
+  });
+
   it('refuses requests that would miss their deadline', () => {
     expect(
       decideAdmission(input({ serviceMs: 900, remainingMs: 1_000 }), HALF).isAccepted,
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -11,6 +11,8 @@
  *   `SurplusLimiter` and is raised for workspaces that have received little of the surplus.
  * - Under contention, the fair share is reserved for requests that can still be on time. Caller retries
  *   are then served from the surplus, even before their workspace has used up its share.
+ * - A request that resumes a stream counts as within the share, like a caller retry: its workspace's share has
+ *   admitted the stream before, and if it isn't resumed, all of that work is lost.
  * - A workspace that has used up its share of a contended surplus is refused, even without any wait.
  *
  * The prefill time of the request itself doesn't count towards the wait, so a long prompt has the same
@@ -34,6 +36,8 @@
   surplusWaitLimit: number;
   /** The caller is retrying after an earlier refusal. */
   isCallerRetry: boolean;
+  /** The request resumes a stream that has broken; by default it doesn't. */
+  isResumption?: boolean;
 }
 
 /** The outcome of admission control for one request. */
@@ -86,12 +90,15 @@
 
 /** Accepts or refuses one request. `random` in [0, 1] adds jitter to the retry-after time. */
 export function decideAdmission(input: AdmissionInput, random: number): AdmissionDecision {
+  const { isResumption = false } = input;
   const isOverShare =
+    !isResumption &&
     input.shareUsage.shareUsed >= (input.isCallerRetry ? CALLER_RETRY_SHARE_LIMIT : 1);
   const waitLimitMs = waitLimit(input, isOverShare) * input.objectiveMs;
   const meetsDeadline =
     input.waitMs + input.serviceMs < input.remainingMs * FIRST_EVENT_DEADLINE_FRACTION;
   const isOverSurplusShare =
+    !isResumption &&
     input.shareUsage.surplusUsed > SURPLUS_USAGE_LIMIT &&
     input.surplusWaitLimit < CONTENDED_SURPLUS_WAIT_LIMIT;
   if (input.waitMs <= waitLimitMs && meetsDeadline && !isOverSurplusShare)
@@ -119,7 +126,7 @@
 function waitLimit(input: AdmissionInput, isOverShare: boolean): number {
   if (isOverShare)
     return boostSurplusWaitLimit(input.shareUsage.surplusUsed, input.surplusWaitLimit);
-  return input.isCallerRetry
+  return input.isCallerRetry || input.isResumption === true
     ? WITHIN_SHARE_WAIT_LIMIT.callerRetry
     : WITHIN_SHARE_WAIT_LIMIT.newRequest;
 }
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -87,9 +87,11 @@
 
   /** The refusal of a call whose wait is too long; undefined if it is admitted. `remainingMs` is until its deadline. */
   checkWait(placement: Placement, remainingMs: number): RequestError | undefined {
-    const { route, placer } = this.options;
+    const { route, placer, binding } = this.options;
     const { usage: shareUsage, isRetry: isCallerRetry } = this;
-    const admission = placer.admit({ route, remainingMs, shareUsage, isCallerRetry }, placement);
+    const { isResumption } = binding;
+    const request = { route, remainingMs, shareUsage, isCallerRetry, isResumption };
+    const admission = placer.admit(request, placement);
     this.isBeyondShare = admission.isOverShare;
     if (admission.isAccepted) return undefined;
     const reason = admission.isOverShare
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -69,6 +69,8 @@
   /** How much of its fair shares the request's workspace has used. */
   shareUsage: ShareUsage;
   isCallerRetry: boolean;
+  /** The request resumes a stream that has broken; by default it doesn't. */
+  isResumption?: boolean;
 }
 
 /** Selects endpoints for requests and admits them. */
@@ -122,13 +124,22 @@
    * request within its workspace's share.
    */
   admit(request: AdmissionRequest, placement: Placement): AdmissionDecision {
-    const { route, remainingMs, shareUsage, isCallerRetry } = request;
+    const { route, remainingMs, shareUsage, isCallerRetry, isResumption = false } = request;
     const { waitMs, serviceMs } = placement;
     const { objectiveMs } = route;
     const { pool } = placement.record.endpoint;
     const surplusWaitLimit = this.state.surplusWaitLimit(pool);
     const admission = decideAdmission(
-      { waitMs, serviceMs, objectiveMs, remainingMs, shareUsage, surplusWaitLimit, isCallerRetry },
+      {
+        waitMs,
+        serviceMs,
+        objectiveMs,
+        remainingMs,
+        shareUsage,
+        surplusWaitLimit,
+        isCallerRetry,
+        isResumption,
+      },
       this.state.random(),
     );
     if (!admission.isAccepted && !admission.isOverShare) {
--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -32,6 +32,11 @@
     this.isBound = options.origin !== undefined;
   }
 
+  /** Whether the call resumes a stream that has broken. */
+  get isResumption(): boolean {
+    return this.options.origin !== undefined;
+  }
+
   /** Whether an endpoint may serve the call now. */
   allows(endpoint: Endpoint): boolean {
     if (!this.isBound) return true;
--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -4,7 +4,7 @@
  * proved is refused, since at another version it would be joined from two texts.
  */
 import { toStreamKeys } from '@poplarpick/decisions';
-import type { Route, StreamOrigin } from '@poplarpick/decisions';
+import type { Prompt, Route, StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -12,7 +12,7 @@
 import type { StreamOrigins } from './stream-origins.ts';
 
 /** Longest time that a caller waits for the lists of cached prompts that the router has asked for, in ms. */
-const MAX_LISTS_WAIT_MS = 1_000;
+const MAX_LISTS_WAIT_MS = 700;
 
 /** Period of the check whether they have arrived, in ms. */
 const LISTS_CHECK_PERIOD_MS = 50;
@@ -88,16 +88,23 @@
     if (origin !== undefined) return { origin, proof: OriginProof.Keeper };
     const only = origins.findOnlyOrigin(route, hasAnswered);
     if (only !== undefined) return { origin: only, proof: OriginProof.OnlyVersion };
-    await this.waitForLists();
-    const cached = origins.findCached(prompt, route);
+    const cached = await this.findCached(prompt, route);
     return cached === undefined ? undefined : { origin: cached, proof: OriginProof.CachedPrompt };
   }
 
-  private async waitForLists(): Promise<void> {
+  /** Looks for the prompt in the lists of cached prompts, and waits for those that could tell another origin. */
+  private async findCached(
+    prompt: Prompt | undefined,
+    route: Route,
+  ): Promise<StreamOrigin | undefined> {
     const { clock, origins } = this.options;
     const waitUntil = clock.monotonic() + MAX_LISTS_WAIT_MS;
-    while (origins.awaitsLists && clock.monotonic() < waitUntil)
+    for (;;) {
+      const cached = origins.findCached(prompt, route);
+      const isFinal = !origins.awaitsListsBeside(cached) || clock.monotonic() >= waitUntil;
+      if (isFinal) return cached;
       await new Promise<void>((resolve) => clock.after(LISTS_CHECK_PERIOD_MS, resolve));
+    }
   }
 }
 
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -5,6 +5,7 @@
 import {
   CachedPrompts,
   hashSegment,
+  isOfOrigin,
   originOf,
   StreamOriginTable,
   VersionHistory,
@@ -67,6 +68,16 @@
     return this.awaitedLists === undefined || this.awaitedLists.size > 0;
   }
 
+  /** Whether endpoints that aren't of an origin may still list cached prompts. */
+  awaitsListsBeside(origin: StreamOrigin | undefined): boolean {
+    const { awaitedLists } = this;
+    if (origin === undefined || awaitedLists === undefined) return this.awaitsLists;
+    const { endpoints } = this.options;
+    return endpoints().some(
+      (endpoint) => awaitedLists.has(endpoint.id) && !isOfOrigin(endpoint, origin),
+    );
+  }
+
   /** Calls `listener` for each stream whose origin other routers can't infer. */
   onUninferable(listener: OriginListener): void {
     this.listeners.push(listener);
