Send no datagrams after the exchange with peers is closed

A question to keepers is repeated after 60 ms, which may be after the router has stopped; sending on a closed socket throws. Found by reading.

--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -21,6 +21,7 @@
   private readonly exchange: ReportExchange;
   private readonly socket: Socket = createSocket('udp4');
   private timer: Timer | undefined;
+  private isClosed = false;
 
   constructor(options: PeerExchangeOptions) {
     this.options = options;
@@ -55,6 +56,7 @@
   }
 
   close(): void {
+    this.isClosed = true;
     this.timer?.stop();
     this.socket.close();
   }
@@ -74,8 +76,9 @@
     return this.exchange.routerAddresses();
   }
 
-  /** Sends a datagram to another router. */
+  /** Sends a datagram to another router; does nothing once the exchange is closed. */
   transmit(target: string, message: Buffer): void {
+    if (this.isClosed) return;
     const { ip, port } = parseAddress(target);
     this.options.onBytes('sent', message.length);
     this.socket.send(message, port, ip, (error) => {
