Failing test: engines whose requests for rest are not read

A refusal with another attempt id, or without one, fails the attempt before its notices are read, and of a repeated Retry-After only the last value counts. That engines on the users' platform answer so was not seen.

--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -23,6 +23,10 @@
   Error = 'error',
   /** Refuses the request with status 503 without executing it. */
   Refuse = 'refuse',
+  /** Refuses the request with the attempt id of another request. */
+  RefuseWithOtherId = 'refuse-with-other-id',
+  /** Refuses the request without an attempt id. */
+  RefuseWithoutId = 'refuse-without-id',
   /** Refuses the request without `Content-Length`, and closes the connection normally after a while. */
   UnframedRefusal = 'unframed-refusal',
   /** Refuses the request without `Content-Length`, and resets the connection after a while. */
@@ -104,7 +108,7 @@
   /** Marks every response with the statement that the engine is about to stop. */
   isLeaving = false;
   /** Returns the value of `Retry-After` in a refusal; none by default. */
-  chooseRetryAfter: () => string | undefined = () => undefined;
+  chooseRetryAfter: () => string | string[] | undefined = () => undefined;
   /** Awaited before each answer without events. */
   awaitAnswer: () => Promise<void> = () => Promise.resolve();
   chooseBehaviour: (request: IncomingMessage) => EngineBehaviour = () =>
@@ -175,10 +179,8 @@
       return;
     }
     const behaviour = this.chooseBehaviour(request);
-    if (behaviour === EngineBehaviour.Refuse) {
-      const retryAfter = this.chooseRetryAfter();
-      if (retryAfter !== undefined) response.setHeader('Retry-After', retryAfter);
-      response.writeHead(503, { 'Attempt-Id': requestId, 'Not-Executed': '1' }).end();
+    if (REFUSALS.has(behaviour)) {
+      this.refuse(behaviour, requestId, response);
       return;
     }
     if (UNFRAMED_REFUSALS.has(behaviour)) {
@@ -204,6 +206,15 @@
     if (!response.destroyed) this.sendAnswer(behaviour, requestId, response);
   }
 
+  private refuse(behaviour: EngineBehaviour, requestId: string, response: ServerResponse): void {
+    const retryAfter = this.chooseRetryAfter();
+    if (retryAfter !== undefined) response.setHeader('Retry-After', retryAfter);
+    if (behaviour === EngineBehaviour.Refuse) response.setHeader('Attempt-Id', requestId);
+    if (behaviour === EngineBehaviour.RefuseWithOtherId)
+      response.setHeader('Attempt-Id', 'another');
+    response.writeHead(503, { 'Not-Executed': '1' }).end();
+  }
+
   /** Entries of `GET /v1/kv-list`: the segments of the prompts that were run are cached. */
   private listCachedSegments(): unknown[] {
     const segments = new Map<string, unknown>();
@@ -303,6 +314,8 @@
         return;
       case EngineBehaviour.CompleteAnswer:
       case EngineBehaviour.Refuse:
+      case EngineBehaviour.RefuseWithOtherId:
+      case EngineBehaviour.RefuseWithoutId:
       case EngineBehaviour.UnframedRefusal:
       case EngineBehaviour.UnframedRefusalReset:
         response.writeHead(200, { 'Attempt-Id': requestId, 'Response-Seal': this.options.id });
@@ -317,6 +330,12 @@
 /** Time for which an unframed refusal leaves its connection open, in milliseconds. */
 const REFUSAL_END_DELAY_MS = 150;
 
+const REFUSALS = new Set([
+  EngineBehaviour.Refuse,
+  EngineBehaviour.RefuseWithOtherId,
+  EngineBehaviour.RefuseWithoutId,
+]);
+
 const UNFRAMED_REFUSALS = new Set([
   EngineBehaviour.UnframedRefusal,
   EngineBehaviour.UnframedRefusalReset,
