Read what an engine says of itself in every response of it

Callers were served no worse, but an engine that had asked for rest, or said that it leaves, went on to get requests where its refusal had another attempt id or none: the attempt failed before its head was read.

--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -27,6 +27,8 @@
 export abstract class AttemptHandler {
   /** Called when the request is being written to the endpoint. */
   abstract handleWritten(attempt: CallAttempt): void;
+  /** Called with the head of a response to another request; a failure follows. */
+  abstract recordForeignHead(attempt: CallAttempt, head: ResponseHead): void;
   /** Called with the head of a response; returns false to discard the response. */
   abstract acceptHead(attempt: CallAttempt, head: ResponseHead): boolean;
   /** Called with each complete event of a stream; returns false to apply backpressure. */
@@ -94,6 +96,10 @@
     if (!this.isEnded) this.handler.handleWritten(this);
   }
 
+  override onForeignHead(head: ResponseHead): void {
+    this.handler.recordForeignHead(this, head);
+  }
+
   override onHead(head: ResponseHead): void {
     this.recordBytes();
     this.head = head;
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -149,6 +149,7 @@
   override acceptHead(attempt: CallAttempt, head: ResponseHead): boolean {
     const { record } = attempt.placement;
     const { load } = record;
+    this.options.state.limits.recordHead(record, head, attempt.inFlight.sentAt);
     this.recordNotices(attempt, head);
     if (head.isNotRun) {
       const verdict = Verdict.NotRun;
@@ -173,6 +174,10 @@
     return !this.tryRetryInsteadOf(attempt, head);
   }
 
+  override recordForeignHead(attempt: CallAttempt, head: ResponseHead): void {
+    this.recordNotices(attempt, head);
+  }
+
   override handleEvent(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): boolean {
     this.settleHandover(attempt);
     if (this.isOutOfOrder(event)) {
@@ -400,11 +405,10 @@
     this.attempt?.abort();
   }
 
-  /** Records what an endpoint says of itself in a response. */
-  private recordNotices({ placement, inFlight }: CallAttempt, head: ResponseHead): void {
-    const { endpoints, limits } = this.options.state;
+  /** Records whether an endpoint says in a response that it drains, or that it wants a pause. */
+  private recordNotices({ placement }: CallAttempt, head: ResponseHead): void {
+    const { endpoints } = this.options.state;
     const { record } = placement;
-    limits.recordHead(record, head, inFlight.sentAt);
     if (head.isDraining) endpoints.drain(record, DrainSource.Endpoint);
     if (head.pause !== undefined) endpoints.pause(record, head.pause);
   }
--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -56,6 +56,10 @@
     this.body = '';
   }
 
+  override onForeignHead(): void {
+    this.body = '';
+  }
+
   override onHead(): void {
     this.body = '';
   }
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -32,6 +32,11 @@
 export abstract class ResponseObserver {
   /** Called when the request is being written. */
   abstract onWritten(): void;
+  /**
+   * Called with the head of a response that isn't to this request; the request fails then. What the endpoint says of
+   * itself in it holds all the same.
+   */
+  abstract onForeignHead(head: ResponseHead): void;
   /** Called with the head of the response. Throws to refuse it. */
   abstract onHead(head: ResponseHead): void;
   /** Called with bytes of the body; returns false to pause until `EndpointRequest.resume`. */
@@ -229,6 +234,7 @@
     const head = protocol.decodeResponse(status, readRawHeaders(controller));
     this.isFramed = head.isFramed;
     if (head.requestId !== requestId) {
+      observer.onForeignHead(head);
       this.fail('the endpoint answered another request', Verdict.MayHaveRun);
       controller.abort(new Error('response to another request'));
       return;
