Tell callers of a stream when its own version ends its pause

A resumed stream whose version was paused got a Retry-After of 0.5 s, since endpoints of another version of the pool took requests. It now names the end of the first pause among the endpoints that may go on with it. The new case failed before (0.5 s where 3 to 6 are right).

--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -107,7 +107,9 @@
   createNoEndpointError(reason: string): RequestError {
     const { state, pool, binding } = this.options;
     if (binding.isStranded) return createStrandedError();
-    const pauseMs = state.endpoints.timeUntilAvailableMs(pool);
+    const pauseMs = state.endpoints.timeUntilAvailableMs(pool, (endpoint) =>
+      binding.allows(endpoint),
+    );
     if (pauseMs !== undefined) {
       const retryAfterMs = retryAfterPauseMs(pauseMs, state.random());
       return createRefusal(reason, ErrorCode.NoEndpoint, retryAfterMs);
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -146,13 +146,16 @@
 
   /**
    * Time until a pool without available endpoints has one again because a pause ends, in ms; undefined if it
-   * has one now, or if no pause is in progress.
+   * has one now, or if no pause is in progress. Only endpoints that `allows` selects count, by default all.
    */
-  timeUntilAvailableMs(pool: string): number | undefined {
+  timeUntilAvailableMs(
+    pool: string,
+    allows: (endpoint: Endpoint) => boolean = () => true,
+  ): number | undefined {
     const now = this.now();
     let shortestMs = Number.POSITIVE_INFINITY;
     for (const { endpoint, availability } of this.records.values()) {
-      if (endpoint.pool !== pool || availability.isDraining) continue;
+      if (endpoint.pool !== pool || availability.isDraining || !allows(endpoint)) continue;
       shortestMs = Math.min(shortestMs, availability.remainingPauseMs(now));
     }
     const isPaused = shortestMs > 0 && Number.isFinite(shortestMs);
