Keep reports small while many versions have departed

Beyond a hundred, a router tells nothing of its history, so that nobody takes a part of it for the whole. Found by reading; the new case failed before.

--- a/packages/decisions/src/forwarding/version-history.test.ts
+++ b/packages/decisions/src/forwarding/version-history.test.ts
@@ -93,6 +93,14 @@
     expect(findOnly(restarted, [endpoint('v2')], 5_001 + HORIZON_MS)).to.equal('v2');
   });
 
+  it('is not handed on while too many versions have left to tell them all', () => {
+    const history = makeLongHistory();
+    for (let version = 0; version <= 100; version += 1)
+      history.recordDeparted(endpoint(`v${version}`), 0);
+    expect(history.buildReport(1)).to.deep.equal({});
+    expect(history.buildReport(3_600_001).versionsKnownMs).to.equal(3_600_000);
+  });
+
   it('forgets a version in time although two routers keep telling it to each other late', () => {
     const routers = [makeLongHistory(), makeLongHistory()] as const;
     routers[0].recordDeparted(endpoint('v1'), 0);
--- a/packages/decisions/src/forwarding/version-history.ts
+++ b/packages/decisions/src/forwarding/version-history.ts
@@ -17,6 +17,9 @@
 /** Most versions that are remembered after their last endpoint has gone, as a bound on faulty entries. */
 const MAX_DEPARTED_VERSIONS = 1_000;
 
+/** Most departed versions in a report, so that it fits into a datagram. */
+const MAX_TOLD_VERSIONS = 100;
+
 /** Time for which a departed version is told, and furthest that a history reaches back, in ms. */
 const MAX_REACH_MS = 3_600_000;
 
@@ -103,13 +106,17 @@
     return versions.size === 1 && only !== '' ? only : undefined;
   }
 
-  /** The report to other routers. */
+  /**
+   * The report to other routers. It is empty while more versions have departed than fit into it: who knew only some
+   * of them would take another one for the only one.
+   */
   buildReport(now: number): VersionHistoryReport {
     const departed: DepartedVersionEntry[] = [];
     for (const [key, at] of this.departedAt.entries()) {
       const ageMs = Math.round(now - at);
       if (ageMs <= MAX_REACH_MS) departed.push([...fromKey(key), ageMs]);
     }
+    if (departed.length > MAX_TOLD_VERSIONS) return {};
     const knownMs = Math.floor(Math.min(now - this.knownSince, MAX_REACH_MS));
     return {
       ...(knownMs > 0 ? { versionsKnownMs: knownMs } : {}),
