--- a/packages/decisions/src/forwarding/cached-prompts.ts
+++ b/packages/decisions/src/forwarding/cached-prompts.ts
@@ -5,7 +5,7 @@
  */
 import { LRUCache } from 'lru-cache';
 import type { SegmentHash } from './prefix-cache-index.ts';
-import { isSameOrigin } from './stream-origin.ts';
+import { agreedOrigin } from './stream-origin.ts';
 import type { StreamOrigin } from './stream-origin.ts';
 
 /** Most segments that are remembered, as a bound on memory. */
@@ -46,9 +46,7 @@
     listedAt: number,
   ): void {
     const known = this.entries.get(hash);
-    const isAgreed =
-      known === undefined ||
-      (known.origin !== undefined && origin !== undefined && isSameOrigin(known.origin, origin));
-    this.entries.set(hash, { origin: isAgreed ? origin : undefined, listedAt });
+    const agreed = known === undefined ? origin : agreedOrigin(known.origin, origin);
+    this.entries.set(hash, { origin: agreed, listedAt });
   }
 }
--- a/packages/decisions/src/forwarding/stream-origin-table.ts
+++ b/packages/decisions/src/forwarding/stream-origin-table.ts
@@ -1,6 +1,6 @@
 /** Memory of the origins of streams, each for a limited time. */
 import { LRUCache } from 'lru-cache';
-import { isSameOrigin } from './stream-origin.ts';
+import { agreedOrigin } from './stream-origin.ts';
 import type { StreamKey, StreamOrigin } from './stream-origin.ts';
 
 /** Most streams that are remembered, as a bound on memory; the oldest are forgotten first. */
@@ -20,9 +20,8 @@
   /** Remembers an origin for `keepMs`. If another one is remembered, neither of them is known to be right. */
   record(key: StreamKey, origin: StreamOrigin, keepMs: number, now: number): void {
     const known = this.findEntry(key, now);
-    const isAgreed =
-      known === undefined || (known.origin !== undefined && isSameOrigin(known.origin, origin));
-    this.entries.set(key, { origin: isAgreed ? origin : undefined, validUntil: now + keepMs });
+    const agreed = known === undefined ? origin : agreedOrigin(known.origin, origin);
+    this.entries.set(key, { origin: agreed, validUntil: now + keepMs });
   }
 
   /** The origin of a stream; undefined if none is remembered, or several are. */
--- a/packages/decisions/src/forwarding/stream-origin.ts
+++ b/packages/decisions/src/forwarding/stream-origin.ts
@@ -66,7 +66,11 @@
   return pool === origin.pool && version === origin.version;
 }
 
-/** Whether two origins are the same. */
-export function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
-  return a.pool === b.pool && a.version === b.version;
+/** The origin on which two statements agree; undefined if they don't, or if one of them names none. */
+export function agreedOrigin(
+  a: StreamOrigin | undefined,
+  b: StreamOrigin | undefined,
+): StreamOrigin | undefined {
+  const isAgreed = a !== undefined && a.pool === b?.pool && a.version === b.version;
+  return isAgreed ? a : undefined;
 }
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -106,7 +106,10 @@
    */
   createNoEndpointError(reason: string): RequestError {
     const { state, pool, binding } = this.options;
-    if (binding.isStranded) return createStrandedError();
+    if (binding.isStranded) {
+      const stranded = 'no endpoint of the version that began the stream is left';
+      return createRefusal(stranded, ErrorCode.StreamNotResumable);
+    }
     const pauseMs = state.endpoints.timeUntilAvailableMs(pool, (endpoint) =>
       binding.allows(endpoint),
     );
@@ -134,15 +137,8 @@
   }
 }
 
-/** The refusal of a stream that can't go on, since no endpoint of its version is left. */
-function createStrandedError(): RequestError {
-  return new RequestError('no endpoint of the version that began the stream is left', {
-    code: ErrorCode.StreamNotResumable,
-    verdict: Verdict.NotRun,
-  });
-}
-
-function createRefusal(reason: string, code: ErrorCode, retryAfterMs: number): RequestError {
-  const retryAfterSeconds = retryAfterMs / MS_PER_SECOND;
+/** A refusal; without a retry-after time, coming again doesn't help. */
+function createRefusal(reason: string, code: ErrorCode, retryAfterMs?: number): RequestError {
+  const retryAfterSeconds = retryAfterMs === undefined ? undefined : retryAfterMs / MS_PER_SECOND;
   return new RequestError(reason, { code, verdict: Verdict.NotRun, retryAfterSeconds });
 }
