Evacuated data centres, cold endpoints, regions, and shares of the endpoints that take requests

Shares were measured against the nominal capacity whatever was held back. Change: routers pass evacuations and warm-ups on with the list of endpoints; a cold endpoint is shared by up to three routers that rendezvous hashing picks, each at an even pace; regions of route and workspace both bind.

--- a/packages/decisions/src/forwarding/endpoint.ts
+++ b/packages/decisions/src/forwarding/endpoint.ts
@@ -22,6 +22,8 @@
   slots: number;
   /** The endpoint finishes its requests and takes no new ones. */
   isDraining: boolean;
+  /** Time for which the endpoint stays cold, in ms, as of its latest entry; undefined or 0 if it is warm. */
+  warmUpMs?: number | undefined;
 }
 
 /** Identifies one incarnation of an endpoint: a restart or a new address yields another one. */
--- a/packages/decisions/src/forwarding/fair-share-ledger.test.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.test.ts
@@ -13,7 +13,12 @@
   now: number,
 ): ShareUsage {
   const readPeerUsage = (): WorkspaceUsage[] => peerUsage;
-  return ledger.measureUsage({ workspace, readPeerUsage, tokensPerMs: TOKENS_PER_MS, now });
+  return ledger.measureUsage({
+    workspace,
+    readPeerUsage,
+    readTokensPerMs: () => TOKENS_PER_MS,
+    now,
+  });
 }
 
 describe('FairShareLedger', () => {
@@ -60,7 +65,12 @@
       return [];
     };
     for (let now = 0; now < 100; now += 1) {
-      ledger.measureUsage({ workspace: 'a', readPeerUsage, tokensPerMs: TOKENS_PER_MS, now });
+      ledger.measureUsage({
+        workspace: 'a',
+        readPeerUsage,
+        readTokensPerMs: () => TOKENS_PER_MS,
+        now,
+      });
     }
     expect(reads).to.be.lessThan(6);
   });
--- a/packages/decisions/src/forwarding/fair-share-ledger.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.ts
@@ -30,8 +30,8 @@
   workspace: string;
   /** Returns the entries that the other routers report. */
   readPeerUsage: () => Iterable<WorkspaceUsage>;
-  /** Nominal capacity of the fleet. */
-  tokensPerMs: number;
+  /** Returns the nominal capacity of the endpoints that take requests now, in tokens per ms. */
+  readTokensPerMs: () => number;
   now: number;
 }
 
@@ -97,11 +97,11 @@
   }
 
   private currentFleetUsage(measurement: ShareMeasurement): FleetUsageSnapshot {
-    const { now, tokensPerMs, readPeerUsage } = measurement;
+    const { now, readTokensPerMs, readPeerUsage } = measurement;
     if (this.fleet !== undefined && now - this.fleet.takenAt < FLEET_USAGE_TTL_MS)
       return this.fleet;
     const usage = this.sumUsage(readPeerUsage(), now);
-    const levels = findFairLevels(usage, tokensPerMs * this.windowMs);
+    const levels = findFairLevels(usage, readTokensPerMs() * this.windowMs);
     this.fleet = { usage, levels, takenAt: now };
     return this.fleet;
   }
--- a/packages/decisions/src/forwarding/routing-table.ts
+++ b/packages/decisions/src/forwarding/routing-table.ts
@@ -4,6 +4,7 @@
  * plain data and pure lookups.
  */
 import murmurhash from 'murmurhash';
+import type { AllowedRegions } from './region-policy.ts';
 
 /** How often a request may run, which limits its retries. */
 export enum CallKind {
@@ -41,6 +42,8 @@
   isPublic: boolean;
   /** An interrupted stream may resume at another endpoint after its last event. */
   isResumable: boolean;
+  /** Regions that may see the requests of this route. */
+  regions?: AllowedRegions;
 }
 
 /** Cache capacity of each endpoint of a model pool. */
@@ -56,6 +59,8 @@
   connectionLimit: number;
   /** Set for pools of model engines only. */
   batch?: BatchCapacity | undefined;
+  /** Requests a second that a cold endpoint bears; undefined if its endpoints need no warm-up. */
+  warmUpPerSecond?: number | undefined;
 }
 
 /** Size and time limits for requests of callers. */
@@ -70,6 +75,8 @@
 export interface WorkspaceKeys {
   name: string;
   keys: readonly string[];
+  /** Regions that may see the requests of this workspace. */
+  regions?: AllowedRegions;
 }
 
 /** One version of the fleet's routing configuration. */
@@ -93,6 +100,7 @@
   private readonly routesByHost = new Map<string, Route[]>();
   private readonly poolsByName = new Map<string, Pool>();
   private readonly workspacesByKey = new Map<string, string>();
+  private readonly regionsByWorkspace = new Map<string, AllowedRegions>();
 
   constructor(table: RoutingTable) {
     this.table = table;
@@ -104,7 +112,8 @@
       routes.sort((a, b) => b.prefix.length - a.prefix.length);
     }
     for (const pool of table.pools) this.poolsByName.set(pool.name, pool);
-    for (const { name, keys } of table.workspaces ?? []) {
+    for (const { name, keys, regions } of table.workspaces ?? []) {
+      if (regions !== undefined) this.regionsByWorkspace.set(name, regions);
       for (const key of keys) this.workspacesByKey.set(key, name);
     }
   }
@@ -129,6 +138,11 @@
     return this.workspacesByKey.get(key);
   }
 
+  /** Regions that may see the requests of a workspace. */
+  findRegions(workspace: string | undefined): AllowedRegions {
+    return workspace === undefined ? undefined : this.regionsByWorkspace.get(workspace);
+  }
+
   /** True if requests on `route` need a key. */
   requiresKey(route: Route): boolean {
     return this.table.workspaces !== undefined && !route.isPublic;
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -29,6 +29,7 @@
   head: CallHead;
   route: Route;
   pool: string;
+  workspace: string | undefined;
   body: Buffer | undefined;
   binding: StreamBinding;
   /** Hashes of what may crash an endpoint: the request as a whole, and the shared segments of its prompt. */
@@ -69,10 +70,11 @@
 
   /** Selects the best endpoint; undefined if none is available. */
   selectEndpoint(): Placement | undefined {
-    const { route, pool, head, placer, body, binding } = this.options;
+    const { state, route, pool, workspace, head, placer, body, binding } = this.options;
     const { excluded } = this;
     const bodyBytes = body?.length ?? 0;
-    const allows = (endpoint: Endpoint): boolean => binding.allows(endpoint);
+    const allows = (endpoint: Endpoint): boolean =>
+      binding.allows(endpoint) && state.allowsRegion(endpoint, route, workspace);
     return placer.place({ route, pool, prompt: head.prompt, bodyBytes, excluded, allows });
   }
 
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -87,7 +87,8 @@
     const available = this.state.endpoints
       .findAvailable(request.pool)
       .filter(({ incarnation, client }) => !excluded.has(incarnation) && !client.isFull)
-      .filter(({ endpoint }) => allows(endpoint));
+      .filter(({ endpoint }) => allows(endpoint))
+      .filter((record) => !this.state.warmUps.isHeld(record));
     const batch = this.state.routes?.findPool(request.pool)?.batch;
     const { prompt, route, bodyBytes } = request;
     if (batch === undefined || prompt === undefined) {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -341,6 +341,7 @@
     }
     state.recordCached(placement.record, sharedSegments(prompt));
     state.limits.recordSent(placement.record);
+    state.warmUps.recordSent(placement.record);
     const kvCacheTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens;
     const attempt = new CallAttempt({
       handler: this,
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -12,6 +12,7 @@
   EndpointLoad,
   incarnationOf,
   MAX_PAUSE_MS,
+  WarmUp,
 } from '@poplarpick/decisions';
 import type { Endpoint, PauseRequest } from '@poplarpick/decisions';
 import type { Clock, Logger } from '@poplarpick/kernel';
@@ -29,10 +30,12 @@
   availability: EndpointAvailability;
   /** The limit that the endpoint names, and this router's part of it. */
   limit: EndpointLimit;
+  /** Whether the endpoint is cold. */
+  warmUp: WarmUp;
 }
 
 /** What an endpoint says of itself. */
-type EndpointNotices = Pick<EndpointRecord, 'availability' | 'limit'>;
+type EndpointNotices = Pick<EndpointRecord, 'availability' | 'limit' | 'warmUp'>;
 
 /** Removed incarnations whose notices are kept, as a bound on the memory of a long-lived router. */
 const MAX_REMOVED_INCARNATIONS = 1_000;
@@ -45,6 +48,10 @@
   random?: () => number;
   /** Creates the connection pool for an endpoint. */
   createClient: (endpoint: Endpoint) => EndpointClient;
+  /** Whether the endpoints of a data centre get no new requests; by default all data centres get some. */
+  isEvacuated?: (dataCentre: string) => boolean;
+  /** Called with each entry that was applied. */
+  onEntry?: (record: EndpointRecord) => void;
   /** Called when an incarnation was removed or replaced. */
   onRemoved: (record: EndpointRecord) => void;
   /** Called with an endpoint as it was when its entry names another version now. */
@@ -99,6 +106,7 @@
     this.records.set(endpoint.id, record);
     this.recordsByHash.set(record.incarnationHash, record);
     this.log('endpoint.seen', record);
+    this.options.onEntry?.(record);
     if (endpoint.isDraining) this.drain(record, DrainSource.Store);
   }
 
@@ -140,7 +148,10 @@
   findAvailable(pool: string): EndpointRecord[] {
     const now = this.now();
     return [...this.records.values()].filter(
-      (record) => record.endpoint.pool === pool && record.availability.takesRequests(now),
+      (record) =>
+        record.endpoint.pool === pool &&
+        record.availability.takesRequests(now) &&
+        !this.isEvacuated(record),
     );
   }
 
@@ -154,8 +165,10 @@
   ): number | undefined {
     const now = this.now();
     let shortestMs = Number.POSITIVE_INFINITY;
-    for (const { endpoint, availability } of this.records.values()) {
+    for (const record of this.records.values()) {
+      const { endpoint, availability } = record;
       if (endpoint.pool !== pool || availability.isDraining || !allows(endpoint)) continue;
+      if (this.isEvacuated(record)) continue;
       shortestMs = Math.min(shortestMs, availability.remainingPauseMs(now));
     }
     const isPaused = shortestMs > 0 && Number.isFinite(shortestMs);
@@ -205,6 +218,7 @@
     const previous = record.endpoint;
     record.endpoint = endpoint;
     if (previous.version !== endpoint.version) this.options.onVersionChange?.(previous);
+    this.options.onEntry?.(record);
     if (endpoint.isDraining) this.drain(record, DrainSource.Store);
   }
 
@@ -219,13 +233,21 @@
     this.changeCount += 1;
     this.records.delete(record.endpoint.id);
     this.recordsByHash.delete(record.incarnationHash);
-    const { availability, limit } = record;
-    this.removed.set(record.incarnation, { availability, limit });
+    const { availability, limit, warmUp } = record;
+    this.removed.set(record.incarnation, { availability, limit, warmUp });
   }
 
   private createNotices(): EndpointNotices {
     const { random } = this.options;
-    return { availability: new EndpointAvailability(), limit: new EndpointLimit({ random }) };
+    return {
+      availability: new EndpointAvailability(),
+      limit: new EndpointLimit({ random }),
+      warmUp: new WarmUp(),
+    };
+  }
+
+  private isEvacuated({ endpoint }: EndpointRecord): boolean {
+    return this.options.isEvacuated?.(endpoint.dataCentre) ?? false;
   }
 
   private now(): number {
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -30,6 +30,8 @@
 /** Options of a `Forwarder`. */
 export interface ForwarderOptions {
   dataCentre: string;
+  /** Region of each data centre. */
+  regions?: ReadonlyMap<string, string> | undefined;
   callersAddress: string;
   readinessAddress: string;
   readinessPath: string;
@@ -74,7 +76,7 @@
     this.options = options;
     this.clock = kernel.clock;
     this.log = kernel.log;
-    const { dataCentre, bounds, protocol, logOutput, isFirstStart } = options;
+    const { dataCentre, regions, bounds, protocol, logOutput, isFirstStart } = options;
     const { clock, log } = kernel;
     const onSuspension = (): void => {
       this.state.streams.recordSuspension();
@@ -85,6 +87,9 @@
       log,
       protocol,
       dataCentre,
+      regions,
+      address: options.peersAddress,
+      routersOf: (name) => this.peers.knownRouters(name),
       bounds,
       isFirstStart,
       logOutput,
--- a/packages/forwarder/src/peers/member-directory.ts
+++ b/packages/forwarder/src/peers/member-directory.ts
@@ -79,9 +79,11 @@
     );
   }
 
-  /** All known addresses of a data centre, live or not. */
-  addressesOf(dataCentre: string): string[] {
-    return this.filterAddresses((member) => member.dataCentre === dataCentre);
+  /** All known addresses of a data centre, live or not; those of all data centres if it is undefined. */
+  addressesOf(dataCentre?: string): string[] {
+    return this.filterAddresses(
+      (member) => dataCentre === undefined || member.dataCentre === dataCentre,
+    );
   }
 
   /** Addresses of the routers whose data centre is unknown. */
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -76,6 +76,11 @@
     return this.exchange.routerAddresses();
   }
 
+  /** Addresses of the known routers of a data centre, this one and silent ones included; all if it is undefined. */
+  knownRouters(dataCentre?: string): string[] {
+    return this.exchange.knownRouters(dataCentre);
+  }
+
   /** Sends a datagram to another router; does nothing once the exchange is closed. */
   transmit(target: string, message: Buffer): void {
     if (this.isClosed) return;
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -120,6 +120,14 @@
     return this.members.listLive(now).map(([address]) => address);
   }
 
+  /** Addresses of the known routers of a data centre, this one and silent ones included; all if it is undefined. */
+  knownRouters(dataCentre?: string): string[] {
+    const { address, dataCentre: ownDataCentre } = this.options;
+    const known = this.members.addressesOf(dataCentre);
+    const isIncluded = dataCentre === undefined || dataCentre === ownDataCentre;
+    return isIncluded ? [address, ...known] : known;
+  }
+
   /** Latest reports of the live routers of this data centre. */
   readLocalReports(): PeerReport[] {
     return this.localReports(this.options.clock.monotonic());
--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -263,7 +263,7 @@
    * seen would not be repeated.
    */
   private applyEndpoints(
-    { endpoints }: StateSnapshot,
+    { endpoints, evacuated }: StateSnapshot,
     { endpointsConfirmedAt }: AcceptedPeerState,
   ): boolean {
     const { state, onEndpointsReplaced } = this.options;
@@ -273,6 +273,7 @@
       state.endpoints.replaceAll(endpoints);
       if (this.isReader) onEndpointsReplaced();
     }
+    if (evacuated !== undefined) state.evacuations.replaceAll(evacuated);
     state.confirmEndpoints(endpointsConfirmedAt);
     return true;
   }
--- a/packages/forwarder/src/peers/state-server.ts
+++ b/packages/forwarder/src/peers/state-server.ts
@@ -1,4 +1,4 @@
-/** Serves a router's copy of the store's state (routes and endpoints) to its peers over HTTP. */
+/** Serves a router's copy of the store's state (routes, endpoints and evacuations) to its peers over HTTP. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { listenOn } from '@poplarpick/fleet/address';
@@ -63,6 +63,7 @@
       ...(version === undefined ? {} : { version }),
       ...(hasSameRoutes || state.routes === undefined ? {} : { routes: state.routes.table }),
       ...(hasSameEndpoints ? {} : { endpoints: state.endpoints.list() }),
+      evacuated: state.evacuations.list(),
     };
   }
 }
--- a/packages/forwarder/src/peers/state-snapshot.ts
+++ b/packages/forwarder/src/peers/state-snapshot.ts
@@ -16,6 +16,7 @@
   maxAttempts: z.number(),
   isPublic: z.boolean(),
   isResumable: z.boolean(),
+  regions: z.array(z.string()).optional(),
 });
 
 const routingTableSchema = z.object({
@@ -26,6 +27,7 @@
       name: z.string(),
       connectionLimit: z.number(),
       batch: z.object({ cacheTokens: z.number() }).optional(),
+      warmUpPerSecond: z.number().optional(),
     }),
   ),
   limits: z.object({
@@ -35,7 +37,15 @@
     idleTimeoutMs: z.number(),
   }),
   tokensPerSecond: z.number(),
-  workspaces: z.array(z.object({ name: z.string(), keys: z.array(z.string()) })).optional(),
+  workspaces: z
+    .array(
+      z.object({
+        name: z.string(),
+        keys: z.array(z.string()),
+        regions: z.array(z.string()).optional(),
+      }),
+    )
+    .optional(),
 }) satisfies z.ZodType<RoutingTable>;
 
 const endpointSchema = z.object({
@@ -47,6 +57,7 @@
   dataCentre: z.string(),
   slots: z.number(),
   isDraining: z.boolean(),
+  warmUpMs: z.number().optional(),
 }) satisfies z.ZodType<Endpoint>;
 
 /** A router's copy of the store's state and its age; serialised under these field names. */
@@ -62,6 +73,8 @@
   routes?: RoutingTable | undefined;
   /** Absent if the requesting router has the same list. */
   endpoints?: readonly Endpoint[] | undefined;
+  /** Evacuated data centres, as of the list of endpoints; absent in snapshots of older versions. */
+  evacuated?: readonly string[] | undefined;
 }
 
 /** Validates a snapshot from a peer. */
@@ -72,6 +85,7 @@
   version: z.number().optional(),
   routes: routingTableSchema.optional(),
   endpoints: z.array(endpointSchema).optional(),
+  evacuated: z.array(z.string()).optional(),
 }) satisfies z.ZodType<StateSnapshot>;
 
 /** Hashes a list of endpoints, in any order, for the comparison between routers. */
@@ -86,6 +100,7 @@
     endpoint.dataCentre,
     endpoint.slots,
     endpoint.isDraining,
+    endpoint.warmUpMs,
   ]);
   return murmurhash.v3(JSON.stringify(fields)).toString(16);
 }
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -19,6 +19,8 @@
     blockedSegments: () => 0,
     blockedRequests: () => 0,
     limitedEndpoints: () => 0,
+    coldEndpoints: () => 0,
+    evacuatedDataCentres: () => 0,
     reportAges: () => ({ local: [30, 10, 20], remote: [] }),
   });
 }
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -33,6 +33,10 @@
   blockedRequests: () => number;
   /** Endpoints that name a limit. */
   limitedEndpoints: () => number;
+  /** Endpoints that are cold. */
+  coldEndpoints: () => number;
+  /** Data centres that are evacuated. */
+  evacuatedDataCentres: () => number;
   reportAges: () => ReportAges;
 }
 
@@ -192,6 +196,16 @@
       'Requests that are blocked, since they have crashed endpoints',
       source.blockedRequests,
     );
+    this.addGauge(
+      'poplarpick_endpoints_cold',
+      'Endpoints that are cold and bear few requests a second',
+      source.coldEndpoints,
+    );
+    this.addGauge(
+      'poplarpick_data_centres_evacuated',
+      'Data centres whose endpoints get no new requests until they are taken back',
+      source.evacuatedDataCentres,
+    );
     this.addGauge(
       'poplarpick_endpoints_limited',
       'Endpoints that name a limit of the requests that they take',
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -14,15 +14,18 @@
   fairShareCost,
   FairShareLedger,
   fingerprintRequest,
+  isRegionAllowed,
   LatencyEstimator,
   oldestAgeMs,
   RefusedRequests,
   SurplusLimiter,
 } from '@poplarpick/decisions';
 import type {
+  Endpoint,
   HashedSegment,
   StoreStateAge,
   Prompt,
+  Route,
   RoutingTable,
   SegmentHash,
   ShareUsage,
@@ -31,7 +34,9 @@
 import { EndpointClient } from './endpoints/endpoint-client.ts';
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
+import { Evacuations } from './endpoints/evacuations.ts';
 import { LimitTracker } from './endpoints/limit-tracker.ts';
+import { WarmUpTracker } from './endpoints/warm-up-tracker.ts';
 import type { CallProtocol } from './calls/call-protocol.ts';
 import { PeerTable } from './peers/peer-table.ts';
 import type { CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
@@ -73,6 +78,12 @@
   protocol: CallProtocol;
   dataCentre: string;
   bounds: RouterBounds;
+  /** Region of each data centre; empty by default. */
+  regions?: ReadonlyMap<string, string> | undefined;
+  /** `IP:port` by which the other routers know this one. */
+  address?: string;
+  /** Addresses of the known routers of a data centre, this one included; all if it is undefined. */
+  routersOf?: (dataCentre?: string) => readonly string[];
   /** The whole system starts for the first time; by default it has run before. */
   isFirstStart?: boolean;
   /** Output that `log` writes to. */
@@ -98,8 +109,11 @@
   readonly eventLoop: EventLoopMonitor;
   readonly poison: PoisonGuard;
   readonly limits: LimitTracker;
+  readonly warmUps: WarmUpTracker;
+  readonly evacuations: Evacuations;
   readonly streams: StreamOrigins;
   readonly metrics: RouterMetrics;
+  private readonly regions: ReadonlyMap<string, string>;
   private readonly fairShareLedger: FairShareLedger;
   private readonly latencyEstimators = new Map<string, LatencyEstimator>();
   private readonly surplusLimiters = new Map<string, SurplusLimiter>();
@@ -123,6 +137,7 @@
     this.protocol = options.protocol;
     this.logOutput = options.logOutput;
     this.random = options.random ?? Math.random;
+    this.regions = options.regions ?? new Map<string, string>();
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
     this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
     this.metrics = new RouterMetrics({
@@ -137,6 +152,8 @@
       blockedSegments: () => this.poison.countBlocked().segments,
       blockedRequests: () => this.poison.countBlocked().requests,
       limitedEndpoints: () => this.limits.limitedCount,
+      coldEndpoints: () => this.warmUps.coldCount,
+      evacuatedDataCentres: () => this.evacuations.count,
       reportAges: () => this.peers.reportAges(this.dataCentre, this.clock.monotonic()),
     });
     this.poison = new PoisonGuard({
@@ -156,6 +173,8 @@
           connectionLimit: this.connectionLimit(endpoint.pool),
           protocol: options.protocol,
         }),
+      isEvacuated: (dataCentre) => this.evacuations.has(dataCentre),
+      onEntry: (record) => this.warmUps.recordEntry(record),
       onRemoved: (record) => this.removeEndpointState(record),
       onVersionChange: (previous) => this.streams.recordDeparted(previous),
       onDrain: ({ endpoint }, source) => this.metrics.recordDrain(endpoint.pool, source),
@@ -172,6 +191,21 @@
       endpoints: this.endpoints,
       peers: this.peers,
     });
+    const { address = '' } = options;
+    this.warmUps = new WarmUpTracker({
+      clock: options.clock,
+      log: options.log,
+      address,
+      endpoints: this.endpoints,
+      ratePerSecond: (pool) => this.routeIndex?.findPool(pool)?.warmUpPerSecond,
+      routersOf: options.routersOf ?? (() => [address]),
+    });
+    this.evacuations = new Evacuations({
+      log: options.log,
+      countEndpoints: (dataCentre) =>
+        this.endpoints.list().filter((endpoint) => endpoint.dataCentre === dataCentre).length,
+      onReturned: (dataCentre) => this.warmUps.recordReturned(dataCentre),
+    });
     this.reports = new RouterReports({
       clock: options.clock,
       endpoints: this.endpoints,
@@ -305,11 +339,34 @@
     return this.fairShareLedger.measureUsage({
       workspace,
       readPeerUsage: () => this.peers.workspaceUsage(now),
-      tokensPerMs: tokensPerSecond / MS_PER_SECOND,
+      readTokensPerMs: () => (tokensPerSecond / MS_PER_SECOND) * this.availableFraction(),
       now,
     });
   }
 
+  /**
+   * Part of the slots of the model endpoints that take requests: paused, cold and evacuated ones don't. Draining
+   * ones leave for good and aren't part of the fleet any more.
+   */
+  private availableFraction(): number {
+    const now = this.clock.monotonic();
+    let slots = 0;
+    let availableSlots = 0;
+    for (const record of this.endpoints.all()) {
+      const { endpoint, availability } = record;
+      if (availability.isDraining) continue;
+      if (this.routeIndex?.findPool(endpoint.pool)?.batch === undefined) continue;
+      slots += endpoint.slots;
+      const isHeldBack =
+        availability.isPaused(now) ||
+        this.evacuations.has(endpoint.dataCentre) ||
+        this.warmUps.isCold(record);
+      if (!isHeldBack) availableSlots += endpoint.slots;
+    }
+    // Where no endpoint takes requests, no call is admitted and no share matters.
+    return availableSlots === 0 ? 1 : availableSlots / slots;
+  }
+
   /** Records the cost of a request that is sent to an endpoint. */
   recordGrant(workspace: string, prompt: Prompt, isOverShare: boolean): void {
     const now = this.clock.monotonic();
@@ -342,6 +399,14 @@
     this.log.info({ event: 'endpoint.cache_read', endpoint: id, parts: segments.length });
   }
 
+  /** Whether an endpoint is in a region that may see a request of this route and workspace. */
+  allowsRegion(endpoint: Endpoint, route: Route, workspace: string | undefined): boolean {
+    const workspaceRegions = this.routeIndex?.findRegions(workspace);
+    if (route.regions === undefined && workspaceRegions === undefined) return true;
+    const region = this.regions.get(endpoint.dataCentre);
+    return isRegionAllowed(region, [route.regions, workspaceRegions]);
+  }
+
   /** Builds the report to this router's peers. */
   buildReport(includesWorkspaces: boolean): ReportBody {
     return this.reports.build(includesWorkspaces);
@@ -387,6 +452,7 @@
 
   private removeEndpointState(record: EndpointRecord): void {
     this.limits.remove(record);
+    this.warmUps.remove(record);
     this.streams.recordDeparted(record.endpoint);
     this.metrics.removeEndpoint(record.endpoint.id);
     this.prefixCacheIndex.removeEndpoint(record.incarnation);
