Hedging, prompts copied between endpoints, surplus by the pace of streams, and readiness of a pressed data centre

Change: StreamPace learns the pace of streams and what they bear, and there is no surplus where it is used up; planTransfer copies a cached prefix where the pool says that engines do so; mayLeaveRotation keeps a minority from being ready; hedges (off by default) are sent within the operators' extra work.

--- a/packages/decisions/src/forwarding/admission.test.ts
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -88,3 +88,13 @@
     expect(late - early).to.be.greaterThan(100);
   });
 });
+
+describe('admission where running streams are slow', () => {
+  it('finds no surplus there, and still accepts requests within the share', () => {
+    const slow = { paceUsed: 0.9, surplusWaitLimit: 0.3 };
+    expect(decideAdmission(input({ ...slow }), HALF).isAccepted).to.equal(true);
+    const overShare = input({ ...slow, shareUsage: OVER_SHARE });
+    expect(decideAdmission(overShare, HALF)).to.include({ isAccepted: false, isOverShare: true });
+    expect(decideAdmission({ ...overShare, paceUsed: 0.5 }, HALF).isAccepted).to.equal(true);
+  });
+});
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -14,6 +14,8 @@
  * - A request that resumes a stream counts as within the share, like a caller retry: its workspace's share has
  *   admitted the stream before, and if it isn't resumed, all of that work is lost.
  * - A workspace that has used up its share of a contended surplus is refused, even without any wait.
+ * - Where running streams are so slow that long ones may miss their deadlines (see `StreamPace`), there is no
+ *   surplus: a request over its share would slow them down further.
  *
  * The prefill time of the request itself doesn't count towards the wait, so a long prompt has the same
  * wait limit as a short one.
@@ -38,6 +40,8 @@
   isCallerRetry: boolean;
   /** The request resumes a stream that has broken; by default it doesn't. */
   isResumption?: boolean;
+  /** Pace of the streams at the endpoint, as a fraction of the slowest one that they bear; by default 0. */
+  paceUsed?: number;
 }
 
 /** The outcome of admission control for one request. */
@@ -79,6 +83,9 @@
  */
 const CONTENDED_SURPLUS_WAIT_LIMIT = 0.3;
 
+/** Pace used of an endpoint from which on it has no surplus. */
+const SURPLUS_PACE_LIMIT = 0.8;
+
 /** Bounds of the retry-after time of a refused request within its fair share, in ms. */
 const RETRY_AFTER_BOUNDS_MS = { min: 150, max: 2_000 };
 
@@ -90,7 +97,7 @@
 
 /** Accepts or refuses one request. `random` in [0, 1] adds jitter to the retry-after time. */
 export function decideAdmission(input: AdmissionInput, random: number): AdmissionDecision {
-  const { isResumption = false } = input;
+  const { isResumption = false, paceUsed = 0 } = input;
   const isOverShare =
     !isResumption &&
     input.shareUsage.shareUsed >= (input.isCallerRetry ? CALLER_RETRY_SHARE_LIMIT : 1);
@@ -101,7 +108,8 @@
     !isResumption &&
     input.shareUsage.surplusUsed > SURPLUS_USAGE_LIMIT &&
     input.surplusWaitLimit < CONTENDED_SURPLUS_WAIT_LIMIT;
-  if (input.waitMs <= waitLimitMs && meetsDeadline && !isOverSurplusShare)
+  const hasSurplus = !isOverSurplusShare && (!isOverShare || paceUsed < SURPLUS_PACE_LIMIT);
+  if (input.waitMs <= waitLimitMs && meetsDeadline && hasSurplus)
     return { isAccepted: true, isOverShare, retryAfterMs: 0 };
   const retryAfterMs = isOverShare
     ? OVER_SHARE_RETRY_AFTER_MS.base + OVER_SHARE_RETRY_AFTER_MS.jitter * random
--- a/packages/decisions/src/forwarding/prefix-cache-index.ts
+++ b/packages/decisions/src/forwarding/prefix-cache-index.ts
@@ -33,36 +33,45 @@
 
 /** Tracks the segments that each endpoint has cached. */
 export class PrefixCacheIndex {
+  /** Time in ms from which each segment is cached, by endpoint. */
   private readonly caches = new Map<string, LRUCache<SegmentHash, number>>();
 
-  /** Records that an endpoint caches a segment; returns true if it wasn't in the index before. */
+  /**
+   * Records that an endpoint caches a segment from time `at` on; returns true if it wasn't in the index before.
+   */
   recordCached(
     endpoint: string,
     segment: HashedSegment,
     capacityTokens = DEFAULT_CAPACITY_TOKENS,
+    at = Number.NEGATIVE_INFINITY,
   ): boolean {
     let cache = this.caches.get(endpoint);
     if (cache === undefined) {
       cache = new LRUCache({
         maxSize: Math.max(1, capacityTokens),
-        sizeCalculation: (tokens) => Math.max(1, tokens),
       });
       this.caches.set(endpoint, cache);
     }
     const isNew = cache.get(segment.hash) === undefined;
-    if (isNew) cache.set(segment.hash, Math.max(1, segment.tokens));
+    if (isNew) cache.set(segment.hash, at, { size: Math.max(1, segment.tokens) });
     return isNew;
   }
 
   /**
    * Tokens of a shared prefix that an endpoint would have to prefill: those of the first uncached segment
-   * and of all segments after it, which a prefix cache can't reuse.
+   * and of all segments after it, which a prefix cache can't reuse. Segments that are cached only after time `by`
+   * don't count as cached.
    */
-  uncachedTokens(endpoint: string, segments: readonly HashedSegment[]): number {
+  uncachedTokens(
+    endpoint: string,
+    segments: readonly HashedSegment[],
+    by = Number.POSITIVE_INFINITY,
+  ): number {
     const cache = this.caches.get(endpoint);
     let uncached = 0;
     for (const { hash, tokens } of segments) {
-      if (uncached > 0 || cache?.has(hash) !== true) uncached += tokens;
+      const cachedAt = cache?.peek(hash);
+      if (uncached > 0 || cachedAt === undefined || cachedAt > by) uncached += tokens;
     }
     return uncached;
   }
--- a/packages/decisions/src/forwarding/routing-table.ts
+++ b/packages/decisions/src/forwarding/routing-table.ts
@@ -4,6 +4,7 @@
  * plain data and pure lookups.
  */
 import murmurhash from 'murmurhash';
+import type { CacheTransfer } from './prompt-transfer.ts';
 import type { AllowedRegions } from './region-policy.ts';
 
 /** How often a request may run, which limits its retries. */
@@ -50,6 +51,8 @@
 export interface BatchCapacity {
   /** KV cache size in tokens, shared by running requests and cached prompt segments. */
   cacheTokens: number;
+  /** How endpoints copy cached tokens from each other; undefined if they don't. */
+  transfer?: CacheTransfer | undefined;
 }
 
 /** A group of interchangeable endpoints. */
--- a/packages/decisions/src/forwarding/shared-retry-budget.ts
+++ b/packages/decisions/src/forwarding/shared-retry-budget.ts
@@ -8,6 +8,9 @@
 /** Fraction of the budget that is used. The rest is a margin for routers that join, leave or restart. */
 const USABLE_FRACTION = 0.6;
 
+/** Fraction of a full bucket from which on a retry can be spared for a hedge. */
+const SPARE_FRACTION = 0.9;
+
 /** Options of a `SharedRetryBudget`. */
 export interface SharedRetryBudgetOptions {
   /** Retries per request. */
@@ -49,6 +52,11 @@
     return this.remaining >= 1;
   }
 
+  /** Whether hardly any retries were taken lately, so that one can be spent on what is less urgent than a retry. */
+  hasSpare(routers: number, now: number): boolean {
+    return this.hasRetry(routers, now) && this.remaining >= this.capacity(routers) * SPARE_FRACTION;
+  }
+
   /** Takes one retry from the budget; false if none is left. */
   tryAcquire(routers: number, now: number): boolean {
     if (!this.hasRetry(routers, now)) return false;
--- /dev/null
+++ b/packages/decisions/src/forwarding/stream-pace.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai';
+import { StreamPace } from './stream-pace.ts';
+
+const STREAMS = 20;
+const TOKENS = 1_000;
+const EVENTS = 100;
+
+/** A pace that has learned that streams of 1,000 tokens have 100 events and 10 s for them. */
+function createPace(pauseMs = 1_000): StreamPace {
+  const pace = new StreamPace();
+  for (let stream = 0; stream < STREAMS; stream += 1) {
+    pace.recordCompleted(TOKENS, EVENTS);
+    pace.recordNeed({ remainingMs: 10_000, outputTokens: TOKENS, pauseMs });
+  }
+  return pace;
+}
+
+describe('the pace of streams', () => {
+  it('is used up where events come as slowly as the longest streams bear', () => {
+    const pace = createPace();
+    for (let now = 0; now < 5_000; now += 50) pace.recordEvent('fast', 50, now);
+    for (let now = 0; now < 5_000; now += 100) pace.recordEvent('slow', 120, now);
+    expect(pace.paceUsed('fast', 5_000)).to.be.closeTo(0.5, 0.01);
+    expect(pace.paceUsed('slow', 5_000)).to.be.closeTo(1.2, 0.01);
+  });
+
+  it('is bounded by the pause that the route allows', () => {
+    const pace = createPace(100);
+    pace.recordEvent('e', 50, 0);
+    expect(pace.paceUsed('e', 0)).to.be.closeTo(1, 0.01);
+  });
+
+  it('is not known of an endpoint without events, nor for long after the last one', () => {
+    const pace = createPace();
+    expect(pace.paceUsed('e', 0)).to.equal(0);
+    pace.recordEvent('e', 200, 0);
+    expect(pace.paceUsed('e', 1_000)).to.be.greaterThan(1);
+    expect(pace.paceUsed('e', 2_500)).to.equal(0);
+  });
+
+  it('is not known before a few streams have shown what they need', () => {
+    const pace = new StreamPace();
+    pace.recordEvent('e', 200, 0);
+    pace.recordNeed({ remainingMs: 10, outputTokens: TOKENS, pauseMs: 10 });
+    expect(pace.paceUsed('e', 0)).to.equal(0);
+  });
+});
--- a/packages/forwarder/src/calls/attempt-handover.ts
+++ b/packages/forwarder/src/calls/attempt-handover.ts
@@ -1,7 +1,8 @@
 /**
  * Moves a stream from the attempt at a silent endpoint to an attempt at another one. The earlier attempt is
  * kept until the later one has an accepted response, so that the stream can still go on there if the other
- * endpoint doesn't take it. Both endpoints work on the request meanwhile, for a bounded time.
+ * endpoint doesn't take it. Both endpoints work on the request meanwhile, for a bounded time. A hedge is a handover
+ * before the first event: neither endpoint has proved to be slow for good, so both go on until one responds.
  */
 import type { Clock, Timer } from '@poplarpick/kernel';
 import type { CallAttempt } from './call-attempt.ts';
@@ -20,6 +21,7 @@
 export class AttemptHandover {
   private readonly options: AttemptHandoverOptions;
   private earlier: CallAttempt | undefined;
+  private isHedge = false;
   private timer: Timer | undefined;
 
   constructor(options: AttemptHandoverOptions) {
@@ -38,11 +40,18 @@
   /** Begins a handover; the later attempt is sent next. */
   begin(earlier: CallAttempt): void {
     this.earlier = earlier;
+    this.isHedge = false;
+  }
+
+  /** Begins a hedge; the later attempt is sent next. */
+  beginHedge(earlier: CallAttempt): void {
+    this.earlier = earlier;
+    this.isHedge = true;
   }
 
   /** Bounds the overlap, since the later attempt has been written. */
   limitOverlap(): void {
-    if (!this.isPending) return;
+    if (!this.isPending || this.isHedge) return;
     this.timer?.stop();
     this.timer = this.options.clock.after(MAX_OVERLAP_MS, () => this.complete());
   }
@@ -52,7 +61,7 @@
     const earlier = this.end();
     if (earlier === undefined) return;
     earlier.abort();
-    this.options.onReplaced(earlier);
+    if (!this.isHedge) this.options.onReplaced(earlier);
   }
 
   /** Ends the handover without cancelling an attempt; returns the earlier one if it was pending. */
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -68,10 +68,17 @@
     this.excluded.add(record.incarnation);
   }
 
-  /** Selects the best endpoint; undefined if none is available. */
-  selectEndpoint(): Placement | undefined {
+  /** Selects a second endpoint beside the one at which the call runs; undefined if the call may not run twice. */
+  selectHedge(running: EndpointRecord): Placement | undefined {
+    const { state, isKeyValid, suspectHashes } = this.options;
+    if (!isKeyValid() || state.poison.mayBePoison(suspectHashes)) return undefined;
+    return this.selectEndpoint(running.incarnation);
+  }
+
+  /** Selects the best endpoint apart from the incarnation `other`; undefined if none is available. */
+  selectEndpoint(other?: string): Placement | undefined {
     const { state, route, pool, workspace, head, placer, body, binding } = this.options;
-    const { excluded } = this;
+    const excluded = other === undefined ? this.excluded : new Set([...this.excluded, other]);
     const bodyBytes = body?.length ?? 0;
     const allows = (endpoint: Endpoint): boolean =>
       binding.allows(endpoint) && state.allowsRegion(endpoint, route, workspace);
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -13,11 +13,16 @@
   pool: string;
   /** Monotonic time of arrival, in ms. */
   arrivedAt: number;
+  /** Estimated output tokens; undefined for a call without a prompt. */
+  outputTokens?: number | undefined;
 }
 
 /** Records the latencies of one call. */
 export class CallLatencyRecorder {
   private readonly options: CallLatencyRecorderOptions;
+  private events = 0;
+  /** Monotonic time of the latest event, in ms. */
+  private eventAt = 0;
 
   constructor(options: CallLatencyRecorderOptions) {
     this.options = options;
@@ -39,6 +44,26 @@
       .recordFirstEvent(record.incarnation, tokensAhead + prefillTokens, elapsedMs);
   }
 
+  /** Records an event of a stream, the first one included, whose deadline is in `remainingMs`. */
+  recordEvent(attempt: MeasuredAttempt, remainingMs: number): void {
+    const { state, pool, route, outputTokens } = this.options;
+    const now = state.clock.monotonic();
+    const elapsedMs = now - this.eventAt;
+    this.eventAt = now;
+    this.events += 1;
+    if (outputTokens === undefined) return;
+    const pace = state.streamPace(pool);
+    if (this.events > 1) pace.recordEvent(attempt.placement.record.incarnation, elapsedMs, now);
+    else pace.recordNeed({ remainingMs, outputTokens, pauseMs: route.pauseMs });
+  }
+
+  /** Records that a stream is complete. */
+  recordStreamEnd(): void {
+    const { state, pool, outputTokens } = this.options;
+    if (outputTokens !== undefined)
+      state.streamPace(pool).recordCompleted(outputTokens, this.events);
+  }
+
   /** Records a successful response without events. */
   recordPlainResponse(attempt: MeasuredAttempt): void {
     const { record, hasFreeSlot } = attempt.placement;
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -7,14 +7,17 @@
   affinityKey,
   placePlain,
   placePrompt,
+  planTransfer,
   sharedPrefixTokens,
 } from '@poplarpick/decisions';
 import type {
   AdmissionDecision,
+  CacheTransfer,
   Endpoint,
   PlacementCandidate,
   HashedSegment,
   Prompt,
+  PromptTransfer,
   Route,
   ShareUsage,
 } from '@poplarpick/decisions';
@@ -28,6 +31,12 @@
 /** Weight of an output token relative to a prompt token, since each takes a decoding step of its own. */
 const OUTPUT_TOKEN_WEIGHT = 10;
 
+/**
+ * Cost of a token that is copied from another endpoint, as a fraction of one that is prefilled: copies take room in
+ * the cache of the endpoint and bandwidth.
+ */
+const TRANSFER_COST_FRACTION = 0.15;
+
 /** Time added per request at a plain endpoint, in ms, so that the least loaded one wins ties. */
 const TIE_BREAK_MS = 1;
 
@@ -43,6 +52,20 @@
   allows?: (endpoint: Endpoint) => boolean;
 }
 
+/** An endpoint that has cached some of a prompt. */
+export interface PromptSource {
+  incarnation: string;
+  address: string;
+  dataCentre: string;
+  uncachedTokens: number;
+}
+
+/** A prompt pool's way to transfer cached tokens and the endpoints that have some of the prompt. */
+interface TransferOptions {
+  transfer: CacheTransfer;
+  sources: readonly PromptSource[];
+}
+
 /** The endpoint selected for a request, with the estimates that led to it. */
 export interface Placement extends PlacementCandidate {
   record: EndpointRecord;
@@ -52,6 +75,8 @@
   serviceMs: number;
   /** Prompt tokens that the endpoint has to prefill for the request. */
   prefillTokens: number;
+  /** What the endpoint copies from another one before its prefill; undefined if it copies nothing. */
+  transfer?: PromptTransfer<PromptSource> | undefined;
   /** Requests of all routers that are in flight at the endpoint. */
   requestsAhead: number;
   hasFreeSlot: boolean;
@@ -96,9 +121,11 @@
       return this.selectWithinLimits(candidates, placePlain);
     }
     const segments = sharedSegments(prompt);
-    const candidates = available.map((record) =>
-      this.evaluateModelEndpoint(record, prompt, segments, batch.cacheTokens),
-    );
+    const transfers = this.findTransferOptions(request.pool, batch.transfer, segments);
+    const candidates = available.map((record) => {
+      const placement = this.evaluateModelEndpoint(record, prompt, segments, batch.cacheTokens);
+      return transfers === undefined ? placement : this.withTransfer(placement, transfers);
+    });
     const { objectiveMs } = route;
     const affinity = affinityKey(prompt);
     const weightedTokens = prompt.inputTokens + OUTPUT_TOKEN_WEIGHT * prompt.outputTokens;
@@ -128,7 +155,11 @@
     const { route, remainingMs, shareUsage, isCallerRetry, isResumption = false } = request;
     const { waitMs, serviceMs } = placement;
     const { objectiveMs } = route;
-    const { pool } = placement.record.endpoint;
+    const { record } = placement;
+    const { pool } = record.endpoint;
+    const paceUsed = this.state
+      .streamPace(pool)
+      .paceUsed(record.incarnation, this.state.clock.monotonic());
     const surplusWaitLimit = this.state.surplusWaitLimit(pool);
     const admission = decideAdmission(
       {
@@ -140,6 +171,7 @@
         surplusWaitLimit,
         isCallerRetry,
         isResumption,
+        paceUsed,
       },
       this.state.random(),
     );
@@ -149,6 +181,52 @@
     return admission;
   }
 
+  /** The endpoints of a pool from which the prefix of a prompt can be copied; undefined if none has it. */
+  private findTransferOptions(
+    pool: string,
+    transfer: CacheTransfer | undefined,
+    segments: readonly HashedSegment[],
+  ): TransferOptions | undefined {
+    if (transfer === undefined || segments.length === 0) return undefined;
+    const now = this.state.clock.monotonic();
+    const sharedTokens = segments.reduce((sum, { tokens }) => sum + tokens, 0);
+    const sources: PromptSource[] = [];
+    for (const { incarnation, endpoint, load, availability } of this.state.endpoints.all()) {
+      if (endpoint.pool !== pool || availability.isDraining || load.isUnhealthy(now)) continue;
+      const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(incarnation, segments, now);
+      if (uncachedTokens === sharedTokens) continue;
+      const { address, dataCentre } = endpoint;
+      sources.push({ incarnation, address, dataCentre, uncachedTokens });
+    }
+    return sources.length === 0 ? undefined : { transfer, sources };
+  }
+
+  /** The placement with the transfer that saves its endpoint most time, if there is one. */
+  private withTransfer(placement: Placement, { transfer, sources }: TransferOptions): Placement {
+    const { record, uncachedTokens, prefillTokens, waitMs, incarnation } = placement;
+    if (uncachedTokens === 0) return placement;
+    const { pool, dataCentre } = record.endpoint;
+    const estimator = this.state.latencyEstimator(pool);
+    const plan = planTransfer({
+      target: { dataCentre, uncachedTokens },
+      sources,
+      transfer,
+      prefillMsPerToken: estimator.estimatePrefillMs(incarnation, 1),
+    });
+    if (plan === undefined) return placement;
+    const remainingTokens = prefillTokens - plan.tokens;
+    const serviceMs =
+      estimator.estimateFirstEventMs(incarnation, remainingTokens) + plan.durationMs;
+    return {
+      ...placement,
+      uncachedTokens: uncachedTokens - plan.tokens * (1 - TRANSFER_COST_FRACTION),
+      prefillTokens: remainingTokens,
+      serviceMs,
+      expectedFirstEventMs: waitMs + serviceMs,
+      transfer: plan,
+    };
+  }
+
   private evaluateModelEndpoint(
     record: EndpointRecord,
     prompt: Prompt,
--- a/packages/forwarder/src/calls/call-protocol.ts
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -36,6 +36,8 @@
   workspace: string | undefined;
   /** Id of the event after which a stream resumes; overrides the caller's. */
   resumeAfter: number | undefined;
+  /** `IP:port` of the endpoint from which the endpoint copies what it hasn't cached of the prompt. */
+  fetchFrom?: string | undefined;
 }
 
 /** Decoded head of an endpoint's response. */
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -15,6 +15,7 @@
 import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
 import { CallAdmission } from './call-admission.ts';
+import { CallHedge } from './call-hedge.ts';
 import { ResponseWriter } from './response-writer.ts';
 import { AttemptHandler, CallAttempt } from './call-attempt.ts';
 import { CallReporter } from './call-reporter.ts';
@@ -64,6 +65,7 @@
   private readonly admission: CallAdmission;
   private readonly planner: AttemptPlanner;
   private readonly handover: AttemptHandover;
+  private readonly hedge: CallHedge;
   private readonly evidence: AttemptEvidence;
   private readonly reporter: CallReporter;
   private readonly latencyRecorder: CallLatencyRecorder;
@@ -97,9 +99,15 @@
       clock: options.state.clock,
       onReplaced: (earlier) => this.recordReplaced(earlier),
     });
+    this.hedge = new CallHedge({
+      ...options,
+      planner: this.planner,
+      onSlow: () => this.sendHedge(),
+    });
     this.evidence = new AttemptEvidence({ state: options.state, suspectHashes });
     this.reporter = new CallReporter({ ...options, segmentHashes, requestHash });
-    this.latencyRecorder = new CallLatencyRecorder(options);
+    const outputTokens = head.prompt?.outputTokens;
+    this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
     const { route, arrivedAt } = options;
     this.deadlineAt = arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   }
@@ -113,7 +121,23 @@
     );
     const refusal = this.admission.checkPoison() ?? this.place();
     if (refusal !== undefined) this.refuse(refusal);
-    else if (this.placement !== undefined) this.send(this.placement);
+    else if (this.placement !== undefined) this.sendFirst(this.placement);
+  }
+
+  private sendFirst(placement: Placement): void {
+    this.send(placement);
+    this.hedge.schedule(placement);
+  }
+
+  /** Also sends a slow call to a second endpoint, if that is granted; the first good response wins. */
+  private sendHedge(): void {
+    const { attempt } = this;
+    if (this.isEnded || attempt === undefined || attempt.hasStarted || this.sentAttempts > 1)
+      return;
+    const placement = this.hedge.acquire(attempt.placement);
+    if (placement === undefined) return;
+    this.handover.beginHedge(attempt);
+    this.send(placement);
   }
 
   /** Selects the first endpoint; the refusal if there is none or its wait is too long. */
@@ -189,6 +213,7 @@
       this.binding.recordEvent(attempt.endpoint);
       this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
     }
+    this.latencyRecorder.recordEvent(attempt, this.remainingMs());
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.lastEventId = event.id ?? this.lastEventId;
     const canContinue = this.writer.write(event.bytes);
@@ -202,6 +227,7 @@
     this.writer.end();
     this.evidence.recordCompleted(attempt, head.isFramed);
     this.latencyRecorder.recordDuration(attempt);
+    this.latencyRecorder.recordStreamEnd();
     this.finish('ok');
   }
 
@@ -339,7 +365,7 @@
     if (workspace !== undefined && prompt !== undefined) {
       state.recordGrant(workspace, prompt, this.admission.isOverShare);
     }
-    state.recordCached(placement.record, sharedSegments(prompt));
+    state.recordCached(placement.record, sharedSegments(prompt), placement.serviceMs);
     state.limits.recordSent(placement.record);
     state.warmUps.recordSent(placement.record);
     const kvCacheTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens;
@@ -356,6 +382,7 @@
       remainingMs: this.remainingMs(),
       workspace,
       resumeAfter: this.writer.hasBegun ? this.lastEventId : undefined,
+      fetchFrom: placement.transfer?.source.address,
     });
     const { method, target, requestId } = head;
     const request = { method, target, requestId, headers, body };
@@ -442,6 +469,7 @@
     if (this.isEnded) return;
     this.isEnded = true;
     this.deadlineTimer?.stop();
+    this.hedge.stop();
     this.options.onEnd(this);
   }
 
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -2,6 +2,7 @@
  * Plug-in of a router that forwards calls directly to endpoints. Wires up its state, the HTTP server
  * for callers, the readiness endpoint, the exchange with its peers, and the drain.
  */
+import { mayLeaveRotation } from '@poplarpick/decisions';
 import { Plugin, Role } from '@poplarpick/kernel';
 import type { Clock, Kernel, Logger, LogOutput, Timer } from '@poplarpick/kernel';
 import type { CallProtocol } from './calls/call-protocol.ts';
@@ -14,6 +15,7 @@
 import { OriginExchange } from './streams/origin-exchange.ts';
 import { isOriginMessage } from './streams/origin-message.ts';
 import { ResumptionResolver } from './streams/resumption-resolver.ts';
+import type { ReportBody } from './peers/report-exchange.ts';
 import type { RouterBounds } from './router-state.ts';
 
 /**
@@ -41,6 +43,8 @@
   /** Output that the log writes to. */
   logOutput?: LogOutput | undefined;
   bounds: RouterBounds;
+  /** Extra work that hedges may cause, as a fraction of the work of first attempts; 0 by default, which is off. */
+  hedgeExtraWork?: number | undefined;
   /** Time between the signal to stop and the end of the process, in ms. */
   graceMs: number;
   protocol: CallProtocol;
@@ -91,6 +95,7 @@
       address: options.peersAddress,
       routersOf: (name) => this.peers.knownRouters(name),
       bounds,
+      hedgeExtraWork: options.hedgeExtraWork ?? 0,
       isFirstStart,
       logOutput,
     });
@@ -112,6 +117,7 @@
         exchange: this.origins,
       }),
       onSuspension,
+      mayMoveCallers: () => this.mayLeaveRotation(),
     });
     this.readiness = new ReadinessServer({
       address: options.readinessAddress,
@@ -124,7 +130,7 @@
       clock,
       log,
       table: this.state.peers,
-      buildReport: (includesWorkspaces) => this.state.buildReport(includesWorkspaces),
+      buildReport: (includesWorkspaces) => this.buildReport(includesWorkspaces),
       onReport: (report) => this.state.applyReport(report),
       onRejected: () => this.state.metrics.recordRejectedReport(),
       onBytes: (direction, bytes) => this.state.metrics.recordReportBytes(direction, bytes),
@@ -213,6 +219,18 @@
     return now >= drainDeadline || this.ingress.openRequests === 0;
   }
 
+  private buildReport(includesWorkspaces: boolean): ReportBody {
+    const body = this.state.buildReport(includesWorkspaces);
+    return this.notReadyReason() === undefined ? body : { ...body, isReady: false };
+  }
+
+  /** Whether the data centre has enough ready routers without this one, see `mayLeaveRotation`. */
+  private mayLeaveRotation(): boolean {
+    const routers = this.peers.knownRouters(this.options.dataCentre).length;
+    const readyPeers = this.peers.localReports().filter(({ isReady = true }) => isReady).length;
+    return mayLeaveRotation({ routers, readyPeers });
+  }
+
   /** Whether the router accepts new connections; logs each change. */
   private checkReadiness(): boolean {
     const reason = this.notReadyReason();
@@ -227,7 +245,8 @@
   private notReadyReason(): string | undefined {
     if (this.isDraining) return 'the router is stopping';
     if (this.state.routes === undefined) return 'no routes are known yet';
-    if (this.state.eventLoop.isOverloaded) return 'the router has too little processor time';
+    if (this.state.eventLoop.isOverloaded && this.mayLeaveRotation())
+      return 'the router has too little processor time';
     const areKeysFresh = this.state.freshness.isFresh(this.clock.monotonic());
     return areKeysFresh ? undefined : 'the keys may be out of date';
   }
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -64,6 +64,8 @@
   resumptions: ResumptionResolver;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
+  /** Whether an overloaded router may close its callers' connections, so that they move to other routers. */
+  mayMoveCallers: () => boolean;
 }
 
 /** A request with its response. */
@@ -170,7 +172,8 @@
   }
 
   private shouldCloseConnections(): boolean {
-    return this.isDraining || this.options.state.eventLoop.shouldMoveCallers;
+    const { state, mayMoveCallers } = this.options;
+    return this.isDraining || (state.eventLoop.shouldMoveCallers && mayMoveCallers());
   }
 
   /** Counts a request as open until its response closes; true if it began after the cutoff. */
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -43,6 +43,7 @@
   | 'version'
   | 'stateAgeMs'
   | 'readAgeMs'
+  | 'isReady'
   | 'loads'
   | 'workspaces'
   | 'kept'
--- a/packages/forwarder/src/peers/state-snapshot.ts
+++ b/packages/forwarder/src/peers/state-snapshot.ts
@@ -26,7 +26,12 @@
     z.object({
       name: z.string(),
       connectionLimit: z.number(),
-      batch: z.object({ cacheTokens: z.number() }).optional(),
+      batch: z
+        .object({
+          cacheTokens: z.number(),
+          transfer: z.object({ bytesPerToken: z.number(), bytesPerMs: z.number() }).optional(),
+        })
+        .optional(),
       warmUpPerSecond: z.number().optional(),
     }),
   ),
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -106,6 +106,12 @@
     labelNames: ['pool'],
     registers: [this.registry],
   });
+  private readonly hedges = new Counter({
+    name: 'poplarpick_hedges_total',
+    help: 'Slow calls that were also sent to a second endpoint, by pool',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
   private readonly unplacedCalls = new Counter({
     name: 'poplarpick_calls_unplaced_total',
     help: 'Calls that were refused before they were placed, by code',
@@ -273,6 +279,10 @@
     this.pauses.inc({ pool });
   }
 
+  recordHedge(pool: string): void {
+    this.hedges.inc({ pool });
+  }
+
   recordUnplaced(code: string): void {
     this.unplacedCalls.inc({ code });
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -18,6 +18,7 @@
   LatencyEstimator,
   oldestAgeMs,
   RefusedRequests,
+  StreamPace,
   SurplusLimiter,
 } from '@poplarpick/decisions';
 import type {
@@ -38,6 +39,7 @@
 import { LimitTracker } from './endpoints/limit-tracker.ts';
 import { WarmUpTracker } from './endpoints/warm-up-tracker.ts';
 import type { CallProtocol } from './calls/call-protocol.ts';
+import { HedgeBudgets } from './calls/hedge-budgets.ts';
 import { PeerTable } from './peers/peer-table.ts';
 import type { CachedSegmentEntry, PeerReport } from './peers/peer-table.ts';
 import { RouterReports } from './peers/router-reports.ts';
@@ -84,6 +86,8 @@
   address?: string;
   /** Addresses of the known routers of a data centre, this one included; all if it is undefined. */
   routersOf?: (dataCentre?: string) => readonly string[];
+  /** Extra work that hedges may cause, as a fraction of the work of first attempts; 0 by default, which is off. */
+  hedgeExtraWork?: number;
   /** The whole system starts for the first time; by default it has run before. */
   isFirstStart?: boolean;
   /** Output that `log` writes to. */
@@ -109,6 +113,7 @@
   readonly eventLoop: EventLoopMonitor;
   readonly poison: PoisonGuard;
   readonly limits: LimitTracker;
+  readonly hedges: HedgeBudgets;
   readonly warmUps: WarmUpTracker;
   readonly evacuations: Evacuations;
   readonly streams: StreamOrigins;
@@ -116,6 +121,7 @@
   private readonly regions: ReadonlyMap<string, string>;
   private readonly fairShareLedger: FairShareLedger;
   private readonly latencyEstimators = new Map<string, LatencyEstimator>();
+  private readonly streamPaces = new Map<string, StreamPace>();
   private readonly surplusLimiters = new Map<string, SurplusLimiter>();
   private readonly retryBudgets = new Map<string, SharedRetryBudget>();
   private readonly refusedRequests = new RefusedRequests();
@@ -156,6 +162,10 @@
       evacuatedDataCentres: () => this.evacuations.count,
       reportAges: () => this.peers.reportAges(this.dataCentre, this.clock.monotonic()),
     });
+    this.hedges = new HedgeBudgets({
+      extraWork: options.hedgeExtraWork ?? 0,
+      onSent: (pool) => this.metrics.recordHedge(pool),
+    });
     this.poison = new PoisonGuard({
       clock: options.clock,
       log: options.log,
@@ -287,6 +297,10 @@
     return getOrCreate(this.latencyEstimators, pool, () => new LatencyEstimator());
   }
 
+  streamPace(pool: string): StreamPace {
+    return getOrCreate(this.streamPaces, pool, () => new StreamPace());
+  }
+
   surplusLimiter(pool: string): SurplusLimiter {
     return getOrCreate(this.surplusLimiters, pool, () => new SurplusLimiter());
   }
@@ -373,11 +387,15 @@
     this.fairShareLedger.recordGrant(workspace, fairShareCost(prompt), isOverShare, now);
   }
 
-  /** Records that an endpoint caches the shared segments of a prompt, and announces new ones to peers. */
-  recordCached(record: EndpointRecord, segments: readonly HashedSegment[]): void {
+  /**
+   * Records that an endpoint caches the shared segments of a prompt once it has prefilled them in `afterMs`, and
+   * announces new ones to peers.
+   */
+  recordCached(record: EndpointRecord, segments: readonly HashedSegment[], afterMs = 0): void {
     const capacity = this.cacheTokens(record);
+    const at = this.clock.monotonic() + afterMs;
     for (const segment of segments) {
-      if (!this.prefixCacheIndex.recordCached(record.incarnation, segment, capacity)) continue;
+      if (!this.prefixCacheIndex.recordCached(record.incarnation, segment, capacity, at)) continue;
       this.reports.announceCached([record.incarnationHash, segment.hash, segment.tokens]);
     }
   }
@@ -457,6 +475,7 @@
     this.metrics.removeEndpoint(record.endpoint.id);
     this.prefixCacheIndex.removeEndpoint(record.incarnation);
     this.latencyEstimator(record.endpoint.pool).removeEndpoint(record.incarnation);
+    this.streamPace(record.endpoint.pool).removeEndpoint(record.incarnation);
   }
 }
 
