--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -27,6 +27,7 @@
   'stand-in:weight-store': async () =>
     (await import('./commands/stand-in-weight-store.ts')).StandInWeightStore,
   status: async () => (await import('./commands/status.ts')).Status,
+  where: async () => (await import('./commands/where.ts')).Where,
   version: async () => (await import('./commands/version.ts')).Version,
 };
 
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -7,4 +7,6 @@
   Usage = 2,
   /** A process that the command queries could not be reached. */
   Unreachable = 3,
+  /** A router would refuse the request that the command describes. */
+  Refused = 4,
 }
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -49,6 +49,8 @@
   isAccepted: boolean;
   /** The request counts as over its workspace's fair share and may only use the surplus. */
   isOverShare: boolean;
+  /** Longest wait with which the request is accepted, in ms. */
+  waitLimitMs: number;
   /** Time after which the caller of a refused request may retry, in ms; 0 when accepted. */
   retryAfterMs: number;
 }
@@ -83,7 +85,7 @@
  */
 const CONTENDED_SURPLUS_WAIT_LIMIT = 0.3;
 
-/** Pace used of an endpoint from which on it has no surplus. */
+/** Pace used of an endpoint (see `StreamPace`) from which on it has no surplus. */
 const SURPLUS_PACE_LIMIT = 0.8;
 
 /** Bounds of the retry-after time of a refused request within its fair share, in ms. */
@@ -108,13 +110,18 @@
     !isResumption &&
     input.shareUsage.surplusUsed > SURPLUS_USAGE_LIMIT &&
     input.surplusWaitLimit < CONTENDED_SURPLUS_WAIT_LIMIT;
-  const hasSurplus = !isOverSurplusShare && (!isOverShare || paceUsed < SURPLUS_PACE_LIMIT);
-  if (input.waitMs <= waitLimitMs && meetsDeadline && hasSurplus)
-    return { isAccepted: true, isOverShare, retryAfterMs: 0 };
+  const hasSurplus = !isOverShare || paceUsed < SURPLUS_PACE_LIMIT;
+  if (input.waitMs <= waitLimitMs && meetsDeadline && hasSurplus && !isOverSurplusShare)
+    return { isAccepted: true, isOverShare, waitLimitMs, retryAfterMs: 0 };
   const retryAfterMs = isOverShare
     ? OVER_SHARE_RETRY_AFTER_MS.base + OVER_SHARE_RETRY_AFTER_MS.jitter * random
     : retryAfterExcessWaitMs(input, waitLimitMs, random);
-  return { isAccepted: false, isOverShare, retryAfterMs };
+  return {
+    isAccepted: false,
+    isOverShare,
+    waitLimitMs,
+    retryAfterMs,
+  };
 }
 
 /**
--- a/packages/decisions/src/forwarding/placement.ts
+++ b/packages/decisions/src/forwarding/placement.ts
@@ -6,6 +6,7 @@
  * endpoints cache. Their costs are measured in prompt tokens:
  *
  * - Uncached prefix tokens cost their full number, since their prefill delays other requests.
+ * - Streams that the prefill makes pause for too long cost their tokens like a lateness.
  * - Expected lateness and failures cost a multiple of the request's weighted tokens.
  * - Prompt tokens queued ahead have a small weight. A short prefix therefore moves to a less loaded
  *   endpoint, while a long prefix stays where it is cached.
@@ -35,6 +36,8 @@
   /** Moving average of the fraction of failed requests, in 0..1. */
   failureRate: number;
   isUnhealthy: boolean;
+  /** Tokens of the streams at the endpoint, weighted with the risk that this request makes them pause for too long. */
+  pausedTokens?: number;
   /** Cost of a request with a prompt because the endpoint takes a limited number of them, in tokens. */
   limitCostTokens: number;
 }
@@ -82,8 +85,16 @@
   request: PromptPlacement,
   candidates: readonly Candidate[],
 ): Candidate | undefined {
+  return cheapest(candidates, promptCosts(request, candidates));
+}
+
+/** Cost of each candidate for a request with a prompt, in tokens. */
+export function promptCosts(
+  request: PromptPlacement,
+  candidates: readonly PlacementCandidate[],
+): number[] {
   const preferred = findPreferredEndpoint(request.affinityKey, candidates);
-  return selectCheapest(candidates, (candidate) => {
+  return candidates.map((candidate) => {
     const discount =
       candidate === preferred ? PREFERRED_ENDPOINT_DISCOUNT * candidate.uncachedTokens : 0;
     return computePromptCost(request, candidate) - discount;
@@ -104,6 +115,7 @@
     candidate.uncachedTokens +
     candidate.tokensAhead * TOKENS_AHEAD_WEIGHT +
     lateness * LATENESS_WEIGHT * weightedTokens +
+    (candidate.pausedTokens ?? 0) * LATENESS_WEIGHT +
     failurePenalty * weightedTokens +
     remoteCost +
     candidate.limitCostTokens
@@ -143,7 +155,12 @@
 export function placePlain<Candidate extends PlacementCandidate>(
   candidates: readonly Candidate[],
 ): Candidate | undefined {
-  return selectCheapest(candidates, (candidate) => {
+  return cheapest(candidates, plainCosts(candidates));
+}
+
+/** Cost of each candidate for a request without a prompt, in ms. */
+export function plainCosts(candidates: readonly PlacementCandidate[]): number[] {
+  return candidates.map((candidate) => {
     const remoteCost = candidate.isLocal ? 0 : REMOTE_COST_MS;
     const unhealthyCost = candidate.isUnhealthy ? UNHEALTHY_COST_MS : 0;
     return (
@@ -155,15 +172,15 @@
   });
 }
 
-/** Returns the candidate with the lowest cost, the first one on a tie. */
-function selectCheapest<Candidate extends PlacementCandidate>(
+/** Returns the candidate with the lowest of the costs, the first one on a tie; undefined if there are none. */
+export function cheapest<Candidate>(
   candidates: readonly Candidate[],
-  costOf: (candidate: Candidate) => number,
+  costs: readonly number[],
 ): Candidate | undefined {
   let best: Candidate | undefined;
   let lowestCost = Number.POSITIVE_INFINITY;
-  for (const candidate of candidates) {
-    const cost = costOf(candidate);
+  for (const [index, candidate] of candidates.entries()) {
+    const cost = costs[index] ?? Number.POSITIVE_INFINITY;
     if (cost >= lowestCost) continue;
     best = candidate;
     lowestCost = cost;
--- a/packages/decisions/src/forwarding/prompt-transfer.ts
+++ b/packages/decisions/src/forwarding/prompt-transfer.ts
@@ -29,7 +29,7 @@
 }
 
 /** Fewest tokens that are worth a transfer. */
-const MIN_TOKENS = 256;
+export const MIN_TRANSFER_TOKENS = 256;
 
 /** Time that a transfer takes besides its bytes, in ms. */
 const SETUP_MS = 6;
@@ -40,6 +40,19 @@
 /** Largest part of the time of a prefill that a transfer may take to be worthwhile. */
 const MAX_PREFILL_FRACTION = 0.5;
 
+/** The best source of each data centre: the one that has most of the prefix. */
+export function selectSources<Source extends TransferEndpoint>(
+  candidates: Iterable<Source>,
+): Source[] {
+  const best = new Map<string, Source>();
+  for (const candidate of candidates) {
+    const current = best.get(candidate.dataCentre);
+    if (current === undefined || candidate.uncachedTokens < current.uncachedTokens)
+      best.set(candidate.dataCentre, candidate);
+  }
+  return [...best.values()];
+}
+
 /** Inputs of `planTransfer`. */
 export interface TransferRequest<Source extends TransferEndpoint> {
   target: TransferEndpoint;
@@ -59,7 +72,7 @@
   let mostSavedMs = 0;
   for (const source of sources) {
     const tokens = target.uncachedTokens - source.uncachedTokens;
-    if (tokens < MIN_TOKENS) continue;
+    if (tokens < MIN_TRANSFER_TOKENS) continue;
     const durationMs = transferMs(tokens, target.dataCentre === source.dataCentre, transfer);
     const prefillMs = tokens * prefillMsPerToken;
     if (durationMs > prefillMs * MAX_PREFILL_FRACTION) continue;
--- a/packages/decisions/src/forwarding/routing-table.ts
+++ b/packages/decisions/src/forwarding/routing-table.ts
@@ -141,6 +141,10 @@
     return this.workspacesByKey.get(key);
   }
 
+  hasWorkspace(name: string): boolean {
+    return this.table.workspaces?.some((workspace) => workspace.name === name) ?? false;
+  }
+
   /** Regions that may see the requests of a workspace. */
   findRegions(workspace: string | undefined): AllowedRegions {
     return workspace === undefined ? undefined : this.regionsByWorkspace.get(workspace);
--- a/packages/decisions/src/forwarding/stream-pace.ts
+++ b/packages/decisions/src/forwarding/stream-pace.ts
@@ -9,6 +9,9 @@
  * What a stream can spare is the time from its first event to its deadline divided by the events that it is
  * expected to have, and at most the pause that its route allows. The longest streams need the fastest pace, so
  * a low quantile over the latest streams stands for the pool.
+ *
+ * Engines prefill prompts in chunks between the tokens of their streams. A long prompt at a slow engine therefore
+ * makes all streams there pause, also while the engine has capacity to spare.
  */
 
 /** Weight of the previous value in the moving average of an endpoint's pace. */
@@ -17,9 +20,18 @@
 /** Weight of the previous value in the moving average of the events per estimated output token. */
 const EVENTS_PER_TOKEN_DECAY = 0.98;
 
+/** Factor by which each event reduces the longest pause seen at an endpoint. */
+const PEAK_DECAY = 0.98;
+
+/** Pause as a fraction of the allowed one from which on streams may be late, and at which they are. */
+const PAUSE_RAMP = { begin: 0.7, end: 1.1 };
+
 /** Time after which an endpoint's pace is out of date, in ms. */
 const PACE_TTL_MS = 2_000;
 
+/** Time after which its longest pause is, in ms. It shows the speed of the endpoint more than its load. */
+const PEAK_TTL_MS = 10_000;
+
 /** Latest streams whose needs are kept. */
 const MAX_NEEDS = 64;
 
@@ -42,11 +54,22 @@
   pauseMs: number;
 }
 
+/** Pace of the streams at one endpoint. */
+interface EndpointPace {
+  /** Moving average of the time between two events, in ms. */
+  eventMs: number;
+  /** Longest time between two events lately, in ms. */
+  peakMs: number;
+  at: number;
+}
+
 /** Learns the pace of one pool. */
 export class StreamPace {
-  private readonly paces = new Map<string, { eventMs: number; at: number }>();
+  private readonly paces = new Map<string, EndpointPace>();
   private eventsPerToken: number | undefined;
   private readonly needs: number[] = [];
+  /** Shortest pause that a route of the pool allows, in ms. */
+  private allowedPauseMs = Number.POSITIVE_INFINITY;
   private nextNeed = 0;
   /** Quantile of `needs`; undefined after a change. */
   private neededMs: number | undefined;
@@ -55,9 +78,10 @@
   recordEvent(endpoint: string, elapsedMs: number, now: number): void {
     const pace = this.paces.get(endpoint);
     if (pace === undefined) {
-      this.paces.set(endpoint, { eventMs: elapsedMs, at: now });
+      this.paces.set(endpoint, { eventMs: elapsedMs, peakMs: elapsedMs, at: now });
       return;
     }
+    pace.peakMs = Math.max(elapsedMs, pace.peakMs * PEAK_DECAY);
     pace.eventMs = pace.eventMs * PACE_DECAY + elapsedMs * (1 - PACE_DECAY);
     pace.at = now;
   }
@@ -76,6 +100,7 @@
   recordNeed(need: StreamNeed): void {
     const events = this.expectedEvents(need.outputTokens);
     if (events === undefined) return;
+    this.allowedPauseMs = Math.min(this.allowedPauseMs, need.pauseMs);
     const spareMs = Math.max(0, need.remainingMs) / Math.max(1, events);
     this.needs[this.nextNeed] = Math.min(spareMs, need.pauseMs * PAUSE_FRACTION);
     this.nextNeed = (this.nextNeed + 1) % MAX_NEEDS;
@@ -98,6 +123,19 @@
     return eventMs === undefined || neededMs === undefined ? 0 : eventMs / neededMs;
   }
 
+  /**
+   * How certain it is that the streams at an endpoint pause for too long while it prefills prompts for `prefillMs`,
+   * in 0..1. Between two events, an engine prefills no more than the longest pause there shows.
+   */
+  pauseRisk(endpoint: string, prefillMs: number, now: number): number {
+    const pace = this.paces.get(endpoint);
+    if (pace === undefined || now - pace.at > PEAK_TTL_MS) return 0;
+    const pauseMs = Math.min(pace.eventMs + prefillMs, Math.max(pace.peakMs, pace.eventMs));
+    const { begin, end } = PAUSE_RAMP;
+    const risk = (pauseMs / this.allowedPauseMs - begin) / (end - begin);
+    return Math.min(1, Math.max(0, risk));
+  }
+
   /** Events that a stream is expected to have; undefined before the first stream is complete. */
   expectedEvents(outputTokens: number): number | undefined {
     return this.eventsPerToken === undefined ? undefined : outputTokens * this.eventsPerToken;
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -6,7 +6,8 @@
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
-import type { CallPlacer, Placement } from './call-placer.ts';
+import type { CallPlacer } from './call-placer.ts';
+import type { Placement } from './endpoint-evaluator.ts';
 import type { StreamBinding } from './stream-binding.ts';
 
 /** Most attempts of a call that may fail before they reach an endpoint; those don't count as sent. */
@@ -38,6 +39,14 @@
   isKeyValid: () => boolean;
 }
 
+/** Which endpoints are considered. */
+export interface EndpointSelection {
+  /** An incarnation that isn't. */
+  other?: string | undefined;
+  /** Longest wait there, in ms; by default any. */
+  maxWaitMs?: number | undefined;
+}
+
 /** Selects the endpoints of one call. */
 export class AttemptPlanner {
   private readonly options: AttemptPlannerOptions;
@@ -72,17 +81,25 @@
   selectHedge(running: EndpointRecord): Placement | undefined {
     const { state, isKeyValid, suspectHashes } = this.options;
     if (!isKeyValid() || state.poison.mayBePoison(suspectHashes)) return undefined;
-    return this.selectEndpoint(running.incarnation);
+    return this.selectEndpoint({ other: running.incarnation });
   }
 
   /** Selects the best endpoint apart from the incarnation `other`; undefined if none is available. */
-  selectEndpoint(other?: string): Placement | undefined {
+  selectEndpoint({ other, maxWaitMs }: EndpointSelection = {}): Placement | undefined {
     const { state, route, pool, workspace, head, placer, body, binding } = this.options;
     const excluded = other === undefined ? this.excluded : new Set([...this.excluded, other]);
     const bodyBytes = body?.length ?? 0;
     const allows = (endpoint: Endpoint): boolean =>
       binding.allows(endpoint) && state.allowsRegion(endpoint, route, workspace);
-    return placer.place({ route, pool, prompt: head.prompt, bodyBytes, excluded, allows });
+    return placer.place({
+      route,
+      pool,
+      prompt: head.prompt,
+      bodyBytes,
+      excluded,
+      allows,
+      maxWaitMs,
+    });
   }
 
   /** Selects an endpoint for a further attempt and takes a retry from the budget; undefined if not granted. */
--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -9,7 +9,7 @@
 import { ResponseObserver } from '../endpoints/endpoint-client.ts';
 import type { EndpointRequest } from '../endpoints/endpoint-client.ts';
 import type { ResponseHead } from './call-protocol.ts';
-import type { Placement } from './call-placer.ts';
+import type { Placement } from './endpoint-evaluator.ts';
 
 /** Largest body of a response without events, in bytes; it is buffered before it is forwarded. */
 const MAX_BODY_BYTES = 4_194_304;
--- a/packages/forwarder/src/calls/call-hedge.ts
+++ b/packages/forwarder/src/calls/call-hedge.ts
@@ -14,7 +14,7 @@
 import type { RouterState } from '../router-state.ts';
 import type { AttemptPlanner } from './attempt-planner.ts';
 import type { CallHead } from './call-protocol.ts';
-import type { Placement } from './call-placer.ts';
+import type { Placement } from './endpoint-evaluator.ts';
 
 /** Work of a request without a prompt, in tokens. */
 const PLAIN_WORK = 1;
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -23,6 +23,8 @@
   private events = 0;
   /** Monotonic time of the latest event, in ms. */
   private eventAt = 0;
+  /** Longest time between two events, in ms. */
+  private longestPause = 0;
 
   constructor(options: CallLatencyRecorderOptions) {
     this.options = options;
@@ -51,12 +53,18 @@
     const elapsedMs = now - this.eventAt;
     this.eventAt = now;
     this.events += 1;
+    if (this.events > 1) this.longestPause = Math.max(this.longestPause, elapsedMs);
     if (outputTokens === undefined) return;
     const pace = state.streamPace(pool);
     if (this.events > 1) pace.recordEvent(attempt.placement.record.incarnation, elapsedMs, now);
     else pace.recordNeed({ remainingMs, outputTokens, pauseMs: route.pauseMs });
   }
 
+  /** Longest time between two events of the stream, in ms; undefined before the second one. */
+  get longestPauseMs(): number | undefined {
+    return this.events > 1 ? this.longestPause : undefined;
+  }
+
   /** Records that a stream is complete. */
   recordStreamEnd(): void {
     const { state, pool, outputTokens } = this.options;
--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -6,7 +6,7 @@
 import type { RetryObstacle } from './attempt-planner.ts';
 import type { CallAttempt } from './call-attempt.ts';
 import type { CallHead } from './call-protocol.ts';
-import type { Placement } from './call-placer.ts';
+import type { Placement } from './endpoint-evaluator.ts';
 
 /** Options of a `CallReporter`. */
 export interface CallReporterOptions {
@@ -37,6 +37,8 @@
   retryObstacle: RetryObstacle | undefined;
   /** Monotonic time of the first event, in ms; undefined if there was none. */
   firstEventAt: number | undefined;
+  /** Longest time between two events, in ms; undefined if there were fewer than two. */
+  longestPauseMs: number | undefined;
 }
 
 /** Logs one call and records its metrics. */
@@ -145,6 +147,7 @@
       fetched_tokens: placement?.transfer?.tokens,
       fetched_from: placement?.transfer?.source.address,
       first_event_ms: roundFinite(firstEventMs),
+      longest_pause_ms: roundFinite(summary.longestPauseMs),
       total_ms: roundFinite(totalMs),
       key_age_ms: roundFinite(state.freshness.ageMs(now)),
       version: state.routes?.table.version,
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -21,7 +21,8 @@
 import { CallReporter } from './call-reporter.ts';
 import { CallLatencyRecorder } from './call-latency-recorder.ts';
 import type { ResponseHead, CallHead } from './call-protocol.ts';
-import type { CallPlacer, Placement } from './call-placer.ts';
+import type { CallPlacer } from './call-placer.ts';
+import type { Placement } from './endpoint-evaluator.ts';
 import { StreamBinding } from './stream-binding.ts';
 
 /** Time after the deadline that an endpoint's own timeout response may take to arrive, in ms. */
@@ -146,7 +147,12 @@
     this.placement = this.planner.selectEndpoint();
     if (this.placement === undefined)
       return this.admission.createNoEndpointError('no endpoint takes requests');
-    return this.admission.checkWait(this.placement, this.remainingMs());
+    const admitted = this.admission.admit(this.placement, this.remainingMs(), (maxWaitMs) =>
+      this.planner.selectEndpoint({ maxWaitMs }),
+    );
+    if (admitted instanceof RequestError) return admitted;
+    this.placement = admitted;
+    return undefined;
   }
 
   /**
@@ -483,6 +489,7 @@
       attempts: this.sentAttempts,
       retryObstacle: this.planner.obstacle,
       firstEventAt: this.firstEventAt,
+      longestPauseMs: this.latencyRecorder.longestPauseMs,
     });
   }
 
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -2,10 +2,10 @@
  * Plug-in of a router that forwards calls directly to endpoints. Wires up its state, the HTTP server
  * for callers, the readiness endpoint, the exchange with its peers, and the drain.
  */
-import { mayLeaveRotation } from '@poplarpick/decisions';
 import { Plugin, Role } from '@poplarpick/kernel';
 import type { Clock, Kernel, Logger, LogOutput, Timer } from '@poplarpick/kernel';
 import type { CallProtocol } from './calls/call-protocol.ts';
+import { RouteExplainer } from './explain/route-explainer.ts';
 import { CallIngress } from './ingress/call-ingress.ts';
 import { ReadinessServer } from './ingress/readiness.ts';
 import { PeerExchange } from './peers/peer-exchange.ts';
@@ -15,7 +15,6 @@
 import { OriginExchange } from './streams/origin-exchange.ts';
 import { isOriginMessage } from './streams/origin-message.ts';
 import { ResumptionResolver } from './streams/resumption-resolver.ts';
-import type { ReportBody } from './peers/report-exchange.ts';
 import type { RouterBounds } from './router-state.ts';
 
 /**
@@ -117,7 +116,6 @@
         exchange: this.origins,
       }),
       onSuspension,
-      mayMoveCallers: () => this.mayLeaveRotation(),
     });
     this.readiness = new ReadinessServer({
       address: options.readinessAddress,
@@ -130,7 +128,7 @@
       clock,
       log,
       table: this.state.peers,
-      buildReport: (includesWorkspaces) => this.buildReport(includesWorkspaces),
+      buildReport: (includesWorkspaces) => this.state.buildReport(includesWorkspaces),
       onReport: (report) => this.state.applyReport(report),
       onRejected: () => this.state.metrics.recordRejectedReport(),
       onBytes: (direction, bytes) => this.state.metrics.recordReportBytes(direction, bytes),
@@ -139,6 +137,11 @@
     this.stateServer = new StateServer({
       address: options.peersAddress,
       state: this.state,
+      explainer: new RouteExplainer({
+        address: options.peersAddress,
+        state: this.state,
+        routers: () => this.peers.routerAddresses(),
+      }),
       onSuspension,
     });
     this.stateFollower = new StateFollower({
@@ -219,18 +222,6 @@
     return now >= drainDeadline || this.ingress.openRequests === 0;
   }
 
-  private buildReport(includesWorkspaces: boolean): ReportBody {
-    const body = this.state.buildReport(includesWorkspaces);
-    return this.notReadyReason() === undefined ? body : { ...body, isReady: false };
-  }
-
-  /** Whether the data centre has enough ready routers without this one, see `mayLeaveRotation`. */
-  private mayLeaveRotation(): boolean {
-    const routers = this.peers.knownRouters(this.options.dataCentre).length;
-    const readyPeers = this.peers.localReports().filter(({ isReady = true }) => isReady).length;
-    return mayLeaveRotation({ routers, readyPeers });
-  }
-
   /** Whether the router accepts new connections; logs each change. */
   private checkReadiness(): boolean {
     const reason = this.notReadyReason();
@@ -245,8 +236,7 @@
   private notReadyReason(): string | undefined {
     if (this.isDraining) return 'the router is stopping';
     if (this.state.routes === undefined) return 'no routes are known yet';
-    if (this.state.eventLoop.isOverloaded && this.mayLeaveRotation())
-      return 'the router has too little processor time';
+    if (this.state.eventLoop.isOverloaded) return 'the router has too little processor time';
     const areKeysFresh = this.state.freshness.isFresh(this.clock.monotonic());
     return areKeysFresh ? undefined : 'the keys may be out of date';
   }
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -5,6 +5,8 @@
 export * from './router-state.ts';
 export * from './calls/call-latency-recorder.ts';
 export * from './calls/call-placer.ts';
+export * from './calls/endpoint-evaluator.ts';
+export * from './explain/route-explainer.ts';
 export * from './peers/peer-table.ts';
 export * from './peers/report-exchange.ts';
 export * from './poison/attempt-evidence.ts';
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -64,8 +64,6 @@
   resumptions: ResumptionResolver;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
-  /** Whether an overloaded router may close its callers' connections, so that they move to other routers. */
-  mayMoveCallers: () => boolean;
 }
 
 /** A request with its response. */
@@ -118,7 +116,14 @@
     });
     this.server.on('timeout', (socket) => void closeIfIdle(socket));
     const { address, state } = options;
-    this.listener = new CallerListener({ address, server: this.server, log: state.log });
+    this.listener = new CallerListener({
+      address,
+      server: this.server,
+      clock: state.clock,
+      log: state.log,
+      readLoad: () => state.eventLoop,
+      onTurnedAway: () => state.metrics.recordTurnedAway(),
+    });
   }
 
   /** Starts listening. Rejects when the address can't be bound. */
@@ -172,8 +177,7 @@
   }
 
   private shouldCloseConnections(): boolean {
-    const { state, mayMoveCallers } = this.options;
-    return this.isDraining || (state.eventLoop.shouldMoveCallers && mayMoveCallers());
+    return this.isDraining || this.options.state.eventLoop.shouldMoveCallers;
   }
 
   /** Counts a request as open until its response closes; true if it began after the cutoff. */
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -67,8 +67,6 @@
   stateAgeMs?: number | undefined;
   /** Time since the sender last read the store successfully, in ms; missing if it never has. */
   readAgeMs?: number | undefined;
-  /** False while the sender gets no new connections from load balancers; otherwise missing. */
-  isReady?: boolean | undefined;
   /** Data centre of the sender; missing in reports of older versions. */
   dataCentre?: string | undefined;
   /** Number of routers whose sums a group report contains; missing in the report of one router. */
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -45,7 +45,6 @@
   version: z.number(),
   stateAgeMs: z.number().nonnegative().optional(),
   readAgeMs: z.number().nonnegative().optional(),
-  isReady: z.boolean().optional(),
   dataCentre: z.string().optional(),
   routers: z.int().min(1).max(MAX_ROUTERS).optional(),
   peers: listOf<string>(isAddress).optional(),
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -43,7 +43,6 @@
   | 'version'
   | 'stateAgeMs'
   | 'readAgeMs'
-  | 'isReady'
   | 'loads'
   | 'workspaces'
   | 'kept'
--- a/packages/forwarder/src/peers/state-server.ts
+++ b/packages/forwarder/src/peers/state-server.ts
@@ -1,18 +1,31 @@
-/** Serves a router's copy of the store's state (routes, endpoints and evacuations) to its peers over HTTP. */
+/**
+ * Serves a router's copy of the store's state (routes, endpoints and evacuations) to its peers over HTTP, and to
+ * operators the explanation of where a request would go.
+ */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { listenOn } from '@poplarpick/fleet/address';
+import { describeError, RequestError } from '@poplarpick/kernel';
+import { routeQuestionSchema } from '../explain/route-explainer.ts';
+import type { RouteExplainer } from '../explain/route-explainer.ts';
 import type { RouterState } from '../router-state.ts';
 import type { StateSnapshot } from './state-snapshot.ts';
 
 /** Path of the snapshot. */
 export const STATE_PATH = '/state';
 
+/** Path at which the route of a request is explained. */
+export const WHERE_PATH = '/where';
+
+/** Largest description of a request, in bytes. */
+const MAX_QUESTION_BYTES = 65_536;
+
 /** Options of a `StateServer`. */
 export interface StateServerOptions {
   /** `IP:port`. */
   address: string;
   state: RouterState;
+  explainer: Pick<RouteExplainer, 'explain'>;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
 }
@@ -39,6 +52,10 @@
 
   private respond(request: IncomingMessage, response: ServerResponse): void {
     const [path, query] = (request.url ?? '').split('?', 2);
+    if (path === WHERE_PATH && request.method === 'POST') {
+      void this.explain(request, response);
+      return;
+    }
     if (path !== STATE_PATH) {
       response.writeHead(404).end();
       return;
@@ -48,6 +65,17 @@
     response.end(JSON.stringify(snapshot));
   }
 
+  private async explain(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.setHeader('Content-Type', 'application/json');
+    try {
+      const question = routeQuestionSchema.parse(JSON.parse(await readText(request)));
+      response.end(JSON.stringify(this.options.explainer.explain(question)));
+    } catch (error) {
+      const message = error instanceof RequestError ? error.message : describeError(error);
+      response.writeHead(400).end(JSON.stringify({ error: message.split('\n')[0] }));
+    }
+  }
+
   private buildSnapshot(query: URLSearchParams): StateSnapshot {
     const { state, onSuspension } = this.options;
     const { clock, freshness } = state;
@@ -67,3 +95,15 @@
     };
   }
 }
+
+/** Reads a body as text. Rejects if it is too large. */
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_QUESTION_BYTES) throw new Error('the description of the request is too large');
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks, size).toString('utf8');
+}
