--- a/packages/decisions/src/forwarding/latency-estimator.ts
+++ b/packages/decisions/src/forwarding/latency-estimator.ts
@@ -32,6 +32,8 @@
   private sumXY = 0;
   private readonly ratios = new Map<string, number>();
   private averageDurationMs = 1_000;
+  /** The fitted line; undefined after an observation. Placement reads it for every endpoint. */
+  private line: { baseMs: number; msPerToken: number } | undefined;
 
   /** Records a first event `elapsedMs` after sending, until which the endpoint prefilled `tokens`. */
   recordFirstEvent(endpoint: string, tokens: number, elapsedMs: number): void {
@@ -39,6 +41,7 @@
     const ratio = clamp(elapsedMs / expectedMs, RATIO_BOUNDS.min, RATIO_BOUNDS.max);
     const previousRatio = this.ratios.get(endpoint) ?? 1;
     this.ratios.set(endpoint, previousRatio * AVERAGE_DECAY + ratio * (1 - AVERAGE_DECAY));
+    this.line = undefined;
     this.observationWeight = this.observationWeight * REGRESSION_DECAY + 1;
     this.sumX = this.sumX * REGRESSION_DECAY + tokens;
     this.sumY = this.sumY * REGRESSION_DECAY + elapsedMs;
@@ -59,7 +62,7 @@
 
   /** Expected time to prefill `tokens` at an endpoint, in ms, without the fixed time per request. */
   estimatePrefillMs(endpoint: string, tokens: number): number {
-    return tokens * this.fitMsPerToken() * this.latencyRatio(endpoint);
+    return tokens * this.fitLine().msPerToken * this.latencyRatio(endpoint);
   }
 
   /** Expected time to the first event of a request that must prefill `tokens`, in ms. */
@@ -79,18 +82,24 @@
   /** Slope of the regression line, in ms per token. */
   private fitMsPerToken(): number {
     const denominator = this.observationWeight * this.sumXX - this.sumX * this.sumX;
-    if (this.observationWeight < MIN_WEIGHT || denominator <= 0) return INITIAL_LINE.msPerToken;
+    if (denominator <= 0) return INITIAL_LINE.msPerToken;
     const slope = (this.observationWeight * this.sumXY - this.sumX * this.sumY) / denominator;
     return clamp(slope, MS_PER_TOKEN_BOUNDS.min, MS_PER_TOKEN_BOUNDS.max);
   }
 
   /** Time to the first event that the pool's model predicts, in ms. */
   private predictPoolMs(tokens: number): number {
-    if (this.observationWeight < MIN_WEIGHT)
-      return INITIAL_LINE.baseMs + INITIAL_LINE.msPerToken * tokens;
+    const { baseMs, msPerToken } = this.fitLine();
+    return baseMs + msPerToken * tokens;
+  }
+
+  private fitLine(): { baseMs: number; msPerToken: number } {
+    if (this.observationWeight < MIN_WEIGHT) return INITIAL_LINE;
+    if (this.line !== undefined) return this.line;
     const msPerToken = this.fitMsPerToken();
     const baseMs = Math.max(1, (this.sumY - msPerToken * this.sumX) / this.observationWeight);
-    return baseMs + msPerToken * tokens;
+    this.line = { baseMs, msPerToken };
+    return this.line;
   }
 }
 
--- a/packages/decisions/src/forwarding/placement.test.ts
+++ b/packages/decisions/src/forwarding/placement.test.ts
@@ -96,3 +96,23 @@
     expect(placePlain([busy, far])?.incarnation).to.equal('far');
   });
 });
+
+describe('placement where streams would pause for too long', () => {
+  it('takes an endpoint that has to prefill more, and returns when there is no such risk', () => {
+    const request = { affinityKey: 'k', weightedTokens: 10_000, bodyBytes: 0, objectiveMs: 800 };
+    const common = {
+      expectedFirstEventMs: 100,
+      tokensAhead: 0,
+      isLocal: true,
+      failureRate: 0,
+      isUnhealthy: false,
+      limitCostTokens: 0,
+    };
+    const slow = { ...common, incarnation: 'slow', uncachedTokens: 0, pausedTokens: 30_000 };
+    const fast = { ...common, incarnation: 'fast', uncachedTokens: 4_000, pausedTokens: 0 };
+    expect(placePrompt(request, [slow, fast])).to.equal(fast);
+    expect(placePrompt(request, [{ ...slow, pausedTokens: 0 }, fast])?.incarnation).to.equal(
+      'slow',
+    );
+  });
+});
--- a/packages/decisions/src/forwarding/stream-pace.test.ts
+++ b/packages/decisions/src/forwarding/stream-pace.test.ts
@@ -45,3 +45,27 @@
     expect(pace.paceUsed('e', 0)).to.equal(0);
   });
 });
+
+describe('the risk that streams pause for too long', () => {
+  it('is that of the longest pause seen, or of a shorter prefill', () => {
+    const pace = createPace(250);
+    for (let now = 0; now < 1_000; now += 40) pace.recordEvent('e', 40, now);
+    pace.recordEvent('e', 300, 1_300);
+    expect(pace.pauseRisk('e', Number.POSITIVE_INFINITY, 1_300)).to.equal(1);
+    expect(pace.pauseRisk('e', 50, 1_300)).to.equal(0);
+  });
+
+  it('is none at an endpoint that prefills long prompts without a pause', () => {
+    const pace = createPace(250);
+    for (let now = 0; now < 2_000; now += 100) pace.recordEvent('e', 100, now);
+    expect(pace.pauseRisk('e', 5_000, 2_000)).to.equal(0);
+  });
+
+  it('is not known of an endpoint without events, nor long after the last one', () => {
+    const pace = createPace(250);
+    expect(pace.pauseRisk('e', 5_000, 0)).to.equal(0);
+    pace.recordEvent('e', 400, 0);
+    expect(pace.pauseRisk('e', 5_000, 9_000)).to.equal(1);
+    expect(pace.pauseRisk('e', 5_000, 11_000)).to.equal(0);
+  });
+});
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -111,9 +111,12 @@
 
   /** The endpoints that may serve a request, with the estimates for it. */
   evaluate(request: PlacementRequest): Placement[] {
-    const available = this.state.endpoints
-      .findAvailable(request.pool)
-      .filter((record) => this.findObstacle(record, request) === undefined);
+    const now = this.state.clock.monotonic();
+    const available: EndpointRecord[] = [];
+    for (const record of this.state.endpoints.all()) {
+      if (record.endpoint.pool !== request.pool) continue;
+      if (this.findObstacle(record, request, now) === undefined) available.push(record);
+    }
     const batch = this.state.routes?.findPool(request.pool)?.batch;
     const { prompt, maxWaitMs = Number.POSITIVE_INFINITY } = request;
     const candidates =
@@ -124,11 +127,15 @@
   }
 
   /** Why an endpoint isn't considered for a request; undefined if it is. */
-  findObstacle(record: EndpointRecord, request: PlacementRequest): EndpointObstacle | undefined {
+  findObstacle(
+    record: EndpointRecord,
+    request: PlacementRequest,
+    now = this.state.clock.monotonic(),
+  ): EndpointObstacle | undefined {
     const { endpoint, availability, client, incarnation } = record;
     const { excluded, allows = () => true } = request;
     if (availability.isDraining) return EndpointObstacle.Draining;
-    if (availability.isPaused(this.state.clock.monotonic())) return EndpointObstacle.Paused;
+    if (!availability.takesRequests(now)) return EndpointObstacle.Paused;
     if (this.state.evacuations.has(endpoint.dataCentre)) return EndpointObstacle.Evacuated;
     if (excluded.has(incarnation)) return EndpointObstacle.Failed;
     if (client.isFull) return EndpointObstacle.Full;
@@ -144,12 +151,14 @@
   ): Placement[] {
     const segments = sharedSegments(prompt);
     const weightedTokens = weighTokens(prompt);
+    const now = this.state.clock.monotonic();
     const transfers = this.findTransferOptions(pool, transfer, segments);
     return available.map((record) => {
-      const placement = this.evaluateModelEndpoint(record, prompt, segments, cacheTokens);
+      const placement = this.evaluateModelEndpoint(record, prompt, segments, cacheTokens, now);
       const transferred =
         transfers === undefined ? placement : this.withTransfer(placement, transfers);
-      return this.withPausedTokens(transferred, weightedTokens);
+      transferred.pausedTokens = this.countPausedTokens(transferred, weightedTokens, now);
+      return transferred;
     });
   }
 
@@ -200,20 +209,19 @@
   }
 
   /**
-   * The placement with the tokens of the streams that are expected to pause for too long: those that the prefill
-   * delays, and the request's own, which others will delay.
+   * Tokens of the streams that are expected to pause for too long at an endpoint: those that the prefill delays, and
+   * the request's own, which others will delay.
    */
-  private withPausedTokens(placement: Placement, weightedTokens: number): Placement {
+  private countPausedTokens(placement: Placement, weightedTokens: number, now: number): number {
     const { record, incarnation, prefillTokens, tokensAhead, kvCacheTokens } = placement;
     const { pool } = record.endpoint;
-    const estimator = this.state.latencyEstimator(pool);
-    const prefillMs = estimator.estimatePrefillMs(incarnation, prefillTokens + tokensAhead);
-    const now = this.state.clock.monotonic();
     const pace = this.state.streamPace(pool);
     const ownRisk = pace.pauseRisk(incarnation, Number.POSITIVE_INFINITY, now);
-    if (ownRisk === 0) return placement;
+    if (ownRisk === 0) return 0;
+    const estimator = this.state.latencyEstimator(pool);
+    const prefillMs = estimator.estimatePrefillMs(incarnation, prefillTokens + tokensAhead);
     const risk = pace.pauseRisk(incarnation, prefillMs, now);
-    return { ...placement, pausedTokens: risk * kvCacheTokens + ownRisk * weightedTokens };
+    return risk * kvCacheTokens + ownRisk * weightedTokens;
   }
 
   private evaluateModelEndpoint(
@@ -221,8 +229,8 @@
     prompt: Prompt,
     segments: readonly HashedSegment[],
     cacheTokens: number,
+    now: number,
   ): Placement {
-    const now = this.state.clock.monotonic();
     const estimator = this.state.latencyEstimator(record.endpoint.pool);
     const load = record.load.totalLoad(now);
     const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(record.incarnation, segments);
--- a/packages/forwarder/src/endpoints/warm-up-tracker.ts
+++ b/packages/forwarder/src/endpoints/warm-up-tracker.ts
@@ -64,7 +64,7 @@
 
   /** Whether the endpoint is cold and its pool says what a cold one bears. */
   isCold(record: EndpointRecord): boolean {
-    return this.rateOf(record) !== undefined && record.warmUp.isCold(this.now());
+    return record.warmUp.isCold(this.now()) && this.rateOf(record) !== undefined;
   }
 
   /** Whether this router may send the endpoint no request now. */
