Routers tell each other the long pauses that they see

Cause: each of 23 routers has about one stream at each of 30 engines, so each learns for itself which are slow, and forgets it when it avoids them. Events that a router without processor time reads late don't count.

--- a/packages/decisions/src/forwarding/stream-pace.test.ts
+++ b/packages/decisions/src/forwarding/stream-pace.test.ts
@@ -69,3 +69,23 @@
     expect(pace.pauseRisk('e', 5_000, 11_000)).to.equal(0);
   });
 });
+
+describe('the pauses that routers tell each other', () => {
+  it('are the long ones of endpoints at which the router has streams', () => {
+    const pace = createPace(250);
+    pace.recordEvent('slow', 300, 0);
+    pace.recordEvent('fast', 60, 0);
+    expect(pace.pauseToTell('slow', 500)).to.equal(300);
+    expect(pace.pauseToTell('fast', 500)).to.equal(undefined);
+    expect(pace.pauseToTell('slow', 1_500)).to.equal(undefined);
+  });
+
+  it('hold for an endpoint at which this router has no streams, on average over the peers', () => {
+    const pace = createPace(250);
+    pace.applyToldPause('e', 'a', 400, 0);
+    expect(pace.pauseRisk('e', Number.POSITIVE_INFINITY, 1_000)).to.equal(1);
+    pace.applyToldPause('e', 'b', 0, 500);
+    expect(pace.pauseRisk('e', Number.POSITIVE_INFINITY, 1_000)).to.be.within(0.01, 0.99);
+    expect(pace.pauseRisk('e', Number.POSITIVE_INFINITY, 11_000)).to.equal(0);
+  });
+});
--- a/packages/decisions/src/forwarding/stream-pace.ts
+++ b/packages/decisions/src/forwarding/stream-pace.ts
@@ -11,7 +11,8 @@
  * a low quantile over the latest streams stands for the pool.
  *
  * Engines prefill prompts in chunks between the tokens of their streams. A long prompt at a slow engine therefore
- * makes all streams there pause, also while the engine has capacity to spare.
+ * makes all streams there pause, also while the engine has capacity to spare. Each router has few streams at each
+ * endpoint, so routers tell each other the long pauses that they see.
  */
 
 /** Weight of the previous value in the moving average of an endpoint's pace. */
@@ -63,9 +64,20 @@
   at: number;
 }
 
+/** Fraction of the allowed pause from which on a pause is told to other routers. */
+const TOLD_PAUSE_FRACTION = 0.5;
+
+/** Time after the latest event at an endpoint within which its longest pause is told, in ms. */
+const TOLD_WITHIN_MS = 1_000;
+
+/** Longest pause that is told, in ms, as a bound on what one stall does to the others. */
+export const MAX_TOLD_PAUSE_MS = 10_000;
+
 /** Learns the pace of one pool. */
 export class StreamPace {
   private readonly paces = new Map<string, EndpointPace>();
+  /** Longest pauses that peers have told, by endpoint and subject of the report. */
+  private readonly told = new Map<string, Map<string, { peakMs: number; at: number }>>();
   private eventsPerToken: number | undefined;
   private readonly needs: number[] = [];
   /** Shortest pause that a route of the pool allows, in ms. */
@@ -129,8 +141,10 @@
    */
   pauseRisk(endpoint: string, prefillMs: number, now: number): number {
     const pace = this.paces.get(endpoint);
-    if (pace === undefined || now - pace.at > PEAK_TTL_MS) return 0;
-    const pauseMs = Math.min(pace.eventMs + prefillMs, Math.max(pace.peakMs, pace.eventMs));
+    const own = pace === undefined || now - pace.at > PEAK_TTL_MS ? undefined : pace;
+    const eventMs = own?.eventMs ?? 0;
+    const peakMs = Math.max(own?.peakMs ?? 0, this.toldPeakMs(endpoint, now));
+    const pauseMs = Math.min(eventMs + prefillMs, Math.max(peakMs, eventMs));
     const { begin, end } = PAUSE_RAMP;
     const risk = (pauseMs / this.allowedPauseMs - begin) / (end - begin);
     return Math.min(1, Math.max(0, risk));
@@ -141,8 +155,39 @@
     return this.eventsPerToken === undefined ? undefined : outputTokens * this.eventsPerToken;
   }
 
+  /** The longest pause lately at an endpoint, in ms, if it is long and this router has streams there. */
+  pauseToTell(endpoint: string, now: number): number | undefined {
+    const pace = this.paces.get(endpoint);
+    if (pace === undefined || now - pace.at > TOLD_WITHIN_MS) return undefined;
+    const isLong = pace.peakMs >= this.allowedPauseMs * TOLD_PAUSE_FRACTION;
+    return isLong ? Math.min(MAX_TOLD_PAUSE_MS, pace.peakMs) : undefined;
+  }
+
+  /** Stores the longest pause that a peer, or the peers of a group on average, have seen at an endpoint. */
+  applyToldPause(endpoint: string, subject: string, peakMs: number, now: number): void {
+    let bySubject = this.told.get(endpoint);
+    if (bySubject === undefined) {
+      bySubject = new Map();
+      this.told.set(endpoint, bySubject);
+    }
+    bySubject.set(subject, { peakMs, at: now });
+  }
+
   removeEndpoint(endpoint: string): void {
     this.paces.delete(endpoint);
+    this.told.delete(endpoint);
+  }
+
+  /** Mean of the pauses that peers have told lately, in ms; 0 without one. */
+  private toldPeakMs(endpoint: string, now: number): number {
+    const bySubject = this.told.get(endpoint);
+    if (bySubject === undefined) return 0;
+    let sum = 0;
+    for (const [subject, { peakMs, at }] of bySubject) {
+      if (now - at > PEAK_TTL_MS) bySubject.delete(subject);
+      else sum += peakMs;
+    }
+    return bySubject.size === 0 ? 0 : sum / bySubject.size;
   }
 
   private findNeededMs(): number | undefined {
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -3,6 +3,9 @@
 import type { RouterState } from '../router-state.ts';
 import type { CallAttempt } from './call-attempt.ts';
 
+/** Delay of the event loop up to which the times of events are those of the endpoints, in ms. */
+const MAX_LOOP_DELAY_MS = 25;
+
 /** The properties of an attempt that its measurements need. */
 type MeasuredAttempt = Pick<CallAttempt, 'placement' | 'inFlight'>;
 
@@ -56,6 +59,8 @@
     if (this.events > 1) this.longestPause = Math.max(this.longestPause, elapsedMs);
     if (outputTokens === undefined) return;
     const pace = state.streamPace(pool);
+    // A router without processor time reads events late, which says nothing of the endpoint.
+    if (state.eventLoop.meanDelayMs > MAX_LOOP_DELAY_MS) return;
     if (this.events > 1) pace.recordEvent(attempt.placement.record.incarnation, elapsedMs, now);
     else pace.recordNeed({ remainingMs, outputTokens, pauseMs: route.pauseMs });
   }
--- a/packages/forwarder/src/peers/group-report.ts
+++ b/packages/forwarder/src/peers/group-report.ts
@@ -7,6 +7,7 @@
   BlockedSuspectEntry,
   CachedSegmentEntry,
   EndpointLimitEntry,
+  EndpointPauseEntry,
   LateRateEntry,
   PeerReport,
   SuspectCrashEntry,
@@ -65,10 +66,18 @@
 /** The sums of a group report. */
 export type GroupSums = Pick<
   PeerReport,
-  'routers' | 'loads' | 'workspaces' | 'lateRates' | 'draining' | 'blocked' | 'limits' | 'needs'
+  | 'routers'
+  | 'loads'
+  | 'workspaces'
+  | 'pauses'
+  | 'lateRates'
+  | 'draining'
+  | 'blocked'
+  | 'limits'
+  | 'needs'
 >;
 
-/** Adds up the reports of a data centre's routers. Workspaces are left out unless `includesWorkspaces`. */
+/** Adds up the reports of a data centre's routers. Workspaces and pauses are left out unless `includesWorkspaces`. */
 export function sumReports(reports: readonly ReportBody[], includesWorkspaces: boolean): GroupSums {
   const sums: GroupSums = {
     routers: reports.length,
@@ -81,7 +90,8 @@
   };
   if (!includesWorkspaces) return sums;
   const workspaces = sumEntries(reports.flatMap((report) => report.workspaces ?? []));
-  return { ...sums, workspaces };
+  const pauses = meanPauses(reports.flatMap((report) => report.pauses ?? []));
+  return { ...sums, workspaces, pauses };
 }
 
 /** Adds up the numbers of the entries with the same first field. */
@@ -128,6 +138,14 @@
   return [...merged.values()];
 }
 
+/** Mean of the pauses that were seen at each endpoint. */
+function meanPauses(entries: readonly EndpointPauseEntry[]): EndpointPauseEntry[] {
+  const counted = sumEntries(
+    entries.map(([endpoint, pauseMs]): [number, number, number] => [endpoint, pauseMs, 1]),
+  );
+  return counted.map(([endpoint, sumMs, count]) => [endpoint, Math.round(sumMs / count)]);
+}
+
 /** Mean late rate of each pool over the routers that report one. */
 function meanLateRates(reports: readonly ReportBody[]): LateRateEntry[] {
   const rates = new Map<number, number[]>();
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -50,6 +50,9 @@
  */
 export type EndpointNeedEntry = [endpoint: number, milliPerSecond: number, routers: number];
 
+/** The longest pause of streams lately at an endpoint: the hash of its incarnation, and the pause in ms. */
+export type EndpointPauseEntry = [endpoint: number, pauseMs: number];
+
 /** Rate of late requests in a pool, which is named by its hash. */
 export type LateRateEntry = [pool: number, rate: number];
 
@@ -104,6 +107,8 @@
   limits?: EndpointLimitEntry[] | undefined;
   /** Needs at all endpoints with a limit that the sender knows; missing in reports of older versions. */
   needs?: EndpointNeedEntry[] | undefined;
+  /** Long pauses that the sender has seen, in a group report the means over its routers; only in some reports. */
+  pauses?: EndpointPauseEntry[] | undefined;
   /** How far back the sender knows which versions were listed, see `VersionHistoryReport`. */
   versionsKnownMs?: number | undefined;
   /** Versions that were listed in that time and are no longer. */
@@ -138,7 +143,8 @@
     const latest = this.entries.get(subject)?.report;
     if (latest !== undefined && !isNewer(report, latest)) return false;
     const workspaces = report.workspaces ?? latest?.workspaces;
-    this.entries.set(subject, { report: { ...report, workspaces }, receivedAt: now });
+    const pauses = report.pauses ?? latest?.pauses;
+    this.entries.set(subject, { report: { ...report, workspaces, pauses }, receivedAt: now });
     if (report.workspaces !== undefined) this.usage.replace(subject, report.workspaces);
     return true;
   }
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -15,6 +15,7 @@
   EndpointLimitEntry,
   EndpointLoadEntry,
   EndpointNeedEntry,
+  EndpointPauseEntry,
   LateRateEntry,
   PeerReport,
   SuspectCrashEntry,
@@ -61,6 +62,7 @@
   blocked: listOf<BlockedSuspectEntry>(isBlockedSuspect).optional(),
   limits: listOf<EndpointLimitEntry>((entry) => isCounts(entry, 3)).optional(),
   needs: listOf<EndpointNeedEntry>((entry) => isCounts(entry, 3)).optional(),
+  pauses: listOf<EndpointPauseEntry>((entry) => isCounts(entry, 2)).optional(),
   versionsKnownMs: z.number().nonnegative().optional(),
   departedVersions: listOf<DepartedVersionEntry>(isDepartedVersion).optional(),
 }) satisfies z.ZodType<PeerReport>;
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -54,6 +54,7 @@
   | 'blocked'
   | 'limits'
   | 'needs'
+  | 'pauses'
   | 'versionsKnownMs'
   | 'departedVersions'
 >;
@@ -89,6 +90,8 @@
   private sequence = 0;
   /** The latest usage of workspaces at this router. */
   private ownWorkspaces: ReportBody['workspaces'];
+  /** The latest long pauses that this router has seen. */
+  private ownPauses: ReportBody['pauses'];
   /** Addresses of the routers of this data centre whose reports arrive, as of the latest turn. */
   private localPeers: string[] = [];
   /** Relays of this data centre, as of the latest turn. */
@@ -143,6 +146,7 @@
     if (includesMembers) this.members.forgetOld(now);
     const body = this.options.buildReport(includesWorkspaces);
     this.ownWorkspaces = body.workspaces ?? this.ownWorkspaces;
+    this.ownPauses = body.pauses ?? this.ownPauses;
     this.sendOwnReport(body, includesMembers, now);
     this.sendGroupReport(body, now);
   }
@@ -220,7 +224,7 @@
 
   private buildGroupReport(body: ReportBody, now: number): PeerReport {
     const { address, dataCentre } = this.options;
-    const own = { ...body, workspaces: this.ownWorkspaces };
+    const own = { ...body, workspaces: this.ownWorkspaces, pauses: this.ownPauses };
     const turn = Math.floor(this.sequence / this.relays.length);
     const includesMembers = turn % GROUP_REPORTS_PER_MEMBER_LIST === 0;
     const includesWorkspaces = turn % REPORTS_PER_WORKSPACE_LIST === 0;
--- a/packages/forwarder/src/peers/router-reports.ts
+++ b/packages/forwarder/src/peers/router-reports.ts
@@ -4,12 +4,13 @@
  */
 import { LRUCache } from 'lru-cache';
 import murmurhash from 'murmurhash';
-import { DrainSource } from '@poplarpick/decisions';
+import { DrainSource, MAX_TOLD_PAUSE_MS } from '@poplarpick/decisions';
 import type {
   FairShareLedger,
   LoadTotals,
   RefusedRequests,
   RequestFingerprint,
+  StreamPace,
   SurplusLimiter,
 } from '@poplarpick/decisions';
 import type { Clock } from '@poplarpick/kernel';
@@ -19,7 +20,12 @@
 import { RepeatedAnnouncements } from '../poison/repeated-announcements.ts';
 import type { StreamOrigins } from '../streams/stream-origins.ts';
 import { reportSubject } from './peer-table.ts';
-import type { CachedSegmentEntry, EndpointLoadEntry, PeerReport } from './peer-table.ts';
+import type {
+  CachedSegmentEntry,
+  EndpointLoadEntry,
+  EndpointPauseEntry,
+  PeerReport,
+} from './peer-table.ts';
 import type { ReportBody } from './report-exchange.ts';
 
 /** Most cached prompt segments in one report, so that it fits into a datagram. */
@@ -47,6 +53,8 @@
   streams: StreamOrigins;
   surplusLimiters: ReadonlyMap<string, SurplusLimiter>;
   describeState: () => ReportHead;
+  /** The pace of the streams of a pool. */
+  streamPace: (pool: string) => StreamPace;
   /** Called with each segment that a peer has announced as cached. */
   onCachedSegment: (entry: CachedSegmentEntry) => void;
 }
@@ -82,7 +90,9 @@
     return {
       ...this.options.describeState(),
       ...this.listEndpoints(),
-      ...(includesWorkspaces ? { workspaces: fairShareLedger.snapshot(this.now()) } : {}),
+      ...(includesWorkspaces
+        ? { workspaces: fairShareLedger.snapshot(this.now()), pauses: this.listPauses() }
+        : {}),
       kept: this.cacheAnnouncements.take(MAX_SEGMENTS_PER_REPORT).map(({ entry }) => entry),
       lateRates: [...surplusLimiters].map(([pool, limiter]) => [
         murmurhash.v3(pool),
@@ -100,6 +110,7 @@
     const { endpoints, limits, onCachedSegment, poison, refusedRequests, streams } = this.options;
     const now = this.now();
     this.applyLoads(reportSubject(report), report.loads, now);
+    this.applyPauses(reportSubject(report), report.pauses ?? [], now);
     for (const fingerprint of report.refused ?? []) refusedRequests.record(fingerprint, now);
     for (const hash of report.draining ?? []) {
       const record = endpoints.findByHash(hash);
@@ -111,6 +122,25 @@
     streams.applyReport(report);
   }
 
+  private listPauses(): EndpointPauseEntry[] {
+    const pauses: EndpointPauseEntry[] = [];
+    for (const { endpoint, incarnation, incarnationHash } of this.options.endpoints.all()) {
+      const pauseMs = this.options.streamPace(endpoint.pool).pauseToTell(incarnation, this.now());
+      if (pauseMs !== undefined) pauses.push([incarnationHash, Math.round(pauseMs)]);
+    }
+    return pauses;
+  }
+
+  private applyPauses(subject: string, pauses: readonly EndpointPauseEntry[], now: number): void {
+    const { endpoints, streamPace } = this.options;
+    for (const [hash, pauseMs] of pauses) {
+      const record = endpoints.findByHash(hash);
+      if (record === undefined) continue;
+      const boundedMs = Math.min(MAX_TOLD_PAUSE_MS, pauseMs);
+      streamPace(record.endpoint.pool).applyToldPause(record.incarnation, subject, boundedMs, now);
+    }
+  }
+
   /** This router's load at each endpoint, and the endpoints that told it that they drain. */
   private listEndpoints(): Pick<ReportBody, 'loads' | 'draining'> {
     const loads: EndpointLoadEntry[] = [];
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -225,6 +225,7 @@
       refusedRequests: this.refusedRequests,
       streams: this.streams,
       surplusLimiters: this.surplusLimiters,
+      streamPace: (pool) => this.streamPace(pool),
       describeState: () => this.describeState(),
       onCachedSegment: (entry) => this.applyCachedSegment(entry),
     });
