--- a/packages/decisions/src/forwarding/prompt-transfer.test.ts
+++ b/packages/decisions/src/forwarding/prompt-transfer.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { planTransfer } from './prompt-transfer.ts';
+import { planTransfer, selectSources } from './prompt-transfer.ts';
 import type { TransferRequest } from './prompt-transfer.ts';
 
 const NEAR = { id: 'near', dataCentre: 'a', uncachedTokens: 0 };
@@ -35,6 +35,14 @@
     expect(planTransfer(request({ transfer: slow }))).to.equal(undefined);
   });
 
+  it('is not made from an endpoint of another version', () => {
+    const target = { dataCentre: 'a', version: 'v2', uncachedTokens: 5_000 };
+    const old = { ...NEAR, version: 'v1' };
+    expect(planTransfer(request({ target, sources: [old] }))).to.equal(undefined);
+    const sources = selectSources([old, { ...NEAR, version: 'v2', uncachedTokens: 500 }]);
+    expect(planTransfer(request({ target, sources }))?.tokens).to.equal(4_500);
+  });
+
   it('is not made for a few tokens, or from an endpoint that lacks them too', () => {
     const target = { dataCentre: 'a', uncachedTokens: 100 };
     expect(planTransfer(request({ target }))).to.equal(undefined);
--- a/packages/decisions/src/forwarding/prompt-transfer.ts
+++ b/packages/decisions/src/forwarding/prompt-transfer.ts
@@ -16,6 +16,8 @@
 /** An endpoint that may serve a request or be the source of its prefix. */
 export interface TransferEndpoint {
   dataCentre: string;
+  /** Version of its software; endpoints of different versions may not read each other's caches. */
+  version?: string | undefined;
   /** Tokens of the shared prefix that it doesn't have cached. */
   uncachedTokens: number;
 }
@@ -40,15 +42,16 @@
 /** Largest part of the time of a prefill that a transfer may take to be worthwhile. */
 const MAX_PREFILL_FRACTION = 0.5;
 
-/** The best source of each data centre: the one that has most of the prefix. */
+/** The best source of each data centre and version: the one that has most of the prefix. */
 export function selectSources<Source extends TransferEndpoint>(
   candidates: Iterable<Source>,
 ): Source[] {
   const best = new Map<string, Source>();
   for (const candidate of candidates) {
-    const current = best.get(candidate.dataCentre);
+    const key = `${candidate.dataCentre}/${candidate.version ?? ''}`;
+    const current = best.get(key);
     if (current === undefined || candidate.uncachedTokens < current.uncachedTokens)
-      best.set(candidate.dataCentre, candidate);
+      best.set(key, candidate);
   }
   return [...best.values()];
 }
@@ -71,6 +74,7 @@
   let best: PromptTransfer<Source> | undefined;
   let mostSavedMs = 0;
   for (const source of sources) {
+    if (source.version !== target.version) continue;
     const tokens = target.uncachedTokens - source.uncachedTokens;
     if (tokens < MIN_TRANSFER_TOKENS) continue;
     const durationMs = transferMs(tokens, target.dataCentre === source.dataCentre, transfer);
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -56,6 +56,7 @@
   incarnation: string;
   address: string;
   dataCentre: string;
+  version: string | undefined;
   uncachedTokens: number;
 }
 
@@ -176,8 +177,8 @@
       if (endpoint.pool !== pool || availability.isDraining) continue;
       const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(incarnation, segments, now);
       if (uncachedTokens === sharedTokens || load.isUnhealthy(now)) continue;
-      const { address, dataCentre } = endpoint;
-      sources.push({ incarnation, address, dataCentre, uncachedTokens });
+      const { address, dataCentre, version } = endpoint;
+      sources.push({ incarnation, address, dataCentre, version, uncachedTokens });
     }
     return sources.length === 0 ? undefined : { transfer, sources: selectSources(sources) };
   }
@@ -186,10 +187,10 @@
   private withTransfer(placement: Placement, { transfer, sources }: TransferOptions): Placement {
     const { record, uncachedTokens, prefillTokens, waitMs, incarnation } = placement;
     if (uncachedTokens === 0) return placement;
-    const { pool, dataCentre } = record.endpoint;
+    const { pool, dataCentre, version } = record.endpoint;
     const estimator = this.state.latencyEstimator(pool);
     const plan = planTransfer({
-      target: { dataCentre, uncachedTokens },
+      target: { dataCentre, version, uncachedTokens },
       sources,
       transfer,
       prefillMsPerToken: estimator.estimatePrefillMs(incarnation, 1),
--- a/packages/forwarder/src/endpoints/warm-up-tracker.ts
+++ b/packages/forwarder/src/endpoints/warm-up-tracker.ts
@@ -42,7 +42,6 @@
 
   /** Number of endpoints that are cold. */
   get coldCount(): number {
-    this.refresh();
     return this.cold.size;
   }
 
@@ -78,7 +77,7 @@
     record.warmUp.recordSent(this.now());
   }
 
-  /** Notes which warm-ups have ended. */
+  /** Notes which warm-ups have ended; called before each report. */
   refresh(): void {
     for (const record of this.cold) this.update(record, 'time');
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -428,6 +428,7 @@
 
   /** Builds the report to this router's peers. */
   buildReport(includesWorkspaces: boolean): ReportBody {
+    this.warmUps.refresh();
     return this.reports.build(includesWorkspaces);
   }
 
