--- a/packages/bench/src/admission/router-policy.ts
+++ b/packages/bench/src/admission/router-policy.ts
@@ -74,17 +74,17 @@
       throw new Error(`no router ${arrival.routerIndex}`);
     }
     const request = { route, pool: POOL, prompt, bodyBytes: 0, excluded: new Set<string>() };
-    const isCallerRetry = state.recordArrival(workspace, prompt);
+    const isCallerRetry = state.shares.recordArrival(workspace, prompt);
     const placement = placer.place(request);
     if (placement === undefined) return { engineIndex: undefined, retryAfterMs: 500 };
     const { remainingMs } = attempt;
-    const shareUsage = state.shareUsage(workspace);
+    const shareUsage = state.shares.measureUsage(workspace);
     const admission = placer.admit({ route, remainingMs, shareUsage, isCallerRetry }, placement);
     if (!admission.isAccepted) {
-      state.recordRefusal(workspace, prompt);
+      state.shares.recordRefusal(workspace, prompt);
       return { engineIndex: undefined, retryAfterMs: admission.retryAfterMs };
     }
-    state.recordGrant(workspace, prompt, admission.isOverShare);
+    state.shares.recordGrant(workspace, prompt, admission.isOverShare);
     state.recordCached(placement.record, sharedSegments(prompt));
     const kvCacheTokens = prompt.inputTokens + prompt.outputTokens;
     const inFlight = placement.record.load.recordSent(
--- a/packages/bench/src/decision-cost/placement-time.ts
+++ b/packages/bench/src/decision-cost/placement-time.ts
@@ -115,15 +115,15 @@
 }
 
 function decide(state: RouterState, placer: CallPlacer, workspace: string, prompt: Prompt): void {
-  const isCallerRetry = state.recordArrival(workspace, prompt);
-  const shareUsage = state.shareUsage(workspace);
+  const isCallerRetry = state.shares.recordArrival(workspace, prompt);
+  const shareUsage = state.shares.measureUsage(workspace);
   const request = { route: ROUTE, pool: POOL, prompt, bodyBytes: 0, excluded: new Set<string>() };
   const placement = placer.place(request);
   if (placement === undefined) throw new Error('no endpoint');
   const admission = { route: ROUTE, remainingMs: ROUTE.timeoutMs, shareUsage, isCallerRetry };
   const { isAccepted, isOverShare } = placer.admit(admission, placement);
-  if (isAccepted) state.recordGrant(workspace, prompt, isOverShare);
-  else state.recordRefusal(workspace, prompt);
+  if (isAccepted) state.shares.recordGrant(workspace, prompt, isOverShare);
+  else state.shares.recordRefusal(workspace, prompt);
 }
 
 function createState(clock: Clock, size: FleetSize): RouterState {
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -82,8 +82,8 @@
   recordArrival(): void {
     const { head, workspace, state } = this.options;
     if (workspace === undefined || head.prompt === undefined) return;
-    this.isRetry = state.recordArrival(workspace, head.prompt);
-    this.usage = state.shareUsage(workspace);
+    this.isRetry = state.shares.recordArrival(workspace, head.prompt);
+    this.usage = state.shares.measureUsage(workspace);
   }
 
   /**
@@ -147,7 +147,7 @@
     const { head, workspace, state } = this.options;
     if (code === ErrorCode.PromptBlocked || code === ErrorCode.RequestBlocked) return;
     if (workspace === undefined || head.prompt === undefined) return;
-    state.recordRefusal(workspace, head.prompt);
+    state.shares.recordRefusal(workspace, head.prompt);
   }
 }
 
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -369,7 +369,7 @@
       state.retryBudget(pool).recordRequest(state.countRouters(), this.now());
     }
     if (workspace !== undefined && prompt !== undefined) {
-      state.recordGrant(workspace, prompt, this.admission.isOverShare);
+      state.shares.recordGrant(workspace, prompt, this.admission.isOverShare);
     }
     state.recordCached(placement.record, sharedSegments(prompt), placement.serviceMs);
     state.limits.recordSent(placement.record);
--- a/packages/forwarder/src/explain/route-explainer.test.ts
+++ b/packages/forwarder/src/explain/route-explainer.test.ts
@@ -130,8 +130,8 @@
   for (const endpoint of setup) addEndpoint(state, endpoint);
   if (grantedTokens > 0) {
     const demand = { ...PROMPT, inputTokens: grantedTokens };
-    state.recordArrival(WORKSPACE, demand);
-    state.recordGrant(WORKSPACE, demand, false);
+    state.shares.recordArrival(WORKSPACE, demand);
+    state.shares.recordGrant(WORKSPACE, demand, false);
   }
 }
 
@@ -163,7 +163,7 @@
   const request = { route: ROUTE, pool: POOL, prompt: PROMPT, bodyBytes: 0, excluded };
   const best = placer.place(request);
   if (best === undefined) return undefined;
-  const shareUsage = state.shareUsage(WORKSPACE);
+  const shareUsage = state.shares.measureUsage(WORKSPACE);
   const call = { route: ROUTE, remainingMs: 9_000, shareUsage, isCallerRetry: false };
   const first = placer.admit(call, best);
   if (first.isAccepted) return best.record.endpoint.id;
--- a/packages/forwarder/src/explain/route-explainer.ts
+++ b/packages/forwarder/src/explain/route-explainer.ts
@@ -96,7 +96,7 @@
     const shareUsage =
       workspace === undefined || request.prompt === undefined
         ? { shareUsed: 0, surplusUsed: 0 }
-        : state.shareUsage(workspace);
+        : state.shares.measureUsage(workspace);
     const decision = this.decide(request, remainingMs, shareUsage);
     return {
       router: address,
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -11,13 +11,9 @@
   LogRateLimiter,
   PrefixCacheIndex,
   RouteIndex,
-  fairShareCost,
-  FairShareLedger,
-  fingerprintRequest,
   isRegionAllowed,
   LatencyEstimator,
   oldestAgeMs,
-  RefusedRequests,
   StreamPace,
   SurplusLimiter,
 } from '@poplarpick/decisions';
@@ -29,7 +25,6 @@
   Route,
   RoutingTable,
   SegmentHash,
-  ShareUsage,
 } from '@poplarpick/decisions';
 import type { Clock, Logger, LogOutput } from '@poplarpick/kernel';
 import { EndpointClient } from './endpoints/endpoint-client.ts';
@@ -48,6 +43,7 @@
 import { PoisonGuard } from './poison/poison-guard.ts';
 import { RouterMetrics } from './router-metrics.ts';
 import { StreamOrigins } from './streams/stream-origins.ts';
+import { WorkspaceShares } from './workspace-shares.ts';
 import { hashEndpoints } from './peers/state-snapshot.ts';
 import type { ReportBody } from './peers/report-exchange.ts';
 
@@ -57,8 +53,6 @@
 /** Connection limit of an endpoint whose pool isn't in the routing table. */
 const DEFAULT_CONNECTION_LIMIT = 64;
 
-const MS_PER_SECOND = 1_000;
-
 /** Limits from the site's settings. */
 export interface RouterBounds {
   /** Time within which a revoked API key must stop working, in ms. */
@@ -116,15 +110,14 @@
   readonly hedges: HedgeBudgets;
   readonly warmUps: WarmUpTracker;
   readonly evacuations: Evacuations;
+  readonly shares: WorkspaceShares;
   readonly streams: StreamOrigins;
   readonly metrics: RouterMetrics;
   private readonly regions: ReadonlyMap<string, string>;
-  private readonly fairShareLedger: FairShareLedger;
   private readonly latencyEstimators = new Map<string, LatencyEstimator>();
   private readonly streamPaces = new Map<string, StreamPace>();
   private readonly surplusLimiters = new Map<string, SurplusLimiter>();
   private readonly retryBudgets = new Map<string, SharedRetryBudget>();
-  private readonly refusedRequests = new RefusedRequests();
   private readonly reports: RouterReports;
   /** Hash of the list of endpoints, and the state of the directory that it belongs to. */
   private listHash: { hash: string; changes: number } | undefined;
@@ -172,7 +165,6 @@
       findEndpoint: (hash) => this.endpoints.findByHash(hash),
       random: this.random,
     });
-    this.fairShareLedger = new FairShareLedger(options.bounds.shareWindowMs);
     this.endpoints = new EndpointDirectory({
       clock: options.clock,
       log: options.log,
@@ -216,13 +208,23 @@
         this.endpoints.list().filter((endpoint) => endpoint.dataCentre === dataCentre).length,
       onReturned: (dataCentre) => this.warmUps.recordReturned(dataCentre),
     });
+    this.shares = new WorkspaceShares({
+      clock: options.clock,
+      windowMs: options.bounds.shareWindowMs,
+      endpoints: this.endpoints,
+      routes: () => this.routeIndex,
+      readPeerUsage: (now) => this.peers.workspaceUsage(now),
+      isHeldBack: (record) =>
+        this.evacuations.has(record.endpoint.dataCentre) || this.warmUps.isCold(record),
+      onRefused: (fingerprint) => this.reports.announceRefusal(fingerprint),
+    });
     this.reports = new RouterReports({
       clock: options.clock,
       endpoints: this.endpoints,
-      fairShareLedger: this.fairShareLedger,
+      fairShareLedger: this.shares.ledger,
       limits: this.limits,
       poison: this.poison,
-      refusedRequests: this.refusedRequests,
+      refusedRequests: this.shares.refusedRequests,
       streams: this.streams,
       surplusLimiters: this.surplusLimiters,
       streamPace: (pool) => this.streamPace(pool),
@@ -327,67 +329,6 @@
     return this.peers.countRouters(this.clock.monotonic());
   }
 
-  /**
-   * Records the arrival of a request: its demand counts once, so not again when it is a caller's retry.
-   * Returns whether it is one.
-   */
-  recordArrival(workspace: string, prompt: Prompt): boolean {
-    const now = this.clock.monotonic();
-    if (this.refusedRequests.takeRetry(fingerprintRequest(workspace, prompt), now)) return true;
-    this.fairShareLedger.recordDemand(workspace, fairShareCost(prompt), now);
-    return false;
-  }
-
-  /** Records that a request was refused, so that this router and its peers recognize its retry. */
-  recordRefusal(workspace: string, prompt: Prompt): void {
-    const fingerprint = fingerprintRequest(workspace, prompt);
-    if (fingerprint === undefined) return;
-    this.refusedRequests.record(fingerprint, this.clock.monotonic());
-    this.reports.announceRefusal(fingerprint);
-  }
-
-  /** Usage of a workspace's fair shares in the window, over all routers. */
-  shareUsage(workspace: string): ShareUsage {
-    const now = this.clock.monotonic();
-    const tokensPerSecond = this.routeIndex?.table.tokensPerSecond ?? 0;
-    if (tokensPerSecond === 0) return { shareUsed: 0, surplusUsed: 0 };
-    return this.fairShareLedger.measureUsage({
-      workspace,
-      readPeerUsage: () => this.peers.workspaceUsage(now),
-      readTokensPerMs: () => (tokensPerSecond / MS_PER_SECOND) * this.availableFraction(),
-      now,
-    });
-  }
-
-  /**
-   * Part of the slots of the model endpoints that take requests: paused, cold and evacuated ones don't. Draining
-   * ones leave for good and aren't part of the fleet any more.
-   */
-  private availableFraction(): number {
-    const now = this.clock.monotonic();
-    let slots = 0;
-    let availableSlots = 0;
-    for (const record of this.endpoints.all()) {
-      const { endpoint, availability } = record;
-      if (availability.isDraining) continue;
-      if (this.routeIndex?.findPool(endpoint.pool)?.batch === undefined) continue;
-      slots += endpoint.slots;
-      const isHeldBack =
-        availability.isPaused(now) ||
-        this.evacuations.has(endpoint.dataCentre) ||
-        this.warmUps.isCold(record);
-      if (!isHeldBack) availableSlots += endpoint.slots;
-    }
-    // Where no endpoint takes requests, no call is admitted and no share matters.
-    return availableSlots === 0 ? 1 : availableSlots / slots;
-  }
-
-  /** Records the cost of a request that is sent to an endpoint. */
-  recordGrant(workspace: string, prompt: Prompt, isOverShare: boolean): void {
-    const now = this.clock.monotonic();
-    this.fairShareLedger.recordGrant(workspace, fairShareCost(prompt), isOverShare, now);
-  }
-
   /**
    * Records that an endpoint caches the shared segments of a prompt once it has prefilled them in `afterMs`, and
    * announces new ones to peers.
