--- a/packages/decisions/src/forwarding/connection-rate.ts
+++ b/packages/decisions/src/forwarding/connection-rate.ts
@@ -18,8 +18,11 @@
 /** Rise of the rate in each step at a low utilization, in connections a second. */
 const INCREASE_PER_SECOND = 2;
 
-/** Lowest rate, in connections a second, so that a router never turns all callers away. */
-const MIN_PER_SECOND = 4;
+/**
+ * Lowest rate, in connections a second. A router that is overloaded with fewer is busy with other work, and turning
+ * them away wouldn't relieve it.
+ */
+const MIN_PER_SECOND = 50;
 
 /** Weight of the previous value in the moving average of the accepted connections, which spans about a second. */
 const ACCEPTED_DECAY = 0.95;
