--- a/packages/decisions/src/forwarding/admission.test.ts
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -97,4 +97,11 @@
     expect(decideAdmission(overShare, HALF)).to.include({ isAccepted: false, isOverShare: true });
     expect(decideAdmission({ ...overShare, paceUsed: 0.5 }, HALF).isAccepted).to.equal(true);
   });
+
+  it('still has some for a workspace that has received little of it', () => {
+    const slow = { paceUsed: 1.2, surplusWaitLimit: 0.3 };
+    const underserved = input({ ...slow, shareUsage: { shareUsed: 1.2, surplusUsed: 0.3 } });
+    expect(decideAdmission(underserved, HALF).isAccepted).to.equal(true);
+    expect(decideAdmission({ ...underserved, paceUsed: 1.7 }, HALF).isAccepted).to.equal(false);
+  });
 });
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -15,7 +15,8 @@
  *   admitted the stream before, and if it isn't resumed, all of that work is lost.
  * - A workspace that has used up its share of a contended surplus is refused, even without any wait.
  * - Where running streams are so slow that long ones may miss their deadlines (see `StreamPace`), there is no
- *   surplus: a request over its share would slow them down further.
+ *   surplus: a request over its share would slow them down further. For workspaces that have received little of the
+ *   surplus, streams count as slow only at twice that pace, so that they catch up with those that got more.
  *
  * The prefill time of the request itself doesn't count towards the wait, so a long prompt has the same
  * wait limit as a short one.
@@ -110,7 +111,8 @@
     !isResumption &&
     input.shareUsage.surplusUsed > SURPLUS_USAGE_LIMIT &&
     input.surplusWaitLimit < CONTENDED_SURPLUS_WAIT_LIMIT;
-  const hasSurplus = !isOverShare || paceUsed < SURPLUS_PACE_LIMIT;
+  const paceLimit = SURPLUS_PACE_LIMIT * (1 + surplusBoost(input.shareUsage.surplusUsed));
+  const hasSurplus = !isOverShare || paceUsed < paceLimit;
   if (input.waitMs <= waitLimitMs && meetsDeadline && hasSurplus && !isOverSurplusShare)
     return { isAccepted: true, isOverShare, waitLimitMs, retryAfterMs: 0 };
   const retryAfterMs = isOverShare
@@ -148,7 +150,12 @@
 
 /** Raises the surplus wait limit for workspaces that have used little of their share of the surplus. */
 function boostSurplusWaitLimit(surplusUsed: number, baseLimit: number): number {
+  const range = Math.max(0, BOOSTED_SURPLUS_WAIT_LIMIT - baseLimit);
+  return baseLimit + range * surplusBoost(surplusUsed);
+}
+
+/** Preference in 0..1 for a workspace that has used this much of its share of the surplus. */
+function surplusBoost(surplusUsed: number): number {
   const { fullBoost, noBoost } = SURPLUS_BOOST_USAGE;
-  const boost = Math.min(1, Math.max(0, (noBoost - surplusUsed) / (noBoost - fullBoost)));
-  return baseLimit + Math.max(0, BOOSTED_SURPLUS_WAIT_LIMIT - baseLimit) * boost;
+  return Math.min(1, Math.max(0, (noBoost - surplusUsed) / (noBoost - fullBoost)));
 }
