--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -41,7 +41,6 @@
 export * from './forwarding/admission.ts';
 export * from './forwarding/cached-prompts.ts';
 export * from './forwarding/shared-retry-budget.ts';
-export * from './forwarding/connection-rate.ts';
 export * from './forwarding/endpoint-availability.ts';
 export * from './forwarding/endpoint-load.ts';
 export * from './forwarding/endpoint.ts';
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -29,7 +29,7 @@
  * Cost of a token that is copied from another endpoint, as a fraction of one that is prefilled: copies take room in
  * the cache of the endpoint and bandwidth.
  */
-const TRANSFER_COST_FRACTION = 0.15;
+const TRANSFER_COST_FRACTION = 0.5;
 
 /** Weight of an output token relative to a prompt token, since each takes a decoding step of its own. */
 const OUTPUT_TOKEN_WEIGHT = 10;
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -116,14 +116,7 @@
     });
     this.server.on('timeout', (socket) => void closeIfIdle(socket));
     const { address, state } = options;
-    this.listener = new CallerListener({
-      address,
-      server: this.server,
-      clock: state.clock,
-      log: state.log,
-      readLoad: () => state.eventLoop,
-      onTurnedAway: () => state.metrics.recordTurnedAway(),
-    });
+    this.listener = new CallerListener({ address, server: this.server, log: state.log });
   }
 
   /** Starts listening. Rejects when the address can't be bound. */
--- a/packages/forwarder/src/ingress/caller-listener.ts
+++ b/packages/forwarder/src/ingress/caller-listener.ts
@@ -3,8 +3,7 @@
  * of the event loop. When many streams are active, an iteration takes long, so a single listening socket
  * would accept only a few connections a second and callers could not connect to a router that still says
  * that it is ready. Several listening sockets share the port instead, and the kernel spreads connections
- * over them. While the router has too little processor time, it closes the connections beyond a `ConnectionRate`
- * before they cost more.
+ * over them.
  */
 import { createServer } from 'node:net';
 import type { Server as HttpServer } from 'node:http';
@@ -12,9 +11,7 @@
 import { parseAddress } from '@poplarpick/fleet/address';
 import type { Address } from '@poplarpick/fleet/address';
 import { describeError } from '@poplarpick/kernel';
-import { ConnectionRate } from '@poplarpick/decisions';
-import type { EventLoopLoad } from '@poplarpick/decisions';
-import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import type { Logger } from '@poplarpick/kernel';
 
 /** Number of listening sockets, and so of connections accepted in one iteration of the event loop. */
 const LISTENING_SOCKETS = 8;
@@ -25,21 +22,13 @@
  */
 const BACKLOG = 32;
 
-/** Period of the steps of the connection rate, in ms. */
-const RATE_PERIOD_MS = 50;
-
 /** Options of a `CallerListener`. */
 export interface CallerListenerOptions {
   /** `IP:port`. */
   address: string;
   /** Serves the accepted connections. */
   server: HttpServer;
-  clock: Clock;
   log: Logger;
-  /** Load of the router's event loop. */
-  readLoad: () => EventLoopLoad;
-  /** Called for each connection that is closed because there are too many. */
-  onTurnedAway: () => void;
 }
 
 /** Listens for callers on several sockets. */
@@ -47,9 +36,6 @@
   private readonly options: CallerListenerOptions;
   /** Further servers, which hand their connections to the HTTP server. */
   private readonly acceptors: Server[] = [];
-  private readonly rate = new ConnectionRate();
-  private timer: Timer | undefined;
-  private isOpen = true;
 
   constructor(options: CallerListenerOptions) {
     this.options = options;
@@ -60,9 +46,6 @@
     const { server } = this.options;
     const { ip, port } = parseAddress(this.options.address);
     await listen(server, { ip, port });
-    server.on('connection', () => this.recordAccepted());
-    server.on('drop', () => this.options.onTurnedAway());
-    this.timer = this.options.clock.every(RATE_PERIOD_MS, () => this.stepRate());
     const boundPort = (server.address() as { port: number }).port;
     for (let count = 1; count < LISTENING_SOCKETS; count += 1) {
       if (!(await this.addAcceptor({ ip, port: boundPort }))) return;
@@ -71,7 +54,6 @@
 
   /** Accepts no more connections. */
   close(): void {
-    this.timer?.stop();
     if (this.options.server.listening) this.options.server.close();
     for (const acceptor of this.acceptors.splice(0)) acceptor.close();
   }
@@ -90,29 +72,8 @@
       return false;
     }
     this.acceptors.push(acceptor);
-    acceptor.on('drop', () => this.options.onTurnedAway());
     return true;
   }
-
-  private recordAccepted(): void {
-    this.rate.recordAccepted();
-    this.applyRate();
-  }
-
-  private stepRate(): void {
-    const { clock, readLoad } = this.options;
-    this.rate.step(readLoad(), clock.monotonic());
-    this.applyRate();
-  }
-
-  /** Lets Node close new connections, which it does before it creates a socket, or not. */
-  private applyRate(): void {
-    const isOpen = this.rate.isOpen;
-    if (isOpen === this.isOpen) return;
-    this.isOpen = isOpen;
-    for (const listener of [this.options.server, ...this.acceptors])
-      listener.maxConnections = isOpen ? Number.MAX_SAFE_INTEGER : 0;
-  }
 }
 
 async function listen(server: Server, { ip, port }: Address): Promise<void> {
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -112,11 +112,6 @@
     labelNames: ['pool'],
     registers: [this.registry],
   });
-  private readonly turnedAway = new Counter({
-    name: 'poplarpick_connections_turned_away_total',
-    help: 'Connections of callers that were closed at once, since the router had too little processor time',
-    registers: [this.registry],
-  });
   private readonly unplacedCalls = new Counter({
     name: 'poplarpick_calls_unplaced_total',
     help: 'Calls that were refused before they were placed, by code',
@@ -288,10 +283,6 @@
     this.hedges.inc({ pool });
   }
 
-  recordTurnedAway(): void {
-    this.turnedAway.inc();
-  }
-
   recordUnplaced(code: string): void {
     this.unplacedCalls.inc({ code });
   }
