--- a/packages/decisions/src/forwarding/prompt-transfer.ts
+++ b/packages/decisions/src/forwarding/prompt-transfer.ts
@@ -40,7 +40,7 @@
 const REMOTE_FACTOR = 2;
 
 /** Largest part of the time of a prefill that a transfer may take to be worthwhile. */
-const MAX_PREFILL_FRACTION = 0.5;
+const MAX_PREFILL_FRACTION = 0.2;
 
 /** The best source of each data centre and version: the one that has most of the prefix. */
 export function selectSources<Source extends TransferEndpoint>(
--- a/packages/decisions/src/forwarding/stream-pace.ts
+++ b/packages/decisions/src/forwarding/stream-pace.ts
@@ -7,8 +7,8 @@
  * doesn't show it.
  *
  * What a stream can spare is the time from its first event to its deadline divided by the events that it is
- * expected to have, and at most the pause that its route allows. The longest streams need the fastest pace, so
- * a low quantile over the latest streams stands for the pool.
+ * expected to have. The longest streams need the fastest pace, so a low quantile over the latest streams stands
+ * for the pool.
  *
  * Engines prefill prompts in chunks between the tokens of their streams. A long prompt at a slow engine therefore
  * makes all streams there pause, also while the engine has capacity to spare. Each router has few streams at each
@@ -42,9 +42,6 @@
 /** Quantile of the needs that stands for the pool. */
 const NEED_QUANTILE = 0.1;
 
-/** Fraction of the allowed pause that the mean time between events may take, since pauses vary. */
-const PAUSE_FRACTION = 0.5;
-
 /** What a stream that has sent its first event needs. */
 export interface StreamNeed {
   /** Time until its deadline, in ms. */
@@ -113,8 +110,7 @@
     const events = this.expectedEvents(need.outputTokens);
     if (events === undefined) return;
     this.allowedPauseMs = Math.min(this.allowedPauseMs, need.pauseMs);
-    const spareMs = Math.max(0, need.remainingMs) / Math.max(1, events);
-    this.needs[this.nextNeed] = Math.min(spareMs, need.pauseMs * PAUSE_FRACTION);
+    this.needs[this.nextNeed] = Math.max(0, need.remainingMs) / Math.max(1, events);
     this.nextNeed = (this.nextNeed + 1) % MAX_NEEDS;
     this.neededMs = undefined;
   }
--- a/packages/forwarder/src/workspace-shares.ts
+++ b/packages/forwarder/src/workspace-shares.ts
@@ -82,16 +82,16 @@
     return this.ledger.measureUsage({
       workspace,
       readPeerUsage: () => readPeerUsage(now),
-      readTokensPerMs: () => (tokensPerSecond / MS_PER_SECOND) * this.availableFraction(now),
+      readTokensPerMs: () => (tokensPerSecond / MS_PER_SECOND) * this.availableFraction(),
       now,
     });
   }
 
   /**
-   * Part of the slots of the model endpoints that take requests: paused, cold and evacuated ones don't. Draining
-   * ones leave for good and aren't part of the fleet any more.
+   * Part of the slots of the model endpoints that aren't held back, see `isHeldBack`. Draining ones leave for good
+   * and aren't part of the fleet any more.
    */
-  private availableFraction(now: number): number {
+  private availableFraction(): number {
     const { endpoints, routes, isHeldBack } = this.options;
     let slots = 0;
     let availableSlots = 0;
@@ -100,7 +100,7 @@
       if (availability.isDraining) continue;
       if (routes()?.findPool(endpoint.pool)?.batch === undefined) continue;
       slots += endpoint.slots;
-      if (!availability.isPaused(now) && !isHeldBack(record)) availableSlots += endpoint.slots;
+      if (!isHeldBack(record)) availableSlots += endpoint.slots;
     }
     // Where no endpoint takes requests, no call is admitted and no share matters.
     return availableSlots === 0 ? 1 : availableSlots / slots;
