One rule for what may be repeated, one admission for calls and explanations

Cause: whether a route's requests may run again stood in three places; the explanation of a route repeated the admission of calls with its second choice and reasons; preview repeated place; the explanation named a header of the platform; a callback of the hedge budgets only passed on, and a field of prompt sources was never read. Change: isRepeatable and isResumableStream beside the route; CallPlacer.admitAtBest for both; the protocol encodes the request id. No behaviour changes and no assertion does; two test protocols implement the new method. Measured: format, lint and types clean; 349 tests of decisions and forwarder and 54 of the platform pass.

--- a/packages/cli/src/commands/where.ts
+++ b/packages/cli/src/commands/where.ts
@@ -20,7 +20,7 @@
     'Explain where a request would go now and why, without sending it. Exits with 4 if a router would refuse it.';
   static override enableJsonFlag = true;
   static override examples = [
-    "<%= config.bin %> where --router 10.1.0.33:7400 --host h.example --path /quotes/1 --workspace acme --header 'Token-Usage: 6000,400'",
+    "<%= config.bin %> where --router 10.1.0.33:7400 --host h.example --path /quotes/1 --workspace acme --header 'Name: value'",
   ];
   static override flags = {
     router: Flags.string({
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -118,12 +118,7 @@
   const retryAfterMs = isOverShare
     ? OVER_SHARE_RETRY_AFTER_MS.base + OVER_SHARE_RETRY_AFTER_MS.jitter * random
     : retryAfterExcessWaitMs(input, waitLimitMs, random);
-  return {
-    isAccepted: false,
-    isOverShare,
-    waitLimitMs,
-    retryAfterMs,
-  };
+  return { isAccepted: false, isOverShare, waitLimitMs, retryAfterMs };
 }
 
 /**
--- a/packages/decisions/src/forwarding/failure-action.ts
+++ b/packages/decisions/src/forwarding/failure-action.ts
@@ -4,7 +4,7 @@
  * has already received.
  */
 import { Verdict } from '@poplarpick/kernel';
-import { CallKind } from './routing-table.ts';
+import { isRepeatable, isResumableStream } from './routing-table.ts';
 import type { Route } from './routing-table.ts';
 
 /** A failed attempt and the state of its request. */
@@ -39,13 +39,11 @@
 
 /** Decides how to proceed. The caller of this function checks the retry budget before it retries. */
 export function decideFailureAction(failed: FailedAttempt): FailureAction {
-  const canRetry =
-    failed.attempts < failed.route.maxAttempts && failed.remainingMs > MIN_REMAINING_MS;
-  const isResumable = failed.route.kind === CallKind.Stream && failed.route.isResumable;
+  const { route } = failed;
+  const canRetry = failed.attempts < route.maxAttempts && failed.remainingMs > MIN_REMAINING_MS;
   if (failed.hasResponseBegun)
-    return canRetry && isResumable ? FailureAction.Resume : FailureAction.Abort;
+    return canRetry && isResumableStream(route) ? FailureAction.Resume : FailureAction.Abort;
   if (failed.verdict === Verdict.NotRun)
     return canRetry ? FailureAction.Retry : FailureAction.Refuse;
-  const isIdempotent = failed.route.kind === CallKind.Idempotent || isResumable;
-  return canRetry && isIdempotent ? FailureAction.Retry : FailureAction.Fail;
+  return canRetry && isRepeatable(route) ? FailureAction.Retry : FailureAction.Fail;
 }
--- a/packages/decisions/src/forwarding/routing-table.ts
+++ b/packages/decisions/src/forwarding/routing-table.ts
@@ -156,6 +156,16 @@
   }
 }
 
+/** Whether a stream of a route may go on at another endpoint. */
+export function isResumableStream({ kind, isResumable }: Route): boolean {
+  return kind === CallKind.Stream && isResumable;
+}
+
+/** Whether requests of a route may run more than once. */
+export function isRepeatable(route: Route): boolean {
+  return route.kind === CallKind.Idempotent || isResumableStream(route);
+}
+
 /** Selects the pool of a request by weight. The same request id always selects the same pool. */
 export function selectPool(route: Route, requestId: string): string | undefined {
   const totalWeight = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/packages/decisions/src/forwarding/stream-pace.ts
+++ b/packages/decisions/src/forwarding/stream-pace.ts
@@ -116,7 +116,7 @@
   }
 
   /** Mean time between two events at an endpoint, in ms; undefined if it isn't known now. */
-  eventMs(endpoint: string, now: number): number | undefined {
+  private eventMs(endpoint: string, now: number): number | undefined {
     const pace = this.paces.get(endpoint);
     return pace === undefined || now - pace.at > PACE_TTL_MS ? undefined : pace.eventMs;
   }
@@ -147,7 +147,7 @@
   }
 
   /** Events that a stream is expected to have; undefined before the first stream is complete. */
-  expectedEvents(outputTokens: number): number | undefined {
+  private expectedEvents(outputTokens: number): number | undefined {
     return this.eventsPerToken === undefined ? undefined : outputTokens * this.eventsPerToken;
   }
 
--- a/packages/decisions/src/hedging/hedge-policy.ts
+++ b/packages/decisions/src/hedging/hedge-policy.ts
@@ -5,7 +5,7 @@
  * helps if the other endpoint can still be on time. It never helps under overload, where it would be one request
  * more for endpoints that have too many, so it needs a free slot without a queue.
  */
-import { CallKind } from '../forwarding/routing-table.ts';
+import { isRepeatable } from '../forwarding/routing-table.ts';
 import type { Route } from '../forwarding/routing-table.ts';
 
 /** How much longer than expected a request may take before it counts as slow. */
@@ -18,9 +18,8 @@
 const MAX_WAIT_FRACTION = 0.05;
 
 /** Whether requests of a route may run at two endpoints at once. */
-export function allowsHedging({ kind, isResumable, maxAttempts }: Route): boolean {
-  if (maxAttempts < 2) return false;
-  return kind === CallKind.Idempotent || (kind === CallKind.Stream && isResumable);
+export function allowsHedging(route: Route): boolean {
+  return route.maxAttempts >= 2 && isRepeatable(route);
 }
 
 /**
--- a/packages/decisions/src/warm-up/warm-up.ts
+++ b/packages/decisions/src/warm-up/warm-up.ts
@@ -12,7 +12,7 @@
  */
 
 /** Longest warm-up, in ms, as a bound on faulty entries. */
-export const MAX_WARM_UP_MS = 60_000;
+const MAX_WARM_UP_MS = 60_000;
 
 /** The warm-up of one incarnation, and the requests that this router has sent meanwhile. */
 export class WarmUp {
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -4,10 +4,11 @@
  * those has run.
  */
 import { isRequestHash, retryAfterLimitMs, retryAfterPauseMs } from '@poplarpick/decisions';
-import type { AdmissionDecision, Route, SuspectHash, ShareUsage } from '@poplarpick/decisions';
+import type { Route, SuspectHash, ShareUsage } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
+import { refusalReason } from './call-placer.ts';
 import type { CallPlacer } from './call-placer.ts';
 import type { Placement } from './endpoint-evaluator.ts';
 import type { StreamBinding } from './stream-binding.ts';
@@ -87,31 +88,23 @@
   }
 
   /**
-   * Admits the call at the best endpoint or, if it is within its share and its wait there is too long, at the best
-   * one that `selectWithin` finds with a wait that isn't. Over its share, it would take what others are due there.
-   * Returns the refusal if there is none. `remainingMs` is until its deadline.
+   * Admits the call, see `CallPlacer.admitAtBest`. Returns the refusal if it isn't. `remainingMs` is until its
+   * deadline.
    */
   admit(
     best: Placement,
     remainingMs: number,
     selectWithin: (maxWaitMs: number) => Placement | undefined,
   ): Placement | RequestError {
-    const admission = this.decide(best, remainingMs);
-    this.isBeyondShare = admission.isOverShare;
-    if (admission.isAccepted) return best;
-    const { waitLimitMs, isOverShare } = admission;
-    const other = isOverShare ? undefined : selectWithin(waitLimitMs);
-    if (other !== undefined && this.decide(other, remainingMs).isAccepted) return other;
-    if (!isOverShare) this.options.state.surplusLimiter(this.options.pool).recordRefused();
-    const reason = isOverShare ? 'the workspace has had its share' : 'the wait is too long';
-    return createRefusal(reason, ErrorCode.QueueFull, admission.retryAfterMs);
-  }
-
-  private decide(placement: Placement, remainingMs: number): AdmissionDecision {
-    const { route, placer, binding } = this.options;
+    const { state, pool, route, placer, binding } = this.options;
     const { usage: shareUsage, isRetry: isCallerRetry } = this;
     const { isResumption } = binding;
-    return placer.admit({ route, remainingMs, shareUsage, isCallerRetry, isResumption }, placement);
+    const request = { route, remainingMs, shareUsage, isCallerRetry, isResumption };
+    const { placement, decision } = placer.admitAtBest(request, best, selectWithin);
+    this.isBeyondShare = decision.isOverShare;
+    if (placement !== undefined) return placement;
+    if (!decision.isOverShare) state.surplusLimiter(pool).recordRefused();
+    return createRefusal(refusalReason(decision), ErrorCode.QueueFull, decision.retryAfterMs);
   }
 
   /**
--- a/packages/forwarder/src/calls/call-hedge.ts
+++ b/packages/forwarder/src/calls/call-hedge.ts
@@ -68,7 +68,7 @@
     });
     if (!isWorthwhile || !state.hedges.budget(pool).tryAcquire(this.work)) return undefined;
     retries.tryAcquire(state.countRouters(), now);
-    state.hedges.recordSent(pool);
+    state.metrics.recordHedge(pool);
     return second;
   }
 
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -26,6 +26,19 @@
   isResumption?: boolean;
 }
 
+/** Where a request is admitted. */
+export interface AdmissionResult {
+  /** Undefined if the request is refused. */
+  placement: Placement | undefined;
+  /** The decision at its best endpoint. */
+  decision: AdmissionDecision;
+}
+
+/** Why a request is refused. */
+export function refusalReason({ isOverShare }: AdmissionDecision): string {
+  return isOverShare ? 'the workspace has had its share' : 'the wait is too long';
+}
+
 /** Selects endpoints for requests and admits them. */
 export class CallPlacer {
   readonly evaluator: EndpointEvaluator;
@@ -39,18 +52,14 @@
   /** Selects the best endpoint for a request; undefined if none is available. */
   place(request: PlacementRequest): Placement | undefined {
     const candidates = this.evaluator.evaluate(request);
-    const best = this.selectBest(request, candidates);
-    if (best === undefined || !this.state.limits.isExhausted(best.record)) return best;
-    this.state.limits.recordDiverted(best.record);
-    return this.selectBest(request, this.withinLimits(candidates));
+    return this.selectWithinLimits(request, candidates, (best) =>
+      this.state.limits.recordDiverted(best.record),
+    );
   }
 
   /** The endpoint that `place` would select, without counting what the request needs. */
   preview(request: PlacementRequest): Placement | undefined {
-    const candidates = this.evaluator.evaluate(request);
-    const best = this.selectBest(request, candidates);
-    if (best === undefined || !this.state.limits.isExhausted(best.record)) return best;
-    return this.selectBest(request, this.withinLimits(candidates));
+    return this.selectWithinLimits(request, this.evaluator.evaluate(request));
   }
 
   /** Cost of each candidate, in tokens for a request with a prompt and in ms for another one. */
@@ -86,14 +95,40 @@
     );
   }
 
-  private selectBest(
+  /**
+   * Admits a request at the best endpoint or, if it is within its share and its wait there is too long, at the best
+   * one that `selectWithin` finds with a wait that isn't. Over its share, it would take what others are due there.
+   */
+  admitAtBest(
+    request: AdmissionRequest,
+    best: Placement,
+    selectWithin: (maxWaitMs: number) => Placement | undefined,
+  ): AdmissionResult {
+    const decision = this.admit(request, best);
+    if (decision.isAccepted) return { placement: best, decision };
+    const other = decision.isOverShare ? undefined : selectWithin(decision.waitLimitMs);
+    const isAccepted = other !== undefined && this.admit(request, other).isAccepted;
+    return { placement: isAccepted ? other : undefined, decision };
+  }
+
+  /** Selects the best candidate, or if its limit is used up, the best one of those that take a request now. */
+  private selectWithinLimits(
     request: PlacementRequest,
     candidates: readonly Placement[],
+    onDiverted?: (best: Placement) => void,
   ): Placement | undefined {
-    return cheapest(candidates, this.costs(request, candidates));
+    const { limits } = this.state;
+    const best = this.selectBest(request, candidates);
+    if (best === undefined || !limits.isExhausted(best.record)) return best;
+    onDiverted?.(best);
+    const eligible = candidates.filter(({ record }) => !limits.isExhausted(record));
+    return this.selectBest(request, eligible);
   }
 
-  private withinLimits(candidates: readonly Placement[]): Placement[] {
-    return candidates.filter(({ record }) => !this.state.limits.isExhausted(record));
+  private selectBest(
+    request: PlacementRequest,
+    candidates: readonly Placement[],
+  ): Placement | undefined {
+    return cheapest(candidates, this.costs(request, candidates));
   }
 }
--- a/packages/forwarder/src/calls/call-protocol.ts
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -70,6 +70,9 @@
   /** Decodes the request id, even of a head that is otherwise invalid. */
   abstract decodeRequestId(rawHeaders: readonly string[]): string | undefined;
 
+  /** Encodes a request id as alternating header names and values, as a caller sends it. */
+  abstract encodeRequestId(requestId: string): string[];
+
   /** Encodes the head of a request to an endpoint as alternating header names and values. */
   abstract encodeAttempt(attempt: AttemptHead): string[];
 
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -53,7 +53,6 @@
 
 /** An endpoint that has cached some of a prompt. */
 export interface PromptSource {
-  incarnation: string;
   address: string;
   dataCentre: string;
   version: string | undefined;
@@ -178,7 +177,7 @@
       const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(incarnation, segments, now);
       if (uncachedTokens === sharedTokens || load.isUnhealthy(now)) continue;
       const { address, dataCentre, version } = endpoint;
-      sources.push({ incarnation, address, dataCentre, version, uncachedTokens });
+      sources.push({ address, dataCentre, version, uncachedTokens });
     }
     return sources.length === 0 ? undefined : { transfer, sources: selectSources(sources) };
   }
--- a/packages/forwarder/src/calls/hedge-budgets.ts
+++ b/packages/forwarder/src/calls/hedge-budgets.ts
@@ -1,23 +1,14 @@
 /** The extra work that operators allow this router for hedges, by pool. */
 import { HedgeBudget } from '@poplarpick/decisions';
 
-/** Options of `HedgeBudgets`. */
-export interface HedgeBudgetsOptions {
-  /** Extra work as a fraction of the work of all first attempts, in 0..1; 0 turns hedging off. */
-  extraWork?: number;
-  /** Called for each hedge that is sent, with its pool. */
-  onSent: (pool: string) => void;
-}
-
 /** Stores the budget of each pool. */
 export class HedgeBudgets {
-  private readonly onSent: (pool: string) => void;
   private readonly budgets = new Map<string, HedgeBudget>();
   private extraWork: number;
 
-  constructor({ extraWork = 0, onSent }: HedgeBudgetsOptions) {
+  /** `extraWork` is a fraction of the work of all first attempts, in 0..1; 0 turns hedging off. */
+  constructor(extraWork = 0) {
     this.extraWork = extraWork;
-    this.onSent = onSent;
   }
 
   get isEnabled(): boolean {
@@ -39,8 +30,4 @@
     }
     return budget;
   }
-
-  recordSent(pool: string): void {
-    this.onSent(pool);
-  }
 }
--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -22,6 +22,10 @@
     return undefined;
   }
 
+  override encodeRequestId(): string[] {
+    return [];
+  }
+
   override encodeAttempt(): string[] {
     return [];
   }
--- a/packages/forwarder/src/explain/route-explainer.test.ts
+++ b/packages/forwarder/src/explain/route-explainer.test.ts
@@ -60,6 +60,10 @@
     return undefined;
   }
 
+  override encodeRequestId(): string[] {
+    return [];
+  }
+
   override encodeAttempt(): string[] {
     return [];
   }
--- a/packages/forwarder/src/explain/route-explainer.ts
+++ b/packages/forwarder/src/explain/route-explainer.ts
@@ -6,7 +6,7 @@
 import type { Endpoint, Route, ShareUsage } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import { z } from 'zod';
-import { CallPlacer } from '../calls/call-placer.ts';
+import { CallPlacer, refusalReason } from '../calls/call-placer.ts';
 import type { Placement, PlacementRequest } from '../calls/endpoint-evaluator.ts';
 import type { RouterState } from '../router-state.ts';
 
@@ -115,7 +115,6 @@
     };
   }
 
-  /** Selects and admits as a call does, see `CallAdmission`. */
   private decide(
     request: PlacementRequest,
     remainingMs: number,
@@ -124,13 +123,11 @@
     const best = this.placer.preview(request);
     if (best === undefined) return refused('no endpoint takes requests', undefined);
     const admission = { route: request.route, remainingMs, shareUsage, isCallerRetry: false };
-    const first = this.placer.admit(admission, best);
-    if (first.isAccepted) return this.accepted(request.route, best);
-    const reason = first.isOverShare ? 'the workspace has had its share' : 'the wait is too long';
-    if (first.isOverShare) return refused(reason, first.retryAfterMs);
-    const other = this.placer.preview({ ...request, maxWaitMs: first.waitLimitMs });
-    const isAccepted = other !== undefined && this.placer.admit(admission, other).isAccepted;
-    return isAccepted ? this.accepted(request.route, other) : refused(reason, first.retryAfterMs);
+    const { placement, decision } = this.placer.admitAtBest(admission, best, (maxWaitMs) =>
+      this.placer.preview({ ...request, maxWaitMs }),
+    );
+    if (placement === undefined) return refused(refusalReason(decision), decision.retryAfterMs);
+    return this.accepted(request.route, placement);
   }
 
   private accepted(
@@ -156,7 +153,7 @@
     const { routes } = state;
     if (routes === undefined) throw createError('no routes are known yet', ErrorCode.NoEndpoint);
     const { method, target, host, headers, workspace, bodyBytes } = question;
-    const rawHeaders = ['Host', host, 'Attempt-Id', 'explained', ...headers];
+    const rawHeaders = ['Host', host, ...state.protocol.encodeRequestId('explained'), ...headers];
     const head = state.protocol.decodeCall(method, target, rawHeaders);
     const route = routes.findRoute(head.host, target.split('?', 1)[0] ?? target);
     if (route === undefined) throw createError('no route', ErrorCode.PathNotFound);
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -94,7 +94,7 @@
       address: options.peersAddress,
       routersOf: (name) => this.peers.knownRouters(name),
       bounds,
-      hedgeExtraWork: options.hedgeExtraWork ?? 0,
+      hedgeExtraWork: options.hedgeExtraWork,
       isFirstStart,
       logOutput,
     });
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -5,7 +5,7 @@
 import { createServer, STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { CallKind } from '@poplarpick/decisions';
+import { isResumableStream } from '@poplarpick/decisions';
 import type { StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -233,9 +233,7 @@
     head: CallHead,
     { route, workspace }: CheckedCall,
   ): Promise<StreamOrigin | undefined> {
-    const isResumption =
-      route.kind === CallKind.Stream && route.isResumable && head.lastEventId !== undefined;
-    if (!isResumption) return undefined;
+    if (!isResumableStream(route) || head.lastEventId === undefined) return undefined;
     const origin = await this.options.resumptions.resolve({ head, route, workspace });
     const { apiKey } = head;
     if (!isKeyStillValid(this.options.state, apiKey, workspace)) throw createKeyError();
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -81,7 +81,7 @@
   /** Addresses of the known routers of a data centre, this one included; all if it is undefined. */
   routersOf?: (dataCentre?: string) => readonly string[];
   /** Extra work that hedges may cause, as a fraction of the work of first attempts; 0 by default, which is off. */
-  hedgeExtraWork?: number;
+  hedgeExtraWork?: number | undefined;
   /** The whole system starts for the first time; by default it has run before. */
   isFirstStart?: boolean;
   /** Output that `log` writes to. */
@@ -155,10 +155,7 @@
       evacuatedDataCentres: () => this.evacuations.count,
       reportAges: () => this.peers.reportAges(this.dataCentre, this.clock.monotonic()),
     });
-    this.hedges = new HedgeBudgets({
-      extraWork: options.hedgeExtraWork ?? 0,
-      onSent: (pool) => this.metrics.recordHedge(pool),
-    });
+    this.hedges = new HedgeBudgets(options.hedgeExtraWork);
     this.poison = new PoisonGuard({
       clock: options.clock,
       log: options.log,
