--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -14,7 +14,7 @@
   sleep,
   startRouters,
   Store,
-} from '../lib/harness.mjs';
+} from '../harness.mjs';
 
 const EVENTS = 40;
 const EVENT_GAP_MS = 100;
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # that the runtime of the deploy file's build runs, so they only have to be checked.
 set -e
 cd "$(dirname "$0")/.."
-for file in review/lib/*.mjs review/[1-5]/*.mjs; do
+for file in review/harness.mjs review/[1-5]/*.mjs; do
   target/node --check "$file"
 done
 echo "the stand-ins are ready"
--- a/review/lib/harness.mjs
+++ b/review/harness.mjs
@@ -11,7 +11,7 @@
 import { dirname, join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../..');
+const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '..');
 
 /** Exit codes of a script. */
 export const HELD = 0;
