--- a/packages/fleet/src/address.ts
+++ b/packages/fleet/src/address.ts
@@ -1,5 +1,7 @@
 /** Addresses of the form `IP:port`. */
+import { isIPv4 } from 'node:net';
 import type { Server } from 'node:net';
+import { MAX_PORT } from '@poplarpick/decisions';
 
 /** An IP address and a port. */
 export interface Address {
@@ -15,6 +17,16 @@
   return { ip: text.slice(0, separator), port };
 }
 
+/** Whether a value is an IPv4 address with a port that a client can connect to. */
+export function isAddress(value: unknown): value is string {
+  if (typeof value !== 'string') return false;
+  const separator = value.lastIndexOf(':');
+  const portText = value.slice(separator + 1);
+  const port = Number(portText);
+  const isPort = /^\d+$/.test(portText) && port > 0 && port <= MAX_PORT;
+  return isPort && isIPv4(value.slice(0, separator));
+}
+
 /** Makes a server listen on `IP:port`. Rejects if the address cannot be bound. */
 export async function listenOn(server: Server, address: string): Promise<void> {
   const { ip, port } = parseAddress(address);
--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -139,6 +139,29 @@
     }
   }
 
+  // Guards against routers that ended by themselves when they sent a stream once more to an unreadable address.
+  for (const address of ['127.0.0.300:8080', '127.0.0.1:99999', 'nowhere']) {
+    it(`fails a request to the address ${address} as not run, and throws nothing`, async () => {
+      const unreadable = new EndpointClient({
+        address,
+        connectionLimit: 4,
+        protocol: new FramingProtocol(),
+      });
+      const request = {
+        method: 'GET',
+        target: '/a',
+        requestId: REQUEST_ID,
+        headers: [],
+        body: undefined,
+      };
+      const result = await new Promise<string | RequestError>((resolve) => {
+        unreadable.send(request, new ResultObserver(resolve));
+      });
+      expect(result).to.have.property('verdict', Verdict.NotRun);
+      unreadable.destroy();
+    });
+  }
+
   it('says of a request whose connection is still being opened that it has not run', () => {
     answer = answerWhole;
     const results: (string | RequestError)[] = [];
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -91,15 +91,7 @@
       connection,
       onReleased: () => this.release(connection),
     });
-    connection.client.dispatch(
-      {
-        method: request.method as Dispatcher.HttpMethod,
-        path: request.target,
-        headers: request.headers,
-        body: request.body ?? null,
-      },
-      endpointRequest,
-    );
+    connection.dispatch(request, endpointRequest);
     return endpointRequest;
   }
 
@@ -130,19 +122,54 @@
 
   private discard(connection: EndpointConnection): void {
     this.connections.delete(connection);
-    connection.client.destroy().catch(() => undefined);
+    connection.destroy();
   }
 }
 
 /** One connection; undici reopens it after it was closed. */
 class EndpointConnection {
-  readonly client: Client;
   /** The current socket has ended with an error. */
   wasReset = false;
+  private readonly address: string;
+  /** Undefined before the first request. */
+  private client: Client | undefined;
   private progressGuard: ProgressGuard | undefined;
 
   constructor(address: string) {
-    this.client = new Client(`http://${address}`, {
+    this.address = address;
+  }
+
+  /**
+   * Sends a request. An error before that, such as an address that can't be read, fails the request like any other
+   * failure: the caller may be in a timer or in the failure of an earlier attempt, where nothing would catch it.
+   */
+  dispatch({ method, target, headers, body }: OutgoingRequest, handler: EndpointRequest): void {
+    const options = {
+      method: method as Dispatcher.HttpMethod,
+      path: target,
+      headers,
+      body: body ?? null,
+    };
+    try {
+      this.client ??= this.createClient();
+      this.client.dispatch(options, handler);
+    } catch (error) {
+      const reason = error instanceof Error ? error : new Error(String(error));
+      queueMicrotask(() => handler.onDispatchError(reason));
+    }
+  }
+
+  destroy(): void {
+    this.client?.destroy().catch(() => undefined);
+  }
+
+  /** Called when a request or the body of a response begins, and with each part of a body. */
+  recordProgress(): void {
+    this.progressGuard?.recordProgress();
+  }
+
+  private createClient(): Client {
+    return new Client(`http://${this.address}`, {
       pipelining: 1,
       connect: (options, callback) => this.open(options, callback),
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -152,11 +179,6 @@
     });
   }
 
-  /** Called when a request or the body of a response begins, and with each part of a body. */
-  recordProgress(): void {
-    this.progressGuard?.recordProgress();
-  }
-
   private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
     this.wasReset = false;
     connectEndpoint(options, (...result) => {
@@ -263,6 +285,11 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.onDispatchError(error);
+  }
+
+  /** Called when the request has failed, also before undici has taken it. */
+  onDispatchError(error: Error): void {
     this.release();
     const wasUnsent = !this.wasWritten || error instanceof ConnectError;
     this.fail(error.message, wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -3,9 +3,9 @@
  * can send a datagram, and it may have been corrupted, so numbers are checked for their range and addresses for
  * their form: the sums over all routers and the sockets rely on them.
  */
-import { isIPv4 } from 'node:net';
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
+import { isAddress } from '@poplarpick/fleet/address';
 import { MAX_BLOCK_MS } from '@poplarpick/decisions';
 import type { DepartedVersionEntry, WorkspaceUsage } from '@poplarpick/decisions';
 import type { MemberEntry } from './member-directory.ts';
@@ -34,8 +34,6 @@
 /** Most routers that one group report may stand for. */
 const MAX_ROUTERS = 10_000;
 
-const MAX_PORT = 65_535;
-
 const packr = new Packr({ useRecords: false });
 
 /** Validates a decoded datagram. */
@@ -110,14 +108,6 @@
   return isAddress(address) && typeof dataCentre === 'string';
 }
 
-/** Whether a value is an address of the form `IP:port`. */
-function isAddress(value: unknown): boolean {
-  if (typeof value !== 'string') return false;
-  const separator = value.lastIndexOf(':');
-  const port = Number(value.slice(separator + 1));
-  return isIPv4(value.slice(0, separator)) && port > 0 && port <= MAX_PORT && isCount(port);
-}
-
 /** Decodes a datagram. Throws when it is no valid report. */
 export function decodeReport(message: Buffer): PeerReport {
   return peerReportSchema.parse(packr.unpack(message));
--- a/packages/forwarder/src/peers/state-snapshot.ts
+++ b/packages/forwarder/src/peers/state-snapshot.ts
@@ -1,6 +1,7 @@
 /** Snapshot of the store's state that a router serves to its peers as JSON: routes and endpoints. */
 import murmurhash from 'murmurhash';
 import { z } from 'zod';
+import { isAddress } from '@poplarpick/fleet/address';
 import { CallKind } from '@poplarpick/decisions';
 import type { Endpoint, RoutingTable } from '@poplarpick/decisions';
 
@@ -58,13 +59,21 @@
   startedAt: z.number(),
   pool: z.string(),
   version: z.string().optional(),
-  address: z.string(),
+  address: z.string().refine(isAddress),
   dataCentre: z.string(),
   slots: z.number(),
   isDraining: z.boolean(),
   warmUpMs: z.number().optional(),
 }) satisfies z.ZodType<Endpoint>;
 
+/**
+ * A list of endpoints without those that can't be read. Another router may have taken an entry that this one
+ * can't use; the others hold.
+ */
+const endpointListSchema = z
+  .array(endpointSchema.or(z.null()).catch(null))
+  .transform((endpoints) => endpoints.filter((endpoint) => endpoint !== null));
+
 /** A router's copy of the store's state and its age; serialised under these field names. */
 export interface StateSnapshot {
   /** Time since the routes were last confirmed as the newest, in ms; absent if they never were. */
@@ -89,7 +98,7 @@
   readAgeMs: z.number().nonnegative().optional(),
   version: z.number().optional(),
   routes: routingTableSchema.optional(),
-  endpoints: z.array(endpointSchema).optional(),
+  endpoints: endpointListSchema.optional(),
   evacuated: z.array(z.string()).optional(),
 }) satisfies z.ZodType<StateSnapshot>;
 
