--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -231,6 +231,7 @@
     this.settleHandover(attempt);
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.writer.end();
+    this.binding.recordCompleted();
     this.evidence.recordCompleted(attempt, head.isFramed);
     this.latencyRecorder.recordDuration(attempt);
     this.latencyRecorder.recordStreamEnd();
--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -4,7 +4,7 @@
  * from the start.
  */
 import { isOfOrigin, originOf, toStreamKeys } from '@poplarpick/decisions';
-import type { Endpoint, Route, StreamOrigin } from '@poplarpick/decisions';
+import type { Endpoint, Route, StreamKeys, StreamOrigin } from '@poplarpick/decisions';
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
 
@@ -25,6 +25,8 @@
   private origin: StreamOrigin | undefined;
   private isBound: boolean;
   private hasBegun = false;
+  /** Undefined until the origin of the stream is recorded. */
+  private keys: StreamKeys | undefined;
 
   constructor(options: StreamBindingOptions) {
     this.options = options;
@@ -60,7 +62,12 @@
     this.origin = originOf(endpoint);
     if (this.origin === undefined) return;
     const { prompt, resumedRequestId, requestId } = head;
-    const keys = toStreamKeys({ workspace, requestId: resumedRequestId ?? requestId, prompt });
-    state.streams.recordBegun(keys, this.origin, route);
+    this.keys = toStreamKeys({ workspace, requestId: resumedRequestId ?? requestId, prompt });
+    state.streams.recordBegun(this.keys, this.origin, route);
+  }
+
+  /** Records that the caller has got the whole stream. */
+  recordCompleted(): void {
+    if (this.keys !== undefined) this.options.state.streams.recordCompleted(this.keys);
   }
 }
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -168,6 +168,7 @@
     await this.peers.open();
     await this.stateServer.open();
     this.stateFollower.open();
+    this.origins.open();
     const { metricsAddress } = this.options;
     if (metricsAddress !== undefined) await this.state.metrics.open(metricsAddress);
     await this.readiness.open();
--- a/packages/forwarder/src/streams/origin-exchange.ts
+++ b/packages/forwarder/src/streams/origin-exchange.ts
@@ -1,12 +1,14 @@
 /**
  * Keeps the origins of streams at other routers, so that a stream can go on after the router that began it has gone.
  * Each stream has a few keepers among the routers, which any router can compute from its keys. The router that begins
- * a stream tells them; one at which a caller resumes it asks them.
+ * a stream tells them, or later, as soon as other routers can't infer its origin any more; one at which a caller
+ * resumes it asks them.
  */
 import { rankByRendezvous } from '@poplarpick/decisions';
 import type { StreamKey, StreamKeys, StreamOrigin } from '@poplarpick/decisions';
 import { describeError } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import { ByteBudget } from './byte-budget.ts';
 import {
   decodeOriginMessage,
   encodeOriginMessage,
@@ -29,6 +31,21 @@
 const QUERY_REPEAT_MS = 60;
 const QUERY_TIMEOUT_MS = 180;
 
+/** Period of the check whether streams have to be told that didn't have to when they began, in ms. */
+const BACKLOG_PERIOD_MS = 100;
+
+/** Most of these streams that are told in one period. */
+const MAX_BACKLOG_STREAMS = 20;
+
+/**
+ * Bytes of records a second above which these streams wait, so that a new version causes no burst of datagrams: what
+ * the records cost while several versions serve and all streams may be resumed.
+ */
+const RECORD_BYTES_PER_SECOND = 4_100;
+
+/** Bytes of the IP and UDP headers of a datagram. */
+const DATAGRAM_HEADER_BYTES = 28;
+
 /** Shortest time between two log lines about invalid messages, in ms. */
 const LOG_PERIOD_MS = 60_000;
 
@@ -88,16 +105,28 @@
   /** Records that wait to be sent, by target and origin. */
   private readonly waiting = new Map<string, { target: string; record: OriginRecord }>();
   private readonly queries = new Map<StreamKey, PendingQuery>();
+  private readonly recordBudget: ByteBudget;
   private sendTimer: Timer | undefined;
+  private backlogTimer: Timer | undefined;
   private loggedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: OriginExchangeOptions) {
     this.options = options;
+    this.recordBudget = new ByteBudget({
+      bytesPerSecond: RECORD_BYTES_PER_SECOND,
+      now: options.clock.monotonic(),
+    });
     options.origins.onUninferable((keys, origin, keepMs) => this.tell(keys, origin, keepMs));
   }
 
+  /** Starts to tell the streams of which the keepers weren't told when they began. */
+  open(): void {
+    this.backlogTimer = this.options.clock.every(BACKLOG_PERIOD_MS, () => this.tellBacklog());
+  }
+
   close(): void {
     this.sendTimer?.stop();
+    this.backlogTimer?.stop();
   }
 
   /** Asks the keepers of a stream for its origin: by its request if the caller names it, else by its prompt. */
@@ -147,6 +176,13 @@
     return query;
   }
 
+  private tellBacklog(): void {
+    const { clock, log, origins } = this.options;
+    if (!this.recordBudget.hasLeft(clock.monotonic())) return;
+    const count = origins.tellUninferable(MAX_BACKLOG_STREAMS);
+    if (count > 0) log.info({ event: 'streams.origins_told', streams: count });
+  }
+
   /** Tells the keepers of a stream its origin, together with other streams that begin within a moment. */
   private tell(streamKeys: StreamKeys, origin: StreamOrigin, keepMs: number): void {
     const { byRequest, byPrompt } = streamKeys;
@@ -164,7 +200,11 @@
   private sendRecords(): void {
     this.sendTimer?.stop();
     this.sendTimer = undefined;
-    for (const { target, record } of this.waiting.values()) this.send(target, record);
+    const now = this.options.clock.monotonic();
+    for (const { target, record } of this.waiting.values()) {
+      const bytes = this.send(target, record);
+      this.recordBudget.spend(bytes + DATAGRAM_HEADER_BYTES, now);
+    }
     this.waiting.clear();
   }
 
@@ -172,8 +212,11 @@
     for (const target of unanswered) this.send(target, { kind: OriginMessageKind.Query, key });
   }
 
-  private send(target: string, message: OriginMessage): void {
-    this.options.transmit(target, encodeOriginMessage(message));
+  /** Sends a message; returns its length in bytes. */
+  private send(target: string, message: OriginMessage): number {
+    const datagram = encodeOriginMessage(message);
+    this.options.transmit(target, datagram);
+    return datagram.length;
   }
 
   /** The other routers among the keepers of a stream. They follow from its prompt, which each request repeats. */
--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -38,6 +38,14 @@
   workspace: string | undefined;
 }
 
+/** What was found of the origin of a stream. */
+interface OriginFinding {
+  origin: StreamOrigin | undefined;
+  proof: OriginProof | undefined;
+  /** Undefined if no keeper had to be asked. */
+  hasKeeperAnswered: boolean | undefined;
+}
+
 /** Options of a `ResumptionResolver`. */
 export interface ResumptionResolverOptions {
   clock: Clock;
@@ -58,38 +66,38 @@
   async resolve(resumption: Resumption): Promise<StreamOrigin> {
     const { log, origins } = this.options;
     const { head, route } = resumption;
-    const found = await this.find(resumption);
+    const { origin, proof, hasKeeperAnswered } = await this.find(resumption);
     log.info({
       event: 'stream.resumed',
       request: head.requestId,
       resumed_request: head.resumedRequestId,
-      proof: found?.proof,
-      pool: found?.origin.pool,
-      version: found?.origin.version,
+      proof,
+      pool: origin?.pool,
+      version: origin?.version,
+      keeper_answered: hasKeeperAnswered,
     });
-    if (found === undefined) throw createUnknownOriginError(origins.awaitsLists);
-    const isInRoute = route.targets.some(({ pool }) => pool === found.origin.pool);
+    if (origin === undefined) throw createUnknownOriginError(origins.awaitsLists);
+    const isInRoute = route.targets.some(({ pool }) => pool === origin.pool);
     if (!isInRoute) throw createRefusal('the route has left the pool of the stream');
-    return found.origin;
+    return origin;
   }
 
-  private async find({
-    head,
-    route,
-    workspace,
-  }: Resumption): Promise<{ origin: StreamOrigin; proof: OriginProof } | undefined> {
+  private async find({ head, route, workspace }: Resumption): Promise<OriginFinding> {
     const { origins, exchange } = this.options;
     const { prompt, resumedRequestId: requestId } = head;
     const keys = toStreamKeys({ workspace, requestId, prompt });
     const key = keys.byRequest ?? keys.byPrompt;
     const recorded = key === undefined ? undefined : origins.findRecorded(key);
-    if (recorded !== undefined) return { origin: recorded, proof: OriginProof.Memory };
-    const { origin, hasAnswered } = await exchange.ask(keys);
-    if (origin !== undefined) return { origin, proof: OriginProof.Keeper };
-    const only = origins.findOnlyOrigin(route, hasAnswered);
-    if (only !== undefined) return { origin: only, proof: OriginProof.OnlyVersion };
+    if (recorded !== undefined)
+      return { origin: recorded, proof: OriginProof.Memory, hasKeeperAnswered: undefined };
+    const { origin, hasAnswered: hasKeeperAnswered } = await exchange.ask(keys);
+    if (origin !== undefined) return { origin, proof: OriginProof.Keeper, hasKeeperAnswered };
+    const only = origins.findOnlyOrigin(route, hasKeeperAnswered);
+    if (only !== undefined)
+      return { origin: only, proof: OriginProof.OnlyVersion, hasKeeperAnswered };
     const cached = await this.findCached(prompt, route);
-    return cached === undefined ? undefined : { origin: cached, proof: OriginProof.CachedPrompt };
+    const proof = cached === undefined ? undefined : OriginProof.CachedPrompt;
+    return { origin: cached, proof, hasKeeperAnswered };
   }
 
   /** Looks for the prompt in the lists of cached prompts, and waits for those that could tell another origin. */
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -23,6 +23,7 @@
 } from '@poplarpick/decisions';
 import type { Clock } from '@poplarpick/kernel';
 import { RouteMoves } from './route-moves.ts';
+import { UntoldStreams } from './untold-streams.ts';
 
 /**
  * Number of timeouts of its route after which a stream is over for certain: its own, and that of a caller's
@@ -52,6 +53,7 @@
   private readonly history: VersionHistory;
   private readonly cachedPrompts = new CachedPrompts();
   private readonly routeMoves = new RouteMoves();
+  private readonly untold = new UntoldStreams();
   private readonly listeners: OriginListener[] = [];
   /** Endpoints whose lists of cached prompts are still awaited; undefined before that is known. */
   private awaitedLists: Set<string> | undefined;
@@ -88,8 +90,29 @@
     const keepMs = streamHorizonMs(route);
     for (const key of [keys.byRequest, keys.byPrompt])
       if (key !== undefined) this.record(key, origin, keepMs);
-    if (this.inferOrigin(route, FRESH_LIST_MS) !== undefined) return;
-    for (const listener of this.listeners) listener(keys, origin, keepMs);
+    if (this.isInferable(route)) {
+      this.untold.record({ keys, origin, route, validUntil: this.now() + keepMs });
+      return;
+    }
+    this.tell(keys, origin, keepMs);
+  }
+
+  /** Records that a stream has ended whole, so that no caller resumes it. */
+  recordCompleted(keys: StreamKeys): void {
+    this.untold.forget(keys);
+  }
+
+  /**
+   * Tells the listeners of at most `limit` streams that have begun while every router could infer their origins, and
+   * whose origins nobody can infer any more. Returns their number.
+   */
+  tellUninferable(limit: number): number {
+    const now = this.now();
+    const isInferable = (route: Route): boolean => this.isInferable(route);
+    const streams = this.untold.take({ isInferable, limit, now });
+    for (const { keys, origin, validUntil } of streams)
+      this.tell(keys, origin, Math.ceil(validUntil - now));
+    return streams.length;
   }
 
   /** Remembers the origin of the stream with a key for `keepMs`. */
@@ -161,6 +184,15 @@
     this.history.applyReport(report, this.now());
   }
 
+  private tell(keys: StreamKeys, origin: StreamOrigin, keepMs: number): void {
+    for (const listener of this.listeners) listener(keys, origin, keepMs);
+  }
+
+  /** Whether every router can infer the origin of a stream of the route that begins now. */
+  private isInferable(route: Route): boolean {
+    return this.inferOrigin(route, FRESH_LIST_MS) !== undefined;
+  }
+
   private inferOrigin(route: Route, maxListAgeMs: number): StreamOrigin | undefined {
     const { targets } = route;
     const pool = targets[0]?.pool;
