A stream's version is inferred only from a list confirmed after its caller came back

Cause: that only one version was listed counted as proof by a list of up to 3 s ago, or up to the route's timeout where a keeper knew nothing. An engine can join, begin a stream elsewhere and break in that time.

Change: the list must have been complete when the caller had come. If the store answers nobody, a keeper's answer has to do, and reports tell the versions that are listed beside others; with neither, the stream is refused with Retry-After. Cached prompts don't count while the others are known and silent.

In fleet a stream belongs to one engine, which a new test shows.

--- a/packages/decisions/src/forwarding/version-history.test.ts
+++ b/packages/decisions/src/forwarding/version-history.test.ts
@@ -84,21 +84,47 @@
     old.recordDeparted(endpoint('v1'), 5_000);
     old.confirm(10_000, true);
     const restarted = new VersionHistory({ isFirstStart: false });
-    restarted.applyReport(old.buildReport(10_000), 10_000);
+    restarted.applyReport(old.buildReport([], 10_000), 10_000);
     restarted.confirm(10_000, false);
     expect(findOnly(restarted, [endpoint('v2')], 10_000)).to.equal(undefined);
-    restarted.applyReport(old.buildReport(10_000), 10_000);
+    restarted.applyReport(old.buildReport([], 10_000), 10_000);
     expect(findOnly(restarted, [endpoint('v2')], 10_000)).to.equal(undefined);
     restarted.confirm(5_001 + HORIZON_MS, true);
     expect(findOnly(restarted, [endpoint('v2')], 5_001 + HORIZON_MS)).to.equal('v2');
   });
 
+  // Guards against a router out of step that takes the version it knows for the only one.
+  it('tells a router that has not seen it yet of a version that is listed beside another', () => {
+    const listed = [endpoint('v1'), endpoint('v2'), endpoint('v1', 'other')];
+    const behind = makeLongHistory();
+    const report = makeLongHistory().buildReport(listed, 0);
+    expect(report.departedVersions).to.have.deep.members([
+      [POOL, 'v1', 0],
+      [POOL, 'v2', 0],
+    ]);
+    behind.applyReport(report, 1);
+    expect(findOnly(behind, [endpoint('v1')], 1)).to.equal(undefined);
+  });
+
+  it('tells such a router of a version that is listed in the place of another', () => {
+    const history = makeLongHistory();
+    history.recordDeparted(endpoint('v1'), 0);
+    const behind = makeLongHistory();
+    behind.applyReport(history.buildReport([endpoint('v2')], 1), 1);
+    expect(findOnly(behind, [endpoint('v1')], 1)).to.equal(undefined);
+  });
+
+  it('says nothing of a version that is the only one of its pool', () => {
+    const report = makeLongHistory().buildReport([endpoint('v1'), endpoint('v2', 'other')], 0);
+    expect(report).not.to.have.property('departedVersions');
+  });
+
   it('is not handed on while too many versions have left to tell them all', () => {
     const history = makeLongHistory();
     for (let version = 0; version <= 100; version += 1)
       history.recordDeparted(endpoint(`v${version}`), 0);
-    expect(history.buildReport(1)).to.deep.equal({});
-    expect(history.buildReport(3_600_001).versionsKnownMs).to.equal(3_600_000);
+    expect(history.buildReport([], 1)).to.deep.equal({});
+    expect(history.buildReport([], 3_600_001).versionsKnownMs).to.equal(3_600_000);
   });
 
   it('forgets a version in time although two routers keep telling it to each other late', () => {
@@ -107,7 +133,7 @@
     let now = 0;
     const delayMs = 90;
     while (now < HORIZON_MS + 2_000) {
-      const reports = routers.map((router) => router.buildReport(now));
+      const reports = routers.map((router) => router.buildReport([], now));
       now += delayMs;
       routers[0].applyReport(reports[1] ?? {}, now);
       routers[1].applyReport(reports[0] ?? {}, now);
--- a/packages/decisions/src/forwarding/version-history.ts
+++ b/packages/decisions/src/forwarding/version-history.ts
@@ -36,7 +36,10 @@
 export interface VersionHistoryReport {
   /** Time for which the sender knows all versions that were listed, in ms; missing if that isn't long. */
   versionsKnownMs?: number | undefined;
-  /** Versions that were listed in that time, besides those that are listed now. */
+  /**
+   * Versions that were listed in that time. Those that are listed now are told only where they aren't the only one of
+   * their pool, with the age 0: a router that hasn't seen them yet must not take another one for the only one.
+   */
   departedVersions?: DepartedVersionEntry[] | undefined;
 }
 
@@ -110,12 +113,17 @@
    * The report to other routers. It is empty while more versions have departed than fit into it: who knew only some
    * of them would take another one for the only one.
    */
-  buildReport(now: number): VersionHistoryReport {
-    const departed: DepartedVersionEntry[] = [];
+  buildReport(endpoints: Iterable<Endpoint>, now: number): VersionHistoryReport {
+    const ages = new Map<string, number>();
     for (const [key, at] of this.departedAt.entries()) {
       const ageMs = Math.round(now - at);
-      if (ageMs <= MAX_REACH_MS) departed.push([...fromKey(key), ageMs]);
+      if (ageMs <= MAX_REACH_MS) ages.set(key, ageMs);
     }
+    for (const key of this.listOneOfSeveral(endpoints, ages.keys())) ages.set(key, 0);
+    const departed = [...ages].map(([key, ageMs]): DepartedVersionEntry => [
+      ...fromKey(key),
+      ageMs,
+    ]);
     if (departed.length > MAX_TOLD_VERSIONS) return {};
     const knownMs = Math.floor(Math.min(now - this.knownSince, MAX_REACH_MS));
     return {
@@ -136,6 +144,18 @@
     this.knownSince = Math.min(this.knownSince, now - versionsKnownMs);
   }
 
+  /** Keys of the listed versions that aren't the only one of their pool, departed ones included. */
+  private listOneOfSeveral(endpoints: Iterable<Endpoint>, departed: Iterable<string>): string[] {
+    const listed = new Set<string>();
+    for (const { pool, version } of endpoints) listed.add(toKey(pool, version ?? ''));
+    const versionsOfPools = new Map<string, number>();
+    for (const key of new Set([...listed, ...departed])) {
+      const [pool] = fromKey(key);
+      versionsOfPools.set(pool, (versionsOfPools.get(pool) ?? 0) + 1);
+    }
+    return [...listed].filter((key) => (versionsOfPools.get(fromKey(key)[0]) ?? 0) > 1);
+  }
+
   private departedSince(pool: string, since: number): Set<string> {
     const versions = new Set<string>();
     for (const [key, at] of this.departedAt.entries()) {
--- a/packages/fleet/src/sidecar/model-engine-client.test.ts
+++ b/packages/fleet/src/sidecar/model-engine-client.test.ts
@@ -83,6 +83,25 @@
     expect(error).to.include({ code: ErrorCode.IncompleteAnswer, verdict: Verdict.Ran });
   });
 
+  // Shows that a stream can't be joined from two versions here: an engine that has started anew doesn't know it.
+  it('fails a stream that the engine has lost by a restart, and never begins it anew', async () => {
+    const targets: string[] = [];
+    const error = await runAt((request, response) => {
+      targets.push(`${request.method} ${request.url}`);
+      if (request.method !== 'POST') {
+        response.writeHead(404).end();
+        return;
+      }
+      response.write('data: {}\n\n', () => setTimeout(() => request.socket.destroy(), 20));
+    });
+    expect(error).to.include({ code: ErrorCode.IncompleteAnswer, verdict: Verdict.Ran });
+    expect(targets.slice(0, 2)).to.deep.equal([
+      'POST /v1/chat/completions',
+      'GET /v1/streams/request?from=1',
+    ]);
+    expect(targets.filter((target) => target.startsWith('POST'))).to.have.length(1);
+  });
+
   it('distinguishes a refusal from a failure of the engine', async () => {
     const refused = await runAt((_request, response) => response.writeHead(400).end('no'));
     expect(refused).to.include({ code: ErrorCode.InvalidRequest, verdict: Verdict.NotRun });
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -53,6 +53,8 @@
   onReaderChange: (isReader: boolean) => void;
   /** Called when the endpoints that were read from the store were replaced with the list of a peer. */
   onEndpointsReplaced: () => void;
+  /** Called when the list of endpoints should be confirmed at once, if this router reads the store. */
+  onConfirmationWanted: () => void;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
 }
@@ -98,6 +100,10 @@
       isFirstStart,
       logOutput,
     });
+    this.state.streams.confirmations.onWanted(() => {
+      options.onConfirmationWanted();
+      this.stateFollower.confirm();
+    });
     this.origins = new OriginExchange({
       address: options.peersAddress,
       clock,
--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -18,7 +18,7 @@
 import type { Timer } from '@poplarpick/kernel';
 import { ControlCall } from '../router-metrics.ts';
 import type { RouterState } from '../router-state.ts';
-import { STATE_PATH } from './state-server.ts';
+import { CONFIRM_PARAMETER, STATE_PATH } from './state-server.ts';
 import { stateSnapshotSchema } from './state-snapshot.ts';
 import type { StateSnapshot } from './state-snapshot.ts';
 import type { PeerReport } from './peer-table.ts';
@@ -91,6 +91,8 @@
   /** Whether the last request brought fresher state from a peer that isn't followed; only a change is logged. */
   private wasLastTaken = false;
   private isRequesting = false;
+  /** The router that is followed should confirm the list of endpoints at once. */
+  private shouldConfirm = false;
   /** Routers that didn't answer or had nothing fresher; they aren't asked again for a while. */
   private readonly failures = new RecentFailures();
 
@@ -112,6 +114,13 @@
     this.timer = this.options.state.clock.every(CHECK_PERIOD_MS, () => this.check());
   }
 
+  /** Asks the router that is followed, if any, to confirm the list of endpoints at once. */
+  confirm(): void {
+    if (this.isReader || this.shouldConfirm) return;
+    this.shouldConfirm = true;
+    this.check();
+  }
+
   close(): void {
     this.timer?.stop();
     this.agent.destroy().catch(() => undefined);
@@ -147,6 +156,7 @@
    * none says that it is fresher and the state is too old, or else the source.
    */
   private selectTarget(access: StoreAccess, own: StoreStateAge, now: number): string | undefined {
+    if (this.shouldConfirm && access.source !== undefined) return access.source;
     const sinceRequestMs = now - this.requestedAt;
     if (sinceRequestMs < FOLLOW_PERIOD_MS) return undefined;
     const { state } = this.options;
@@ -220,7 +230,9 @@
     const query = new URLSearchParams({
       version: String(state.routes?.table.version ?? ''),
       endpoints: state.endpointsHash(),
+      ...(this.shouldConfirm ? { [CONFIRM_PARAMETER]: '1' } : {}),
     });
+    this.shouldConfirm = false;
     const { statusCode, body } = await request(`http://${peer}${STATE_PATH}?${query.toString()}`, {
       dispatcher: this.agent,
       signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
@@ -296,6 +308,8 @@
   return {
     version: snapshot.version,
     routesAgeMs: snapshot.routesAgeMs ?? Number.POSITIVE_INFINITY,
-    endpointsAgeMs: snapshot.endpointsAgeMs ?? Number.POSITIVE_INFINITY,
+    endpointsAgeMs: snapshot.isConfirmed
+      ? 0
+      : (snapshot.endpointsAgeMs ?? Number.POSITIVE_INFINITY),
   };
 }
--- a/packages/forwarder/src/peers/state-server.ts
+++ b/packages/forwarder/src/peers/state-server.ts
@@ -17,6 +17,12 @@
 /** Path at which the route of a request is explained. */
 export const WHERE_PATH = '/where';
 
+/** Parameter of the snapshot by which a router asks for a list of endpoints that is confirmed at once. */
+export const CONFIRM_PARAMETER = 'confirm';
+
+/** Longest time that such a request waits for the confirmation, in ms: less than the requesting router waits. */
+const MAX_CONFIRMATION_WAIT_MS = 300;
+
 /** Largest description of a request, in bytes. */
 const MAX_QUESTION_BYTES = 65_536;
 
@@ -60,9 +66,20 @@
       response.writeHead(404).end();
       return;
     }
-    const snapshot = this.buildSnapshot(new URLSearchParams(query));
+    void this.sendSnapshot(new URLSearchParams(query), response);
+  }
+
+  private async sendSnapshot(query: URLSearchParams, response: ServerResponse): Promise<void> {
+    const isConfirmed = query.has(CONFIRM_PARAMETER) && (await this.confirmEndpoints());
+    const snapshot = this.buildSnapshot(query);
     response.setHeader('Content-Type', 'application/json');
-    response.end(JSON.stringify(snapshot));
+    response.end(JSON.stringify(isConfirmed ? { ...snapshot, isConfirmed } : snapshot));
+  }
+
+  /** Whether the list of endpoints is confirmed as complete at a time after this call. */
+  private async confirmEndpoints(): Promise<boolean> {
+    const { clock, streams } = this.options.state;
+    return streams.confirmations.waitSince(clock.monotonic(), MAX_CONFIRMATION_WAIT_MS);
   }
 
   private async explain(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/forwarder/src/peers/state-snapshot.ts
+++ b/packages/forwarder/src/peers/state-snapshot.ts
@@ -83,6 +83,8 @@
   /** Time since the router itself last read the store, in ms; absent if it never has. */
   readAgeMs?: number | undefined;
   version?: number | undefined;
+  /** The list of endpoints was confirmed as complete after the request had arrived, which had asked for it. */
+  isConfirmed?: boolean | undefined;
   /** Absent if the requesting router has the same version. */
   routes?: RoutingTable | undefined;
   /** Absent if the requesting router has the same list. */
@@ -97,6 +99,7 @@
   endpointsAgeMs: z.number().nonnegative().optional(),
   readAgeMs: z.number().nonnegative().optional(),
   version: z.number().optional(),
+  isConfirmed: z.boolean().optional(),
   routes: routingTableSchema.optional(),
   endpoints: endpointListSchema.optional(),
   evacuated: z.array(z.string()).optional(),
--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -122,11 +122,15 @@
 
   it('says whether a keeper has answered that it knows nothing', async () => {
     const [first] = network.all;
-    expect(await first?.exchange.ask(KEYS)).to.deep.equal({ origin: undefined, hasAnswered: true });
+    expect(await first?.exchange.ask(KEYS)).to.deep.equal({
+      origin: undefined,
+      hasAnswered: true,
+      wasAsked: true,
+    });
     for (const address of network.routers.keys())
       if (address !== '10.0.0.1:7000') network.silent.add(address);
     const unanswered = await first?.exchange.ask(KEYS);
-    expect(unanswered).to.deep.equal({ origin: undefined, hasAnswered: false });
+    expect(unanswered).to.deep.equal({ origin: undefined, hasAnswered: false, wasAsked: true });
   });
 
   it('ignores datagrams that are no valid message', () => {
--- a/packages/forwarder/src/streams/origin-exchange.ts
+++ b/packages/forwarder/src/streams/origin-exchange.ts
@@ -55,8 +55,13 @@
   origin: StreamOrigin | undefined;
   /** At least one keeper has answered. */
   hasAnswered: boolean;
+  /** At least one keeper was asked: this router knows of others. */
+  wasAsked: boolean;
 }
 
+/** The answer where no other router is known. */
+const NO_KEEPER: KeeperAnswer = { origin: undefined, hasAnswered: false, wasAsked: false };
+
 /** A question for the origin of one stream, asked of several keepers. */
 class PendingQuery {
   readonly result: Promise<KeeperAnswer>;
@@ -82,7 +87,7 @@
   }
 
   finish(origin: StreamOrigin | undefined): void {
-    this.resolve({ origin, hasAnswered: this.hasAnswered });
+    this.resolve({ origin, hasAnswered: this.hasAnswered, wasAsked: true });
   }
 }
 
@@ -133,7 +138,7 @@
   async ask(keys: StreamKeys): Promise<KeeperAnswer> {
     const key = keys.byRequest ?? keys.byPrompt;
     const targets = this.selectKeepers(keys);
-    if (key === undefined || targets.length === 0) return { origin: undefined, hasAnswered: false };
+    if (key === undefined || targets.length === 0) return NO_KEEPER;
     const pending = this.queries.get(key);
     if (pending !== undefined) return pending.result;
     const query = this.createQuery(key, targets);
--- /dev/null
+++ b/packages/forwarder/src/streams/resumption-resolver.test.ts
@@ -0,0 +1,134 @@
+import { expect } from 'chai';
+import { CallKind, hashSegment } from '@poplarpick/decisions';
+import type { Endpoint, Prompt, Route } from '@poplarpick/decisions';
+import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
+import type { RequestError } from '@poplarpick/kernel';
+import type { CallHead } from '../calls/call-protocol.ts';
+import type { KeeperAnswer } from './origin-exchange.ts';
+import { ResumptionResolver } from './resumption-resolver.ts';
+import { StreamOrigins } from './stream-origins.ts';
+
+/** Time for which the router stood still, in ms: less than makes its list too old to tell others by. */
+const STANDSTILL_MS = 2_500;
+
+const ENDPOINT: Endpoint = {
+  id: 'e1',
+  startedAt: 0,
+  pool: 'p',
+  version: 'v1',
+  address: '10.0.0.1:80',
+  dataCentre: 'z',
+  slots: 8,
+  isDraining: false,
+};
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'h',
+  prefix: '/',
+  kind: CallKind.Stream,
+  timeoutMs: 10_000,
+  objectiveMs: 500,
+  pauseMs: 500,
+  targets: [{ pool: 'p', weight: 1 }],
+  maxAttempts: 2,
+  isPublic: false,
+  isResumable: true,
+};
+
+const PROMPT: Prompt = {
+  model: 'm',
+  inputTokens: 100,
+  maxOutputTokens: 10,
+  outputTokens: 10,
+  segments: [{ id: 'own', tokens: 100 }],
+};
+
+const HEAD: CallHead = {
+  method: 'GET',
+  target: '/',
+  host: 'h',
+  requestId: 'second',
+  deadlineMs: undefined,
+  apiKey: undefined,
+  prompt: PROMPT,
+  lastEventId: '2',
+  resumedRequestId: 'first',
+  forwardedHeaders: [],
+};
+
+const NOBODY_KNOWN: KeeperAnswer = { origin: undefined, hasAnswered: false, wasAsked: false };
+const UNANSWERED: KeeperAnswer = { origin: undefined, hasAnswered: false, wasAsked: true };
+const NOTHING_KNOWN: KeeperAnswer = { origin: undefined, hasAnswered: true, wasAsked: true };
+
+describe('the origin of a resumed stream', () => {
+  const clock = new SystemClock();
+  let origins: StreamOrigins;
+
+  beforeEach(() => {
+    origins = createOrigins(true);
+  });
+
+  function createOrigins(isFirstStart: boolean): StreamOrigins {
+    const created = new StreamOrigins({ clock, isFirstStart, endpoints: () => [ENDPOINT] });
+    created.recordRoutes({
+      version: 1,
+      routes: [ROUTE],
+      pools: [],
+      limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+      tokensPerSecond: 0,
+      workspaces: undefined,
+    });
+    return created;
+  }
+
+  /** The version that is found, or the error of the refusal. */
+  async function resolve(answer: KeeperAnswer): Promise<string | RequestError> {
+    const resolver = new ResumptionResolver({
+      clock,
+      log: createLogger({ level: LogLevel.Silent }),
+      origins,
+      exchange: { ask: () => Promise.resolve(answer) },
+    });
+    try {
+      const { version } = await resolver.resolve({ head: HEAD, route: ROUTE, workspace: 'w' });
+      return version;
+    } catch (error) {
+      return error as RequestError;
+    }
+  }
+
+  // Guards against a router that stood still or was cut off and goes on with a stream of a version it hasn't seen.
+  for (const answer of [UNANSWERED, NOBODY_KNOWN]) {
+    it(`is unknown by a list from before a standstill, keepers asked: ${answer.wasAsked}`, async () => {
+      origins.confirmEndpoints(clock.monotonic() - STANDSTILL_MS, false);
+      expect(await resolve(answer)).to.include({ verdict: 'not-run', retryAfterSeconds: 0.5 });
+    });
+  }
+
+  it('is that of the only version once the list is confirmed after the caller has come', async () => {
+    origins.confirmEndpoints(clock.monotonic() - STANDSTILL_MS, false);
+    origins.confirmations.onWanted(() => origins.confirmEndpoints(clock.monotonic(), true));
+    expect(await resolve(UNANSWERED)).to.equal('v1');
+  });
+
+  it('is that of the only version while the store is silent, if a keeper knows nothing else', async () => {
+    origins.confirmEndpoints(clock.monotonic() - STANDSTILL_MS, false);
+    expect(await resolve(NOTHING_KNOWN)).to.equal('v1');
+  });
+
+  it('is unknown though a keeper knows nothing, if another router tells of a second version', async () => {
+    origins.confirmEndpoints(clock.monotonic() - STANDSTILL_MS, false);
+    const answered = resolve(NOTHING_KNOWN);
+    origins.applyReport({ departedVersions: [['p', 'v2', 0]] });
+    expect(await answered).to.have.property('verdict', 'not-run');
+  });
+
+  it('is that of the cached prompt after a start, but not while the others are silent', async () => {
+    origins = createOrigins(false);
+    origins.recordListsRequested(['e1']);
+    origins.recordListing(ENDPOINT, [{ hash: hashSegment('m', 'own'), tokens: 100 }]);
+    expect(await resolve(NOTHING_KNOWN)).to.equal('v1');
+    expect(await resolve(UNANSWERED)).to.include({ verdict: 'not-run', retryAfterSeconds: 0.5 });
+  });
+});
--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -2,6 +2,10 @@
  * Finds the origin of a stream that a caller resumes: in this router's memory, at the keepers, by inference from the
  * versions that were listed lately, or from the prompts that endpoints have cached. A stream whose origin can't be
  * proved is refused, since at another version it would be joined from two texts.
+ *
+ * A router that was cut off or stood still doesn't know what the others have done meanwhile. So the inference counts
+ * only if the list of endpoints was complete when the caller had come back: the stream had begun by then. While the
+ * store answers nobody, the word of another router that keeps such streams has to do.
  */
 import { toStreamKeys } from '@poplarpick/decisions';
 import type { Prompt, Route, StreamOrigin } from '@poplarpick/decisions';
@@ -11,14 +15,17 @@
 import type { OriginExchange } from './origin-exchange.ts';
 import type { StreamOrigins } from './stream-origins.ts';
 
+/** Longest time that a caller waits for a confirmation of the list of endpoints, in ms. */
+const MAX_CONFIRMATION_WAIT_MS = 400;
+
 /** Longest time that a caller waits for the lists of cached prompts that the router has asked for, in ms. */
 const MAX_LISTS_WAIT_MS = 700;
 
 /** Period of the check whether they have arrived, in ms. */
 const LISTS_CHECK_PERIOD_MS = 50;
 
-/** Value of `Retry-After` while they may still arrive, in seconds. */
-const LISTS_RETRY_AFTER_S = 0.5;
+/** Value of `Retry-After` while they, or the confirmation, may still arrive, in seconds. */
+const RETRY_AFTER_S = 0.5;
 
 /** How an origin was found. */
 export enum OriginProof {
@@ -44,6 +51,15 @@
   proof: OriginProof | undefined;
   /** Undefined if no keeper had to be asked. */
   hasKeeperAnswered: boolean | undefined;
+  /** The origin wasn't found, and may be found when the caller comes again. */
+  mayBeFoundLater: boolean;
+}
+
+/** An inference from the list of endpoints. */
+interface Inference {
+  origin: StreamOrigin | undefined;
+  /** The list would tell the origin if it were confirmed. */
+  isUnconfirmed: boolean;
 }
 
 /** Options of a `ResumptionResolver`. */
@@ -51,7 +67,7 @@
   clock: Clock;
   log: Logger;
   origins: StreamOrigins;
-  exchange: OriginExchange;
+  exchange: Pick<OriginExchange, 'ask'>;
 }
 
 /** Finds the origins of resumed streams. */
@@ -66,7 +82,7 @@
   async resolve(resumption: Resumption): Promise<StreamOrigin> {
     const { log, origins } = this.options;
     const { head, route } = resumption;
-    const { origin, proof, hasKeeperAnswered } = await this.find(resumption);
+    const { origin, proof, hasKeeperAnswered, mayBeFoundLater } = await this.find(resumption);
     log.info({
       event: 'stream.resumed',
       request: head.requestId,
@@ -75,29 +91,53 @@
       pool: origin?.pool,
       version: origin?.version,
       keeper_answered: hasKeeperAnswered,
+      endpoints_age_ms: Math.round(origins.confirmations.ageMs),
     });
-    if (origin === undefined) throw createUnknownOriginError(origins.awaitsLists);
+    if (origin === undefined) throw createUnknownOriginError(mayBeFoundLater);
     const isInRoute = route.targets.some(({ pool }) => pool === origin.pool);
     if (!isInRoute) throw createRefusal('the route has left the pool of the stream');
     return origin;
   }
 
   private async find({ head, route, workspace }: Resumption): Promise<OriginFinding> {
-    const { origins, exchange } = this.options;
+    const { clock, origins, exchange } = this.options;
     const { prompt, resumedRequestId: requestId } = head;
+    const arrivedAt = clock.monotonic();
     const keys = toStreamKeys({ workspace, requestId, prompt });
     const key = keys.byRequest ?? keys.byPrompt;
     const recorded = key === undefined ? undefined : origins.findRecorded(key);
-    if (recorded !== undefined)
-      return { origin: recorded, proof: OriginProof.Memory, hasKeeperAnswered: undefined };
-    const { origin, hasAnswered: hasKeeperAnswered } = await exchange.ask(keys);
-    if (origin !== undefined) return { origin, proof: OriginProof.Keeper, hasKeeperAnswered };
-    const only = origins.findOnlyOrigin(route, hasKeeperAnswered);
-    if (only !== undefined)
-      return { origin: only, proof: OriginProof.OnlyVersion, hasKeeperAnswered };
-    const cached = await this.findCached(prompt, route);
-    const proof = cached === undefined ? undefined : OriginProof.CachedPrompt;
-    return { origin: cached, proof, hasKeeperAnswered };
+    if (recorded !== undefined) return createFinding(recorded, OriginProof.Memory);
+    const { origin, hasAnswered, wasAsked } = await exchange.ask(keys);
+    if (origin !== undefined) return createFinding(origin, OriginProof.Keeper, hasAnswered);
+    const inference = await this.inferOnlyOrigin(route, arrivedAt, hasAnswered);
+    if (inference.origin !== undefined)
+      return createFinding(inference.origin, OriginProof.OnlyVersion, hasAnswered);
+    // Another router that doesn't answer may have begun the stream after the lists were read.
+    const isOutOfTouch = wasAsked && !hasAnswered;
+    const cached = isOutOfTouch ? undefined : await this.findCached(prompt, route);
+    if (cached !== undefined) return createFinding(cached, OriginProof.CachedPrompt, hasAnswered);
+    const mayBeFoundLater = origins.awaitsLists || isOutOfTouch || inference.isUnconfirmed;
+    return {
+      origin: undefined,
+      proof: undefined,
+      hasKeeperAnswered: hasAnswered,
+      mayBeFoundLater,
+    };
+  }
+
+  /** Infers the origin from the versions that were listed until `arrivedAt`, when the stream had begun. */
+  private async inferOnlyOrigin(
+    route: Route,
+    arrivedAt: number,
+    hasKeeperAnswered: boolean,
+  ): Promise<Inference> {
+    const { origins } = this.options;
+    if (origins.findOnlyOrigin(route) === undefined)
+      return { origin: undefined, isUnconfirmed: false };
+    const isConfirmed = await origins.confirmations.waitSince(arrivedAt, MAX_CONFIRMATION_WAIT_MS);
+    const origin = origins.findOnlyOrigin(route);
+    if (isConfirmed || hasKeeperAnswered) return { origin, isUnconfirmed: false };
+    return { origin: undefined, isUnconfirmed: origin !== undefined };
   }
 
   /** Looks for the prompt in the lists of cached prompts, and waits for those that could tell another origin. */
@@ -116,9 +156,17 @@
   }
 }
 
-/** The refusal of a stream whose origin isn't known. Coming again helps only while lists may still arrive. */
-function createUnknownOriginError(mayBeKnownLater: boolean): RequestError {
-  const retryAfterSeconds = mayBeKnownLater ? LISTS_RETRY_AFTER_S : undefined;
+function createFinding(
+  origin: StreamOrigin,
+  proof: OriginProof,
+  hasKeeperAnswered?: boolean,
+): OriginFinding {
+  return { origin, proof, hasKeeperAnswered, mayBeFoundLater: false };
+}
+
+/** The refusal of a stream whose origin isn't known. Coming again helps only where it may be found later. */
+function createUnknownOriginError(mayBeFoundLater: boolean): RequestError {
+  const retryAfterSeconds = mayBeFoundLater ? RETRY_AFTER_S : undefined;
   return createRefusal('the version that began the stream is unknown', retryAfterSeconds);
 }
 
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -22,6 +22,7 @@
   VersionHistoryReport,
 } from '@poplarpick/decisions';
 import type { Clock } from '@poplarpick/kernel';
+import { ListConfirmations } from '../endpoints/list-confirmations.ts';
 import { RouteMoves } from './route-moves.ts';
 import { UntoldStreams } from './untold-streams.ts';
 
@@ -48,6 +49,8 @@
 
 /** Finds the origins of streams. */
 export class StreamOrigins {
+  /** When the list of endpoints was complete. */
+  readonly confirmations: ListConfirmations;
   private readonly options: StreamOriginsOptions;
   private readonly table = new StreamOriginTable();
   private readonly history: VersionHistory;
@@ -60,7 +63,8 @@
 
   constructor(options: StreamOriginsOptions) {
     this.options = options;
-    const { isFirstStart } = options;
+    const { clock, isFirstStart } = options;
+    this.confirmations = new ListConfirmations({ clock });
     this.history = new VersionHistory({ isFirstStart });
     if (isFirstStart) this.awaitedLists = new Set();
   }
@@ -126,12 +130,12 @@
   }
 
   /**
-   * The origin of every stream of a route that can still go on, if there is only one. A router that can't infer it
-   * tells the keepers of a stream when it begins one. So if a keeper has answered that it knows nothing, the
-   * beginning router has inferred the origin, and the own list of endpoints may be older than otherwise.
+   * The origin of every stream of a route that had begun when the list of endpoints was last complete, if there is
+   * only one. What has begun since may be of a version that this router hasn't seen. Undefined if the list is older
+   * than the timeout of the route.
    */
-  findOnlyOrigin(route: Route, hasKeeperAnswered: boolean): StreamOrigin | undefined {
-    return this.inferOrigin(route, hasKeeperAnswered ? route.timeoutMs : FRESH_LIST_MS);
+  findOnlyOrigin(route: Route): StreamOrigin | undefined {
+    return this.inferOrigin(route, route.timeoutMs);
   }
 
   /** The origin of the endpoints that had the last segment of a prompt cached when this router started. */
@@ -161,6 +165,7 @@
   /** Records that the list of endpoints was complete at `at`, see `VersionHistory.confirm`. */
   confirmEndpoints(at: number, isContinuous: boolean): void {
     this.history.confirm(at, isContinuous);
+    this.confirmations.record(at);
   }
 
   recordDeparted(endpoint: Endpoint): void {
@@ -177,7 +182,7 @@
   }
 
   buildReport(): VersionHistoryReport {
-    return this.history.buildReport(this.now());
+    return this.history.buildReport(this.options.endpoints(), this.now());
   }
 
   applyReport(report: VersionHistoryReport): void {
