Odd entries are left out by themselves, and no report grows too large by one

From a report of other operators: one odd entry, and machines end or stop following the list.

Here, on the code as found: an entry with a version of 20,000 characters, once it has left, made all reports of a router too large for a datagram for an hour, so that the routers took each other for gone; slots and warm-ups of 1e300 were taken; and one odd host made every process refuse the whole list of hosts. Deep nesting ends nothing, as a test shows.

Cause: fields were checked for their type and not for their size, and the list of hosts as a whole.

Change: bounds for entries and for the lists that routers hand each other, an endpoint or host that can't be read is left out by itself, and reports leave out the versions last.

--- a/packages/decisions/src/forwarding/endpoint.ts
+++ b/packages/decisions/src/forwarding/endpoint.ts
@@ -1,5 +1,14 @@
 /** Endpoints as they announce themselves: their identity, location and readiness for new requests. */
 
+/** Longest name of an endpoint, a pool, a version or a data centre, in characters, so that reports hold many. */
+export const MAX_NAME_LENGTH = 200;
+
+/** Most requests that an endpoint can run at once: far above any real one, and harmless in sums and products. */
+export const MAX_SLOTS = 1_000_000;
+
+/** Longest time for which an endpoint stays cold, in ms. */
+export const MAX_WARM_UP_MS = 86_400_000;
+
 /** The announcement of one endpoint. */
 export interface Endpoint {
   /** Identifies the endpoint. A restarted process may reuse it. */
--- a/packages/fleet/src/address.ts
+++ b/packages/fleet/src/address.ts
@@ -9,22 +9,30 @@
   port: number;
 }
 
-/** Parses `IP:port`. Throws if the text has another format. */
+/** Parses `IP:port`. Throws if the text has another format, or if no socket can have such a port. */
 export function parseAddress(text: string): Address {
   const separator = text.lastIndexOf(':');
   const port = Number(text.slice(separator + 1));
-  if (separator <= 0 || !Number.isInteger(port)) throw new Error(`not an address: ${text}`);
+  const isPort = Number.isInteger(port) && port >= 0 && port <= MAX_PORT;
+  if (separator <= 0 || !isPort) throw new Error(`not an address: ${text}`);
   return { ip: text.slice(0, separator), port };
 }
 
+/** Whether a text is an address with a port that a client can connect to; its host may also be a name. */
+export function isDialable(text: string): boolean {
+  return /^[^\s:]+:\d+$/.test(text) && isClientPort(text.slice(text.lastIndexOf(':') + 1));
+}
+
 /** Whether a value is an IPv4 address with a port that a client can connect to. */
 export function isAddress(value: unknown): value is string {
   if (typeof value !== 'string') return false;
   const separator = value.lastIndexOf(':');
-  const portText = value.slice(separator + 1);
-  const port = Number(portText);
-  const isPort = /^\d+$/.test(portText) && port > 0 && port <= MAX_PORT;
-  return isPort && isIPv4(value.slice(0, separator));
+  return isClientPort(value.slice(separator + 1)) && isIPv4(value.slice(0, separator));
+}
+
+function isClientPort(text: string): boolean {
+  const port = Number(text);
+  return /^\d+$/.test(text) && port > 0 && port <= MAX_PORT;
 }
 
 /** Makes a server listen on `IP:port`. Rejects if the address cannot be bound. */
--- a/packages/fleet/src/platform/host-directory.ts
+++ b/packages/fleet/src/platform/host-directory.ts
@@ -6,7 +6,7 @@
 import { describeError, Role } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import { HostState, fetchHosts } from './host-list-client.ts';
-import type { Host } from './host-list-client.ts';
+import type { Host, HostListing } from './host-list-client.ts';
 
 /** Minimum polling period of one process. */
 const MIN_PERIOD_MS = 1_000;
@@ -37,6 +37,7 @@
   private readonly listeners: HostsListener[] = [];
   private currentHosts: readonly Host[] = [];
   private currentJson = '';
+  private unreadableEntries = 0;
   private timer: Timer | undefined;
   private stopped = false;
   private loaded = false;
@@ -84,7 +85,8 @@
     this.timer = this.options.clock.after(delay, () => void this.poll());
   }
 
-  private update(hosts: readonly Host[]): void {
+  private update({ hosts, unreadable }: HostListing): void {
+    this.logUnreadable(unreadable);
     const json = JSON.stringify(hosts);
     const isChanged = json !== this.currentJson || !this.loaded;
     this.loaded = true;
@@ -93,6 +95,13 @@
     this.currentHosts = hosts;
     for (const listener of this.listeners) listener(hosts);
   }
+
+  /** Logs how many entries can't be read, when that changes. */
+  private logUnreadable(entries: number): void {
+    if (entries === this.unreadableEntries) return;
+    this.unreadableEntries = entries;
+    this.options.log.warn({ event: 'host_list.unreadable_entries', entries });
+  }
 }
 
 /** Polling period of one process in a fleet with this number of hosts, in milliseconds. */
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -115,14 +115,17 @@
 
 /**
  * Encodes a report as a datagram of at most `MAX_DATAGRAM_BYTES`. If it is too large, it leaves out first the
- * refused requests, then the cached segments, then the workspaces. Undefined if it is too large even then.
+ * refused requests, then the cached segments, then the workspaces, then the versions: a receiver that gets none of
+ * them concludes nothing. Undefined if it is too large even then.
  */
 export function encodeReport(report: PeerReport): Buffer | undefined {
+  const withoutWorkspaces = { ...report, refused: [], kept: [], workspaces: undefined };
   const shortened: PeerReport[] = [
     report,
     { ...report, refused: [] },
     { ...report, refused: [], kept: [] },
-    { ...report, refused: [], kept: [], workspaces: undefined },
+    withoutWorkspaces,
+    { ...withoutWorkspaces, versionsKnownMs: undefined, departedVersions: undefined },
   ];
   for (const candidate of shortened) {
     const message = packr.pack(candidate);
--- a/packages/forwarder/src/peers/state-snapshot.ts
+++ b/packages/forwarder/src/peers/state-snapshot.ts
@@ -2,7 +2,7 @@
 import murmurhash from 'murmurhash';
 import { z } from 'zod';
 import { isAddress } from '@poplarpick/fleet/address';
-import { CallKind } from '@poplarpick/decisions';
+import { CallKind, MAX_NAME_LENGTH, MAX_SLOTS, MAX_WARM_UP_MS } from '@poplarpick/decisions';
 import type { Endpoint, RoutingTable } from '@poplarpick/decisions';
 
 const routeSchema = z.object({
@@ -54,16 +54,18 @@
     .optional(),
 }) satisfies z.ZodType<RoutingTable>;
 
+const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
+
 const endpointSchema = z.object({
-  id: z.string(),
+  id: nameSchema,
   startedAt: z.number(),
-  pool: z.string(),
-  version: z.string().optional(),
+  pool: nameSchema,
+  version: nameSchema.optional(),
   address: z.string().refine(isAddress),
-  dataCentre: z.string(),
-  slots: z.number(),
+  dataCentre: nameSchema,
+  slots: z.number().positive().max(MAX_SLOTS),
   isDraining: z.boolean(),
-  warmUpMs: z.number().optional(),
+  warmUpMs: z.number().nonnegative().max(MAX_WARM_UP_MS).optional(),
 }) satisfies z.ZodType<Endpoint>;
 
 /**
--- a/packages/forwarder/src/streams/origin-message.ts
+++ b/packages/forwarder/src/streams/origin-message.ts
@@ -4,6 +4,7 @@
  */
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
+import { MAX_NAME_LENGTH } from '@poplarpick/decisions';
 import type { StreamKey, StreamOrigin } from '@poplarpick/decisions';
 
 /** Kind of a message, its first element. */
@@ -53,7 +54,7 @@
 const packr = new Packr({ useRecords: false });
 
 const keySchema = z.int().nonnegative();
-const nameSchema = z.string().min(1).max(200);
+const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 
 const messageSchema = z.union([
   z.tuple([
