An answer that an engine writes once more counts for no other request

Here, on the code as found: a sidecar took a repeated 429 for the answer to the next request and said "not run" of it, and a repeated outcome for that of the next order; a router did so where a caller used an id again.

Cause: a response is matched with its request by its place on the connection where it has no id, or one that has been there before.

Change: connections from a sidecar to its engine carry one request each, as those to application engines did; a router sends a request whose id was refused on a connection over another one.

--- a/packages/fleet/src/orders/engine-control-client.ts
+++ b/packages/fleet/src/orders/engine-control-client.ts
@@ -5,6 +5,7 @@
 import type { EngineState, PlannedOrder } from '@poplarpick/decisions';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { ONE_REQUEST_PER_CONNECTION } from '../engine-connections.ts';
 
 const READ_TIMEOUT_MS = 1_000;
 
@@ -36,7 +37,7 @@
 /** Reads the state of an engine and sends it orders. */
 export class EngineControlClient {
   private readonly baseUrl: string;
-  private readonly agent = new Agent();
+  private readonly agent = new Agent(ONE_REQUEST_PER_CONNECTION);
 
   constructor(baseUrl: string) {
     this.baseUrl = baseUrl.replace(/\/$/, '');
--- a/packages/fleet/src/sidecar/application-client.ts
+++ b/packages/fleet/src/sidecar/application-client.ts
@@ -7,6 +7,7 @@
 import type { Dispatcher } from 'undici';
 import type { Clock } from '@poplarpick/kernel';
 import { filterForwardableHeaders } from '../callers/application-call.ts';
+import { ONE_REQUEST_PER_CONNECTION } from '../engine-connections.ts';
 import type { Job } from '../messages.ts';
 import { EndpointClient } from './endpoint-client.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
@@ -28,7 +29,7 @@
   private readonly agent = new Agent({
     headersTimeout: PART_TIMEOUT_MS,
     bodyTimeout: PART_TIMEOUT_MS,
-    pipelining: 0,
+    ...ONE_REQUEST_PER_CONNECTION,
   });
 
   constructor(options: ApplicationClientOptions) {
--- a/packages/fleet/src/sidecar/load-poller.ts
+++ b/packages/fleet/src/sidecar/load-poller.ts
@@ -3,6 +3,7 @@
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { ONE_REQUEST_PER_CONNECTION } from '../engine-connections.ts';
 
 /** Time between two polls. */
 const POLL_INTERVAL_MS = 200;
@@ -33,6 +34,7 @@
   private readonly agent = new Agent({
     headersTimeout: POLL_TIMEOUT_MS,
     bodyTimeout: POLL_TIMEOUT_MS,
+    ...ONE_REQUEST_PER_CONNECTION,
   });
   private readonly timer: Timer;
   private isPolling = false;
--- a/packages/fleet/src/sidecar/model-engine-client.test.ts
+++ b/packages/fleet/src/sidecar/model-engine-client.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
+import { createServer as createSocketServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { EndpointKind } from '@poplarpick/decisions';
@@ -20,6 +21,9 @@
   repeatable: true,
 };
 
+/** Time after which the connections of a request that has ended are idle, in ms. */
+const IDLE_MS = 100;
+
 describe('ModelEngineClient', () => {
   let server: Server | undefined;
 
@@ -39,7 +43,13 @@
 
   async function run(port: number): Promise<RequestError | undefined> {
     const client = new ModelEngineClient({ baseUrl: `http://127.0.0.1:${port}` });
-    const error = await new Promise<RequestError | undefined>((resolve) => {
+    const error = await runWith(client);
+    await client.close();
+    return error;
+  }
+
+  function runWith(client: ModelEngineClient): Promise<RequestError | undefined> {
+    return new Promise((resolve) => {
       const listener = {
         onFrame: () => undefined,
         onEnd: () => resolve(undefined),
@@ -47,8 +57,6 @@
       };
       client.run('request', JOB, listener);
     });
-    await client.close();
-    return error;
   }
 
   it('fails on an event that is not JSON', async () => {
@@ -110,6 +118,35 @@
     expect(failed).to.include({ code: ErrorCode.EndpointFailed, verdict: Verdict.MayHaveRun });
   });
 
+  // Guards against callers that are told "not run" for a request that the engine runs, and against a second run of it.
+  it('takes no answer that the engine repeats on a kept connection for that of another request', async () => {
+    let isFirst = true;
+    const refusal = 'HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n';
+    const engine = createSocketServer((socket) => {
+      socket.on('error', () => undefined);
+      let hasRefused = false;
+      socket.on('data', (bytes) => {
+        const isRun = bytes.toString('latin1').startsWith('POST ');
+        if (!isRun) socket.write('HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n');
+        else if (isFirst || hasRefused) socket.write(refusal);
+        else socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndata: [DONE]\n\n');
+        hasRefused ||= isRun && isFirst;
+        if (isRun) isFirst = false;
+      });
+    });
+    engine.listen(0, '127.0.0.1');
+    await once(engine, 'listening');
+    const { port } = engine.address() as AddressInfo;
+    const client = new ModelEngineClient({ baseUrl: `http://127.0.0.1:${port}` });
+    const refused = await runWith(client);
+    await new Promise((resolve) => setTimeout(resolve, IDLE_MS));
+    const answered = await runWith(client);
+    await client.close();
+    engine.close();
+    expect(refused).to.include({ verdict: Verdict.NotRun });
+    expect(answered).to.equal(undefined);
+  });
+
   it('reports not-run if no connection was made', async () => {
     await runAt((_request, response) => response.writeHead(400).end('no'));
     const { port } = server?.address() as AddressInfo;
--- a/packages/fleet/src/sidecar/model-engine-client.ts
+++ b/packages/fleet/src/sidecar/model-engine-client.ts
@@ -1,5 +1,6 @@
 /** Client of a model engine, over the OpenAI-compatible streaming protocol. */
 import { Agent } from 'undici';
+import { ONE_REQUEST_PER_CONNECTION } from '../engine-connections.ts';
 import type { Job } from '../messages.ts';
 import { EndpointClient } from './endpoint-client.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
@@ -25,6 +26,7 @@
     headersTimeout: HEADERS_TIMEOUT_MS,
     bodyTimeout: CHUNK_TIMEOUT_MS,
     connections: null,
+    ...ONE_REQUEST_PER_CONNECTION,
   });
 
   constructor(options: EndpointClientOptions) {
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -10,6 +10,7 @@
 import type { ResponseHead, CallProtocol } from '../calls/call-protocol.ts';
 import { ConnectError, connectEndpoint } from './endpoint-connector.ts';
 import { ProgressGuard } from './progress-guard.ts';
+import { RefusedIds } from './refused-ids.ts';
 
 /** Idle time after which a connection is closed, in ms, if the endpoint states no limit of its own. */
 const KEEP_ALIVE_MS = 10_000;
@@ -83,7 +84,7 @@
 
   /** Sends a request; the observer receives the response. */
   send(request: OutgoingRequest, observer: ResponseObserver): EndpointRequest {
-    const connection = this.idle.pop() ?? this.connect();
+    const connection = this.takeIdle(request.requestId) ?? this.connect();
     const endpointRequest = new EndpointRequest({
       requestId: request.requestId,
       protocol: this.options.protocol,
@@ -108,6 +109,15 @@
     for (const connection of this.connections) this.discard(connection);
   }
 
+  /** Takes the most recently used idle connection on which no request with this id was refused. */
+  private takeIdle(requestId: string): EndpointConnection | undefined {
+    const index = this.idle.findLastIndex((connection) => !connection.refusedIds.has(requestId));
+    if (index >= 0) return this.idle.splice(index, 1)[0];
+    const unusable = this.idle.pop();
+    if (unusable !== undefined) this.discard(unusable);
+    return undefined;
+  }
+
   private connect(): EndpointConnection {
     const connection = new EndpointConnection(this.options.address);
     this.connections.add(connection);
@@ -130,6 +140,8 @@
 class EndpointConnection {
   /** The current socket has ended with an error. */
   wasReset = false;
+  /** Requests that were refused on the current socket. */
+  readonly refusedIds = new RefusedIds();
   private readonly address: string;
   /** Undefined before the first request. */
   private client: Client | undefined;
@@ -181,6 +193,7 @@
 
   private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
     this.wasReset = false;
+    this.refusedIds.clear();
     connectEndpoint(options, (...result) => {
       // Registered before undici's own listener, which treats a reset as the end of an unframed response.
       result[1]?.on('error', () => {
@@ -261,6 +274,7 @@
       controller.abort(new Error('response to another request'));
       return;
     }
+    if (head.isNotRun) this.options.connection.refusedIds.add(requestId);
     observer.onHead(head);
   }
 
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -31,6 +31,11 @@
   UnframedRefusal = 'unframed-refusal',
   /** Refuses the request without `Content-Length`, and resets the connection after a while. */
   UnframedRefusalReset = 'unframed-refusal-reset',
+  /**
+   * Writes the latest refusal on the connection once more, then executes the request and answers it. Sends a
+   * complete answer alone on a connection without a refusal.
+   */
+  RepeatedRefusal = 'repeated-refusal',
   /** Answers with the attempt id of another request. */
   WrongAttemptId = 'foreign',
   /** Sends bytes that are not an HTTP response. */
@@ -116,6 +121,8 @@
   readonly options: PlatformEngineOptions;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  /** Attempt id of the latest refusal on each connection. */
+  private readonly refusedIds = new WeakMap<Socket, string>();
 
   constructor(options: PlatformEngineOptions) {
     this.options = options;
@@ -193,6 +200,7 @@
     response.once('close', () => (run.wasLeft = !response.writableFinished));
     const isPoison = this.isPoison(request, body);
     this.options.onRequest?.(isPoison);
+    if (behaviour === EngineBehaviour.RepeatedRefusal) this.repeatRefusal(request.socket);
     if (isPoison) {
       await sleep(CRASH_DELAY_MS);
       await this.crash();
@@ -207,6 +215,7 @@
   }
 
   private refuse(behaviour: EngineBehaviour, requestId: string, response: ServerResponse): void {
+    if (response.socket !== null) this.refusedIds.set(response.socket, requestId);
     const retryAfter = this.chooseRetryAfter();
     if (retryAfter !== undefined) response.setHeader('Retry-After', retryAfter);
     if (behaviour === EngineBehaviour.Refuse) response.setHeader('Attempt-Id', requestId);
@@ -215,6 +224,14 @@
     response.writeHead(503, { 'Not-Executed': '1' }).end();
   }
 
+  private repeatRefusal(socket: Socket): void {
+    const refusedId = this.refusedIds.get(socket);
+    if (refusedId === undefined) return;
+    socket.write(
+      `HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${refusedId}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
+    );
+  }
+
   /** Entries of `GET /v1/kv-list`: the segments of the prompts that were run are cached. */
   private listCachedSegments(): unknown[] {
     const segments = new Map<string, unknown>();
@@ -316,6 +333,7 @@
       case EngineBehaviour.Refuse:
       case EngineBehaviour.RefuseWithOtherId:
       case EngineBehaviour.RefuseWithoutId:
+      case EngineBehaviour.RepeatedRefusal:
       case EngineBehaviour.UnframedRefusal:
       case EngineBehaviour.UnframedRefusalReset:
         response.writeHead(200, { 'Attempt-Id': requestId, 'Response-Seal': this.options.id });
