One schema of endpoints' names; cheaper walks over untold streams and listed versions

Reports count the listed versions without building a key for each endpoint, and the check for untold streams copies no list.

--- a/packages/decisions/src/forwarding/endpoint.ts
+++ b/packages/decisions/src/forwarding/endpoint.ts
@@ -1,7 +1,11 @@
 /** Endpoints as they announce themselves: their identity, location and readiness for new requests. */
+import { z } from 'zod';
 
 /** Longest name of an endpoint, a pool, a version or a data centre, in characters, so that reports hold many. */
-export const MAX_NAME_LENGTH = 200;
+const MAX_NAME_LENGTH = 200;
+
+/** Validates such a name. */
+export const endpointNameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 
 /** Most requests that an endpoint can run at once: far above any real one, and harmless in sums and products. */
 export const MAX_SLOTS = 1_000_000;
--- a/packages/decisions/src/forwarding/version-history.ts
+++ b/packages/decisions/src/forwarding/version-history.ts
@@ -146,14 +146,19 @@
 
   /** Keys of the listed versions that aren't the only one of their pool, departed ones included. */
   private listOneOfSeveral(endpoints: Iterable<Endpoint>, departed: Iterable<string>): string[] {
-    const listed = new Set<string>();
-    for (const { pool, version } of endpoints) listed.add(toKey(pool, version ?? ''));
-    const versionsOfPools = new Map<string, number>();
-    for (const key of new Set([...listed, ...departed])) {
-      const [pool] = fromKey(key);
-      versionsOfPools.set(pool, (versionsOfPools.get(pool) ?? 0) + 1);
+    const listed = new Map<string, Set<string>>();
+    for (const { pool, version = '' } of endpoints) {
+      const versions = listed.get(pool);
+      if (versions === undefined) listed.set(pool, new Set([version]));
+      else versions.add(version);
     }
-    return [...listed].filter((key) => (versionsOfPools.get(fromKey(key)[0]) ?? 0) > 1);
+    const departedPairs = [...departed].map(fromKey);
+    return [...listed].flatMap(([pool, versions]) => {
+      const hasOther = departedPairs.some(
+        ([departedPool, version]) => departedPool === pool && !versions.has(version),
+      );
+      return versions.size > 1 || hasOther ? [...versions].map((each) => toKey(pool, each)) : [];
+    });
   }
 
   private departedSince(pool: string, since: number): Set<string> {
--- a/packages/forwarder/src/peers/state-snapshot.ts
+++ b/packages/forwarder/src/peers/state-snapshot.ts
@@ -2,7 +2,7 @@
 import murmurhash from 'murmurhash';
 import { z } from 'zod';
 import { isAddress } from '@poplarpick/fleet/address';
-import { CallKind, MAX_NAME_LENGTH, MAX_SLOTS, MAX_WARM_UP_MS } from '@poplarpick/decisions';
+import { CallKind, endpointNameSchema, MAX_SLOTS, MAX_WARM_UP_MS } from '@poplarpick/decisions';
 import type { Endpoint, RoutingTable } from '@poplarpick/decisions';
 
 const routeSchema = z.object({
@@ -54,15 +54,13 @@
     .optional(),
 }) satisfies z.ZodType<RoutingTable>;
 
-const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
-
 const endpointSchema = z.object({
-  id: nameSchema,
+  id: endpointNameSchema,
   startedAt: z.number(),
-  pool: nameSchema,
-  version: nameSchema.optional(),
+  pool: endpointNameSchema,
+  version: endpointNameSchema.optional(),
   address: z.string().refine(isAddress),
-  dataCentre: nameSchema,
+  dataCentre: endpointNameSchema,
   slots: z.number().positive().max(MAX_SLOTS),
   isDraining: z.boolean(),
   warmUpMs: z.number().nonnegative().max(MAX_WARM_UP_MS).optional(),
--- a/packages/forwarder/src/streams/origin-message.ts
+++ b/packages/forwarder/src/streams/origin-message.ts
@@ -4,7 +4,7 @@
  */
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
-import { MAX_NAME_LENGTH } from '@poplarpick/decisions';
+import { endpointNameSchema } from '@poplarpick/decisions';
 import type { StreamKey, StreamOrigin } from '@poplarpick/decisions';
 
 /** Kind of a message, its first element. */
@@ -54,19 +54,17 @@
 const packr = new Packr({ useRecords: false });
 
 const keySchema = z.int().nonnegative();
-const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
-
 const messageSchema = z.union([
   z.tuple([
     z.literal(OriginMessageKind.Record),
-    nameSchema,
-    nameSchema,
+    endpointNameSchema,
+    endpointNameSchema,
     z.int().nonnegative().max(MAX_KEEP_MS),
     z.array(keySchema).max(MAX_KEYS_PER_RECORD),
   ]),
   z.tuple([z.literal(OriginMessageKind.Query), keySchema]),
   z.tuple([z.literal(OriginMessageKind.Answer), keySchema]),
-  z.tuple([z.literal(OriginMessageKind.Answer), keySchema, nameSchema, nameSchema]),
+  z.tuple([z.literal(OriginMessageKind.Answer), keySchema, endpointNameSchema, endpointNameSchema]),
 ]);
 
 /** Whether a datagram is a message about origins. */
--- a/packages/forwarder/src/streams/untold-streams.ts
+++ b/packages/forwarder/src/streams/untold-streams.ts
@@ -41,7 +41,7 @@
     if (key !== undefined) this.streams.set(key, stream);
   }
 
-  /** Forgets a stream that has ended whole. */
+  /** Forgets a stream, since it has ended whole or needs no telling any more. */
   forget(keys: StreamKeys): void {
     const key = identify(keys);
     if (key !== undefined) this.streams.delete(key);
@@ -51,19 +51,19 @@
   take({ isInferable, limit, now }: UntoldStreamSelection): UntoldStream[] {
     const inferable = new Map<Route, boolean>();
     const taken: UntoldStream[] = [];
-    for (const [key, stream] of [...this.streams.entries()]) {
+    const expired: UntoldStream[] = [];
+    for (const stream of this.streams.values()) {
       if (taken.length >= limit) break;
       const { route, validUntil } = stream;
       if (now >= validUntil) {
-        this.streams.delete(key);
+        expired.push(stream);
         continue;
       }
       const isRouteInferable = inferable.get(route) ?? isInferable(route);
       inferable.set(route, isRouteInferable);
-      if (isRouteInferable) continue;
-      this.streams.delete(key);
-      taken.push(stream);
+      if (!isRouteInferable) taken.push(stream);
     }
+    for (const { keys } of [...taken, ...expired]) this.forget(keys);
     return taken;
   }
 }
