--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -115,7 +115,7 @@
     if (this.unsent > MAX_UNSENT_ATTEMPTS) return RetryObstacle.Unreachable;
     if (!isKeyValid()) return RetryObstacle.Key;
     if (state.poison.mayBePoison(suspectHashes)) return RetryObstacle.Poison;
-    const budget = state.retryBudget(pool);
+    const budget = state.pools.retryBudget(pool);
     const routers = state.countRouters();
     const now = state.clock.monotonic();
     if (!budget.hasRetry(routers, now)) return RetryObstacle.Budget;
--- a/packages/forwarder/src/calls/call-hedge.ts
+++ b/packages/forwarder/src/calls/call-hedge.ts
@@ -54,7 +54,7 @@
   acquire(slow: Placement): Placement | undefined {
     const { state, route, pool, planner, arrivedAt } = this.options;
     const now = state.clock.monotonic();
-    const retries = state.retryBudget(pool);
+    const retries = state.pools.retryBudget(pool);
     if (!retries.hasSpare(state.countRouters(), now)) return undefined;
     const second = planner.selectHedge(slow.record);
     if (second === undefined) return undefined;
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -44,7 +44,7 @@
     if (isWithinShare) this.recordServed(attempt);
     if (!hasFreeSlot) return;
     const elapsedMs = this.elapsedSince(attempt.inFlight.sentAt);
-    state
+    state.pools
       .latencyEstimator(pool)
       .recordFirstEvent(record.incarnation, tokensAhead + prefillTokens, elapsedMs);
   }
@@ -58,7 +58,7 @@
     this.events += 1;
     if (this.events > 1) this.longestPause = Math.max(this.longestPause, elapsedMs);
     if (outputTokens === undefined) return;
-    const pace = state.streamPace(pool);
+    const pace = state.pools.streamPace(pool);
     // A router without processor time reads events late, which says nothing of the endpoint.
     if (state.eventLoop.meanDelayMs > MAX_LOOP_DELAY_MS) return;
     if (this.events > 1) pace.recordEvent(attempt.placement.record.incarnation, elapsedMs, now);
@@ -74,26 +74,26 @@
   recordStreamEnd(): void {
     const { state, pool, outputTokens } = this.options;
     if (outputTokens !== undefined)
-      state.streamPace(pool).recordCompleted(outputTokens, this.events);
+      state.pools.streamPace(pool).recordCompleted(outputTokens, this.events);
   }
 
   /** Records a successful response without events. */
   recordPlainResponse(attempt: MeasuredAttempt): void {
     const { record, hasFreeSlot } = attempt.placement;
     if (!hasFreeSlot) return;
-    const estimator = this.options.state.latencyEstimator(this.options.pool);
+    const estimator = this.options.state.pools.latencyEstimator(this.options.pool);
     estimator.recordFirstEvent(record.incarnation, 0, this.elapsedSince(attempt.inFlight.sentAt));
   }
 
   /** Records the duration of a completed attempt. */
   recordDuration(attempt: MeasuredAttempt): void {
-    const estimator = this.options.state.latencyEstimator(this.options.pool);
+    const estimator = this.options.state.pools.latencyEstimator(this.options.pool);
     estimator.recordDuration(this.elapsedSince(attempt.inFlight.sentAt));
   }
 
   private recordServed(attempt: MeasuredAttempt): void {
     const { state, pool, route, arrivedAt } = this.options;
-    state.surplusLimiter(pool).recordServed({
+    state.pools.surplusLimiter(pool).recordServed({
       objectiveMs: route.objectiveMs,
       firstEventMs: this.elapsedSince(arrivedAt),
       serviceMs: attempt.placement.serviceMs,
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -89,7 +89,7 @@
         surplusWaitLimit: this.state.surplusWaitLimit(pool),
         isCallerRetry,
         isResumption,
-        paceUsed: this.state.streamPace(pool).paceUsed(record.incarnation, now),
+        paceUsed: this.state.pools.streamPace(pool).paceUsed(record.incarnation, now),
       },
       this.state.random(),
     );
--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -83,7 +83,7 @@
       last_event: lastEventId,
       request_hash: requestHash,
       segments: segmentHashes.join(',') || undefined,
-      second_attempts_left: Math.floor(state.retryBudget(pool).remaining),
+      second_attempts_left: Math.floor(state.pools.retryBudget(pool).remaining),
     });
   }
 
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -367,7 +367,7 @@
     const { prompt } = head;
     this.sentAttempts += 1;
     if (this.sentAttempts + this.planner.unsentAttempts === 1) {
-      state.retryBudget(pool).recordRequest(state.countRouters(), this.now());
+      state.pools.retryBudget(pool).recordRequest(state.countRouters(), this.now());
     }
     if (workspace !== undefined && prompt !== undefined) {
       state.shares.recordGrant(workspace, prompt, this.admission.isOverShare);
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -187,7 +187,7 @@
     const { record, uncachedTokens, prefillTokens, waitMs, incarnation } = placement;
     if (uncachedTokens === 0) return placement;
     const { pool, dataCentre, version } = record.endpoint;
-    const estimator = this.state.latencyEstimator(pool);
+    const estimator = this.state.pools.latencyEstimator(pool);
     const plan = planTransfer({
       target: { dataCentre, version, uncachedTokens },
       sources,
@@ -215,10 +215,10 @@
   private countPausedTokens(placement: Placement, weightedTokens: number, now: number): number {
     const { record, incarnation, prefillTokens, tokensAhead, kvCacheTokens } = placement;
     const { pool } = record.endpoint;
-    const pace = this.state.streamPace(pool);
+    const pace = this.state.pools.streamPace(pool);
     const ownRisk = pace.pauseRisk(incarnation, Number.POSITIVE_INFINITY, now);
     if (ownRisk === 0) return 0;
-    const estimator = this.state.latencyEstimator(pool);
+    const estimator = this.state.pools.latencyEstimator(pool);
     const prefillMs = estimator.estimatePrefillMs(incarnation, prefillTokens + tokensAhead);
     const risk = pace.pauseRisk(incarnation, prefillMs, now);
     return risk * kvCacheTokens + ownRisk * weightedTokens;
@@ -231,7 +231,7 @@
     cacheTokens: number,
     now: number,
   ): Placement {
-    const estimator = this.state.latencyEstimator(record.endpoint.pool);
+    const estimator = this.state.pools.latencyEstimator(record.endpoint.pool);
     const load = record.load.totalLoad(now);
     const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(record.incarnation, segments);
     const prefillTokens =
@@ -257,7 +257,7 @@
 
   private evaluatePlainEndpoint(record: EndpointRecord): Placement {
     const now = this.state.clock.monotonic();
-    const estimator = this.state.latencyEstimator(record.endpoint.pool);
+    const estimator = this.state.pools.latencyEstimator(record.endpoint.pool);
     const load = record.load.totalLoad(now);
     const requestsAhead = load.pending + load.running;
     const waitMs = this.estimateSlotWaitMs(record, requestsAhead, false);
@@ -299,7 +299,7 @@
     const { slots, pool } = record.endpoint;
     const requestsToFinish = requestsAhead - slots + 1;
     if (requestsToFinish <= 0 && !isCacheFull) return 0;
-    const meanMs = this.state.latencyEstimator(pool).meanDurationMs;
+    const meanMs = this.state.pools.latencyEstimator(pool).meanDurationMs;
     return (Math.max(1, requestsToFinish) * meanMs) / Math.max(1, slots);
   }
 }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -5,17 +5,13 @@
  */
 import murmurhash from 'murmurhash';
 import {
-  SharedRetryBudget,
   hashSharedPrefix,
   KeyFreshness,
   LogRateLimiter,
   PrefixCacheIndex,
   RouteIndex,
   isRegionAllowed,
-  LatencyEstimator,
   oldestAgeMs,
-  StreamPace,
-  SurplusLimiter,
 } from '@poplarpick/decisions';
 import type {
   Endpoint,
@@ -40,6 +36,7 @@
 import { RouterReports } from './peers/router-reports.ts';
 import type { ReportHead } from './peers/router-reports.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
+import { PoolStates } from './pool-states.ts';
 import { PoisonGuard } from './poison/poison-guard.ts';
 import { RouterMetrics } from './router-metrics.ts';
 import { StreamOrigins } from './streams/stream-origins.ts';
@@ -112,19 +109,14 @@
   readonly evacuations: Evacuations;
   readonly shares: WorkspaceShares;
   readonly streams: StreamOrigins;
+  readonly pools: PoolStates;
   readonly metrics: RouterMetrics;
   private readonly regions: ReadonlyMap<string, string>;
-  private readonly latencyEstimators = new Map<string, LatencyEstimator>();
-  private readonly streamPaces = new Map<string, StreamPace>();
-  private readonly surplusLimiters = new Map<string, SurplusLimiter>();
-  private readonly retryBudgets = new Map<string, SharedRetryBudget>();
   private readonly reports: RouterReports;
   /** Hash of the list of endpoints, and the state of the directory that it belongs to. */
   private listHash: { hash: string; changes: number } | undefined;
   private routeIndex: RouteIndex | undefined;
   private readonly routesListeners: (() => void)[] = [];
-  /** Monotonic time at which the list of endpoints was last confirmed as complete, in ms. */
-  private endpointsConfirmedAt = Number.NEGATIVE_INFINITY;
   /** Monotonic time at which this router itself last read the store, in ms. */
   private storeReadAt = Number.NEGATIVE_INFINITY;
 
@@ -137,6 +129,7 @@
     this.logOutput = options.logOutput;
     this.random = options.random ?? Math.random;
     this.regions = options.regions ?? new Map<string, string>();
+    this.pools = new PoolStates(options.bounds);
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
     this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
     this.metrics = new RouterMetrics({
@@ -145,7 +138,7 @@
       endpoints: () => this.endpoints.ids().length,
       routers: () => this.countRouters(),
       logLinesDropped: () => this.logOutput?.dropped ?? 0,
-      remainingRetries: () => this.remainingRetries(),
+      remainingRetries: () => this.pools.remainingRetries,
       eventLoopDelayMs: () => this.eventLoop.meanDelayMs,
       eventLoopUtilization: () => this.eventLoop.utilization,
       blockedSegments: () => this.poison.countBlocked().segments,
@@ -223,8 +216,8 @@
       poison: this.poison,
       refusedRequests: this.shares.refusedRequests,
       streams: this.streams,
-      surplusLimiters: this.surplusLimiters,
-      streamPace: (pool) => this.streamPace(pool),
+      surplusLimiters: this.pools.surplusLimiters,
+      streamPace: (pool) => this.pools.streamPace(pool),
       describeState: () => this.describeState(),
       onCachedSegment: (entry) => this.applyCachedSegment(entry),
     });
@@ -271,7 +264,6 @@
    */
   confirmEndpoints(at: number, isContinuous = false): void {
     this.streams.confirmEndpoints(at, isContinuous);
-    this.endpointsConfirmedAt = Math.max(this.endpointsConfirmedAt, at);
   }
 
   /** Version of the routes, and age of the routes and of the list of endpoints. */
@@ -280,7 +272,7 @@
     return {
       version: this.routeIndex?.table.version,
       routesAgeMs: this.freshness.ageMs(now),
-      endpointsAgeMs: now - this.endpointsConfirmedAt,
+      endpointsAgeMs: now - this.streams.confirmations.confirmedAt,
     };
   }
 
@@ -293,32 +285,10 @@
     return hash;
   }
 
-  latencyEstimator(pool: string): LatencyEstimator {
-    return getOrCreate(this.latencyEstimators, pool, () => new LatencyEstimator());
-  }
-
-  streamPace(pool: string): StreamPace {
-    return getOrCreate(this.streamPaces, pool, () => new StreamPace());
-  }
-
-  surplusLimiter(pool: string): SurplusLimiter {
-    return getOrCreate(this.surplusLimiters, pool, () => new SurplusLimiter());
-  }
-
   /** Longest wait of a request over its workspace's share, as a multiple of the objective. */
   surplusWaitLimit(pool: string): number {
     const peers = this.peers.meanLateRate(murmurhash.v3(pool), this.clock.monotonic());
-    return this.surplusLimiter(pool).waitLimit(peers);
-  }
-
-  retryBudget(pool: string): SharedRetryBudget {
-    const { retryRatio, retrySlack, retryWindowMs } = this.bounds;
-    return getOrCreate(
-      this.retryBudgets,
-      pool,
-      () =>
-        new SharedRetryBudget({ ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs }),
-    );
+    return this.pools.surplusLimiter(pool).waitLimit(peers);
   }
 
   /** Number of live routers, including this one. */
@@ -402,20 +372,13 @@
     return Math.max(1, Math.floor(limit * CONNECTION_FRACTION));
   }
 
-  private remainingRetries(): number {
-    let total = 0;
-    for (const budget of this.retryBudgets.values()) total += budget.remaining;
-    return total;
-  }
-
   private removeEndpointState(record: EndpointRecord): void {
     this.limits.remove(record);
     this.warmUps.remove(record);
     this.streams.recordDeparted(record.endpoint);
     this.metrics.removeEndpoint(record.endpoint.id);
     this.prefixCacheIndex.removeEndpoint(record.incarnation);
-    this.latencyEstimator(record.endpoint.pool).removeEndpoint(record.incarnation);
-    this.streamPace(record.endpoint.pool).removeEndpoint(record.incarnation);
+    this.pools.removeEndpoint(record);
   }
 }
 
@@ -428,11 +391,3 @@
 export function sharedSegmentHashes(prompt: Prompt | undefined): SegmentHash[] {
   return sharedSegments(prompt).map(({ hash }) => hash);
 }
-
-function getOrCreate<Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value {
-  const existing = map.get(key);
-  if (existing !== undefined) return existing;
-  const created = create();
-  map.set(key, created);
-  return created;
-}
