--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -1,10 +1,11 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
-import type { Route, StreamKeys } from '@poplarpick/decisions';
+import type { Endpoint, Route, RoutingTable, StreamKeys } from '@poplarpick/decisions';
 import { CallKind } from '@poplarpick/decisions';
 import { OriginExchange } from './origin-exchange.ts';
 import { decodeOriginMessage, isOriginMessage, OriginMessageKind } from './origin-message.ts';
+import type { OriginMessage } from './origin-message.ts';
 import { StreamOrigins } from './stream-origins.ts';
 
 const ROUTE: Route = {
@@ -28,6 +29,37 @@
 /** Time after which records have certainly been sent, in ms. */
 const SENT_AFTER_MS = 100;
 
+const TABLE: RoutingTable = {
+  version: 1,
+  routes: [ROUTE],
+  pools: [],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  tokensPerSecond: 0,
+  workspaces: undefined,
+};
+
+/** Streams in hand: as many as are told in two periods. */
+const STREAMS = 30;
+
+/** Keys in the records of these streams: two of each, to each of two keepers. */
+const TOLD_KEYS = 2 * 2 * STREAMS;
+
+/** Most records of these streams: one to each of two keepers in each period. */
+const MAX_RECORDS = 4;
+
+function createEndpoint(version: string): Endpoint {
+  return {
+    id: version,
+    startedAt: 0,
+    pool: 'p',
+    version,
+    address: '10.0.0.1:80',
+    dataCentre: 'z',
+    slots: 8,
+    isDraining: false,
+  };
+}
+
 class Router {
   readonly origins: StreamOrigins;
   readonly exchange: OriginExchange;
@@ -133,6 +165,38 @@
     expect(unanswered).to.deep.equal({ origin: undefined, hasAnswered: false, wasAsked: true });
   });
 
+  // Guards against a burst of datagrams when a second version is listed while streams run.
+  it('tells the streams in hand in few datagrams once a second version is listed', async () => {
+    const listed = [createEndpoint('v1')];
+    const clock = new SystemClock();
+    const origins = new StreamOrigins({ clock, isFirstStart: true, endpoints: () => listed });
+    origins.recordRoutes(TABLE);
+    origins.confirmEndpoints(clock.monotonic(), false);
+    const records: OriginMessage[] = [];
+    const exchange = new OriginExchange({
+      address: '10.0.0.9:7000',
+      clock,
+      log: createLogger({ level: LogLevel.Silent }),
+      origins,
+      routers: () => ['10.0.0.1:7000', '10.0.0.2:7000'],
+      transmit: (_target, message) => records.push(decodeOriginMessage(message)),
+    });
+    exchange.open();
+    for (let stream = 0; stream < STREAMS; stream += 1) {
+      origins.recordBegun({ byRequest: 2 * stream, byPrompt: 2 * stream + 1 }, V1, ROUTE);
+      await sleep(1);
+    }
+    await sleep(2 * SENT_AFTER_MS);
+    expect(records).to.deep.equal([]);
+    listed.push(createEndpoint('v2'));
+    const countKeys = (): number =>
+      records.reduce((sum, record) => sum + ('keys' in record ? record.keys.length : 0), 0);
+    while (countKeys() < TOLD_KEYS) await sleep(10);
+    exchange.close();
+    expect(countKeys()).to.equal(TOLD_KEYS);
+    expect(records.length).to.be.at.most(MAX_RECORDS);
+  });
+
   it('ignores datagrams that are no valid message', () => {
     const { exchange, origins } = network.all[0] ?? new Router('10.0.0.9:7000', network);
     fc.assert(
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -114,8 +114,8 @@
     const now = this.now();
     const isInferable = (route: Route): boolean => this.isInferable(route);
     const streams = this.untold.take({ isInferable, limit, now });
-    for (const { keys, origin, validUntil } of streams)
-      this.tell(keys, origin, Math.ceil(validUntil - now));
+    // The whole horizon rather than what is left of it, so that streams of a route share their records.
+    for (const { keys, origin, route } of streams) this.tell(keys, origin, streamHorizonMs(route));
     return streams.length;
   }
 
