--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -109,7 +109,10 @@
     for (const connection of this.connections) this.discard(connection);
   }
 
-  /** Takes the most recently used idle connection on which no request with this id was refused. */
+  /**
+   * Takes the most recently used idle connection on which no request with this id was refused. If there are only
+   * others, one of them is closed, so that a new connection stays within the limit.
+   */
   private takeIdle(requestId: string): EndpointConnection | undefined {
     const index = this.idle.findLastIndex((connection) => !connection.refusedIds.has(requestId));
     if (index >= 0) return this.idle.splice(index, 1)[0];
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -32,7 +32,10 @@
  */
 const TIMEOUTS_PER_STREAM = 2;
 
-/** Age of the list of endpoints, in ms, up to which no router can have seen a new version long before this one. */
+/**
+ * Age of the list of endpoints, in ms, up to which this router takes it that the others can still infer the origin of
+ * a stream that begins.
+ */
 const FRESH_LIST_MS = 3_000;
 
 /** Called with a stream that has begun and whose origin other routers can't infer; `keepMs` is how long it matters. */
