One fixture of a resumable route for the tests of streams; the retry bounds are declared once

Read once more: three test files built the same route, two of them the same table and endpoint, and the bounds of the retry budget stood in RouterBounds and in PoolStatesOptions. They stand once now. No assertion, bound or behaviour changes.

--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -37,6 +37,7 @@
 import type { ReportHead } from './peers/router-reports.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
 import { PoolStates } from './pool-states.ts';
+import type { PoolStatesOptions } from './pool-states.ts';
 import { PoisonGuard } from './poison/poison-guard.ts';
 import { RouterMetrics } from './router-metrics.ts';
 import { StreamOrigins } from './streams/stream-origins.ts';
@@ -51,17 +52,11 @@
 const DEFAULT_CONNECTION_LIMIT = 64;
 
 /** Limits from the site's settings. */
-export interface RouterBounds {
+export interface RouterBounds extends PoolStatesOptions {
   /** Time within which a revoked API key must stop working, in ms. */
   revocationMs: number;
   /** Length of the sliding window of the fair shares, in ms. */
   shareWindowMs: number;
-  /** Retries allowed per request, over all routers. */
-  retryRatio: number;
-  /** Retries allowed per window on top of the ratio, over all routers. */
-  retrySlack: number;
-  /** Length of the window of the retry budget, in ms. */
-  retryWindowMs: number;
 }
 
 /** Options of a `RouterState`. */
--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -1,26 +1,14 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
-import type { Endpoint, Route, RoutingTable, StreamKeys } from '@poplarpick/decisions';
-import { CallKind } from '@poplarpick/decisions';
+import type { StreamKeys } from '@poplarpick/decisions';
 import { OriginExchange } from './origin-exchange.ts';
 import { decodeOriginMessage, isOriginMessage, OriginMessageKind } from './origin-message.ts';
 import type { OriginMessage } from './origin-message.ts';
 import { StreamOrigins } from './stream-origins.ts';
+import { createEndpoint, createRoute, createTable } from './testing/resumable-route.ts';
 
-const ROUTE: Route = {
-  name: 'r',
-  host: 'h',
-  prefix: '/',
-  kind: CallKind.Stream,
-  timeoutMs: 10_000,
-  objectiveMs: 500,
-  pauseMs: 500,
-  targets: [{ pool: 'p', weight: 1 }],
-  maxAttempts: 2,
-  isPublic: false,
-  isResumable: true,
-};
+const ROUTE = createRoute();
 
 const V1 = { pool: 'p', version: 'v1' };
 const KEYS: StreamKeys = { byRequest: 1, byPrompt: 2 };
@@ -29,15 +17,6 @@
 /** Time after which records have certainly been sent, in ms. */
 const SENT_AFTER_MS = 100;
 
-const TABLE: RoutingTable = {
-  version: 1,
-  routes: [ROUTE],
-  pools: [],
-  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-  tokensPerSecond: 0,
-  workspaces: undefined,
-};
-
 /** Streams in hand: as many as are told in two periods. */
 const STREAMS = 30;
 
@@ -47,19 +26,6 @@
 /** Most records of these streams: one to each of two keepers in each period. */
 const MAX_RECORDS = 4;
 
-function createEndpoint(version: string): Endpoint {
-  return {
-    id: version,
-    startedAt: 0,
-    pool: 'p',
-    version,
-    address: '10.0.0.1:80',
-    dataCentre: 'z',
-    slots: 8,
-    isDraining: false,
-  };
-}
-
 class Router {
   readonly origins: StreamOrigins;
   readonly exchange: OriginExchange;
@@ -170,7 +136,7 @@
     const listed = [createEndpoint('v1')];
     const clock = new SystemClock();
     const origins = new StreamOrigins({ clock, isFirstStart: true, endpoints: () => listed });
-    origins.recordRoutes(TABLE);
+    origins.recordRoutes(createTable(ROUTE));
     origins.confirmEndpoints(clock.monotonic(), false);
     const records: OriginMessage[] = [];
     const exchange = new OriginExchange({
--- a/packages/forwarder/src/streams/resumption-resolver.test.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.test.ts
@@ -1,40 +1,20 @@
 import { expect } from 'chai';
-import { CallKind, hashSegment } from '@poplarpick/decisions';
-import type { Endpoint, Prompt, Route } from '@poplarpick/decisions';
+import { hashSegment } from '@poplarpick/decisions';
+import type { Prompt } from '@poplarpick/decisions';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import type { RequestError } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
 import type { KeeperAnswer } from './origin-exchange.ts';
 import { ResumptionResolver } from './resumption-resolver.ts';
 import { StreamOrigins } from './stream-origins.ts';
+import { createEndpoint, createRoute, createTable } from './testing/resumable-route.ts';
 
 /** Time for which the router stood still, in ms: less than makes its list too old to tell others by. */
 const STANDSTILL_MS = 2_500;
 
-const ENDPOINT: Endpoint = {
-  id: 'e1',
-  startedAt: 0,
-  pool: 'p',
-  version: 'v1',
-  address: '10.0.0.1:80',
-  dataCentre: 'z',
-  slots: 8,
-  isDraining: false,
-};
+const ENDPOINT = createEndpoint('v1');
 
-const ROUTE: Route = {
-  name: 'r',
-  host: 'h',
-  prefix: '/',
-  kind: CallKind.Stream,
-  timeoutMs: 10_000,
-  objectiveMs: 500,
-  pauseMs: 500,
-  targets: [{ pool: 'p', weight: 1 }],
-  maxAttempts: 2,
-  isPublic: false,
-  isResumable: true,
-};
+const ROUTE = createRoute();
 
 const PROMPT: Prompt = {
   model: 'm',
@@ -71,14 +51,7 @@
 
   function createOrigins(isFirstStart: boolean): StreamOrigins {
     const created = new StreamOrigins({ clock, isFirstStart, endpoints: () => [ENDPOINT] });
-    created.recordRoutes({
-      version: 1,
-      routes: [ROUTE],
-      pools: [],
-      limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-      tokensPerSecond: 0,
-      workspaces: undefined,
-    });
+    created.recordRoutes(createTable(ROUTE));
     return created;
   }
 
@@ -126,7 +99,7 @@
 
   it('is that of the cached prompt after a start, but not while the others are silent', async () => {
     origins = createOrigins(false);
-    origins.recordListsRequested(['e1']);
+    origins.recordListsRequested([ENDPOINT.id]);
     origins.recordListing(ENDPOINT, [{ hash: hashSegment('m', 'own'), tokens: 100 }]);
     expect(await resolve(NOTHING_KNOWN)).to.equal('v1');
     expect(await resolve(UNANSWERED)).to.include({ verdict: 'not-run', retryAfterSeconds: 0.5 });
--- a/packages/forwarder/src/streams/untold-streams.test.ts
+++ b/packages/forwarder/src/streams/untold-streams.test.ts
@@ -1,27 +1,11 @@
 import { expect } from 'chai';
-import { CallKind } from '@poplarpick/decisions';
 import type { Route } from '@poplarpick/decisions';
+import { createRoute } from './testing/resumable-route.ts';
 import { UntoldStreams } from './untold-streams.ts';
 
 const ORIGIN = { pool: 'p', version: 'v1' };
 const KEEP_MS = 20_000;
 
-function createRoute(name: string): Route {
-  return {
-    name,
-    host: 'h',
-    prefix: `/${name}/`,
-    kind: CallKind.Stream,
-    timeoutMs: 10_000,
-    objectiveMs: 500,
-    pauseMs: 500,
-    targets: [{ pool: 'p', weight: 1 }],
-    maxAttempts: 2,
-    isPublic: false,
-    isResumable: true,
-  };
-}
-
 describe('streams whose keepers were not told', () => {
   const moved = createRoute('moved');
   const kept = createRoute('kept');
