--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -5,7 +5,7 @@
 import type { RouterState } from '../router-state.ts';
 import type { RetryObstacle } from './attempt-planner.ts';
 import type { CallAttempt } from './call-attempt.ts';
-import type { CallHead } from './call-protocol.ts';
+import type { CallHead, ResponseHead } from './call-protocol.ts';
 import type { Placement } from './endpoint-evaluator.ts';
 
 /** Options of a `CallReporter`. */
@@ -35,12 +35,25 @@
   attempts: number;
   /** Why the latest further attempt was not granted; undefined if it was, or if none was requested. */
   retryObstacle: RetryObstacle | undefined;
+  /** Id of the last event that the caller got; undefined without one. */
+  lastEventId: number | undefined;
+  /** Whether the response of the endpoint had a length or chunks; undefined if none has ended. */
+  wasFramed: boolean | undefined;
   /** Monotonic time of the first event, in ms; undefined if there was none. */
   firstEventAt: number | undefined;
   /** Longest time between two events, in ms; undefined if there were fewer than two. */
   longestPauseMs: number | undefined;
 }
 
+/** The first event with which an attempt goes on with a stream, and what the stream needs next. */
+export interface Continuation {
+  head: ResponseHead;
+  /** Id of the event; undefined if it has none. */
+  eventId: number | undefined;
+  /** Id of the last event before it, as far as this router knows; undefined if it had none. */
+  previousId: number | string | undefined;
+}
+
 /** Logs one call and records its metrics. */
 export class CallReporter {
   private readonly options: CallReporterOptions;
@@ -87,6 +100,25 @@
     });
   }
 
+  /** Logs the first event of an attempt that goes on with a stream, of this response or of an earlier one. */
+  recordContinuation(attempt: CallAttempt, { head, eventId, previousId }: Continuation): void {
+    const { state, head: call } = this.options;
+    const { endpoint } = attempt;
+    state.log.info({
+      event: 'stream.continued',
+      request: call.requestId,
+      resumed_request: call.resumedRequestId,
+      endpoint: endpoint.id,
+      endpoint_version: endpoint.version,
+      endpoint_started_at: endpoint.startedAt,
+      endpoints_age_ms: Math.round(state.streams.confirmations.ageMs),
+      status: head.status,
+      framed: head.isFramed,
+      event_id: eventId,
+      previous_event: previousId,
+    });
+  }
+
   /** Logs, once per call, that a stream stays at a silent endpoint, and why. */
   recordStall(attempt: CallAttempt, obstacle: RetryObstacle | undefined): void {
     if (this.hasLoggedStall) return;
@@ -135,6 +167,8 @@
       resumed_request: head.resumedRequestId,
       resumed_after: head.lastEventId,
       endpoint_version: placement?.record.endpoint.version,
+      last_event: summary.lastEventId,
+      framed: summary.wasFramed,
       attempts,
       not_retried: retryObstacle,
       share_tokens: head.prompt && fairShareCost(head.prompt),
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -79,6 +79,7 @@
   /** An endpoint may have run the request. */
   private mayHaveRun = false;
   private lastEventId: number | undefined;
+  private wasFramed: boolean | undefined;
   private firstEventAt: number | undefined;
   private isEnded = false;
   /** Monotonic time of the deadline, in ms. */
@@ -215,6 +216,7 @@
       return true;
     }
     if (!attempt.hasStarted) {
+      this.recordContinuation(attempt, head, event);
       this.firstEventAt ??= this.now();
       this.binding.recordEvent(attempt.endpoint);
       this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
@@ -229,6 +231,7 @@
 
   override handleStreamEnd(attempt: CallAttempt, head: ResponseHead): void {
     this.settleHandover(attempt);
+    this.wasFramed = head.isFramed;
     if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
     this.writer.end();
     this.binding.recordCompleted();
@@ -248,6 +251,7 @@
       this.latencyRecorder.recordPlainResponse(attempt);
       this.latencyRecorder.recordDuration(attempt);
     }
+    this.wasFramed = head.isFramed;
     this.writer.send(head.status, head.forwardedHeaders, body);
     this.finish(`status_${head.status}`);
   }
@@ -415,6 +419,13 @@
     return true;
   }
 
+  /** Logs an event with which an attempt goes on with a stream; not the first event of a new stream. */
+  private recordContinuation(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): void {
+    const previousId = this.lastEventId ?? this.options.head.lastEventId;
+    if (previousId === undefined && !this.writer.hasBegun) return;
+    this.reporter.recordContinuation(attempt, { head, eventId: event.id, previousId });
+  }
+
   private isOutOfOrder(event: StreamEvent): boolean {
     if (event.id === undefined || this.lastEventId === undefined) return false;
     return event.id !== this.lastEventId + 1;
@@ -489,6 +500,8 @@
       isCallerRetry: this.admission.isCallerRetry,
       attempts: this.sentAttempts,
       retryObstacle: this.planner.obstacle,
+      lastEventId: this.lastEventId,
+      wasFramed: this.wasFramed,
       firstEventAt: this.firstEventAt,
       longestPauseMs: this.latencyRecorder.longestPauseMs,
     });
