--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,6 +3,7 @@
 export * from './configuration-service.ts';
 export * from './host-list.ts';
 export * from './model-engine/model-engine.ts';
+export * from './scripted-engine.ts';
 export * from './stand-in.ts';
 export * from './weight-store.ts';
 export * from './site/site.ts';
