Sidecars no longer take a reset, or the death of the engine, for the end of an answer

Callers got a short answer of an application as whole, with its status and framed to its end. An answer with neither a length nor chunks ends with its connection. undici takes a reset for that end (client-h1.js, onHttpSocketError), and the system closes the connections of a process that was killed in order.

Now each call has a connection of its own object (engine-connection.ts), which knows whether the system has reset it, and after an orderly end asks whether the engine still accepts connections. Without this proof the answer is broken off; answers with a length, chunks or no body need none, and cause no further connection.

An engine that closes an answer without framing early and lives on can't be told from one that has ended it.

--- a/packages/fleet/src/sidecar/application-client.ts
+++ b/packages/fleet/src/sidecar/application-client.ts
@@ -3,15 +3,15 @@
  * headers as JSON; the other frames hold chunks of the body. The cost of a call is the time that it
  * took at the endpoint, in milliseconds.
  */
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { Clock } from '@poplarpick/kernel';
 import { filterForwardableHeaders } from '../callers/application-call.ts';
-import { ONE_REQUEST_PER_CONNECTION } from '../engine-connections.ts';
 import type { Job } from '../messages.ts';
 import { EndpointClient } from './endpoint-client.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
 import { toEndpointError } from './endpoint-error.ts';
+import { EngineConnection } from './engine-connection.ts';
 import type { EndpointClientOptions } from './model-engine-client.ts';
 
 /** Timeout for the response headers, and for each further chunk of the body. */
@@ -26,11 +26,7 @@
 export class ApplicationClient extends EndpointClient {
   private readonly baseUrl: string;
   private readonly clock: Clock;
-  private readonly agent = new Agent({
-    headersTimeout: PART_TIMEOUT_MS,
-    bodyTimeout: PART_TIMEOUT_MS,
-    ...ONE_REQUEST_PER_CONNECTION,
-  });
+  private readonly connections = new Set<EngineConnection>();
 
   constructor(options: ApplicationClientOptions) {
     super();
@@ -40,9 +36,16 @@
 
   override run(requestId: string, job: Job, listener: RunListener): Run {
     const abort = new AbortController();
-    this.call(requestId, job, listener, abort.signal).catch((error: unknown) => {
-      if (!abort.signal.aborted) listener.onFailure(toEndpointError(error));
-    });
+    const connection = new EngineConnection({ url: this.baseUrl, partTimeoutMs: PART_TIMEOUT_MS });
+    this.connections.add(connection);
+    this.call(requestId, job, listener, abort.signal, connection)
+      .catch((error: unknown) => {
+        if (!abort.signal.aborted) listener.onFailure(toEndpointError(error));
+      })
+      .finally(() => {
+        this.connections.delete(connection);
+        void connection.destroy();
+      });
     const cancel = async (): Promise<boolean> => {
       abort.abort();
       return Promise.resolve(false);
@@ -51,7 +54,7 @@
   }
 
   override async close(): Promise<void> {
-    await this.agent.destroy();
+    await Promise.all([...this.connections].map((connection) => connection.destroy()));
   }
 
   private async call(
@@ -59,6 +62,7 @@
     job: Job,
     listener: RunListener,
     signal: AbortSignal,
+    connection: EngineConnection,
   ): Promise<void> {
     const startedAt = this.clock.monotonic();
     const headers = job.headers.flatMap(({ name, value }) => [name, value]);
@@ -67,19 +71,19 @@
       method: job.method as Dispatcher.HttpMethod,
       headers: [...headers, 'x-request-id', requestId],
       body: job.body.length > 0 ? job.body : null,
-      dispatcher: this.agent,
+      dispatcher: connection.client,
       responseHeaders: 'raw',
       signal,
     });
-    const head = {
-      status: response.statusCode,
-      headers: filterForwardableHeaders(toHeaderList(response.headers)),
-    };
+    const status = response.statusCode;
+    const answerHeaders = toHeaderList(response.headers);
+    const head = { status, headers: filterForwardableHeaders(answerHeaders) };
     listener.onFrame(Buffer.from(JSON.stringify(head)), 0);
     for await (const bytes of response.body as AsyncIterable<Buffer>) {
       if (signal.aborted) return;
       listener.onFrame(bytes, 0);
     }
+    await connection.requireEnd({ method: job.method, status, headers: answerHeaders });
     if (!signal.aborted) listener.onEnd(this.clock.monotonic() - startedAt);
   }
 }
--- /dev/null
+++ b/packages/fleet/src/sidecar/engine-connection.ts
@@ -0,0 +1,100 @@
+/**
+ * One connection to the engine beside the sidecar, for one request. An answer with neither a length nor chunks ends
+ * with its connection, so that its end has to be proven: a reset is none, although undici takes it for one, and an
+ * engine whose process has ended closes its connections in order, but accepts no new one.
+ */
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { buildConnector, Client } from 'undici';
+
+/** Time in which an engine that lives accepts a connection, in ms. */
+const PROBE_TIMEOUT_MS = 1_000;
+
+/** Methods and statuses of answers that have no body. */
+const BODILESS_METHOD = 'HEAD';
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Options of an `EngineConnection`. */
+export interface EngineConnectionOptions {
+  /** Base URL of the engine. */
+  url: string;
+  /** Timeout for the head of the answer, and for each further part of it, in ms. */
+  partTimeoutMs: number;
+}
+
+/** Status and headers of an answer, with alternating names and values. */
+export interface EngineAnswerHead {
+  method: string;
+  status: number;
+  headers: readonly string[];
+}
+
+/** Sends one request, and proves the end of its answer. */
+export class EngineConnection {
+  /** The HTTP client of the connection. */
+  readonly client: Client;
+  private readonly url: URL;
+  private wasReset = false;
+
+  constructor({ url, partTimeoutMs }: EngineConnectionOptions) {
+    this.url = new URL(url);
+    const open = buildConnector({});
+    this.client = new Client(this.url.origin, {
+      pipelining: 0,
+      headersTimeout: partTimeoutMs,
+      bodyTimeout: partTimeoutMs,
+      connect: (options, callback) => {
+        open(options, (...result) => {
+          // undici destroys the socket after an answer as well, with an error of its own.
+          result[1]?.on('error', (error) => {
+            this.wasReset ||= 'syscall' in error;
+          });
+          callback(...result);
+        });
+      },
+    });
+  }
+
+  /** Rejects unless an answer whose body has ended is known to be whole. */
+  async requireEnd(head: EngineAnswerHead): Promise<void> {
+    if (isFramed(head)) return;
+    if (this.wasReset)
+      throw new Error('the connection was reset within an answer without a length');
+    if (!(await this.acceptsConnections()))
+      throw new Error('the engine has ended after an answer without a length');
+  }
+
+  async destroy(): Promise<void> {
+    await this.client.destroy();
+  }
+
+  private async acceptsConnections(): Promise<boolean> {
+    const { hostname, port } = this.url;
+    const host = hostname.replace(/^\[|\]$/g, '');
+    const socket = connect({ host, port: Number(port === '' ? '80' : port) });
+    const accepted = await waitForConnection(socket);
+    socket.destroy();
+    return accepted;
+  }
+}
+
+/** Whether a length, chunks or the lack of a body tell where an answer ends. */
+function isFramed({ method, status, headers }: EngineAnswerHead): boolean {
+  if (method === BODILESS_METHOD || BODILESS_STATUSES.has(status)) return true;
+  return headers.some((name, index) => {
+    if (index % 2 !== 0) return false;
+    const value = headers[index + 1] ?? '';
+    return (
+      name.toLowerCase() === 'content-length' ||
+      (name.toLowerCase() === 'transfer-encoding' && /(^|,)\s*chunked\s*$/i.test(value))
+    );
+  });
+}
+
+function waitForConnection(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => resolve(false));
+    socket.on('connect', () => resolve(true));
+    socket.on('error', () => resolve(false));
+  });
+}
