The proof that an engine lives holds beside a connection that is accepted late

The system may close the connections of a killed process before it stops listening.

The stand-in now dies in this order: "a body with no framing, died early" failed in 8 of 8 cases without the wait, and passes with it. Only answers without framing wait.

--- a/packages/fleet/src/sidecar/engine-connection.ts
+++ b/packages/fleet/src/sidecar/engine-connection.ts
@@ -1,14 +1,20 @@
 /**
  * One connection to the engine beside the sidecar, for one request. An answer with neither a length nor chunks ends
  * with its connection, so that its end has to be proven: a reset is none, although undici takes it for one, and an
- * engine whose process has ended closes its connections in order, but accepts no new one.
+ * engine whose process has ended closes its connections in order, but keeps no new one.
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
 
 /** Time in which an engine that lives accepts a connection, in ms. */
-const PROBE_TIMEOUT_MS = 1_000;
+const ACCEPT_TIMEOUT_MS = 1_000;
+
+/**
+ * Time for which an engine that lives keeps a connection without a request, in ms. The system may close the connections
+ * of a process that was killed before it stops listening, and resets those that it has accepted in between.
+ */
+const KEEP_TIME_MS = 100;
 
 /** Methods and statuses of answers that have no body. */
 const BODILESS_METHOD = 'HEAD';
@@ -60,7 +66,7 @@
     if (isFramed(head)) return;
     if (this.wasReset)
       throw new Error('the connection was reset within an answer without a length');
-    if (!(await this.acceptsConnections()))
+    if (!(await this.keepsConnections()))
       throw new Error('the engine has ended after an answer without a length');
   }
 
@@ -68,13 +74,13 @@
     await this.client.destroy();
   }
 
-  private async acceptsConnections(): Promise<boolean> {
+  private async keepsConnections(): Promise<boolean> {
     const { hostname, port } = this.url;
     const host = hostname.replace(/^\[|\]$/g, '');
     const socket = connect({ host, port: Number(port === '' ? '80' : port) });
-    const accepted = await waitForConnection(socket);
+    const isKept = await waitUntilKept(socket);
     socket.destroy();
-    return accepted;
+    return isKept;
   }
 }
 
@@ -91,10 +97,13 @@
   });
 }
 
-function waitForConnection(socket: Socket): Promise<boolean> {
+/** Resolves to whether a connection is accepted and kept. */
+function waitUntilKept(socket: Socket): Promise<boolean> {
   return new Promise((resolve) => {
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => resolve(false));
-    socket.on('connect', () => resolve(true));
+    socket.setTimeout(ACCEPT_TIMEOUT_MS, () => resolve(false));
+    socket.on('connect', () => setTimeout(() => resolve(true), KEEP_TIME_MS));
     socket.on('error', () => resolve(false));
+    socket.on('close', () => resolve(false));
+    socket.resume();
   });
 }
--- a/packages/stand-ins/src/scripted-engine.ts
+++ b/packages/stand-ins/src/scripted-engine.ts
@@ -11,7 +11,7 @@
   /** An orderly close. */
   Close = 'close',
   Reset = 'reset',
-  /** The process ends: the engine stops listening, and the system closes its connections in order. */
+  /** The process is killed. The system closes its connections in order; a connection that it accepts late is reset. */
   Death = 'death',
 }
 
@@ -27,11 +27,15 @@
 /** Time for which the bytes of an answer travel before a reset, which would overtake them, in ms. */
 const RESET_DELAY_MS = 5;
 
+/** Time after which the system resets a connection that it has accepted for a process that was killed, in ms. */
+const DEATH_DURATION_MS = 5;
+
 /** Answers requests from a script. */
 export class ScriptedEngine {
   private readonly script: AnswerScript;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  private isDying = false;
 
   constructor(script: AnswerScript) {
     this.script = script;
@@ -60,6 +64,13 @@
     // The caller may leave at any time.
     socket.on('error', () => undefined);
     socket.on('close', () => this.sockets.delete(socket));
+    if (this.isDying) {
+      setTimeout(() => {
+        socket.resetAndDestroy();
+        this.stop();
+      }, DEATH_DURATION_MS);
+      return;
+    }
     let received = '';
     let hasAnswered = false;
     socket.on('data', (bytes) => {
@@ -88,8 +99,8 @@
         setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
         return;
       case ConnectionEnd.Death:
-        this.server.close();
-        setImmediate(() => this.sockets.forEach((open) => open.end()));
+        this.sockets.forEach((open) => open.end());
+        this.isDying = true;
     }
   }
 }
