An engine's answer that is neither a refusal nor a stream may have run

A caller of a chat request whose engine answered 201, 204 or a redirection was told 400 "not run" (invalid_request), though the engine may have run it. Every status under 500 other than 200 counted as a refusal; now only 400 to 499 do, and the others are a failure of the endpoint that may have run.

--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -188,12 +188,14 @@
   throw new RequestError(message, { code: ErrorCode.IncompleteAnswer, verdict: Verdict.Ran });
 }
 
+/** Only a refusal tells that the request hasn't run; a success of another kind or a redirection doesn't. */
 async function toEngineError(
   status: number,
   body: { text(): Promise<string> },
 ): Promise<RequestError> {
   const text = (await body.text()).slice(0, 200);
-  const verdict = status >= 500 ? Verdict.MayHaveRun : Verdict.NotRun;
-  const code = status < 500 ? ErrorCode.InvalidRequest : ErrorCode.EndpointFailed;
+  const isRefusal = status >= 400 && status < 500;
+  const verdict = isRefusal ? Verdict.NotRun : Verdict.MayHaveRun;
+  const code = isRefusal ? ErrorCode.InvalidRequest : ErrorCode.EndpointFailed;
   return new RequestError(`the engine answered ${status}: ${text}`, { code, verdict });
 }
