An error within a stream of an engine ends it as an error

A caller of a chat request whose engine failed in the middle of its stream got the error as a chunk, or nothing of it, and then [DONE]; a caller that doesn't stream got 200 with the content so far. Every JSON object counted as a chunk, the names of events weren't read, and the parser passes over text that is no event.

Now an event named error, an object without choices or with an error, and text that is no event end the answer as a failure that may have run, whatever follows.

--- a/packages/fleet/src/sidecar/chunk-stream.ts
+++ b/packages/fleet/src/sidecar/chunk-stream.ts
@@ -1,8 +1,11 @@
 /**
  * Parses the event stream (SSE) of one answer. Each chunk becomes one frame. A stream that ends without
- * its end mark is reported as a failure, never as a complete answer.
+ * its end mark is reported as a failure, never as a complete answer, and so is one with anything that is
+ * no chunk: an error of the engine within the stream ends it, whatever follows.
  */
 import { createParser } from 'eventsource-parser';
+import type { EventSourceMessage, ParseError } from 'eventsource-parser';
+import { z } from 'zod';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { RunListener } from './endpoint-client.ts';
 
@@ -15,11 +18,31 @@
 /** Data of the event that ends a stream. */
 const END_MARK = '[DONE]';
 
+/** Name of an event by which an engine reports that the stream has failed. */
+const ERROR_EVENT = 'error';
+
+/** Characters of an unusable event that are quoted in the error. */
+const MAX_QUOTED_CHARACTERS = 200;
+
+const chunkSchema = z.object({
+  choices: z.array(z.unknown()),
+  usage: z
+    .object({ prompt_tokens: z.number().nullish(), completion_tokens: z.number().nullish() })
+    .nullish(),
+  error: z.null().optional(),
+});
+
+type Chunk = z.output<typeof chunkSchema>;
+type Usage = NonNullable<Chunk['usage']>;
+
 /** Turns the bytes of an event stream into frames. The bytes may arrive over several connections. */
 export class ChunkStream {
   private readonly listener: RunListener;
   private decoder = new TextDecoder();
-  private readonly parser = createParser({ onEvent: (event) => this.handleEvent(event.data) });
+  private readonly parser = createParser({
+    onEvent: (event) => this.handleEvent(event),
+    onError: rejectText,
+  });
   private receivedEvents = 0;
   private pendingEventBytes = 0;
   private hasEndMark = false;
@@ -59,7 +82,7 @@
     else this.listener.onFailure(createIncompleteStreamError());
   }
 
-  private handleEvent(data: string): void {
+  private handleEvent({ event, data }: EventSourceMessage): void {
     this.pendingEventBytes = 0;
     this.receivedEvents += 1;
     if (this.hasEndMark) return;
@@ -67,6 +90,7 @@
       this.hasEndMark = true;
       return;
     }
+    if (event === ERROR_EVENT) throw createUnusableEventError(data);
     const chunk = parseChunk(data);
     if (chunk.usage != null) {
       this.finalCost = computeCost(chunk.usage) - this.generatedTokens;
@@ -78,16 +102,20 @@
   }
 }
 
-interface Usage {
-  prompt_tokens?: number;
-  completion_tokens?: number;
+function parseChunk(data: string): Chunk {
+  const result = chunkSchema.safeParse(JSON.parse(data));
+  if (!result.success) throw createUnusableEventError(data);
+  return result.data;
+}
+
+/** Text that is no event, such as that of an error, would be passed over by the parser. */
+function rejectText(error: ParseError): void {
+  if (error.type === 'unknown-field') throw createUnusableEventError(error.line ?? '');
 }
 
-function parseChunk(data: string): { usage?: Usage | null } {
-  const chunk = JSON.parse(data) as { usage?: Usage | null } | null;
-  if (chunk === null || typeof chunk !== 'object')
-    throw new Error('the engine sent a chunk that is not an object');
-  return chunk;
+function createUnusableEventError(text: string): Error {
+  const quoted = text.slice(0, MAX_QUOTED_CHARACTERS);
+  return new Error(`the engine sent something other than a chunk within the stream: ${quoted}`);
 }
 
 function computeCost(usage: Usage): number {
