A chunk of another answer within a stream ends it

A caller got chunks of another request's answer in the middle of its own, where an engine mixed them up or answered a reconnect with another stream, and then [DONE]. All chunks of an answer have one id, and nobody compared them.

Engines that give their chunks no id are not covered by this.

--- a/packages/fleet/src/sidecar/chunk-stream.ts
+++ b/packages/fleet/src/sidecar/chunk-stream.ts
@@ -25,6 +25,8 @@
 const MAX_QUOTED_CHARACTERS = 200;
 
 const chunkSchema = z.object({
+  /** The same for all chunks of an answer. */
+  id: z.string().optional(),
   choices: z.array(z.unknown()),
   usage: z
     .object({ prompt_tokens: z.number().nullish(), completion_tokens: z.number().nullish() })
@@ -46,6 +48,7 @@
   private receivedEvents = 0;
   private pendingEventBytes = 0;
   private hasEndMark = false;
+  private answerId: string | undefined;
   private generatedTokens = 0;
   private finalCost = 0;
 
@@ -92,6 +95,9 @@
     }
     if (event === ERROR_EVENT) throw createUnusableEventError(data);
     const chunk = parseChunk(data);
+    this.answerId ??= chunk.id;
+    if (chunk.id !== undefined && chunk.id !== this.answerId)
+      throw new Error(`the engine sent a chunk of the answer ${chunk.id} within ${this.answerId}`);
     if (chunk.usage != null) {
       this.finalCost = computeCost(chunk.usage) - this.generatedTokens;
       this.listener.onFrame(Buffer.from(data), 0);
