A stream goes on only with the events that follow the last one received

A caller got chunks twice, or with some missing, and then [DONE], where an engine didn't answer a reconnect from the event that was asked for. Chunks have no numbers, so nothing told whether the next one was the one after the last.

A reconnect, after a lost connection or a suspension, now asks for the latest 16 events once more. They must be the same, and aren't passed on again; otherwise the answer fails as incomplete. One event would not do: chunks that are alike in a row hid a gap in the table.

Not detected: a gap within a run of more than 16 chunks that are the same.

--- a/packages/fleet/src/sidecar/chunk-stream.ts
+++ b/packages/fleet/src/sidecar/chunk-stream.ts
@@ -21,6 +21,12 @@
 /** Name of an event by which an engine reports that the stream has failed. */
 const ERROR_EVENT = 'error';
 
+/**
+ * Events that are read once more after a reconnect, which must be the same. Fewer wouldn't show a gap or a repetition
+ * among chunks that are alike.
+ */
+const OVERLAP_EVENTS = 16;
+
 /** Characters of an unusable event that are quoted in the error. */
 const MAX_QUOTED_CHARACTERS = 200;
 
@@ -49,6 +55,10 @@
   private pendingEventBytes = 0;
   private hasEndMark = false;
   private answerId: string | undefined;
+  /** Data of the latest events. */
+  private readonly latest: string[] = [];
+  /** What a new connection must bring before anything new. */
+  private overlap: string[] = [];
   private generatedTokens = 0;
   private finalCost = 0;
 
@@ -65,11 +75,16 @@
     return this.hasEndMark;
   }
 
-  /** Discards the incomplete event that a lost connection has left. */
-  discardPartialEvent(): void {
+  /**
+   * Prepares for a new connection: discards the incomplete event that a lost one has left. Returns the index of the
+   * event at which the new one must begin, so that it proves that it goes on with this stream.
+   */
+  startOver(): number {
     this.decoder = new TextDecoder();
     this.parser.reset();
     this.pendingEventBytes = 0;
+    this.overlap = [...this.latest];
+    return this.receivedEvents - this.overlap.length;
   }
 
   push(bytes: Buffer): void {
@@ -87,8 +102,8 @@
 
   private handleEvent({ event, data }: EventSourceMessage): void {
     this.pendingEventBytes = 0;
-    this.receivedEvents += 1;
-    if (this.hasEndMark) return;
+    if (this.hasEndMark || this.isOverlap(data)) return;
+    this.recordEvent(data);
     if (data === END_MARK) {
       this.hasEndMark = true;
       return;
@@ -106,6 +121,20 @@
     this.generatedTokens += 1;
     this.listener.onFrame(Buffer.from(data), 1);
   }
+
+  /** Whether an event was received before; it must be the one that follows then. */
+  private isOverlap(data: string): boolean {
+    const expected = this.overlap.shift();
+    if (expected === undefined) return false;
+    if (data !== expected) throw createDiscontinuityError();
+    return true;
+  }
+
+  private recordEvent(data: string): void {
+    this.receivedEvents += 1;
+    this.latest.push(data);
+    if (this.latest.length > OVERLAP_EVENTS) this.latest.shift();
+  }
 }
 
 function parseChunk(data: string): Chunk {
@@ -134,3 +163,10 @@
     verdict: Verdict.Ran,
   });
 }
+
+function createDiscontinuityError(): RequestError {
+  return new RequestError('the engine goes on with another event than the one that follows', {
+    code: ErrorCode.IncompleteAnswer,
+    verdict: Verdict.Ran,
+  });
+}
--- a/packages/fleet/src/sidecar/engine-answers.test.ts
+++ b/packages/fleet/src/sidecar/engine-answers.test.ts
@@ -214,9 +214,13 @@
   const OTHER_CHUNKS = createChunks('chatcmpl-other');
 
   function createChunks(id: string): string[] {
-    const contents = ['one', ' two', ' two', ' two', ' three', ' four'];
+    // Some in a row are the same, as tokens may be.
+    const contents = Array.from({ length: 40 }, (_, index) => ` ${Math.floor(index / 4)}`);
     return [
-      ...contents.map((content) => ({ id, choices: [{ index: 0, delta: { content } }] })),
+      ...contents.map((content, index) => {
+        const delta = index === 0 ? { role: 'assistant', content } : { content };
+        return { id, choices: [{ index: 0, delta }] };
+      }),
       { id, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }] },
       { id, choices: [], usage: { prompt_tokens: 1, completion_tokens: 6 } },
     ].map((chunk) => JSON.stringify(chunk));
@@ -352,7 +356,7 @@
   for (const body of Object.keys(BODIES))
     groups.set(`a first answer with ${body}`, createCases(body, [0]));
   for (const body of [...Object.keys(BODIES), ...Object.keys(MISPLACED_BODIES)])
-    groups.set(`a stream that goes on with ${body}`, createCases(body, [1, 4]));
+    groups.set(`a stream that goes on with ${body}`, createCases(body, [1, 4, 30]));
   groups.set(
     'a first answer without content',
     ENDINGS.filter(({ isWhole }) => isWhole).map((ending) => {
--- a/packages/fleet/src/sidecar/model-engine-client.test.ts
+++ b/packages/fleet/src/sidecar/model-engine-client.test.ts
@@ -107,7 +107,7 @@
     expect(error).to.include({ code: ErrorCode.IncompleteAnswer, verdict: Verdict.Ran });
     expect(targets.slice(0, 2)).to.deep.equal([
       'POST /v1/chat/completions',
-      'GET /v1/streams/request?from=1',
+      'GET /v1/streams/request?from=0',
     ]);
     expect(targets.filter((target) => target.startsWith('POST'))).to.have.length(1);
   });
--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -1,6 +1,6 @@
 /**
  * A run at a model engine, which streams its answer. The run can be suspended at the engine and resumed.
- * After a suspension or a lost connection, reading continues from the first event not yet received.
+ * After a suspension or a lost connection, reading continues with the latest events received.
  */
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -103,13 +103,12 @@
     this.reconnect();
   }
 
-  /** Continues reading from the first event not yet received. */
+  /** Continues reading with the latest events received, by which the engine proves that it goes on with them. */
   private reconnect(): void {
     this.connection = new AbortController();
-    this.stream.discardPartialEvent();
     const { signal } = this.connection;
     const { dispatcher } = this.options;
-    const url = `${this.url()}?from=${this.stream.eventCount}`;
+    const url = `${this.url()}?from=${this.stream.startOver()}`;
     this.consume(request(url, { dispatcher, signal }).then(requireStreamFound), signal);
   }
 
