A stream is whole once its end mark has arrived

A caller lost an answer that was whole: where the connection broke between [DONE] and the end of the framing, the sidecar reconnected for events after the end mark, and if the engine no longer had the stream, the answer failed as incomplete. The end mark is the proof of the end, so reading now ends with it.

--- a/packages/fleet/src/sidecar/engine-answers.test.ts
+++ b/packages/fleet/src/sidecar/engine-answers.test.ts
@@ -285,10 +285,13 @@
     contentType: string;
     /** Number of chunks received before, over a connection that was then reset. */
     received: number;
+    /** Bytes that are missing of an answer that ends early, if not half of the body. */
+    missing?: number;
   }
 
   function createCase(stream: StreamCase): Case {
-    const { status, body, framing, ending, contentType, received } = stream;
+    const { status, body, framing, ending, contentType, received, missing } = stream;
+    const hasMark = ending.isWhole || missing !== undefined;
     const createParts = BODIES[body] ?? MISPLACED_BODIES[body];
     if (createParts === undefined) throw new Error(`there is no body ${body}`);
     let answers = received > 0 ? 0 : 1;
@@ -309,9 +312,9 @@
       if (answer === 1) {
         const parts = createParts(from);
         const text = render(status, [`Content-Type: ${contentType}`], framing, parts);
-        return send(text, ending, Math.ceil(parts.join('').length / 2) + 1);
+        return send(text, ending, missing ?? Math.ceil(parts.join('').length / 2) + 1);
       }
-      if (ending.isWhole)
+      if (hasMark)
         return {
           bytes: Buffer.from(render(404, [], Framing.Length, [])),
           end: ConnectionEnd.Close,
@@ -326,7 +329,7 @@
         return frames.length === CHUNKS.length ? undefined : 'a short answer is complete';
       const isRefused = status >= 400 && status < 500 && received === 0;
       if (failure.verdict === Verdict.NotRun && !isRefused) return 'not run';
-      const isSound = status === 200 && ending.isWhole && SOUND_BODIES.includes(body);
+      const isSound = status === 200 && hasMark && SOUND_BODIES.includes(body);
       return isSound ? 'a whole answer fails' : undefined;
     };
     const place = received > 0 ? `goes on after ${received}` : 'first';
@@ -364,5 +367,14 @@
       return createCase({ ...answer, contentType: 'text/plain', received: 0 });
     }),
   );
+  groups.set(
+    'a stream whose framing breaks off after its end mark',
+    ENDINGS.filter(({ isWhole }) => !isWhole).flatMap((ending) =>
+      [0, 30].map((received) => {
+        const answer = { status: 200, body: 'the right chunks', framing: Framing.Chunked, ending };
+        return createCase({ ...answer, contentType: 'text/event-stream', received, missing: 3 });
+      }),
+    ),
+  );
   declareTests(groups);
 });
--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -147,6 +147,7 @@
     for await (const bytes of response.body as AsyncIterable<Buffer>) {
       if (signal.aborted) return;
       this.stream.push(bytes);
+      if (this.stream.hasEnded) break;
     }
     if (signal.aborted) return;
     if (!this.stream.hasEnded) throw new BrokenStreamError();
