An error that replaces an application's answer has none of its headers

A caller got 502 with the content-encoding, cookies and other headers of an answer that couldn't be passed on: they were set one by one before the one that HTTP doesn't allow was found, so the error's text was labelled as gzip, say. The status and all headers are now checked before the first is set.

broken-answers.test.ts, before: content-encoding and set-cookie were in the 502; now they aren't. It also shows what held: over HTTP/1.1 an application's answer is cut, a stream ends with the error and without [DONE], and a caller that doesn't stream gets the error alone.

--- a/packages/fleet/src/callers/application-call.ts
+++ b/packages/fleet/src/callers/application-call.ts
@@ -2,6 +2,7 @@
  * `ANY /apps/<service>/<path>`: calls to application services, forwarded unchanged. The first frame of
  * an answer holds its status and headers as JSON; the other frames are the body.
  */
+import { validateHeaderName, validateHeaderValue } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import { z } from 'zod';
 import { EndpointKind, isNonIdempotentCall } from '@poplarpick/decisions';
@@ -42,7 +43,7 @@
 
 /** Schema of the first frame of an application's answer: its status and headers. */
 export const answerHeadSchema = z.object({
-  status: z.int(),
+  status: z.int().min(200).max(999),
   headers: z.array(z.object({ name: z.string(), value: z.string() })),
 });
 
@@ -113,6 +114,11 @@
       return;
     }
     const head = answerHeadSchema.parse(JSON.parse(data.toString('utf8')));
+    // All are checked first, so that none stays in the error that replaces an answer that can't be passed on.
+    for (const { name, value } of head.headers) {
+      validateHeaderName(name);
+      validateHeaderValue(name, value);
+    }
     for (const { name, value } of head.headers) this.response.appendHeader(name, value);
     this.response.setHeader(REQUEST_ID_HEADER, this.requestId);
     this.response.writeHead(head.status);
