A broken-off answer is a reset for callers over HTTP/1.0

A caller over HTTP/1.0 got a short answer of an application that looked whole: its response ends with the connection, and a failure after the head closed that in order, as an end does.

broken-answers.test.ts, before: "is broken off visibly for a caller of an application, over HTTP/1.0" saw an orderly end; now a reset. Over HTTP/1.1 the missing last chunk shows it, as before.

--- a/packages/fleet/src/callers/api-errors.ts
+++ b/packages/fleet/src/callers/api-errors.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import type { RequestError } from '@poplarpick/kernel';
 import { sendJson } from '../http-gateway.ts';
+import { breakOff } from './break-off.ts';
 
 /** JSON body of an error response. */
 export interface ErrorBody {
@@ -47,7 +48,7 @@
   requestId: string,
 ): void {
   if (response.headersSent || response.destroyed) {
-    response.destroy();
+    breakOff(response);
     return;
   }
   response.setHeader(REQUEST_ID_HEADER, requestId);
--- a/packages/fleet/src/callers/broken-answers.test.ts
+++ b/packages/fleet/src/callers/broken-answers.test.ts
@@ -66,7 +66,7 @@
 }
 
 describe('an answer that fails after it has begun', () => {
-  for (const version of ['1.1']) {
+  for (const version of ['1.0', '1.1']) {
     it(`is broken off visibly for a caller of an application, over HTTP/${version}`, async () => {
       const { transport } = await exchange(
         version,
