Orders, states and loads of engines count only with the status of a success

A sidecar took {"result":"done"} for an obeyed order, and any state or load that can be read, whatever the status of the answer: the engine could have said 404 or 500. The power cap, placement and slots rely on them. An order is done only with status 200 now (a refusal keeps its outcome with any status), and so are a state and a load.

engine-control-client.test.ts, before: outcome and state were taken from 202, 404 and 500; load-poller.test.ts, before: the load of a 503 was reported. Both are rejected now. orders.test.ts passes.

--- a/packages/fleet/src/orders/engine-control-client.ts
+++ b/packages/fleet/src/orders/engine-control-client.ts
@@ -32,6 +32,17 @@
   NoWeights = 'no-weights',
 }
 
+/** The status with which an engine answers a state, and an order that it has obeyed. */
+const STATUS_OK = 200;
+
+/** The engine has answered with a status that contradicts its answer. */
+export class UnprovenAnswerError extends Error {
+  constructor(status: number) {
+    super(`the engine answered ${status}`);
+    this.name = 'UnprovenAnswerError';
+  }
+}
+
 const orderResponseSchema = z.object({ result: z.enum(OrderOutcome) });
 
 /** Reads the state of an engine and sends it orders. */
@@ -45,17 +56,19 @@
 
   /** Reads the current state. Rejects if the engine does not return a valid one. */
   async readState(): Promise<EngineState> {
-    const { body } = await request(`${this.baseUrl}/v1/state`, {
+    const { statusCode, body } = await request(`${this.baseUrl}/v1/state`, {
       dispatcher: this.agent,
       headersTimeout: READ_TIMEOUT_MS,
       bodyTimeout: READ_TIMEOUT_MS,
     });
-    return engineStateSchema.parse(await body.json());
+    const state = await body.json();
+    if (statusCode !== STATUS_OK) throw new UnprovenAnswerError(statusCode);
+    return engineStateSchema.parse(state);
   }
 
   /** Sends an order with its fencing token. Rejects if the outcome is unknown. */
   async sendOrder(order: PlannedOrder, fencing: string): Promise<OrderOutcome> {
-    const { body } = await request(`${this.baseUrl}/v1/orders`, {
+    const { statusCode, body } = await request(`${this.baseUrl}/v1/orders`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify({ ...order, fencing }),
@@ -63,7 +76,10 @@
       headersTimeout: LOAD_TIMEOUT_MS,
       bodyTimeout: LOAD_TIMEOUT_MS,
     });
-    return orderResponseSchema.parse(await body.json()).result;
+    const { result } = orderResponseSchema.parse(await body.json());
+    if (result === OrderOutcome.Done && statusCode !== STATUS_OK)
+      throw new UnprovenAnswerError(statusCode);
+    return result;
   }
 
   async close(): Promise<void> {
--- a/packages/fleet/src/sidecar/load-poller.ts
+++ b/packages/fleet/src/sidecar/load-poller.ts
@@ -55,8 +55,10 @@
     this.isPolling = true;
     try {
       const url = `${this.options.url.replace(/\/$/, '')}/v1/load`;
-      const { body } = await request(url, { dispatcher: this.agent });
-      this.options.onReport(loadReport.parse(await body.json()));
+      const { statusCode, body } = await request(url, { dispatcher: this.agent });
+      const report = await body.json();
+      if (statusCode !== 200) throw new Error(`the endpoint answered ${statusCode}`);
+      this.options.onReport(loadReport.parse(report));
       this.isFailing = false;
     } catch (error) {
       this.recordFailure(error);
