The table of answers has heads of streams that break off, and bytes after the end of a body

Bytes after the end of a body that has a length or chunks, also a whole second answer, don't reach the caller.

--- a/packages/fleet/src/sidecar/engine-answers.test.ts
+++ b/packages/fleet/src/sidecar/engine-answers.test.ts
@@ -152,11 +152,15 @@
     ending: Ending;
     /** Bytes that are missing of an answer that ends early. */
     missing: number;
+    /** Bytes after the end of the answer. */
+    surplus?: string;
   }
 
-  function createCase({ status, framing, ending, missing }: ApplicationCase): Case {
+  function createCase(answer: ApplicationCase): Case {
+    const { status, framing, ending, missing, surplus } = answer;
     const parts = status === 204 ? [] : BODY;
-    const text = render(status, ['Content-Type: application/json'], framing, parts);
+    const text =
+      render(status, ['Content-Type: application/json'], framing, parts) + (surplus ?? '');
     const head = { status, headers: [{ name: 'content-type', value: 'application/json' }] };
     const whole = JSON.stringify(head) + parts.join('');
     const findFault = ({ frames, failure }: Outcome): string | undefined => {
@@ -205,6 +209,16 @@
         ),
     ),
   );
+  groups.set(
+    'bytes after the end of a body',
+    [Framing.Length, Framing.Chunked].flatMap((framing) =>
+      ['surplus', render(500, [], Framing.Length, ['surplus'])].flatMap((surplus) =>
+        ENDINGS.filter(({ isWhole }) => isWhole).map((ending) =>
+          createCase({ status: 200, framing, ending, missing: 0, surplus }),
+        ),
+      ),
+    ),
+  );
   declareTests(groups);
 });
 
@@ -287,11 +301,13 @@
     received: number;
     /** Bytes that are missing of an answer that ends early, if not half of the body. */
     missing?: number;
+    /** Only bytes of the framing are missing. */
+    hasCutFraming?: boolean;
   }
 
   function createCase(stream: StreamCase): Case {
-    const { status, body, framing, ending, contentType, received, missing } = stream;
-    const hasMark = ending.isWhole || missing !== undefined;
+    const { status, body, framing, ending, contentType, received, missing, hasCutFraming } = stream;
+    const hasMark = ending.isWhole || hasCutFraming === true;
     const createParts = BODIES[body] ?? MISPLACED_BODIES[body];
     if (createParts === undefined) throw new Error(`there is no body ${body}`);
     let answers = received > 0 ? 0 : 1;
@@ -372,9 +388,23 @@
     ENDINGS.filter(({ isWhole }) => !isWhole).flatMap((ending) =>
       [0, 30].map((received) => {
         const answer = { status: 200, body: 'the right chunks', framing: Framing.Chunked, ending };
-        return createCase({ ...answer, contentType: 'text/event-stream', received, missing: 3 });
+        const cut = { missing: 3, hasCutFraming: true };
+        return createCase({ ...answer, ...cut, contentType: 'text/event-stream', received });
       }),
     ),
   );
+  const headEnd = BODIES['the right chunks']?.(0).join('').length ?? 0;
+  groups.set(
+    'a head that breaks off',
+    ENDINGS.filter(({ isWhole }) => !isWhole).flatMap((ending) =>
+      [0, 1].flatMap((received) =>
+        [1, 2, 4, 10, 40].map((bytes) => {
+          const missing = headEnd + bytes;
+          const answer = { status: 200, body: 'the right chunks', framing: Framing.None, ending };
+          return createCase({ ...answer, contentType: 'text/event-stream', received, missing });
+        }),
+      ),
+    ),
+  );
   declareTests(groups);
 });
