A stream whose choices have no reason to finish isn't whole

A caller got a short answer as complete where an engine wrote [DONE] before the end of its answer, as one does that closes all its streams when it fails. The protocol gives each choice a finish_reason in its last chunk; the end mark counts only if each choice that has begun has one.

engine-answers.test.ts, before: "an end mark too early" 12 of 30 as a first answer, 18 of 45 where it goes on; now 0. once-path, openai-client, callers-exchange, whole-path and suspension: 43 passed. An end mark without any chunk still counts as an empty answer.

--- a/packages/fleet/src/sidecar/chunk-stream.ts
+++ b/packages/fleet/src/sidecar/chunk-stream.ts
@@ -1,7 +1,8 @@
 /**
  * Parses the event stream (SSE) of one answer. Each chunk becomes one frame. A stream that ends without
- * its end mark is reported as a failure, never as a complete answer, and so is one with anything that is
- * no chunk: an error of the engine within the stream ends it, whatever follows.
+ * its end mark, or without a reason to finish for each choice, is reported as a failure, never as a
+ * complete answer, and so is one with anything that is no chunk: an error of the engine within the stream
+ * ends it, whatever follows.
  */
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage, ParseError } from 'eventsource-parser';
@@ -33,7 +34,7 @@
 const chunkSchema = z.object({
   /** The same for all chunks of an answer. */
   id: z.string().optional(),
-  choices: z.array(z.unknown()),
+  choices: z.array(z.object({ index: z.number().optional(), finish_reason: z.string().nullish() })),
   usage: z
     .object({ prompt_tokens: z.number().nullish(), completion_tokens: z.number().nullish() })
     .nullish(),
@@ -55,6 +56,9 @@
   private pendingEventBytes = 0;
   private hasEndMark = false;
   private answerId: string | undefined;
+  /** Indexes of the choices that have begun, and of those whose reason to finish has arrived. */
+  private readonly begun = new Set<number>();
+  private readonly finished = new Set<number>();
   /** Data of the latest events. */
   private readonly latest: string[] = [];
   /** What a new connection must bring before anything new. */
@@ -105,6 +109,7 @@
     if (this.hasEndMark || this.isOverlap(data)) return;
     this.recordEvent(data);
     if (data === END_MARK) {
+      if (this.finished.size < this.begun.size) throw createUnfinishedAnswerError();
       this.hasEndMark = true;
       return;
     }
@@ -113,6 +118,7 @@
     this.answerId ??= chunk.id;
     if (chunk.id !== undefined && chunk.id !== this.answerId)
       throw new Error(`the engine sent a chunk of the answer ${chunk.id} within ${this.answerId}`);
+    this.recordChoices(chunk);
     if (chunk.usage != null) {
       this.finalCost = computeCost(chunk.usage) - this.generatedTokens;
       this.listener.onFrame(Buffer.from(data), 0);
@@ -122,6 +128,13 @@
     this.listener.onFrame(Buffer.from(data), 1);
   }
 
+  private recordChoices({ choices }: Chunk): void {
+    for (const { index = 0, finish_reason: reason } of choices) {
+      this.begun.add(index);
+      if (reason != null) this.finished.add(index);
+    }
+  }
+
   /** Whether an event was received before; it must be the one that follows then. */
   private isOverlap(data: string): boolean {
     const expected = this.overlap.shift();
@@ -164,6 +177,13 @@
   });
 }
 
+function createUnfinishedAnswerError(): RequestError {
+  return new RequestError('the engine ended the stream before the answer was finished', {
+    code: ErrorCode.IncompleteAnswer,
+    verdict: Verdict.Ran,
+  });
+}
+
 function createDiscontinuityError(): RequestError {
   return new RequestError('the engine goes on with another event than the one that follows', {
     code: ErrorCode.IncompleteAnswer,
--- a/packages/fleet/src/sidecar/engine-answers.test.ts
+++ b/packages/fleet/src/sidecar/engine-answers.test.ts
@@ -278,6 +278,7 @@
       END_MARK,
     ],
     'an error alone': () => [ERROR],
+    'an end mark too early': (from) => [...toEvents(CHUNKS.slice(from, from + 20)), END_MARK],
     nothing: () => [''],
     'no end mark': (from) => toEvents(CHUNKS.slice(from)),
   };
