--- a/packages/fleet/src/sidecar/chunk-stream.ts
+++ b/packages/fleet/src/sidecar/chunk-stream.ts
@@ -1,8 +1,12 @@
 /**
  * Parses the event stream (SSE) of one answer. Each chunk becomes one frame. A stream that ends without
- * its end mark is reported as a failure, never as a complete answer.
+ * its end mark, or without a reason to finish for each choice, is reported as a failure, never as a
+ * complete answer, and so is one with anything that is no chunk: an error of the engine within the stream
+ * ends it, whatever follows.
  */
 import { createParser } from 'eventsource-parser';
+import type { EventSourceMessage, ParseError } from 'eventsource-parser';
+import { z } from 'zod';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { RunListener } from './endpoint-client.ts';
 
@@ -15,14 +19,50 @@
 /** Data of the event that ends a stream. */
 const END_MARK = '[DONE]';
 
+/** Name of an event by which an engine reports that the stream has failed. */
+const ERROR_EVENT = 'error';
+
+/**
+ * Events that are read once more after a reconnect, which must be the same. Fewer wouldn't show a gap or a repetition
+ * among chunks that are alike.
+ */
+const OVERLAP_EVENTS = 16;
+
+/** Characters of an unusable event that are quoted in the error. */
+const MAX_QUOTED_CHARACTERS = 200;
+
+const chunkSchema = z.object({
+  /** The same for all chunks of an answer. */
+  id: z.string().optional(),
+  choices: z.array(z.object({ index: z.number().optional(), finish_reason: z.string().nullish() })),
+  usage: z
+    .object({ prompt_tokens: z.number().nullish(), completion_tokens: z.number().nullish() })
+    .nullish(),
+  error: z.null().optional(),
+});
+
+type Chunk = z.output<typeof chunkSchema>;
+type Usage = NonNullable<Chunk['usage']>;
+
 /** Turns the bytes of an event stream into frames. The bytes may arrive over several connections. */
 export class ChunkStream {
   private readonly listener: RunListener;
   private decoder = new TextDecoder();
-  private readonly parser = createParser({ onEvent: (event) => this.handleEvent(event.data) });
+  private readonly parser = createParser({
+    onEvent: (event) => this.handleEvent(event),
+    onError: rejectText,
+  });
   private receivedEvents = 0;
   private pendingEventBytes = 0;
   private hasEndMark = false;
+  private answerId: string | undefined;
+  /** Indexes of the choices that have begun, and of those whose reason to finish has arrived. */
+  private readonly begun = new Set<number>();
+  private readonly finished = new Set<number>();
+  /** Data of the latest events. */
+  private readonly latest: string[] = [];
+  /** What a new connection must bring before anything new. */
+  private overlap: string[] = [];
   private generatedTokens = 0;
   private finalCost = 0;
 
@@ -39,11 +79,16 @@
     return this.hasEndMark;
   }
 
-  /** Discards the incomplete event that a lost connection has left. */
-  discardPartialEvent(): void {
+  /**
+   * Prepares for a new connection: discards the incomplete event that a lost one has left. Returns the index of the
+   * event at which the new one must begin, so that it proves that it goes on with this stream.
+   */
+  startOver(): number {
     this.decoder = new TextDecoder();
     this.parser.reset();
     this.pendingEventBytes = 0;
+    this.overlap = [...this.latest];
+    return this.receivedEvents - this.overlap.length;
   }
 
   push(bytes: Buffer): void {
@@ -59,15 +104,21 @@
     else this.listener.onFailure(createIncompleteStreamError());
   }
 
-  private handleEvent(data: string): void {
+  private handleEvent({ event, data }: EventSourceMessage): void {
     this.pendingEventBytes = 0;
-    this.receivedEvents += 1;
-    if (this.hasEndMark) return;
+    if (this.hasEndMark || this.isOverlap(data)) return;
+    this.recordEvent(data);
     if (data === END_MARK) {
+      if (this.finished.size < this.begun.size) throw createUnfinishedAnswerError();
       this.hasEndMark = true;
       return;
     }
+    if (event === ERROR_EVENT) throw createUnusableEventError(data);
     const chunk = parseChunk(data);
+    this.answerId ??= chunk.id;
+    if (chunk.id !== undefined && chunk.id !== this.answerId)
+      throw new Error(`the engine sent a chunk of the answer ${chunk.id} within ${this.answerId}`);
+    this.recordChoices(chunk);
     if (chunk.usage != null) {
       this.finalCost = computeCost(chunk.usage) - this.generatedTokens;
       this.listener.onFrame(Buffer.from(data), 0);
@@ -76,18 +127,43 @@
     this.generatedTokens += 1;
     this.listener.onFrame(Buffer.from(data), 1);
   }
+
+  private recordChoices({ choices }: Chunk): void {
+    for (const { index = 0, finish_reason: reason } of choices) {
+      this.begun.add(index);
+      if (reason != null) this.finished.add(index);
+    }
+  }
+
+  /** Whether an event was received before; it must be the one that follows then. */
+  private isOverlap(data: string): boolean {
+    const expected = this.overlap.shift();
+    if (expected === undefined) return false;
+    if (data !== expected) throw createDiscontinuityError();
+    return true;
+  }
+
+  private recordEvent(data: string): void {
+    this.receivedEvents += 1;
+    this.latest.push(data);
+    if (this.latest.length > OVERLAP_EVENTS) this.latest.shift();
+  }
+}
+
+function parseChunk(data: string): Chunk {
+  const result = chunkSchema.safeParse(JSON.parse(data));
+  if (!result.success) throw createUnusableEventError(data);
+  return result.data;
 }
 
-interface Usage {
-  prompt_tokens?: number;
-  completion_tokens?: number;
+/** Text that is no event, such as that of an error, would be passed over by the parser. */
+function rejectText(error: ParseError): void {
+  if (error.type === 'unknown-field') throw createUnusableEventError(error.line ?? '');
 }
 
-function parseChunk(data: string): { usage?: Usage | null } {
-  const chunk = JSON.parse(data) as { usage?: Usage | null } | null;
-  if (chunk === null || typeof chunk !== 'object')
-    throw new Error('the engine sent a chunk that is not an object');
-  return chunk;
+function createUnusableEventError(text: string): Error {
+  const quoted = text.slice(0, MAX_QUOTED_CHARACTERS);
+  return new Error(`the engine sent something other than a chunk within the stream: ${quoted}`);
 }
 
 function computeCost(usage: Usage): number {
@@ -100,3 +176,17 @@
     verdict: Verdict.Ran,
   });
 }
+
+function createUnfinishedAnswerError(): RequestError {
+  return new RequestError('the engine ended the stream before the answer was finished', {
+    code: ErrorCode.IncompleteAnswer,
+    verdict: Verdict.Ran,
+  });
+}
+
+function createDiscontinuityError(): RequestError {
+  return new RequestError('the engine goes on with another event than the one that follows', {
+    code: ErrorCode.IncompleteAnswer,
+    verdict: Verdict.Ran,
+  });
+}
--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -1,6 +1,6 @@
 /**
  * A run at a model engine, which streams its answer. The run can be suspended at the engine and resumed.
- * After a suspension or a lost connection, reading continues from the first event not yet received.
+ * After a suspension or a lost connection, reading continues with the latest events received.
  */
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -103,13 +103,12 @@
     this.reconnect();
   }
 
-  /** Continues reading from the first event not yet received. */
+  /** Continues reading with the latest events received, by which the engine proves that it goes on with them. */
   private reconnect(): void {
     this.connection = new AbortController();
-    this.stream.discardPartialEvent();
     const { signal } = this.connection;
     const { dispatcher } = this.options;
-    const url = `${this.url()}?from=${this.stream.eventCount}`;
+    const url = `${this.url()}?from=${this.stream.startOver()}`;
     this.consume(request(url, { dispatcher, signal }).then(requireStreamFound), signal);
   }
 
@@ -148,6 +147,7 @@
     for await (const bytes of response.body as AsyncIterable<Buffer>) {
       if (signal.aborted) return;
       this.stream.push(bytes);
+      if (this.stream.hasEnded) break;
     }
     if (signal.aborted) return;
     if (!this.stream.hasEnded) throw new BrokenStreamError();
@@ -188,12 +188,14 @@
   throw new RequestError(message, { code: ErrorCode.IncompleteAnswer, verdict: Verdict.Ran });
 }
 
+/** Only a refusal tells that the request hasn't run; a success of another kind or a redirection doesn't. */
 async function toEngineError(
   status: number,
   body: { text(): Promise<string> },
 ): Promise<RequestError> {
   const text = (await body.text()).slice(0, 200);
-  const verdict = status >= 500 ? Verdict.MayHaveRun : Verdict.NotRun;
-  const code = status < 500 ? ErrorCode.InvalidRequest : ErrorCode.EndpointFailed;
+  const isRefusal = status >= 400 && status < 500;
+  const verdict = isRefusal ? Verdict.NotRun : Verdict.MayHaveRun;
+  const code = isRefusal ? ErrorCode.InvalidRequest : ErrorCode.EndpointFailed;
   return new RequestError(`the engine answered ${status}: ${text}`, { code, verdict });
 }
