--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,3 +11,4 @@
 export * from './free-port.ts';
 export * from './platform/platform-engine.ts';
 export * from './platform/platform-store.ts';
+export * from './platform/scripted-engine.ts';
--- /dev/null
+++ b/packages/stand-ins/src/platform/scripted-engine.ts
@@ -0,0 +1,126 @@
+/**
+ * Stand-in for an engine of the users' platform that answers with the bytes of a script, on raw connections. It plays
+ * what an HTTP server can't: heads that stop at any byte, bodies that end early, and answers in any packets.
+ */
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+const HEAD_END = '\r\n\r\n';
+
+/** Time after the last byte at which a connection is reset, so that the bytes are read before, in ms. */
+const RESET_DELAY_MS = 15;
+
+/** What happens to the connection after the last byte of an answer. */
+export enum ConnectionEnd {
+  /** It serves the next request. */
+  Kept = 'kept',
+  /** It is closed in order. */
+  Closed = 'closed',
+  Reset = 'reset',
+  /** It stays open without a further byte. */
+  Silent = 'silent',
+}
+
+/** What the engine reads of a request. */
+export interface ScriptedRequest {
+  requestId: string;
+  target: string;
+  /** Event after which a stream is to go on; undefined without one. */
+  lastEventId: number | undefined;
+}
+
+/** The answer to one request. */
+export interface ScriptedAnswer {
+  /** Each piece is written by itself. */
+  pieces: readonly string[];
+  end: ConnectionEnd;
+  /** Awaited before the piece with this index; nothing by default. */
+  pause?: { beforePiece: number; until: Promise<void> };
+}
+
+/** A TCP server that answers requests as `answer` chooses. */
+export class ScriptedEngine {
+  private readonly answer: (request: ScriptedRequest) => ScriptedAnswer;
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server = createServer((socket) => this.accept(socket));
+
+  constructor(answer: (request: ScriptedRequest) => ScriptedAnswer) {
+    this.answer = answer;
+  }
+
+  async start(): Promise<this> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return this;
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  /** Builds this engine's entry in the metadata store. */
+  createStoreEntry(service: string): Record<string, unknown> {
+    const { address, port } = this.server.address() as AddressInfo;
+    return {
+      service,
+      address: `${address}:${port}`,
+      zone: 'z',
+      version: 'v1',
+      slots: 64,
+      state: 'ready',
+      coldRemainingMs: 0,
+      seq: 1,
+    };
+  }
+
+  private accept(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.sockets.delete(socket));
+    let received = '';
+    socket.on('data', (bytes) => {
+      received += bytes.toString('latin1');
+      const length = requestLength(received);
+      if (length === undefined || received.length < length) return;
+      const request = received.slice(0, length);
+      received = received.slice(length);
+      void this.handleRequest(socket, request);
+    });
+  }
+
+  private async handleRequest(socket: Socket, request: string): Promise<void> {
+    const requestId = headerValue(request, 'attempt-id');
+    if (requestId === undefined) {
+      socket.end(`HTTP/1.1 404 Not Found\r\nContent-Length: 0${HEAD_END}`);
+      return;
+    }
+    const target = request.split(' ', 2)[1] ?? '';
+    const lastEventId = headerValue(request, 'last-event-id');
+    const id = lastEventId === undefined ? undefined : Number(lastEventId);
+    await play(socket, this.answer({ requestId, target, lastEventId: id }));
+  }
+}
+
+/** Length of the first request in the received text; undefined while its head is incomplete. */
+function requestLength(received: string): number | undefined {
+  const headEnd = received.indexOf(HEAD_END);
+  if (headEnd < 0) return undefined;
+  const bodyLength = Number(headerValue(received.slice(0, headEnd + 2), 'content-length') ?? 0);
+  return headEnd + HEAD_END.length + bodyLength;
+}
+
+function headerValue(request: string, name: string): string | undefined {
+  return new RegExp(`^${name}: (.*)\\r$`, 'im').exec(request)?.[1];
+}
+
+async function play(socket: Socket, { pieces, end, pause }: ScriptedAnswer): Promise<void> {
+  for (const [index, piece] of pieces.entries()) {
+    if (index === pause?.beforePiece) await pause.until;
+    if (socket.destroyed) return;
+    if (piece !== '') await new Promise((resolve) => socket.write(piece, 'latin1', resolve));
+    await new Promise(setImmediate);
+  }
+  if (end === ConnectionEnd.Closed) socket.end();
+  if (end === ConnectionEnd.Reset) setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+}
