--- a/packages/decisions/src/forwarding/event-splitter.ts
+++ b/packages/decisions/src/forwarding/event-splitter.ts
@@ -16,6 +16,9 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id: ?(\d+)\r?$/m;
+const EVENT_ID = /^\d+$/;
+/** A line that is neither blank nor a comment. */
+const CONTENT_LINE = /^[^:\r\n]/m;
 
 /** What the latest bytes of an incomplete event are, as far as they can belong to its end. */
 enum LineEnd {
@@ -41,7 +44,7 @@
     let start = 0;
     for (let end = this.findEventEnd(chunk, 0); end >= 0; end = this.findEventEnd(chunk, start)) {
       const bytes = this.completeEvent(chunk.subarray(start, end));
-      events.push({ bytes, id: parseEventId(bytes) });
+      events.push({ bytes, id: findEventId(bytes) });
       start = end;
     }
     if (start < chunk.length) this.incomplete.push(chunk.subarray(start));
@@ -77,7 +80,17 @@
   }
 }
 
-function parseEventId(bytes: Buffer): number | undefined {
-  const match = ID_FIELD.exec(bytes.toString('latin1'));
-  return match === null ? undefined : Number(match[1]);
+/** Whether an event consists of comment lines only, which endpoints send as heartbeats. */
+export function isComment({ bytes, id }: StreamEvent): boolean {
+  return id === undefined && !CONTENT_LINE.test(bytes.toString('latin1'));
+}
+
+/** Parses the id of an event; undefined if it is no number that can be counted on from. */
+export function parseEventId(text: string): number | undefined {
+  const id = Number(text);
+  return EVENT_ID.test(text) && Number.isSafeInteger(id) ? id : undefined;
+}
+
+function findEventId(bytes: Buffer): number | undefined {
+  return parseEventId(ID_FIELD.exec(bytes.toString('latin1'))?.[1] ?? '');
 }
--- a/packages/decisions/src/forwarding/failure-action.test.ts
+++ b/packages/decisions/src/forwarding/failure-action.test.ts
@@ -11,6 +11,7 @@
   maxAttempts?: number;
   hasResponseBegun?: boolean;
   isResumable?: boolean;
+  canGoOn?: boolean;
   remainingMs?: number;
 }
 
@@ -32,6 +33,7 @@
     verdict: attempt.verdict ?? Verdict.MayHaveRun,
     attempts: attempt.attempts ?? 1,
     hasResponseBegun: attempt.hasResponseBegun ?? false,
+    canGoOn: attempt.canGoOn ?? true,
     remainingMs: attempt.remainingMs ?? 1_000,
   };
   return decideFailureAction(failed);
@@ -61,6 +63,7 @@
     const begun = { kind: CallKind.Stream, hasResponseBegun: true };
     expect(decide({ ...begun, isResumable: true })).to.equal(FailureAction.Resume);
     expect(decide(begun)).to.equal(FailureAction.Abort);
+    expect(decide({ ...begun, isResumable: true, canGoOn: false })).to.equal(FailureAction.Abort);
     expect(decide({ ...begun, isResumable: true, maxAttempts: 1 })).to.equal(FailureAction.Abort);
   });
 });
--- a/packages/decisions/src/forwarding/failure-action.ts
+++ b/packages/decisions/src/forwarding/failure-action.ts
@@ -16,6 +16,8 @@
   attempts: number;
   /** The caller has received the response head. */
   hasResponseBegun: boolean;
+  /** What the caller has received ends with an event after which another endpoint can go on. */
+  canGoOn: boolean;
   /** Time left until the request's deadline, in ms. */
   remainingMs: number;
 }
@@ -42,7 +44,9 @@
   const { route } = failed;
   const canRetry = failed.attempts < route.maxAttempts && failed.remainingMs > MIN_REMAINING_MS;
   if (failed.hasResponseBegun)
-    return canRetry && isResumableStream(route) ? FailureAction.Resume : FailureAction.Abort;
+    return canRetry && failed.canGoOn && isResumableStream(route)
+      ? FailureAction.Resume
+      : FailureAction.Abort;
   if (failed.verdict === Verdict.NotRun)
     return canRetry ? FailureAction.Retry : FailureAction.Refuse;
   return canRetry && isRepeatable(route) ? FailureAction.Retry : FailureAction.Fail;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -39,6 +39,7 @@
 export * from './request/idempotency-cache.ts';
 export * from './request/retry-budget.ts';
 export * from './forwarding/admission.ts';
+export * from './forwarding/answer-check.ts';
 export * from './forwarding/cached-prompts.ts';
 export * from './forwarding/shared-retry-budget.ts';
 export * from './forwarding/endpoint-availability.ts';
--- /dev/null
+++ b/packages/forwarder/src/calls/attempt-sender.ts
@@ -0,0 +1,95 @@
+/** Sends the attempts of one call, and records each with what the router knows of the endpoint and the workspace. */
+import type { AnswerCheck } from '@poplarpick/decisions';
+import { sharedSegments } from '../router-state.ts';
+import type { RouterState } from '../router-state.ts';
+import type { AttemptPlanner } from './attempt-planner.ts';
+import type { CallAdmission } from './call-admission.ts';
+import { CallAttempt } from './call-attempt.ts';
+import type { AttemptHandler } from './call-attempt.ts';
+import type { CallHead } from './call-protocol.ts';
+import type { CallReporter } from './call-reporter.ts';
+import type { Placement } from './endpoint-evaluator.ts';
+
+/** Options of an `AttemptSender`. */
+export interface AttemptSenderOptions {
+  state: RouterState;
+  head: CallHead;
+  pool: string;
+  workspace: string | undefined;
+  body: Buffer | undefined;
+  handler: AttemptHandler;
+  admission: CallAdmission;
+  planner: AttemptPlanner;
+  reporter: CallReporter;
+}
+
+/** Where and how an attempt is sent. */
+export interface AttemptOptions {
+  placement: Placement;
+  check: AnswerCheck;
+  /** Time until the deadline of the call, in ms. */
+  remainingMs: number;
+  /** Id of the event after which a stream goes on; undefined to send the request as the caller did. */
+  resumeAfter: number | undefined;
+}
+
+/** Sends the attempts of one call. */
+export class AttemptSender {
+  private readonly options: AttemptSenderOptions;
+  private sent = 0;
+
+  constructor(options: AttemptSenderOptions) {
+    this.options = options;
+  }
+
+  /** Attempts that reached, or may have reached, an endpoint. */
+  get sentAttempts(): number {
+    return this.sent;
+  }
+
+  /** Counts the latest attempt as unsent: it failed before it reached an endpoint. */
+  uncount(): void {
+    this.sent -= 1;
+    this.options.planner.recordUnsent();
+  }
+
+  /** Sends an attempt; `onCreated` gets it before its request is written. */
+  send(attemptOptions: AttemptOptions, onCreated: (attempt: CallAttempt) => void): void {
+    const { state, head, workspace, body, handler, reporter } = this.options;
+    const { placement, check, remainingMs, resumeAfter } = attemptOptions;
+    this.sent += 1;
+    this.record(placement);
+    const { prompt } = head;
+    const kvCacheTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens;
+    const { clock } = state;
+    const attempt = new CallAttempt({ handler, placement, check, clock, kvCacheTokens });
+    onCreated(attempt);
+    const headers = state.protocol.encodeAttempt({
+      call: head,
+      endpoint: placement.record.endpoint,
+      remainingMs,
+      workspace,
+      resumeAfter,
+      fetchFrom: placement.transfer?.source.address,
+    });
+    const { method, target, requestId } = head;
+    reporter.recordSent(placement, this.sent, remainingMs);
+    const request = { method, target, requestId, headers, body };
+    attempt.request = placement.record.client.send(request, attempt);
+  }
+
+  private record(placement: Placement): void {
+    const { state, head, workspace, pool, admission, planner } = this.options;
+    const { prompt } = head;
+    const { record, serviceMs } = placement;
+    if (this.sent + planner.unsentAttempts === 1) {
+      const now = state.clock.monotonic();
+      state.pools.retryBudget(pool).recordRequest(state.countRouters(), now);
+    }
+    if (workspace !== undefined && prompt !== undefined)
+      state.shares.recordGrant(workspace, prompt, admission.isOverShare);
+    state.recordCached(record, sharedSegments(prompt), serviceMs);
+    state.limits.recordSent(record);
+    state.warmUps.recordSent(record);
+  }
+}
--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -3,7 +3,7 @@
  * into events or buffers the body of another response, and reports the result to the call.
  */
 import { ByteAccumulator, EventSplitter } from '@poplarpick/decisions';
-import type { Endpoint, InFlightRequest, StreamEvent } from '@poplarpick/decisions';
+import type { AnswerCheck, Endpoint, InFlightRequest, StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
 import { ResponseObserver } from '../endpoints/endpoint-client.ts';
@@ -48,6 +48,8 @@
   readonly endpoint: Endpoint;
   /** The attempt's entry in the load of the endpoint. */
   readonly inFlight: InFlightRequest;
+  /** Decides what of the answer reaches the caller. */
+  readonly check: AnswerCheck;
   request: EndpointRequest | undefined;
   /** Whether reading is paused, since the caller doesn't keep up. */
   private isReadPaused = false;
@@ -61,6 +63,7 @@
   /** Chunks of the body, or of the incomplete event. */
   private chunks = 0;
   private readonly body = new ByteAccumulator();
+  private readonly comments = new ByteAccumulator();
   private head: ResponseHead | undefined;
   private isEnded = false;
   private isResponseRejected = false;
@@ -68,12 +71,14 @@
   constructor(options: {
     handler: AttemptHandler;
     placement: Placement;
+    check: AnswerCheck;
     clock: Clock;
     kvCacheTokens: number;
   }) {
     super();
     this.handler = options.handler;
     this.placement = options.placement;
+    this.check = options.check;
     this.endpoint = options.placement.record.endpoint;
     this.clock = options.clock;
     const now = options.clock.monotonic();
@@ -152,14 +157,22 @@
   }
 
   /** Cancels the attempt and reports a failure; the request may have run. */
-  fail(reason: string): void {
+  fail(reason: string, code = ErrorCode.IncompleteAnswer): void {
     if (this.isEnded) return;
     this.abort();
     const verdict = Verdict.MayHaveRun;
-    this.handler.handleFailure(
-      this,
-      new RequestError(reason, { code: ErrorCode.IncompleteAnswer, verdict }),
-    );
+    this.handler.handleFailure(this, new RequestError(reason, { code, verdict }));
+  }
+
+  /** Keeps a comment until the attempt has proved that its answer is the caller's. */
+  holdComment(bytes: Buffer): void {
+    if (this.comments.length + bytes.length > MAX_EVENT_BYTES) this.fail('too many comments');
+    else this.comments.push(bytes);
+  }
+
+  /** Removes and returns the comments that were kept. */
+  takeComments(): Buffer {
+    return this.comments.take();
   }
 
   /** Hands the events that the chunk completes to the call; false to apply backpressure. */
--- a/packages/forwarder/src/calls/call-protocol.ts
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -2,7 +2,13 @@
  * Interface of the codec for the heads of requests and responses. The forwarder works on the decoded
  * form; an adapter defines which headers carry the request id, deadline, API key and prompt.
  */
-import type { Endpoint, PauseRequest, Prompt, RequestLimit } from '@poplarpick/decisions';
+import type {
+  AnswerHead,
+  Endpoint,
+  PauseRequest,
+  Prompt,
+  RequestLimit,
+} from '@poplarpick/decisions';
 
 /** Decoded head of a caller's request. */
 export interface CallHead {
@@ -41,12 +47,9 @@
 }
 
 /** Decoded head of an endpoint's response. */
-export interface ResponseHead {
-  status: number;
+export interface ResponseHead extends AnswerHead {
   /** Id of the request that it answers; undefined if the response carries none. */
   requestId: string | undefined;
-  /** The endpoint guarantees that it has not run the request. */
-  isNotRun: boolean;
   /** The endpoint says that it is about to stop: it finishes its requests and wants no new ones. */
   isDraining: boolean;
   /** The endpoint refused the request and wants no others from this router for a while. */
@@ -55,9 +58,6 @@
   limit: RequestLimit | undefined;
   /** Another endpoint than the one that was called has answered. */
   isMisdirected: boolean;
-  isEventStream: boolean;
-  /** The body has a length or is chunked; otherwise it ends when the connection closes. */
-  isFramed: boolean;
   /** Alternating names and values of the headers to forward. */
   forwardedHeaders: readonly string[];
 }
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -4,20 +4,29 @@
  * disconnects, and sends an error when the deadline expires.
  */
 import type { ServerResponse } from 'node:http';
-import { decideFailureAction, DrainSource, FailureAction } from '@poplarpick/decisions';
+import {
+  AnswerFault,
+  decideFailureAction,
+  DrainSource,
+  EventAction,
+  FailureAction,
+} from '@poplarpick/decisions';
 import type { Route, StreamEvent, StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import { AttemptEvidence } from '../poison/attempt-evidence.ts';
 import { hashRequest } from '../poison/request-hash.ts';
-import { sharedSegmentHashes, sharedSegments } from '../router-state.ts';
+import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
+import { createFaultError, createStallError } from './attempt-errors.ts';
 import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
+import { AttemptSender } from './attempt-sender.ts';
 import { CallAdmission } from './call-admission.ts';
 import { CallHedge } from './call-hedge.ts';
-import { ResponseWriter } from './response-writer.ts';
-import { AttemptHandler, CallAttempt } from './call-attempt.ts';
+import { CallResponse } from './call-response.ts';
+import { AttemptHandler } from './call-attempt.ts';
+import type { CallAttempt } from './call-attempt.ts';
 import { CallReporter } from './call-reporter.ts';
 import { CallLatencyRecorder } from './call-latency-recorder.ts';
 import type { ResponseHead, CallHead } from './call-protocol.ts';
@@ -34,7 +43,6 @@
  */
 const STALL_TIMEOUT_MS = 1_000;
 
-const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
 
 /** A call that has passed the checks of the ingress, and its dependencies. */
@@ -46,6 +54,8 @@
   pool: string;
   /** Origin of the stream that the call resumes; undefined if it resumes none. */
   origin: StreamOrigin | undefined;
+  /** The last event of that stream that the caller has; undefined if it resumes none. */
+  resumedAfter: number | undefined;
   workspace: string | undefined;
   body: Buffer | undefined;
   response: ServerResponse;
@@ -61,10 +71,11 @@
 /** Handles one call from admission to the end of its response. */
 export class Call extends AttemptHandler {
   private readonly options: CallOptions;
-  private readonly writer: ResponseWriter;
+  private readonly response: CallResponse;
   private readonly binding: StreamBinding;
   private readonly admission: CallAdmission;
   private readonly planner: AttemptPlanner;
+  private readonly sender: AttemptSender;
   private readonly handover: AttemptHandover;
   private readonly hedge: CallHedge;
   private readonly evidence: AttemptEvidence;
@@ -74,12 +85,8 @@
   /** The latest placement. */
   private placement: Placement | undefined;
   private deadlineTimer: Timer | undefined;
-  /** Attempts that reached, or may have reached, an endpoint. */
-  private sentAttempts = 0;
   /** An endpoint may have run the request. */
   private mayHaveRun = false;
-  private lastEventId: number | undefined;
-  private wasFramed: boolean | undefined;
   private firstEventAt: number | undefined;
   private isEnded = false;
   /** Monotonic time of the deadline, in ms. */
@@ -88,7 +95,7 @@
   constructor(options: CallOptions) {
     super();
     this.options = options;
-    this.writer = new ResponseWriter(options.response, options.shouldCloseConnection);
+    this.response = new CallResponse(options);
     const { head, workspace, body } = options;
     const requestHash = hashRequest({ ...head, workspace, body });
     const segmentHashes = sharedSegmentHashes(head.prompt);
@@ -108,6 +115,8 @@
     });
     this.evidence = new AttemptEvidence({ state: options.state, suspectHashes });
     this.reporter = new CallReporter({ ...options, segmentHashes, requestHash });
+    const { admission, planner, reporter } = this;
+    this.sender = new AttemptSender({ ...options, handler: this, admission, planner, reporter });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
     const { route, arrivedAt } = options;
@@ -134,8 +143,8 @@
   /** Also sends a slow call to a second endpoint, if that is granted; the first good response wins. */
   private sendHedge(): void {
     const { attempt } = this;
-    if (this.isEnded || attempt === undefined || attempt.hasStarted || this.sentAttempts > 1)
-      return;
+    if (this.isEnded || attempt === undefined || attempt.hasStarted) return;
+    if (this.sender.sentAttempts > 1) return;
     const placement = this.hedge.acquire(attempt.placement);
     if (placement === undefined) return;
     this.handover.beginHedge(attempt);
@@ -182,27 +191,20 @@
     const { load } = record;
     this.options.state.limits.recordHead(record, head, attempt.inFlight.sentAt);
     this.recordNotices(attempt, head);
-    if (head.isNotRun) {
-      const verdict = Verdict.NotRun;
-      const message = `the endpoint refused with ${head.status}`;
-      this.handleFailure(
-        attempt,
-        new RequestError(message, { code: ErrorCode.QueueFull, verdict }),
-      );
-      return false;
+    const fault = attempt.check.checkHead(head);
+    if (fault !== AnswerFault.Refused) this.mayHaveRun = true;
+    if (fault === AnswerFault.ServerError && !this.handover.isPending) {
+      load.recordFailure(this.now());
+      return !this.tryRetryInsteadOf(attempt, head);
     }
-    this.mayHaveRun = true;
-    if (this.handover.isPending && !this.canTakeOver(head)) {
-      this.handleFailure(attempt, createAnswerError(head));
+    if (fault !== undefined) {
+      this.handleFailure(attempt, createFaultError(head, fault));
       return false;
     }
-    this.settleHandover(attempt);
-    if (head.status < MIN_SERVER_ERROR_STATUS) {
-      load.recordSuccess();
-      return true;
-    }
-    load.recordFailure(this.now());
-    return !this.tryRetryInsteadOf(attempt, head);
+    load.recordSuccess();
+    // A stream proves with an event that it is the caller's.
+    if (!head.isEventStream) this.settleHandover(attempt);
+    return true;
   }
 
   override recordForeignHead(attempt: CallAttempt, head: ResponseHead): void {
@@ -210,30 +212,29 @@
   }
 
   override handleEvent(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): boolean {
-    this.settleHandover(attempt);
-    if (this.isOutOfOrder(event)) {
-      attempt.fail(`event ${event.id ?? '?'} after ${this.lastEventId ?? '?'}`);
-      return true;
+    switch (attempt.check.checkEvent(event)) {
+      case EventAction.Reject:
+        attempt.fail(
+          `event ${event.id ?? '?'} after ${this.response.lastEventId ?? '?'}`,
+          ErrorCode.EndpointFailed,
+        );
+        return true;
+      case EventAction.Hold:
+        attempt.holdComment(event.bytes);
+        return true;
+      case EventAction.Pass:
+        return this.passEvent(attempt, head, event);
     }
-    if (!attempt.hasStarted) {
-      this.recordContinuation(attempt, head, event);
-      this.firstEventAt ??= this.now();
-      this.binding.recordEvent(attempt.endpoint);
-      this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
-    }
-    this.latencyRecorder.recordEvent(attempt, this.remainingMs());
-    if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
-    this.lastEventId = event.id ?? this.lastEventId;
-    const canContinue = this.writer.write(event.bytes);
-    if (!canContinue) this.writer.onceDrained(() => attempt.resume());
-    return canContinue;
   }
 
   override handleStreamEnd(attempt: CallAttempt, head: ResponseHead): void {
+    const fault = attempt.check.checkStreamEnd(head);
+    if (fault !== undefined) {
+      this.handleFailure(attempt, createFaultError(head, fault));
+      return;
+    }
     this.settleHandover(attempt);
-    this.wasFramed = head.isFramed;
-    if (!this.writer.hasBegun) this.writer.writeHead(head.status, head.forwardedHeaders);
-    this.writer.end();
+    this.response.endStream(head, attempt.takeComments());
     this.binding.recordCompleted();
     this.evidence.recordCompleted(attempt, head.isFramed);
     this.latencyRecorder.recordDuration(attempt);
@@ -242,8 +243,9 @@
   }
 
   override handleResponse(attempt: CallAttempt, head: ResponseHead, body: Buffer): void {
-    if (this.writer.hasBegun) {
-      this.abortResponse('an answer without events within a stream');
+    const fault = attempt.check.checkBody(head, body.length);
+    if (fault !== undefined) {
+      this.handleFailure(attempt, createFaultError(head, fault));
       return;
     }
     if (head.status < MIN_REDIRECT_STATUS) {
@@ -251,8 +253,7 @@
       this.latencyRecorder.recordPlainResponse(attempt);
       this.latencyRecorder.recordDuration(attempt);
     }
-    this.wasFramed = head.isFramed;
-    this.writer.send(head.status, head.forwardedHeaders, body);
+    this.response.send(head, body);
     this.finish(`status_${head.status}`);
   }
 
@@ -260,20 +261,29 @@
     const { record } = attempt.placement;
     const wasRefused = error.code === ErrorCode.QueueFull;
     if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
-    else if (!wasRefused) this.uncountAttempt();
+    else if (!wasRefused) this.sender.uncount();
     if (!wasRefused) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
-    this.reporter.recordFailedAttempt(attempt, error, this.lastEventId);
+    this.reporter.recordFailedAttempt(attempt, error, this.response.sentEventId);
     if (this.isEnded || this.goOnWithout(attempt)) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
     this.perform(this.decideAction(verdict), error);
   }
 
-  /** Whether the response of an attempt can be the caller's, or go on with it. */
-  private canTakeOver({ isEventStream, status }: ResponseHead): boolean {
-    if (this.writer.hasBegun) return isEventStream && status < MIN_REDIRECT_STATUS;
-    return status < MIN_SERVER_ERROR_STATUS;
+  /** Passes on an event that has proved that its attempt serves the caller. */
+  private passEvent(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): boolean {
+    this.settleHandover(attempt);
+    if (!attempt.hasStarted) {
+      this.recordContinuation(attempt, head, event);
+      this.firstEventAt ??= this.now();
+      this.binding.recordEvent(attempt.endpoint);
+      this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
+    }
+    this.latencyRecorder.recordEvent(attempt, this.remainingMs());
+    const canContinue = this.response.writeEvent(head, event, attempt.takeComments());
+    if (!canContinue) this.response.onceDrained(() => attempt.resume());
+    return canContinue;
   }
 
   /** Ends a pending handover in favour of the attempt whose endpoint has proved that it goes on. */
@@ -306,15 +316,16 @@
   private recordReplaced(earlier: CallAttempt): void {
     this.mayHaveRun = true;
     earlier.placement.record.load.recordFailure(this.now());
-    this.reporter.recordFailedAttempt(earlier, createStallError(), this.lastEventId);
+    this.reporter.recordFailedAttempt(earlier, createStallError(), this.response.sentEventId);
   }
 
   private decideAction(verdict: Verdict): FailureAction {
     return decideFailureAction({
       route: this.options.route,
       verdict,
-      attempts: this.sentAttempts,
-      hasResponseBegun: this.writer.hasBegun,
+      attempts: this.sender.sentAttempts,
+      hasResponseBegun: this.response.hasBegun,
+      canGoOn: this.response.canGoOn,
       remainingMs: this.remainingMs(),
     });
   }
@@ -329,12 +340,6 @@
     return action === FailureAction.Retry || action === FailureAction.Resume;
   }
 
-  /** Counts the latest attempt as unsent: it failed before it reached an endpoint. */
-  private uncountAttempt(): void {
-    this.sentAttempts -= 1;
-    this.planner.recordUnsent();
-  }
-
   private perform(action: FailureAction, error: RequestError): void {
     switch (action) {
       case FailureAction.Retry:
@@ -354,7 +359,7 @@
    * may have run.
    */
   private endWithError(error: RequestError): void {
-    if (this.writer.hasBegun) {
+    if (this.response.hasBegun) {
       this.abortResponse(error.message);
       return;
     }
@@ -367,38 +372,13 @@
 
   private send(placement: Placement): void {
     this.placement = placement;
-    const { head, state, workspace, body, pool } = this.options;
-    const { prompt } = head;
-    this.sentAttempts += 1;
-    if (this.sentAttempts + this.planner.unsentAttempts === 1) {
-      state.pools.retryBudget(pool).recordRequest(state.countRouters(), this.now());
-    }
-    if (workspace !== undefined && prompt !== undefined) {
-      state.shares.recordGrant(workspace, prompt, this.admission.isOverShare);
-    }
-    state.recordCached(placement.record, sharedSegments(prompt), placement.serviceMs);
-    state.limits.recordSent(placement.record);
-    state.warmUps.recordSent(placement.record);
-    const kvCacheTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens;
-    const attempt = new CallAttempt({
-      handler: this,
-      placement,
-      clock: state.clock,
-      kvCacheTokens,
-    });
-    this.attempt = attempt;
-    const headers = state.protocol.encodeAttempt({
-      call: head,
-      endpoint: placement.record.endpoint,
-      remainingMs: this.remainingMs(),
-      workspace,
-      resumeAfter: this.writer.hasBegun ? this.lastEventId : undefined,
-      fetchFrom: placement.transfer?.source.address,
+    const { response } = this;
+    const { resumeAfter } = response;
+    const check = response.createCheck();
+    const remainingMs = this.remainingMs();
+    this.sender.send({ placement, check, remainingMs, resumeAfter }, (attempt) => {
+      this.attempt = attempt;
     });
-    const { method, target, requestId } = head;
-    const request = { method, target, requestId, headers, body };
-    this.reporter.recordSent(placement, this.sentAttempts, this.remainingMs());
-    attempt.request = placement.record.client.send(request, attempt);
   }
 
   /** Sends the call to another endpoint; false if no further attempt is granted. */
@@ -411,26 +391,21 @@
 
   /** Retries a call elsewhere after a server error, if it may be retried; true if it was sent again. */
   private tryRetryInsteadOf(attempt: CallAttempt, head: ResponseHead): boolean {
-    if (this.writer.hasBegun) return false;
     if (this.decideAction(Verdict.MayHaveRun) !== FailureAction.Retry) return false;
     this.planner.exclude(attempt.placement.record);
     if (!this.trySendElsewhere()) return false;
-    this.reporter.recordFailedAttempt(attempt, createAnswerError(head), undefined);
+    const error = createFaultError(head, AnswerFault.ServerError);
+    this.reporter.recordFailedAttempt(attempt, error, undefined);
     return true;
   }
 
   /** Logs an event with which an attempt goes on with a stream; not the first event of a new stream. */
   private recordContinuation(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): void {
-    const previousId = this.lastEventId ?? this.options.head.lastEventId;
-    if (previousId === undefined && !this.writer.hasBegun) return;
+    const { lastEventId: previousId, isContinued } = this.response;
+    if (!isContinued) return;
     this.reporter.recordContinuation(attempt, { head, eventId: event.id, previousId });
   }
 
-  private isOutOfOrder(event: StreamEvent): boolean {
-    if (event.id === undefined || this.lastEventId === undefined) return false;
-    return event.id !== this.lastEventId + 1;
-  }
-
   private handleCallerDisconnect(): void {
     if (this.isEnded) return;
     this.abortAttempts();
@@ -441,7 +416,7 @@
     if (this.isEnded) return;
     const mayHaveRun = this.mayHaveRun || this.attempt !== undefined;
     this.abortAttempts();
-    if (this.writer.hasBegun) this.abortResponse('the time for the request is over');
+    if (this.response.hasBegun) this.abortResponse('the time for the request is over');
     else if (mayHaveRun) this.fail('the time for the request is over', ErrorCode.DeadlineExceeded);
     else this.refuse(this.admission.createDeadlineError('the time for the request is over'));
   }
@@ -461,13 +436,13 @@
 
   private refuse(error: RequestError): void {
     this.admission.recordRefusal(error);
-    this.writer.sendError(error);
+    this.response.sendError(error);
     this.recordEnd('refused', error.message);
     this.close();
   }
 
   private fail(reason: string, code: ErrorCode): void {
-    this.writer.sendError(new RequestError(reason, { code, verdict: Verdict.MayHaveRun }));
+    this.response.sendError(new RequestError(reason, { code, verdict: Verdict.MayHaveRun }));
     this.recordEnd('failed', reason);
     this.close();
   }
@@ -475,7 +450,7 @@
   private abortResponse(reason: string): void {
     this.recordEnd('cut', reason);
     this.close();
-    this.writer.abort();
+    this.response.abort();
   }
 
   private finish(outcome: string): void {
@@ -498,10 +473,10 @@
       placement: this.placement,
       shareUsage: this.admission.shareUsage,
       isCallerRetry: this.admission.isCallerRetry,
-      attempts: this.sentAttempts,
+      attempts: this.sender.sentAttempts,
       retryObstacle: this.planner.obstacle,
-      lastEventId: this.lastEventId,
-      wasFramed: this.wasFramed,
+      lastEventId: this.response.sentEventId,
+      wasFramed: this.response.wasFramed,
       firstEventAt: this.firstEventAt,
       longestPauseMs: this.latencyRecorder.longestPauseMs,
     });
@@ -515,17 +490,3 @@
     return this.options.state.clock.monotonic();
   }
 }
-
-function createStallError(): RequestError {
-  return new RequestError('the stream fell silent', {
-    code: ErrorCode.IncompleteAnswer,
-    verdict: Verdict.MayHaveRun,
-  });
-}
-
-function createAnswerError({ status }: ResponseHead): RequestError {
-  return new RequestError(`the endpoint answered ${status}`, {
-    code: ErrorCode.EndpointFailed,
-    verdict: Verdict.MayHaveRun,
-  });
-}
--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -35,6 +35,8 @@
       status,
       requestId: REQUEST_ID,
       isNotRun: false,
+      promisesNotRun: false,
+      isSealed: true,
       isDraining: false,
       pause: undefined,
       limit: undefined,
--- a/packages/forwarder/src/ingress/call-checks.ts
+++ b/packages/forwarder/src/ingress/call-checks.ts
@@ -3,7 +3,7 @@
  * not run. A router whose routes may be stale doesn't report an unknown route or key but asks the caller
  * to retry.
  */
-import { selectPool } from '@poplarpick/decisions';
+import { isResumableStream, parseEventId, selectPool } from '@poplarpick/decisions';
 import type { Route, RouteIndex } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -36,6 +36,20 @@
   return { route, pool, workspace };
 }
 
+/**
+ * The last event that the caller has of a stream that it resumes; undefined if it resumes none. Throws a
+ * `RequestError` if the event can't be told, since no answer could be proved to go on after it.
+ */
+export function readResumedEvent({ lastEventId }: CallHead, route: Route): number | undefined {
+  if (lastEventId === undefined || !isResumableStream(route)) return undefined;
+  const id = parseEventId(lastEventId);
+  if (id !== undefined) return id;
+  throw new RequestError('the id of the last event is no number', {
+    code: ErrorCode.InvalidRequest,
+    verdict: Verdict.NotRun,
+  });
+}
+
 /** Returns the workspace of the API key; undefined for a route that requires no key. */
 function authenticate(
   head: CallHead,
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -5,7 +5,6 @@
 import { createServer, STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { isResumableStream } from '@poplarpick/decisions';
 import type { StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -14,7 +13,7 @@
 import { CallPlacer } from '../calls/call-placer.ts';
 import type { RouterState } from '../router-state.ts';
 import type { ResumptionResolver } from '../streams/resumption-resolver.ts';
-import { checkCall } from './call-checks.ts';
+import { checkCall, readResumedEvent } from './call-checks.ts';
 import type { CheckedCall } from './call-checks.ts';
 import { CallerConnections } from './caller-connection.ts';
 import { CallerListener } from './caller-listener.ts';
@@ -203,7 +202,8 @@
     const now = state.clock.monotonic();
     if (state.freshness.detectSuspension(now, state.clock.now())) this.options.onSuspension();
     const checked = checkCall(head, state, now);
-    const origin = await this.resolveOrigin(head, checked);
+    const resumedAfter = readResumedEvent(head, checked.route);
+    const origin = resumedAfter === undefined ? undefined : await this.resolveOrigin(head, checked);
     if (origin !== undefined && hasDisconnected(request)) {
       this.logDrop(request, arrivedAt);
       return;
@@ -216,6 +216,7 @@
       route,
       pool: origin?.pool ?? checked.pool,
       origin,
+      resumedAfter,
       workspace,
       body,
       response,
@@ -228,12 +229,11 @@
     call.start();
   }
 
-  /** The origin of the stream that a call resumes; undefined if it resumes none. Rejects if it can't be proved. */
+  /** The origin of the stream that a call resumes. Rejects if it can't be proved. */
   private async resolveOrigin(
     head: CallHead,
     { route, workspace }: CheckedCall,
-  ): Promise<StreamOrigin | undefined> {
-    if (!isResumableStream(route) || head.lastEventId === undefined) return undefined;
+  ): Promise<StreamOrigin> {
     const origin = await this.options.resumptions.resolve({ head, route, workspace });
     const { apiKey } = head;
     if (!isKeyStillValid(this.options.state, apiKey, workspace)) throw createKeyError();
