An event with several ids counts as one without (ORDER)

What callers could see, by reading: two events that an engine has run together pass as one; if the stream then goes on at another engine, that one sends the second of them once more.

Cause: the first id line of an event was taken for its id; a caller's reader takes the last one. Now several lines, or one without a number beside another, are no id, so a resumption fails and a first answer can't be gone on with.

Evidence: the new test got [3, 3, 3] in place of three events without ids.

--- a/packages/decisions/src/forwarding/event-splitter.test.ts
+++ b/packages/decisions/src/forwarding/event-splitter.test.ts
@@ -18,7 +18,8 @@
 function splitByPattern(whole: Buffer): string[] {
   const events = whole.toString('latin1').match(/[^]*?\n\r?\n/g) ?? [];
   return events.map((text) => {
-    const id = /^id: ?(\d+)\r?$/m.exec(text)?.[1];
+    const ids = [...text.matchAll(/^id: ?(.*)$/gm)].map(([, value]) => value);
+    const id = ids.length === 1 && /^\d+$/.test(ids[0] ?? '') ? ids[0] : undefined;
     return `${id ?? 'none'} ${JSON.stringify(text)}`;
   });
 }
@@ -86,6 +87,13 @@
     );
   });
 
+  // Guards against a stream that goes on after the first of two events that an endpoint has run together.
+  it('takes an event with several ids for one without', () => {
+    const events = ['id: 3\ndata: a\nid: 4\ndata: b\n\n', 'id: 3\nid: x\n\n', 'id: 3\nid\n\n'];
+    const ids = new EventSplitter().push(Buffer.from(events.join(''))).map(({ id }) => id);
+    expect(ids).to.deep.equal([undefined, undefined, undefined]);
+  });
+
   for (const [name, line] of [
     ['one line', 'x'],
     ['many lines', '\n:'],
--- a/packages/decisions/src/forwarding/event-splitter.ts
+++ b/packages/decisions/src/forwarding/event-splitter.ts
@@ -9,13 +9,13 @@
 export interface StreamEvent {
   /** Raw bytes, including the blank line that ends the event. */
   bytes: Buffer;
-  /** Numeric id; undefined if the event has none. */
+  /** Numeric id; undefined if the event has none, or several. */
   id: number | undefined;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = /^id: ?(\d+)\r?$/m;
+const ID_FIELDS = /^id(?:: ?(.*))?$/gm;
 const EVENT_ID = /^\d+$/;
 /** A line that is neither blank nor a comment. */
 const CONTENT_LINE = /^[^:\r\n]/m;
@@ -92,5 +92,6 @@
 }
 
 function findEventId(bytes: Buffer): number | undefined {
-  return parseEventId(ID_FIELD.exec(bytes.toString('latin1'))?.[1] ?? '');
+  const [field, ...others] = bytes.toString('latin1').matchAll(ID_FIELDS);
+  return others.length > 0 ? undefined : parseEventId(field?.[1] ?? '');
 }
