--- /dev/null
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -0,0 +1,99 @@
+/**
+ * One connection to an endpoint: an undici client that carries one request at a time and reopens the connection after
+ * it was closed. What is known of the connection holds for its current socket.
+ */
+import { Client } from 'undici';
+import type { buildConnector, Dispatcher } from 'undici';
+import { connectEndpoint } from './endpoint-connector.ts';
+import { ProgressGuard } from './progress-guard.ts';
+import { RefusedIds } from './refused-ids.ts';
+
+/** Idle time after which a connection is closed, in ms, if the endpoint states no limit of its own. */
+const KEEP_ALIVE_MS = 10_000;
+
+/** Time before the endpoint's own limit at which an idle connection is closed, in ms. */
+const KEEP_ALIVE_MARGIN_MS = 1_000;
+
+/** A request to send to the endpoint. */
+export interface OutgoingRequest {
+  method: string;
+  target: string;
+  requestId: string;
+  headers: string[];
+  body: Buffer | undefined;
+}
+
+/** Receives the response to a request. */
+export interface EndpointHandler extends Dispatcher.DispatchHandler {
+  /** Called when the request has failed before undici has taken it. */
+  onDispatchError: (error: Error) => void;
+}
+
+/** One connection; undici reopens it after it was closed. */
+export class EndpointConnection {
+  /** The current socket has ended with an error. */
+  wasReset = false;
+  /** Requests that were refused on the current socket. */
+  readonly refusedIds = new RefusedIds();
+  private readonly address: string;
+  /** Undefined before the first request. */
+  private client: Client | undefined;
+  private progressGuard: ProgressGuard | undefined;
+
+  constructor(address: string) {
+    this.address = address;
+  }
+
+  /**
+   * Sends a request. An error before that, such as an address that can't be read, fails the request like any other
+   * failure: the caller may be in a timer or in the failure of an earlier attempt, where nothing would catch it.
+   */
+  dispatch({ method, target, headers, body }: OutgoingRequest, handler: EndpointHandler): void {
+    const options = {
+      method: method as Dispatcher.HttpMethod,
+      path: target,
+      headers,
+      body: body ?? null,
+    };
+    try {
+      this.client ??= this.createClient();
+      this.client.dispatch(options, handler);
+    } catch (error) {
+      const reason = error instanceof Error ? error : new Error(String(error));
+      queueMicrotask(() => handler.onDispatchError(reason));
+    }
+  }
+
+  destroy(): void {
+    this.client?.destroy().catch(() => undefined);
+  }
+
+  /** Called when a request or the body of a response begins, and with each part of a body. */
+  recordProgress(): void {
+    this.progressGuard?.recordProgress();
+  }
+
+  private createClient(): Client {
+    return new Client(`http://${this.address}`, {
+      pipelining: 1,
+      connect: (options, callback) => this.open(options, callback),
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
+    this.wasReset = false;
+    this.refusedIds.clear();
+    connectEndpoint(options, (...result) => {
+      // Registered before undici's own listener, which treats a reset as the end of an unframed response.
+      result[1]?.on('error', () => {
+        this.wasReset = true;
+      });
+      callback(...result);
+      this.progressGuard = result[1] === null ? undefined : new ProgressGuard(result[1]);
+    });
+  }
+}
