An answer without a length counts as whole once its engine has proved that it lives on

What callers saw: an engine that was killed within an answer with neither a length nor chunks gave them its first half as a whole answer: a stream that ends complete after event 2 of 5, a plain body of 4 bytes of more.

Cause: such an answer ends with its connection, and the router took each orderly end for the end of the answer. A kernel closes the connections of a killed process as orderly as the process itself would; only a reset was recognised.

Why this works: a killed process can't answer on a connection that was opened after its end, and one that has started in its place names another start. The end (not the events) is held until the process has answered; one question serves all ends before it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -44,6 +44,7 @@
 export * from './forwarding/endpoint-availability.ts';
 export * from './forwarding/endpoint-load.ts';
 export * from './forwarding/endpoint.ts';
+export * from './forwarding/incarnation-evidence.ts';
 export * from './forwarding/byte-accumulator.ts';
 export * from './forwarding/event-splitter.ts';
 export * from './forwarding/key-freshness.ts';
--- a/packages/forwarder/src/calls/call-protocol.ts
+++ b/packages/forwarder/src/calls/call-protocol.ts
@@ -62,6 +62,14 @@
   forwardedHeaders: readonly string[];
 }
 
+/** Head of a request that asks the process of an endpoint about itself. */
+export interface ProcessQuestionHead {
+  method: string;
+  target: string;
+  /** Alternating names and values. */
+  headers: string[];
+}
+
 /** Decodes and encodes heads. */
 export abstract class CallProtocol {
   /** Decodes the head of a caller's request. Throws a `RequestError` when it is invalid. */
@@ -76,6 +84,12 @@
   /** Encodes the head of a request to an endpoint as alternating header names and values. */
   abstract encodeAttempt(attempt: AttemptHead): string[];
 
+  /** Encodes the request that asks the process of an endpoint when it started. */
+  abstract encodeProcessQuestion(): ProcessQuestionHead;
+
+  /** Decodes the answer to it: the start in ms since the Unix epoch; undefined if it names none. */
+  abstract decodeProcessStart(body: Buffer): number | undefined;
+
   /** Decodes the head of an endpoint's response. */
   abstract decodeResponse(status: number, rawHeaders: readonly string[]): ResponseHead;
 }
--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -4,7 +4,7 @@
 import { Verdict } from '@poplarpick/kernel';
 import type { RequestError } from '@poplarpick/kernel';
 import { CallProtocol } from '../calls/call-protocol.ts';
-import type { CallHead, ResponseHead } from '../calls/call-protocol.ts';
+import type { CallHead, ProcessQuestionHead, ResponseHead } from '../calls/call-protocol.ts';
 import { EndpointClient, ResponseObserver } from './endpoint-client.ts';
 
 const REQUEST_ID = 'id';
@@ -30,6 +30,14 @@
     return [];
   }
 
+  override encodeProcessQuestion(): ProcessQuestionHead {
+    return { method: 'GET', target: '/process', headers: [] };
+  }
+
+  override decodeProcessStart(): undefined {
+    return undefined;
+  }
+
   override decodeResponse(status: number, rawHeaders: readonly string[]): ResponseHead {
     return {
       status,
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -5,13 +5,17 @@
  * without end: the bytes that bring a response no further, and those of a discarded response, have limits.
  */
 import type { Dispatcher } from 'undici';
-import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import { ErrorCode, RequestError, SystemClock, Verdict } from '@poplarpick/kernel';
+import type { Clock } from '@poplarpick/kernel';
 import type { ResponseHead, CallProtocol } from '../calls/call-protocol.ts';
 import { EndpointConnection } from './endpoint-connection.ts';
 import type { OutgoingRequest } from './endpoint-connection.ts';
 import { ConnectError } from './endpoint-connector.ts';
+import { ProcessFinding, ProcessProof } from './process-proof.ts';
 
 const MIN_FINAL_STATUS = 200;
+const STATUS_NO_CONTENT = 204;
+const MIN_REDIRECT_STATUS = 300;
 
 /**
  * Most bytes of a discarded response that are read, so that its connection can be reused. More would cost more
@@ -48,17 +52,32 @@
   /** Most connections from this router. */
   connectionLimit: number;
   protocol: CallProtocol;
+  /** Start of the process that the endpoint's entry names, in ms since the Unix epoch; 0 if unknown, by default. */
+  startedAt?: number;
+  /** The clock of this host by default. */
+  clock?: Clock;
 }
 
 /** Sends requests to one endpoint. */
 export class EndpointClient {
   private readonly options: EndpointClientOptions;
+  private readonly clock: Clock;
+  private readonly proof: ProcessProof;
   private readonly idle: EndpointConnection[] = [];
   private readonly connections = new Set<EndpointConnection>();
   private isClosed = false;
 
   constructor(options: EndpointClientOptions) {
     this.options = options;
+    const { startedAt = 0, protocol, clock = new SystemClock() } = options;
+    this.clock = clock;
+    this.proof = new ProcessProof({
+      startedAt,
+      protocol,
+      connect: () => this.connect(),
+      onReleased: (connection) => this.release(connection),
+      onFailed: (connection) => this.discard(connection),
+    });
   }
 
   /** True when all connections are busy and the limit is reached. */
@@ -74,6 +93,8 @@
       protocol: this.options.protocol,
       observer,
       connection,
+      proof: this.proof,
+      isBodyless: request.method === 'HEAD',
       onReleased: () => this.release(connection),
     });
     connection.dispatch(request, endpointRequest);
@@ -106,7 +127,7 @@
   }
 
   private connect(): EndpointConnection {
-    const connection = new EndpointConnection(this.options.address);
+    const connection = new EndpointConnection({ address: this.options.address, clock: this.clock });
     this.connections.add(connection);
     return connection;
   }
@@ -129,6 +150,9 @@
   protocol: CallProtocol;
   observer: ResponseObserver;
   connection: EndpointConnection;
+  proof: ProcessProof;
+  /** The response has no body, whatever its head says. */
+  isBodyless: boolean;
   /** Called when the connection is free again. */
   onReleased: () => void;
 }
@@ -140,6 +164,8 @@
   private isEnded = false;
   /** undici has begun to write the request. */
   private wasWritten = false;
+  /** The response is complete only if its endpoint lives on after the end of the connection. */
+  private needsProof = false;
   private isFramed = true;
   private discardedBytes = 0;
   private discardTimer: NodeJS.Timeout | undefined;
@@ -186,6 +212,8 @@
     const { protocol, requestId, observer } = this.options;
     const head = protocol.decodeResponse(status, readRawHeaders(controller));
     this.isFramed = head.isFramed;
+    const hasBody = !this.options.isBodyless && status !== STATUS_NO_CONTENT;
+    this.needsProof = !head.isFramed && hasBody && status < MIN_REDIRECT_STATUS;
     if (head.requestId !== requestId) {
       observer.onForeignHead(head);
       this.fail('the endpoint answered another request', Verdict.MayHaveRun);
@@ -212,8 +240,8 @@
       this.fail('the connection was reset within an answer without a length', Verdict.MayHaveRun);
       return;
     }
-    this.isEnded = true;
-    this.options.observer.onEnd();
+    if (this.needsProof) void this.endIfAlive();
+    else this.end();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -227,6 +255,23 @@
     this.fail(error.message, wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
   }
 
+  /**
+   * Ends a response that ended with its connection. A process that is killed closes its connections as orderly as one
+   * that has finished its response, so the response counts only if that process lives on.
+   */
+  private async endIfAlive(): Promise<void> {
+    const finding = await this.options.proof.askAnew();
+    if (this.isEnded) return;
+    const isAlive = finding === ProcessFinding.Listed || finding === ProcessFinding.Unnamed;
+    if (isAlive) this.end();
+    else this.fail(`an answer without a length ended, process: ${finding}`, Verdict.MayHaveRun);
+  }
+
+  private end(): void {
+    this.isEnded = true;
+    this.options.observer.onEnd();
+  }
+
   private discardBytes(count: number): void {
     this.discardedBytes += count;
     if (this.discardedBytes > MAX_DISCARDED_BYTES) this.closeConnection();
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -4,6 +4,7 @@
  */
 import { Client } from 'undici';
 import type { buildConnector, Dispatcher } from 'undici';
+import type { Clock } from '@poplarpick/kernel';
 import { connectEndpoint } from './endpoint-connector.ts';
 import { ProgressGuard } from './progress-guard.ts';
 import { RefusedIds } from './refused-ids.ts';
@@ -14,13 +15,27 @@
 /** Time before the endpoint's own limit at which an idle connection is closed, in ms. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
-/** A request to send to the endpoint. */
-export interface OutgoingRequest {
+/** A request without what identifies it. */
+export interface PlainRequest {
   method: string;
   target: string;
-  requestId: string;
   headers: string[];
-  body: Buffer | undefined;
+  body?: Buffer | undefined;
+}
+
+/** A request to send to the endpoint. */
+export interface OutgoingRequest extends PlainRequest {
+  requestId: string;
+}
+
+/** What is known of one socket of a connection. */
+export interface EndpointSocket {
+  /** Monotonic time at which the connection was asked for, in ms. */
+  openingAt: number;
+  /** Monotonic time at which it was open; infinite before. */
+  openedAt: number;
+  /** Over it, the process has named the start that the endpoint's entry names. */
+  hasTold: boolean;
 }
 
 /** Receives the response to a request. */
@@ -29,26 +44,37 @@
   onDispatchError: (error: Error) => void;
 }
 
+/** Options of an `EndpointConnection`. */
+export interface EndpointConnectionOptions {
+  /** `IP:port`. */
+  address: string;
+  clock: Clock;
+}
+
 /** One connection; undici reopens it after it was closed. */
 export class EndpointConnection {
   /** The current socket has ended with an error. */
   wasReset = false;
   /** Requests that were refused on the current socket. */
   readonly refusedIds = new RefusedIds();
+  /** The current socket, or the next one if there is none. */
+  socket: EndpointSocket = createSocket(Number.POSITIVE_INFINITY);
   private readonly address: string;
+  private readonly clock: Clock;
   /** Undefined before the first request. */
   private client: Client | undefined;
   private progressGuard: ProgressGuard | undefined;
 
-  constructor(address: string) {
+  constructor({ address, clock }: EndpointConnectionOptions) {
     this.address = address;
+    this.clock = clock;
   }
 
   /**
    * Sends a request. An error before that, such as an address that can't be read, fails the request like any other
    * failure: the caller may be in a timer or in the failure of an earlier attempt, where nothing would catch it.
    */
-  dispatch({ method, target, headers, body }: OutgoingRequest, handler: EndpointHandler): void {
+  dispatch({ method, target, headers, body }: PlainRequest, handler: EndpointHandler): void {
     const options = {
       method: method as Dispatcher.HttpMethod,
       path: target,
@@ -87,13 +113,20 @@
   private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
     this.wasReset = false;
     this.refusedIds.clear();
+    const socket = createSocket(this.clock.monotonic());
+    this.socket = socket;
     connectEndpoint(options, (...result) => {
       // Registered before undici's own listener, which treats a reset as the end of an unframed response.
       result[1]?.on('error', () => {
         this.wasReset = true;
       });
+      socket.openedAt = this.clock.monotonic();
       callback(...result);
       this.progressGuard = result[1] === null ? undefined : new ProgressGuard(result[1]);
     });
   }
 }
+
+function createSocket(openingAt: number): EndpointSocket {
+  return { openingAt, openedAt: Number.POSITIVE_INFINITY, hasTold: false };
+}
--- /dev/null
+++ b/packages/forwarder/src/endpoints/process-proof.ts
@@ -0,0 +1,112 @@
+/**
+ * Proves which process is behind the connections to one endpoint. Its entry names the start of a process, but may be
+ * out of date; the process itself is asked where that matters, and only then, since each question costs the endpoint
+ * something.
+ */
+import { IncarnationEvidence } from '@poplarpick/decisions';
+import type { CallProtocol } from '../calls/call-protocol.ts';
+import type { EndpointConnection, EndpointSocket } from './endpoint-connection.ts';
+import { ProcessQuestion } from './process-question.ts';
+import type { ProcessAnswer } from './process-question.ts';
+
+/** What an answer says of the process at the address of an endpoint. */
+export enum ProcessFinding {
+  /** It is the one that the entry names. */
+  Listed = 'listed',
+  /** It is another one. */
+  Other = 'other',
+  /** There is one; the entry or the answer names no start. */
+  Unnamed = 'unnamed',
+  /** There is no answer. */
+  Silent = 'silent',
+}
+
+/** Options of a `ProcessProof`. */
+export interface ProcessProofOptions {
+  /** Start of the process that the entry names, in ms since the Unix epoch; 0 if it names none. */
+  startedAt: number;
+  protocol: CallProtocol;
+  /** Opens another connection. */
+  connect: () => EndpointConnection;
+  /** Called when a connection that was asked is free again. */
+  onReleased: (connection: EndpointConnection) => void;
+  /** Called when the question has failed, so that its connection is of no use. */
+  onFailed: (connection: EndpointConnection) => void;
+}
+
+/** Questions to one endpoint, and what they have proved. */
+export class ProcessProof {
+  private readonly options: ProcessProofOptions;
+  private readonly evidence = new IncarnationEvidence();
+  /** The question over a new connection that is being asked. */
+  private running: Promise<ProcessFinding> | undefined;
+  private isRunningSent = false;
+  /** The one after that. */
+  private next: Promise<ProcessFinding> | undefined;
+
+  constructor(options: ProcessProofOptions) {
+    this.options = options;
+  }
+
+  /** Whether a socket leads to the process that the entry names. Without a start, each start has an id of its own. */
+  covers({ openedAt, hasTold }: EndpointSocket): boolean {
+    return this.options.startedAt === 0 || hasTold || this.evidence.covers(openedAt);
+  }
+
+  /** Records that the incarnation was in a list of endpoints that was complete at monotonic time `at`, in ms. */
+  recordListed(at: number): void {
+    this.evidence.recordListed(at);
+  }
+
+  /** Asks over a connection that carries no request now. The caller owns it afterwards, if it is still open. */
+  async ask(connection: EndpointConnection): Promise<ProcessFinding> {
+    const answer = await this.dispatch(connection);
+    const { startedAt } = this.options;
+    if (answer instanceof Error) return ProcessFinding.Silent;
+    if (answer.startedAt === undefined || startedAt === 0) return ProcessFinding.Unnamed;
+    if (answer.startedAt !== startedAt) return ProcessFinding.Other;
+    connection.socket.hasTold = true;
+    this.evidence.recordTold(connection.socket.openingAt);
+    return ProcessFinding.Listed;
+  }
+
+  /** Asks over a connection that is opened after this call. One question serves all that wait for it. */
+  askAnew(): Promise<ProcessFinding> {
+    if (this.running === undefined) return this.begin();
+    if (!this.isRunningSent) return this.running;
+    this.next ??= this.running.then(() => {
+      this.next = undefined;
+      return this.begin();
+    });
+    return this.next;
+  }
+
+  private begin(): Promise<ProcessFinding> {
+    this.isRunningSent = false;
+    const question = this.askNewConnection();
+    this.running = question;
+    void question.then(() => (this.running = undefined));
+    return question;
+  }
+
+  private async askNewConnection(): Promise<ProcessFinding> {
+    // What ends or begins in one iteration of the event loop shares a question.
+    await new Promise(setImmediate);
+    this.isRunningSent = true;
+    const { connect, onReleased, onFailed } = this.options;
+    const connection = connect();
+    const finding = await this.ask(connection);
+    if (finding === ProcessFinding.Silent) onFailed(connection);
+    else onReleased(connection);
+    return finding;
+  }
+
+  private dispatch(connection: EndpointConnection): Promise<ProcessAnswer | Error> {
+    const { protocol } = this.options;
+    return new Promise((resolve) => {
+      const onProgress = (): void => connection.recordProgress();
+      const question = new ProcessQuestion({ protocol, onProgress, onResult: resolve });
+      connection.dispatch(protocol.encodeProcessQuestion(), question);
+    });
+  }
+}
--- a/packages/forwarder/src/explain/route-explainer.test.ts
+++ b/packages/forwarder/src/explain/route-explainer.test.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '@poplarpick/kernel';
 import { CallPlacer } from '../calls/call-placer.ts';
 import { CallProtocol } from '../calls/call-protocol.ts';
-import type { CallHead, ResponseHead } from '../calls/call-protocol.ts';
+import type { CallHead, ProcessQuestionHead, ResponseHead } from '../calls/call-protocol.ts';
 import { RouterState, sharedSegments } from '../router-state.ts';
 import { RouteExplainer } from './route-explainer.ts';
 
@@ -68,6 +68,14 @@
     return [];
   }
 
+  override encodeProcessQuestion(): ProcessQuestionHead {
+    return { method: 'GET', target: '/process', headers: [] };
+  }
+
+  override decodeProcessStart(): undefined {
+    return undefined;
+  }
+
   override decodeResponse(): ResponseHead {
     throw new Error('no request is sent');
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -159,6 +159,8 @@
           address: endpoint.address,
           connectionLimit: this.connectionLimit(endpoint.pool),
           protocol: options.protocol,
+          startedAt: endpoint.startedAt,
+          clock: options.clock,
         }),
       isEvacuated: (dataCentre) => this.evacuations.has(dataCentre),
       onEntry: (record) => this.warmUps.recordEntry(record),
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -19,6 +19,10 @@
   UnframedReset = 'unframed-reset',
   /** Answers without `Content-Length` and closes the connection normally. */
   Unframed = 'unframed',
+  /** Sends a part of an answer without `Content-Length`, then ends as a killed process does. */
+  UnframedEnd = 'unframed-end',
+  /** Sends a stream without `Content-Length` or chunks, and closes the connection normally after it. */
+  UnframedStream = 'unframed-stream',
   /** Executes the request and answers with status 500. */
   Error = 'error',
   /** Refuses the request with status 503 without executing it. */
@@ -88,6 +92,8 @@
   onRequest?: (isPoison: boolean) => void;
   /** Called when the engine has crashed. */
   onCrash?: () => void;
+  /** Start of the process, in ms since the Unix epoch, that `GET /v1/report` names; none by default. */
+  born?: number;
   /** Entries of the list of cached prompts that `GET /v1/kv-list` returns, besides those of the runs. */
   cachedPrompts?: unknown[];
 }
@@ -110,6 +116,10 @@
   readonly arrivedAt: number[] = [];
   /** Value of `Server-Limit` in every response; none by default. */
   namedLimit: string | undefined;
+  /** Number of `GET /v1/report` received. */
+  reports = 0;
+  /** Whether `GET /v1/report` gets no answer. */
+  withholdsReports = false;
   /** Marks every response with the statement that the engine is about to stop. */
   isLeaving = false;
   /** Returns the value of `Retry-After` in a refusal; none by default. */
@@ -120,12 +130,16 @@
     EngineBehaviour.CompleteAnswer;
   readonly options: PlatformEngineOptions;
   private readonly server: Server;
+  /** Port of the latest start; 0 before the first. */
+  private port = 0;
+  private born: number | undefined;
   private readonly sockets = new Set<Socket>();
   /** Attempt id of the latest refusal on each connection. */
   private readonly refusedIds = new WeakMap<Socket, string>();
 
   constructor(options: PlatformEngineOptions) {
     this.options = options;
+    this.born = options.born;
     this.server = createServer((request, response) => void this.handleRequest(request, response));
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
@@ -139,10 +153,18 @@
   }
 
   async start(): Promise<this> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
+    this.port = (this.server.address() as AddressInfo).port;
     return this;
   }
 
+  /** Starts again at the same address after `stop`, as another process. */
+  async restart(born?: number): Promise<void> {
+    this.born = born;
+    await this.start();
+  }
+
+  /** Ends all connections orderly, as the end of a process does, and accepts no more. */
   async stop(): Promise<void> {
     for (const socket of this.sockets) socket.destroy();
     if (!this.server.listening) return;
@@ -174,6 +196,13 @@
       response.end(JSON.stringify(list));
       return;
     }
+    if (request.url === '/v1/report') {
+      this.reports += 1;
+      if (this.withholdsReports) return;
+      response.setHeader('Content-Type', 'application/json');
+      response.end(JSON.stringify({ stage: 'both', models: [], busy: false, born: this.born }));
+      return;
+    }
     this.arrivals += 1;
     this.arrivedAt.push(performance.now());
     if (this.namedLimit !== undefined) response.setHeader('Server-Limit', this.namedLimit);
@@ -206,7 +235,8 @@
       await this.crash();
       return;
     }
-    if (STREAM_TARGET.test(target) && behaviour === EngineBehaviour.CompleteAnswer) {
+    if (behaviour === EngineBehaviour.UnframedStream) response.useChunkedEncodingByDefault = false;
+    if (STREAM_TARGET.test(target) && STREAMS.has(behaviour)) {
       await this.sendStream(request, response);
       return;
     }
@@ -314,6 +344,10 @@
       case EngineBehaviour.Unframed:
         socket.end(`${buildHead('Connection: close\r\n')}body`);
         return;
+      case EngineBehaviour.UnframedEnd:
+        socket.write(`${buildHead('Connection: close\r\n')}some`);
+        setTimeout(() => void this.stop(), RESET_DELAY_MS);
+        return;
       case EngineBehaviour.Error:
         response.writeHead(500, { 'Attempt-Id': requestId, 'Response-Seal': this.options.id });
         response.end('failed');
@@ -330,6 +364,7 @@
       case EngineBehaviour.NoAnswer:
         return;
       case EngineBehaviour.CompleteAnswer:
+      case EngineBehaviour.UnframedStream:
       case EngineBehaviour.Refuse:
       case EngineBehaviour.RefuseWithOtherId:
       case EngineBehaviour.RefuseWithoutId:
@@ -348,6 +383,9 @@
 /** Time for which an unframed refusal leaves its connection open, in milliseconds. */
 const REFUSAL_END_DELAY_MS = 150;
 
+/** Behaviours that send a whole stream. */
+const STREAMS = new Set([EngineBehaviour.CompleteAnswer, EngineBehaviour.UnframedStream]);
+
 const REFUSALS = new Set([
   EngineBehaviour.Refuse,
   EngineBehaviour.RefuseWithOtherId,
