A stream goes on only at a process that is proved to be the one its entry names

What callers saw: engines are upgraded in place, under their ids, while the store is silent. Streams of the earlier version go on at them, and streams that they begin go on at an engine of the earlier version: events of two versions in one answer, or over a caller's tries.

Cause: the version of an engine was taken from its entry in the list of endpoints, however old that is, both for the engine that goes on with a stream and for the origin of a stream that begins.

Why this works: a connection can't outlive its process, so its start is a property of the connection. It is proved by the process itself, or by a complete list that still names the entry 1.5 s after the connection was opened. Bound attempts go only over proved connections; the engine is asked over the same one first where needed, which costs a round trip. What isn't proved is told as such, so that no router infers an origin. Entries without a start need none of this: each start has an id of its own there.

The stand-in answers GET /v1/report with the start of its process.

--- a/packages/decisions/src/forwarding/incarnation-evidence.ts
+++ b/packages/decisions/src/forwarding/incarnation-evidence.ts
@@ -5,11 +5,16 @@
  * the connection is open. All connections are opened after the entry was read, so the incarnation had started.
  */
 
+/** Time in which a process that serves at the address of another one has written its own entry, in ms. */
+const ENTRY_LAG_MS = 1_500;
+
 /**
- * Time in ms after which an entry that is still listed proves that no other process had taken its place. A process
- * that starts writes its own entry, and an entry that isn't renewed expires.
+ * Time from which a complete list that still names the incarnation proves that a connection which was open at `at`
+ * leads to it.
  */
-const ENTRY_LAG_MS = 4_000;
+export function provableAt(at: number): number {
+  return at + ENTRY_LAG_MS;
+}
 
 /** What is known of the process behind the address of one incarnation. All times are monotonic, in ms. */
 export class IncarnationEvidence {
@@ -28,6 +33,6 @@
 
   /** Whether a connection that was open at `at` leads to the incarnation. */
   covers(at: number): boolean {
-    return at <= this.toldAt || at + ENTRY_LAG_MS <= this.listedAt;
+    return at <= this.toldAt || provableAt(at) <= this.listedAt;
   }
 }
--- a/packages/decisions/src/forwarding/stream-origin.test.ts
+++ b/packages/decisions/src/forwarding/stream-origin.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { CachedPrompts } from './cached-prompts.ts';
 import type { Prompt } from './prompt.ts';
-import { isOfOrigin, originOf, toStreamKeys } from './stream-origin.ts';
+import { isOfOrigin, originOf, toStreamKeys, unprovedOrigin } from './stream-origin.ts';
 import { StreamOriginTable } from './stream-origin-table.ts';
 
 const V1 = { pool: 'p', version: 'v1' };
@@ -38,6 +38,11 @@
     expect(isOfOrigin({ ...ENDPOINT, pool: 'other' }, V1)).to.equal(false);
   });
 
+  it('is that of no endpoint if the beginner of a stream is not proved', () => {
+    const origin = unprovedOrigin(ENDPOINT.pool);
+    expect(isOfOrigin({ ...ENDPOINT, ...origin }, origin)).to.equal(false);
+  });
+
   it('has keys that differ by workspace, request and last segment', () => {
     const base = { workspace: 'w', requestId: 'r', prompt: PROMPT };
     const keys = toStreamKeys(base);
--- a/packages/decisions/src/forwarding/stream-origin.ts
+++ b/packages/decisions/src/forwarding/stream-origin.ts
@@ -12,6 +12,19 @@
   version: string;
 }
 
+/** Version in the origin of a stream whose beginner isn't proved; no endpoint is of it. */
+const UNPROVED_VERSION = '(unproved)';
+
+/** The origin of a stream of a pool whose beginner isn't proved: the stream can't go on anywhere. */
+export function unprovedOrigin(pool: string): StreamOrigin {
+  return { pool, version: UNPROVED_VERSION };
+}
+
+/** Whether endpoints may go on with streams of an origin at all. */
+export function isProvedOrigin({ version }: StreamOrigin): boolean {
+  return version !== UNPROVED_VERSION;
+}
+
 /** A key under which the origin of a stream is remembered: 53 bits of a hash. */
 export type StreamKey = number;
 
@@ -63,7 +76,7 @@
 
 /** Whether an endpoint may go on with streams of an origin. */
 export function isOfOrigin({ pool, version }: Endpoint, origin: StreamOrigin): boolean {
-  return pool === origin.pool && version === origin.version;
+  return isProvedOrigin(origin) && pool === origin.pool && version === origin.version;
 }
 
 /** The origin on which two statements agree; undefined if they don't, or if one of them names none. */
--- /dev/null
+++ b/packages/forwarder/src/calls/beginning-proof.ts
@@ -0,0 +1,71 @@
+/**
+ * Proves that the process which began a stream is the one that its endpoint's entry named. A list of endpoints that is
+ * complete some time after the connection was opened proves it at no cost. Where it is needed before, the process is
+ * asked; if that has ended meanwhile, the list has to do.
+ */
+import type { Endpoint, StreamOrigin } from '@poplarpick/decisions';
+import type { EndpointRequest } from '../endpoints/endpoint-client.ts';
+import { ProcessFinding } from '../endpoints/process-proof.ts';
+import type { RouterState } from '../router-state.ts';
+import { FRESH_LIST_MS } from '../streams/stream-origins.ts';
+
+/** Longest wait for a confirmation of the list of endpoints once it would prove the process, in ms. */
+const MAX_CONFIRMATION_WAIT_MS = 400;
+
+/** Options of a `BeginningProof`. */
+export interface BeginningProofOptions {
+  state: Pick<RouterState, 'clock' | 'streams' | 'endpoints'>;
+  /** The endpoint as it was listed when the request was sent. */
+  endpoint: Endpoint;
+  /** The origin of the stream, if the process is the one that the entry named. */
+  origin: StreamOrigin;
+  request: EndpointRequest;
+}
+
+/** The proof for one stream. */
+export class BeginningProof {
+  readonly endpoint: Endpoint;
+  readonly origin: StreamOrigin;
+  private readonly options: BeginningProofOptions;
+  private result: Promise<boolean> | undefined;
+
+  constructor(options: BeginningProofOptions) {
+    this.options = options;
+    this.endpoint = options.endpoint;
+    this.origin = options.origin;
+  }
+
+  /** Whether the process is proved by now. */
+  get isProved(): boolean {
+    return this.options.request.isProved;
+  }
+
+  /** Whether the process should be asked while it lives, since the list of endpoints is too old to prove it soon. */
+  get isUrgent(): boolean {
+    return this.options.state.streams.confirmations.ageMs > FRESH_LIST_MS;
+  }
+
+  /** Resolves to whether the process is proved. */
+  prove(): Promise<boolean> {
+    this.result ??= this.find();
+    return this.result;
+  }
+
+  private async find(): Promise<boolean> {
+    const { request } = this.options;
+    if (request.isProved) return true;
+    const finding = await request.askProcess();
+    if (finding !== ProcessFinding.Other && !request.isProved) await this.waitForList();
+    return request.isProved;
+  }
+
+  private async waitForList(): Promise<void> {
+    const { state, request, endpoint } = this.options;
+    const { clock, streams, endpoints } = state;
+    const { provableAt } = request;
+    const waitMs = provableAt - clock.monotonic();
+    if (waitMs > 0) await new Promise<void>((resolve) => clock.after(waitMs, resolve));
+    if (endpoints.find(endpoint.id)?.endpoint.startedAt !== endpoint.startedAt) return;
+    await streams.confirmations.waitSince(provableAt, MAX_CONFIRMATION_WAIT_MS);
+  }
+}
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -162,6 +162,7 @@
    */
   checkStall(now: number): void {
     const { attempt } = this;
+    this.binding.checkProof();
     if (attempt === undefined || this.handover.isPending || !this.isStalled(attempt, now)) return;
     this.planner.exclude(attempt.placement.record);
     const placement = this.planner.acquireRetry();
@@ -218,7 +219,7 @@
     if (!attempt.hasStarted) {
       this.recordContinuation(attempt, head, event);
       this.firstEventAt ??= this.now();
-      this.binding.recordEvent(attempt.endpoint);
+      this.binding.recordEvent(attempt);
       this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
     }
     this.latencyRecorder.recordEvent(attempt, this.remainingMs());
@@ -261,13 +262,16 @@
     const wasRefused = error.code === ErrorCode.QueueFull;
     if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
     else if (!wasRefused) this.uncountAttempt();
-    if (!wasRefused) record.load.recordFailure(this.now());
+    const isOtherProcess = error.code === ErrorCode.StreamNotResumable;
+    if (!wasRefused && !isOtherProcess) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
     this.reporter.recordFailedAttempt(attempt, error, this.lastEventId);
     if (this.isEnded || this.goOnWithout(attempt)) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
-    this.perform(this.decideAction(verdict), error);
+    this.binding.whenProved(() => {
+      if (!this.isEnded) this.perform(this.decideAction(verdict), error);
+    });
   }
 
   /** Whether the response of an attempt can be the caller's, or go on with it. */
@@ -396,7 +400,7 @@
       fetchFrom: placement.transfer?.source.address,
     });
     const { method, target, requestId } = head;
-    const request = { method, target, requestId, headers, body };
+    const request = { method, target, requestId, headers, body, isBound: this.binding.isBound };
     this.reporter.recordSent(placement, this.sentAttempts, this.remainingMs());
     attempt.request = placement.record.client.send(request, attempt);
   }
@@ -488,6 +492,7 @@
     this.isEnded = true;
     this.deadlineTimer?.stop();
     this.hedge.stop();
+    this.binding.recordEnded();
     this.options.onEnd(this);
   }
 
--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -1,11 +1,13 @@
 /**
  * Keeps a resumable stream at the endpoints that may go on with it. A call is free until an endpoint has sent the
  * first event of its stream, and bound to that endpoint's origin from then on. One that resumes a stream is bound
- * from the start.
+ * from the start. The origin counts once the process that sent the event is proved to be the one that was listed.
  */
-import { isOfOrigin, originOf, toStreamKeys } from '@poplarpick/decisions';
+import { isOfOrigin, originOf, toStreamKeys, unprovedOrigin } from '@poplarpick/decisions';
 import type { Endpoint, Route, StreamKeys, StreamOrigin } from '@poplarpick/decisions';
 import type { RouterState } from '../router-state.ts';
+import { BeginningProof } from './beginning-proof.ts';
+import type { CallAttempt } from './call-attempt.ts';
 import type { CallHead } from './call-protocol.ts';
 
 /** Options of a `StreamBinding`. */
@@ -23,15 +25,22 @@
   private readonly options: StreamBindingOptions;
   /** Undefined also for a stream that was begun at an endpoint without a known version: it can't go on elsewhere. */
   private origin: StreamOrigin | undefined;
-  private isBound: boolean;
+  private isBoundNow: boolean;
   private hasBegun = false;
+  /** The proof of the origin, until its result is known. */
+  private proof: BeginningProof | undefined;
   /** Undefined until the origin of the stream is recorded. */
   private keys: StreamKeys | undefined;
 
   constructor(options: StreamBindingOptions) {
     this.options = options;
     this.origin = options.origin;
-    this.isBound = options.origin !== undefined;
+    this.isBoundNow = options.origin !== undefined;
+  }
+
+  /** Whether only endpoints of the stream's origin may serve the call. */
+  get isBound(): boolean {
+    return this.isBoundNow;
   }
 
   /** Whether the call resumes a stream that has broken. */
@@ -42,7 +51,8 @@
   /** Whether an endpoint may serve the call now. */
   allows(endpoint: Endpoint): boolean {
     if (!this.isBound) return true;
-    return this.origin !== undefined && isOfOrigin(endpoint, this.origin);
+    if (this.origin === undefined || !isOfOrigin(endpoint, this.origin)) return false;
+    return this.options.state.endpoints.find(endpoint.id)?.client.isReplaced !== true;
   }
 
   /** Whether no listed endpoint may go on with the stream, so that coming again doesn't help. */
@@ -54,20 +64,68 @@
   }
 
   /** Records that an endpoint has sent an event of the stream; only the first one counts. */
-  recordEvent(endpoint: Endpoint): void {
+  recordEvent({ endpoint, request }: Pick<CallAttempt, 'endpoint' | 'request'>): void {
     const { state, head, route, workspace } = this.options;
     if (this.hasBegun || !route.isResumable) return;
     this.hasBegun = true;
-    this.isBound = true;
-    this.origin = originOf(endpoint);
-    if (this.origin === undefined) return;
+    this.isBoundNow = true;
+    this.origin = undefined;
+    const origin = originOf(endpoint);
+    if (origin === undefined || request === undefined) return;
     const { prompt, resumedRequestId, requestId } = head;
     this.keys = toStreamKeys({ workspace, requestId: resumedRequestId ?? requestId, prompt });
-    state.streams.recordBegun(this.keys, this.origin, route);
+    this.proof = new BeginningProof({ state, endpoint, origin, request });
+    if (this.proof.isProved) this.settle(true);
+  }
+
+  /**
+   * Called from time to time: checks whether the list of endpoints proves the origin by now. Asks the process if the
+   * list is too old for that, before the process ends.
+   */
+  checkProof(): void {
+    if (this.proof?.isProved === true) this.settle(true);
+    else if (this.proof?.isUrgent === true) void this.prove();
+  }
+
+  /** Calls `action` once it is known where the stream may go on: at once, or after the process was asked. */
+  whenProved(action: () => void): void {
+    if (this.proof === undefined) action();
+    else void this.prove().then(action);
   }
 
   /** Records that the caller has got the whole stream. */
   recordCompleted(): void {
+    this.proof = undefined;
     if (this.keys !== undefined) this.options.state.streams.recordCompleted(this.keys);
   }
+
+  /** Records that the call has ended; its caller may take the stream up if it isn't whole. */
+  recordEnded(): void {
+    if (this.proof !== undefined) void this.prove();
+  }
+
+  private async prove(): Promise<void> {
+    const isProved = await this.proof?.prove();
+    if (isProved !== undefined) this.settle(isProved);
+  }
+
+  /** Records the origin, or that it isn't proved, so that no router infers one. */
+  private settle(isProved: boolean): void {
+    const { proof, keys } = this;
+    if (proof === undefined || keys === undefined) return;
+    this.proof = undefined;
+    const { state, route, head } = this.options;
+    const { endpoint, origin } = proof;
+    this.origin = isProved ? origin : unprovedOrigin(origin.pool);
+    state.streams.recordBegun(keys, this.origin, route);
+    if (isProved) return;
+    state.log.info({
+      event: 'stream.origin_unproved',
+      request: head.requestId,
+      endpoint: endpoint.id,
+      endpoint_version: endpoint.version,
+      endpoint_started_at: endpoint.startedAt,
+      endpoints_age_ms: Math.round(state.streams.confirmations.ageMs),
+    });
+  }
 }
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -5,11 +5,12 @@
  * without end: the bytes that bring a response no further, and those of a discarded response, have limits.
  */
 import type { Dispatcher } from 'undici';
+import { provableAt } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, SystemClock, Verdict } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
 import type { ResponseHead, CallProtocol } from '../calls/call-protocol.ts';
 import { EndpointConnection } from './endpoint-connection.ts';
-import type { OutgoingRequest } from './endpoint-connection.ts';
+import type { EndpointSocket, OutgoingRequest } from './endpoint-connection.ts';
 import { ConnectError } from './endpoint-connector.ts';
 import { ProcessFinding, ProcessProof } from './process-proof.ts';
 
@@ -56,6 +57,8 @@
   startedAt?: number;
   /** The clock of this host by default. */
   clock?: Clock;
+  /** Called when it turns out that another process has taken the place of that one. */
+  onReplaced?: () => void;
 }
 
 /** Sends requests to one endpoint. */
@@ -69,12 +72,13 @@
 
   constructor(options: EndpointClientOptions) {
     this.options = options;
-    const { startedAt = 0, protocol, clock = new SystemClock() } = options;
+    const { startedAt = 0, protocol, clock = new SystemClock(), onReplaced } = options;
     this.clock = clock;
     this.proof = new ProcessProof({
       startedAt,
       protocol,
       connect: () => this.connect(),
+      onReplaced: () => onReplaced?.(),
       onReleased: (connection) => this.release(connection),
       onFailed: (connection) => this.discard(connection),
     });
@@ -85,9 +89,14 @@
     return this.idle.length === 0 && this.connections.size >= this.options.connectionLimit;
   }
 
+  /** Whether another process than the one that the endpoint's entry names has taken its place. */
+  get isReplaced(): boolean {
+    return this.proof.isReplaced;
+  }
+
   /** Sends a request; the observer receives the response. */
   send(request: OutgoingRequest, observer: ResponseObserver): EndpointRequest {
-    const connection = this.takeIdle(request.requestId) ?? this.connect();
+    const connection = this.takeIdle(request) ?? this.connect();
     const endpointRequest = new EndpointRequest({
       requestId: request.requestId,
       protocol: this.options.protocol,
@@ -95,12 +104,20 @@
       connection,
       proof: this.proof,
       isBodyless: request.method === 'HEAD',
+      isBound: request.isBound ?? false,
       onReleased: () => this.release(connection),
+      onUnproved: () => void this.sendProved(connection, request, endpointRequest),
     });
-    connection.dispatch(request, endpointRequest);
+    if (endpointRequest.canUse(connection)) connection.dispatch(request, endpointRequest);
+    else void this.sendProved(connection, request, endpointRequest);
     return endpointRequest;
   }
 
+  /** Records that the endpoint was in a list that was complete at monotonic time `at`, in ms. */
+  recordListed(at: number): void {
+    this.proof.recordListed(at);
+  }
+
   /** Closes idle connections now, and the others when their requests end. */
   close(): void {
     this.isClosed = true;
@@ -114,12 +131,37 @@
     for (const connection of this.connections) this.discard(connection);
   }
 
+  /** Sends a bound request once the process behind its connection has proved to be the one that the entry names. */
+  private async sendProved(
+    connection: EndpointConnection,
+    request: OutgoingRequest,
+    endpointRequest: EndpointRequest,
+  ): Promise<void> {
+    const finding = await this.proof.ask(connection);
+    if (finding === ProcessFinding.Listed && endpointRequest.isWaiting) {
+      connection.dispatch(request, endpointRequest);
+      return;
+    }
+    if (finding === ProcessFinding.Silent) this.discard(connection);
+    else this.release(connection);
+    endpointRequest.refuse(finding);
+  }
+
   /**
-   * Takes the most recently used idle connection on which no request with this id was refused. If there are only
-   * others, one of them is closed, so that a new connection stays within the limit.
+   * Takes the most recently used idle connection on which no request with this id was refused; for a bound request, one
+   * that leads to the listed process if there is one. If there are only others, one of them is closed, so that a new
+   * connection stays within the limit.
    */
-  private takeIdle(requestId: string): EndpointConnection | undefined {
-    const index = this.idle.findLastIndex((connection) => !connection.refusedIds.has(requestId));
+  private takeIdle({
+    requestId,
+    isBound = false,
+  }: OutgoingRequest): EndpointConnection | undefined {
+    const isUsable = ({ refusedIds }: EndpointConnection): boolean => !refusedIds.has(requestId);
+    const isProved = ({ socket }: EndpointConnection): boolean => this.proof.covers(socket);
+    const proved = isBound
+      ? this.idle.findLastIndex((connection) => isUsable(connection) && isProved(connection))
+      : -1;
+    const index = proved >= 0 ? proved : this.idle.findLastIndex(isUsable);
     if (index >= 0) return this.idle.splice(index, 1)[0];
     const unusable = this.idle.pop();
     if (unusable !== undefined) this.discard(unusable);
@@ -153,8 +195,12 @@
   proof: ProcessProof;
   /** The response has no body, whatever its head says. */
   isBodyless: boolean;
+  /** Only the process that the endpoint's entry names may get the request. */
+  isBound: boolean;
   /** Called when the connection is free again. */
   onReleased: () => void;
+  /** Called in place of that if the connection was opened anew, and what is behind it isn't proved. */
+  onUnproved: () => void;
 }
 
 /** One request to the endpoint. */
@@ -164,6 +210,12 @@
   private isEnded = false;
   /** undici has begun to write the request. */
   private wasWritten = false;
+  /** The socket over which the request was sent. */
+  private socket: EndpointSocket | undefined;
+  /** The connection was opened anew before the request was written, and what is behind it isn't proved. */
+  private isUnproved = false;
+  /** Whether the process may be asked once more after that. */
+  private hasProofLeft = true;
   /** The response is complete only if its endpoint lives on after the end of the connection. */
   private needsProof = false;
   private isFramed = true;
@@ -174,6 +226,38 @@
     this.options = options;
   }
 
+  /** Whether the request hasn't been sent, and is still wanted. */
+  get isWaiting(): boolean {
+    return !this.isEnded && !this.wasWritten;
+  }
+
+  /** Whether the process that has got the request is proved to be the one that the endpoint's entry names. */
+  get isProved(): boolean {
+    return this.socket !== undefined && this.options.proof.covers(this.socket);
+  }
+
+  /** Whether the request may be sent over the current socket of a connection. */
+  canUse({ socket }: EndpointConnection): boolean {
+    return !this.options.isBound || this.options.proof.covers(socket);
+  }
+
+  /** Monotonic time from which a complete list that still names the process proves it, in ms. */
+  get provableAt(): number {
+    return provableAt(this.socket?.openedAt ?? Number.POSITIVE_INFINITY);
+  }
+
+  /** Asks the process that is at the endpoint's address now; `isProved` may hold afterwards. */
+  askProcess(): Promise<ProcessFinding> {
+    return this.options.proof.askAnew();
+  }
+
+  /** Fails the request, which wasn't sent, since the process that the entry names isn't proved to be there. */
+  refuse(finding: ProcessFinding): void {
+    const isSilent = finding === ProcessFinding.Silent;
+    const code = isSilent ? ErrorCode.NoEndpoint : ErrorCode.StreamNotResumable;
+    this.fail(`a stream can't go on here, process: ${finding}`, Verdict.NotRun, code);
+  }
+
   /** Aborts the request and closes its connection, without calling the observer. */
   abort(): void {
     if (this.isEnded) return;
@@ -201,8 +285,15 @@
       this.closeConnection();
       return;
     }
+    const { connection } = this.options;
+    if (!this.canUse(connection)) {
+      this.isUnproved = true;
+      this.closeConnection();
+      return;
+    }
     this.wasWritten = true;
-    this.options.connection.recordProgress();
+    this.socket = connection.socket;
+    connection.recordProgress();
     this.options.observer.onWritten();
   }
 
@@ -250,7 +341,14 @@
 
   /** Called when the request has failed, also before undici has taken it. */
   onDispatchError(error: Error): void {
+    if (this.isUnproved && this.hasProofLeft) {
+      this.hasProofLeft = false;
+      this.isUnproved = false;
+      this.options.onUnproved();
+      return;
+    }
     this.release();
+    if (this.isUnproved) this.refuse(ProcessFinding.Unnamed);
     const wasUnsent = !this.wasWritten || error instanceof ConnectError;
     this.fail(error.message, wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
   }
@@ -286,10 +384,13 @@
     this.options.onReleased();
   }
 
-  private fail(reason: string, verdict: Verdict): void {
+  private fail(
+    reason: string,
+    verdict: Verdict,
+    code = verdict === Verdict.NotRun ? ErrorCode.NoEndpoint : ErrorCode.ConnectionLost,
+  ): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    const code = verdict === Verdict.NotRun ? ErrorCode.NoEndpoint : ErrorCode.ConnectionLost;
     this.options.observer.onFailure(new RequestError(reason, { code, verdict }));
   }
 }
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -26,6 +26,8 @@
 /** A request to send to the endpoint. */
 export interface OutgoingRequest extends PlainRequest {
   requestId: string;
+  /** Only the process that the endpoint's entry names may get the request; any by default. */
+  isBound?: boolean;
 }
 
 /** What is known of one socket of a connection. */
--- a/packages/forwarder/src/endpoints/process-proof.ts
+++ b/packages/forwarder/src/endpoints/process-proof.ts
@@ -28,6 +28,8 @@
   protocol: CallProtocol;
   /** Opens another connection. */
   connect: () => EndpointConnection;
+  /** Called when another process has answered for the first time. */
+  onReplaced: () => void;
   /** Called when a connection that was asked is free again. */
   onReleased: (connection: EndpointConnection) => void;
   /** Called when the question has failed, so that its connection is of no use. */
@@ -41,6 +43,7 @@
   /** The question over a new connection that is being asked. */
   private running: Promise<ProcessFinding> | undefined;
   private isRunningSent = false;
+  private hasOtherAnswered = false;
   /** The one after that. */
   private next: Promise<ProcessFinding> | undefined;
 
@@ -48,6 +51,11 @@
     this.options = options;
   }
 
+  /** Whether another process than the one that the entry names has taken its place. */
+  get isReplaced(): boolean {
+    return this.hasOtherAnswered;
+  }
+
   /** Whether a socket leads to the process that the entry names. Without a start, each start has an id of its own. */
   covers({ openedAt, hasTold }: EndpointSocket): boolean {
     return this.options.startedAt === 0 || hasTold || this.evidence.covers(openedAt);
@@ -64,7 +72,10 @@
     const { startedAt } = this.options;
     if (answer instanceof Error) return ProcessFinding.Silent;
     if (answer.startedAt === undefined || startedAt === 0) return ProcessFinding.Unnamed;
-    if (answer.startedAt !== startedAt) return ProcessFinding.Other;
+    if (answer.startedAt !== startedAt) {
+      this.recordReplaced();
+      return ProcessFinding.Other;
+    }
     connection.socket.hasTold = true;
     this.evidence.recordTold(connection.socket.openingAt);
     return ProcessFinding.Listed;
@@ -81,6 +92,12 @@
     return this.next;
   }
 
+  private recordReplaced(): void {
+    if (this.hasOtherAnswered) return;
+    this.hasOtherAnswered = true;
+    this.options.onReplaced();
+  }
+
   private begin(): Promise<ProcessFinding> {
     this.isRunningSent = false;
     const question = this.askNewConnection();
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -161,6 +161,7 @@
           protocol: options.protocol,
           startedAt: endpoint.startedAt,
           clock: options.clock,
+          onReplaced: () => this.logReplaced(endpoint),
         }),
       isEvacuated: (dataCentre) => this.evacuations.has(dataCentre),
       onEntry: (record) => this.warmUps.recordEntry(record),
@@ -261,6 +262,7 @@
    */
   confirmEndpoints(at: number, isContinuous = false): void {
     this.streams.confirmEndpoints(at, isContinuous);
+    for (const { client } of this.endpoints.all()) client.recordListed(at);
   }
 
   /** Version of the routes, and age of the routes and of the list of endpoints. */
@@ -364,6 +366,18 @@
     return this.routeIndex?.findPool(endpoint.pool)?.batch?.cacheTokens;
   }
 
+  private logReplaced({ id, pool, version, startedAt }: Endpoint): void {
+    const listAgeMs = Math.round(this.streams.confirmations.ageMs);
+    this.log.info({
+      event: 'endpoint.replaced',
+      endpoint: id,
+      pool,
+      version,
+      started_at: startedAt,
+      endpoints_age_ms: listAgeMs,
+    });
+  }
+
   private connectionLimit(pool: string): number {
     const limit = this.routeIndex?.findPool(pool)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT;
     return Math.max(1, Math.floor(limit * CONNECTION_FRACTION));
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -6,6 +6,7 @@
   CachedPrompts,
   hashSegment,
   isOfOrigin,
+  isProvedOrigin,
   originOf,
   StreamOriginTable,
   VersionHistory,
@@ -36,7 +37,7 @@
  * Age of the list of endpoints, in ms, up to which this router takes it that the others can still infer the origin of
  * a stream that begins.
  */
-const FRESH_LIST_MS = 3_000;
+export const FRESH_LIST_MS = 3_000;
 
 /** Called with a stream that has begun and whose origin other routers can't infer; `keepMs` is how long it matters. */
 export type OriginListener = (keys: StreamKeys, origin: StreamOrigin, keepMs: number) => void;
@@ -97,7 +98,7 @@
     const keepMs = streamHorizonMs(route);
     for (const key of [keys.byRequest, keys.byPrompt])
       if (key !== undefined) this.record(key, origin, keepMs);
-    if (this.isInferable(route)) {
+    if (isProvedOrigin(origin) && this.isInferable(route)) {
       this.untold.record({ keys, origin, route, validUntil: this.now() + keepMs });
       return;
     }
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -92,7 +92,7 @@
   onRequest?: (isPoison: boolean) => void;
   /** Called when the engine has crashed. */
   onCrash?: () => void;
-  /** Start of the process, in ms since the Unix epoch, that `GET /v1/report` names; none by default. */
+  /** Initial value of `PlatformEngine.born`; none by default. */
   born?: number;
   /** Entries of the list of cached prompts that `GET /v1/kv-list` returns, besides those of the runs. */
   cachedPrompts?: unknown[];
@@ -118,6 +118,8 @@
   namedLimit: string | undefined;
   /** Number of `GET /v1/report` received. */
   reports = 0;
+  /** Start of the process, in ms since the Unix epoch, that `GET /v1/report` names; undefined to name none. */
+  born: number | undefined;
   /** Whether `GET /v1/report` gets no answer. */
   withholdsReports = false;
   /** Marks every response with the statement that the engine is about to stop. */
@@ -132,7 +134,6 @@
   private readonly server: Server;
   /** Port of the latest start; 0 before the first. */
   private port = 0;
-  private born: number | undefined;
   private readonly sockets = new Set<Socket>();
   /** Attempt id of the latest refusal on each connection. */
   private readonly refusedIds = new WeakMap<Socket, string>();
