--- a/packages/forwarder/src/calls/attempt-sender.ts
+++ b/packages/forwarder/src/calls/attempt-sender.ts
@@ -9,6 +9,7 @@
 import type { CallHead } from './call-protocol.ts';
 import type { CallReporter } from './call-reporter.ts';
 import type { Placement } from './endpoint-evaluator.ts';
+import type { StreamBinding } from './stream-binding.ts';
 
 /** Options of an `AttemptSender`. */
 export interface AttemptSenderOptions {
@@ -17,6 +18,7 @@
   pool: string;
   workspace: string | undefined;
   body: Buffer | undefined;
+  binding: StreamBinding;
   handler: AttemptHandler;
   admission: CallAdmission;
   planner: AttemptPlanner;
@@ -55,7 +57,7 @@
 
   /** Sends an attempt; `onCreated` gets it before its request is written. */
   send(attemptOptions: AttemptOptions, onCreated: (attempt: CallAttempt) => void): void {
-    const { state, head, workspace, body, handler, reporter } = this.options;
+    const { state, head, workspace, body, binding, handler, reporter } = this.options;
     const { placement, check, remainingMs, resumeAfter } = attemptOptions;
     this.sent += 1;
     this.record(placement);
@@ -74,7 +76,8 @@
     });
     const { method, target, requestId } = head;
     reporter.recordSent(placement, this.sent, remainingMs);
-    const request = { method, target, requestId, headers, body };
+    const { isBound } = binding;
+    const request = { method, target, requestId, headers, body, isBound };
     attempt.request = placement.record.client.send(request, attempt);
   }
 
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -116,7 +116,14 @@
     this.evidence = new AttemptEvidence({ state: options.state, suspectHashes });
     this.reporter = new CallReporter({ ...options, segmentHashes, requestHash });
     const { admission, planner, reporter } = this;
-    this.sender = new AttemptSender({ ...options, handler: this, admission, planner, reporter });
+    this.sender = new AttemptSender({
+      ...options,
+      binding,
+      handler: this,
+      admission,
+      planner,
+      reporter,
+    });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
     const { route, arrivedAt } = options;
@@ -171,6 +178,7 @@
    */
   checkStall(now: number): void {
     const { attempt } = this;
+    this.binding.checkProof();
     if (attempt === undefined || this.handover.isPending || !this.isStalled(attempt, now)) return;
     this.planner.exclude(attempt.placement.record);
     const placement = this.planner.acquireRetry();
@@ -262,13 +270,16 @@
     const wasRefused = error.code === ErrorCode.QueueFull;
     if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
     else if (!wasRefused) this.sender.uncount();
-    if (!wasRefused) record.load.recordFailure(this.now());
+    const isOtherProcess = error.code === ErrorCode.StreamNotResumable;
+    if (!wasRefused && !isOtherProcess) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
     this.reporter.recordFailedAttempt(attempt, error, this.response.sentEventId);
     if (this.isEnded || this.goOnWithout(attempt)) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
-    this.perform(this.decideAction(verdict), error);
+    this.binding.whenProved(() => {
+      if (!this.isEnded) this.perform(this.decideAction(verdict), error);
+    });
   }
 
   /** Passes on an event that has proved that its attempt serves the caller. */
@@ -277,7 +288,7 @@
     if (!attempt.hasStarted) {
       this.recordContinuation(attempt, head, event);
       this.firstEventAt ??= this.now();
-      this.binding.recordEvent(attempt.endpoint);
+      this.binding.recordEvent(attempt);
       this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
     }
     this.latencyRecorder.recordEvent(attempt, this.remainingMs());
@@ -463,6 +474,7 @@
     this.isEnded = true;
     this.deadlineTimer?.stop();
     this.hedge.stop();
+    this.binding.recordEnded();
     this.options.onEnd(this);
   }
 
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -4,21 +4,19 @@
  * tells whether the request may have run; it can't have run before it was written. An endpoint may send
  * without end: the bytes that bring a response no further, and those of a discarded response, have limits.
  */
-import { Client } from 'undici';
-import type { buildConnector, Dispatcher } from 'undici';
-import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import type { Dispatcher } from 'undici';
+import { provableAt } from '@poplarpick/decisions';
+import { ErrorCode, RequestError, SystemClock, Verdict } from '@poplarpick/kernel';
+import type { Clock } from '@poplarpick/kernel';
 import type { ResponseHead, CallProtocol } from '../calls/call-protocol.ts';
-import { ConnectError, connectEndpoint } from './endpoint-connector.ts';
-import { ProgressGuard } from './progress-guard.ts';
-import { RefusedIds } from './refused-ids.ts';
-
-/** Idle time after which a connection is closed, in ms, if the endpoint states no limit of its own. */
-const KEEP_ALIVE_MS = 10_000;
-
-/** Time before the endpoint's own limit at which an idle connection is closed, in ms. */
-const KEEP_ALIVE_MARGIN_MS = 1_000;
+import { EndpointConnection } from './endpoint-connection.ts';
+import type { EndpointSocket, OutgoingRequest } from './endpoint-connection.ts';
+import { ConnectError } from './endpoint-connector.ts';
+import { ProcessFinding, ProcessProof } from './process-proof.ts';
 
 const MIN_FINAL_STATUS = 200;
+const STATUS_NO_CONTENT = 204;
+const MIN_REDIRECT_STATUS = 300;
 
 /**
  * Most bytes of a discarded response that are read, so that its connection can be reused. More would cost more
@@ -48,15 +46,6 @@
   abstract onFailure(error: RequestError): void;
 }
 
-/** A request to send to the endpoint. */
-export interface OutgoingRequest {
-  method: string;
-  target: string;
-  requestId: string;
-  headers: string[];
-  body: Buffer | undefined;
-}
-
 /** Options of an `EndpointClient`. */
 export interface EndpointClientOptions {
   /** `IP:port`. */
@@ -64,17 +53,35 @@
   /** Most connections from this router. */
   connectionLimit: number;
   protocol: CallProtocol;
+  /** Start of the process that the endpoint's entry names, in ms since the Unix epoch; 0 if unknown, by default. */
+  startedAt?: number;
+  /** The clock of this host by default. */
+  clock?: Clock;
+  /** Called when it turns out that another process has taken the place of that one. */
+  onReplaced?: () => void;
 }
 
 /** Sends requests to one endpoint. */
 export class EndpointClient {
   private readonly options: EndpointClientOptions;
+  private readonly clock: Clock;
+  private readonly proof: ProcessProof;
   private readonly idle: EndpointConnection[] = [];
   private readonly connections = new Set<EndpointConnection>();
   private isClosed = false;
 
   constructor(options: EndpointClientOptions) {
     this.options = options;
+    const { startedAt = 0, protocol, clock = new SystemClock(), onReplaced } = options;
+    this.clock = clock;
+    this.proof = new ProcessProof({
+      startedAt,
+      protocol,
+      connect: () => this.connect(),
+      onReplaced: () => onReplaced?.(),
+      onReleased: (connection) => this.release(connection),
+      onFailed: (connection) => this.discard(connection),
+    });
   }
 
   /** True when all connections are busy and the limit is reached. */
@@ -82,20 +89,35 @@
     return this.idle.length === 0 && this.connections.size >= this.options.connectionLimit;
   }
 
+  /** Whether another process than the one that the endpoint's entry names has taken its place. */
+  get isReplaced(): boolean {
+    return this.proof.isReplaced;
+  }
+
   /** Sends a request; the observer receives the response. */
   send(request: OutgoingRequest, observer: ResponseObserver): EndpointRequest {
-    const connection = this.takeIdle(request.requestId) ?? this.connect();
+    const connection = this.takeIdle(request) ?? this.connect();
     const endpointRequest = new EndpointRequest({
       requestId: request.requestId,
       protocol: this.options.protocol,
       observer,
       connection,
+      proof: this.proof,
+      isBodyless: request.method === 'HEAD',
+      isBound: request.isBound ?? false,
       onReleased: () => this.release(connection),
+      onUnproved: () => void this.sendProved(connection, request, endpointRequest),
     });
-    connection.dispatch(request, endpointRequest);
+    if (endpointRequest.canUse(connection)) connection.dispatch(request, endpointRequest);
+    else void this.sendProved(connection, request, endpointRequest);
     return endpointRequest;
   }
 
+  /** Records that the endpoint was in a list that was complete at monotonic time `at`, in ms. */
+  recordListed(at: number): void {
+    this.proof.recordListed(at);
+  }
+
   /** Closes idle connections now, and the others when their requests end. */
   close(): void {
     this.isClosed = true;
@@ -109,12 +131,37 @@
     for (const connection of this.connections) this.discard(connection);
   }
 
+  /** Sends a bound request once the process behind its connection has proved to be the one that the entry names. */
+  private async sendProved(
+    connection: EndpointConnection,
+    request: OutgoingRequest,
+    endpointRequest: EndpointRequest,
+  ): Promise<void> {
+    const finding = await this.proof.ask(connection);
+    if (finding === ProcessFinding.Listed && endpointRequest.isWaiting) {
+      connection.dispatch(request, endpointRequest);
+      return;
+    }
+    if (finding === ProcessFinding.Silent) this.discard(connection);
+    else this.release(connection);
+    endpointRequest.refuse(finding);
+  }
+
   /**
-   * Takes the most recently used idle connection on which no request with this id was refused. If there are only
-   * others, one of them is closed, so that a new connection stays within the limit.
+   * Takes the most recently used idle connection on which no request with this id was refused; for a bound request, one
+   * that leads to the listed process if there is one. If there are only others, one of them is closed, so that a new
+   * connection stays within the limit.
    */
-  private takeIdle(requestId: string): EndpointConnection | undefined {
-    const index = this.idle.findLastIndex((connection) => !connection.refusedIds.has(requestId));
+  private takeIdle({
+    requestId,
+    isBound = false,
+  }: OutgoingRequest): EndpointConnection | undefined {
+    const isUsable = ({ refusedIds }: EndpointConnection): boolean => !refusedIds.has(requestId);
+    const isProved = ({ socket }: EndpointConnection): boolean => this.proof.covers(socket);
+    const proved = isBound
+      ? this.idle.findLastIndex((connection) => isUsable(connection) && isProved(connection))
+      : -1;
+    const index = proved >= 0 ? proved : this.idle.findLastIndex(isUsable);
     if (index >= 0) return this.idle.splice(index, 1)[0];
     const unusable = this.idle.pop();
     if (unusable !== undefined) this.discard(unusable);
@@ -122,7 +169,7 @@
   }
 
   private connect(): EndpointConnection {
-    const connection = new EndpointConnection(this.options.address);
+    const connection = new EndpointConnection({ address: this.options.address, clock: this.clock });
     this.connections.add(connection);
     return connection;
   }
@@ -139,83 +186,21 @@
   }
 }
 
-/** One connection; undici reopens it after it was closed. */
-class EndpointConnection {
-  /** The current socket has ended with an error. */
-  wasReset = false;
-  /** Requests that were refused on the current socket. */
-  readonly refusedIds = new RefusedIds();
-  private readonly address: string;
-  /** Undefined before the first request. */
-  private client: Client | undefined;
-  private progressGuard: ProgressGuard | undefined;
-
-  constructor(address: string) {
-    this.address = address;
-  }
-
-  /**
-   * Sends a request. An error before that, such as an address that can't be read, fails the request like any other
-   * failure: the caller may be in a timer or in the failure of an earlier attempt, where nothing would catch it.
-   */
-  dispatch({ method, target, headers, body }: OutgoingRequest, handler: EndpointRequest): void {
-    const options = {
-      method: method as Dispatcher.HttpMethod,
-      path: target,
-      headers,
-      body: body ?? null,
-    };
-    try {
-      this.client ??= this.createClient();
-      this.client.dispatch(options, handler);
-    } catch (error) {
-      const reason = error instanceof Error ? error : new Error(String(error));
-      queueMicrotask(() => handler.onDispatchError(reason));
-    }
-  }
-
-  destroy(): void {
-    this.client?.destroy().catch(() => undefined);
-  }
-
-  /** Called when a request or the body of a response begins, and with each part of a body. */
-  recordProgress(): void {
-    this.progressGuard?.recordProgress();
-  }
-
-  private createClient(): Client {
-    return new Client(`http://${this.address}`, {
-      pipelining: 1,
-      connect: (options, callback) => this.open(options, callback),
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-  }
-
-  private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
-    this.wasReset = false;
-    this.refusedIds.clear();
-    connectEndpoint(options, (...result) => {
-      // Registered before undici's own listener, which treats a reset as the end of an unframed response.
-      result[1]?.on('error', () => {
-        this.wasReset = true;
-      });
-      callback(...result);
-      this.progressGuard = result[1] === null ? undefined : new ProgressGuard(result[1]);
-    });
-  }
-}
-
 /** Options of an `EndpointRequest`. */
 interface EndpointRequestOptions {
   requestId: string;
   protocol: CallProtocol;
   observer: ResponseObserver;
   connection: EndpointConnection;
+  proof: ProcessProof;
+  /** The response has no body, whatever its head says. */
+  isBodyless: boolean;
+  /** Only the process that the endpoint's entry names may get the request. */
+  isBound: boolean;
   /** Called when the connection is free again. */
   onReleased: () => void;
+  /** Called in place of that if the connection was opened anew, and what is behind it isn't proved. */
+  onUnproved: () => void;
 }
 
 /** One request to the endpoint. */
@@ -225,6 +210,14 @@
   private isEnded = false;
   /** undici has begun to write the request. */
   private wasWritten = false;
+  /** The socket over which the request was sent. */
+  private socket: EndpointSocket | undefined;
+  /** The connection was opened anew before the request was written, and what is behind it isn't proved. */
+  private isUnproved = false;
+  /** Whether the process may be asked once more after that. */
+  private hasProofLeft = true;
+  /** The response is complete only if its endpoint lives on after the end of the connection. */
+  private needsProof = false;
   private isFramed = true;
   private discardedBytes = 0;
   private discardTimer: NodeJS.Timeout | undefined;
@@ -233,6 +226,38 @@
     this.options = options;
   }
 
+  /** Whether the request hasn't been sent, and is still wanted. */
+  get isWaiting(): boolean {
+    return !this.isEnded && !this.wasWritten;
+  }
+
+  /** Whether the process that has got the request is proved to be the one that the endpoint's entry names. */
+  get isProved(): boolean {
+    return this.socket !== undefined && this.options.proof.covers(this.socket);
+  }
+
+  /** Whether the request may be sent over the current socket of a connection. */
+  canUse({ socket }: EndpointConnection): boolean {
+    return !this.options.isBound || this.options.proof.covers(socket);
+  }
+
+  /** Monotonic time from which a complete list that still names the process proves it, in ms. */
+  get provableAt(): number {
+    return provableAt(this.socket?.openedAt ?? Number.POSITIVE_INFINITY);
+  }
+
+  /** Asks the process that is at the endpoint's address now; `isProved` may hold afterwards. */
+  askProcess(): Promise<ProcessFinding> {
+    return this.options.proof.askAnew();
+  }
+
+  /** Fails the request, which wasn't sent, since the process that the entry names isn't proved to be there. */
+  refuse(finding: ProcessFinding): void {
+    const isSilent = finding === ProcessFinding.Silent;
+    const code = isSilent ? ErrorCode.NoEndpoint : ErrorCode.StreamNotResumable;
+    this.fail(`a stream can't go on here, process: ${finding}`, Verdict.NotRun, code);
+  }
+
   /** Aborts the request and closes its connection, without calling the observer. */
   abort(): void {
     if (this.isEnded) return;
@@ -260,8 +285,15 @@
       this.closeConnection();
       return;
     }
+    const { connection } = this.options;
+    if (!this.canUse(connection)) {
+      this.isUnproved = true;
+      this.closeConnection();
+      return;
+    }
     this.wasWritten = true;
-    this.options.connection.recordProgress();
+    this.socket = connection.socket;
+    connection.recordProgress();
     this.options.observer.onWritten();
   }
 
@@ -271,6 +303,8 @@
     const { protocol, requestId, observer } = this.options;
     const head = protocol.decodeResponse(status, readRawHeaders(controller));
     this.isFramed = head.isFramed;
+    const hasBody = !this.options.isBodyless && status !== STATUS_NO_CONTENT;
+    this.needsProof = !head.isFramed && hasBody && status < MIN_REDIRECT_STATUS;
     if (head.requestId !== requestId) {
       observer.onForeignHead(head);
       this.fail('the endpoint answered another request', Verdict.MayHaveRun);
@@ -297,8 +331,8 @@
       this.fail('the connection was reset within an answer without a length', Verdict.MayHaveRun);
       return;
     }
-    this.isEnded = true;
-    this.options.observer.onEnd();
+    if (this.needsProof) void this.endIfAlive();
+    else this.end();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -307,11 +341,35 @@
 
   /** Called when the request has failed, also before undici has taken it. */
   onDispatchError(error: Error): void {
+    if (this.isUnproved && this.hasProofLeft) {
+      this.hasProofLeft = false;
+      this.isUnproved = false;
+      this.options.onUnproved();
+      return;
+    }
     this.release();
+    if (this.isUnproved) this.refuse(ProcessFinding.Unnamed);
     const wasUnsent = !this.wasWritten || error instanceof ConnectError;
     this.fail(error.message, wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
   }
 
+  /**
+   * Ends a response that ended with its connection. A process that is killed closes its connections as orderly as one
+   * that has finished its response, so the response counts only if that process lives on.
+   */
+  private async endIfAlive(): Promise<void> {
+    const finding = await this.options.proof.askAnew();
+    if (this.isEnded) return;
+    const isAlive = finding === ProcessFinding.Listed || finding === ProcessFinding.Unnamed;
+    if (isAlive) this.end();
+    else this.fail(`an answer without a length ended, process: ${finding}`, Verdict.MayHaveRun);
+  }
+
+  private end(): void {
+    this.isEnded = true;
+    this.options.observer.onEnd();
+  }
+
   private discardBytes(count: number): void {
     this.discardedBytes += count;
     if (this.discardedBytes > MAX_DISCARDED_BYTES) this.closeConnection();
@@ -326,10 +384,13 @@
     this.options.onReleased();
   }
 
-  private fail(reason: string, verdict: Verdict): void {
+  private fail(
+    reason: string,
+    verdict: Verdict,
+    code = verdict === Verdict.NotRun ? ErrorCode.NoEndpoint : ErrorCode.ConnectionLost,
+  ): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    const code = verdict === Verdict.NotRun ? ErrorCode.NoEndpoint : ErrorCode.ConnectionLost;
     this.options.observer.onFailure(new RequestError(reason, { code, verdict }));
   }
 }
--- a/packages/stand-ins/src/platform/scripted-engine.ts
+++ b/packages/stand-ins/src/platform/scripted-platform-engine.ts
@@ -11,7 +11,7 @@
 const RESET_DELAY_MS = 15;
 
 /** What happens to the connection after the last byte of an answer. */
-export enum ConnectionEnd {
+export enum PlatformAnswerEnd {
   /** It serves the next request. */
   Kept = 'kept',
   /** It is closed in order. */
@@ -22,7 +22,7 @@
 }
 
 /** What the engine reads of a request. */
-export interface ScriptedRequest {
+export interface PlatformRequest {
   requestId: string;
   target: string;
   /** Event after which a stream is to go on; undefined without one. */
@@ -30,21 +30,21 @@
 }
 
 /** The answer to one request. */
-export interface ScriptedAnswer {
+export interface PlatformAnswer {
   /** Each piece is written by itself. */
   pieces: readonly string[];
-  end: ConnectionEnd;
+  end: PlatformAnswerEnd;
   /** Awaited before the piece with this index; nothing by default. */
   pause?: { beforePiece: number; until: Promise<void> };
 }
 
 /** A TCP server that answers requests as `answer` chooses. */
-export class ScriptedEngine {
-  private readonly answer: (request: ScriptedRequest) => ScriptedAnswer;
+export class ScriptedPlatformEngine {
+  private readonly answer: (request: PlatformRequest) => PlatformAnswer;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server = createServer((socket) => this.accept(socket));
 
-  constructor(answer: (request: ScriptedRequest) => ScriptedAnswer) {
+  constructor(answer: (request: PlatformRequest) => PlatformAnswer) {
     this.answer = answer;
   }
 
@@ -114,13 +114,13 @@
   return new RegExp(`^${name}: (.*)\\r$`, 'im').exec(request)?.[1];
 }
 
-async function play(socket: Socket, { pieces, end, pause }: ScriptedAnswer): Promise<void> {
+async function play(socket: Socket, { pieces, end, pause }: PlatformAnswer): Promise<void> {
   for (const [index, piece] of pieces.entries()) {
     if (index === pause?.beforePiece) await pause.until;
     if (socket.destroyed) return;
     if (piece !== '') await new Promise((resolve) => socket.write(piece, 'latin1', resolve));
     await new Promise(setImmediate);
   }
-  if (end === ConnectionEnd.Closed) socket.end();
-  if (end === ConnectionEnd.Reset) setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  if (end === PlatformAnswerEnd.Closed) socket.end();
+  if (end === PlatformAnswerEnd.Reset) setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
