The text of an engine's refusal is read only as far as it is quoted

A caller of a chat request whose engine never ended the text of its error got no answer before the deadline, and the sidecar buffered all of it. Only the first 200 bytes are read now; the rest is left, with its connection.

model-engine-client.test.ts, before: the sidecar read 100 MB, all that the test's engine sends; now it leaves early.

--- a/packages/fleet/src/sidecar/model-engine-client.test.ts
+++ b/packages/fleet/src/sidecar/model-engine-client.test.ts
@@ -83,6 +83,23 @@
     expect(sent).to.be.below(1e8);
   });
 
+  it('fails on a refusal whose text never ends, without buffering all of it', async () => {
+    let sent = 0;
+    const error = await runAt((_request, response) => {
+      const part = Buffer.alloc(64 * 1024, 'x');
+      const write = (): void => {
+        sent += part.length;
+        if (response.destroyed) return;
+        if (sent < 1e8) response.write(part, () => setImmediate(write));
+        else response.end();
+      };
+      response.writeHead(429);
+      write();
+    });
+    expect(error).to.include({ code: ErrorCode.InvalidRequest, verdict: Verdict.NotRun });
+    expect(sent).to.be.below(1e8);
+  });
+
   it('never treats a stream without its end mark as a complete answer', async () => {
     const error = await runAt((request, response) => {
       if (request.method === 'POST') response.end('data: {"choices":[]}\n\n');
--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -20,6 +20,9 @@
 /** Delay before a reconnect, multiplied by the number of disconnects without a new event. */
 const RECONNECT_DELAY_MS = 100;
 
+/** Bytes of an error's text that are quoted. */
+const MAX_QUOTED_BYTES = 200;
+
 /** Options of a `StreamRun`. */
 export interface StreamRunOptions {
   baseUrl: string;
@@ -189,13 +192,20 @@
 }
 
 /** Only a refusal tells that the request hasn't run; a success of another kind or a redirection doesn't. */
-async function toEngineError(
-  status: number,
-  body: { text(): Promise<string> },
-): Promise<RequestError> {
-  const text = (await body.text()).slice(0, 200);
+async function toEngineError(status: number, body: AsyncIterable<Buffer>): Promise<RequestError> {
+  const text = await readStart(body);
   const isRefusal = status >= 400 && status < 500;
   const verdict = isRefusal ? Verdict.NotRun : Verdict.MayHaveRun;
   const code = isRefusal ? ErrorCode.InvalidRequest : ErrorCode.EndpointFailed;
   return new RequestError(`the engine answered ${status}: ${text}`, { code, verdict });
 }
+
+/** Reads the first bytes of a body, which may have no end, and leaves the rest. */
+async function readStart(body: AsyncIterable<Buffer>): Promise<string> {
+  let start = Buffer.alloc(0);
+  for await (const bytes of body) {
+    start = Buffer.concat([start, bytes]).subarray(0, MAX_QUOTED_BYTES);
+    if (start.length === MAX_QUOTED_BYTES) break;
+  }
+  return start.toString('utf8');
+}
