Pass a request on in a planned stop only if the rest of the grace can hold its answer

Callers got 502 for requests that had run, or streams that broke off, at the end of the grace of a planned stop, in calm; among them requests that may not be repeated (LOST).

Cause: the cutoff, 2.8 s after the signal, looked at when a head came. Between the head and the sending to an engine come slow bodies, waits for a turn behind a stream, the look-up of a stream's origin, and further attempts; none of them looked at the time that was left.

Now one decision is taken at each sending (first attempt, retry, resumption, handover, hedge): what is left of the grace, less a margin, must hold the answer. What the request's own deadline ends before is safe by itself; else the learnt durations of the route's answers decide: before the cutoff the mean plus one mean deviation, since the load balancer may still send requests here, later plus four. A route of which nothing is known passes before the cutoff only. What doesn't fit and wasn't sent gets 503 with Retry-After and Connection: close; a body that is still awaited isn't waited for any longer. A call that still runs at the end is answered 502, or its stream breaks off, and the router waits up to 250 ms for that to be sent; formerly it was left to the closing of the engines' connections.

A refusal before the whole body would be lost with the reset of a connection that is closed with unread bytes, so the rest is read for up to 1 s.

A body over the limit without a declared length now gets its 413 too: the former reader destroyed the request, and the connection with it (by reading; no test).

--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -21,6 +21,8 @@
   Budget = 'budget',
   /** The request or a segment of its prompt is blocked, or has not survived its latest crash. */
   Poison = 'poison',
+  /** What is left of a planned stop of this router can't hold it. */
+  Stop = 'stop',
 }
 
 /** Options of an `AttemptPlanner`. */
@@ -37,6 +39,8 @@
   suspectHashes: readonly SuspectHash[];
   /** Whether the API key still belongs to the workspace. */
   isKeyValid: () => boolean;
+  /** Whether what is left of a planned stop of this router can hold another attempt. */
+  fitsStop: () => boolean;
 }
 
 /** Which endpoints are considered. */
@@ -79,8 +83,8 @@
 
   /** Selects a second endpoint beside the one at which the call runs; undefined if the call may not run twice. */
   selectHedge(running: EndpointRecord): Placement | undefined {
-    const { state, isKeyValid, suspectHashes } = this.options;
-    if (!isKeyValid() || state.poison.mayBePoison(suspectHashes)) return undefined;
+    const { state, isKeyValid, fitsStop, suspectHashes } = this.options;
+    if (!isKeyValid() || !fitsStop() || state.poison.mayBePoison(suspectHashes)) return undefined;
     return this.selectEndpoint({ other: running.incarnation });
   }
 
@@ -111,9 +115,10 @@
   }
 
   private tryAcquire(): Placement | RetryObstacle {
-    const { state, pool, isKeyValid, suspectHashes } = this.options;
+    const { state, pool, isKeyValid, fitsStop, suspectHashes } = this.options;
     if (this.unsent > MAX_UNSENT_ATTEMPTS) return RetryObstacle.Unreachable;
     if (!isKeyValid()) return RetryObstacle.Key;
+    if (!fitsStop()) return RetryObstacle.Stop;
     if (state.poison.mayBePoison(suspectHashes)) return RetryObstacle.Poison;
     const budget = state.pools.retryBudget(pool);
     const routers = state.countRouters();
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -87,8 +87,10 @@
 
   /** Records the duration of a completed attempt. */
   recordDuration(attempt: MeasuredAttempt): void {
-    const estimator = this.options.state.pools.latencyEstimator(this.options.pool);
-    estimator.recordDuration(this.elapsedSince(attempt.inFlight.sentAt));
+    const { state, pool, route } = this.options;
+    const elapsedMs = this.elapsedSince(attempt.inFlight.sentAt);
+    state.pools.latencyEstimator(pool).recordDuration(elapsedMs);
+    state.stop.recordDuration(route.name, elapsedMs);
   }
 
   private recordServed(attempt: MeasuredAttempt): void {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -18,6 +18,7 @@
 import { CallHedge } from './call-hedge.ts';
 import { ResponseWriter } from './response-writer.ts';
 import { AttemptHandler, CallAttempt } from './call-attempt.ts';
+import { callDeadlineAt } from './call-deadline.ts';
 import { CallReporter } from './call-reporter.ts';
 import { CallLatencyRecorder } from './call-latency-recorder.ts';
 import type { ResponseHead, CallHead } from './call-protocol.ts';
@@ -55,6 +56,8 @@
   shouldCloseConnection: () => boolean;
   /** Whether the API key still belongs to the workspace; checked again before each retry. */
   isKeyValid: () => boolean;
+  /** Whether what is left of a planned stop of this router can hold an attempt; asked before each further one. */
+  fitsStop: () => boolean;
   onEnd: (call: Call) => void;
 }
 
@@ -110,8 +113,7 @@
     this.reporter = new CallReporter({ ...options, segmentHashes, requestHash });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
-    const { route, arrivedAt } = options;
-    this.deadlineAt = arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    this.deadlineAt = callDeadlineAt(head, options.route, options.arrivedAt);
   }
 
   /** Selects an endpoint and sends the call there, or refuses the call. */
@@ -119,7 +121,7 @@
     const { response, state } = this.options;
     response.once('close', () => this.handleCallerDisconnect());
     this.deadlineTimer = state.clock.after(this.remainingMs() + DEADLINE_GRACE_MS, () =>
-      this.handleDeadline(),
+      this.endNow('the time for the request is over', ErrorCode.DeadlineExceeded),
     );
     const refusal = this.admission.checkPoison() ?? this.place();
     if (refusal !== undefined) this.refuse(refusal);
@@ -437,13 +439,14 @@
     this.finish('caller_left');
   }
 
-  private handleDeadline(): void {
+  /** Ends the call with an honest answer, whatever runs of it. */
+  endNow(reason: string, code: ErrorCode): void {
     if (this.isEnded) return;
     const mayHaveRun = this.mayHaveRun || this.attempt !== undefined;
     this.abortAttempts();
-    if (this.writer.hasBegun) this.abortResponse('the time for the request is over');
-    else if (mayHaveRun) this.fail('the time for the request is over', ErrorCode.DeadlineExceeded);
-    else this.refuse(this.admission.createDeadlineError('the time for the request is over'));
+    if (this.writer.hasBegun) this.abortResponse(reason);
+    else if (mayHaveRun) this.fail(reason, code);
+    else this.refuse(this.admission.createDeadlineError(reason));
   }
 
   private abortAttempts(): void {
--- a/packages/forwarder/src/calls/response-writer.ts
+++ b/packages/forwarder/src/calls/response-writer.ts
@@ -2,9 +2,15 @@
  * Writes the response to one caller: an endpoint's response unchanged, or an error of the router. If a
  * response can't be completed, its connection is closed, so that it never looks complete.
  */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RequestError } from '@poplarpick/kernel';
 
+/**
+ * Longest time for which the rest of a request is read after an error was sent, in ms. A connection that is closed
+ * with unread bytes is reset, and its caller may lose the error.
+ */
+const MAX_LINGER_MS = 1_000;
+
 /** Writes one response. */
 export class ResponseWriter {
   private readonly response: ServerResponse;
@@ -51,8 +57,11 @@
     this.response.end(body);
   }
 
-  /** Writes an error of the router. */
-  sendError(error: RequestError): void {
+  /**
+   * Writes an error of the router. After one to a request that isn't whole, the connection is closed once its caller
+   * has sent the rest, or has had time to read the error.
+   */
+  sendError(error: RequestError, request?: IncomingMessage): void {
     if (this.isEnded) return;
     const body = Buffer.from(
       JSON.stringify({ error: { code: error.code, message: error.message } }),
@@ -61,8 +70,14 @@
     if (error.retryAfterSeconds !== undefined) {
       headers.push('Retry-After', error.retryAfterSeconds.toFixed(2));
     }
-    this.response.writeHead(error.status, this.withConnection(headers));
-    this.response.end(body);
+    if (request === undefined || request.complete) {
+      this.response.writeHead(error.status, this.withConnection(headers));
+      this.response.end(body);
+      return;
+    }
+    this.response.writeHead(error.status, [...headers, 'Connection', 'close']);
+    this.response.write(body);
+    endAfterRest(request, this.response);
   }
 
   /** Closes the connection, so that the caller sees that the response is incomplete. */
@@ -74,3 +89,11 @@
     return this.shouldCloseConnection() ? [...headers, 'Connection', 'close'] : [...headers];
   }
 }
+
+/** Ends a response once the rest of its request has come, or after a while. */
+function endAfterRest(request: IncomingMessage, response: ServerResponse): void {
+  const timer = setTimeout(() => response.end(), MAX_LINGER_MS);
+  request.once('end', () => response.end());
+  response.once('close', () => clearTimeout(timer));
+  request.resume();
+}
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -17,14 +17,8 @@
 import { ResumptionResolver } from './streams/resumption-resolver.ts';
 import type { RouterBounds } from './router-state.ts';
 
-/**
- * Time from the start of a drain to its cutoff, in ms. Later requests are refused. By then, the load
- * balancer has long seen that the router isn't ready.
- */
-const DRAIN_CUTOFF_MS = 2_800;
-
-/** Time before the end of the grace period at which a drain ends even if requests are open, in ms. */
-const GRACE_PERIOD_MARGIN_MS = 700;
+/** Time in which callers get the last answers after all calls were ended, in ms. */
+const LAST_ANSWERS_MS = 250;
 
 const DRAIN_CHECK_PERIOD_MS = 50;
 
@@ -74,7 +68,6 @@
   private readonly origins: OriginExchange;
   private readonly stateServer: StateServer;
   private readonly stateFollower: StateFollower;
-  private isDraining = false;
 
   constructor(options: ForwarderOptions, kernel: Pick<Kernel, 'clock' | 'log'>) {
     super();
@@ -182,16 +175,14 @@
   }
 
   /**
-   * Drains the router: reports not ready, refuses new requests from the cutoff on, stops listening once
-   * the earlier requests have ended, and waits for those still open until the grace period is nearly over.
+   * Drains the router: reports not ready, refuses what the rest of the grace can't hold, stops listening once
+   * the requests from before the cutoff have ended, and ends those still open when the grace is nearly over.
    */
   override async drain(): Promise<void> {
-    this.isDraining = true;
-    this.ingress.beginDrain();
-    const drainStartedAt = this.clock.monotonic();
+    this.state.stop.begin(this.options.graceMs);
     await new Promise<void>((resolve) => {
       const timer: Timer = this.clock.every(DRAIN_CHECK_PERIOD_MS, () => {
-        if (!this.advanceDrain(drainStartedAt)) return;
+        if (!this.advanceDrain()) return;
         timer.stop();
         resolve();
       });
@@ -219,14 +210,14 @@
   }
 
   /** Advances the drain; true when it is done. */
-  private advanceDrain(drainStartedAt: number): boolean {
-    const now = this.clock.monotonic();
-    const drainDeadline = drainStartedAt + this.options.graceMs - GRACE_PERIOD_MARGIN_MS;
-    if (now < drainStartedAt + DRAIN_CUTOFF_MS) return false;
-    this.ingress.refuseNewRequests();
-    if (now < drainDeadline && this.ingress.openRequestsBeforeCutoff > 0) return false;
+  private advanceDrain(): boolean {
+    const { leftMs, isPastCutoff } = this.state.stop;
+    if (!isPastCutoff && leftMs > 0) return false;
+    this.ingress.refuseUnfitting();
+    if (leftMs > 0 && this.ingress.openRequestsBeforeCutoff > 0) return false;
     this.ingress.stopListening();
-    return now >= drainDeadline || this.ingress.openRequests === 0;
+    if (leftMs <= 0) this.ingress.endCalls();
+    return this.ingress.openRequests === 0 || leftMs <= -LAST_ANSWERS_MS;
   }
 
   /** Whether the router accepts new connections; logs each change. */
@@ -241,7 +232,7 @@
   }
 
   private notReadyReason(): string | undefined {
-    if (this.isDraining) return 'the router is stopping';
+    if (this.state.stop.hasBegun) return 'the router is stopping';
     if (this.state.routes === undefined) return 'no routes are known yet';
     if (this.state.eventLoop.isOverloaded) return 'the router has too little processor time';
     const areKeysFresh = this.state.freshness.isFresh(this.clock.monotonic());
--- a/packages/forwarder/src/ingress/call-checks.ts
+++ b/packages/forwarder/src/ingress/call-checks.ts
@@ -6,7 +6,9 @@
 import { selectPool } from '@poplarpick/decisions';
 import type { Route, RouteIndex } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import { callDeadlineAt } from '../calls/call-deadline.ts';
 import type { CallHead } from '../calls/call-protocol.ts';
+import type { StopCandidate } from '../planned-stop.ts';
 import type { RouterState } from '../router-state.ts';
 
 /** Largest age of the routes, in ms, at which an unknown route or key is reported as such. */
@@ -15,6 +17,9 @@
 /** Value of `Retry-After` when the routes or keys are missing or may be stale, in seconds. */
 const STALE_RETRY_AFTER_S = 0.3;
 
+/** Value of `Retry-After` during a planned stop, in seconds. */
+const STOP_RETRY_AFTER_S = 0.05;
+
 /** Result of the checks: where the call goes and which workspace sent it. */
 export interface CheckedCall {
   route: Route;
@@ -26,8 +31,7 @@
 export function checkCall(head: CallHead, state: RouterState, now: number): CheckedCall {
   const { routes } = state;
   if (routes === undefined) throw createStaleStateError('no routes are known yet');
-  const path = head.target.split('?', 1)[0] ?? head.target;
-  const route = routes.findRoute(head.host, path);
+  const route = findRoute(head, routes);
   if (route === undefined)
     throw createNotFoundError(state, now, ErrorCode.PathNotFound, 'no route');
   const workspace = authenticate(head, route, routes, state, now);
@@ -36,6 +40,26 @@
   return { route, pool, workspace };
 }
 
+/** The route of a call; undefined if there is none. */
+export function findRoute({ host, target }: CallHead, routes: RouteIndex): Route | undefined {
+  const path = target.split('?', 1)[0] ?? target;
+  return routes.findRoute(host, path);
+}
+
+/** What a planned stop has to know of a call. */
+export function toStopCandidate(head: CallHead, route: Route, arrivedAt: number): StopCandidate {
+  return { route: route.name, deadlineAt: callDeadlineAt(head, route, arrivedAt) };
+}
+
+/** The refusal of a call that what is left of a planned stop can't hold, so that its caller goes elsewhere. */
+export function createStopError(): RequestError {
+  return new RequestError('the router is stopping', {
+    code: ErrorCode.Draining,
+    verdict: Verdict.NotRun,
+    retryAfterSeconds: STOP_RETRY_AFTER_S,
+  });
+}
+
 /** Returns the workspace of the API key; undefined for a route that requires no key. */
 function authenticate(
   head: CallHead,
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -14,19 +14,12 @@
 import { CallPlacer } from '../calls/call-placer.ts';
 import type { RouterState } from '../router-state.ts';
 import type { ResumptionResolver } from '../streams/resumption-resolver.ts';
-import { checkCall } from './call-checks.ts';
+import { AwaitedBodies } from './awaited-bodies.ts';
+import { checkCall, createStopError, toStopCandidate } from './call-checks.ts';
 import type { CheckedCall } from './call-checks.ts';
 import { CallerConnections } from './caller-connection.ts';
 import { CallerListener } from './caller-listener.ts';
 
-/** Limits until the first routing table arrives with the site's own. */
-const INITIAL_LIMITS = {
-  headerBytes: 16_384,
-  bodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
-
 /**
  * Largest head of a request that the HTTP parser reads, in bytes. The limit of the routing table is checked
  * after that, since the parser's own can't be changed while the server runs.
@@ -54,9 +47,6 @@
 /** Period of the server's check for callers that exceed the header timeout, in ms. */
 const TIMEOUT_CHECK_PERIOD_MS = 500;
 
-/** Value of `Retry-After` after the cutoff of a drain, in seconds. */
-const DRAINING_RETRY_AFTER_S = 0.05;
-
 /** Options of a `CallIngress`. */
 export interface CallIngressOptions {
   address: string;
@@ -72,7 +62,7 @@
   response: ServerResponse;
   /** Monotonic time of arrival, in ms. */
   arrivedAt: number;
-  /** The request began after the cutoff of a drain. */
+  /** The request began after the cutoff of a planned stop. */
   isAfterCutoff: boolean;
   /** Resolves when the responses to earlier requests on the connection have ended. */
   turn: Promise<void>;
@@ -86,12 +76,11 @@
   private readonly listener: CallerListener;
   private readonly connections = new CallerConnections();
   private readonly calls = new Set<Call>();
+  private readonly bodies: AwaitedBodies;
   /** Open requests: from the arrival of the head to the end of the response. */
   private openCount = 0;
-  private isDraining = false;
   /** Open requests that began after the cutoff. */
   private openAfterCutoffCount = 0;
-  private isPastCutoff = false;
   /** Monotonic time of the latest check for stalled streams, in ms. */
   private stallsCheckedAt: number;
 
@@ -99,12 +88,13 @@
     this.options = options;
     this.stallsCheckedAt = options.state.clock.monotonic();
     this.placer = new CallPlacer(options.state);
+    this.bodies = new AwaitedBodies(options.state);
     this.server = createServer(
       {
         maxHeaderSize: PARSER_HEADER_BYTES,
-        headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
+        headersTimeout: options.state.callerLimits.headerTimeoutMs,
         requestTimeout: 0,
-        keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
+        keepAliveTimeout: options.state.callerLimits.idleTimeoutMs,
         keepAliveTimeoutBuffer: IDLE_MARGIN_MS,
         connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS,
         noDelay: true,
@@ -133,19 +123,19 @@
     return this.openCount;
   }
 
-  /** Starts a drain: each connection is closed after its next response. */
-  beginDrain(): void {
-    this.isDraining = true;
-  }
-
   /** Number of open requests that began before the cutoff. */
   get openRequestsBeforeCutoff(): number {
     return this.openCount - this.openAfterCutoffCount;
   }
 
-  /** Sets the cutoff: requests that begin from now on are refused, so that callers retry elsewhere. */
-  refuseNewRequests(): void {
-    this.isPastCutoff = true;
+  /** Refuses the requests whose bodies are still awaited and that what is left of a planned stop can't hold. */
+  refuseUnfitting(): void {
+    this.bodies.refuseUnfitting();
+  }
+
+  /** Ends all calls with honest answers. */
+  endCalls(): void {
+    for (const call of this.calls) call.endNow('the router is stopping', ErrorCode.EndpointFailed);
   }
 
   /** Accepts no more connections and closes idle ones. */
@@ -165,17 +155,18 @@
     } catch (error) {
       const failure = toRequestError(error, Verdict.NotRun);
       this.logRefusal(request, failure, arrivedAt);
-      writer.sendError(failure);
+      writer.sendError(failure, request);
     }
   }
 
   private shouldCloseConnections(): boolean {
-    return this.isDraining || this.options.state.eventLoop.shouldMoveCallers;
+    const { stop, eventLoop } = this.options.state;
+    return stop.hasBegun || eventLoop.shouldMoveCallers;
   }
 
   /** Counts a request as open until its response closes; true if it began after the cutoff. */
   private trackRequest(response: ServerResponse): boolean {
-    const isAfterCutoff = this.isPastCutoff;
+    const isAfterCutoff = this.options.state.stop.isPastCutoff;
     this.openCount += 1;
     if (isAfterCutoff) this.openAfterCutoffCount += 1;
     response.once('close', () => {
@@ -189,16 +180,15 @@
     const { state } = this.options;
     const { request, response, arrivedAt, isAfterCutoff, turn } = exchange;
     const { method = 'GET', url = '/' } = request;
-    const limits = this.currentLimits();
-    if (headBytes(request) > limits.headerBytes) throw createHeadTooLargeError();
-    const body = await readBody(request, limits.bodyBytes);
+    if (headBytes(request) > state.callerLimits.headerBytes) throw createHeadTooLargeError();
+    const body = isAfterCutoff ? undefined : await this.bodies.read(exchange);
     await turn;
     await pollSockets();
     if (hasDisconnected(request)) {
       this.logDrop(request, arrivedAt);
       return;
     }
-    if (isAfterCutoff) throw createDrainingError();
+    if (isAfterCutoff) throw createStopError();
     const head = state.protocol.decodeCall(method, url, request.rawHeaders);
     const now = state.clock.monotonic();
     if (state.freshness.detectSuspension(now, state.clock.now())) this.options.onSuspension();
@@ -209,6 +199,9 @@
       return;
     }
     const { route, workspace } = checked;
+    const candidate = toStopCandidate(head, route, arrivedAt);
+    const fitsStop = (): boolean => state.stop.canHold(candidate);
+    if (!fitsStop()) throw createStopError();
     const call = new Call({
       state,
       placer: this.placer,
@@ -222,6 +215,7 @@
       arrivedAt,
       shouldCloseConnection: () => this.shouldCloseConnections(),
       isKeyValid: () => isKeyStillValid(state, head.apiKey, workspace),
+      fitsStop,
       onEnd: (ended) => this.calls.delete(ended),
     });
     this.calls.add(call);
@@ -240,13 +234,9 @@
     return origin;
   }
 
-  private currentLimits(): typeof INITIAL_LIMITS {
-    return this.options.state.routes?.table.limits ?? INITIAL_LIMITS;
-  }
-
   /** Applies the current timeouts to the server and to the connections that are idle now. */
   private applyTimeouts(): void {
-    const { headerTimeoutMs, idleTimeoutMs } = this.currentLimits();
+    const { headerTimeoutMs, idleTimeoutMs } = this.options.state.callerLimits;
     const isLonger = idleTimeoutMs > this.server.keepAliveTimeout;
     this.server.headersTimeout = headerTimeoutMs;
     this.server.keepAliveTimeout = idleTimeoutMs;
@@ -341,30 +331,6 @@
   return bytes + (rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
 }
 
-/** Reads the complete body; undefined without one. Rejects if it is too large or incomplete. */
-async function readBody(request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
-  const { headers } = request;
-  const declared = Number(headers['content-length'] ?? 0);
-  if (declared > limit) throw createBodyTooLargeError();
-  if (declared === 0 && headers['transfer-encoding'] === undefined) return undefined;
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limit) throw createBodyTooLargeError();
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks, size);
-}
-
-function createDrainingError(): RequestError {
-  return new RequestError('the router is stopping', {
-    code: ErrorCode.Draining,
-    verdict: Verdict.NotRun,
-    retryAfterSeconds: DRAINING_RETRY_AFTER_S,
-  });
-}
-
 /** The refusal of a call whose key was taken away, or may have been, while its stream was looked up. */
 function createKeyError(): RequestError {
   return new RequestError('the key may have been revoked', {
@@ -380,13 +346,6 @@
   });
 }
 
-function createBodyTooLargeError(): RequestError {
-  return new RequestError('the body is too large', {
-    code: ErrorCode.BodyTooLarge,
-    verdict: Verdict.NotRun,
-  });
-}
-
 const PARSER_ERROR_STATUS: Record<string, number> = {
   HPE_HEADER_OVERFLOW: 431,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -14,6 +14,7 @@
   oldestAgeMs,
 } from '@poplarpick/decisions';
 import type {
+  CallerLimits,
   Endpoint,
   HashedSegment,
   StoreStateAge,
@@ -36,6 +37,7 @@
 import { RouterReports } from './peers/router-reports.ts';
 import type { ReportHead } from './peers/router-reports.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
+import { PlannedStop } from './planned-stop.ts';
 import { PoolStates } from './pool-states.ts';
 import type { PoolStatesOptions } from './pool-states.ts';
 import { PoisonGuard } from './poison/poison-guard.ts';
@@ -48,6 +50,14 @@
 /** Fraction of an endpoint's connection limit that one router may use, since other routers connect too. */
 const CONNECTION_FRACTION = 0.5;
 
+/** Limits for callers until the first routing table arrives with the site's own. */
+const INITIAL_CALLER_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
 /** Connection limit of an endpoint whose pool isn't in the routing table. */
 const DEFAULT_CONNECTION_LIMIT = 64;
 
@@ -105,6 +115,7 @@
   readonly shares: WorkspaceShares;
   readonly streams: StreamOrigins;
   readonly pools: PoolStates;
+  readonly stop: PlannedStop;
   readonly metrics: RouterMetrics;
   private readonly regions: ReadonlyMap<string, string>;
   private readonly reports: RouterReports;
@@ -125,6 +136,7 @@
     this.random = options.random ?? Math.random;
     this.regions = options.regions ?? new Map<string, string>();
     this.pools = new PoolStates(options.bounds);
+    this.stop = new PlannedStop(options.clock);
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
     this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
     this.metrics = new RouterMetrics({
@@ -223,11 +235,17 @@
     return this.routeIndex;
   }
 
+  /** Size and time limits for requests of callers. */
+  get callerLimits(): CallerLimits {
+    return this.routeIndex?.table.limits ?? INITIAL_CALLER_LIMITS;
+  }
+
   /** Applies a routing table, unless the current one has the same or a newer version. */
   applyRoutingTable(table: RoutingTable): void {
     if (this.routeIndex !== undefined && table.version <= this.routeIndex.table.version) return;
     this.routeIndex = new RouteIndex(table);
     this.streams.recordRoutes(table);
+    this.stop.recordRoutes(table);
     this.log.info({
       event: 'routes.in_force',
       version: table.version,
