A router of the fleet that stops waits for its callers, not only for its queues

Callers whose request was not whole when its router got SIGTERM saw their connection end without an answer; those that read slowly got a part of an answer to a call that had run, also one that may run once only. The operator who had marked a router was told that it could be taken while such requests were open.

Cause: the drain, and the status of a planned stop, counted only what is queued or granted. A request enters the queues when its body is whole and leaves them when its answer is complete there, not when it is sent. In addition, the HTTP server's own close, with which a router stops listening, destroys connections whose response has ended but isn't sent to its end.

Now a router counts each request from its head to the last byte of the response, waits for all of them, and leaves the connections alone when it stops listening, so that the receive timeout goes on to hold for bodies that never come. A caller that doesn't read its complete answer within the receive timeout is cut off, so that it can't hold the stop open.

--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -20,12 +20,13 @@
 } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
 import { parseAddress } from '../address.ts';
-import { createGateway, listenGateway, sendJson } from '../http-gateway.ts';
+import { createGateway, listenGateway, sendJson, stopListening } from '../http-gateway.ts';
 import type { GatewayRequest } from '../http-gateway.ts';
 import type { Job } from '../messages.ts';
 import {
   configurationKey,
   dispatcherKey,
+  openExchangesKey,
   plannedStopsKey,
   requestRecorderKey,
   routerSettingsKey,
@@ -50,6 +51,7 @@
 } from './chat-completions.ts';
 import { readBody } from './read-body.ts';
 import { sendHttpParserError } from './http-parser-errors.ts';
+import { OpenExchanges } from './open-exchanges.ts';
 import { readDeadlineMs, readIdempotencyKey, readRunOnceFlag } from './request-headers.ts';
 
 /** Value of `Retry-After` if the router is draining, not yet configured or without an endpoint. */
@@ -77,6 +79,7 @@
   private server: Server | undefined;
   private kernel: Kernel | undefined;
   private service: Service | undefined;
+  private exchanges: OpenExchanges | undefined;
   private draining = false;
   private markedForStop = false;
   private boundAddress: string | undefined;
@@ -88,6 +91,11 @@
     const settings = kernel.resolve(routerSettingsKey);
     const dispatcher = kernel.resolve(dispatcherKey);
     this.recorder = kernel.resolve(requestRecorderKey);
+    this.exchanges = new OpenExchanges({
+      clock: kernel.clock,
+      unreadLimitMs: settings.callers.receive_timeout_ms,
+    });
+    kernel.provide(openExchangesKey, this.exchanges);
     kernel.resolve(configurationKey).onChange(({ configuration }) => {
       this.configuration = configuration;
       this.keys = new WorkspaceKeys(configuration);
@@ -126,19 +134,26 @@
       onClientError: sendHttpParserError,
     });
     this.server = bound.server;
+    bound.server.on('request', (_request, response) => this.exchanges?.add(response));
     this.boundAddress = bound.address;
-    if (this.markedForStop) this.server.close();
+    if (this.markedForStop) {
+      stopListening(this.server);
+      this.exchanges?.beginLimit();
+    }
     kernel.resolve(statusBoardKey).add('address.callers', () => bound.address);
     kernel.log.info({ event: 'callers.listening', address: bound.address });
   }
 
+  /** Accepts no new connections and waits until the open requests have their whole answers. */
   override async drain(): Promise<void> {
     this.draining = true;
-    this.server?.close();
-    return Promise.resolve();
+    if (this.server !== undefined) stopListening(this.server);
+    this.exchanges?.beginLimit();
+    await this.exchanges?.waitUntilIdle();
   }
 
   override async stop(): Promise<void> {
+    this.exchanges?.endLimit();
     this.server?.close();
     this.server?.closeIdleConnections();
     this.server?.closeAllConnections();
@@ -152,9 +167,11 @@
     const { server, boundAddress } = this;
     if (server === undefined || boundAddress === undefined || this.draining) return;
     if (marked) {
-      server.close();
+      stopListening(server);
+      this.exchanges?.beginLimit();
       return;
     }
+    this.exchanges?.endLimit();
     const { ip, port } = parseAddress(boundAddress);
     server.once('error', (error) => {
       this.kernel?.log.error({ event: 'callers.not_listening', error: error.message });
--- a/packages/fleet/src/component-keys.ts
+++ b/packages/fleet/src/component-keys.ts
@@ -2,6 +2,7 @@
 import { createComponentKey } from '@poplarpick/kernel';
 import type { RouterSettings, SidecarSettings, TraceStore } from '@poplarpick/decisions';
 import type { Admission } from './sidecar/admission.ts';
+import type { OpenExchanges } from './callers/open-exchanges.ts';
 import type { ConfigurationTask } from './configuration/configuration-task.ts';
 import type { RequestRecorder } from './burn/request-recorder.ts';
 import type { Dispatcher } from './router/dispatcher.ts';
@@ -35,6 +36,7 @@
 export const plannedStopsKey = createComponentKey<PlannedStops>('planned stops');
 export const linkPlannerKey = createComponentKey<LinkPlanner>('link planner');
 export const membershipKey = createComponentKey<Membership>('membership');
+export const openExchangesKey = createComponentKey<OpenExchanges>('open exchanges');
 export const dispatcherKey = createComponentKey<Dispatcher>('dispatcher');
 export const admissionKey = createComponentKey<Admission>('admission');
 export const traceStoreKey = createComponentKey<TraceStore>('trace store');
--- a/packages/fleet/src/http-gateway.ts
+++ b/packages/fleet/src/http-gateway.ts
@@ -4,6 +4,7 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as SocketServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { Service, ServiceBroker } from 'moleculer';
@@ -106,6 +107,15 @@
   return { server, address: `${ip}:${bound.port}` };
 }
 
+/**
+ * Accepts no more connections and leaves the open ones alone. The HTTP server's own `close` also destroys those with
+ * a response that has ended and isn't sent to its end, and checks no more timeouts. Has no effect if the server
+ * doesn't listen.
+ */
+export function stopListening(server: Server): void {
+  if (server.listening) SocketServer.prototype.close.call(server);
+}
+
 /** Sends a JSON response. */
 export function sendJson(response: ServerResponse, status: number, body: unknown): void {
   const text = JSON.stringify(body);
--- a/packages/fleet/src/planned-stop/app.ts
+++ b/packages/fleet/src/planned-stop/app.ts
@@ -11,6 +11,7 @@
   configurationKey,
   dispatcherKey,
   hostDirectoryKey,
+  openExchangesKey,
   plannedStopsKey,
   sidecarSettingsKey,
   statusBoardKey,
@@ -73,10 +74,13 @@
 class RouterDrainPlugin extends DrainPlugin {
   override readonly name = 'router-drain';
   override readonly roles = [Role.Router];
-  override readonly requires = ['planned-stops', 'status', 'router'];
+  override readonly requires = ['planned-stops', 'status', 'router', 'callers'];
 
   protected override readRemainingWork(kernel: Kernel): RemainingWork {
-    return { inFlight: kernel.resolve(dispatcherKey).readStatus().open, unsettled: 0 };
+    const { open } = kernel.resolve(dispatcherKey).readStatus();
+    const { size } = kernel.resolve(openExchangesKey);
+    // One whose caller has left is open only in the queues, one that isn't whole only with its caller.
+    return { inFlight: Math.max(open, size), unsettled: 0 };
   }
 }
 
--- a/packages/stand-ins/src/application-engine.ts
+++ b/packages/stand-ins/src/application-engine.ts
@@ -14,6 +14,13 @@
   workMs?: number;
 }
 
+/** What the body of a call asks for; anything else in it is ignored. */
+interface CallBody {
+  key: string;
+  /** Bytes by which the answer is padded. */
+  paddingBytes: number;
+}
+
 /** Number of executions per business key. */
 export type RunCounts = Record<string, number>;
 
@@ -62,22 +69,25 @@
   }
 
   private async handleCall(request: GatewayRequest, response: ServerResponse): Promise<void> {
-    const key = readBusinessKey(await readText(request));
+    const { key, paddingBytes } = readCallBody(await readText(request));
     const run = (this.runsByKey.get(key) ?? 0) + 1;
     this.runsByKey.set(key, run);
     this.runningCount += 1;
     this.seenRequestIds.add(String(request.headers['x-request-id'] ?? ''));
     await new Promise((resolve) => setTimeout(resolve, this.workMs));
     this.runningCount -= 1;
-    sendJson(response, 200, { key, run, method: request.method, path: request.originalUrl });
+    const { method, originalUrl: path } = request;
+    const padding = paddingBytes > 0 ? { padding: '.'.repeat(paddingBytes) } : {};
+    sendJson(response, 200, { key, run, method, path, ...padding });
   }
 }
 
-function readBusinessKey(text: string): string {
+function readCallBody(text: string): CallBody {
   try {
-    const body = JSON.parse(text) as { key?: unknown } | null;
-    return typeof body?.key === 'string' ? body.key : '';
+    const body = JSON.parse(text) as { key?: unknown; paddingBytes?: unknown } | null;
+    const key = typeof body?.key === 'string' ? body.key : '';
+    return { key, paddingBytes: Number(body?.paddingBytes ?? 0) };
   } catch {
-    return '';
+    return { key: '', paddingBytes: 0 };
   }
 }
