A refusal before the whole request has come reaches its caller

Callers of a router of the fleet that was marked or stopping, and that wrote a large body before they read, got a reset instead of the refusal: 503 had been sent, the connection closed with unread bytes, and what was still on its way to the caller was lost with it.

--- a/packages/bench/src/integration/router-stop.test.ts
+++ b/packages/bench/src/integration/router-stop.test.ts
@@ -13,13 +13,16 @@
 /** Less than a router keeps for a caller that doesn't read; all of them are more than the buffers of the system. */
 const LARGE_ANSWER_BYTES = 3_000_000;
 const LARGE_ANSWERS = 2;
+/** As large as a body may be. */
+const LARGE_BODY = 'a'.repeat(1_000_000);
+const LAST_CHUNK = '\r\n0\r\n\r\n';
 const TEXT = JSON.stringify({ key: 'late' });
 
 describe('requests that are open when a router of the fleet stops', () => {
   let fleet: ProcessFleet;
 
   before(async () => {
-    fleet = await ProcessFleet.start({ routers: 3 });
+    fleet = await ProcessFleet.start({ routers: 4 });
   });
 
   after(async () => {
@@ -50,6 +53,12 @@
     };
   }
 
+  function buildCall(body: string): string {
+    const headers = Object.entries({ host: 'h', ...headersOf(body) });
+    const lines = headers.map(([name, value]) => `${name}: ${value}`);
+    return [`POST ${callPath()} HTTP/1.1`, ...lines, '', body].join('\r\n');
+  }
+
   /** Begins a call to an application; resolves once the router has its head. */
   async function begin(router: RouterNode): Promise<ClientRequest> {
     const request = httpRequest({
@@ -92,10 +101,7 @@
   it('are answered whole though their callers read slowly', async () => {
     const router = routerAt(1);
     const body = JSON.stringify({ key: 'large', paddingBytes: LARGE_ANSWER_BYTES });
-    const lines = Object.entries({ host: 'h', ...headersOf(body) }).map(
-      ([name, value]) => `${name}: ${value}`,
-    );
-    const text = [`POST ${callPath()} HTTP/1.1`, ...lines, '', body].join('\r\n');
+    const text = buildCall(body);
     const socket = connect(addressOf(router)).pause();
     socket.write(text.repeat(LARGE_ANSWERS));
     const engines = [...fleet.site.applicationEngines.values()];
@@ -125,4 +131,25 @@
     await readLength(response);
     await router.process.waitFor('drain.done');
   });
+
+  it('are refused so that their callers can read it, also those that write their whole body first', async () => {
+    const router = routerAt(3);
+    const socket = connect(addressOf(router)).on('error', () => undefined);
+    let received = '';
+    socket.on('data', (data) => (received += data.toString()));
+    socket.write(buildCall(TEXT));
+    while (!received.endsWith(LAST_CHUNK)) await pause(10);
+    received = '';
+    socket.pause();
+    fleet.site.publish({ revision: 3, plannedStops: [router.host] });
+    await router.process.waitFor('drain.marked');
+    const text = buildCall(LARGE_BODY);
+    for (let index = 0; index < text.length && !socket.destroyed; index += 50_000) {
+      socket.write(text.slice(index, index + 50_000));
+      await pause(10);
+    }
+    socket.resume();
+    if (!socket.destroyed) await once(socket, 'close');
+    expect(received).to.match(/^HTTP\/1.1 503 [^]*"code":"draining"/);
+  });
 });
--- a/packages/fleet/src/http-gateway.ts
+++ b/packages/fleet/src/http-gateway.ts
@@ -10,6 +10,7 @@
 import type { Service, ServiceBroker } from 'moleculer';
 import webGateway from 'moleculer-web';
 import { parseAddress } from './address.ts';
+import { endAfterRest } from './end-after-rest.ts';
 
 /** A request as moleculer-web passes it to a handler. */
 export interface GatewayRequest extends IncomingMessage {
@@ -123,7 +124,12 @@
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
   });
-  response.end(text);
+  if (response.shouldKeepAlive || response.req.complete) {
+    response.end(text);
+    return;
+  }
+  response.write(text);
+  endAfterRest(response.req, response);
 }
 
 function isNotFound(error: unknown): boolean {
--- a/packages/forwarder/src/calls/response-writer.ts
+++ b/packages/forwarder/src/calls/response-writer.ts
@@ -3,14 +3,9 @@
  * response can't be completed, its connection is closed, so that it never looks complete.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { endAfterRest } from '@poplarpick/fleet/end-after-rest';
 import type { RequestError } from '@poplarpick/kernel';
 
-/**
- * Longest time for which the rest of a request is read after an error was sent, in ms. A connection that is closed
- * with unread bytes is reset, and its caller may lose the error.
- */
-const MAX_LINGER_MS = 1_000;
-
 /** Writes one response. */
 export class ResponseWriter {
   private readonly response: ServerResponse;
@@ -89,11 +84,3 @@
     return this.shouldCloseConnection() ? [...headers, 'Connection', 'close'] : [...headers];
   }
 }
-
-/** Ends a response once the rest of its request has come, or after a while. */
-function endAfterRest(request: IncomingMessage, response: ServerResponse): void {
-  const timer = setTimeout(() => response.end(), MAX_LINGER_MS);
-  request.once('end', () => response.end());
-  response.once('close', () => clearTimeout(timer));
-  request.resume();
-}
