Before the cutoff of a planned stop, a resumable stream is passed on however long it takes

A stream that outlasts the grace breaks off visibly, and its caller goes on with it at another router; to refuse it while the load balancer still sends callers here would cost them an attempt for nothing. After the cutoff the certain end in time is asked of it as of the others.

--- a/packages/decisions/src/forwarding/grace-fit.test.ts
+++ b/packages/decisions/src/forwarding/grace-fit.test.ts
@@ -8,6 +8,7 @@
   deadlineLeftMs: 60_000,
   duration: { likelyMs: 1_000, longMs: 1_800 },
   isPastCutoff: true,
+  isResumable: false,
 };
 
 const CASES: [string, Partial<GraceNeed>, boolean][] = [
@@ -15,6 +16,12 @@
   ['likely but not certainly ends in time, after the cutoff', { graceLeftMs: 1_850 }, false],
   ['likely ends in time, before it', { graceLeftMs: 1_850, isPastCutoff: false }, true],
   ['likely ends too late, before it', { graceLeftMs: 1_050, isPastCutoff: false }, false],
+  [
+    'can go on elsewhere, before it',
+    { graceLeftMs: 800, isPastCutoff: false, isResumable: true },
+    true,
+  ],
+  ['can go on elsewhere, after it', { graceLeftMs: 800, isResumable: true }, false],
   ['is ended by its own deadline', { graceLeftMs: 700, deadlineLeftMs: 500 }, true],
   ['has a deadline at the very end', { graceLeftMs: 700, deadlineLeftMs: 650 }, false],
   ['is of an unknown duration, after the cutoff', { duration: undefined }, false],
--- a/packages/decisions/src/forwarding/grace-fit.ts
+++ b/packages/decisions/src/forwarding/grace-fit.ts
@@ -21,14 +21,17 @@
    * likely be answered is served; later a caller does better elsewhere unless the answer is nearly certain.
    */
   isPastCutoff: boolean;
+  /** It is a stream that can go on at another router if it breaks off here. */
+  isResumable: boolean;
 }
 
 /** Whether the rest of the grace can hold the request. */
 export function fitsGrace(need: GraceNeed): boolean {
-  const { deadlineLeftMs, duration, isPastCutoff } = need;
+  const { deadlineLeftMs, duration, isPastCutoff, isResumable } = need;
   const leftMs = need.graceLeftMs - ANSWER_MARGIN_MS;
   if (leftMs <= 0) return false;
   if (deadlineLeftMs <= leftMs) return true;
+  if (isResumable && !isPastCutoff) return true;
   if (duration === undefined) return !isPastCutoff;
   return (isPastCutoff ? duration.longMs : duration.likelyMs) <= leftMs;
 }
--- a/packages/forwarder/src/ingress/call-checks.ts
+++ b/packages/forwarder/src/ingress/call-checks.ts
@@ -48,7 +48,7 @@
 
 /** What a planned stop has to know of a call. */
 export function toStopCandidate(head: CallHead, route: Route, arrivedAt: number): StopCandidate {
-  return { route: route.name, deadlineAt: callDeadlineAt(head, route, arrivedAt) };
+  return { route, deadlineAt: callDeadlineAt(head, route, arrivedAt) };
 }
 
 /** The refusal of a call that what is left of a planned stop can't hold, so that its caller goes elsewhere. */
--- a/packages/forwarder/src/planned-stop.ts
+++ b/packages/forwarder/src/planned-stop.ts
@@ -2,8 +2,8 @@
  * The planned stop of this router: its cutoff, its end, and whether what is left of the grace can hold a request.
  * Also learns how long the answers of each route take.
  */
-import { DurationEstimate, fitsGrace } from '@poplarpick/decisions';
-import type { RoutingTable } from '@poplarpick/decisions';
+import { DurationEstimate, fitsGrace, isResumableStream } from '@poplarpick/decisions';
+import type { Route, RoutingTable } from '@poplarpick/decisions';
 import type { Clock } from '@poplarpick/kernel';
 
 /**
@@ -17,8 +17,7 @@
 
 /** A request that is to be answered within the grace. */
 export interface StopCandidate {
-  /** Name of its route. */
-  route: string;
+  route: Route;
   /** Monotonic time of its deadline, in ms. */
   deadlineAt: number;
 }
@@ -61,8 +60,9 @@
     return fitsGrace({
       graceLeftMs: this.leftMs,
       deadlineLeftMs: deadlineAt - this.clock.monotonic(),
-      duration: this.durations.get(route)?.expected,
+      duration: this.durations.get(route.name)?.expected,
       isPastCutoff: this.isPastCutoff,
+      isResumable: isResumableStream(route),
     });
   }
 
