--- a/packages/fleet/src/http-gateway.ts
+++ b/packages/fleet/src/http-gateway.ts
@@ -4,11 +4,13 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as SocketServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { Service, ServiceBroker } from 'moleculer';
 import webGateway from 'moleculer-web';
 import { parseAddress } from './address.ts';
+import { endAfterRest } from './end-after-rest.ts';
 
 /** A request as moleculer-web passes it to a handler. */
 export interface GatewayRequest extends IncomingMessage {
@@ -106,6 +108,15 @@
   return { server, address: `${ip}:${bound.port}` };
 }
 
+/**
+ * Accepts no more connections and leaves the open ones alone. The HTTP server's own `close` also destroys those with
+ * a response that has ended and isn't sent to its end, and checks no more timeouts. Has no effect if the server
+ * doesn't listen.
+ */
+export function stopListening(server: Server): void {
+  if (server.listening) SocketServer.prototype.close.call(server);
+}
+
 /** Sends a JSON response. */
 export function sendJson(response: ServerResponse, status: number, body: unknown): void {
   const text = JSON.stringify(body);
@@ -113,7 +124,12 @@
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
   });
-  response.end(text);
+  if (response.shouldKeepAlive || response.req.complete) {
+    response.end(text);
+    return;
+  }
+  response.write(text);
+  endAfterRest(response.req, response);
 }
 
 function isNotFound(error: unknown): boolean {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -24,6 +24,7 @@
 import { AttemptSender } from './attempt-sender.ts';
 import { CallAdmission } from './call-admission.ts';
 import { CallHedge } from './call-hedge.ts';
+import { callDeadlineAt } from './call-deadline.ts';
 import { CallResponse } from './call-response.ts';
 import { AttemptHandler } from './call-attempt.ts';
 import type { CallAttempt } from './call-attempt.ts';
@@ -65,6 +66,8 @@
   shouldCloseConnection: () => boolean;
   /** Whether the API key still belongs to the workspace; checked again before each retry. */
   isKeyValid: () => boolean;
+  /** Whether what is left of a planned stop of this router can hold an attempt; asked before each further one. */
+  fitsStop: () => boolean;
   onEnd: (call: Call) => void;
 }
 
@@ -126,8 +129,7 @@
     });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
-    const { route, arrivedAt } = options;
-    this.deadlineAt = arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    this.deadlineAt = callDeadlineAt(head, options.route, options.arrivedAt);
   }
 
   /** Selects an endpoint and sends the call there, or refuses the call. */
@@ -135,7 +137,7 @@
     const { response, state } = this.options;
     response.once('close', () => this.handleCallerDisconnect());
     this.deadlineTimer = state.clock.after(this.remainingMs() + DEADLINE_GRACE_MS, () =>
-      this.handleDeadline(),
+      this.endNow('the time for the request is over', ErrorCode.DeadlineExceeded),
     );
     const refusal = this.admission.checkPoison() ?? this.place();
     if (refusal !== undefined) this.refuse(refusal);
@@ -423,13 +425,14 @@
     this.finish('caller_left');
   }
 
-  private handleDeadline(): void {
+  /** Ends the call with an honest answer, whatever runs of it. */
+  endNow(reason: string, code: ErrorCode): void {
     if (this.isEnded) return;
     const mayHaveRun = this.mayHaveRun || this.attempt !== undefined;
     this.abortAttempts();
-    if (this.response.hasBegun) this.abortResponse('the time for the request is over');
-    else if (mayHaveRun) this.fail('the time for the request is over', ErrorCode.DeadlineExceeded);
-    else this.refuse(this.admission.createDeadlineError('the time for the request is over'));
+    if (this.response.hasBegun) this.abortResponse(reason);
+    else if (mayHaveRun) this.fail(reason, code);
+    else this.refuse(this.admission.createDeadlineError(reason));
   }
 
   private abortAttempts(): void {
--- a/packages/forwarder/src/calls/response-writer.ts
+++ b/packages/forwarder/src/calls/response-writer.ts
@@ -2,7 +2,8 @@
  * Writes the response to one caller: an endpoint's response unchanged, or an error of the router. If a
  * response can't be completed, its connection is closed, so that it never looks complete.
  */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { endAfterRest } from '@poplarpick/fleet/end-after-rest';
 import type { RequestError } from '@poplarpick/kernel';
 
 /** Writes one response. */
@@ -51,8 +52,11 @@
     this.response.end(body);
   }
 
-  /** Writes an error of the router. */
-  sendError(error: RequestError): void {
+  /**
+   * Writes an error of the router. After one to a request that isn't whole, the connection is closed once its caller
+   * has sent the rest, or has had time to read the error.
+   */
+  sendError(error: RequestError, request?: IncomingMessage): void {
     if (this.isEnded) return;
     const body = Buffer.from(
       JSON.stringify({ error: { code: error.code, message: error.message } }),
@@ -61,8 +65,14 @@
     if (error.retryAfterSeconds !== undefined) {
       headers.push('Retry-After', error.retryAfterSeconds.toFixed(2));
     }
-    this.response.writeHead(error.status, this.withConnection(headers));
-    this.response.end(body);
+    if (request === undefined || request.complete) {
+      this.response.writeHead(error.status, this.withConnection(headers));
+      this.response.end(body);
+      return;
+    }
+    this.response.writeHead(error.status, [...headers, 'Connection', 'close']);
+    this.response.write(body);
+    endAfterRest(request, this.response);
   }
 
   /** Closes the connection, so that the caller sees that the response is incomplete. */
