A broken stream to a caller of HTTP/1.0 ends with a reset

What callers saw: a stream that the router broke off looked complete to a caller of HTTP/1.0: its response has neither a length nor chunks, and the router closed the connection orderly.

Callers of HTTP/1.1 get chunks or a length throughout, so they see an end before the last byte.

--- a/packages/forwarder/src/calls/response-writer.ts
+++ b/packages/forwarder/src/calls/response-writer.ts
@@ -65,8 +65,12 @@
     this.response.end(body);
   }
 
-  /** Closes the connection, so that the caller sees that the response is incomplete. */
+  /**
+   * Closes the connection, so that the caller sees that the response is incomplete. A response that is not chunked, to
+   * a caller of HTTP/1.0, would look complete at an orderly end, so its connection is reset.
+   */
   abort(): void {
+    if (!this.response.chunkedEncoding) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
