A stream goes on though the engine closes the connection over which it was asked

What callers saw: a stream broke where it could have gone on. An engine closes a connection after an answer now and then; a bound attempt needs two answers over one, and took an idle connection that had ended for one that was proved.

--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -14,6 +14,9 @@
 import { ConnectError } from './endpoint-connector.ts';
 import { ProcessFinding, ProcessProof } from './process-proof.ts';
 
+/** How often a process is asked once more because its connection was closed after its answer. */
+const MAX_PROOFS = 2;
+
 const MIN_FINAL_STATUS = 200;
 const STATUS_NO_CONTENT = 204;
 const MIN_REDIRECT_STATUS = 300;
@@ -214,8 +217,8 @@
   private socket: EndpointSocket | undefined;
   /** The connection was opened anew before the request was written, and what is behind it isn't proved. */
   private isUnproved = false;
-  /** Whether the process may be asked once more after that. */
-  private hasProofLeft = true;
+  /** How often the process may still be asked after that. */
+  private proofsLeft = MAX_PROOFS;
   /** The response is complete only if its endpoint lives on after the end of the connection. */
   private needsProof = false;
   private isFramed = true;
@@ -341,8 +344,8 @@
 
   /** Called when the request has failed, also before undici has taken it. */
   onDispatchError(error: Error): void {
-    if (this.isUnproved && this.hasProofLeft) {
-      this.hasProofLeft = false;
+    if (this.isUnproved && this.proofsLeft > 0) {
+      this.proofsLeft -= 1;
       this.isUnproved = false;
       this.options.onUnproved();
       return;
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -123,6 +123,9 @@
         this.wasReset = true;
       });
       socket.openedAt = this.clock.monotonic();
+      result[1]?.once('close', () => {
+        if (this.socket === socket) this.socket = createSocket(Number.POSITIVE_INFINITY);
+      });
       callback(...result);
       this.progressGuard = result[1] === null ? undefined : new ProgressGuard(result[1]);
     });
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -122,6 +122,8 @@
   born: number | undefined;
   /** Whether `GET /v1/report` gets no answer. */
   withholdsReports = false;
+  /** Number of the next `GET /v1/report` whose connections are closed after the answer. */
+  reportsToClose = 0;
   /** Marks every response with the statement that the engine is about to stop. */
   isLeaving = false;
   /** Returns the value of `Retry-After` in a refusal; none by default. */
@@ -200,6 +202,8 @@
     if (request.url === '/v1/report') {
       this.reports += 1;
       if (this.withholdsReports) return;
+      if (this.reportsToClose > 0) response.setHeader('Connection', 'close');
+      this.reportsToClose = Math.max(0, this.reportsToClose - 1);
       response.setHeader('Content-Type', 'application/json');
       response.end(JSON.stringify({ stage: 'both', models: [], busy: false, born: this.born }));
       return;
