One question proves all connections that were opened before it

What callers saw: streams that broke visibly at engines which close the connection after each answer, where they could have gone on. What engines got: a question for each bound attempt over a new connection.

Cause: a bound attempt asked over its own connection, so its proof served nobody else and was lost when the engine closed it.

Evidence: upgrades-in-place.test.ts with engines that close the connection of each report: 12 of 12 streams whole.

Why this works: the connection of the attempt is opened ahead, and the process is asked over one that is opened after it; a process that listens then listened before as well, since the entry was read.

--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -140,13 +140,12 @@
     request: OutgoingRequest,
     endpointRequest: EndpointRequest,
   ): Promise<void> {
-    const finding = await this.proof.ask(connection);
-    if (finding === ProcessFinding.Listed && endpointRequest.isWaiting) {
+    const finding = await this.proof.askBehind(connection);
+    if (endpointRequest.isWaiting && endpointRequest.canUse(connection)) {
       connection.dispatch(request, endpointRequest);
       return;
     }
-    if (finding === ProcessFinding.Silent) this.discard(connection);
-    else this.release(connection);
+    this.discard(connection);
     endpointRequest.refuse(finding);
   }
 
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -2,6 +2,7 @@
  * One connection to an endpoint: an undici client that carries one request at a time and reopens the connection after
  * it was closed. What is known of the connection holds for its current socket.
  */
+import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { buildConnector, Dispatcher } from 'undici';
 import type { Clock } from '@poplarpick/kernel';
@@ -65,6 +66,8 @@
   private readonly clock: Clock;
   /** Undefined before the first request. */
   private client: Client | undefined;
+  /** Open, and not given to undici yet. */
+  private ahead: Socket | undefined;
   private progressGuard: ProgressGuard | undefined;
 
   constructor({ address, clock }: EndpointConnectionOptions) {
@@ -92,7 +95,23 @@
     }
   }
 
+  /**
+   * Opens the connection if it isn't open, so that it is known when it was. The next request goes over it, unless it has
+   * ended by then. Rejects if it can't be opened.
+   */
+  async openAhead(): Promise<void> {
+    if (Number.isFinite(this.socket.openedAt)) return;
+    const { hostname, port } = new URL(`http://${this.address}`);
+    this.ahead = await new Promise<Socket>((resolve, reject) => {
+      this.connect({ hostname, port }, (error, socket) => {
+        if (socket === null) reject(error ?? new Error('no connection'));
+        else resolve(socket);
+      });
+    });
+  }
+
   destroy(): void {
+    this.ahead?.destroy();
     this.client?.destroy().catch(() => undefined);
   }
 
@@ -112,22 +131,42 @@
     });
   }
 
+  /** Gives undici a socket, but not within this call: the one that was opened ahead, if it is open, or a new one. */
   private open(options: buildConnector.Options, callback: buildConnector.Callback): void {
+    const { ahead } = this;
+    this.ahead = undefined;
+    if (ahead?.readyState === 'open') queueMicrotask(() => this.use(ahead, callback));
+    else
+      this.connect(options, (...result) => {
+        if (result[1] === null) callback(...result);
+        else this.use(result[1], callback);
+      });
+  }
+
+  private use(socket: Socket, callback: buildConnector.Callback): void {
+    callback(null, socket);
+    this.progressGuard = new ProgressGuard(socket);
+  }
+
+  private connect(
+    options: Pick<buildConnector.Options, 'hostname' | 'port'>,
+    callback: buildConnector.Callback,
+  ): void {
     this.wasReset = false;
     this.refusedIds.clear();
-    const socket = createSocket(this.clock.monotonic());
-    this.socket = socket;
+    const known = createSocket(this.clock.monotonic());
+    this.socket = known;
     connectEndpoint(options, (...result) => {
+      const [, socket] = result;
+      if (socket !== null) known.openedAt = this.clock.monotonic();
       // Registered before undici's own listener, which treats a reset as the end of an unframed response.
-      result[1]?.on('error', () => {
+      socket?.on('error', () => {
         this.wasReset = true;
       });
-      socket.openedAt = this.clock.monotonic();
-      result[1]?.once('close', () => {
-        if (this.socket === socket) this.socket = createSocket(Number.POSITIVE_INFINITY);
+      socket?.once('close', () => {
+        if (this.socket === known) this.socket = createSocket(Number.POSITIVE_INFINITY);
       });
       callback(...result);
-      this.progressGuard = result[1] === null ? undefined : new ProgressGuard(result[1]);
     });
   }
 }
--- a/packages/forwarder/src/endpoints/endpoint-connector.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connector.ts
@@ -21,7 +21,7 @@
 
 /** Opens a connection; implements undici's connector interface. */
 export function connectEndpoint(
-  options: buildConnector.Options,
+  options: Pick<buildConnector.Options, 'hostname' | 'port'>,
   callback: buildConnector.Callback,
 ): void {
   const address = `${options.hostname}:${options.port}`;
--- a/packages/forwarder/src/endpoints/process-proof.ts
+++ b/packages/forwarder/src/endpoints/process-proof.ts
@@ -66,19 +66,17 @@
     this.evidence.recordListed(at);
   }
 
-  /** Asks over a connection that carries no request now. The caller owns it afterwards, if it is still open. */
-  async ask(connection: EndpointConnection): Promise<ProcessFinding> {
-    const answer = await this.dispatch(connection);
-    const { startedAt } = this.options;
-    if (answer instanceof Error) return ProcessFinding.Silent;
-    if (answer.startedAt === undefined || startedAt === 0) return ProcessFinding.Unnamed;
-    if (answer.startedAt !== startedAt) {
-      this.recordReplaced();
-      return ProcessFinding.Other;
+  /**
+   * Opens a connection, if it isn't open, and asks who is behind it, over another one that is opened after it. One
+   * question serves all connections that were opened before it.
+   */
+  async askBehind(connection: EndpointConnection): Promise<ProcessFinding> {
+    try {
+      await connection.openAhead();
+    } catch {
+      return ProcessFinding.Silent;
     }
-    connection.socket.hasTold = true;
-    this.evidence.recordTold(connection.socket.openingAt);
-    return ProcessFinding.Listed;
+    return this.covers(connection.socket) ? ProcessFinding.Listed : this.askAnew();
   }
 
   /** Asks over a connection that is opened after this call. One question serves all that wait for it. */
@@ -106,6 +104,20 @@
     return question;
   }
 
+  private async ask(connection: EndpointConnection): Promise<ProcessFinding> {
+    const answer = await this.dispatch(connection);
+    const { startedAt } = this.options;
+    if (answer instanceof Error) return ProcessFinding.Silent;
+    if (answer.startedAt === undefined || startedAt === 0) return ProcessFinding.Unnamed;
+    if (answer.startedAt !== startedAt) {
+      this.recordReplaced();
+      return ProcessFinding.Other;
+    }
+    connection.socket.hasTold = true;
+    this.evidence.recordTold(connection.socket.openingAt);
+    return ProcessFinding.Listed;
+  }
+
   private async askNewConnection(): Promise<ProcessFinding> {
     // What ends or begins in one iteration of the event loop shares a question.
     await new Promise(setImmediate);
