A request behind one whose body was over the limit is read again, and only a stop closes such a connection

Callers whose body without a declared length was over the limit got 413 on a connection that stays open, but the next request on it was never read or answered. Cause: the former reader of bodies destroyed the request when it gave up, so that nothing took the rest of its bytes from the connection.

--- a/packages/forwarder/src/calls/response-writer.ts
+++ b/packages/forwarder/src/calls/response-writer.ts
@@ -53,8 +53,8 @@
   }
 
   /**
-   * Writes an error of the router. After one to a request that isn't whole, the connection is closed once its caller
-   * has sent the rest, or has had time to read the error.
+   * Writes an error of the router. If that closes the connection of a request that isn't whole, its caller gets time
+   * to send the rest and read the error.
    */
   sendError(error: RequestError, request?: IncomingMessage): void {
     if (this.isEnded) return;
@@ -65,12 +65,11 @@
     if (error.retryAfterSeconds !== undefined) {
       headers.push('Retry-After', error.retryAfterSeconds.toFixed(2));
     }
-    if (request === undefined || request.complete) {
-      this.response.writeHead(error.status, this.withConnection(headers));
+    this.response.writeHead(error.status, this.withConnection(headers));
+    if (request === undefined || request.complete || !this.shouldCloseConnection()) {
       this.response.end(body);
       return;
     }
-    this.response.writeHead(error.status, [...headers, 'Connection', 'close']);
     this.response.write(body);
     endAfterRest(request, this.response);
   }
