A router of the fleet too reads on behind a body over the limit

Callers whose body without a declared length was over the limit got 413, but the next request on the same connection was never read, and the connection was reset when its idle time was over.

The fleet and the routers on the users' platform now read bodies with the same class.

Evidence: read-body.test.ts on the code before: ECONNRESET instead of the second answer.

--- a/packages/forwarder/src/ingress/body-reader.ts
+++ b/packages/fleet/src/body-reader.ts
@@ -1,25 +1,36 @@
-/** Reads the body of one request. Reading can be given up, with the error that refuses the request. */
+/**
+ * Reads the body of one request. Reading can be given up, with the error that refuses the request; the connection
+ * is left as it is then, so that the requests behind it can be read.
+ */
 import type { IncomingMessage } from 'node:http';
-import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import type { RequestError } from '@poplarpick/kernel';
+
+/** Options of a `BodyReader`. */
+export interface BodyReaderOptions {
+  limitBytes: number;
+  /** Creates the error for a body over the limit. */
+  createTooLargeError: () => RequestError;
+}
 
 /** Reads a complete body. */
 export class BodyReader {
   private readonly request: IncomingMessage;
-  private readonly limitBytes: number;
+  private readonly options: BodyReaderOptions;
   private readonly chunks: Buffer[] = [];
   private size = 0;
   private reject: ((error: Error) => void) | undefined;
 
-  constructor(request: IncomingMessage, limitBytes: number) {
+  constructor(request: IncomingMessage, options: BodyReaderOptions) {
     this.request = request;
-    this.limitBytes = limitBytes;
+    this.options = options;
   }
 
   /** The complete body; undefined without one. Rejects if it is too large or incomplete, or given up. */
   async read(): Promise<Buffer | undefined> {
-    const { request, limitBytes } = this;
+    const { request } = this;
+    const { limitBytes, createTooLargeError } = this.options;
     const declared = Number(request.headers['content-length'] ?? 0);
-    if (declared > limitBytes) throw createBodyTooLargeError();
+    if (declared > limitBytes) throw createTooLargeError();
     if (declared === 0 && request.headers['transfer-encoding'] === undefined) return undefined;
     try {
       await new Promise<void>((resolve, reject) => {
@@ -43,14 +54,8 @@
 
   private add(chunk: Buffer): void {
     this.size += chunk.length;
-    if (this.size > this.limitBytes) this.giveUp(createBodyTooLargeError());
+    const { limitBytes, createTooLargeError } = this.options;
+    if (this.size > limitBytes) this.giveUp(createTooLargeError());
     else this.chunks.push(chunk);
   }
 }
-
-function createBodyTooLargeError(): RequestError {
-  return new RequestError('the body is too large', {
-    code: ErrorCode.BodyTooLarge,
-    verdict: Verdict.NotRun,
-  });
-}
--- a/packages/forwarder/src/ingress/awaited-bodies.ts
+++ b/packages/forwarder/src/ingress/awaited-bodies.ts
@@ -3,9 +3,9 @@
  * what is left of the grace can't hold it.
  */
 import type { IncomingMessage } from 'node:http';
-import { toRequestError, Verdict } from '@poplarpick/kernel';
+import { BodyReader } from '@poplarpick/fleet/body-reader';
+import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import type { RouterState } from '../router-state.ts';
-import { BodyReader } from './body-reader.ts';
 import { createStopError, findRoute, toStopCandidate } from './call-checks.ts';
 
 /** A request whose head has arrived. */
@@ -26,7 +26,10 @@
 
   /** Reads a complete body; undefined without one. Rejects if it is too large or incomplete, or refused. */
   async read(arrived: ArrivedRequest): Promise<Buffer | undefined> {
-    const reader = new BodyReader(arrived.request, this.state.callerLimits.bodyBytes);
+    const reader = new BodyReader(arrived.request, {
+      limitBytes: this.state.callerLimits.bodyBytes,
+      createTooLargeError,
+    });
     this.readers.set(reader, arrived);
     try {
       return await reader.read();
@@ -56,3 +59,10 @@
     return route !== undefined && stop.canHold(toStopCandidate(head, route, arrivedAt));
   }
 }
+
+function createTooLargeError(): RequestError {
+  return new RequestError('the body is too large', {
+    code: ErrorCode.BodyTooLarge,
+    verdict: Verdict.NotRun,
+  });
+}
