--- a/packages/forwarder/src/endpoints/process-question.ts
+++ b/packages/forwarder/src/endpoints/process-question.ts
@@ -23,7 +23,7 @@
 
 /** Options of a `ProcessQuestion`. */
 export interface ProcessQuestionOptions {
-  protocol: CallProtocol;
+  protocol: Pick<CallProtocol, 'decodeProcessStart'>;
   /** Called with each part of the answer. */
   onProgress: () => void;
   /** Called once, with the answer or with the reason why there is none. */
