--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -19,6 +19,7 @@
 import { profileCommand } from './profile/app.ts';
 import { smokeCommand } from './smoke/app.ts';
 import { soakCommand } from './soak/app.ts';
+import { streamDayCommand } from './stream-day/app.ts';
 import { utilisationCommand } from './utilisation/app.ts';
 
 /** A bench command. */
@@ -51,6 +52,7 @@
     profileCommand,
     smokeCommand,
     soakCommand,
+    streamDayCommand,
     utilisationCommand,
   ];
 }
