--- a/packages/bench/src/stream-day/day-callers.ts
+++ b/packages/bench/src/stream-day/day-callers.ts
@@ -163,6 +163,9 @@
       const finish = (end: TryEnd): void => {
         timers.forEach(clearTimeout);
         if (answer.end !== TryEnd.Left) answer.end = end;
+        // A paused answer would keep its connection open.
+        if (end !== TryEnd.Whole) request.destroy();
+        head?.resume();
         done(head);
       };
       const leave = (): void => {
--- a/packages/bench/src/stream-day/day-engine.ts
+++ b/packages/bench/src/stream-day/day-engine.ts
@@ -125,7 +125,8 @@
   }
 
   private async startProxy(): Promise<void> {
-    this.proxy = await new FaultProxy({ target: `${this.options.host}:${this.port}` }).start();
+    const target = `${this.options.host}:${this.port}`;
+    this.proxy = await new FaultProxy({ target, passesResets: true }).start();
   }
 
   private async startProcess(): Promise<void> {
--- a/packages/bench/src/stream-day/day-faults.ts
+++ b/packages/bench/src/stream-day/day-faults.ts
@@ -165,7 +165,7 @@
 const UPGRADE_SPEED_UP = 5;
 
 /** Engines and routers that a fault has in hand; a second one leaves them alone. */
-const held = new Set<DayEngine | DayRouter | FaultProxy>();
+const held = new WeakSet<DayEngine | DayRouter | FaultProxy>();
 
 async function hold(
   target: DayEngine | DayRouter | FaultProxy,
--- a/packages/bench/src/stream-day/day-site.ts
+++ b/packages/bench/src/stream-day/day-site.ts
@@ -17,7 +17,7 @@
   seed: number;
   routers?: number;
   /** Checkout whose deploy file and bundle of the router are used; the working directory by default. */
-  checkout?: string;
+  checkout?: string | undefined;
   /** Folder for logs and settings, which is kept; a temporary one by default. */
   keep?: string | undefined;
 }
--- a/packages/stand-ins/src/fault-proxy.test.ts
+++ b/packages/stand-ins/src/fault-proxy.test.ts
@@ -60,6 +60,23 @@
     expect(socket.destroyed).to.equal(false);
   });
 
+  for (const passesResets of [false, true]) {
+    it(`passes a reset on as ${passesResets ? 'a reset' : 'an orderly close'}`, async () => {
+      const server = createServer((socket) => socket.once('data', () => socket.resetAndDestroy()));
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const target = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+      const resetting = await new FaultProxy({ target, passesResets }).start();
+      const [host, port] = resetting.address.split(':');
+      const socket = connect({ host, port: Number(port) }).on('error', () => undefined);
+      socket.write('hello');
+      const hasError = await new Promise((done) => socket.resume().once('close', done));
+      expect(hasError).to.equal(passesResets);
+      resetting.stop();
+      server.close();
+    });
+  }
+
   it('delays bytes', async () => {
     const socket = connectToProxy();
     await exchange(socket, 'hello');
--- a/packages/stand-ins/src/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy.ts
@@ -41,6 +41,8 @@
   target: string;
   /** Delay of `Fault.Latency` in each direction. */
   latencyMs?: number;
+  /** Whether a reset of one side becomes a reset of the other; an orderly close by default. */
+  passesResets?: boolean;
 }
 
 const DEFAULT_LATENCY_MS = 200;
@@ -48,9 +50,15 @@
 const DRIP_PERIOD_MS = 20;
 const REFUSING_FAULTS = new Set([Fault.Cut, Fault.Reset]);
 
-/** Bytes waiting to be forwarded; undefined `bytes` mark the end of the stream. */
+/** How one side of a connection ended. */
+enum ConnectionEnd {
+  Close,
+  Reset,
+}
+
+/** Bytes waiting to be forwarded, or the end of the stream. */
 interface QueuedChunk {
-  bytes: Buffer | undefined;
+  content: Buffer | ConnectionEnd;
   releaseAt: number;
 }
 
@@ -61,6 +69,7 @@
   direction: Direction;
   getFault: () => Fault;
   latencyMs: number;
+  passesResets: boolean;
 }
 
 /**
@@ -80,7 +89,10 @@
     this.options = options;
     from.on('data', (bytes: Buffer) => this.accept(bytes));
     from.on('error', () => undefined);
-    from.on('close', () => this.enqueue(undefined, 0));
+    from.on('close', (hasError) => {
+      const isReset = hasError && options.passesResets;
+      this.enqueue(isReset ? ConnectionEnd.Reset : ConnectionEnd.Close, 0);
+    });
     to.on('drain', () => from.resume());
   }
 
@@ -115,19 +127,18 @@
     }
   }
 
-  private enqueue(bytes: Buffer | undefined, delayMs: number): void {
+  private enqueue(content: Buffer | ConnectionEnd, delayMs: number): void {
     this.lastReleaseAt = Math.max(performance.now() + delayMs, this.lastReleaseAt);
-    this.queue.push({ bytes, releaseAt: this.lastReleaseAt });
+    this.queue.push({ content, releaseAt: this.lastReleaseAt });
     this.sendDue();
   }
 
   private deliver(chunk: QueuedChunk | undefined, to: Socket): void {
-    if (chunk?.bytes === undefined) {
-      to.destroySoon();
-      return;
-    }
-    if (to.destroyed) return;
-    if (!to.write(chunk.bytes)) this.options.from.pause();
+    if (chunk === undefined || to.destroyed) return;
+    const { content } = chunk;
+    if (content === ConnectionEnd.Reset) to.resetAndDestroy();
+    else if (content === ConnectionEnd.Close) to.destroySoon();
+    else if (!to.write(content)) this.options.from.pause();
   }
 }
 
@@ -140,21 +151,19 @@
   constructor(
     clientSocket: Socket,
     targetSocket: Socket,
-    getFault: () => Fault,
-    latencyMs: number,
+    options: Pick<OneWayRelayOptions, 'getFault' | 'latencyMs' | 'passesResets'>,
   ) {
     this.clientSocket = clientSocket;
     this.targetSocket = targetSocket;
-    const common = { getFault, latencyMs };
     this.relays = [
       new OneWayRelay({
-        ...common,
+        ...options,
         from: clientSocket,
         to: targetSocket,
         direction: Direction.Forward,
       }),
       new OneWayRelay({
-        ...common,
+        ...options,
         from: targetSocket,
         to: clientSocket,
         direction: Direction.Backward,
@@ -240,13 +249,10 @@
     const { ip, port } = parseAddress(this.options.target);
     // Without `noDelay`, Nagle's algorithm holds a small write until the delayed ACK of the previous.
     const targetSocket = connect({ host: ip, port, noDelay: true });
-    const latencyMs = this.options.latencyMs ?? DEFAULT_LATENCY_MS;
-    const connection = new ProxiedConnection(
-      clientSocket,
-      targetSocket,
-      () => this.currentFault,
-      latencyMs,
-    );
+    const { latencyMs = DEFAULT_LATENCY_MS, passesResets = false } = this.options;
+    const getFault = (): Fault => this.currentFault;
+    const options = { getFault, latencyMs, passesResets };
+    const connection = new ProxiedConnection(clientSocket, targetSocket, options);
     this.connections.add(connection);
     clientSocket.once('close', () => {
       if (connection.targetSocket.destroyed) this.connections.delete(connection);
