--- a/packages/bench/src/stream-day/day-callers.ts
+++ b/packages/bench/src/stream-day/day-callers.ts
@@ -25,6 +25,8 @@
 const NEW_CONNECTION_SHARE = 0.4;
 const MAX_BODY_BYTES = 3_000;
 const DEFAULT_RETRY_MS = 60;
+/** Share of the time left for which a caller heeds `Retry-After`. */
+const MAX_WAIT_SHARE = 1 / 3;
 const MIN_TRY_MS = 100;
 const RETRY_STATUSES = new Set([408, 421, 429, 503]);
 const HEX = 16;
@@ -112,7 +114,8 @@
     while (router !== undefined && tries.length < MAX_TRIES) {
       const outcome = await this.try(sending, router);
       if (outcome.retryAfterMs === undefined) break;
-      await sleep(outcome.retryAfterMs);
+      const leftMs = sending.deadlineAt - performance.now();
+      await sleep(Math.max(0, Math.min(outcome.retryAfterMs, leftMs * MAX_WAIT_SHARE)));
       if (sending.deadlineAt - performance.now() < MIN_TRY_MS) break;
       router = this.pickRouter(router);
     }
--- a/packages/bench/src/stream-day/day-engine.ts
+++ b/packages/bench/src/stream-day/day-engine.ts
@@ -20,6 +20,8 @@
   seed: number;
   /** Whether routers reach it through a fault proxy. */
   isProxied: boolean;
+  /** Share of the answers that have neither a length nor chunks. */
+  unframedShare: number | undefined;
   onRecord: (record: EngineRecord) => void;
 }
 
@@ -42,6 +44,7 @@
   private sequence = 0;
   private state = 'ready';
   private isPaused = false;
+  private plan: ConductPlan | undefined;
   private missedBeats = 0;
   private beats: NodeJS.Timeout | undefined;
 
@@ -110,7 +113,9 @@
     this.child?.kill(isPaused ? 'SIGSTOP' : 'SIGCONT');
   }
 
+  /** How the engine answers; also after it was started again. */
   set conducts(plan: ConductPlan) {
+    this.plan = plan;
     this.child?.stdin?.write(`${JSON.stringify(plan)}\n`);
   }
 
@@ -130,11 +135,12 @@
   }
 
   private async startProcess(): Promise<void> {
-    const { host, program, seed } = this.options;
+    const { host, program, seed, unframedShare } = this.options;
     this.born = Date.now();
     const options: StreamEngineOptions = {
       ...{ id: this.id, version: `v${this.version}`, born: this.born, host, port: this.port },
       ...{ seed: seed + this.index, slots: SLOTS },
+      ...(unframedShare === undefined ? {} : { unframedShare }),
     };
     const child = spawn(process.execPath, [program], {
       env: { STREAM_ENGINE_OPTIONS: JSON.stringify(options) },
@@ -151,6 +157,7 @@
     failed.catch(() => undefined);
     this.child = child;
     this.isPaused = false;
+    if (this.plan !== undefined) this.conducts = this.plan;
   }
 
   private readLine(line: string): void {
--- a/packages/bench/src/stream-day/day-faults.ts
+++ b/packages/bench/src/stream-day/day-faults.ts
@@ -27,11 +27,11 @@
 const SOUND: ConductPlan = { takeUpShare: 0, takeUp: [], anyShare: 0, any: [] };
 const GARBLED: ConductPlan = { ...SOUND, anyShare: 0.12, any: GARBLED_CONDUCTS };
 const FAULTY_TAKE_UPS: ConductPlan = {
-  ...{ takeUpShare: 0.6, takeUp: TAKE_UP_CONDUCTS },
-  ...{ anyShare: 0.2, any: [EngineConduct.Reset, EngineConduct.Close] },
+  ...{ takeUpShare: 0.8, takeUp: TAKE_UP_CONDUCTS },
+  ...{ anyShare: 0.35, any: [EngineConduct.Reset, EngineConduct.Close] },
 };
 /** Share of the engines whose conduct changes in a fault. */
-const CONDUCT_SHARE = 0.5;
+const CONDUCT_SHARE = 0.7;
 const RELEASE_SHARE = 0.45;
 const RELEASE_INTERVAL_MS = 1_000;
 /** Time for which an engine serves after it has said that it drains. */
@@ -91,18 +91,21 @@
     await engine.restart(engine.version + 1);
   }),
   [DayFaultKind.UnseenUpgrade]: async (site, fault, injected) => {
-    const upgrade = async (target: number): Promise<void> => {
-      await sleep(UNSEEN_AFTER_MS);
+    const upgrade = async (engine: DayEngine, index: number): Promise<void> => {
+      await sleep(UNSEEN_AFTER_MS * (index + 1));
+      const target = site.engines.indexOf(engine);
       await INJECTORS[DayFaultKind.UpgradeInPlace](site, { ...fault, target }, injected);
     };
-    const silence = { ...fault, durationMs: fault.durationMs + UNSEEN_AFTER_MS };
+    const models = modelEngines(site);
+    const durationMs = fault.durationMs + UNSEEN_AFTER_MS * UNSEEN_UPGRADES;
+    const first = fault.target % models.length;
     await Promise.all([
-      INJECTORS[DayFaultKind.SilentStore](site, silence, injected),
-      ...[fault.target, fault.target + 1].map(upgrade),
+      INJECTORS[DayFaultKind.SilentStore](site, { ...fault, durationMs }, injected),
+      ...[...models, ...models].slice(first, first + UNSEEN_UPGRADES).map(upgrade),
     ]);
   },
   [DayFaultKind.Release]: async (site, { target }, { targets }) => {
-    const engines = site.engines.filter(({ options }) => options.service === DayService.Model);
+    const engines = modelEngines(site);
     const count = Math.ceil(engines.length * RELEASE_SHARE);
     const next = Math.max(...engines.map(({ version }) => version)) + 1;
     for (let index = 0; index < count; index += 1) {
@@ -158,7 +161,8 @@
   },
 };
 
-/** Time from the silence of the store to the upgrades that it hides. */
+/** Upgrades that one silence of the store hides, and the time from one to the next. */
+const UNSEEN_UPGRADES = 3;
 const UNSEEN_AFTER_MS = 400;
 
 /** An upgrade in place is quicker than a repair. */
@@ -180,6 +184,10 @@
   }
 }
 
+function modelEngines({ engines }: DaySite): DayEngine[] {
+  return engines.filter(({ options }) => options.service === DayService.Model);
+}
+
 function withEngine(act: (engine: DayEngine, fault: PlannedDayFault) => Promise<void>): Injector {
   return async ({ engines }, fault, { targets }) => {
     const engine = engines[fault.target % engines.length];
@@ -208,15 +216,15 @@
 
 function withConducts(plan: ConductPlan): Injector {
   return async ({ engines }, { target, durationMs }, { targets }) => {
+    const first = target % engines.length;
     const count = Math.ceil(engines.length * CONDUCT_SHARE);
-    for (let index = 0; index < count; index += 1) {
-      const engine = engines[(target + index) % engines.length];
-      if (engine === undefined) continue;
+    const faulty = [...engines, ...engines].slice(first, first + count);
+    for (const engine of faulty) {
       targets.push(engine.id);
       engine.conducts = plan;
     }
     await sleep(durationMs);
-    for (const engine of engines) engine.conducts = SOUND;
+    for (const engine of faulty) engine.conducts = SOUND;
   };
 }
 
--- a/packages/bench/src/stream-day/day-plan.ts
+++ b/packages/bench/src/stream-day/day-plan.ts
@@ -57,7 +57,7 @@
   ReplaceEngine = 'replace-engine',
   /** Ends an engine and starts it again under its id, with the next version. */
   UpgradeInPlace = 'upgrade-in-place',
-  /** Upgrades two engines in place while the store is silent. */
+  /** Upgrades engines in place while the store is silent. */
   UnseenUpgrade = 'unseen-upgrade',
   /** Starts engines of the next version and then ends the ones before, which drain. */
   Release = 'release',
--- a/packages/bench/src/stream-day/day-site.ts
+++ b/packages/bench/src/stream-day/day-site.ts
@@ -16,6 +16,8 @@
 export interface DaySiteOptions {
   seed: number;
   routers?: number;
+  /** Share of the engines' answers that have neither a length nor chunks. */
+  unframedShare?: number;
   /** Checkout whose deploy file and bundle of the router are used; the working directory by default. */
   checkout?: string | undefined;
   /** Folder for logs and settings, which is kept; a temporary one by default. */
@@ -111,6 +113,7 @@
   }
 
   private addEngines(): void {
+    const { seed, unframedShare } = this.options;
     const program = join(this.folder, 'stream-engine.cjs');
     buildSync({
       ...{ entryPoints: [ENGINE_ENTRY], outfile: program, bundle: true, platform: 'node' },
@@ -121,7 +124,7 @@
         const index = this.engines.length;
         const options = {
           ...{ service, program, host: `${this.network}.${FIRST_ENGINE + index}` },
-          ...{ store: this.store, zone: pickZone(index), seed: this.options.seed },
+          ...{ store: this.store, zone: pickZone(index), seed, unframedShare },
           isProxied: index % PROXY_INTERVAL === 0,
           onRecord: (record: EngineRecord) => void this.records.push(record),
         };
--- a/packages/stand-ins/src/stream-engine/stream-engine.ts
+++ b/packages/stand-ins/src/stream-engine/stream-engine.ts
@@ -27,6 +27,8 @@
   slots?: number;
   /** Mean pause between two events. */
   eventPauseMs?: number;
+  /** Share of the answers that have neither a length nor chunks. */
+  unframedShare?: number;
 }
 
 const DEFAULT_SLOTS = 32;
@@ -36,7 +38,7 @@
 const LONG_PAUSE_SHARE = 0.002;
 const MAX_LONG_PAUSE_MS = 1_500;
 const JOINED_SHARE = 0.2;
-const UNFRAMED_SHARE = 0.12;
+const DEFAULT_UNFRAMED_SHARE = 0.12;
 const LENGTH_SHARE = 0.12;
 const RETRY_AFTER_S = 0.2;
 
@@ -113,8 +115,7 @@
     const random = new Random(hash(`${seed} ${born} ${attempt}`));
     const after = Number(request.headers.get('last-event-id') ?? 0);
     const conduct = this.chooseConduct(random, after);
-    const framing =
-      conduct === EngineConduct.Unframed ? AnswerFraming.Unframed : chooseFraming(random);
+    const framing = this.chooseFraming(random, conduct);
     const run = `${id}/${born}/${attempt}`;
     return {
       ...{ request, connection, attempt, stream, run, after, framing, conduct, random },
@@ -129,6 +130,13 @@
     return EngineConduct.Sound;
   }
 
+  private chooseFraming(random: Random, conduct: EngineConduct): AnswerFraming {
+    const { unframedShare = DEFAULT_UNFRAMED_SHARE } = this.options;
+    const draw = random.uniform();
+    if (conduct === EngineConduct.Unframed || draw < unframedShare) return AnswerFraming.Unframed;
+    return draw < unframedShare + LENGTH_SHARE ? AnswerFraming.Length : AnswerFraming.Chunked;
+  }
+
   private isMisdirected({ headers }: EngineRequest): boolean {
     const expected = headers.get('expect-instance');
     return expected !== undefined && expected !== this.options.id;
@@ -269,12 +277,6 @@
   [AnswerFraming.Unframed]: 'Connection: close',
 };
 
-function chooseFraming(random: Random): AnswerFraming {
-  const draw = random.uniform();
-  if (draw < UNFRAMED_SHARE) return AnswerFraming.Unframed;
-  return draw < UNFRAMED_SHARE + LENGTH_SHARE ? AnswerFraming.Length : AnswerFraming.Chunked;
-}
-
 function frame(framing: AnswerFraming, text: string): string {
   if (framing !== AnswerFraming.Chunked) return text;
   return `${text.length.toString(16)}\r\n${text}\r\n`;
