--- a/packages/bench/src/stream-day/day-plan.ts
+++ b/packages/bench/src/stream-day/day-plan.ts
@@ -143,7 +143,7 @@
 const MAX_OVERLAP_START_MS = 600;
 const MAX_TARGETS = 1_000;
 
-/** Plans the faults of a day; some overlap with another, some come twice. None begins in the last seconds. */
+/** Plans the faults of a day; some overlap with another, some come twice. None begins after its end. */
 export function planDay(
   random: Random,
   durationMs: number,
@@ -159,7 +159,8 @@
       const startMs = atMs + random.integer(MAX_OVERLAP_START_MS);
       faults.push(planFault(random, random.pick(kinds), startMs));
     } else if (draw < OVERLAP_SHARE + REPEAT_SHARE) {
-      faults.push({ ...fault, startMs: atMs + fault.durationMs + random.integer(MIN_FAULT_MS) });
+      const startMs = fault.startMs + fault.durationMs + random.integer(MIN_FAULT_MS);
+      if (startMs < durationMs) faults.push({ ...fault, startMs });
     }
     atMs += random.interarrivalMs(1_000 / FAULT_INTERVAL_MS);
   }
--- a/packages/bench/src/stream-day/day-report.ts
+++ b/packages/bench/src/stream-day/day-report.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Counts the violations by kind, by conduct and framing of the run before, by the fault that began last at its
- * engine or router, and by whether the store was in a fault.
+ * Counts the violations by kind, by conduct and framing of the last run, by whether the run before was of the same
+ * try, and, for a sound run, by the fault that began last at its engine and whether the store was in one.
  */
 export function countViolations(outcome: DayOutcome): Record<string, number> {
   const counts: Record<string, number> = {};
@@ -37,17 +37,19 @@
 }
 
 function classify(outcome: DayOutcome, violation: Violation): string {
-  const run = runsOf(outcome, violation.request).findLast(({ at }) => at <= violation.at);
-  const how = run === undefined ? 'no run' : `${run.conduct}/${run.framing}`;
-  if (run !== undefined && run.conduct !== EngineConduct.Sound) return `${violation.kind} | ${how}`;
-  const near = faultsNear(outcome, violation);
-  const { tries } = findRequest(outcome, violation.request) ?? { tries: [] };
-  const places = [run?.engine ?? '', tries.at(-1)?.router ?? ''];
-  const isHere = ({ targets }: InjectedFault): boolean =>
-    targets.some((target) => places.includes(target));
-  const last = near.findLast((fault) => isHere(fault))?.kind ?? 'no fault';
-  const store = near.some(({ targets }) => targets.includes('store')) ? ' | store in a fault' : '';
-  return `${violation.kind} | ${how} | ${last}${store}`;
+  const runs = runsOf(outcome, violation.request).filter(({ at }) => at <= violation.at);
+  const [run, before] = [runs.at(-1), runs.at(-2)];
+  if (run === undefined) return `${violation.kind} | no run`;
+  const parts: string[] = [violation.kind, `${run.conduct}/${run.framing}`];
+  if (before !== undefined)
+    parts.push(before.attempt === run.attempt ? 'within one try' : 'over tries');
+  if (run.conduct === EngineConduct.Sound) {
+    const near = faultsNear(outcome, violation);
+    const here = near.findLast(({ targets }) => targets.includes(run.engine));
+    parts.push(here?.kind ?? 'no fault at the engine');
+    if (near.some(({ targets }) => targets.includes('store'))) parts.push('store in a fault');
+  }
+  return parts.join(' | ');
 }
 
 function describeViolation(outcome: DayOutcome, violation: Violation): string {
