--- a/packages/bench/src/stream-day/app.ts
+++ b/packages/bench/src/stream-day/app.ts
@@ -10,6 +10,9 @@
 import { countConducts, countViolations, describeViolations } from './day-report.ts';
 import { playStreamDay } from './stream-day.ts';
 
+/** Time within which the process should end after its result. */
+const END_TIMEOUT_MS = 5_000;
+
 const KINDS = Object.values(DayFaultKind);
 
 /** Entry of the `stream-day` command. */
@@ -72,6 +75,15 @@
     writeFileSync(join(values.keep, 'day.json'), JSON.stringify({ ...result, ...outcome }));
   }
   if (violations.length > 0) process.exitCode = 1;
+  endLater();
+}
+
+/** Ends this process, and tells what kept it, if it doesn't end by itself. */
+function endLater(): void {
+  setTimeout(() => {
+    console.error(`still active: ${process.getActiveResourcesInfo().join(' ')}`);
+    process.exit();
+  }, END_TIMEOUT_MS).unref();
 }
 
 function parseKind(name: string): DayFaultKind {
