Two endpoints must say that nothing follows, before a resumed stream ends without an event (ORDER)

What callers saw: a stream broke, its caller took it up, and got 200 with no events: the stream looked complete after 6 of 17 events. The engine had none for it and framed its empty answer as whole.

Cause: such an answer was taken for the engine's whole answer, which it is; but an engine that has lost the stream, or never had it, gives the same one as an engine at which the stream is over.

--- a/packages/decisions/src/forwarding/answer-check.test.ts
+++ b/packages/decisions/src/forwarding/answer-check.test.ts
@@ -83,7 +83,15 @@
       ),
     );
     const { NoEvents } = AnswerFault;
-    expect(ends).to.deep.equal([undefined, undefined, undefined, NoEvents, NoEvents, NoEvents]);
+    expect(ends).to.deep.equal([undefined, undefined, NoEvents, NoEvents, NoEvents, NoEvents]);
+  });
+
+  it('takes an end without events for that of a resumed stream once two endpoints have framed it', () => {
+    const progress = progressAt(Place.Resumed);
+    const ends = [true, false, true].map((isFramed) =>
+      new AnswerCheck(progress).checkStreamEnd({ ...STREAM, isFramed }),
+    );
+    expect(ends).to.deep.equal([AnswerFault.NoEvents, AnswerFault.NoEvents, undefined]);
   });
 
   it('takes no body for the rest of a stream', () => {
@@ -91,8 +99,8 @@
     const bodies = Object.values(Place).flatMap((place) =>
       [0, 1].map((bytes) => new AnswerCheck(progressAt(place)).checkBody(plain, bytes)),
     );
-    const { NoContinuation: fault } = AnswerFault;
-    expect(bodies).to.deep.equal([undefined, undefined, undefined, fault, fault, fault]);
+    const { NoContinuation: fault, NoEvents } = AnswerFault;
+    expect(bodies).to.deep.equal([undefined, undefined, NoEvents, fault, fault, fault]);
   });
 
   it('lets no other endpoint go on after an event without an id, or with another answer than a stream', () => {
--- a/packages/decisions/src/forwarding/answer-check.ts
+++ b/packages/decisions/src/forwarding/answer-check.ts
@@ -11,6 +11,12 @@
 const MIN_REDIRECT_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
+/**
+ * Endpoints that must say that nothing follows the event that a caller has, before its stream counts as whole: one that
+ * has lost the stream, or never had it, says so as well.
+ */
+const REQUIRED_EMPTY_ENDS = 2;
+
 /** What the check needs to know of the head of an answer. */
 export interface AnswerHead {
   status: number;
@@ -54,6 +60,7 @@
   readonly resumedAfter: number | undefined;
   private begun = false;
   private isContinuous = true;
+  private emptyEnds = 0;
 
   constructor({ resumedAfter }: { resumedAfter: number | undefined }) {
     this.resumedAfter = resumedAfter;
@@ -81,6 +88,12 @@
     this.isContinuous = status === STATUS_OK && isEventStream && isSealed;
   }
 
+  /** Records that an endpoint says that nothing follows. Returns whether enough of them have said so. */
+  recordEmptyEnd(): boolean {
+    this.emptyEnds += 1;
+    return this.emptyEnds >= REQUIRED_EMPTY_ENDS;
+  }
+
   /** Records that an event has been sent. After one that can't be named, no other endpoint can go on. */
   recordEvent(event: StreamEvent): void {
     this.lastEventId = event.id ?? this.lastEventId;
@@ -121,15 +134,20 @@
   /** The fault of a stream that has ended; undefined if the caller's response ends with it. */
   checkStreamEnd({ isFramed }: AnswerHead): AnswerFault | undefined {
     if (!this.isContinuation || this.hasPassed) return undefined;
-    const isWholeAnswer = !this.progress.hasBegun && isFramed;
-    return isWholeAnswer ? undefined : AnswerFault.NoEvents;
+    return this.checkEmptyEnd(isFramed);
   }
 
   /** The fault of a complete answer that is no stream; undefined if it is the caller's. */
   checkBody(head: AnswerHead, bodyBytes: number): AnswerFault | undefined {
     if (this.progress.hasBegun) return AnswerFault.NoContinuation;
     if (!this.isContinuation || !isSuccess(head)) return undefined;
-    return bodyBytes === 0 && head.isFramed ? undefined : AnswerFault.NoContinuation;
+    return bodyBytes === 0 ? this.checkEmptyEnd(head.isFramed) : AnswerFault.NoContinuation;
+  }
+
+  /** The fault of an answer that says that nothing follows; undefined if the caller's stream is whole. */
+  private checkEmptyEnd(isFramed: boolean): AnswerFault | undefined {
+    if (this.progress.hasBegun || !isFramed) return AnswerFault.NoEvents;
+    return this.progress.recordEmptyEnd() ? undefined : AnswerFault.NoEvents;
   }
 
   private decide(event: StreamEvent): EventAction {
