--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -194,7 +194,7 @@
 
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/v1/kv-list') {
-      const list = { epoch: 1, next: 1, held: this.listCachedSegments() };
+      const list = { epoch: 1, next: 1, held: this.listCachedSegments(), born: this.born };
       response.setHeader('Content-Type', 'application/json');
       response.end(JSON.stringify(list));
       return;
