--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -19,7 +19,7 @@
 
 const MIN_FINAL_STATUS = 200;
 const STATUS_NO_CONTENT = 204;
-const MIN_REDIRECT_STATUS = 300;
+const STATUS_NOT_MODIFIED = 304;
 
 /**
  * Most bytes of a discarded response that are read, so that its connection can be reused. More would cost more
@@ -305,8 +305,8 @@
     const { protocol, requestId, observer } = this.options;
     const head = protocol.decodeResponse(status, readRawHeaders(controller));
     this.isFramed = head.isFramed;
-    const hasBody = !this.options.isBodyless && status !== STATUS_NO_CONTENT;
-    this.needsProof = !head.isFramed && hasBody && status < MIN_REDIRECT_STATUS;
+    const hasBody = status !== STATUS_NO_CONTENT && status !== STATUS_NOT_MODIFIED;
+    this.needsProof = !head.isFramed && hasBody && !this.options.isBodyless;
     if (head.requestId !== requestId) {
       observer.onForeignHead(head);
       this.fail('the endpoint answered another request', Verdict.MayHaveRun);
