A stream of which only comments were passed on goes on at the next engine

Cause: the check of answers let nothing go on without the id of an event. Comments hold nothing that could come twice, so the next engine begins the stream.

--- a/packages/decisions/src/forwarding/answer-check.ts
+++ b/packages/decisions/src/forwarding/answer-check.ts
@@ -74,7 +74,7 @@
 
   /** Whether another answer may be the caller's, or go on with what it has. */
   get canGoOn(): boolean {
-    return !this.begun || (this.isContinuous && this.lastEventId !== undefined);
+    return !this.begun || this.isContinuous;
   }
 
   /** The event after which another endpoint goes on with this response; undefined if it hasn't begun. */
