Comments before the first event of a stream wait for it

Now comments before the first event are held until it comes, so that nothing has begun when an engine breaks off before it. Callers get the head of a stream with its first event, as they did without comments.

--- a/packages/decisions/src/forwarding/answer-check.test.ts
+++ b/packages/decisions/src/forwarding/answer-check.test.ts
@@ -66,7 +66,7 @@
     ['a later event', event(4), Pass, Reject],
     ['the first event again', event(1), Pass, Reject],
     ['an event without an id', NAMELESS, Pass, Reject],
-    ['a comment', COMMENT, Pass, Hold],
+    ['a comment', COMMENT, Hold, Hold],
   ] as const) {
     it(`lets only the next event join a stream: ${name}`, () => {
       for (const place of Object.values(Place)) {
@@ -112,8 +112,7 @@
     const commented = new ResponseProgress({ resumedAfter: undefined });
     commented.recordHead(STREAM);
     commented.recordEvent(COMMENT);
-    expect([nameless, part].some(({ canGoOn }) => canGoOn)).to.equal(false);
-    expect(commented).to.include({ canGoOn: true, resumeAfter: undefined });
+    expect([nameless, part, commented].some(({ canGoOn }) => canGoOn)).to.equal(false);
     expect(progressAt(Place.Joined)).to.include({ canGoOn: true, resumeAfter: 2 });
     expect(progressAt(Place.Resumed)).to.include({ canGoOn: true, resumeAfter: undefined });
   });
--- a/packages/decisions/src/forwarding/answer-check.ts
+++ b/packages/decisions/src/forwarding/answer-check.ts
@@ -46,7 +46,7 @@
 /** What happens to an event. */
 export enum EventAction {
   Pass = 'pass',
-  /** A comment: it follows as soon as the answer has proved that it belongs to the stream. */
+  /** A comment before the first event: it goes with that one, so that another endpoint can still begin the stream. */
   Hold = 'hold',
   /** The attempt has failed. */
   Reject = 'reject',
@@ -74,7 +74,7 @@
 
   /** Whether another answer may be the caller's, or go on with what it has. */
   get canGoOn(): boolean {
-    return !this.begun || this.isContinuous;
+    return !this.begun || (this.isContinuous && this.lastEventId !== undefined);
   }
 
   /** The event after which another endpoint goes on with this response; undefined if it hasn't begun. */
@@ -152,8 +152,7 @@
 
   private decide(event: StreamEvent): EventAction {
     const { lastEventId } = this.progress;
-    if (isComment(event))
-      return this.isContinuation && !this.hasPassed ? EventAction.Hold : EventAction.Pass;
+    if (isComment(event)) return this.hasPassed ? EventAction.Pass : EventAction.Hold;
     if (event.id === undefined) return this.isContinuation ? EventAction.Reject : EventAction.Pass;
     const isNext = lastEventId === undefined || event.id === lastEventId + 1;
     return isNext ? EventAction.Pass : EventAction.Reject;
