A request that has waited for the proof of a process is checked and encoded again at its send

Callers saw a stream go on at an engine that had said that it drains, and an engine was given more time than its caller had left. A request that goes on with a stream waits until the process behind its connection has named its start. Its head was encoded, and all conditions checked, before that wait.

The request now carries a function that the client calls after the wait. It returns the headers with the time that is left then, or why the request may not be sent any more: the deadline has passed, the key is gone, the engine drains, pauses, is evacuated, delisted or no longer allowed, and for a further attempt a planned stop without room or a blocked prompt. A withheld request fails as not run, counts as unsent and not against its engine, and the next endpoint is tried. Requests that don't wait are sent as before; the function isn't called for them.

Not asked again: the limit of the engine and the retry budget, which counted the request when it was granted.

--- a/packages/forwarder/src/calls/attempt-errors.ts
+++ b/packages/forwarder/src/calls/attempt-errors.ts
@@ -1,8 +1,15 @@
-/** Errors of attempts that have failed without a failure of their connection. */
+/** Errors of attempts that have failed without a failure of their connection, and what errors say of endpoints. */
 import { AnswerFault } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { ResponseHead } from './call-protocol.ts';
 
+/** Codes of failed attempts that say nothing against their endpoints. */
+const SOUND_CODES = new Set([
+  ErrorCode.QueueFull,
+  ErrorCode.StreamNotResumable,
+  ErrorCode.Cancelled,
+]);
+
 /** The endpoint has said nothing for long, and another one goes on. */
 export function createStallError(): RequestError {
   return new RequestError('the stream fell silent', {
@@ -23,6 +30,17 @@
   return new RequestError(message, { code, verdict: Verdict.MayHaveRun });
 }
 
+/** The attempt waited, and may not be sent any more. */
+export function createWithheldError(obstacle: string): RequestError {
+  const message = `the request may not be sent any more: ${obstacle}`;
+  return new RequestError(message, { code: ErrorCode.Cancelled, verdict: Verdict.NotRun });
+}
+
+/** Whether an error tells against the endpoint of its attempt: not if that refused it, or if it wasn't to get it. */
+export function isEndpointFailure({ code }: RequestError): boolean {
+  return !SOUND_CODES.has(code);
+}
+
 function createRefusalError({ status }: ResponseHead): RequestError {
   return new RequestError(`the endpoint refused with ${status}`, {
     code: ErrorCode.QueueFull,
--- a/packages/forwarder/src/calls/attempt-planner.ts
+++ b/packages/forwarder/src/calls/attempt-planner.ts
@@ -7,6 +7,7 @@
 import type { RouterState } from '../router-state.ts';
 import type { CallHead } from './call-protocol.ts';
 import type { CallPlacer } from './call-placer.ts';
+import { EndpointObstacle } from './endpoint-evaluator.ts';
 import type { Placement } from './endpoint-evaluator.ts';
 import type { StreamBinding } from './stream-binding.ts';
 
@@ -90,11 +91,10 @@
 
   /** Selects the best endpoint apart from the incarnation `other`; undefined if none is available. */
   selectEndpoint({ other, maxWaitMs }: EndpointSelection = {}): Placement | undefined {
-    const { state, route, pool, workspace, head, placer, body, binding } = this.options;
+    const { route, pool, head, placer, body } = this.options;
     const excluded = other === undefined ? this.excluded : new Set([...this.excluded, other]);
     const bodyBytes = body?.length ?? 0;
-    const allows = (endpoint: Endpoint): boolean =>
-      binding.allows(endpoint) && state.allowsRegion(endpoint, route, workspace);
+    const allows = (endpoint: Endpoint): boolean => this.allows(endpoint);
     return placer.place({
       route,
       pool,
@@ -106,6 +106,26 @@
     });
   }
 
+  /**
+   * Why an attempt that has waited since it was granted may not be sent any more; undefined if it may. What it was
+   * counted against, such as the retry budget and the limit of its endpoint, has room for it all the same.
+   */
+  findSendObstacle(
+    { record }: Placement,
+    isFurther: boolean,
+  ): RetryObstacle | EndpointObstacle | undefined {
+    const { state, isKeyValid, fitsStop, suspectHashes, placer } = this.options;
+    const { endpoint } = record;
+    if (!isKeyValid()) return RetryObstacle.Key;
+    if (isFurther && !fitsStop()) return RetryObstacle.Stop;
+    // A first attempt may be the one for which others with its prompt are held back.
+    if (isFurther && state.poison.findBlocked(suspectHashes) !== undefined)
+      return RetryObstacle.Poison;
+    if (state.endpoints.find(endpoint.id) !== record) return EndpointObstacle.Gone;
+    if (!this.allows(endpoint)) return EndpointObstacle.NotAllowed;
+    return placer.evaluator.findClosure(record);
+  }
+
   /** Selects an endpoint for a further attempt and takes a retry from the budget; undefined if not granted. */
   acquireRetry(): Placement | undefined {
     const result = this.tryAcquire();
@@ -114,6 +134,11 @@
     return isObstacle ? undefined : result;
   }
 
+  private allows(endpoint: Endpoint): boolean {
+    const { state, route, workspace, binding } = this.options;
+    return binding.allows(endpoint) && state.allowsRegion(endpoint, route, workspace);
+  }
+
   private tryAcquire(): Placement | RetryObstacle {
     const { state, pool, isKeyValid, fitsStop, suspectHashes } = this.options;
     if (this.unsent > MAX_UNSENT_ATTEMPTS) return RetryObstacle.Unreachable;
--- a/packages/forwarder/src/calls/attempt-sender.ts
+++ b/packages/forwarder/src/calls/attempt-sender.ts
@@ -1,7 +1,9 @@
 /** Sends the attempts of one call, and records each with what the router knows of the endpoint and the workspace. */
 import type { AnswerCheck } from '@poplarpick/decisions';
+import type { RequestError } from '@poplarpick/kernel';
 import { sharedSegments } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
+import { createWithheldError } from './attempt-errors.ts';
 import type { AttemptPlanner } from './attempt-planner.ts';
 import type { CallAdmission } from './call-admission.ts';
 import { CallAttempt } from './call-attempt.ts';
@@ -23,14 +25,14 @@
   admission: CallAdmission;
   planner: AttemptPlanner;
   reporter: CallReporter;
+  /** Monotonic time of the call's deadline, in ms. */
+  deadlineAt: number;
 }
 
 /** Where and how an attempt is sent. */
 export interface AttemptOptions {
   placement: Placement;
   check: AnswerCheck;
-  /** Time until the deadline of the call, in ms. */
-  remainingMs: number;
   /** Id of the event after which a stream goes on; undefined to send the request as the caller did. */
   resumeAfter: number | undefined;
 }
@@ -57,8 +59,8 @@
 
   /** Sends an attempt; `onCreated` gets it before its request is written. */
   send(attemptOptions: AttemptOptions, onCreated: (attempt: CallAttempt) => void): void {
-    const { state, head, workspace, body, binding, handler, reporter } = this.options;
-    const { placement, check, remainingMs, resumeAfter } = attemptOptions;
+    const { state, head, body, binding, handler, planner, reporter } = this.options;
+    const { placement, check } = attemptOptions;
     this.sent += 1;
     this.record(placement);
     const { prompt } = head;
@@ -66,19 +68,39 @@
     const { clock } = state;
     const attempt = new CallAttempt({ handler, placement, check, clock, kvCacheTokens });
     onCreated(attempt);
-    const headers = state.protocol.encodeAttempt({
+    const headers = this.encode(attemptOptions);
+    const { method, target, requestId } = head;
+    reporter.recordSent(placement, this.sent, this.remainingMs());
+    const { isBound } = binding;
+    const isFurther = this.sent + planner.unsentAttempts > 1;
+    const renew = (): string[] | RequestError => this.renew(attemptOptions, isFurther);
+    const request = { method, target, requestId, headers, body, isBound, renew };
+    attempt.request = placement.record.client.send(request, attempt);
+  }
+
+  /** The headers of an attempt that has waited, or why it may not be sent any more. */
+  private renew(attemptOptions: AttemptOptions, isFurther: boolean): string[] | RequestError {
+    if (this.remainingMs() <= 0) return createWithheldError('deadline');
+    const { placement } = attemptOptions;
+    const obstacle = this.options.planner.findSendObstacle(placement, isFurther);
+    return obstacle === undefined ? this.encode(attemptOptions) : createWithheldError(obstacle);
+  }
+
+  private encode({ placement, resumeAfter }: AttemptOptions): string[] {
+    const { state, head, workspace } = this.options;
+    return state.protocol.encodeAttempt({
       call: head,
       endpoint: placement.record.endpoint,
-      remainingMs,
+      remainingMs: this.remainingMs(),
       workspace,
       resumeAfter,
       fetchFrom: placement.transfer?.source.address,
     });
-    const { method, target, requestId } = head;
-    reporter.recordSent(placement, this.sent, remainingMs);
-    const { isBound } = binding;
-    const request = { method, target, requestId, headers, body, isBound };
-    attempt.request = placement.record.client.send(request, attempt);
+  }
+
+  private remainingMs(): number {
+    const { deadlineAt, state } = this.options;
+    return deadlineAt - state.clock.monotonic();
   }
 
   private record(placement: Placement): void {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -18,7 +18,7 @@
 import { hashRequest } from '../poison/request-hash.ts';
 import { sharedSegmentHashes } from '../router-state.ts';
 import type { RouterState } from '../router-state.ts';
-import { createFaultError, createStallError } from './attempt-errors.ts';
+import { createFaultError, createStallError, isEndpointFailure } from './attempt-errors.ts';
 import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
 import { AttemptSender } from './attempt-sender.ts';
@@ -118,7 +118,8 @@
     });
     this.evidence = new AttemptEvidence({ state: options.state, suspectHashes });
     this.reporter = new CallReporter({ ...options, segmentHashes, requestHash });
-    const { admission, planner, reporter } = this;
+    this.deadlineAt = callDeadlineAt(head, options.route, options.arrivedAt);
+    const { admission, planner, reporter, deadlineAt } = this;
     this.sender = new AttemptSender({
       ...options,
       binding,
@@ -126,10 +127,10 @@
       admission,
       planner,
       reporter,
+      deadlineAt,
     });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
-    this.deadlineAt = callDeadlineAt(head, options.route, options.arrivedAt);
   }
 
   /** Selects an endpoint and sends the call there, or refuses the call. */
@@ -272,8 +273,7 @@
     const wasRefused = error.code === ErrorCode.QueueFull;
     if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
     else if (!wasRefused) this.sender.uncount();
-    const isOtherProcess = error.code === ErrorCode.StreamNotResumable;
-    if (!wasRefused && !isOtherProcess) record.load.recordFailure(this.now());
+    if (isEndpointFailure(error)) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
     this.reporter.recordFailedAttempt(attempt, error, this.response.sentEventId);
@@ -388,8 +388,7 @@
     const { response } = this;
     const { resumeAfter } = response;
     const check = response.createCheck();
-    const remainingMs = this.remainingMs();
-    this.sender.send({ placement, check, remainingMs, resumeAfter }, (attempt) => {
+    this.sender.send({ placement, check, resumeAfter }, (attempt) => {
       this.attempt = attempt;
     });
   }
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -99,6 +99,8 @@
   Failed = 'failed',
   /** It is in a region that may not see the request, or can't go on with its stream. */
   NotAllowed = 'not-allowed',
+  /** Its entry is gone. */
+  Gone = 'gone',
 }
 
 /** Evaluates endpoints for requests. */
@@ -132,17 +134,27 @@
     request: PlacementRequest,
     now = this.state.clock.monotonic(),
   ): EndpointObstacle | undefined {
-    const { endpoint, availability, client, incarnation } = record;
+    const { endpoint, client, incarnation } = record;
     const { excluded, allows = () => true } = request;
-    if (availability.isDraining) return EndpointObstacle.Draining;
-    if (!availability.takesRequests(now)) return EndpointObstacle.Paused;
-    if (this.state.evacuations.has(endpoint.dataCentre)) return EndpointObstacle.Evacuated;
+    const closure = this.findClosure(record, now);
+    if (closure !== undefined) return closure;
     if (excluded.has(incarnation)) return EndpointObstacle.Failed;
     if (client.isFull) return EndpointObstacle.Full;
     if (!allows(endpoint)) return EndpointObstacle.NotAllowed;
     return this.state.warmUps.isHeld(record) ? EndpointObstacle.Cold : undefined;
   }
 
+  /** Why an endpoint takes no new request at all; undefined if it takes some. */
+  findClosure(
+    { endpoint, availability }: EndpointRecord,
+    now = this.state.clock.monotonic(),
+  ): EndpointObstacle | undefined {
+    if (availability.isDraining) return EndpointObstacle.Draining;
+    if (!availability.takesRequests(now)) return EndpointObstacle.Paused;
+    const isEvacuated = this.state.evacuations.has(endpoint.dataCentre);
+    return isEvacuated ? EndpointObstacle.Evacuated : undefined;
+  }
+
   private evaluateModelEndpoints(
     available: readonly EndpointRecord[],
     pool: string,
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -134,19 +134,28 @@
     for (const connection of this.connections) this.discard(connection);
   }
 
-  /** Sends a bound request once the process behind its connection has proved to be the one that the entry names. */
+  /**
+   * Sends a bound request once the process behind its connection has proved to be the one that the entry names, if it
+   * may still be sent then.
+   */
   private async sendProved(
     connection: EndpointConnection,
     request: OutgoingRequest,
     endpointRequest: EndpointRequest,
   ): Promise<void> {
     const finding = await this.proof.askBehind(connection);
-    if (endpointRequest.isWaiting && endpointRequest.canUse(connection)) {
-      connection.dispatch(request, endpointRequest);
+    if (!endpointRequest.isWaiting || !endpointRequest.canUse(connection)) {
+      this.discard(connection);
+      endpointRequest.refuse(finding);
+      return;
+    }
+    const headers = request.renew?.() ?? request.headers;
+    if (headers instanceof RequestError) {
+      this.discard(connection);
+      endpointRequest.withhold(headers);
       return;
     }
-    this.discard(connection);
-    endpointRequest.refuse(finding);
+    connection.dispatch({ ...request, headers }, endpointRequest);
   }
 
   /**
@@ -260,6 +269,11 @@
     this.fail(`a stream can't go on here, process: ${finding}`, Verdict.NotRun, code);
   }
 
+  /** Fails the request, which wasn't sent, since it may not be sent any more. */
+  withhold({ message, code }: RequestError): void {
+    this.fail(message, Verdict.NotRun, code);
+  }
+
   /** Aborts the request and closes its connection, without calling the observer. */
   abort(): void {
     if (this.isEnded) return;
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { buildConnector, Dispatcher } from 'undici';
-import type { Clock } from '@poplarpick/kernel';
+import type { Clock, RequestError } from '@poplarpick/kernel';
 import { connectEndpoint } from './endpoint-connector.ts';
 import { ProgressGuard } from './progress-guard.ts';
 import { RefusedIds } from './refused-ids.ts';
@@ -29,6 +29,11 @@
   requestId: string;
   /** Only the process that the endpoint's entry names may get the request; any by default. */
   isBound?: boolean;
+  /**
+   * Called if the request had to wait, at the moment of its send: returns the headers that hold then, or why it may not
+   * be sent any more. By default it is sent as it is.
+   */
+  renew?: () => string[] | RequestError;
 }
 
 /** What is known of one socket of a connection. */
