No list proves a process after another one has answered at its address (ORDER)

What callers see: an engine has been upgraded in place, the router has been told so and has logged endpoint.replaced; 1.6 s later a stream of the new process counts as one of the version in the old entry, and goes on at that version.

Cause: ProcessProof took every later list that still named the entry for evidence, whatever a process had answered. Lists from before that answer still count: a stream that they proved goes on elsewhere after its engine has started again (unframed-ends.test.ts).

--- a/packages/forwarder/src/endpoints/process-proof.ts
+++ b/packages/forwarder/src/endpoints/process-proof.ts
@@ -61,9 +61,12 @@
     return this.options.startedAt === 0 || hasTold || this.evidence.covers(openedAt);
   }
 
-  /** Records that the incarnation was in a list of endpoints that was complete at monotonic time `at`, in ms. */
+  /**
+   * Records that the incarnation was in a list of endpoints that was complete at monotonic time `at`, in ms. Once
+   * another process has answered, the entry is out of date, and lists prove nothing more.
+   */
   recordListed(at: number): void {
-    this.evidence.recordListed(at);
+    if (!this.hasOtherAnswered) this.evidence.recordListed(at);
   }
 
   /**
