--- a/packages/bench/src/stream-day/day-faults.ts
+++ b/packages/bench/src/stream-day/day-faults.ts
@@ -32,6 +32,7 @@
   anyShare: 0.35,
   any: [EngineConduct.Reset, EngineConduct.Close],
 };
+const EMPTY_TAKE_UPS: ConductPlan = { ...FAULTY_TAKE_UPS, takeUp: [EngineConduct.NoEvents] };
 /** Share of the engines whose conduct changes in a fault. */
 const CONDUCT_SHARE = 0.7;
 const RELEASE_SHARE = 0.45;
@@ -136,6 +137,7 @@
   [DayFaultKind.SlowLink]: withLink(Fault.Latency),
   [DayFaultKind.GarbledAnswers]: withConducts(GARBLED),
   [DayFaultKind.FaultyTakeUps]: withConducts(FAULTY_TAKE_UPS),
+  [DayFaultKind.EmptyTakeUps]: withConducts(EMPTY_TAKE_UPS),
   [DayFaultKind.KillRouter]: withRouter(async (router, { durationMs }) => {
     await router.end('SIGKILL');
     await sleep(durationMs);
--- a/packages/stand-ins/src/stream-engine/engine-conduct.ts
+++ b/packages/stand-ins/src/stream-engine/engine-conduct.ts
@@ -56,7 +56,6 @@
   EngineConduct.Error,
   EngineConduct.ErrorWithoutSeal,
   EngineConduct.NoStream,
-  EngineConduct.NoEvents,
   EngineConduct.SkipEvent,
   EngineConduct.RepeatEvent,
   EngineConduct.FromStart,
