--- a/packages/bench/src/stream-day/day-faults.ts
+++ b/packages/bench/src/stream-day/day-faults.ts
@@ -32,7 +32,12 @@
   anyShare: 0.35,
   any: [EngineConduct.Reset, EngineConduct.Close],
 };
-const EMPTY_TAKE_UPS: ConductPlan = { ...FAULTY_TAKE_UPS, takeUp: [EngineConduct.NoEvents] };
+const EMPTY_TAKE_UPS: ConductPlan = {
+  ...FAULTY_TAKE_UPS,
+  takeUpShare: 1,
+  takeUp: [EngineConduct.NoEvents],
+  anyShare: 0.5,
+};
 /** Share of the engines whose conduct changes in a fault. */
 const CONDUCT_SHARE = 0.7;
 const RELEASE_SHARE = 0.45;
