--- a/packages/forwarder/src/calls/beginning-proof.ts
+++ b/packages/forwarder/src/calls/beginning-proof.ts
@@ -1,7 +1,8 @@
 /**
- * Proves that the process which began a stream is the one that its endpoint's entry named. A list of endpoints that is
- * complete some time after the connection was opened proves it at no cost. Where it is needed before, the process is
- * asked; if that has ended meanwhile, the list has to do.
+ * Proves that the process which began a stream is the one that its endpoint's entry named. Lists of endpoints that are
+ * complete for some time after the connection was opened prove it at no cost. The first stream of a newer connection
+ * asks the process. Where the proof is needed before, the process is asked again; if that has ended meanwhile, the list
+ * has to do, unless that takes too long.
  */
 import type { Endpoint, StreamOrigin } from '@poplarpick/decisions';
 import type { EndpointRequest } from '../endpoints/endpoint-client.ts';
@@ -9,6 +10,9 @@
 import type { RouterState } from '../router-state.ts';
 import { FRESH_LIST_MS } from '../streams/stream-origins.ts';
 
+/** Longest wait until a list of endpoints could prove the process, in ms. */
+const MAX_LIST_WAIT_MS = 1_500;
+
 /** Longest wait for a confirmation of the list of endpoints once it would prove the process, in ms. */
 const MAX_CONFIRMATION_WAIT_MS = 400;
 
@@ -45,6 +49,11 @@
     return this.options.state.streams.confirmations.ageMs > FRESH_LIST_MS;
   }
 
+  /** Asks the process while it lives, so that its end leaves the proof. */
+  askEarly(): Promise<void> {
+    return this.options.request.askEarly();
+  }
+
   /** Resolves to whether the process is proved. */
   prove(): Promise<boolean> {
     this.result ??= this.find();
@@ -64,6 +73,7 @@
     const { clock, streams, endpoints } = state;
     const { provableAt } = request;
     const waitMs = provableAt - clock.monotonic();
+    if (waitMs > MAX_LIST_WAIT_MS) return;
     if (waitMs > 0) await new Promise<void>((resolve) => clock.after(waitMs, resolve));
     if (endpoints.find(endpoint.id)?.endpoint.startedAt !== endpoint.startedAt) return;
     await streams.confirmations.waitSince(provableAt, MAX_CONFIRMATION_WAIT_MS);
--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -76,6 +76,7 @@
     this.keys = toStreamKeys({ workspace, requestId: resumedRequestId ?? requestId, prompt });
     this.proof = new BeginningProof({ state, endpoint, origin, request });
     if (this.proof.isProved) this.settle(true);
+    else void this.proof.askEarly().then(() => this.checkProof());
   }
 
   /**
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -253,6 +253,18 @@
     return this.options.proof.askAnew();
   }
 
+  /**
+   * Asks the process while it lives, unless it is proved, is known to be another one, or was asked for its socket;
+   * `isProved` may hold afterwards.
+   */
+  async askEarly(): Promise<void> {
+    const { socket } = this;
+    const { proof } = this.options;
+    if (socket === undefined || this.isProved || proof.isReplaced || socket.wasAskedEarly) return;
+    socket.wasAskedEarly = true;
+    await proof.askAnew();
+  }
+
   /** Fails the request, which wasn't sent, since the process that the entry names isn't proved to be there. */
   refuse(finding: ProcessFinding): void {
     const isSilent = finding === ProcessFinding.Silent;
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -39,6 +39,8 @@
   openedAt: number;
   /** Over it, the process has named the start that the endpoint's entry names. */
   hasTold: boolean;
+  /** The process behind it was asked early. */
+  wasAskedEarly: boolean;
 }
 
 /** Receives the response to a request. */
@@ -172,5 +174,5 @@
 }
 
 function createSocket(openingAt: number): EndpointSocket {
-  return { openingAt, openedAt: Number.POSITIVE_INFINITY, hasTold: false };
+  return { openingAt, openedAt: Number.POSITIVE_INFINITY, hasTold: false, wasAskedEarly: false };
 }
