--- a/packages/forwarder/src/calls/beginning-proof.ts
+++ b/packages/forwarder/src/calls/beginning-proof.ts
@@ -50,8 +50,8 @@
   }
 
   /** Asks the process while it lives, so that its end leaves the proof. */
-  askEarly(): Promise<void> {
-    return this.options.request.askEarly();
+  async askEarly(): Promise<void> {
+    await this.options.request.askEarly();
   }
 
   /** Resolves to whether the process is proved. */
@@ -63,7 +63,10 @@
   private async find(): Promise<boolean> {
     const { request } = this.options;
     if (request.isProved) return true;
-    const finding = await request.askProcess();
+    const early = await request.askEarly();
+    if (request.isProved) return true;
+    const isFinal = early === ProcessFinding.Other || early === ProcessFinding.Unnamed;
+    const finding = isFinal ? early : await request.askProcess();
     if (finding !== ProcessFinding.Other && !request.isProved) await this.waitForList();
     return request.isProved;
   }
--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -96,8 +96,10 @@
 
   /** Records that the caller has got the whole stream. */
   recordCompleted(): void {
-    this.proof = undefined;
-    if (this.keys !== undefined) this.options.state.streams.recordCompleted(this.keys);
+    // A caller that lost the end takes the stream up all the same.
+    this.whenProved(() => {
+      if (this.keys !== undefined) this.options.state.streams.recordCompleted(this.keys);
+    });
   }
 
   /** Records that the call has ended; its caller may take the stream up if it isn't whole. */
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -254,15 +254,15 @@
   }
 
   /**
-   * Asks the process while it lives, unless it is proved, is known to be another one, or was asked for its socket;
-   * `isProved` may hold afterwards.
+   * Asks the process while it lives, once for each socket, unless it is proved or known to be another one; `isProved`
+   * may hold afterwards. Resolves to undefined if it wasn't asked.
    */
-  async askEarly(): Promise<void> {
+  async askEarly(): Promise<ProcessFinding | undefined> {
     const { socket } = this;
     const { proof } = this.options;
-    if (socket === undefined || this.isProved || proof.isReplaced || socket.wasAskedEarly) return;
-    socket.wasAskedEarly = true;
-    await proof.askAnew();
+    if (socket === undefined || this.isProved) return undefined;
+    if (!proof.isReplaced) socket.earlyFinding ??= proof.askAnew();
+    return socket.earlyFinding;
   }
 
   /** Fails the request, which wasn't sent, since the process that the entry names isn't proved to be there. */
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '@poplarpick/kernel';
 import { connectEndpoint } from './endpoint-connector.ts';
 import { ProgressGuard } from './progress-guard.ts';
+import type { ProcessFinding } from './process-proof.ts';
 import { RefusedIds } from './refused-ids.ts';
 
 /** Idle time after which a connection is closed, in ms, if the endpoint states no limit of its own. */
@@ -39,8 +40,8 @@
   openedAt: number;
   /** Over it, the process has named the start that the endpoint's entry names. */
   hasTold: boolean;
-  /** The process behind it was asked early. */
-  wasAskedEarly: boolean;
+  /** What the process behind it has answered when the first stream began over it; undefined if it wasn't asked. */
+  earlyFinding: Promise<ProcessFinding> | undefined;
 }
 
 /** Receives the response to a request. */
@@ -174,5 +175,5 @@
 }
 
 function createSocket(openingAt: number): EndpointSocket {
-  return { openingAt, openedAt: Number.POSITIVE_INFINITY, hasTold: false, wasAskedEarly: false };
+  return { openingAt, openedAt: Number.POSITIVE_INFINITY, hasTold: false, earlyFinding: undefined };
 }
