--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -29,6 +29,8 @@
   private hasBegun = false;
   /** The proof of the origin, until its result is known. */
   private proof: BeginningProof | undefined;
+  /** Called once that is recorded. */
+  private onSettled: (() => void) | undefined;
   /** Undefined until the origin of the stream is recorded. */
   private keys: StreamKeys | undefined;
 
@@ -75,6 +77,7 @@
     const { prompt, resumedRequestId, requestId } = head;
     this.keys = toStreamKeys({ workspace, requestId: resumedRequestId ?? requestId, prompt });
     this.proof = new BeginningProof({ state, endpoint, origin, request });
+    if (!this.proof.isProved) this.onSettled = state.streams.pending.begin(this.keys);
     if (this.proof.isProved) this.settle(true);
     else void this.proof.askEarly().then(() => this.checkProof());
   }
@@ -121,6 +124,7 @@
     const { endpoint, origin } = proof;
     this.origin = isProved ? origin : unprovedOrigin(origin.pool);
     state.streams.recordBegun(keys, this.origin, route);
+    this.onSettled?.();
     if (isProved) return;
     state.log.info({
       event: 'stream.origin_unproved',
--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -21,6 +21,9 @@
 /** Longest time that a caller waits for the lists of cached prompts that the router has asked for, in ms. */
 const MAX_LISTS_WAIT_MS = 700;
 
+/** Longest time that a caller waits until the origin of a stream is proved that this router has begun, in ms. */
+const MAX_PROOF_WAIT_MS = 1_200;
+
 /** Period of the check whether they have arrived, in ms. */
 const LISTS_CHECK_PERIOD_MS = 50;
 
@@ -105,6 +108,7 @@
     const arrivedAt = clock.monotonic();
     const keys = toStreamKeys({ workspace, requestId, prompt });
     const key = keys.byRequest ?? keys.byPrompt;
+    const isSettled = key === undefined || (await origins.pending.waitFor(key, MAX_PROOF_WAIT_MS));
     const recorded = key === undefined ? undefined : origins.findRecorded(key);
     if (recorded !== undefined) return createFinding(recorded, OriginProof.Memory);
     const { origin, hasAnswered, wasAsked } = await exchange.ask(keys);
@@ -116,7 +120,8 @@
     const isOutOfTouch = wasAsked && !hasAnswered;
     const cached = isOutOfTouch ? undefined : await this.findCached(prompt, route);
     if (cached !== undefined) return createFinding(cached, OriginProof.CachedPrompt, hasAnswered);
-    const mayBeFoundLater = origins.awaitsLists || isOutOfTouch || inference.isUnconfirmed;
+    const mayBeFoundLater =
+      !isSettled || origins.awaitsLists || isOutOfTouch || inference.isUnconfirmed;
     return {
       origin: undefined,
       proof: undefined,
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -24,6 +24,7 @@
 } from '@poplarpick/decisions';
 import type { Clock } from '@poplarpick/kernel';
 import { ListConfirmations } from '../endpoints/list-confirmations.ts';
+import { PendingOrigins } from './pending-origins.ts';
 import { RouteMoves } from './route-moves.ts';
 import { UntoldStreams } from './untold-streams.ts';
 
@@ -55,6 +56,8 @@
 export class StreamOrigins {
   /** When the list of endpoints was complete. */
   readonly confirmations: ListConfirmations;
+  /** Streams whose origins are being proved. */
+  readonly pending: PendingOrigins;
   private readonly options: StreamOriginsOptions;
   private readonly table = new StreamOriginTable();
   private readonly history: VersionHistory;
@@ -69,6 +72,7 @@
     this.options = options;
     const { clock, isFirstStart } = options;
     this.confirmations = new ListConfirmations({ clock });
+    this.pending = new PendingOrigins(clock);
     this.history = new VersionHistory({ isFirstStart });
     if (isFirstStart) this.awaitedLists = new Set();
   }
