--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -262,6 +262,18 @@
     return this.options.proof.askAnew();
   }
 
+  /**
+   * Asks the process while it lives, once for each socket, unless it is proved or known to be another one; `isProved`
+   * may hold afterwards. Resolves to undefined if it wasn't asked.
+   */
+  async askEarly(): Promise<ProcessFinding | undefined> {
+    const { socket } = this;
+    const { proof } = this.options;
+    if (socket === undefined || this.isProved) return undefined;
+    if (!proof.isReplaced) socket.earlyFinding ??= proof.askAnew();
+    return socket.earlyFinding;
+  }
+
   /** Fails the request, which wasn't sent, since the process that the entry names isn't proved to be there. */
   refuse(finding: ProcessFinding): void {
     const isSilent = finding === ProcessFinding.Silent;
