--- a/packages/fleet/src/callers/api-errors.ts
+++ b/packages/fleet/src/callers/api-errors.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import type { RequestError } from '@poplarpick/kernel';
 import { sendJson } from '../http-gateway.ts';
-import { breakOff } from './break-off.ts';
+import { breakOff } from '../break-off.ts';
 
 /** JSON body of an error response. */
 export interface ErrorBody {
--- a/packages/fleet/src/callers/bounded-write.ts
+++ b/packages/fleet/src/callers/bounded-write.ts
@@ -1,6 +1,6 @@
 /** Backpressure limit for callers that read slowly or not at all. */
 import type { ServerResponse } from 'node:http';
-import { breakOff } from './break-off.ts';
+import { breakOff } from '../break-off.ts';
 
 /** Maximum number of unsent response bytes that are buffered for one caller. */
 export const MAX_CALLER_BUFFER_BYTES = 4 * 1024 * 1024;
--- a/packages/forwarder/src/calls/response-writer.ts
+++ b/packages/forwarder/src/calls/response-writer.ts
@@ -3,6 +3,7 @@
  * response can't be completed, its connection is closed, so that it never looks complete.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { breakOff } from '@poplarpick/fleet/break-off';
 import { endAfterRest } from '@poplarpick/fleet/end-after-rest';
 import type { RequestError } from '@poplarpick/kernel';
 
@@ -74,13 +75,9 @@
     endAfterRest(request, this.response);
   }
 
-  /**
-   * Closes the connection, so that the caller sees that the response is incomplete. A response that is not chunked, to
-   * a caller of HTTP/1.0, would look complete at an orderly end, so its connection is reset.
-   */
+  /** Closes the connection, so that the caller sees that the response is incomplete. */
   abort(): void {
-    if (!this.response.chunkedEncoding) this.response.socket?.resetAndDestroy();
-    this.response.destroy();
+    breakOff(this.response);
   }
 
   private withConnection(headers: readonly string[]): string[] {
