--- a/packages/forwarder/src/explain/route-explainer.ts
+++ b/packages/forwarder/src/explain/route-explainer.ts
@@ -6,8 +6,10 @@
 import type { Endpoint, Route, ShareUsage } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import { z } from 'zod';
+import { callTimeMs } from '../calls/call-deadline.ts';
 import { CallPlacer, refusalReason } from '../calls/call-placer.ts';
 import type { Placement, PlacementRequest } from '../calls/endpoint-evaluator.ts';
+import { findRoute } from '../ingress/call-checks.ts';
 import type { RouterState } from '../router-state.ts';
 
 /** A request as an operator describes it. */
@@ -155,14 +157,14 @@
     const { method, target, host, headers, workspace, bodyBytes } = question;
     const rawHeaders = ['Host', host, ...state.protocol.encodeRequestId('explained'), ...headers];
     const head = state.protocol.decodeCall(method, target, rawHeaders);
-    const route = routes.findRoute(head.host, target.split('?', 1)[0] ?? target);
+    const route = findRoute(head, routes);
     if (route === undefined) throw createError('no route', ErrorCode.PathNotFound);
     if (workspace !== undefined && !routes.hasWorkspace(workspace))
       throw createError('no such workspace', ErrorCode.InvalidApiKey);
     const pool = selectPool(route, head.requestId);
     if (pool === undefined) throw createError('the route has no pool', ErrorCode.NoEndpoint);
     const allows = (endpoint: Endpoint): boolean => state.allowsRegion(endpoint, route, workspace);
-    const remainingMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const remainingMs = callTimeMs(head, route);
     const excluded = new Set<string>();
     const request = { route, pool, prompt: head.prompt, bodyBytes, excluded, allows };
     return { request, route, remainingMs };
