--- a/packages/forwarder/src/calls/stream-binding.ts
+++ b/packages/forwarder/src/calls/stream-binding.ts
@@ -77,9 +77,12 @@
     const { prompt, resumedRequestId, requestId } = head;
     this.keys = toStreamKeys({ workspace, requestId: resumedRequestId ?? requestId, prompt });
     this.proof = new BeginningProof({ state, endpoint, origin, request });
-    if (!this.proof.isProved) this.onSettled = state.streams.pending.begin(this.keys);
-    if (this.proof.isProved) this.settle(true);
-    else void this.proof.askEarly().then(() => this.checkProof());
+    if (this.proof.isProved) {
+      this.settle(true);
+      return;
+    }
+    this.onSettled = state.streams.pending.begin(this.keys);
+    void this.proof.askEarly().then(() => this.checkProof());
   }
 
   /**
