One rule tells where a body ends, for sidecars and routers

The sidecars' connection, the platform's header codec and the endpoint client each had a part of RFC 9112, 6.3: framing by a length or by chunks, and the responses that have no body. They call body-framing.ts now.

--- a/packages/fleet/src/sidecar/engine-connection.ts
+++ b/packages/fleet/src/sidecar/engine-connection.ts
@@ -6,6 +6,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
+import { isFramed, mayHaveBody } from '../body-framing.ts';
 
 /** Time in which an engine that lives accepts a connection, in ms. */
 const ACCEPT_TIMEOUT_MS = 1_000;
@@ -16,10 +17,6 @@
  */
 const KEEP_TIME_MS = 100;
 
-/** Methods and statuses of answers that have no body. */
-const BODILESS_METHOD = 'HEAD';
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Options of an `EngineConnection`. */
 export interface EngineConnectionOptions {
   /** Base URL of the engine. */
@@ -62,8 +59,10 @@
   }
 
   /** Rejects unless an answer whose body has ended is known to be whole. */
-  async requireEnd(head: EngineAnswerHead): Promise<void> {
-    if (isFramed(head)) return;
+  async requireEnd({ method, status, headers }: EngineAnswerHead): Promise<void> {
+    const contentLength = joinValues(headers, 'content-length');
+    const transferEncoding = joinValues(headers, 'transfer-encoding');
+    if (!mayHaveBody(method, status) || isFramed({ contentLength, transferEncoding })) return;
     if (this.wasReset)
       throw new Error('the connection was reset within an answer without a length');
     if (!(await this.keepsConnections()))
@@ -84,17 +83,12 @@
   }
 }
 
-/** Whether a length, chunks or the lack of a body tell where an answer ends. */
-function isFramed({ method, status, headers }: EngineAnswerHead): boolean {
-  if (method === BODILESS_METHOD || BODILESS_STATUSES.has(status)) return true;
-  return headers.some((name, index) => {
-    if (index % 2 !== 0) return false;
-    const value = headers[index + 1] ?? '';
-    return (
-      name.toLowerCase() === 'content-length' ||
-      (name.toLowerCase() === 'transfer-encoding' && /(^|,)\s*chunked\s*$/i.test(value))
-    );
-  });
+/** The values of a header, joined by commas; undefined without one. `name` is in lowercase. */
+function joinValues(headers: readonly string[], name: string): string | undefined {
+  const isValue = (index: number): boolean =>
+    index % 2 === 1 && headers[index - 1]?.toLowerCase() === name;
+  const values = headers.filter((_, index) => isValue(index));
+  return values.length === 0 ? undefined : values.join(',');
 }
 
 /** Resolves to whether a connection is accepted and kept. */
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -6,6 +6,7 @@
  */
 import type { Dispatcher } from 'undici';
 import { provableAt } from '@poplarpick/decisions';
+import { mayHaveBody } from '@poplarpick/fleet/body-framing';
 import { ErrorCode, RequestError, SystemClock, Verdict } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
 import type { ResponseHead, CallProtocol } from '../calls/call-protocol.ts';
@@ -18,8 +19,6 @@
 const MAX_PROOFS = 2;
 
 const MIN_FINAL_STATUS = 200;
-const STATUS_NO_CONTENT = 204;
-const STATUS_NOT_MODIFIED = 304;
 
 /**
  * Most bytes of a discarded response that are read, so that its connection can be reused. More would cost more
@@ -106,7 +105,7 @@
       observer,
       connection,
       proof: this.proof,
-      isBodyless: request.method === 'HEAD',
+      method: request.method,
       isBound: request.isBound ?? false,
       onReleased: () => this.release(connection),
       onUnproved: () => void this.sendProved(connection, request, endpointRequest),
@@ -204,8 +203,7 @@
   observer: ResponseObserver;
   connection: EndpointConnection;
   proof: ProcessProof;
-  /** The response has no body, whatever its head says. */
-  isBodyless: boolean;
+  method: string;
   /** Only the process that the endpoint's entry names may get the request. */
   isBound: boolean;
   /** Called when the connection is free again. */
@@ -331,8 +329,7 @@
     const { protocol, requestId, observer } = this.options;
     const head = protocol.decodeResponse(status, readRawHeaders(controller));
     this.isFramed = head.isFramed;
-    const hasBody = status !== STATUS_NO_CONTENT && status !== STATUS_NOT_MODIFIED;
-    this.needsProof = !head.isFramed && hasBody && !this.options.isBodyless;
+    this.needsProof = !head.isFramed && mayHaveBody(this.options.method, status);
     if (head.requestId !== requestId) {
       observer.onForeignHead(head);
       this.fail('the endpoint answered another request', Verdict.MayHaveRun);
