--- a/packages/bench/src/stream-day/day-router.ts
+++ b/packages/bench/src/stream-day/day-router.ts
@@ -19,15 +19,40 @@
   checkout: string;
   /** Folder for the settings file and the log. */
   folder: string;
+  /** Limits of the process; those of a small site by default. */
+  limits?: Partial<DayRouterLimits>;
 }
 
-const CALLERS_PORT = 8_783;
-const READINESS_PORT = 8_780;
+/** Limits of a router process, as its settings name them. */
+export interface DayRouterLimits {
+  cpuShare: number;
+  cores: number;
+  memoryMb: number;
+  maxFds: number;
+  linkMbps: number;
+  diskMb: number;
+}
+
+/** Port for callers. */
+export const CALLERS_PORT = 8_783;
+/** Port of the readiness check. */
+export const READINESS_PORT = 8_780;
 const CONTROL_PORT = 8_785;
-const PEER_PORTS = [7_400, 7_415];
+/** Ports for traffic between routers, the first and the last. */
+export const PEER_PORTS = [7_400, 7_415] as const;
 const GRACE_S = 8;
 const READINESS_TIMEOUT_MS = 900;
 
+/** Limits of a router of a small site. */
+const LIMITS: DayRouterLimits = {
+  cpuShare: 0.513,
+  cores: 1,
+  memoryMb: 350,
+  maxFds: 4_100,
+  linkMbps: 1_000,
+  diskMb: 0,
+};
+
 /** Bounds of a small site. */
 const BOUNDS = {
   seedLagS: 3,
@@ -78,6 +103,11 @@
     return this.child !== undefined;
   }
 
+  /** Id of the process; undefined if it doesn't run. */
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
   /** Starts the process; `isFirst` on the first start of the whole system. */
   start(isFirst = false): void {
     if (this.child !== undefined) return;
@@ -149,14 +179,7 @@
         ready: `${ip}:${READINESS_PORT}`,
         control: `${ip}:${CONTROL_PORT}`,
       },
-      limits: {
-        cpuShare: 0.513,
-        cores: 1,
-        memoryMb: 350,
-        maxFds: 4_100,
-        linkMbps: 1_000,
-        diskMb: 0,
-      },
+      limits: { ...LIMITS, ...this.options.limits },
       provider: { address: storeAddress, form: 'read', readsPerS: 2_000, historyS: 20 },
     };
   }
--- a/packages/bench/src/stream-day/day-site.ts
+++ b/packages/bench/src/stream-day/day-site.ts
@@ -1,6 +1,5 @@
 /** The processes of a day: a store with a fault proxy before it, engines and routers, on loopback addresses. */
 import { mkdirSync, mkdtempSync, rmSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -11,6 +10,7 @@
 import { DayEngine } from './day-engine.ts';
 import { DAY_ROUTES, DayService } from './day-plan.ts';
 import { DayRouter } from './day-router.ts';
+import { findNetwork } from './loopback-network.ts';
 
 /** Options of a `DaySite`. */
 export interface DaySiteOptions {
@@ -38,7 +38,6 @@
 const READINESS_INTERVAL_MS = 400;
 const READY_TIMEOUT_MS = 20_000;
 const SETTLE_MS = 1_000;
-const TEST_PORT = 8_783;
 
 /** The processes of a day. */
 export class DaySite {
@@ -195,21 +194,3 @@
     tenants: [],
   };
 }
-
-/** Finds a loopback network that no other day uses. */
-async function findNetwork(): Promise<string> {
-  for (let attempt = 0; attempt < 100; attempt += 1) {
-    const number = (process.pid + attempt * 7) % 50_000;
-    const network = `127.${20 + Math.floor(number / 250)}.${1 + (number % 250)}`;
-    if (await isFree(`${network}.${FIRST_ROUTER}`)) return network;
-  }
-  throw new Error('no free loopback network');
-}
-
-async function isFree(host: string): Promise<boolean> {
-  const server = createServer();
-  return new Promise((done) => {
-    server.once('error', () => done(false));
-    server.listen(TEST_PORT, host, () => server.close(() => done(true)));
-  });
-}
