Decisions on what is held for callers: its budget, who yields, which connection closes

Nothing counted what a process holds on behalf of callers: each bound was one for a single body or connection, times an unbounded number of them. These pure decisions say how much may be held (from the memory of the host), which part one request or one owner may have of what is free (dynamic thresholds), who yields when it is full, and which connection of a full listener is closed.

Nothing uses the decisions yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -84,3 +84,7 @@
 export * from './limits/request-rate.ts';
 export * from './warm-up/warm-up.ts';
 export * from './warm-up/warm-up-share.ts';
+export * from './holdings/connection-order.ts';
+export * from './holdings/connection-shares.ts';
+export * from './holdings/memory-shares.ts';
+export * from './holdings/yield-order.ts';
