Requests sent ahead are read at the pace of their answers, on every HTTP listener

Seen: 40 to 300 connections that send requests ahead and read nothing end a router within seconds (heap), at the addresses of callers, readiness, peers and metrics; in the fleet 297 MiB of 256 or the end, at callers' and operators' addresses. Unfinished heads of 60 KB end a router as well.

Cause: Node.js gives its parser a whole block of 64 KiB, in which thousands of requests fit, and stops reading only once unsent responses pass a mark; small responses that wait for their turn don't count there. Heads that don't end cost four times their size and weren't counted at all. Each server was built for itself, so none had a bound.

Change: all HTTP servers are built by a ListenerGuard. It gives the parser one head at a time and none while eight requests of a connection are unanswered; what waits is charged to one memory budget of the process, and yields.

--- a/packages/decisions/src/configuration/settings.ts
+++ b/packages/decisions/src/configuration/settings.ts
@@ -41,6 +41,16 @@
   message_loss: z.number().min(0).max(1),
 });
 
+/** Connections of one listener; more than any router of the planned size has. */
+const DEFAULT_CONNECTIONS = 4_000;
+
+const limitsSchema = z.strictObject({
+  /** Memory that may be held for callers, in MiB; by default a quarter of the heap. */
+  held_mb: z.number().positive().optional(),
+  /** Most connections of callers, and as many links. */
+  connections: z.int().positive().default(DEFAULT_CONNECTIONS),
+});
+
 /** How the processes of a fleet authenticate each other. */
 export enum TrustMode {
   /** No authentication: anyone who can reach an address is trusted. For trials on one machine. */
@@ -79,6 +89,7 @@
   trust: trustSchema,
   log: logSchema.default({ level: 'info' }),
   metrics: metricsSchema.optional(),
+  limits: limitsSchema.default({ connections: DEFAULT_CONNECTIONS }),
   /** Fault injection; for tests only. */
   faults: faultsSchema.optional(),
 };
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -26,6 +26,7 @@
 import {
   configurationKey,
   dispatcherKey,
+  listenersKey,
   openExchangesKey,
   plannedStopsKey,
   requestRecorderKey,
@@ -129,6 +130,9 @@
     const settings = kernel.resolve(routerSettingsKey);
     const bound = await listenGateway(service, {
       address: settings.callers.address,
+      guard: kernel
+        .resolve(listenersKey)
+        .guard({ name: 'callers', maxConnections: Number.POSITIVE_INFINITY }),
       maxHeaderBytes: settings.callers.header_limit_bytes,
       receiveTimeoutMs: settings.callers.receive_timeout_ms,
       onClientError: sendHttpParserError,
--- a/packages/fleet/src/component-keys.ts
+++ b/packages/fleet/src/component-keys.ts
@@ -9,6 +9,7 @@
 import type { HostDirectory } from './platform/host-directory.ts';
 import type { LinkHub } from './link/link-hub.ts';
 import type { LinkTraffic } from './link/link.ts';
+import type { ProcessListeners } from './listening/process-listeners.ts';
 import type { PlannedStops } from './planned-stop/planned-stops.ts';
 import type { Transport } from './trust/transport.ts';
 import type { LinkPlanner } from './link/link-planner.ts';
@@ -27,6 +28,7 @@
 export const identityKey = createComponentKey<ProcessIdentity>('identity');
 export const routerSettingsKey = createComponentKey<RouterSettings>('router settings');
 export const sidecarSettingsKey = createComponentKey<SidecarSettings>('sidecar settings');
+export const listenersKey = createComponentKey<ProcessListeners>('listeners');
 export const linkTrafficKey = createComponentKey<LinkTraffic>('link traffic');
 export const statusBoardKey = createComponentKey<StatusBoard>('status board');
 export const configurationKey = createComponentKey<ConfigurationTask>('configuration');
--- a/packages/fleet/src/http-gateway.ts
+++ b/packages/fleet/src/http-gateway.ts
@@ -2,7 +2,6 @@
  * HTTP servers that use moleculer-web in middleware mode. Routes are moleculer aliases with plain
  * handlers. This module creates the HTTP server itself, so that its limits can be set.
  */
-import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as SocketServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
@@ -11,6 +10,7 @@
 import webGateway from 'moleculer-web';
 import { parseAddress } from './address.ts';
 import { endAfterRest } from './end-after-rest.ts';
+import type { ListenerGuard } from './listening/listener-guard.ts';
 
 /** A request as moleculer-web passes it to a handler. */
 export interface GatewayRequest extends IncomingMessage {
@@ -42,6 +42,7 @@
 /** Options of `listenGateway`. */
 export interface GatewayListenOptions {
   address: string;
+  guard: ListenerGuard;
   maxHeaderBytes: number;
   /** Timeout for receiving the headers, and for receiving the whole request, in milliseconds. */
   receiveTimeoutMs: number;
@@ -93,7 +94,7 @@
     requestTimeout: options.receiveTimeoutMs,
     connectionsCheckingInterval: 500,
   };
-  const server = createServer(serverOptions, gateway.express());
+  const server = options.guard.createHttpServer(serverOptions, gateway.express());
   const { onClientError } = options;
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     if (onClientError === undefined || !socket.writable) socket.destroy();
--- a/packages/fleet/src/operators/app.ts
+++ b/packages/fleet/src/operators/app.ts
@@ -13,6 +13,7 @@
 import {
   configurationKey,
   identityKey,
+  listenersKey,
   linkHubKey,
   routerSettingsKey,
   sidecarSettingsKey,
@@ -90,6 +91,9 @@
         : kernel.resolve(sidecarSettingsKey);
     const bound = await listenGateway(service, {
       address: settings.operators.address,
+      guard: kernel
+        .resolve(listenersKey)
+        .guard({ name: 'operators', maxConnections: Number.POSITIVE_INFINITY }),
       maxHeaderBytes: MAX_HEADER_BYTES,
       receiveTimeoutMs: RECEIVE_TIMEOUT_MS,
     });
--- a/packages/fleet/src/operators/periodic-metrics.ts
+++ b/packages/fleet/src/operators/periodic-metrics.ts
@@ -1,7 +1,7 @@
 /** Plug-in that periodically sends metrics that are not tied to an event: control bytes and queue depth. */
 import { Metric, Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel, Timer } from '@poplarpick/kernel';
-import { dispatcherKey, linkTrafficKey } from '../component-keys.ts';
+import { dispatcherKey, linkTrafficKey, listenersKey } from '../component-keys.ts';
 
 const PERIOD_MS = 10_000;
 
@@ -27,6 +27,7 @@
     const bytes = controlBytes + receivedControlBytes;
     kernel.metrics.increment(Metric.ControlBytes, bytes - this.reportedBytes);
     this.reportedBytes = bytes;
+    kernel.metrics.gauge(Metric.HeldBytes, kernel.resolve(listenersKey).budget.heldBytes);
     if (kernel.role !== Role.Router) return;
     const { backlog } = kernel.resolve(dispatcherKey).readStatus();
     const waiting = backlog.reduce((sum, entry) => sum + entry.count, 0);
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -10,17 +10,21 @@
   SystemClock,
 } from '@poplarpick/kernel';
 import type { Logger, Metrics } from '@poplarpick/kernel';
-import { TraceStore } from '@poplarpick/decisions';
+import { getHeapStatistics } from 'node:v8';
+import { budgetOfHeap, TraceStore } from '@poplarpick/decisions';
 import type { RouterSettings, SidecarSettings } from '@poplarpick/decisions';
 import { parseAddress } from './address.ts';
 import { TracingLogger } from './explain/tracing-logger.ts';
 import { createLinkTraffic } from './link/link.ts';
+import { PressureMetrics } from './listening/pressure-metrics.ts';
+import { ProcessListeners } from './listening/process-listeners.ts';
 import {
   identityKey,
   routerSettingsKey,
   sidecarSettingsKey,
   traceStoreKey,
   linkTrafficKey,
+  listenersKey,
 } from './component-keys.ts';
 import './trust/app.ts';
 import './link/app.ts';
@@ -38,6 +42,8 @@
 import './operators/app.ts';
 import './operators/periodic-metrics.ts';
 
+const BYTES_PER_MB = 1_024 * 1_024;
+
 /** Options of `startRouter` and `startSidecar`. */
 export interface ProcessOptions {
   log?: Logger;
@@ -84,9 +90,18 @@
     incarnation: makeUuid(),
   });
   kernel.provide(linkTrafficKey, createLinkTraffic());
+  const listeners = new ProcessListeners({ clock, log, budgetBytes: readBudget(settings) });
+  listeners.addRecorder(new PressureMetrics(metrics));
+  kernel.provide(listenersKey, listeners);
   return kernel;
 }
 
+/** Memory that may be held for callers, in bytes. */
+function readBudget({ limits }: RouterSettings | SidecarSettings): number {
+  if (limits.held_mb !== undefined) return limits.held_mb * BYTES_PER_MB;
+  return budgetOfHeap(getHeapStatistics().heap_size_limit);
+}
+
 function createMetrics(settings: RouterSettings | SidecarSettings): Metrics {
   if (settings.metrics === undefined) return new NoopMetrics();
   const { ip, port } = parseAddress(settings.metrics.statsd);
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -15,7 +15,7 @@
 import { OriginExchange } from './streams/origin-exchange.ts';
 import { isOriginMessage } from './streams/origin-message.ts';
 import { ResumptionResolver } from './streams/resumption-resolver.ts';
-import type { RouterBounds } from './router-state.ts';
+import type { ProcessLimits, RouterBounds } from './router-state.ts';
 
 /** Time in which callers get the last answers after all calls were ended, in ms. */
 const LAST_ANSWERS_MS = 250;
@@ -36,6 +36,8 @@
   /** Output that the log writes to. */
   logOutput?: LogOutput | undefined;
   bounds: RouterBounds;
+  /** Limits of the host; those of a small host by default. */
+  limits?: ProcessLimits | undefined;
   /** Extra work that hedges may cause, as a fraction of the work of first attempts; 0 by default, which is off. */
   hedgeExtraWork?: number | undefined;
   /** Time between the signal to stop and the end of the process, in ms. */
@@ -89,6 +91,7 @@
       address: options.peersAddress,
       routersOf: (name) => this.peers.knownRouters(name),
       bounds,
+      limits: options.limits,
       hedgeExtraWork: options.hedgeExtraWork,
       isFirstStart,
       logOutput,
@@ -116,8 +119,10 @@
       }),
       onSuspension,
     });
+    const { listeners } = this.state;
     this.readiness = new ReadinessServer({
       address: options.readinessAddress,
+      guard: listeners.guard({ name: 'readiness', maxConnections: Number.POSITIVE_INFINITY }),
       path: options.readinessPath,
       isReady: () => this.checkReadiness(),
     });
@@ -135,6 +140,7 @@
     });
     this.stateServer = new StateServer({
       address: options.peersAddress,
+      guard: listeners.guard({ name: 'peers', maxConnections: Number.POSITIVE_INFINITY }),
       state: this.state,
       explainer: new RouteExplainer({
         address: options.peersAddress,
@@ -169,7 +175,11 @@
     this.stateFollower.open();
     this.origins.open();
     const { metricsAddress } = this.options;
-    if (metricsAddress !== undefined) await this.state.metrics.open(metricsAddress);
+    if (metricsAddress !== undefined) {
+      const { metrics, listeners } = this.state;
+      const maxConnections = Number.POSITIVE_INFINITY;
+      await metrics.open(metricsAddress, listeners.guard({ name: 'metrics', maxConnections }));
+    }
     await this.readiness.open();
     await this.ingress.open();
   }
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -2,7 +2,7 @@
  * HTTP server for callers. Reads each request completely, checks it and starts a `Call` for it. Node's
  * own parser rejects requests that could smuggle a second one.
  */
-import { createServer, STATUS_CODES } from 'node:http';
+import { STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { StreamOrigin } from '@poplarpick/decisions';
@@ -46,6 +46,10 @@
 /** Period of the server's check for callers that exceed the header timeout, in ms. */
 const TIMEOUT_CHECK_PERIOD_MS = 500;
 
+/** Last bytes of a connection whose input there is no room for: nothing of it has run or will run. */
+const NO_MEMORY_RESPONSE =
+  'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.50\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
 /** Options of a `CallIngress`. */
 export interface CallIngressOptions {
   address: string;
@@ -88,7 +92,14 @@
     this.stallsCheckedAt = options.state.clock.monotonic();
     this.placer = new CallPlacer(options.state);
     this.bodies = new AwaitedBodies(options.state);
-    this.server = createServer(
+    const { address, state } = options;
+    const guard = state.listeners.guard({
+      name: 'callers',
+      maxConnections: Number.POSITIVE_INFINITY,
+      maxHeadBytes: () => state.callerLimits.headerBytes,
+      onInputRefused: (socket) => this.connections.of(socket).rejectRest(NO_MEMORY_RESPONSE),
+    });
+    this.server = guard.createHttpServer(
       {
         maxHeaderSize: PARSER_HEADER_BYTES,
         headersTimeout: options.state.callerLimits.headerTimeoutMs,
@@ -104,8 +115,7 @@
       this.respondToParserError(error, socket as Socket);
     });
     this.server.on('timeout', (socket) => void closeIfIdle(socket));
-    const { address, state } = options;
-    this.listener = new CallerListener({ address, server: this.server, log: state.log });
+    this.listener = new CallerListener({ address, server: this.server, guard, log: state.log });
   }
 
   /** Starts listening. Rejects when the address can't be bound. */
--- a/packages/forwarder/src/ingress/caller-listener.test.ts
+++ b/packages/forwarder/src/ingress/caller-listener.test.ts
@@ -1,7 +1,7 @@
-import { createServer } from 'node:http';
 import { Worker } from 'node:worker_threads';
 import { expect } from 'chai';
-import { createLogger, LogLevel } from '@poplarpick/kernel';
+import { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
+import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import { CallerListener } from './caller-listener.ts';
 
 const CONNECTIONS = 200;
@@ -24,9 +24,11 @@
 
 describe('a listener for callers', () => {
   it('accepts waiting connections in few iterations of a busy event loop', async () => {
-    const server = createServer();
     const log = createLogger({ level: LogLevel.Silent });
-    const listener = new CallerListener({ address: '127.0.0.1:0', server, log });
+    const listeners = new ProcessListeners({ clock: new SystemClock(), log, budgetBytes: 1e6 });
+    const guard = listeners.guard({ name: 'callers', maxConnections: CONNECTIONS });
+    const server = guard.createHttpServer({}, () => undefined);
+    const listener = new CallerListener({ address: '127.0.0.1:0', server, guard, log });
     await listener.open();
     const { port } = server.address() as { port: number };
     let accepted = 0;
--- a/packages/forwarder/src/ingress/caller-listener.ts
+++ b/packages/forwarder/src/ingress/caller-listener.ts
@@ -10,6 +10,7 @@
 import type { Server } from 'node:net';
 import { parseAddress } from '@poplarpick/fleet/address';
 import type { Address } from '@poplarpick/fleet/address';
+import type { ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
 import { describeError } from '@poplarpick/kernel';
 import type { Logger } from '@poplarpick/kernel';
 
@@ -28,6 +29,7 @@
   address: string;
   /** Serves the accepted connections. */
   server: HttpServer;
+  guard: ListenerGuard;
   log: Logger;
 }
 
@@ -60,10 +62,11 @@
 
   /** Adds a listening socket; false if the system doesn't allow another one on the port. */
   private async addAcceptor(address: Address): Promise<boolean> {
-    const { server, log } = this.options;
+    const { server, guard, log } = this.options;
     const acceptor = createServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
       server.emit('connection', socket);
     });
+    guard.watch(acceptor);
     try {
       await listen(acceptor, address);
     } catch (error) {
--- a/packages/forwarder/src/ingress/readiness.ts
+++ b/packages/forwarder/src/ingress/readiness.ts
@@ -1,11 +1,13 @@
 /** Serves the readiness check with which the platform's load balancer decides on new connections. */
-import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { listenOn } from '@poplarpick/fleet/address';
+import { SHORT_EXCHANGES } from '@poplarpick/fleet/listening/listener-guard';
+import type { ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
 
 /** Options of a `ReadinessServer`. */
 export interface ReadinessServerOptions {
   address: string;
+  guard: ListenerGuard;
   path: string;
   isReady: () => boolean;
 }
@@ -17,7 +19,7 @@
 
   constructor(options: ReadinessServerOptions) {
     this.options = options;
-    this.server = createServer((request, response) => {
+    this.server = options.guard.createHttpServer(SHORT_EXCHANGES, (request, response) => {
       const isKnown = request.url?.split('?', 1)[0] === options.path;
       response.statusCode = isKnown ? this.status() : 404;
       response.end();
--- a/packages/forwarder/src/peers/state-server.ts
+++ b/packages/forwarder/src/peers/state-server.ts
@@ -2,9 +2,10 @@
  * Serves a router's copy of the store's state (routes, endpoints and evacuations) to its peers over HTTP, and to
  * operators the explanation of where a request would go.
  */
-import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { listenOn } from '@poplarpick/fleet/address';
+import { SHORT_EXCHANGES } from '@poplarpick/fleet/listening/listener-guard';
+import type { ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
 import { describeError, RequestError } from '@poplarpick/kernel';
 import { routeQuestionSchema } from '../explain/route-explainer.ts';
 import type { RouteExplainer } from '../explain/route-explainer.ts';
@@ -30,6 +31,7 @@
 export interface StateServerOptions {
   /** `IP:port`. */
   address: string;
+  guard: ListenerGuard;
   state: RouterState;
   explainer: Pick<RouteExplainer, 'explain'>;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
@@ -43,7 +45,9 @@
 
   constructor(options: StateServerOptions) {
     this.options = options;
-    this.server = createServer((request, response) => this.respond(request, response));
+    this.server = options.guard.createHttpServer(SHORT_EXCHANGES, (request, response) =>
+      this.respond(request, response),
+    );
   }
 
   /** Rejects when the address can't be bound. */
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -22,6 +22,9 @@
     coldEndpoints: () => 0,
     evacuatedDataCentres: () => 0,
     reportAges: () => ({ local: [30, 10, 20], remote: [] }),
+    heldBytes: () => 0,
+    heldBudgetBytes: () => 0,
+    connections: () => ({}),
   });
 }
 
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -1,8 +1,10 @@
 /** Counters and latency histograms of one router, served in the Prometheus text format. */
-import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import { listenOn } from '@poplarpick/fleet/address';
+import { SHORT_EXCHANGES } from '@poplarpick/fleet/listening/listener-guard';
+import type { ClosingReason, ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
+import { HoldingKind } from '@poplarpick/decisions';
 import type { DrainSource } from '@poplarpick/decisions';
 import { Verdict } from '@poplarpick/kernel';
 
@@ -38,6 +40,12 @@
   /** Data centres that are evacuated. */
   evacuatedDataCentres: () => number;
   reportAges: () => ReportAges;
+  /** Bytes of one kind that are held for callers. */
+  heldBytes: (kind: HoldingKind) => number;
+  /** Bytes that may be held for callers. */
+  heldBudgetBytes: () => number;
+  /** Open connections by listener. */
+  connections: () => Record<string, number>;
 }
 
 /** Ages in ms of the latest report of each live sender. */
@@ -162,6 +170,18 @@
     help: 'Datagrams from other hosts that were no valid report',
     registers: [this.registry],
   });
+  private readonly yields = new Counter({
+    name: 'poplarpick_yields_total',
+    help: 'Requests, answers and connections that were given up for lack of memory, by what was held',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+  private readonly closings = new Counter({
+    name: 'poplarpick_connections_closed_total',
+    help: 'Connections that were closed since their listener was full, by listener and reason',
+    labelNames: ['listener', 'reason'],
+    registers: [this.registry],
+  });
   private server: Server | undefined;
 
   constructor(source: MetricsSource) {
@@ -222,6 +242,20 @@
       'Log lines dropped because the log reader was too slow',
       source.logLinesDropped,
     );
+    this.addGauge(
+      'poplarpick_held_budget_bytes',
+      'Bytes that may be held for callers',
+      source.heldBudgetBytes,
+    );
+    this.addLabelledGauge('poplarpick_held_bytes', 'Bytes that are held for callers', 'kind', () =>
+      Object.fromEntries(Object.values(HoldingKind).map((kind) => [kind, source.heldBytes(kind)])),
+    );
+    this.addLabelledGauge(
+      'poplarpick_connections',
+      'Open connections',
+      'listener',
+      source.connections,
+    );
     this.addReportAges(source.reportAges);
   }
 
@@ -287,14 +321,22 @@
     this.unplacedCalls.inc({ code });
   }
 
+  recordYield(kind: HoldingKind): void {
+    this.yields.inc({ kind });
+  }
+
+  recordClosing(listener: string, reason: ClosingReason): void {
+    this.closings.inc({ listener, reason });
+  }
+
   /** The metrics in the Prometheus text format. */
   async read(): Promise<string> {
     return this.registry.metrics();
   }
 
   /** Serves the metrics over HTTP. Rejects when the address can't be bound. */
-  async open(address: string): Promise<void> {
-    const server = createServer((_request, response) => {
+  async open(address: string, guard: ListenerGuard): Promise<void> {
+    const server = guard.createHttpServer(SHORT_EXCHANGES, (_request, response) => {
       void this.read().then((text) => {
         response.setHeader('Content-Type', this.registry.contentType);
         response.end(text);
@@ -327,6 +369,23 @@
     });
   }
 
+  private addLabelledGauge(
+    name: string,
+    help: string,
+    label: string,
+    read: () => Record<string, number>,
+  ): void {
+    new Gauge({
+      name,
+      help,
+      labelNames: [label],
+      registers: [this.registry],
+      collect() {
+        for (const [value, count] of Object.entries(read())) this.set({ [label]: value }, count);
+      },
+    });
+  }
+
   private addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -5,6 +5,8 @@
  */
 import murmurhash from 'murmurhash';
 import {
+  budgetOfMemory,
+  connectionLimitsOf,
   hashSharedPrefix,
   KeyFreshness,
   LogRateLimiter,
@@ -15,6 +17,7 @@
 } from '@poplarpick/decisions';
 import type {
   CallerLimits,
+  ConnectionLimits,
   Endpoint,
   HashedSegment,
   StoreStateAge,
@@ -23,6 +26,7 @@
   RoutingTable,
   SegmentHash,
 } from '@poplarpick/decisions';
+import { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
 import type { Clock, Logger, LogOutput } from '@poplarpick/kernel';
 import { EndpointClient } from './endpoints/endpoint-client.ts';
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
@@ -69,6 +73,19 @@
   shareWindowMs: number;
 }
 
+/** Limits of the host for one process. */
+export interface ProcessLimits {
+  /** Memory, in bytes. */
+  memoryBytes: number;
+  descriptors: number;
+}
+
+/** Limits of a process whose settings name none. */
+const DEFAULT_PROCESS_LIMITS: ProcessLimits = {
+  memoryBytes: 350 * 1_024 * 1_024,
+  descriptors: 4_096,
+};
+
 /** Options of a `RouterState`. */
 export interface RouterStateOptions {
   clock: Clock;
@@ -76,6 +93,8 @@
   protocol: CallProtocol;
   dataCentre: string;
   bounds: RouterBounds;
+  /** Limits of the host; those of a small host by default. */
+  limits?: ProcessLimits | undefined;
   /** Region of each data centre; empty by default. */
   regions?: ReadonlyMap<string, string> | undefined;
   /** `IP:port` by which the other routers know this one. */
@@ -117,6 +136,8 @@
   readonly pools: PoolStates;
   readonly stop: PlannedStop;
   readonly metrics: RouterMetrics;
+  readonly listeners: ProcessListeners;
+  readonly connectionLimits: ConnectionLimits;
   private readonly regions: ReadonlyMap<string, string>;
   private readonly reports: RouterReports;
   /** Hash of the list of endpoints, and the state of the directory that it belongs to. */
@@ -139,6 +160,10 @@
     this.stop = new PlannedStop(options.clock);
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
     this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
+    const { memoryBytes, descriptors } = options.limits ?? DEFAULT_PROCESS_LIMITS;
+    const budgetBytes = budgetOfMemory(memoryBytes);
+    this.listeners = new ProcessListeners({ clock: options.clock, log: options.log, budgetBytes });
+    this.connectionLimits = connectionLimitsOf(descriptors);
     this.metrics = new RouterMetrics({
       keyAgeMs: () => this.freshness.ageMs(this.clock.monotonic()),
       routesVersion: () => this.routeIndex?.table.version ?? 0,
@@ -154,7 +179,14 @@
       coldEndpoints: () => this.warmUps.coldCount,
       evacuatedDataCentres: () => this.evacuations.count,
       reportAges: () => this.peers.reportAges(this.dataCentre, this.clock.monotonic()),
+      heldBytes: (kind) => this.listeners.budget.heldOf(kind),
+      heldBudgetBytes: () => budgetBytes,
+      connections: () =>
+        Object.fromEntries(
+          this.listeners.guards.map(({ name, connectionCount }) => [name, connectionCount]),
+        ),
     });
+    this.listeners.addRecorder(this.metrics);
     this.hedges = new HedgeBudgets(options.hedgeExtraWork);
     this.poison = new PoisonGuard({
       clock: options.clock,
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -19,6 +19,9 @@
   ConfigurationRevision = 'configuration.revision',
   Repairs = 'repairs',
   Orders = 'orders.given',
+  Yields = 'listeners.yields',
+  ConnectionsClosed = 'listeners.connections_closed',
+  HeldBytes = 'listeners.held_bytes',
   CertificateDaysLeft = 'trust.certificate_days_left',
 }
 
--- a/packages/stand-ins/src/stand-in.ts
+++ b/packages/stand-ins/src/stand-in.ts
@@ -3,9 +3,14 @@
 import { ServiceBroker } from 'moleculer';
 import { createGateway, listenGateway } from '@poplarpick/fleet';
 import type { GatewayHandler, GatewayRequest } from '@poplarpick/fleet';
+import type { ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
+import { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
+import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 
 const HEADER_LIMIT_BYTES = 16_384;
 const RECEIVE_TIMEOUT_MS = 30_000;
+const MAX_CONNECTIONS = 10_000;
+const HELD_BYTES = 1e9;
 
 /** Loopback address with a port chosen by the operating system. */
 export const EPHEMERAL_ADDRESS = '127.0.0.1:0';
@@ -48,6 +53,7 @@
     await this.broker.start();
     const listening = await listenGateway(service, {
       address,
+      guard: createGuard(this.name),
       maxHeaderBytes: HEADER_LIMIT_BYTES,
       receiveTimeoutMs: RECEIVE_TIMEOUT_MS,
     });
@@ -77,3 +83,14 @@
 export function readQuery(request: GatewayRequest): URLSearchParams {
   return new URL(request.originalUrl, 'http://stand-in').searchParams;
 }
+
+/** A guard that no test reaches the bounds of. */
+function createGuard(name: string): ListenerGuard {
+  const log = createLogger({ level: LogLevel.Silent });
+  const listeners = new ProcessListeners({
+    clock: new SystemClock(),
+    log,
+    budgetBytes: HELD_BYTES,
+  });
+  return listeners.guard({ name, maxConnections: MAX_CONNECTIONS });
+}
