Each listener has a limit of connections, from the descriptors of its host

Seen: 1,000 idle connections to any listener of a router whose settings allow 700 descriptors: 786 to 1,038 were open. At the host's own limit accept fails, and an error of a listening socket that nobody handles ends the process.

Cause: the settings name the descriptors of a process, no code read them.

--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -132,7 +132,7 @@
       address: settings.callers.address,
       guard: kernel
         .resolve(listenersKey)
-        .guard({ name: 'callers', maxConnections: Number.POSITIVE_INFINITY }),
+        .guard({ name: 'callers', maxConnections: settings.limits.connections }),
       maxHeaderBytes: settings.callers.header_limit_bytes,
       receiveTimeoutMs: settings.callers.receive_timeout_ms,
       onClientError: sendHttpParserError,
--- a/packages/fleet/src/operators/app.ts
+++ b/packages/fleet/src/operators/app.ts
@@ -5,6 +5,7 @@
  */
 import type { Server, ServerResponse } from 'node:http';
 import type { Service } from 'moleculer';
+import { MIN_CONNECTIONS } from '@poplarpick/decisions';
 import { Plugin, registerPlugin, Role } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
 import { matchesKeyHash, readBearerToken } from '../callers/authentication.ts';
@@ -93,7 +94,7 @@
       address: settings.operators.address,
       guard: kernel
         .resolve(listenersKey)
-        .guard({ name: 'operators', maxConnections: Number.POSITIVE_INFINITY }),
+        .guard({ name: 'operators', maxConnections: MIN_CONNECTIONS }),
       maxHeaderBytes: MAX_HEADER_BYTES,
       receiveTimeoutMs: RECEIVE_TIMEOUT_MS,
     });
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -119,10 +119,10 @@
       }),
       onSuspension,
     });
-    const { listeners } = this.state;
+    const { listeners, connectionLimits } = this.state;
     this.readiness = new ReadinessServer({
       address: options.readinessAddress,
-      guard: listeners.guard({ name: 'readiness', maxConnections: Number.POSITIVE_INFINITY }),
+      guard: listeners.guard({ name: 'readiness', maxConnections: connectionLimits.others }),
       path: options.readinessPath,
       isReady: () => this.checkReadiness(),
     });
@@ -140,7 +140,7 @@
     });
     this.stateServer = new StateServer({
       address: options.peersAddress,
-      guard: listeners.guard({ name: 'peers', maxConnections: Number.POSITIVE_INFINITY }),
+      guard: listeners.guard({ name: 'peers', maxConnections: connectionLimits.peers }),
       state: this.state,
       explainer: new RouteExplainer({
         address: options.peersAddress,
@@ -176,8 +176,8 @@
     this.origins.open();
     const { metricsAddress } = this.options;
     if (metricsAddress !== undefined) {
-      const { metrics, listeners } = this.state;
-      const maxConnections = Number.POSITIVE_INFINITY;
+      const { metrics, listeners, connectionLimits } = this.state;
+      const maxConnections = connectionLimits.others;
       await metrics.open(metricsAddress, listeners.guard({ name: 'metrics', maxConnections }));
     }
     await this.readiness.open();
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -95,7 +95,7 @@
     const { address, state } = options;
     const guard = state.listeners.guard({
       name: 'callers',
-      maxConnections: Number.POSITIVE_INFINITY,
+      maxConnections: state.connectionLimits.callers,
       maxHeadBytes: () => state.callerLimits.headerBytes,
       onInputRefused: (socket) => this.connections.of(socket).rejectRest(NO_MEMORY_RESPONSE),
     });
