Bodies are charged to one budget, and refused at their head where nothing helps

Seen: 60 bodies that stop just short of their end (chunks of 256 KiB, a length, without a route, or a byte at a time) hold 346 to 380 MiB of 256; 40 bodies in chunks of one byte end a router or a process of the fleet; 60 whole bodies that no engine answers hold 434 MiB.

Cause: a limit for one body, none for their sum; each chunk was kept as an object of its own with the block it came in; a body was read to its end before its route, its key or its deadline were looked at, and could take for ever.

Change: a body is copied into blocks that are used again and charged to the process's budget before they are kept. If there is no room, the decision says who yields: it is answered 503 with Retry-After (`overloaded`), has not run and won't, and its connection closes. A request that is refused whatever its body is, is refused at its head, unless its body came together with it; one whose deadline passes before its body is whole gets 408.

--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -20,6 +20,7 @@
 } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
 import { parseAddress } from '../address.ts';
+import type { MemoryBudget } from '../listening/memory-budget.ts';
 import { createGateway, listenGateway, sendJson, stopListening } from '../http-gateway.ts';
 import type { GatewayRequest } from '../http-gateway.ts';
 import type { Job } from '../messages.ts';
@@ -65,6 +66,8 @@
   configuration: FleetConfiguration;
   keys: WorkspaceKeys;
   recorder: RequestRecorder;
+  /** The memory that is held for callers. */
+  budget: MemoryBudget;
 }
 
 type CallerHandler = (
@@ -130,9 +133,10 @@
     const settings = kernel.resolve(routerSettingsKey);
     const bound = await listenGateway(service, {
       address: settings.callers.address,
-      guard: kernel
-        .resolve(listenersKey)
-        .guard({ name: 'callers', maxConnections: settings.limits.connections }),
+      guard: kernel.resolve(listenersKey).guard({
+        name: 'callers',
+        maxConnections: settings.limits.connections,
+      }),
       maxHeaderBytes: settings.callers.header_limit_bytes,
       receiveTimeoutMs: settings.callers.receive_timeout_ms,
       onClientError: sendHttpParserError,
@@ -188,19 +192,23 @@
     return async (request: GatewayRequest, response: ServerResponse): Promise<void> => {
       const requestId = makeUuid();
       try {
-        await handler(this.authenticate(request, requestId), request, response);
+        const caller = this.authenticate(request, requestId);
+        await handler(caller, request, response);
       } catch (error) {
-        if (this.draining || this.markedForStop) response.shouldKeepAlive = false;
-        sendRequestError(response, toRequestError(error, Verdict.NotRun), requestId);
+        const failure = toRequestError(error, Verdict.NotRun);
+        const isFull = failure.code === ErrorCode.Overloaded;
+        if (isFull || this.draining || this.markedForStop) response.shouldKeepAlive = false;
+        sendRequestError(response, failure, requestId);
       }
     };
   }
 
   private authenticate(request: GatewayRequest, requestId: string): AuthenticatedCaller {
-    const { configuration, keys, recorder } = this;
+    const { configuration, keys, recorder, kernel } = this;
+    if (kernel === undefined || recorder === undefined) throw new Error('not started');
     if (this.draining || this.markedForStop)
       throw createUnavailableError('this router is draining', ErrorCode.Draining);
-    if (configuration === undefined || keys === undefined || recorder === undefined) {
+    if (configuration === undefined || keys === undefined) {
       throw createUnavailableError('this router has no configuration yet', ErrorCode.NoEndpoint);
     }
     const workspace = keys.findWorkspace(readBearerToken(request));
@@ -210,7 +218,8 @@
         verdict: Verdict.NotRun,
       });
     }
-    return { requestId, workspace, configuration, keys, recorder };
+    const { budget } = kernel.resolve(listenersKey);
+    return { requestId, workspace, configuration, keys, recorder, budget };
   }
 }
 
@@ -222,7 +231,8 @@
   dispatcher: Dispatcher,
 ): Promise<void> {
   const { requestId, workspace, configuration } = caller;
-  const chat = parseChatRequest(await readBody(request, settings.callers.body_limit_bytes));
+  const body = await readCallerBody(caller, request, response, settings);
+  const chat = parseChatRequest(body);
   if (!configuration.models.some((model) => model.name === chat.model)) {
     throw new RequestError(`no model is named ${chat.model}`, {
       code: ErrorCode.ModelNotFound,
@@ -256,7 +266,7 @@
     });
   }
   const idempotencyKey = readIdempotencyKey(request.headers);
-  const body = await readBody(request, settings.callers.body_limit_bytes);
+  const body = await readCallerBody(caller, request, response, settings);
   const { workspace } = caller;
   const job = createApplicationJob({
     request,
@@ -270,6 +280,17 @@
   submit({ caller, request, response, settings, dispatcher, job, sink });
 }
 
+/** Reads the body of a request; what is held for the request is released when its response closes. */
+async function readCallerBody(
+  { budget, workspace: owner }: AuthenticatedCaller,
+  request: GatewayRequest,
+  response: ServerResponse,
+  settings: RouterSettings,
+): Promise<Buffer> {
+  const limitBytes = settings.callers.body_limit_bytes;
+  return readBody(request, { response, limitBytes, budget, owner });
+}
+
 function serveModels(
   caller: AuthenticatedCaller,
   _request: GatewayRequest,
--- a/packages/fleet/src/callers/read-body.test.ts
+++ b/packages/fleet/src/callers/read-body.test.ts
@@ -3,7 +3,8 @@
 import { connect } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
-import { RequestError } from '@poplarpick/kernel';
+import { RequestError, SystemClock } from '@poplarpick/kernel';
+import { MemoryBudget } from '../listening/memory-budget.ts';
 import { readBody } from './read-body.ts';
 
 const LIMIT_BYTES = 1_000_000;
@@ -16,8 +17,10 @@
 
 describe('the body of a request', () => {
   it('does not keep the next request from being read if it is over the limit', async () => {
+    const budget = new MemoryBudget({ budgetBytes: 1e9, clock: new SystemClock() });
     const server = createServer((request, response) => {
-      readBody(request, LIMIT_BYTES).then(
+      const options = { response, limitBytes: LIMIT_BYTES, budget, owner: 'space' };
+      readBody(request, options).then(
         (body) => response.end(`read ${body.length}`),
         (error: unknown) => response.end(error instanceof RequestError ? error.code : 'failed'),
       );
--- a/packages/fleet/src/callers/read-body.ts
+++ b/packages/fleet/src/callers/read-body.ts
@@ -1,13 +1,46 @@
-/** Reads request bodies of limited size. */
-import type { IncomingMessage } from 'node:http';
+/** Reads request bodies of limited size into memory that is charged to the process's budget. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HoldingKind } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import { BodyReader } from '../body-reader.ts';
+import type { MemoryBudget } from '../listening/memory-budget.ts';
+import { createNoMemoryError, REQUEST_BYTES } from '../listening/request-holding.ts';
 
-/** Reads the whole body. Rejects with `body_too_large` as soon as it exceeds the limit. */
-export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
+/** Options of `readBody`. */
+export interface ReadBodyOptions {
+  /** The response that ends the request, and with it what is held for it. */
+  response: ServerResponse;
+  limitBytes: number;
+  budget: MemoryBudget;
+  /** The workspace of the request. */
+  owner: string;
+}
+
+/**
+ * Reads the whole body. Rejects with `body_too_large` as soon as it exceeds the limit, and with `overloaded` if there is
+ * no memory for it.
+ */
+export async function readBody(
+  request: IncomingMessage,
+  { response, limitBytes, budget, owner }: ReadBodyOptions,
+): Promise<Buffer> {
+  const holding = budget.open({
+    kind: HoldingKind.AwaitedBody,
+    owner,
+    onYield: () => reader.giveUp(createNoMemoryError()),
+  });
   const createTooLargeError = (): RequestError => createBodyTooLargeError(limitBytes);
-  const body = await new BodyReader(request, { limitBytes, createTooLargeError }).read();
-  return body ?? Buffer.alloc(0);
+  const reader = new BodyReader(request, { limitBytes, createTooLargeError, budget, holding });
+  response.once('close', () => holding.release());
+  try {
+    if (!holding.hold(REQUEST_BYTES)) throw createNoMemoryError();
+    const body = await reader.read();
+    holding.become(HoldingKind.ServedRequest);
+    return body ?? Buffer.alloc(0);
+  } catch (error) {
+    holding.release();
+    throw error;
+  }
 }
 
 function createBodyTooLargeError(limitBytes: number): RequestError {
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -5,6 +5,7 @@
 import { STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { HoldingKind } from '@poplarpick/decisions';
 import type { StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -158,12 +159,15 @@
     const arrivedAt = state.clock.monotonic();
     const isAfterCutoff = this.trackRequest(response);
     const turn = this.connections.of(request.socket).add({ request, response });
-    const writer = new ResponseWriter(response, () => this.shouldCloseConnections());
+    let closes = false;
+    const writer = new ResponseWriter(response, () => closes || this.shouldCloseConnections());
     try {
       await this.accept({ request, response, arrivedAt, isAfterCutoff, turn });
     } catch (error) {
       const failure = toRequestError(error, Verdict.NotRun);
       this.logRefusal(request, failure, arrivedAt);
+      // What still comes of a body that there is no room for isn't worth reading.
+      closes = failure.code === ErrorCode.Overloaded || failure.code === ErrorCode.ReceiveTimeout;
       writer.sendError(failure, request);
     }
   }
@@ -190,7 +194,8 @@
     const { request, response, arrivedAt, isAfterCutoff, turn } = exchange;
     const { method = 'GET', url = '/' } = request;
     if (headBytes(request) > state.callerLimits.headerBytes) throw createHeadTooLargeError();
-    const body = isAfterCutoff ? undefined : await this.bodies.read(exchange);
+    const read = isAfterCutoff ? undefined : await this.bodies.read(exchange);
+    response.once('close', () => read?.holding.release());
     await turn;
     await pollSockets();
     if (hasDisconnected(request)) {
@@ -202,6 +207,8 @@
     const now = state.clock.monotonic();
     if (state.freshness.detectSuspension(now, state.clock.now())) this.options.onSuspension();
     const checked = checkCall(head, state, now);
+    if (checked.workspace !== undefined)
+      read?.holding.become(HoldingKind.ServedRequest, checked.workspace);
     const resumedAfter = readResumedEvent(head, checked.route);
     const origin = resumedAfter === undefined ? undefined : await this.resolveOrigin(head, checked);
     if (origin !== undefined && hasDisconnected(request)) {
@@ -221,7 +228,7 @@
       origin,
       resumedAfter,
       workspace,
-      body,
+      body: read?.body,
       response,
       arrivedAt,
       shouldCloseConnection: () => this.shouldCloseConnections(),
