Answers that aren't taken are charged to the budget, and yield

Seen: 60 callers that don't take answers of 4 MB, or streams with events of 2 MB, hold 422 and 387 MiB of 256.

Cause: an answer is read from its engine as fast as it comes and kept until its caller takes it; each was bounded by 4 MiB, their number by nothing.

Change: what comes in of an answer, and what its caller hasn't taken, is charged to the process's budget. A caller that reads slowly loses nothing unless memory is short.

--- a/packages/decisions/src/forwarding/event-splitter.ts
+++ b/packages/decisions/src/forwarding/event-splitter.ts
@@ -28,11 +28,18 @@
   CarriageReturn,
 }
 
+/** Where the bytes of an incomplete event are kept. */
+export type EventBuffer = Pick<ByteAccumulator, 'length' | 'push' | 'take'>;
+
 /** Buffers chunks and returns the complete events in them. */
 export class EventSplitter {
-  private readonly incomplete = new ByteAccumulator();
+  private readonly incomplete: EventBuffer;
   private lineEnd = LineEnd.None;
 
+  constructor(incomplete: EventBuffer = new ByteAccumulator()) {
+    this.incomplete = incomplete;
+  }
+
   /** Number of buffered bytes that belong to an incomplete event. */
   get pendingBytes(): number {
     return this.incomplete.length;
--- a/packages/fleet/src/callers/app.ts
+++ b/packages/fleet/src/callers/app.ts
@@ -21,6 +21,7 @@
 import type { Kernel } from '@poplarpick/kernel';
 import { parseAddress } from '../address.ts';
 import type { MemoryBudget } from '../listening/memory-budget.ts';
+import { UntakenAnswer } from '../listening/untaken-answer.ts';
 import { createGateway, listenGateway, sendJson, stopListening } from '../http-gateway.ts';
 import type { GatewayRequest } from '../http-gateway.ts';
 import type { Job } from '../messages.ts';
@@ -193,6 +194,8 @@
       const requestId = makeUuid();
       try {
         const caller = this.authenticate(request, requestId);
+        const { budget, workspace: owner } = caller;
+        new UntakenAnswer({ response, budget, owner });
         await handler(caller, request, response);
       } catch (error) {
         const failure = toRequestError(error, Verdict.NotRun);
--- a/packages/fleet/src/callers/bounded-write.ts
+++ b/packages/fleet/src/callers/bounded-write.ts
@@ -1,6 +1,7 @@
 /** Backpressure limit for callers that read slowly or not at all. */
 import type { ServerResponse } from 'node:http';
 import { breakOff } from '../break-off.ts';
+import { UntakenAnswer } from '../listening/untaken-answer.ts';
 
 /** Maximum number of unsent response bytes that are buffered for one caller. */
 export const MAX_CALLER_BUFFER_BYTES = 4 * 1024 * 1024;
@@ -11,6 +12,7 @@
  */
 export function writeBounded(response: ServerResponse, data: Buffer | string): void {
   if (response.destroyed) return;
-  response.write(data);
+  const canContinue = response.write(data);
+  if (!canContinue) UntakenAnswer.of(response)?.record();
   if (response.writableLength > MAX_CALLER_BUFFER_BYTES) breakOff(response);
 }
--- a/packages/forwarder/src/calls/attempt-sender.ts
+++ b/packages/forwarder/src/calls/attempt-sender.ts
@@ -66,7 +66,17 @@
     const { prompt } = head;
     const kvCacheTokens = prompt === undefined ? 0 : prompt.inputTokens + prompt.outputTokens;
     const { clock } = state;
-    const attempt = new CallAttempt({ handler, placement, check, clock, kvCacheTokens });
+    const { budget } = state.listeners;
+    const owner = this.options.workspace ?? '';
+    const attempt = new CallAttempt({
+      handler,
+      placement,
+      check,
+      clock,
+      kvCacheTokens,
+      budget,
+      owner,
+    });
     onCreated(attempt);
     const headers = this.encode(attemptOptions);
     const { method, target, requestId } = head;
--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -2,8 +2,10 @@
  * One attempt of a call at an endpoint: counts in the endpoint's load while it runs, splits a stream
  * into events or buffers the body of another response, and reports the result to the call.
  */
-import { ByteAccumulator, EventSplitter } from '@poplarpick/decisions';
+import { ByteAccumulator, EventSplitter, HoldingKind } from '@poplarpick/decisions';
 import type { AnswerCheck, Endpoint, InFlightRequest, StreamEvent } from '@poplarpick/decisions';
+import { BlockBuffer } from '@poplarpick/fleet/listening/block-pool';
+import type { Holding, MemoryBudget } from '@poplarpick/fleet/listening/memory-budget';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
 import { ResponseObserver } from '../endpoints/endpoint-client.ts';
@@ -23,6 +25,9 @@
 /** Most chunks of a body or an incomplete event: each chunk costs time, also one of a single byte. */
 const MAX_CHUNKS = 131_072;
 
+/** Why an attempt fails whose answer there is no room for. */
+const NO_MEMORY = 'the router holds as much as it can';
+
 /** Receives the events and the result of an attempt. */
 export abstract class AttemptHandler {
   /** Called when the request is being written to the endpoint. */
@@ -59,11 +64,14 @@
   firstEventAt: number | undefined;
   private readonly handler: AttemptHandler;
   private readonly clock: Clock;
-  private readonly splitter = new EventSplitter();
+  private readonly splitter: EventSplitter;
   /** Chunks of the body, or of the incomplete event. */
   private chunks = 0;
-  private readonly body = new ByteAccumulator();
+  private readonly budget: MemoryBudget;
+  private readonly body: BlockBuffer;
   private readonly comments = new ByteAccumulator();
+  /** What is held of the answer until it can be passed on. */
+  private readonly holding: Holding;
   private head: ResponseHead | undefined;
   private isEnded = false;
   private isResponseRejected = false;
@@ -74,6 +82,10 @@
     check: AnswerCheck;
     clock: Clock;
     kvCacheTokens: number;
+    /** The memory that is held for callers. */
+    budget: MemoryBudget;
+    /** For whom the answer is held. */
+    owner: string;
   }) {
     super();
     this.handler = options.handler;
@@ -81,6 +93,15 @@
     this.check = options.check;
     this.endpoint = options.placement.record.endpoint;
     this.clock = options.clock;
+    const { budget, owner } = options;
+    this.budget = budget;
+    this.body = new BlockBuffer(budget.blocks);
+    this.splitter = new EventSplitter(this.body);
+    this.holding = budget.open({
+      kind: HoldingKind.ServedRequest,
+      owner,
+      onYield: () => this.fail(NO_MEMORY),
+    });
     const now = options.clock.monotonic();
     this.lastByteAt = now;
     const { load } = options.placement.record;
@@ -117,12 +138,13 @@
 
   override onBytes(chunk: Buffer): boolean {
     this.recordBytes();
+    this.budget.garbage.recordRead(chunk.length);
     if (this.isResponseRejected || this.head === undefined) return true;
     if (this.head.isEventStream) return this.forwardEvents(chunk, this.head);
     this.chunks += 1;
     const isTooLarge = this.body.length + chunk.length > MAX_BODY_BYTES || this.chunks > MAX_CHUNKS;
     if (isTooLarge) this.fail('the answer is too large');
-    else this.body.push(chunk);
+    else if (this.holdAnswer(this.body.capacityWith(chunk.length))) this.body.push(chunk);
     return true;
   }
 
@@ -132,9 +154,10 @@
       this.fail('the stream ended within an event');
       return;
     }
+    const body = this.body.take();
     this.close();
     if (this.head.isEventStream) this.handler.handleStreamEnd(this, this.head);
-    else this.handler.handleResponse(this, this.head, this.body.take());
+    else this.handler.handleResponse(this, this.head, body);
   }
 
   override onFailure(error: RequestError): void {
@@ -182,6 +205,8 @@
     this.chunks = events.length > 0 ? 0 : this.chunks + 1;
     for (const event of events) {
       if (this.isEnded) return true;
+      // An event that came in parts was copied into one buffer, and into a text to find its id.
+      if (event.bytes.length > chunk.length) this.budget.garbage.recordRead(event.bytes.length);
       this.firstEventAt ??= this.lastByteAt;
       canContinue = this.handler.handleEvent(this, head, event) && canContinue;
     }
@@ -189,10 +214,19 @@
       this.fail('an event is too large');
       return true;
     }
+    if (!this.holdAnswer(this.splitter.pendingBytes)) return true;
     this.isReadPaused = !canContinue;
     return canContinue;
   }
 
+  /** Holds so many bytes of the answer, in all; fails the attempt if there is no room for them. */
+  private holdAnswer(bytes: number): boolean {
+    if (bytes === this.holding.bytes || this.isEnded) return true;
+    if (this.holding.holdPromised(bytes)) return true;
+    this.fail(NO_MEMORY);
+    return false;
+  }
+
   private recordBytes(): void {
     this.lastByteAt = this.clock.monotonic();
     this.placement.record.load.recordBytes(this.lastByteAt);
@@ -201,6 +235,8 @@
   private close(): void {
     if (this.isEnded) return;
     this.isEnded = true;
+    this.holding.release();
+    this.body.release();
     this.placement.record.load.recordEnded(this.inFlight);
   }
 }
--- a/packages/forwarder/src/calls/call-response.ts
+++ b/packages/forwarder/src/calls/call-response.ts
@@ -5,6 +5,8 @@
 import type { ServerResponse } from 'node:http';
 import { AnswerCheck, ResponseProgress } from '@poplarpick/decisions';
 import type { StreamEvent } from '@poplarpick/decisions';
+import { UntakenAnswer } from '@poplarpick/fleet/listening/untaken-answer';
+import type { MemoryBudget } from '@poplarpick/fleet/listening/memory-budget';
 import type { RequestError } from '@poplarpick/kernel';
 import type { ResponseHead } from './call-protocol.ts';
 import { ResponseWriter } from './response-writer.ts';
@@ -16,16 +18,23 @@
   shouldCloseConnection: () => boolean;
   /** The last event that the caller names when it resumes a stream; undefined if it begins one. */
   resumedAfter: number | undefined;
+  /** The memory that is held for callers. */
+  budget: MemoryBudget;
+  /** Who takes the response: the workspace, or else the caller's address. */
+  owner: string;
 }
 
 /** Passes on what an answer's check has let through. */
 export class CallResponse {
   private readonly writer: ResponseWriter;
   private readonly progress: ResponseProgress;
+  private readonly untaken: UntakenAnswer;
   private framed: boolean | undefined;
   private hasEvents = false;
 
-  constructor({ response, shouldCloseConnection, resumedAfter }: CallResponseOptions) {
+  constructor(options: CallResponseOptions) {
+    const { response, shouldCloseConnection, resumedAfter } = options;
+    this.untaken = new UntakenAnswer(options);
     this.writer = new ResponseWriter(response, shouldCloseConnection);
     this.progress = new ResponseProgress({ resumedAfter });
   }
@@ -76,7 +85,9 @@
     if (comments.length > 0) this.writer.write(comments);
     this.hasEvents ||= event.id !== undefined;
     this.progress.recordEvent(event);
-    return this.writer.write(event.bytes);
+    const canContinue = this.writer.write(event.bytes);
+    if (!canContinue) this.untaken.record();
+    return canContinue;
   }
 
   /** Calls `action` once the buffer has drained. */
@@ -97,6 +108,7 @@
     this.framed = head.isFramed;
     this.progress.recordHead(head);
     this.writer.send(head.status, head.forwardedHeaders, body);
+    this.untaken.record();
   }
 
   /** Writes an error of the router. */
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -98,8 +98,9 @@
   constructor(options: CallOptions) {
     super();
     this.options = options;
-    this.response = new CallResponse(options);
-    const { head, workspace, body } = options;
+    const { head, workspace, body, state } = options;
+    const owner = workspace ?? options.response.socket?.remoteAddress ?? '';
+    this.response = new CallResponse({ ...options, budget: state.listeners.budget, owner });
     const requestHash = hashRequest({ ...head, workspace, body });
     const segmentHashes = sharedSegmentHashes(head.prompt);
     const suspectHashes = [requestHash, ...segmentHashes];
