A process that hasn't said who it is may send 16 KiB over a link, no more

Seen: 40 connections to the links' address of a router that announce a frame of 15 MiB and stop short of its end hold 722 MiB of 256.

Cause: frames may have 16 MiB, also before the hello, from anyone who reaches the address; links weren't counted.

Change: until the hello is accepted, a frame over 16 KiB closes the link. Links are accepted through a ListenerGuard: a full listener closes those without a hello first, never one of a known peer.

--- a/packages/fleet/src/link/app.ts
+++ b/packages/fleet/src/link/app.ts
@@ -14,6 +14,7 @@
   statusBoardKey,
   linkTrafficKey,
   transportKey,
+  listenersKey,
 } from '../component-keys.ts';
 import { HostDirectory } from '../platform/host-directory.ts';
 import { LinkHub } from './link-hub.ts';
@@ -75,8 +76,14 @@
   }
 
   private async listen(kernel: Kernel, hub: LinkHub): Promise<void> {
-    this.listener = new LinkListener(kernel.resolve(transportKey), (socket) => hub.accept(socket));
-    const address = await this.listener.listen(kernel.resolve(routerSettingsKey).links.address);
+    const { links, limits } = kernel.resolve(routerSettingsKey);
+    const guard = kernel
+      .resolve(listenersKey)
+      .guard({ name: 'links', maxConnections: limits.connections });
+    this.listener = new LinkListener(kernel.resolve(transportKey), guard, (socket) =>
+      hub.accept(socket, () => guard.keep(socket)),
+    );
+    const address = await this.listener.listen(links.address);
     kernel.log.info({ event: 'links.listening', address });
     kernel.resolve(statusBoardKey).add('address.links', () => address);
   }
--- a/packages/fleet/src/link/frame-codec.ts
+++ b/packages/fleet/src/link/frame-codec.ts
@@ -47,7 +47,8 @@
 
 /** Decodes the frames of one stream, whatever the chunks in which its bytes arrive. */
 export class FrameDecoder {
-  private readonly limitBytes: number;
+  /** Largest frame, in bytes; may be changed between two frames. */
+  limitBytes: number;
   private readonly unpackr = new Unpackr({ structures: [] });
   private chunks: Buffer[] = [];
   private bufferedLength = 0;
--- a/packages/fleet/src/link/link-hub.ts
+++ b/packages/fleet/src/link/link-hub.ts
@@ -134,8 +134,8 @@
     }
   }
 
-  /** Creates a link on an accepted socket and waits for the peer's hello. */
-  accept(socket: Socket): void {
+  /** Creates a link on an accepted socket and waits for the peer's hello; `onAdmitted` is called after it. */
+  accept(socket: Socket, onAdmitted?: () => void): void {
     const { clock, log, traffic } = this.options;
     const link = new Link({
       socket,
@@ -145,7 +145,11 @@
       onClose: (lost, reason) => this.removeLink(lost, reason),
     });
     link.requireHello();
-    link.handleCall(CallMethod.Hello, (hello) => this.answerHello(link, socket, hello));
+    link.handleCall(CallMethod.Hello, (hello) => {
+      const own = this.answerHello(link, socket, hello);
+      onAdmitted?.();
+      return own;
+    });
     this.initializeLink(link);
   }
 
--- a/packages/fleet/src/link/link-listener.ts
+++ b/packages/fleet/src/link/link-listener.ts
@@ -1,14 +1,18 @@
 /** Listening side of the links. */
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { parseAddress } from '../address.ts';
+import type { ListenerGuard } from '../listening/listener-guard.ts';
 import type { Transport } from '../trust/transport.ts';
 
-/** Listens on an address and passes each accepted socket to `onSocket`. */
+/** Listens on an address and passes each socket that the guard accepts to `onSocket`. */
 export class LinkListener {
   private readonly server: Server;
 
-  constructor(transport: Transport, onSocket: (socket: Socket) => void) {
-    this.server = transport.createServer(onSocket);
+  constructor(transport: Transport, guard: ListenerGuard, onSocket: (socket: Socket) => void) {
+    this.server = transport.createServer((socket) => {
+      if (guard.accept(socket)) onSocket(socket);
+    });
+    guard.watch(this.server);
   }
 
   /** Starts listening and returns the bound address. Rejects if the address cannot be bound. */
--- a/packages/fleet/src/link/link.ts
+++ b/packages/fleet/src/link/link.ts
@@ -8,7 +8,7 @@
 import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0';
 import { describeError } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
-import { FrameDecoder, FrameEncoder } from './frame-codec.ts';
+import { FrameDecoder, FrameEncoder, MAX_FRAME_BYTES } from './frame-codec.ts';
 import { CallMethod, NotificationMethod, PAYLOAD_NOTIFICATIONS } from '../messages.ts';
 import type { CallTypes, NotificationTypes } from '../messages.ts';
 
@@ -24,6 +24,9 @@
  */
 const LATE_CHECK_MS = 2 * HEARTBEAT_PERIOD_MS;
 
+/** Largest frame from a process that hasn't said who it is, in bytes. */
+const MAX_HELLO_BYTES = 16_384;
+
 /** Timeout of a call. */
 const CALL_TIMEOUT_MS = 5_000;
 
@@ -127,11 +130,13 @@
   /** Rejects everything but the hello and heartbeats until `admit` is called. */
   requireHello(): void {
     this.admitted = false;
+    this.decoder.limitBytes = MAX_HELLO_BYTES;
   }
 
   /** Accepts all messages, after the peer's hello has been verified. */
   admit(): void {
     this.admitted = true;
+    this.decoder.limitBytes = MAX_FRAME_BYTES;
   }
 
   /** Registers the handler of a call. */
