--- a/packages/decisions/src/forwarding/log-rate-limiter.ts
+++ b/packages/decisions/src/forwarding/log-rate-limiter.ts
@@ -1,7 +1,7 @@
 /**
- * Token bucket that limits the rate of log lines for successful calls. At peak load, hundreds of calls per
- * second succeed, and logging all of them would take CPU time from the calls in progress. Failed and
- * refused calls are always logged.
+ * Token bucket that limits the rate of log lines of one kind. At peak load, hundreds of calls per second succeed, and a
+ * crowd may have thousands refused before they are placed; logging all of them would take CPU time from the calls in
+ * progress. Calls that fail or are refused after they were placed are always logged.
  */
 
 /** Sustained rate in lines per second, twice the usual call rate of one router. */
@@ -12,7 +12,7 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Limits the log lines of successful calls and counts the suppressed ones. */
+/** Limits log lines and counts the suppressed ones. */
 export class LogRateLimiter {
   private available = BURST_LINES;
   private refilledAt = 0;
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -5,7 +5,7 @@
 import { STATUS_CODES } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { HoldingKind } from '@poplarpick/decisions';
+import { HoldingKind, LogRateLimiter } from '@poplarpick/decisions';
 import type { StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -81,6 +81,7 @@
   private readonly connections = new CallerConnections();
   private readonly calls = new Set<Call>();
   private readonly bodies: AwaitedBodies;
+  private readonly refusalLines = new LogRateLimiter();
   /** Open requests: from the arrival of the head to the end of the response. */
   private openCount = 0;
   /** Open requests that began after the cutoff. */
@@ -298,6 +299,9 @@
   private logRefusal(request: IncomingMessage, error: RequestError, arrivedAt: number): void {
     const { log, freshness, clock, routes, metrics, protocol } = this.options.state;
     metrics.recordUnplaced(error.code);
+    const now = clock.monotonic();
+    if (!this.refusalLines.tryAcquire(now)) return;
+    const suppressedLines = this.refusalLines.takeSuppressedCount();
     log.info({
       event: 'call.refused_unplaced',
       request: protocol.decodeRequestId(request.rawHeaders),
@@ -305,9 +309,10 @@
       reason: error.message,
       target: request.url,
       host_name: request.headers.host,
-      total_ms: Math.round(clock.monotonic() - arrivedAt),
-      key_age_ms: Math.round(Math.min(1e9, freshness.ageMs(clock.monotonic()))),
+      total_ms: Math.round(now - arrivedAt),
+      key_age_ms: Math.round(Math.min(1e9, freshness.ageMs(now))),
       version: routes?.table.version,
+      left_out: suppressedLines === 0 ? undefined : suppressedLines,
     });
   }
 }
