Connections that wait for a turn of the event loop keep their place; what is held ends with the response

A connection with much to parse came first again in each turn, so others behind it waited until it was done. What was held for a request whose caller left in the same turn in which its body became whole was never released.

work-turns.test: three connections with three turns of work each get them in turn (abcabcabc); a callback of the response, registered before the body is read, releases what is held.

--- a/packages/fleet/src/listening/request-pacer.ts
+++ b/packages/fleet/src/listening/request-pacer.ts
@@ -91,7 +91,7 @@
   private take(bytes: Buffer): void {
     this.recordRead();
     let rest = bytes;
-    while (rest.length > 0 && this.mayGoOn()) {
+    while (rest.length > 0 && this.mayGoOn(rest.length === bytes.length)) {
       const piece = rest.subarray(0, this.scanner.pieceLength(rest));
       rest = rest.subarray(piece.length);
       if (this.latest?.complete !== false) this.headBytes += piece.length;
@@ -115,15 +115,18 @@
     this.readBytes = socket.bytesRead;
   }
 
-  /** Whether the parser may be given more now; otherwise the connection is paused, unless it is of no use any more. */
-  private mayGoOn(): boolean {
+  /**
+   * Whether the parser may be given more now; otherwise the connection is paused, unless it is of no use any more.
+   * `hadNoTime` tells whether it has got none in this turn.
+   */
+  private mayGoOn(hadNoTime: boolean): boolean {
     const { socket, turns } = this.options;
     if (this.isGivenUp || socket.destroyed) return false;
     // The HTTP server itself goes on once its caller has taken what was written.
     const isPaused = socket.isPaused() || isPausedByServer(socket);
     if (!isPaused && this.mayParse && turns.hasTime) return true;
     if (!isPaused) {
-      if (this.mayParse) turns.wait(() => socket.resume());
+      if (this.mayParse) turns.wait(() => socket.resume(), { hadNoTime });
       else this.isHeld = true;
     }
     socket.pause();
--- a/packages/fleet/src/listening/work-turns.ts
+++ b/packages/fleet/src/listening/work-turns.ts
@@ -6,10 +6,17 @@
 /** Time of one turn that parsing may take, in ms, before the rest waits for the next turn. */
 const TURN_MS = 10;
 
+/** Options of `WorkTurns.wait`. */
+export interface WaitOptions {
+  /** The connection has got no time since it waited last; such connections keep their place. */
+  hadNoTime: boolean;
+}
+
 /** The turns of one process. */
 export class WorkTurns {
   private endsAt: number | undefined;
-  private waiting: (() => void)[] = [];
+  private first: (() => void)[] = [];
+  private others: (() => void)[] = [];
 
   /** Whether this turn has time for more parsing. */
   get hasTime(): boolean {
@@ -19,21 +26,17 @@
     return true;
   }
 
-  /** Calls `action` in a later turn that has time for it; in the order of the calls. */
-  wait(action: () => void): void {
-    this.waiting.push(action);
+  /** Calls `action` in the next turn, in which it may have to wait again. */
+  wait(action: () => void, { hadNoTime }: WaitOptions): void {
+    if (hadNoTime) this.first.push(action);
+    else this.others.push(action);
   }
 
   private beginNext(): void {
+    const waiting = [...this.first, ...this.others];
     this.endsAt = undefined;
-    const { waiting } = this;
-    this.waiting = [];
-    let count = 0;
-    for (const action of waiting) {
-      if (!this.hasTime) break;
-      action();
-      count += 1;
-    }
-    this.waiting = [...waiting.slice(count), ...this.waiting];
+    this.first = [];
+    this.others = [];
+    for (const action of waiting) action();
   }
 }
--- a/packages/forwarder/src/ingress/awaited-bodies.ts
+++ b/packages/forwarder/src/ingress/awaited-bodies.ts
@@ -3,7 +3,7 @@
  * before its body is whole then. During a planned stop, a request whose body is still awaited is refused as soon as
  * what is left of the grace can't hold it.
  */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { HoldingKind } from '@poplarpick/decisions';
 import { BodyReader } from '@poplarpick/fleet/body-reader';
 import type { Holding } from '@poplarpick/fleet/listening/memory-budget';
@@ -20,6 +20,8 @@
 /** A request whose head has arrived. */
 export interface ArrivedRequest {
   request: IncomingMessage;
+  /** Its end is the end of the request. */
+  response: ServerResponse;
   /** Monotonic time of arrival, in ms. */
   arrivedAt: number;
 }
@@ -40,11 +42,11 @@
   }
 
   /**
-   * Reads a complete body; there may be none. What is held for the request has to be released when it ends. Rejects if
-   * the body is too large, incomplete or late, or if the request is refused.
+   * Reads a complete body; there may be none. What is held for the request is released when its response closes. Rejects
+   * if the body is too large, incomplete or late, or if the request is refused.
    */
   async read(arrived: ArrivedRequest): Promise<ReadRequest> {
-    const { request } = arrived;
+    const { request, response } = arrived;
     const { budget } = this.state.listeners;
     const holding = budget.open({
       kind: HoldingKind.AwaitedBody,
@@ -57,6 +59,7 @@
       budget,
       holding,
     });
+    response.once('close', () => holding.release());
     this.readers.set(reader, arrived);
     // What came together with the head has been parsed by then: an ordinary request is whole.
     queueMicrotask(() => this.checkAwaited(arrived, reader, holding));
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -196,7 +196,6 @@
     const { method = 'GET', url = '/' } = request;
     if (headBytes(request) > state.callerLimits.headerBytes) throw createHeadTooLargeError();
     const read = isAfterCutoff ? undefined : await this.bodies.read(exchange);
-    response.once('close', () => read?.holding.release());
     await turn;
     await pollSockets();
     if (hasDisconnected(request)) {
