One request to an endpoint has a file of its own; the circle around process-proof is gone

endpoint-client.ts held the pool and the requests (426 lines); endpoint-connection, process-proof and process-question imported each other for two types, which are in endpoint-socket and process-finding now.

--- a/packages/forwarder/src/calls/beginning-proof.ts
+++ b/packages/forwarder/src/calls/beginning-proof.ts
@@ -5,8 +5,8 @@
  * has to do, unless that takes too long.
  */
 import type { Endpoint, StreamOrigin } from '@poplarpick/decisions';
-import type { EndpointRequest } from '../endpoints/endpoint-client.ts';
-import { ProcessFinding } from '../endpoints/process-proof.ts';
+import type { EndpointRequest } from '../endpoints/endpoint-request.ts';
+import { ProcessFinding } from '../endpoints/process-finding.ts';
 import type { RouterState } from '../router-state.ts';
 import { FRESH_LIST_MS } from '../streams/stream-origins.ts';
 
--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -8,8 +8,8 @@
 import type { Holding, MemoryBudget } from '@poplarpick/fleet/listening/memory-budget';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
-import { ResponseObserver } from '../endpoints/endpoint-client.ts';
-import type { EndpointRequest } from '../endpoints/endpoint-client.ts';
+import { ResponseObserver } from '../endpoints/endpoint-request.ts';
+import type { EndpointRequest } from '../endpoints/endpoint-request.ts';
 import type { ResponseHead } from './call-protocol.ts';
 import type { Placement } from './endpoint-evaluator.ts';
 
--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -5,7 +5,8 @@
 import type { RequestError } from '@poplarpick/kernel';
 import { CallProtocol } from '../calls/call-protocol.ts';
 import type { CallHead, ProcessQuestionHead, ResponseHead } from '../calls/call-protocol.ts';
-import { EndpointClient, ResponseObserver } from './endpoint-client.ts';
+import { EndpointClient } from './endpoint-client.ts';
+import { ResponseObserver } from './endpoint-request.ts';
 
 const REQUEST_ID = 'id';
 const ROUNDS = 20;
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -7,8 +7,9 @@
 import type { buildConnector, Dispatcher } from 'undici';
 import type { Clock, RequestError } from '@poplarpick/kernel';
 import { connectEndpoint } from './endpoint-connector.ts';
+import { createSocket } from './endpoint-socket.ts';
+import type { EndpointHandler, EndpointSocket } from './endpoint-socket.ts';
 import { ProgressGuard } from './progress-guard.ts';
-import type { ProcessFinding } from './process-proof.ts';
 import { RefusedIds } from './refused-ids.ts';
 
 /** Idle time after which a connection is closed, in ms, if the endpoint states no limit of its own. */
@@ -37,24 +38,6 @@
   renew?: () => string[] | RequestError;
 }
 
-/** What is known of one socket of a connection. */
-export interface EndpointSocket {
-  /** Monotonic time at which the connection was asked for, in ms. */
-  openingAt: number;
-  /** Monotonic time at which it was open; infinite before. */
-  openedAt: number;
-  /** Over it, the process has named the start that the endpoint's entry names. */
-  hasTold: boolean;
-  /** What the process behind it has answered when the first stream began over it; undefined if it wasn't asked. */
-  earlyFinding: Promise<ProcessFinding> | undefined;
-}
-
-/** Receives the response to a request. */
-export interface EndpointHandler extends Dispatcher.DispatchHandler {
-  /** Called when the request has failed before undici has taken it. */
-  onDispatchError: (error: Error) => void;
-}
-
 /** Options of an `EndpointConnection`. */
 export interface EndpointConnectionOptions {
   /** `IP:port`. */
@@ -178,7 +161,3 @@
     });
   }
 }
-
-function createSocket(openingAt: number): EndpointSocket {
-  return { openingAt, openedAt: Number.POSITIVE_INFINITY, hasTold: false, earlyFinding: undefined };
-}
--- a/packages/forwarder/src/endpoints/process-proof.ts
+++ b/packages/forwarder/src/endpoints/process-proof.ts
@@ -5,22 +5,12 @@
  */
 import { IncarnationEvidence } from '@poplarpick/decisions';
 import type { CallProtocol } from '../calls/call-protocol.ts';
-import type { EndpointConnection, EndpointSocket } from './endpoint-connection.ts';
+import type { EndpointConnection } from './endpoint-connection.ts';
+import type { EndpointSocket } from './endpoint-socket.ts';
+import { ProcessFinding } from './process-finding.ts';
 import { ProcessQuestion } from './process-question.ts';
 import type { ProcessAnswer } from './process-question.ts';
 
-/** What an answer says of the process at the address of an endpoint. */
-export enum ProcessFinding {
-  /** It is the one that the entry names. */
-  Listed = 'listed',
-  /** It is another one. */
-  Other = 'other',
-  /** There is one; the entry or the answer names no start. */
-  Unnamed = 'unnamed',
-  /** There is no answer. */
-  Silent = 'silent',
-}
-
 /** Options of a `ProcessProof`. */
 export interface ProcessProofOptions {
   /** Start of the process that the entry names, in ms since the Unix epoch; 0 if it names none. */
--- a/packages/forwarder/src/endpoints/process-question.ts
+++ b/packages/forwarder/src/endpoints/process-question.ts
@@ -5,7 +5,7 @@
 import { ByteAccumulator } from '@poplarpick/decisions';
 import type { Dispatcher } from 'undici';
 import type { CallProtocol } from '../calls/call-protocol.ts';
-import type { EndpointHandler } from './endpoint-connection.ts';
+import type { EndpointHandler } from './endpoint-socket.ts';
 
 /** Time in which the answer must be complete, in ms, including that for opening the connection. */
 const ANSWER_TIMEOUT_MS = 600;
