Test processes with consecutive ids find their ports 1,999 apart, not 97

A worker of the tests starts hundreds of routers with three ports each, so it comes to the ports of the worker whose id follows, which may have found one free that it has not bound yet.

--- a/packages/stand-ins/src/free-port.ts
+++ b/packages/stand-ins/src/free-port.ts
@@ -7,8 +7,12 @@
 
 const FIRST_PORT = 12_000;
 const PORT_COUNT = 20_000;
-/** Distance between the first ports tried by processes with consecutive process ids. */
-const PROCESS_OFFSET = 97;
+/**
+ * Distance between the first ports tried by processes with consecutive process ids. A process of the tests uses
+ * hundreds of ports: with a shorter distance it comes to those of the process beside it, which may have found a port free
+ * that it has not bound yet.
+ */
+const PROCESS_OFFSET = 1_999;
 
 let nextOffset = (process.pid * PROCESS_OFFSET) % PORT_COUNT;
 
