Garbage is collected by hand only while memory fills; a turn resumes 32 connections

The heads: a head over the limit was refused before it was charged; all waiting connections read a block each in every turn; and a connection may have read a block, and a parser its lines, before anything is charged.

Change: garbage is collected from 0.55 of the host's memory on. A head is charged first. 32 waiting connections go on in a turn. The connections of callers are limited by the memory that the process and its budget leave, too.

--- a/packages/decisions/src/holdings/connection-shares.ts
+++ b/packages/decisions/src/holdings/connection-shares.ts
@@ -3,6 +3,8 @@
  * to peers and to the store are made by the process itself; they get what the listeners leave.
  */
 
+import { connectionsOfMemory } from './memory-shares.ts';
+
 /** Descriptors kept for files, pipes and listening sockets. */
 const RESERVED_DESCRIPTORS = 200;
 
@@ -23,9 +25,20 @@
   others: number;
 }
 
-/** The limits of a process that may have so many descriptors. */
-export function connectionLimitsOf(descriptors: number): ConnectionLimits {
+/** The limits of a process that may have so many descriptors, and so much memory in bytes. */
+export function connectionLimitsOf({
+  descriptors,
+  memoryBytes,
+}: {
+  descriptors: number;
+  memoryBytes: number;
+}): ConnectionLimits {
   const sockets = Math.max(0, descriptors - RESERVED_DESCRIPTORS);
   const share = (part: number): number => Math.max(MIN_CONNECTIONS, Math.floor(sockets * part));
-  return { callers: share(CALLERS_SHARE), peers: share(PEERS_SHARE), others: MIN_CONNECTIONS };
+  const callers = Math.min(share(CALLERS_SHARE), connectionsOfMemory(memoryBytes));
+  return {
+    callers: Math.max(MIN_CONNECTIONS, callers),
+    peers: share(PEERS_SHARE),
+    others: MIN_CONNECTIONS,
+  };
 }
--- a/packages/decisions/src/holdings/memory-shares.ts
+++ b/packages/decisions/src/holdings/memory-shares.ts
@@ -8,7 +8,7 @@
 const PROCESS_BYTES = 160 * 1_024 * 1_024;
 
 /** Part of the rest that may be held for callers; the other part is what garbage of it may take. */
-const HELD_SHARE = 0.4;
+const HELD_SHARE = 0.35;
 
 /** Least budget, in bytes: a few requests of the largest size. */
 const MIN_BUDGET_BYTES = 32 * 1_024 * 1_024;
@@ -27,6 +27,15 @@
   return Math.max(MIN_BUDGET_BYTES, Math.floor((memoryBytes - PROCESS_BYTES) * HELD_SHARE));
 }
 
+/** Memory that a connection may take before anything of it is charged, in bytes: a block that was read, and its parser. */
+const CONNECTION_BYTES = 96 * 1_024;
+
+/** Connections of callers for which a process with so much memory has room besides its budget. */
+export function connectionsOfMemory(memoryBytes: number): number {
+  const leftBytes = memoryBytes - PROCESS_BYTES - budgetOfMemory(memoryBytes);
+  return Math.max(0, Math.floor(leftBytes / CONNECTION_BYTES));
+}
+
 /** Bytes held for callers by a process that knows only the limit of its heap, in bytes. */
 export function budgetOfHeap(heapBytes: number): number {
   return Math.max(MIN_BUDGET_BYTES, Math.floor(heapBytes * HEAP_SHARE));
--- a/packages/fleet/src/listening/garbage-collector.ts
+++ b/packages/fleet/src/listening/garbage-collector.ts
@@ -1,7 +1,7 @@
 /**
- * Collects the buffers of a process that aren't used any more. V8 decides when to collect from the size of its objects, and
- * a buffer is a small object whatever it refers to: a crowd that sends much makes garbage of more than the process may
- * have before V8 looks.
+ * Collects the buffers of a process that aren't used any more, while the process is about to fill the memory of its host. V8
+ * decides when to collect from the size of its objects, and a buffer is a small object whatever it refers to: a crowd that
+ * sends much makes garbage of more than the process may have before V8 looks. Where there is room, V8 knows best.
  */
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
@@ -14,6 +14,15 @@
 /** Bytes given up since the latest collection after which all objects are collected. */
 const YIELDED_BYTES = 16 * MIB;
 
+/** Part of the host's memory from which on such garbage is collected. */
+const BUSY_SHARE = 0.55;
+
+/** Part of the host's memory from which on all garbage is collected, whatever has been read. */
+const FULL_SHARE = 0.75;
+
+/** Shortest time between two collections for that reason, in ms: one of them takes a third of it. */
+const MIN_PAUSE_MS = 300;
+
 /** Which objects are collected. */
 export enum Generation {
   /** Those that were made lately. */
@@ -21,17 +30,30 @@
   All = 'major',
 }
 
-/** Collects garbage at once. */
-export type Collect = (options: { type: Generation }) => void;
+/** Options of a `GarbageCollector`. */
+export interface GarbageCollectorOptions {
+  /** Memory of the host for this process, in bytes. */
+  memoryBytes: number;
+  clock: { monotonic(): number };
+  /** Resident memory of the process now, in bytes; asks the operating system by default. */
+  readMemory?: () => number;
+  /** Collects garbage at once; V8 does by default. */
+  collect?: (generation: Generation) => void;
+}
 
 /** Counts what becomes garbage, and collects it in time. */
 export class GarbageCollector {
-  private readonly collect: Collect;
+  private readonly options: Required<GarbageCollectorOptions>;
   private readBytes = 0;
   private yieldedBytes = 0;
+  private collectedAllAt = Number.NEGATIVE_INFINITY;
 
-  constructor(collect: Collect = findCollector()) {
-    this.collect = collect;
+  constructor(options: GarbageCollectorOptions) {
+    this.options = {
+      readMemory: () => process.memoryUsage.rss(),
+      collect: collectNow,
+      ...options,
+    };
   }
 
   /** Called with the number of bytes that were read and are copied or thrown away. */
@@ -39,7 +61,8 @@
     this.readBytes += bytes;
     if (this.readBytes < READ_BYTES) return;
     this.readBytes = 0;
-    this.collect({ type: Generation.Young });
+    if (this.isOver(FULL_SHARE)) this.check();
+    else if (this.isOver(BUSY_SHARE)) this.options.collect(Generation.Young);
   }
 
   /** Called with the number of bytes that were held and are given up. */
@@ -47,14 +70,36 @@
     this.yieldedBytes += bytes;
     if (this.yieldedBytes < YIELDED_BYTES) return;
     this.yieldedBytes = 0;
-    this.readBytes = 0;
     // What is given up becomes garbage once its connection is closed.
-    setImmediate(() => this.collect({ type: Generation.All }));
+    if (this.isOver(BUSY_SHARE)) setImmediate(() => this.collectAll());
+  }
+
+  /** Called from time to time: V8 lets garbage of small objects grow up to the limit of its heap. */
+  check(): void {
+    const pausedMs = this.options.clock.monotonic() - this.collectedAllAt;
+    if (pausedMs >= MIN_PAUSE_MS && this.isOver(FULL_SHARE)) this.collectAll();
+  }
+
+  private collectAll(): void {
+    this.collectedAllAt = this.options.clock.monotonic();
+    this.options.collect(Generation.All);
+  }
+
+  private isOver(share: number): boolean {
+    const { readMemory, memoryBytes } = this.options;
+    return readMemory() > memoryBytes * share;
   }
 }
 
+type CollectFunction = (options: { type: Generation }) => void;
+
+let v8Collect: CollectFunction | undefined;
+
 /** V8's own function, which it only hands out to contexts that are made after it was asked for. */
-function findCollector(): Collect {
-  setFlagsFromString('--expose-gc');
-  return runInNewContext('gc') as Collect;
+function collectNow(generation: Generation): void {
+  if (v8Collect === undefined) {
+    setFlagsFromString('--expose-gc');
+    v8Collect = runInNewContext('gc') as CollectFunction;
+  }
+  v8Collect({ type: generation });
 }
--- a/packages/fleet/src/listening/memory-budget.test.ts
+++ b/packages/fleet/src/listening/memory-budget.test.ts
@@ -1,7 +1,6 @@
 import fc from 'fast-check';
 import { expect } from 'chai';
 import { HoldingKind } from '@poplarpick/decisions';
-import { GarbageCollector } from './garbage-collector.ts';
 import { MemoryBudget } from './memory-budget.ts';
 import type { Holding } from './memory-budget.ts';
 
@@ -14,11 +13,9 @@
 
 function createBudget(): { budget: MemoryBudget; pass: (ms: number) => void } {
   let now = 0;
-  const garbage = new GarbageCollector(() => undefined);
   const budget = new MemoryBudget({
     budgetBytes: BUDGET,
     clock: { monotonic: () => now },
-    garbage,
   });
   return { budget, pass: (ms) => (now += ms) };
 }
--- a/packages/fleet/src/listening/memory-budget.ts
+++ b/packages/fleet/src/listening/memory-budget.ts
@@ -6,16 +6,19 @@
 import type { HoldingState, MemoryDemand } from '@poplarpick/decisions';
 import type { Clock } from '@poplarpick/kernel';
 import { BlockPool } from './block-pool.ts';
-import { GarbageCollector } from './garbage-collector.ts';
+import type { GarbageCollector } from './garbage-collector.ts';
 
 /** Growth or shrinkage that counts as progress, in bytes: a caller that sends a byte at a time makes none. */
 const PROGRESS_BYTES = 16_384;
 
+const NO_COLLECTOR = { recordRead: () => undefined, recordYield: () => undefined };
+
 /** Options of a `MemoryBudget`. */
 export interface MemoryBudgetOptions {
   budgetBytes: number;
   clock: Pick<Clock, 'monotonic'>;
-  garbage?: GarbageCollector;
+  /** Collects what is given up; V8 alone does by default. */
+  garbage?: Pick<GarbageCollector, 'recordRead' | 'recordYield'>;
 }
 
 /** Options of a `Holding`. */
@@ -34,7 +37,7 @@
   readonly budgetBytes: number;
   readonly clock: Pick<Clock, 'monotonic'>;
   readonly blocks: BlockPool;
-  readonly garbage: GarbageCollector;
+  readonly garbage: Pick<GarbageCollector, 'recordRead' | 'recordYield'>;
   private readonly yielding = new Set<Holding>();
   private readonly ownerBytes = new Map<string, number>();
   private readonly kindBytes = new Map<HoldingKind, number>();
@@ -42,7 +45,7 @@
   private total = 0;
 
   constructor({ budgetBytes, clock, garbage }: MemoryBudgetOptions) {
-    this.garbage = garbage ?? new GarbageCollector();
+    this.garbage = garbage ?? NO_COLLECTOR;
     this.blocks = new BlockPool(this.garbage);
     this.budgetBytes = budgetBytes;
     this.clock = clock;
--- a/packages/fleet/src/listening/process-listeners.ts
+++ b/packages/fleet/src/listening/process-listeners.ts
@@ -3,7 +3,8 @@
  * loop. Counts what was given up for lack of room, and logs it in one line a second at most, whatever comes.
  */
 import type { HoldingKind } from '@poplarpick/decisions';
-import type { Clock, Logger } from '@poplarpick/kernel';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import { GarbageCollector } from './garbage-collector.ts';
 import { ListenerGuard } from './listener-guard.ts';
 import type { ClosingReason, ListenerGuardOptions, ListenerResources } from './listener-guard.ts';
 import { MemoryBudget } from './memory-budget.ts';
@@ -12,12 +13,16 @@
 /** Shortest time between two lines about what was given up, in ms. */
 const LOG_PERIOD_MS = 1_000;
 
+const MEMORY_CHECK_PERIOD_MS = 100;
+
 /** Options of a `ProcessListeners`. */
 export interface ProcessListenersOptions {
   clock: Clock;
   log: Logger;
   /** Memory that may be held for callers, in bytes. */
   budgetBytes: number;
+  /** Memory of the host for this process, in bytes; garbage is left to V8 by default. */
+  memoryBytes?: number;
 }
 
 /** Receives counts for metrics. */
@@ -29,6 +34,8 @@
 /** All listeners of a process. */
 export class ProcessListeners {
   readonly budget: MemoryBudget;
+  private readonly garbage: GarbageCollector;
+  private garbageTimer: Timer | undefined;
   readonly guards: ListenerGuard[] = [];
   private readonly resources: ListenerResources;
   private readonly recorders: PressureRecorder[] = [];
@@ -38,8 +45,10 @@
   private ownerBytes = new Map<string, number>();
   private isLineDue = false;
 
-  constructor({ clock, log, budgetBytes }: ProcessListenersOptions) {
-    this.budget = new MemoryBudget({ budgetBytes, clock });
+  constructor(options: ProcessListenersOptions) {
+    const { clock, log, budgetBytes, memoryBytes = Number.POSITIVE_INFINITY } = options;
+    this.garbage = new GarbageCollector({ memoryBytes, clock });
+    this.budget = new MemoryBudget({ budgetBytes, clock, garbage: this.garbage });
     this.resources = { clock, log, budget: this.budget, turns: new WorkTurns() };
     this.budget.onYield((kind, owner, bytes) => {
       for (const recorder of this.recorders) recorder.recordYield(kind);
@@ -48,6 +57,17 @@
     });
   }
 
+  /** Begins to keep the process within the memory of its host. */
+  open(): void {
+    const { clock } = this.resources;
+    this.garbageTimer ??= clock.every(MEMORY_CHECK_PERIOD_MS, () => this.garbage.check());
+  }
+
+  close(): void {
+    this.garbageTimer?.stop();
+    this.garbageTimer = undefined;
+  }
+
   /** Adds a recorder of what is given up. */
   addRecorder(recorder: PressureRecorder): void {
     this.recorders.push(recorder);
--- a/packages/fleet/src/listening/request-pacer.ts
+++ b/packages/fleet/src/listening/request-pacer.ts
@@ -17,7 +17,10 @@
 const READ_BLOCK_BYTES = 65_536;
 
 /** Memory that the parser takes for each byte of a head, in bytes: it makes two strings of each line. */
-const HEAD_BYTE_COST = 4;
+const HEAD_BYTE_COST = 5;
+
+/** Memory of a connection on which a head comes, besides the head, in bytes: its socket and its parser. */
+const CONNECTION_BYTES = 16_384;
 
 /** Bytes of a head that the limit of heads doesn't count, such as spaces; in bytes. */
 const HEAD_MARGIN_BYTES = 4_096;
@@ -27,7 +30,7 @@
   /** A connection that the HTTP server has taken over already. */
   socket: Socket;
   turns: WorkTurns;
-  garbage: GarbageCollector;
+  garbage: Pick<GarbageCollector, 'recordRead'>;
   /** Largest head, in bytes, at the moment. */
   maxHeadBytes: () => number;
   /** Called when a head that hasn't ended is larger than that. */
@@ -62,6 +65,8 @@
     this.parse = parse;
     socket.removeListener('data', parse);
     socket.on('data', (bytes: Buffer) => this.take(bytes));
+    // So that many new connections don't read a block each in one turn.
+    this.mayGoOn(true);
   }
 
   /** Counts a request whose head has come; its response ends it. */
@@ -88,10 +93,14 @@
     return this.unanswered < MAX_UNANSWERED;
   }
 
+  private get isHeadTooLarge(): boolean {
+    return this.headBytes > this.options.maxHeadBytes() + HEAD_MARGIN_BYTES;
+  }
+
   private take(bytes: Buffer): void {
     this.recordRead();
     let rest = bytes;
-    while (rest.length > 0 && this.mayGoOn(rest.length === bytes.length)) {
+    while (rest.length > 0 && !this.isHeadTooLarge && this.mayGoOn(rest === bytes)) {
       const piece = rest.subarray(0, this.scanner.pieceLength(rest));
       rest = rest.subarray(piece.length);
       if (this.latest?.complete !== false) this.headBytes += piece.length;
@@ -100,12 +109,11 @@
     }
     const { socket } = this.options;
     if (this.isGivenUp || socket.destroyed) return;
-    if (this.headBytes > this.options.maxHeadBytes() + HEAD_MARGIN_BYTES) {
-      this.options.onHeadTooLarge();
-      return;
-    }
-    if (rest.length > 0) socket.unshift(rest);
-    this.holdInput(rest.length > 0 ? rest.buffer.byteLength + READ_BLOCK_BYTES : 0);
+    const isTooLarge = this.isHeadTooLarge;
+    const isWaiting = rest.length > 0 && !isTooLarge;
+    if (isWaiting) socket.unshift(rest);
+    const isHeld = this.holdInput(isWaiting ? rest.buffer.byteLength + READ_BLOCK_BYTES : 0);
+    if (isHeld && isTooLarge) this.options.onHeadTooLarge();
   }
 
   /** Counts what has come since the latest call; bytes that were put back come again. */
@@ -133,11 +141,15 @@
     return false;
   }
 
-  private holdInput(waitingBytes: number): void {
-    const bytes = this.headBytes * HEAD_BYTE_COST + waitingBytes;
-    if (bytes === this.heldBytes) return;
+  /** Holds what can't be answered yet; false if there is no room for it, so that it is given up. */
+  private holdInput(waitingBytes: number): boolean {
+    const headCost = this.headBytes === 0 ? 0 : this.headBytes * HEAD_BYTE_COST + CONNECTION_BYTES;
+    const bytes = headCost + waitingBytes;
+    if (bytes === this.heldBytes) return true;
     this.heldBytes = bytes;
-    if (!this.options.holdInput(bytes)) this.giveUp();
+    if (this.options.holdInput(bytes)) return true;
+    this.giveUp();
+    return false;
   }
 }
 
--- a/packages/fleet/src/listening/work-turns.ts
+++ b/packages/fleet/src/listening/work-turns.ts
@@ -6,6 +6,9 @@
 /** Time of one turn that parsing may take, in ms, before the rest waits for the next turn. */
 const TURN_MS = 10;
 
+/** Connections that go on in one turn: each may read a block before it has to wait again. */
+const MAX_RESUMED = 32;
+
 /** Options of `WorkTurns.wait`. */
 export interface WaitOptions {
   /** The connection has got no time since it waited last; such connections keep their place. */
@@ -17,26 +20,36 @@
   private endsAt: number | undefined;
   private first: (() => void)[] = [];
   private others: (() => void)[] = [];
+  private isNextScheduled = false;
 
   /** Whether this turn has time for more parsing. */
   get hasTime(): boolean {
     if (this.endsAt !== undefined) return performance.now() < this.endsAt;
     this.endsAt = performance.now() + TURN_MS;
-    setImmediate(() => this.beginNext());
+    this.scheduleNext();
     return true;
   }
 
-  /** Calls `action` in the next turn, in which it may have to wait again. */
+  /** Calls `action` in a later turn, in which it may have to wait again. */
   wait(action: () => void, { hadNoTime }: WaitOptions): void {
     if (hadNoTime) this.first.push(action);
     else this.others.push(action);
+    this.scheduleNext();
+  }
+
+  private scheduleNext(): void {
+    if (this.isNextScheduled) return;
+    this.isNextScheduled = true;
+    setImmediate(() => this.beginNext());
   }
 
   private beginNext(): void {
-    const waiting = [...this.first, ...this.others];
+    this.isNextScheduled = false;
     this.endsAt = undefined;
-    this.first = [];
+    const waiting = [...this.first, ...this.others];
+    this.first = waiting.splice(MAX_RESUMED);
     this.others = [];
     for (const action of waiting) action();
+    if (this.first.length > 0) this.scheduleNext();
   }
 }
--- a/packages/fleet/src/operators/app.ts
+++ b/packages/fleet/src/operators/app.ts
@@ -99,12 +99,14 @@
       receiveTimeoutMs: RECEIVE_TIMEOUT_MS,
     });
     this.server = bound.server;
+    kernel.resolve(listenersKey).open();
     this.peerDirectory?.announce(bound.address);
     kernel.resolve(statusBoardKey).add('address.operators', () => bound.address);
     kernel.log.info({ event: 'operators.listening', address: bound.address });
   }
 
   override async stop(): Promise<void> {
+    this.kernel?.resolve(listenersKey).close();
     this.server?.closeAllConnections();
     this.server?.close();
     return Promise.resolve();
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -44,6 +44,9 @@
 
 const BYTES_PER_MB = 1_024 * 1_024;
 
+/** Memory of a process besides its heap and what it holds for callers, in bytes: its code, mostly. */
+const BYTES_BESIDE_HEAP = 64 * BYTES_PER_MB;
+
 /** Options of `startRouter` and `startSidecar`. */
 export interface ProcessOptions {
   log?: Logger;
@@ -90,7 +93,10 @@
     incarnation: makeUuid(),
   });
   kernel.provide(linkTrafficKey, createLinkTraffic());
-  const listeners = new ProcessListeners({ clock, log, budgetBytes: readBudget(settings) });
+  const budgetBytes = readBudget(settings);
+  const { heap_size_limit: heapBytes } = getHeapStatistics();
+  const memoryBytes = heapBytes + budgetBytes + BYTES_BESIDE_HEAP;
+  const listeners = new ProcessListeners({ clock, log, budgetBytes, memoryBytes });
   listeners.addRecorder(new PressureMetrics(metrics));
   kernel.provide(listenersKey, listeners);
   return kernel;
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -170,6 +170,7 @@
 
   override async open(): Promise<void> {
     this.state.eventLoop.start();
+    this.state.listeners.open();
     await this.peers.open();
     await this.stateServer.open();
     this.stateFollower.open();
@@ -201,6 +202,7 @@
 
   override async stop(): Promise<void> {
     this.state.eventLoop.stop();
+    this.state.listeners.close();
     this.ingress.stopListening();
     this.readiness.close();
     this.state.metrics.close();
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -162,8 +162,13 @@
     this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
     const { memoryBytes, descriptors } = options.limits ?? DEFAULT_PROCESS_LIMITS;
     const budgetBytes = budgetOfMemory(memoryBytes);
-    this.listeners = new ProcessListeners({ clock: options.clock, log: options.log, budgetBytes });
-    this.connectionLimits = connectionLimitsOf(descriptors);
+    this.listeners = new ProcessListeners({
+      clock: options.clock,
+      log: options.log,
+      budgetBytes,
+      memoryBytes,
+    });
+    this.connectionLimits = connectionLimitsOf({ descriptors, memoryBytes });
     this.metrics = new RouterMetrics({
       keyAgeMs: () => this.freshness.ageMs(this.clock.monotonic()),
       routesVersion: () => this.routeIndex?.table.version ?? 0,
