--- a/packages/bench/src/commands.ts
+++ b/packages/bench/src/commands.ts
@@ -3,6 +3,7 @@
 import { capacityCommand } from './capacity/app.ts';
 import { compareCommand } from './compare/app.ts';
 import { configCommand } from './config/app.ts';
+import { crowdCommand } from './crowd/app.ts';
 import { decisionCostCommand } from './decision-cost/app.ts';
 import { drainCommand } from './drain/app.ts';
 import { exchangeCommand } from './exchange/app.ts';
@@ -43,6 +44,7 @@
     forwardingCommand,
     fuzzCommand,
     configCommand,
+    crowdCommand,
     drainCommand,
     floodCommand,
     latencyCommand,
--- a/packages/bench/src/crowd/ordinary-caller.ts
+++ b/packages/bench/src/crowd/ordinary-caller.ts
@@ -10,12 +10,14 @@
 /** Longest time for which it waits, in ms; far longer than any answer takes. */
 const PATIENCE_MS = 30_000;
 /** Statuses that promise that the request has not run and never will. */
-const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+export const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const DEFAULT_RETRY_AFTER_S = 0.2;
 const MS_PER_SECOND = 1_000;
 
-interface Answer {
+/** The whole answer to one try. */
+export interface OrdinaryAnswer {
   status: number;
+  /** When the caller may come again, in seconds. */
   retryAfterS: number;
 }
 
@@ -34,11 +36,12 @@
   }
 }
 
-async function sendOnce(
+/** Sends one try on a new connection. Rejects if there is no whole answer. */
+export async function sendOnce(
   target: CrowdTarget,
   { method = 'POST', target: path, headers = {} }: CrowdHead,
   body: string,
-): Promise<Answer> {
+): Promise<OrdinaryAnswer> {
   return new Promise((resolve, reject) => {
     const options = { ...target, method, path, agent: false, timeout: PATIENCE_MS };
     const request = httpRequest({ ...options, headers }, (response) => {
--- a/packages/bench/src/crowd/router-site.ts
+++ b/packages/bench/src/crowd/router-site.ts
@@ -81,6 +81,11 @@
     return this.router?.pid;
   }
 
+  /** Whether a try with this id has run. */
+  hasRun(id: string): boolean {
+    return this.engine.runs.some(({ requestId }) => requestId === id);
+  }
+
   /** What the router has written to its log. */
   get log(): string {
     return readFileSync(join(this.folder, `${ROUTER_NAME}.log`), 'utf8');
