--- a/packages/bench/src/crowd/crowd-generator.ts
+++ b/packages/bench/src/crowd/crowd-generator.ts
@@ -18,6 +18,8 @@
 /** Most chunks or requests of one client: each costs its time, also on the side of the crowd. */
 const MAX_PIECES = 150_000;
 
+const WARM_UP = 20;
+
 /** A crowd with what it does, for reports. */
 export interface GeneratedCrowd extends Crowd {
   description: string;
@@ -26,6 +28,8 @@
 /** Makes the crowd of a seed. */
 export function generateCrowd(seed: number): GeneratedCrowd {
   const random = new Random(seed);
+  // The first numbers of small seeds are alike.
+  for (let count = 0; count < WARM_UP; count += 1) random.uniform();
   const connections = random.pick(CONNECTIONS);
   const bytes = Math.floor(
     Math.min(MAX_CROWD_BYTES / connections, random.boundedPareto(20_000, 4 * MIB - 1_024, 0.5)),
--- a/packages/forwarder/src/calls/attempt-sender.ts
+++ b/packages/forwarder/src/calls/attempt-sender.ts
@@ -1,7 +1,7 @@
 /** Sends the attempts of one call, and records each with what the router knows of the endpoint and the workspace. */
 import type { AnswerCheck } from '@poplarpick/decisions';
 import type { RequestError } from '@poplarpick/kernel';
-import { sharedSegments } from '../router-state.ts';
+import { sharedSegments } from '../shared-segments.ts';
 import type { RouterState } from '../router-state.ts';
 import { createWithheldError } from './attempt-errors.ts';
 import type { AttemptPlanner } from './attempt-planner.ts';
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -16,7 +16,7 @@
 import type { Timer } from '@poplarpick/kernel';
 import { AttemptEvidence } from '../poison/attempt-evidence.ts';
 import { hashRequest } from '../poison/request-hash.ts';
-import { sharedSegmentHashes } from '../router-state.ts';
+import { sharedSegmentHashes } from '../shared-segments.ts';
 import type { RouterState } from '../router-state.ts';
 import { createFaultError, createStallError, isEndpointFailure } from './attempt-errors.ts';
 import { AttemptHandover } from './attempt-handover.ts';
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -19,7 +19,7 @@
   Route,
 } from '@poplarpick/decisions';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
-import { sharedSegments } from '../router-state.ts';
+import { sharedSegments } from '../shared-segments.ts';
 import type { RouterState } from '../router-state.ts';
 
 /** Usable fraction of an endpoint's KV cache; beyond it, the engine drops the newest requests. */
--- a/packages/forwarder/src/explain/route-explainer.test.ts
+++ b/packages/forwarder/src/explain/route-explainer.test.ts
@@ -7,7 +7,8 @@
 import { CallPlacer } from '../calls/call-placer.ts';
 import { CallProtocol } from '../calls/call-protocol.ts';
 import type { CallHead, ProcessQuestionHead, ResponseHead } from '../calls/call-protocol.ts';
-import { RouterState, sharedSegments } from '../router-state.ts';
+import { RouterState } from '../router-state.ts';
+import { sharedSegments } from '../shared-segments.ts';
 import { RouteExplainer } from './route-explainer.ts';
 
 const POOL = 'pool';
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -3,6 +3,8 @@
 export * from './forwarder.ts';
 export { ControlCall } from './router-metrics.ts';
 export * from './router-state.ts';
+export * from './process-limits.ts';
+export * from './shared-segments.ts';
 export * from './calls/call-latency-recorder.ts';
 export * from './calls/call-placer.ts';
 export * from './calls/endpoint-evaluator.ts';
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -5,9 +5,6 @@
  */
 import murmurhash from 'murmurhash';
 import {
-  budgetOfMemory,
-  connectionLimitsOf,
-  hashSharedPrefix,
   KeyFreshness,
   LogRateLimiter,
   PrefixCacheIndex,
@@ -21,12 +18,10 @@
   Endpoint,
   HashedSegment,
   StoreStateAge,
-  Prompt,
   Route,
   RoutingTable,
-  SegmentHash,
 } from '@poplarpick/decisions';
-import { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
+import type { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
 import type { Clock, Logger, LogOutput } from '@poplarpick/kernel';
 import { EndpointClient } from './endpoints/endpoint-client.ts';
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
@@ -42,10 +37,13 @@
 import type { ReportHead } from './peers/router-reports.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
 import { PlannedStop } from './planned-stop.ts';
+import { createListeners } from './process-limits.ts';
+import type { ProcessLimits } from './process-limits.ts';
 import { PoolStates } from './pool-states.ts';
 import type { PoolStatesOptions } from './pool-states.ts';
 import { PoisonGuard } from './poison/poison-guard.ts';
 import { RouterMetrics } from './router-metrics.ts';
+import { createMetricsSource } from './metrics-source.ts';
 import { StreamOrigins } from './streams/stream-origins.ts';
 import { WorkspaceShares } from './workspace-shares.ts';
 import { hashEndpoints } from './peers/state-snapshot.ts';
@@ -73,19 +71,6 @@
   shareWindowMs: number;
 }
 
-/** Limits of the host for one process. */
-export interface ProcessLimits {
-  /** Memory, in bytes. */
-  memoryBytes: number;
-  descriptors: number;
-}
-
-/** Limits of a process whose settings name none. */
-const DEFAULT_PROCESS_LIMITS: ProcessLimits = {
-  memoryBytes: 350 * 1_024 * 1_024,
-  descriptors: 4_096,
-};
-
 /** Options of a `RouterState`. */
 export interface RouterStateOptions {
   clock: Clock;
@@ -160,37 +145,10 @@
     this.stop = new PlannedStop(options.clock);
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
     this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
-    const { memoryBytes, descriptors } = options.limits ?? DEFAULT_PROCESS_LIMITS;
-    const budgetBytes = budgetOfMemory(memoryBytes);
-    this.listeners = new ProcessListeners({
-      clock: options.clock,
-      log: options.log,
-      budgetBytes,
-      memoryBytes,
-    });
-    this.connectionLimits = connectionLimitsOf({ descriptors, memoryBytes });
-    this.metrics = new RouterMetrics({
-      keyAgeMs: () => this.freshness.ageMs(this.clock.monotonic()),
-      routesVersion: () => this.routeIndex?.table.version ?? 0,
-      endpoints: () => this.endpoints.ids().length,
-      routers: () => this.countRouters(),
-      logLinesDropped: () => this.logOutput?.dropped ?? 0,
-      remainingRetries: () => this.pools.remainingRetries,
-      eventLoopDelayMs: () => this.eventLoop.meanDelayMs,
-      eventLoopUtilization: () => this.eventLoop.utilization,
-      blockedSegments: () => this.poison.countBlocked().segments,
-      blockedRequests: () => this.poison.countBlocked().requests,
-      limitedEndpoints: () => this.limits.limitedCount,
-      coldEndpoints: () => this.warmUps.coldCount,
-      evacuatedDataCentres: () => this.evacuations.count,
-      reportAges: () => this.peers.reportAges(this.dataCentre, this.clock.monotonic()),
-      heldBytes: (kind) => this.listeners.budget.heldOf(kind),
-      heldBudgetBytes: () => budgetBytes,
-      connections: () =>
-        Object.fromEntries(
-          this.listeners.guards.map(({ name, connectionCount }) => [name, connectionCount]),
-        ),
-    });
+    const { listeners, connectionLimits } = createListeners(options);
+    this.listeners = listeners;
+    this.connectionLimits = connectionLimits;
+    this.metrics = new RouterMetrics(createMetricsSource(this));
     this.listeners.addRecorder(this.metrics);
     this.hedges = new HedgeBudgets(options.hedgeExtraWork);
     this.poison = new PoisonGuard({
@@ -447,13 +405,3 @@
     this.pools.removeEndpoint(record);
   }
 }
-
-/** The segments of a prompt that other requests may share; empty without a prompt. */
-export function sharedSegments(prompt: Prompt | undefined): HashedSegment[] {
-  return prompt === undefined ? [] : hashSharedPrefix(prompt);
-}
-
-/** Hashes of the segments of a prompt that other requests may share; empty without a prompt. */
-export function sharedSegmentHashes(prompt: Prompt | undefined): SegmentHash[] {
-  return sharedSegments(prompt).map(({ hash }) => hash);
-}
