Garbage is collected by hand only where the settings name the host's memory

Cause: a router whose settings name no memory took that of a small host for its own, 350 MiB. A process of the tests has up to 1.5 GB, so each of its routers had V8 collect all of it every 0.3 s, up to half of the time.

Change: without a known limit, garbage is left to V8.

--- a/packages/fleet/src/listening/process-listeners.ts
+++ b/packages/fleet/src/listening/process-listeners.ts
@@ -22,7 +22,7 @@
   /** Memory that may be held for callers, in bytes. */
   budgetBytes: number;
   /** Memory of the host for this process, in bytes; garbage is left to V8 by default. */
-  memoryBytes?: number;
+  memoryBytes?: number | undefined;
 }
 
 /** Receives counts for metrics. */
--- a/packages/forwarder/src/process-limits.ts
+++ b/packages/forwarder/src/process-limits.ts
@@ -4,18 +4,18 @@
 import { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
 import type { Clock, Logger } from '@poplarpick/kernel';
 
-/** Limits of the host for one process. */
+/** Limits of the host for one process, as far as they are known. */
 export interface ProcessLimits {
   /** Memory, in bytes. */
-  memoryBytes: number;
-  descriptors: number;
+  memoryBytes?: number | undefined;
+  descriptors?: number | undefined;
 }
 
-/** Limits of a process whose settings name none. */
-const DEFAULT_PROCESS_LIMITS: ProcessLimits = {
-  memoryBytes: 350 * 1_024 * 1_024,
-  descriptors: 4_096,
-};
+/** Memory of a small host, in bytes. */
+const SMALL_MEMORY_BYTES = 350 * 1_024 * 1_024;
+
+/** Descriptors of a process on a small host. */
+const SMALL_DESCRIPTORS = 4_096;
 
 /** The listeners of a process, and how many connections each may have. */
 export interface LimitedListeners {
@@ -23,20 +23,28 @@
   connectionLimits: ConnectionLimits;
 }
 
-/** Creates the listeners of a process; without limits, those of a small host hold. */
+/**
+ * Creates the listeners of a process. Where a limit isn't known, that of a small host holds; but garbage is collected by hand
+ * only where the memory of the host is known, since the process may share it with much else.
+ */
 export function createListeners({
   clock,
   log,
-  limits = DEFAULT_PROCESS_LIMITS,
+  limits = {},
 }: {
   clock: Clock;
   log: Logger;
   limits?: ProcessLimits | undefined;
 }): LimitedListeners {
-  const { memoryBytes } = limits;
+  const { memoryBytes = SMALL_MEMORY_BYTES, descriptors = SMALL_DESCRIPTORS } = limits;
   const budgetBytes = budgetOfMemory(memoryBytes);
   return {
-    listeners: new ProcessListeners({ clock, log, budgetBytes, memoryBytes }),
-    connectionLimits: connectionLimitsOf(limits),
+    listeners: new ProcessListeners({
+      clock,
+      log,
+      budgetBytes,
+      memoryBytes: limits.memoryBytes,
+    }),
+    connectionLimits: connectionLimitsOf({ descriptors, memoryBytes }),
   };
 }
