The limit of connections isn't met by a site's own callers in a burst

Cause: the limit by memory counted 96 KiB for each connection, as an unfinished head may cost. An idle connection costs a tenth of that.

Change: the limit by memory holds for connections over which no whole head has come, the oldest of which is closed; all together may have 0.75 of the sockets.

--- a/packages/decisions/src/holdings/connection-shares.ts
+++ b/packages/decisions/src/holdings/connection-shares.ts
@@ -9,7 +9,7 @@
 const RESERVED_DESCRIPTORS = 200;
 
 /** Part of the sockets for the connections of callers. */
-const CALLERS_SHARE = 0.6;
+const CALLERS_SHARE = 0.75;
 
 /** Part of the sockets for the connections of peers. */
 const PEERS_SHARE = 0.05;
@@ -20,6 +20,8 @@
 /** Most connections of each listener. */
 export interface ConnectionLimits {
   callers: number;
+  /** Of callers that haven't sent a whole head yet: each may have a block of memory that isn't charged. */
+  newcomers: number;
   peers: number;
   /** Of each other listener: readiness, metrics. */
   others: number;
@@ -35,9 +37,9 @@
 }): ConnectionLimits {
   const sockets = Math.max(0, descriptors - RESERVED_DESCRIPTORS);
   const share = (part: number): number => Math.max(MIN_CONNECTIONS, Math.floor(sockets * part));
-  const callers = Math.min(share(CALLERS_SHARE), connectionsOfMemory(memoryBytes));
   return {
-    callers: Math.max(MIN_CONNECTIONS, callers),
+    callers: share(CALLERS_SHARE),
+    newcomers: Math.max(MIN_CONNECTIONS, connectionsOfMemory(memoryBytes)),
     peers: share(PEERS_SHARE),
     others: MIN_CONNECTIONS,
   };
--- a/packages/decisions/src/holdings/memory-shares.ts
+++ b/packages/decisions/src/holdings/memory-shares.ts
@@ -27,10 +27,10 @@
   return Math.max(MIN_BUDGET_BYTES, Math.floor((memoryBytes - PROCESS_BYTES) * HELD_SHARE));
 }
 
-/** Memory that a connection may take before anything of it is charged, in bytes: a block that was read, and its parser. */
+/** Memory that a new connection may take before anything of it is charged, in bytes: a block, and its parser. */
 const CONNECTION_BYTES = 96 * 1_024;
 
-/** Connections of callers for which a process with so much memory has room besides its budget. */
+/** New connections for which a process with so much memory has room besides its budget. */
 export function connectionsOfMemory(memoryBytes: number): number {
   const leftBytes = memoryBytes - PROCESS_BYTES - budgetOfMemory(memoryBytes);
   return Math.max(0, Math.floor(leftBytes / CONNECTION_BYTES));
--- a/packages/fleet/src/listening/listener-guard.ts
+++ b/packages/fleet/src/listening/listener-guard.ts
@@ -45,6 +45,8 @@
   /** Name of the listener in logs and metrics. */
   name: string;
   maxConnections: number;
+  /** Most connections over which no whole head has come; as many as there may be connections by default. */
+  maxNewcomers?: number;
   /** Largest head of a request, in bytes, at the moment; by default only the parser limits it. */
   maxHeadBytes?: () => number;
   /**
@@ -66,6 +68,8 @@
 export class ListenerGuard {
   private readonly options: ListenerGuardOptions;
   private readonly connections = new Map<Socket, GuardedConnection>();
+  /** Connections over which no whole head has come, the oldest first. */
+  private readonly newcomers = new Set<Socket>();
   private readonly pacers = new WeakMap<Socket, RequestPacer>();
   private readonly closingListeners: ((reason: ClosingReason) => void)[] = [];
 
@@ -93,6 +97,7 @@
     const server = createServer({ ...options, requireHostHeader: false });
     server.on('connection', (socket: Socket) => this.acceptHttp(socket, server));
     server.on('request', (request, response) => {
+      this.newcomers.delete(request.socket);
       this.pacers.get(request.socket)?.add(request, response);
       this.connections.get(request.socket)?.add(request, response, this.options.clock);
     });
@@ -128,12 +133,15 @@
       return false;
     }
     this.connections.set(socket, new GuardedConnection(socket, now));
-    socket.once('close', () => this.connections.delete(socket));
+    this.newcomers.add(socket);
+    socket.once('close', () => this.forget(socket));
+    this.closeOldestNewcomer();
     return true;
   }
 
   /** Keeps an accepted connection open whatever comes. */
   keep(socket: Socket): void {
+    this.newcomers.delete(socket);
     this.connections.get(socket)?.keep();
   }
 
@@ -186,12 +194,28 @@
     }));
     const closing = pickClosing(states, now)?.connection;
     if (closing === undefined) return false;
-    this.report(ClosingReason.Replaced);
-    this.connections.delete(closing.socket);
-    closing.socket.destroy();
+    this.close(closing.socket);
     return true;
   }
 
+  private closeOldestNewcomer(): void {
+    const { maxNewcomers = Number.POSITIVE_INFINITY } = this.options;
+    if (this.newcomers.size <= maxNewcomers) return;
+    const [oldest] = this.newcomers;
+    if (oldest !== undefined) this.close(oldest);
+  }
+
+  private close(socket: Socket): void {
+    this.report(ClosingReason.Replaced);
+    this.forget(socket);
+    socket.destroy();
+  }
+
+  private forget(socket: Socket): void {
+    this.connections.delete(socket);
+    this.newcomers.delete(socket);
+  }
+
   private report(reason: ClosingReason): void {
     for (const listener of this.closingListeners) listener(reason);
   }
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -98,6 +98,7 @@
     const guard = state.listeners.guard({
       name: 'callers',
       maxConnections: state.connectionLimits.callers,
+      maxNewcomers: state.connectionLimits.newcomers,
       maxHeadBytes: () => state.callerLimits.headerBytes,
       onInputRefused: (socket) => this.connections.of(socket).rejectRest(NO_MEMORY_RESPONSE),
     });
