An ordinary request takes no part in the turns of the event loop

Each block that was read began a turn, with a callback of the event loop, and a second iteration of it, of its own. Blocks up to 8 KiB are parsed without one; they hold a few requests, and eight of those may be unanswered.

--- a/packages/fleet/src/listening/request-pacer.ts
+++ b/packages/fleet/src/listening/request-pacer.ts
@@ -16,6 +16,9 @@
 /** Most that Node.js reads in one block, and keeps of a connection that is paused before its next block, in bytes. */
 const READ_BLOCK_BYTES = 65_536;
 
+/** Bytes that are parsed at once whatever else has been parsed in this turn: an ordinary request. */
+const SMALL_BYTES = 8_192;
+
 /** Memory that the parser takes for each byte of a head, in bytes: it makes two strings of each line. */
 const HEAD_BYTE_COST = 5;
 
@@ -66,7 +69,7 @@
     socket.removeListener('data', parse);
     socket.on('data', (bytes: Buffer) => this.take(bytes));
     // So that many new connections don't read a block each in one turn.
-    this.mayGoOn(true);
+    if (options.turns.isUsedUp) this.waitForTurn(true);
   }
 
   /** Counts a request whose head has come; its response ends it. */
@@ -100,7 +103,8 @@
   private take(bytes: Buffer): void {
     this.recordRead();
     let rest = bytes;
-    while (rest.length > 0 && !this.isHeadTooLarge && this.mayGoOn(rest === bytes)) {
+    const isSmall = bytes.length <= SMALL_BYTES;
+    while (rest.length > 0 && !this.isHeadTooLarge && this.mayGoOn(rest === bytes, isSmall)) {
       const piece = rest.subarray(0, this.scanner.pieceLength(rest));
       rest = rest.subarray(piece.length);
       if (this.latest?.complete !== false) this.headBytes += piece.length;
@@ -125,22 +129,29 @@
 
   /**
    * Whether the parser may be given more now; otherwise the connection is paused, unless it is of no use any more.
-   * `hadNoTime` tells whether it has got none in this turn.
+   * `hadNoTime` tells whether it has got none in this turn, `isSmall` that what has come takes little time in any case.
    */
-  private mayGoOn(hadNoTime: boolean): boolean {
+  private mayGoOn(hadNoTime: boolean, isSmall: boolean): boolean {
     const { socket, turns } = this.options;
     if (this.isGivenUp || socket.destroyed) return false;
     // The HTTP server itself goes on once its caller has taken what was written.
     const isPaused = socket.isPaused() || isPausedByServer(socket);
-    if (!isPaused && this.mayParse && turns.hasTime) return true;
-    if (!isPaused) {
-      if (this.mayParse) turns.wait(() => socket.resume(), { hadNoTime });
-      else this.isHeld = true;
+    if (!isPaused && this.mayParse && (isSmall || turns.hasTime)) return true;
+    if (!isPaused && this.mayParse) {
+      this.waitForTurn(hadNoTime);
+      return false;
     }
+    if (!isPaused) this.isHeld = true;
     socket.pause();
     return false;
   }
 
+  private waitForTurn(hadNoTime: boolean): void {
+    const { socket, turns } = this.options;
+    socket.pause();
+    turns.wait(() => socket.resume(), { hadNoTime });
+  }
+
   /** Holds what can't be answered yet; false if there is no room for it, so that it is given up. */
   private holdInput(waitingBytes: number): boolean {
     const headCost = this.headBytes === 0 ? 0 : this.headBytes * HEAD_BYTE_COST + CONNECTION_BYTES;
--- a/packages/fleet/src/listening/work-turns.ts
+++ b/packages/fleet/src/listening/work-turns.ts
@@ -22,6 +22,11 @@
   private others: (() => void)[] = [];
   private isNextScheduled = false;
 
+  /** Whether the time of this turn is used up; asking costs nothing in a turn without much to parse. */
+  get isUsedUp(): boolean {
+    return this.endsAt !== undefined && performance.now() >= this.endsAt;
+  }
+
   /** Whether this turn has time for more parsing. */
   get hasTime(): boolean {
     if (this.endsAt !== undefined) return performance.now() < this.endsAt;
