--- a/packages/fleet/src/listening/process-listeners.ts
+++ b/packages/fleet/src/listening/process-listeners.ts
@@ -13,7 +13,7 @@
 /** Shortest time between two lines about what was given up, in ms. */
 const LOG_PERIOD_MS = 1_000;
 
-const MEMORY_CHECK_PERIOD_MS = 100;
+const MEMORY_CHECK_PERIOD_MS = 5_000;
 
 /** Options of a `ProcessListeners`. */
 export interface ProcessListenersOptions {
