Garbage is collected as fast as a quiet host lets a crowd make it

Change: once the memory fills, it is looked at every 30 ms, and garbage is collected after 2 MiB of reads and 6 MiB given up, all of it every 60 ms at most above 0.7 of the host's memory. Below 0.6 nothing of this happens.

--- a/packages/fleet/src/listening/block-pool.ts
+++ b/packages/fleet/src/listening/block-pool.ts
@@ -9,7 +9,7 @@
 export const BLOCK_BYTES = 16_384;
 
 /** Most blocks that are kept for later; the others are garbage. */
-const MAX_FREE_BLOCKS = 512;
+const MAX_FREE_BLOCKS = 128;
 
 /** The free blocks of a process. */
 export class BlockPool {
--- a/packages/fleet/src/listening/garbage-collector.ts
+++ b/packages/fleet/src/listening/garbage-collector.ts
@@ -9,19 +9,21 @@
 const MIB = 1_048_576;
 
 /** Bytes read since the latest collection after which short-lived objects are collected. */
-const READ_BYTES = 4 * MIB;
+const READ_BYTES = 2 * MIB;
 
 /** Bytes given up since the latest collection after which all objects are collected. */
-const YIELDED_BYTES = 16 * MIB;
+const YIELDED_BYTES = 6 * MIB;
 
 /** Part of the host's memory from which on such garbage is collected. */
-const BUSY_SHARE = 0.55;
+const BUSY_SHARE = 0.6;
 
 /** Part of the host's memory from which on all garbage is collected, whatever has been read. */
-const FULL_SHARE = 0.75;
+const FULL_SHARE = 0.7;
 
-/** Shortest time between two collections for that reason, in ms: one of them takes a third of it. */
-const MIN_PAUSE_MS = 300;
+/** Shortest time between two collections for that reason, in ms. */
+const MIN_PAUSE_MS = 60;
+
+const WATCH_PERIOD_MS = 30;
 
 /** Which objects are collected. */
 export enum Generation {
@@ -46,6 +48,7 @@
   private readonly options: Required<GarbageCollectorOptions>;
   private readBytes = 0;
   private yieldedBytes = 0;
+  private isWatching = false;
   private collectedAllAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: GarbageCollectorOptions) {
@@ -63,6 +66,7 @@
     this.readBytes = 0;
     if (this.isOver(FULL_SHARE)) this.check();
     else if (this.isOver(BUSY_SHARE)) this.options.collect(Generation.Young);
+    this.watch();
   }
 
   /** Called with the number of bytes that were held and are given up. */
@@ -80,6 +84,17 @@
     if (pausedMs >= MIN_PAUSE_MS && this.isOver(FULL_SHARE)) this.collectAll();
   }
 
+  /** Checks often as long as the memory is filling; to do so all the time would cost an idle process much. */
+  private watch(): void {
+    if (this.isWatching || !this.isOver(BUSY_SHARE)) return;
+    this.isWatching = true;
+    setTimeout(() => {
+      this.isWatching = false;
+      this.check();
+      this.watch();
+    }, WATCH_PERIOD_MS).unref();
+  }
+
   private collectAll(): void {
     this.collectedAllAt = this.options.clock.monotonic();
     this.options.collect(Generation.All);
