--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -45,7 +45,7 @@
 const BYTES_PER_MB = 1_024 * 1_024;
 
 /** Memory of a process besides its heap and what it holds for callers, in bytes: its code, mostly. */
-const BYTES_BESIDE_HEAP = 128 * BYTES_PER_MB;
+const BYTES_BESIDE_HEAP = 16 * BYTES_PER_MB;
 
 /** Options of `startRouter` and `startSidecar`. */
 export interface ProcessOptions {
