The memory of a process is read once for each decision about its garbage

A decision read it up to three times: whether it is over each of two shares, and whether to go on watching. Behaviour stays as it is: 9 tests of listening pass, none changed.

--- a/packages/fleet/src/listening/garbage-collector.ts
+++ b/packages/fleet/src/listening/garbage-collector.ts
@@ -64,8 +64,10 @@
     this.readBytes += bytes;
     if (this.readBytes < READ_BYTES) return;
     this.readBytes = 0;
-    if (this.isOver(FULL_SHARE)) this.check();
-    else if (this.isOver(BUSY_SHARE)) this.options.collect(Generation.Young);
+    const share = this.readShare();
+    if (share <= BUSY_SHARE) return;
+    if (share > FULL_SHARE) this.collectAllAfterPause();
+    else this.options.collect(Generation.Young);
     this.watch();
   }
 
@@ -75,23 +77,28 @@
     if (this.yieldedBytes < YIELDED_BYTES) return;
     this.yieldedBytes = 0;
     // What is given up becomes garbage once its connection is closed.
-    if (this.isOver(BUSY_SHARE)) setImmediate(() => this.collectAll());
+    if (this.readShare() > BUSY_SHARE) setImmediate(() => this.collectAll());
   }
 
   /** Called from time to time: V8 lets garbage of small objects grow up to the limit of its heap. */
   check(): void {
+    if (this.readShare() > FULL_SHARE) this.collectAllAfterPause();
+  }
+
+  private collectAllAfterPause(): void {
     const pausedMs = this.options.clock.monotonic() - this.collectedAllAt;
-    if (pausedMs >= MIN_PAUSE_MS && this.isOver(FULL_SHARE)) this.collectAll();
+    if (pausedMs >= MIN_PAUSE_MS) this.collectAll();
   }
 
   /** Checks often as long as the memory is filling; to do so all the time would cost an idle process much. */
   private watch(): void {
-    if (this.isWatching || !this.isOver(BUSY_SHARE)) return;
+    if (this.isWatching) return;
     this.isWatching = true;
     setTimeout(() => {
       this.isWatching = false;
-      this.check();
-      this.watch();
+      const share = this.readShare();
+      if (share > FULL_SHARE) this.collectAllAfterPause();
+      if (share > BUSY_SHARE) this.watch();
     }, WATCH_PERIOD_MS).unref();
   }
 
@@ -100,9 +107,10 @@
     this.options.collect(Generation.All);
   }
 
-  private isOver(share: number): boolean {
+  /** Part of the host's memory that the process takes; each call opens a file of the operating system. */
+  private readShare(): number {
     const { readMemory, memoryBytes } = this.options;
-    return readMemory() > memoryBytes * share;
+    return readMemory() / memoryBytes;
   }
 }
 
