--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -350,7 +350,7 @@
   }
 
   /** Sends a request; resolves to the status line of its answer, or to how it ended. */
-  async send(id, target) {
+  async send(id, target, deadlineMs = 3_000) {
     const { socket } = this;
     let received = '';
     return new Promise((resolve) => {
@@ -369,7 +369,7 @@
       socket.on('close', onClose);
       if (socket.destroyed) onClose();
       socket.write(
-        `POST ${target} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n`,
+        `POST ${target} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\nContent-Length: 0\r\n\r\n`,
       );
     });
   }
