--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -51,7 +51,7 @@
   await at(SEND_MS);
   record.add(`${CALLERS} callers send a payment each over the connections that they have kept`);
   const outcomes = callers.map((caller, index) =>
-    caller.send(`pay-${index}`, '/pay/slow', DEADLINE_MS),
+    caller.send(`pay-${index}`, '/pay/slow', { deadlineMs: DEADLINE_MS }),
   );
   await at(GRACE_MS);
   if (router.exit === undefined) {
--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -337,8 +337,9 @@
   });
 }
 
-/** How a request ends whose connection is closed without a whole answer. */
+/** How a request ends whose connection is closed before its answer is whole. */
 export const UNANSWERED = 'closed without an answer';
+export const BROKEN_OFF = 'closed within its answer';
 
 /** A caller that keeps its connection. */
 export class Caller {
@@ -350,11 +351,11 @@
   }
 
   /** Sends a request; resolves to the status line of its answer, or to how it ended. */
-  async send(id, target, deadlineMs = 3_000) {
+  async send(id, target, { deadlineMs = 3_000, headers = '' } = {}) {
     const { socket } = this;
     let received = '';
     return new Promise((resolve) => {
-      const onClose = () => resolve(UNANSWERED);
+      const onClose = () => resolve(received === '' ? UNANSWERED : BROKEN_OFF);
       const onData = (bytes) => {
         received += bytes.toString('latin1');
         if (!isWhole(received)) return;
@@ -369,7 +370,7 @@
       socket.on('close', onClose);
       if (socket.destroyed) onClose();
       socket.write(
-        `POST ${target} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\nContent-Length: 0\r\n\r\n`,
+        `POST ${target} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\n${headers}Content-Length: 0\r\n\r\n`,
       );
     });
   }
