--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -156,6 +156,19 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** Ends all connections with a reset, and is gone until `startAgain`. */
+  crash() {
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  /** Starts again under its id and at its address. */
+  async startAgain() {
+    const [ip, port] = this.address.split(':');
+    this.born = Date.now();
+    await new Promise((resolve) => this.server.listen(Number(port), ip, resolve));
+  }
+
   accept(socket) {
     this.sockets.add(socket);
     socket.setNoDelay(true);
