--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -190,6 +190,12 @@
     });
   }
 
+  /** What is cached: `held` has the tokens of each part by its id. */
+  listHeld() {
+    const parts = [...(this.held ?? new Map())].map(([id, tokens]) => ['', id, tokens, 'm']);
+    return { epoch: 1, next: 1, held: parts };
+  }
+
   get isSilent() {
     return this.postponed !== undefined;
   }
@@ -205,6 +211,7 @@
   }
 
   dispatch(socket, head, body) {
+    if (head.startsWith('GET /v1/kv-list')) this.onList?.();
     if (this.isSilent) {
       this.postponed.push([socket, head, body]);
       return;
@@ -215,7 +222,7 @@
       const report = { stage: 'both', models: [], busy: false, seq: 1, waiting: 0, running: 0 };
       answer(socket, { body: JSON.stringify({ ...report, born: this.born }) });
     } else if (target === '/v1/kv-list')
-      answer(socket, { body: JSON.stringify({ epoch: 1, next: 1, held: [], born: this.born }) });
+      answer(socket, { body: JSON.stringify({ ...this.listHeld(), born: this.born }) });
     else if (headerOf(head, 'expect-instance') !== this.id)
       answer(socket, { status: '421 Misdirected Request', headers: { 'Attempt-Id': id } });
     else this.handle({ socket, method, target, id, head, body, engine: this });
@@ -411,6 +418,44 @@
   }
 }
 
+/** One try of a stream over a connection of its own; `lastId` and `resumes` take up an earlier one. */
+export class Take {
+  constructor(front, { id, session, events, lastId = -1, resumes }) {
+    this.id = id;
+    this.events = [];
+    this.lastId = lastId;
+    this.isWhole = false;
+    this.socket = connect(front);
+    let received = '';
+    this.socket.on('error', () => undefined);
+    this.socket.on('data', (bytes) => {
+      received += bytes.toString('latin1');
+      this.read(received);
+      if (isWhole(received)) this.socket.destroy();
+    });
+    this.done = new Promise((resolve) => this.socket.on('close', resolve));
+    const resumption =
+      resumes === undefined ? '' : `Last-Event-Id: ${lastId}\r\nResumes: ${resumes}\r\n`;
+    this.socket.write(
+      `POST /draft/${events} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ${id}\r\nModel: m\r\n` +
+        `Token-Usage: 100,50\r\nPrompt-Prefix: aa:50,5e551${session}:50\r\nDeadline-Ms: 12000\r\n` +
+        `${resumption}Content-Length: 0\r\n\r\n`,
+    );
+  }
+
+  read(received) {
+    this.status = received.split('\r\n', 1)[0].slice('HTTP/1.1 '.length);
+    this.events = received.match(/^id: \d+\ndata: .*\n\n/gm) ?? [];
+    const last = this.events.at(-1);
+    if (last !== undefined) this.lastId = Number(/^id: (\d+)/.exec(last)[1]);
+    this.isWhole = isWhole(received);
+  }
+
+  stop() {
+    this.socket.destroy();
+  }
+}
+
 /** Whether the text is a whole answer. */
 export function isWhole(text) {
   const end = text.indexOf(HEAD_END);
