--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,149 +1,89 @@
-// All routers are killed while streams run at an engine of one software version, whose sessions an engine of another
-// version has cached from before. The first engine is silent for a second when the routers ask what it has cached: they
-// take the other version for the one that began the streams, and go on with them there.
+// A sound engine ends streams, which have neither a length nor chunks, and is silent for a second after each of them. The
+// router takes these whole streams for ones that have broken off, and breaks them off at their callers.
 import * as kit from '../harness-2.mjs';
 
-const ROUTERS = 2;
-const SESSIONS = 16;
-const EVENTS = 120;
+const STREAMS = 6;
+/** Events of the shortest stream, and how many more each further one has. */
+const FEWEST_EVENTS = 10;
+const MORE_EVENTS = 10;
 const EVENT_GAP_MS = 50;
-const DOWN_MS = 300;
-/** Time for which the engine is silent, in ms. */
+/** Time for which the engine is silent, in ms: "a second or so". */
 const SILENT_MS = 1_000;
-/** Streams of two versions up to this number are allowed. */
-const ALLOWED_JOINS = 2;
+/** Breaches of LOST up to this number are allowed. */
+const ALLOWED_LOSSES = 3;
 
 const ROUTES = [
   {
     ...{ name: 'draft', host: 'h.example', pathPrefix: '/draft/', kind: 'stream', service: 'llm' },
-    ...{ timeoutMs: 12_000, targetLatencyMs: 800, gapAimMs: 500, maxAttempts: 2 },
-    ...{ public: true, resumable: true },
+    ...{ timeoutMs: 12_000, targetLatencyMs: 800, gapAimMs: 500, maxAttempts: 1 },
+    ...{ public: true, resumable: false },
+  },
+  {
+    ...{ name: 'pay', host: 'h.example', pathPrefix: '/pay/', kind: 'non_idempotent' },
+    ...{ service: 'llm', timeoutMs: 5_000, targetLatencyMs: 2_000, maxAttempts: 1, public: true },
   },
 ];
 
 await kit.runCase(import.meta.url, async ({ record, own }) => {
+  const ip = kit.freeAddress();
+  /** Ids of the streams that the engine has ended whole. */
+  const whole = new Set();
   const store = own(new kit.Store());
-  await store.start(kit.freeAddress());
-  const old = own(
-    new kit.Engine({ id: 'i-old', service: 'llm', version: 'v1', slots: 32, handle: stream }),
-  );
-  const next = own(
-    new kit.Engine({ id: 'i-new', service: 'llm', version: 'v2', slots: 32, handle: stream }),
+  await store.start(ip);
+  const engine = own(
+    new kit.Engine({ id: 'i-llm', service: 'llm', handle: (call) => serve(call, whole, record) }),
   );
-  for (const engine of [old, next]) {
-    await engine.start(kit.freeAddress());
-    engine.held = new Map();
-  }
-  const services = [
-    { name: 'llm', healthCheck: '/health', maxConnections: 240, engine: { kvTokens: 600_000 } },
-  ];
+  await engine.start(ip);
+  const services = [{ name: 'llm', healthCheck: '/health', maxConnections: 240 }];
   store.put('op/config', kit.configuration(1, { routes: ROUTES, services }));
-  store.put(`servers/${old.id}`, old.entry);
-  const ips = Array.from({ length: ROUTERS }, kit.freeAddress);
-  const routers = ips.map((ip, index) =>
-    own(
-      new kit.Router({
-        name: `front-${index}`,
-        ip,
-        store,
-        seeds: ips.filter((seed) => seed !== ip),
-      }),
-    ),
-  );
-  for (const router of routers) router.start();
-  for (const router of routers)
-    if (!(await router.ready())) throw new Error('a router is not ready');
-
-  const routerOf = (session) => routers[session % ROUTERS];
-  const sessions = Array.from({ length: SESSIONS }, (_, session) => session);
-  const first = sessions.map((session) =>
-    own(new kit.Take(routerOf(session).front, { id: `first-${session}`, session, events: 3 })),
-  );
-  await Promise.all(first.map(({ done }) => done));
-  record.add(`${SESSIONS} sessions have had a first answer, at i-old of version v1`);
-  store.put(`servers/${next.id}`, next.entry);
-  await kit.sleep(1_000);
-  record.add('i-new of version v2 serves beside it; i-old is full for a moment');
-  old.isFull = true;
-  const begun = sessions.map((session) =>
-    own(
-      new kit.Take(routerOf(session).front, { id: `second-${session}`, session, events: EVENTS }),
-    ),
-  );
-  await kit.until(() => begun.every(({ lastId }) => lastId >= 5));
-  old.isFull = false;
-  record.add('a second answer of each session has begun');
+  store.put(`servers/${engine.id}`, engine.entry);
+  const router = own(new kit.Router({ name: 'front-1', ip, store }));
+  router.start();
+  if (!(await router.ready())) throw new Error('the router is not ready');
 
-  next.onList = () => {
-    next.onList = undefined;
-    record.add('a router asks i-new what it has cached; i-new is silent for a second');
-    next.fallSilent(SILENT_MS);
-  };
-  if (kit.isTroubled) {
-    record.add('all routers are killed');
-    for (const router of routers) router.process.kill('SIGKILL');
-    await kit.sleep(DOWN_MS);
-    for (const router of routers) {
-      router.bootstrap = false;
-      router.start();
-    }
-    record.add('the routers start again');
+  const callers = Array.from({ length: STREAMS }, () => own(new kit.Caller(router.front)));
+  for (const [index, caller] of callers.entries()) await caller.send(`warm-${index}`, '/pay/fast');
+  record.add('each caller has got an answer, and keeps its connection');
+  const outcomes = callers.map((caller, index) => {
+    const headers = `Model: m\r\nToken-Usage: 100,50\r\nPrompt-Prefix: aa:50,b${index}:50\r\n`;
+    return caller.send(`stream-${index}`, `/draft/${FEWEST_EVENTS + index * MORE_EVENTS}`, {
+      deadlineMs: 12_000,
+      headers,
+    });
+  });
+  let lost = 0;
+  for (const [index, outcome] of (await Promise.all(outcomes)).entries()) {
+    const id = `stream-${index}`;
+    record.add(`${id}: ${outcome}, ${whole.has(id) ? 'ended whole by the engine' : 'not ended'}`);
+    if (outcome === kit.BROKEN_OFF || outcome === kit.UNANSWERED) lost += 1;
   }
-  for (const router of routers) await router.ready();
-  const takes = await Promise.all(
-    begun.map(async (take, session) => {
-      if (!kit.isTroubled) await take.done;
-      const { events, isWhole, lastId } = take;
-      if (isWhole) return { events, ending: 'whole at the first try' };
-      const options = { id: `third-${session}`, session, events: EVENTS, resumes: take.id, lastId };
-      const again = own(new kit.Take(routerOf(session).front, options));
-      await again.done;
-      const ending = `${again.status}, ${again.isWhole ? 'whole' : 'not whole'}`;
-      return {
-        events: [...events, ...again.events],
-        ending: `taken up after ${lastId}: ${ending}`,
-      };
-    }),
-  );
-  let joined = 0;
-  for (const [session, { events, ending }] of takes.entries()) {
-    const versions = [...new Set(events.map((event) => /^data: (v\d)/m.exec(event)?.[1]))];
-    record.add(
-      `session ${session}: ${events.length} events of ${versions.join(' and ')}, ${ending}`,
-    );
-    if (versions.length > 1) joined += 1;
-  }
-  record.add(`${joined} streams hold events of two versions`);
-  return joined <= ALLOWED_JOINS;
+  record.add(`${lost} whole streams broken off at their callers`);
+  return lost <= ALLOWED_LOSSES;
 });
 
-/** A stream that goes on after `Last-Event-Id`; its text tells the version of the engine's software. */
-function stream({ socket, head, id, engine, target }) {
-  if (engine.isFull === true) {
-    const headers = { 'Attempt-Id': id, 'Not-Executed': '1' };
-    kit.answer(socket, { status: '503 Service Unavailable', headers });
+/** A quick answer, or a whole stream that ends with its connection, in order; the engine is silent for a while then. */
+function serve({ socket, target, id, engine }, whole, record) {
+  const headers = { 'Attempt-Id': id, 'Response-Seal': 'seal' };
+  if (target.startsWith('/pay/')) {
+    kit.answer(socket, { headers, body: 'paid' });
     return;
   }
-  for (const part of (kit.headerOf(head, 'prompt-prefix') ?? '').split(',')) {
-    const [name, tokens] = part.split(':');
-    engine.held.set(name, Number(tokens));
-  }
   const events = Number(target.split('/')[2]);
-  let next = Number(kit.headerOf(head, 'last-event-id') ?? -1) + 1;
   socket.write(
-    `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\n` +
-      'Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n',
+    `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\nResponse-Seal: seal\r\n\r\n`,
   );
+  let sent = 0;
   const timer = setInterval(() => {
-    if (socket.destroyed) clearInterval(timer);
-    if (socket.destroyed || engine.isSilent) return;
-    if (next < events) {
-      const event = `id: ${next}\ndata: ${engine.version}\n\n`;
-      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
-      next += 1;
+    if (engine.isSilent) return;
+    if (sent < events) {
+      socket.write(`id: ${sent}\ndata: text\n\n`);
+      sent += 1;
       return;
     }
     clearInterval(timer);
-    socket.write('0\r\n\r\n');
+    whole.add(id);
+    socket.end();
+    record.add(`the engine has ended ${id} in order${kit.isTroubled ? ' and is silent' : ''}`);
+    if (kit.isTroubled) engine.fallSilent(SILENT_MS);
   }, EVENT_GAP_MS);
 }
