--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,101 +1,159 @@
-// Engines crash and start again under their ids. Streams that begin at the new start are broken off by the router as soon as
-// it reads the new entry of their engine, which goes on all the while.
+// The store is away, entries run out meanwhile, and all routers are killed. When it is back, the entry of the engine at which
+// streams run is back a moment later than that of an engine of another software version, which has their sessions cached from
+// before. The routers take that version for the one that began the streams, and go on with them there.
 import * as kit from '../harness-2.mjs';
 
-const ENGINES = 2;
-/** Time for which the engines are down, in ms. */
-const DOWN_MS = 2_000;
-/** Time from the new start of an engine until it writes its entry, in ms: less than `heartbeatMs`. */
-const ENTRY_MS = 1_100;
-const STREAMS = 10;
-const EVENTS = 60;
+const ROUTERS = 2;
+const SESSIONS = 16;
+const EVENTS = 200;
 const EVENT_GAP_MS = 50;
-/** Breaches of LOST up to this number are allowed. */
-const ALLOWED_LOSSES = 3;
+const DOWN_MS = 300;
+/** Time for which the store is away, in ms. */
+const AWAY_MS = 4_500;
+/** Time after the return of the store at which the entry of the engine is back, in ms: "within about two seconds". */
+const BACK_MS = 1_500;
+/** Streams of two versions up to this number are allowed. */
+const ALLOWED_JOINS = 2;
 
 const ROUTES = [
   {
     ...{ name: 'draft', host: 'h.example', pathPrefix: '/draft/', kind: 'stream', service: 'llm' },
-    ...{ timeoutMs: 12_000, targetLatencyMs: 800, gapAimMs: 500, maxAttempts: 1 },
-    ...{ public: true, resumable: false },
-  },
-  {
-    ...{ name: 'pay', host: 'h.example', pathPrefix: '/pay/', kind: 'idempotent', service: 'app' },
-    ...{ timeoutMs: 3_000, targetLatencyMs: 2_000, maxAttempts: 2, public: true },
+    ...{ timeoutMs: 12_000, targetLatencyMs: 800, gapAimMs: 500, maxAttempts: 2 },
+    ...{ public: true, resumable: true },
   },
 ];
 
 await kit.runCase(import.meta.url, async ({ record, own }) => {
-  const ip = kit.freeAddress();
   const store = own(new kit.Store());
-  await store.start(ip);
-  const engines = [];
-  for (let count = 0; count < ENGINES; count += 1)
-    engines.push(own(new kit.Engine({ id: `i-llm-${count}`, service: 'llm', handle: stream })));
-  const app = own(new kit.Engine({ id: 'i-app', service: 'app', handle: pay }));
-  for (const engine of [...engines, app]) {
-    await engine.start(ip);
-    store.put(`servers/${engine.id}`, engine.entry);
+  await store.start(kit.freeAddress());
+  const old = own(
+    new kit.Engine({ id: 'i-old', service: 'llm', version: 'v1', slots: 32, handle: stream }),
+  );
+  const next = own(
+    new kit.Engine({ id: 'i-new', service: 'llm', version: 'v2', slots: 32, handle: stream }),
+  );
+  for (const engine of [old, next]) {
+    await engine.start(kit.freeAddress());
+    engine.held = new Map();
   }
   const services = [
     { name: 'llm', healthCheck: '/health', maxConnections: 240, engine: { kvTokens: 600_000 } },
-    { name: 'app', healthCheck: '/health', maxConnections: 110 },
   ];
   store.put('op/config', kit.configuration(1, { routes: ROUTES, services }));
-  const router = own(new kit.Router({ name: 'front-1', ip, store }));
-  router.start();
-  if (!(await router.ready())) throw new Error('the router is not ready');
+  store.put(`servers/${old.id}`, old.entry);
+  const ips = Array.from({ length: ROUTERS }, kit.freeAddress);
+  const routers = ips.map((ip, index) =>
+    own(
+      new kit.Router({
+        name: `front-${index}`,
+        ip,
+        store,
+        seeds: ips.filter((seed) => seed !== ip),
+      }),
+    ),
+  );
+  for (const router of routers) router.start();
+  for (const router of routers)
+    if (!(await router.ready())) throw new Error('a router is not ready');
+
+  const routerOf = (session) => routers[session % ROUTERS];
+  const sessions = Array.from({ length: SESSIONS }, (_, session) => session);
+  const first = sessions.map((session) =>
+    own(new kit.Take(routerOf(session).front, { id: `first-${session}`, session, events: 3 })),
+  );
+  await Promise.all(first.map(({ done }) => done));
+  record.add(`${SESSIONS} sessions have had a first answer, at i-old of version v1`);
+  store.put(`servers/${next.id}`, next.entry);
+  await kit.sleep(1_000);
+  record.add('i-new of version v2 serves beside it; i-old is full for a moment');
+  old.isFull = true;
+  const begun = sessions.map((session) =>
+    own(
+      new kit.Take(routerOf(session).front, { id: `second-${session}`, session, events: EVENTS }),
+    ),
+  );
+  await kit.until(() => begun.every(({ lastId }) => lastId >= 5));
+  old.isFull = false;
+  record.add('a second answer of each session has begun');
 
   if (kit.isTroubled) {
-    for (const engine of engines) engine.crash();
-    record.add(`${ENGINES} engines crash`);
+    record.add('the store is away, and leases run out meanwhile');
+    store.isAway = true;
+    await kit.sleep(AWAY_MS - DOWN_MS);
+    record.add('all routers are killed');
+    for (const router of routers) router.process.kill('SIGKILL');
+    store.remove(`servers/${next.id}`);
+    store.remove(`servers/${old.id}`);
     await kit.sleep(DOWN_MS);
-    for (const engine of engines) await engine.startAgain();
-    record.add('they have started again, under their ids and at their addresses');
-  }
-  const writesAt = performance.now() + ENTRY_MS;
-  const callers = Array.from({ length: STREAMS }, () => own(new kit.Caller(router.front)));
-  for (const [index, caller] of callers.entries()) await caller.send(`warm-${index}`, '/pay/a');
-  record.add('each caller has got an answer, keeps its connection, and begins a stream');
-  const outcomes = callers.map((caller, index) => {
-    const headers = `Model: m\r\nToken-Usage: 100,50\r\nPrompt-Prefix: aa:50,b${index}:50\r\n`;
-    return caller.send(`stream-${index}`, '/draft/a', { deadlineMs: 12_000, headers });
-  });
-  await kit.sleep(writesAt - performance.now());
-  if (kit.isTroubled) {
-    for (const engine of engines) store.put(`servers/${engine.id}`, engine.entry);
-    record.add('they write their entries, with their new starts in `born`');
+    for (const router of routers) {
+      router.bootstrap = false;
+      router.start();
+    }
+    record.add('the routers start again');
+    await kit.sleep(200);
+    store.put(`servers/${old.id}`, old.entry);
+    store.isAway = false;
+    record.add('the store is back, and so is the entry of i-old');
+    setTimeout(() => {
+      record.add('the entry of i-new is back');
+      store.put(`servers/${next.id}`, next.entry);
+    }, BACK_MS);
   }
-  let lost = 0;
-  for (const [index, outcome] of (await Promise.all(outcomes)).entries()) {
-    record.add(`stream-${index}: ${outcome}`);
-    if (outcome === kit.BROKEN_OFF || outcome === kit.UNANSWERED) lost += 1;
+  for (const router of routers) await router.ready();
+  const takes = await Promise.all(
+    begun.map(async (take, session) => {
+      if (!kit.isTroubled) await take.done;
+      const { events, isWhole, lastId } = take;
+      if (isWhole) return { events, ending: 'whole at the first try' };
+      const options = { id: `third-${session}`, session, events: EVENTS, resumes: take.id, lastId };
+      const again = own(new kit.Take(routerOf(session).front, options));
+      await again.done;
+      const ending = `${again.status}, ${again.isWhole ? 'whole' : 'not whole'}`;
+      return {
+        events: [...events, ...again.events],
+        ending: `taken up after ${lastId}: ${ending}`,
+      };
+    }),
+  );
+  let joined = 0;
+  for (const [session, { events, ending }] of takes.entries()) {
+    const versions = [...new Set(events.map((event) => /^data: (v\d)/m.exec(event)?.[1]))];
+    record.add(
+      `session ${session}: ${events.length} events of ${versions.join(' and ')}, ${ending}`,
+    );
+    if (versions.length > 1) joined += 1;
   }
-  record.add(`${lost} streams of sound engines broken off`);
-  return lost <= ALLOWED_LOSSES;
+  record.add(`${joined} streams hold events of two versions`);
+  return joined <= ALLOWED_JOINS;
 });
 
-/** A sound stream, in chunks. */
-function stream({ socket, id }) {
+/** A stream that goes on after `Last-Event-Id`; its text tells the version of the engine's software. */
+function stream({ socket, head, id, engine, target }) {
+  if (engine.isFull === true) {
+    const headers = { 'Attempt-Id': id, 'Not-Executed': '1' };
+    kit.answer(socket, { status: '503 Service Unavailable', headers });
+    return;
+  }
+  for (const part of (kit.headerOf(head, 'prompt-prefix') ?? '').split(',')) {
+    const [name, tokens] = part.split(':');
+    engine.held.set(name, Number(tokens));
+  }
+  const events = Number(target.split('/')[2]);
+  let next = Number(kit.headerOf(head, 'last-event-id') ?? -1) + 1;
   socket.write(
     `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\n` +
       'Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n',
   );
-  let sent = 0;
   const timer = setInterval(() => {
-    if (socket.destroyed) {
-      clearInterval(timer);
+    if (socket.destroyed) clearInterval(timer);
+    if (socket.destroyed || engine.isSilent) return;
+    if (next < events) {
+      const event = `id: ${next}\ndata: ${engine.version}\n\n`;
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+      next += 1;
       return;
     }
-    const event = `id: ${sent}\ndata: text\n\n`;
-    socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
-    sent += 1;
-    if (sent < EVENTS) return;
     clearInterval(timer);
     socket.write('0\r\n\r\n');
   }, EVENT_GAP_MS);
 }
-
-function pay({ socket, id }) {
-  kit.answer(socket, { headers: { 'Attempt-Id': id, 'Response-Seal': 'seal' }, body: 'paid' });
-}
--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -55,6 +55,7 @@
     this.history = [];
     this.revision = 100;
     this.waiting = new Set();
+    this.isAway = false;
     this.server = createHttpServer((request, response) => this.serve(request, response));
     this.server.keepAliveTimeout = 60_000;
   }
@@ -91,6 +92,8 @@
   }
 
   serve(request, response) {
+    // Away: it takes calls and answers none.
+    if (this.isAway) return;
     const { pathname, searchParams } = new URL(request.url, 'http://store');
     const prefix = searchParams.get('pathPrefix') ?? '';
     const after = searchParams.get('after');
