--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -31,7 +31,15 @@
   await store.start(ip);
   const engines = [];
   for (let count = 0; count < ENGINES; count += 1)
-    engines.push(own(new kit.Engine({ id: `i-llm-${count}`, service: 'llm', handle: stream })));
+    engines.push(
+      own(
+        new kit.Engine({
+          id: `i-llm-${count}`,
+          service: 'llm',
+          handle: (call) => stream(call, record),
+        }),
+      ),
+    );
   const app = own(new kit.Engine({ id: 'i-app', service: 'app', handle: pay }));
   for (const engine of [...engines, app]) {
     await engine.start(ip);
@@ -76,7 +84,8 @@
 });
 
 /** A sound stream, in chunks. */
-function stream({ socket, id }) {
+function stream({ socket, id, engine }, record) {
+  record.add(`${engine.id} runs ${id}`);
   socket.write(
     `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\n` +
       'Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n',
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -25,10 +25,22 @@
   const store = own(new kit.Store());
   await store.start(kit.freeAddress());
   const old = own(
-    new kit.Engine({ id: 'i-old', service: 'llm', version: 'v1', slots: 32, handle: stream }),
+    new kit.Engine({
+      id: 'i-old',
+      service: 'llm',
+      version: 'v1',
+      slots: 32,
+      handle: (call) => stream(call, record),
+    }),
   );
   const next = own(
-    new kit.Engine({ id: 'i-new', service: 'llm', version: 'v2', slots: 32, handle: stream }),
+    new kit.Engine({
+      id: 'i-new',
+      service: 'llm',
+      version: 'v2',
+      slots: 32,
+      handle: (call) => stream(call, record),
+    }),
   );
   for (const engine of [old, next]) {
     await engine.start(kit.freeAddress());
@@ -118,18 +130,21 @@
 });
 
 /** A stream that goes on after `Last-Event-Id`; its text tells the version of the engine's software. */
-function stream({ socket, head, id, engine, target }) {
+function stream({ socket, head, id, engine, target }, record) {
   if (engine.isFull === true) {
     const headers = { 'Attempt-Id': id, 'Not-Executed': '1' };
     kit.answer(socket, { status: '503 Service Unavailable', headers });
+    record.add(`${engine.id} refuses ${id}`);
     return;
   }
   for (const part of (kit.headerOf(head, 'prompt-prefix') ?? '').split(',')) {
     const [name, tokens] = part.split(':');
     engine.held.set(name, Number(tokens));
   }
+  const after = kit.headerOf(head, 'last-event-id');
+  record.add(`${engine.id} runs ${id}${after === undefined ? '' : ` after event ${after}`}`);
   const events = Number(target.split('/')[2]);
-  let next = Number(kit.headerOf(head, 'last-event-id') ?? -1) + 1;
+  let next = Number(after ?? -1) + 1;
   socket.write(
     `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\n` +
       'Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n',
