An engine that has told no list of cached prompts may have begun any stream

Now a prompt proves an origin only if every process that was listed since the router's start and is of another origin has told its list.

--- a/packages/decisions/src/forwarding/cached-prompts.ts
+++ b/packages/decisions/src/forwarding/cached-prompts.ts
@@ -11,7 +11,8 @@
 /** Most segments that are remembered, as a bound on memory. */
 const MAX_SEGMENTS = 200_000;
 
-interface Entry {
+/** What is known of a segment. */
+interface CachedSegment {
   /** Undefined if endpoints of several origins list the segment, or one whose version isn't known. */
   origin: StreamOrigin | undefined;
   /** Monotonic time of the latest list with the segment, in ms. */
@@ -20,7 +21,7 @@
 
 /** The origins of the endpoints that list a segment as cached. */
 export class CachedPrompts {
-  private readonly entries = new LRUCache<SegmentHash, Entry>({ max: MAX_SEGMENTS });
+  private readonly entries = new LRUCache<SegmentHash, CachedSegment>({ max: MAX_SEGMENTS });
 
   /** Records the list of an endpoint; `origin` is undefined if its version isn't known. */
   recordListing(
@@ -40,6 +41,11 @@
     return entry !== undefined && now - entry.listedAt <= maxAgeMs ? entry.origin : undefined;
   }
 
+  /** What the lists tell of a segment; undefined if none has it. */
+  find(hash: SegmentHash): CachedSegment | undefined {
+    return this.entries.get(hash);
+  }
+
   private recordListed(
     origin: StreamOrigin | undefined,
     hash: SegmentHash,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,6 +40,7 @@
 export * from './request/retry-budget.ts';
 export * from './forwarding/admission.ts';
 export * from './forwarding/answer-check.ts';
+export * from './forwarding/cache-survey.ts';
 export * from './forwarding/cached-prompts.ts';
 export * from './forwarding/shared-retry-budget.ts';
 export * from './forwarding/endpoint-availability.ts';
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -9,6 +9,7 @@
   LogRateLimiter,
   PrefixCacheIndex,
   RouteIndex,
+  incarnationOf,
   isRegionAllowed,
   oldestAgeMs,
 } from '@poplarpick/decisions';
@@ -181,6 +182,8 @@
       clock: options.clock,
       isFirstStart: options.isFirstStart ?? false,
       endpoints: () => this.endpoints.list(),
+      listsPrompts: ({ pool }) =>
+        this.routeIndex === undefined || this.routeIndex.findPool(pool)?.batch !== undefined,
     });
     this.limits = new LimitTracker({
       clock: options.clock,
@@ -325,13 +328,11 @@
    * Records the segments that an endpoint lists as cached. They aren't announced, since the peers
    * fetch the list themselves when they start.
    */
-  recordCacheListing(id: string, segments: readonly HashedSegment[]): void {
+  recordCacheListing(endpoint: Endpoint, segments: readonly HashedSegment[]): void {
+    const { id } = endpoint;
+    this.streams.recordListing(endpoint, segments);
     const record = this.endpoints.find(id);
-    if (record === undefined) {
-      this.streams.recordListEnded(id);
-      return;
-    }
-    this.streams.recordListing(record.endpoint, segments);
+    if (record?.incarnation !== incarnationOf(endpoint)) return;
     const capacity = this.cacheTokens(record);
     for (const segment of segments)
       this.prefixCacheIndex.recordCached(record.incarnation, segment, capacity);
--- a/packages/forwarder/src/streams/resumption-resolver.test.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.test.ts
@@ -99,7 +99,6 @@
 
   it('is that of the cached prompt after a start, but not while the others are silent', async () => {
     origins = createOrigins(false);
-    origins.recordListsRequested([ENDPOINT.id]);
     origins.recordListing(ENDPOINT, [{ hash: hashSegment('m', 'own'), tokens: 100 }]);
     expect(await resolve(NOTHING_KNOWN)).to.equal('v1');
     expect(await resolve(UNANSWERED)).to.include({ verdict: 'not-run', retryAfterSeconds: 0.5 });
--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -8,7 +8,7 @@
  * store answers nobody, the word of another router that keeps such streams has to do.
  */
 import { toStreamKeys } from '@poplarpick/decisions';
-import type { Prompt, Route, StreamOrigin } from '@poplarpick/decisions';
+import type { CacheFinding, Prompt, Route, StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -37,7 +37,7 @@
   Keeper = 'keeper',
   /** No other version was listed for as long as the stream can last. */
   OnlyVersion = 'only-version',
-  /** Only endpoints of this origin have the prompt cached. */
+  /** Endpoints of this origin have the prompt cached, and all others have told that they don't. */
   CachedPrompt = 'cached-prompt',
 }
 
@@ -56,6 +56,8 @@
   hasKeeperAnswered: boolean | undefined;
   /** The origin wasn't found, and may be found when the caller comes again. */
   mayBeFoundLater: boolean;
+  /** Endpoints whose lists of cached prompts are missing in the proof; undefined if the lists weren't consulted. */
+  untold?: number | undefined;
 }
 
 /** An inference from the list of endpoints. */
@@ -85,7 +87,8 @@
   async resolve(resumption: Resumption): Promise<StreamOrigin> {
     const { log, origins } = this.options;
     const { head, route } = resumption;
-    const { origin, proof, hasKeeperAnswered, mayBeFoundLater } = await this.find(resumption);
+    const { origin, proof, hasKeeperAnswered, mayBeFoundLater, untold } =
+      await this.find(resumption);
     log.info({
       event: 'stream.resumed',
       request: head.requestId,
@@ -94,6 +97,7 @@
       pool: origin?.pool,
       version: origin?.version,
       keeper_answered: hasKeeperAnswered,
+      lists_untold: untold,
       endpoints_age_ms: Math.round(origins.confirmations.ageMs),
     });
     if (origin === undefined) throw createUnknownOriginError(mayBeFoundLater);
@@ -119,14 +123,16 @@
     // Another router that doesn't answer may have begun the stream after the lists were read.
     const isOutOfTouch = wasAsked && !hasAnswered;
     const cached = isOutOfTouch ? undefined : await this.findCached(prompt, route);
-    if (cached !== undefined) return createFinding(cached, OriginProof.CachedPrompt, hasAnswered);
+    if (cached?.origin !== undefined)
+      return createFinding(cached.origin, OriginProof.CachedPrompt, hasAnswered);
     const mayBeFoundLater =
-      !isSettled || origins.awaitsLists || isOutOfTouch || inference.isUnconfirmed;
+      !isSettled || isOutOfTouch || inference.isUnconfirmed || cached?.mayBeFoundLater === true;
     return {
       origin: undefined,
       proof: undefined,
       hasKeeperAnswered: hasAnswered,
       mayBeFoundLater,
+      untold: cached?.untold,
     };
   }
 
@@ -146,16 +152,12 @@
   }
 
   /** Looks for the prompt in the lists of cached prompts, and waits for those that could tell another origin. */
-  private async findCached(
-    prompt: Prompt | undefined,
-    route: Route,
-  ): Promise<StreamOrigin | undefined> {
+  private async findCached(prompt: Prompt | undefined, route: Route): Promise<CacheFinding> {
     const { clock, origins } = this.options;
     const waitUntil = clock.monotonic() + MAX_LISTS_WAIT_MS;
     for (;;) {
-      const cached = origins.findCached(prompt, route);
-      const isFinal = !origins.awaitsListsBeside(cached) || clock.monotonic() >= waitUntil;
-      if (isFinal) return cached;
+      const finding = origins.findCached(prompt, route);
+      if (!finding.mayBeFoundLater || clock.monotonic() >= waitUntil) return finding;
       await new Promise<void>((resolve) => clock.after(LISTS_CHECK_PERIOD_MS, resolve));
     }
   }
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -3,15 +3,16 @@
  * listed lately, and the prompts that endpoints had cached when it started.
  */
 import {
-  CachedPrompts,
+  CacheSurvey,
   hashSegment,
-  isOfOrigin,
+  NOTHING_CACHED,
   isProvedOrigin,
   originOf,
   StreamOriginTable,
   VersionHistory,
 } from '@poplarpick/decisions';
 import type {
+  CacheFinding,
   Endpoint,
   HashedSegment,
   Prompt,
@@ -50,6 +51,8 @@
   isFirstStart: boolean;
   /** The endpoints that are listed now. */
   endpoints: () => Endpoint[];
+  /** Whether an endpoint tells what it has cached; by default all do. */
+  listsPrompts?: (endpoint: Endpoint) => boolean;
 }
 
 /** Finds the origins of streams. */
@@ -61,12 +64,11 @@
   private readonly options: StreamOriginsOptions;
   private readonly table = new StreamOriginTable();
   private readonly history: VersionHistory;
-  private readonly cachedPrompts = new CachedPrompts();
+  /** Undefined on the first start of the whole system: no stream has begun before. */
+  private readonly survey: CacheSurvey | undefined;
   private readonly routeMoves = new RouteMoves();
   private readonly untold = new UntoldStreams();
   private readonly listeners: OriginListener[] = [];
-  /** Endpoints whose lists of cached prompts are still awaited; undefined before that is known. */
-  private awaitedLists: Set<string> | undefined;
 
   constructor(options: StreamOriginsOptions) {
     this.options = options;
@@ -74,22 +76,29 @@
     this.confirmations = new ListConfirmations({ clock });
     this.pending = new PendingOrigins(clock);
     this.history = new VersionHistory({ isFirstStart });
-    if (isFirstStart) this.awaitedLists = new Set();
+    if (!isFirstStart) {
+      this.survey = new CacheSurvey({
+        endpoints: () => this.listingEndpoints(),
+        startedAt: clock.monotonic(),
+      });
+    }
+  }
+
+  /** Time after which every stream of the routes of a table is over for certain, in ms. */
+  longestHorizonMs({ routes }: RoutingTable): number {
+    return Math.max(0, ...routes.map(streamHorizonMs));
   }
 
-  /** Whether endpoints may still list cached prompts that this router asked for when it started. */
+  /** Whether endpoints may still tell the lists of cached prompts that this router asks for after its start. */
   get awaitsLists(): boolean {
-    return this.awaitedLists === undefined || this.awaitedLists.size > 0;
+    return this.findAwaited().length > 0;
   }
 
-  /** Whether endpoints that aren't of an origin may still list cached prompts. */
-  awaitsListsBeside(origin: StreamOrigin | undefined): boolean {
-    const { awaitedLists } = this;
-    if (origin === undefined || awaitedLists === undefined) return this.awaitsLists;
-    const { endpoints } = this.options;
-    return endpoints().some(
-      (endpoint) => awaitedLists.has(endpoint.id) && !isOfOrigin(endpoint, origin),
-    );
+  /** The endpoints whose lists of cached prompts may still come. */
+  findAwaited(): Endpoint[] {
+    const { survey } = this;
+    if (survey === undefined) return [];
+    return this.listingEndpoints().filter((endpoint) => survey.awaits(endpoint));
   }
 
   /** Calls `listener` for each stream whose origin other routers can't infer. */
@@ -146,28 +155,23 @@
     return this.inferOrigin(route, route.timeoutMs);
   }
 
-  /** The origin of the endpoints that had the last segment of a prompt cached when this router started. */
-  findCached(prompt: Prompt | undefined, route: Route): StreamOrigin | undefined {
+  /** What the lists of cached prompts tell of the origin of the stream with a prompt, see `CacheSurvey`. */
+  findCached(prompt: Prompt | undefined, route: Route): CacheFinding {
     const last = prompt?.segments.at(-1);
-    if (prompt === undefined || last === undefined) return undefined;
+    if (prompt === undefined || last === undefined || this.survey === undefined)
+      return NOTHING_CACHED;
     const hash = hashSegment(prompt.model, last.id);
-    return this.cachedPrompts.findOrigin(hash, streamHorizonMs(route), this.now());
-  }
-
-  /** Records the endpoints whose lists of cached prompts this router asks for. */
-  recordListsRequested(ids: readonly string[]): void {
-    this.awaitedLists = new Set(ids);
+    return this.survey.find({ hash, horizonMs: streamHorizonMs(route), now: this.now() });
   }
 
   /** Records the segments that an endpoint lists as cached. */
   recordListing(endpoint: Endpoint, segments: readonly HashedSegment[]): void {
-    this.cachedPrompts.recordListing(originOf(endpoint), segments, this.now());
-    this.recordListEnded(endpoint.id);
+    this.survey?.recordListing(endpoint, segments, originOf(endpoint), this.now());
   }
 
   /** Records that no list of an endpoint will come. */
-  recordListEnded(id: string): void {
-    this.awaitedLists?.delete(id);
+  recordListEnded(endpoint: Endpoint): void {
+    this.survey?.recordEnded(endpoint);
   }
 
   /** Records that the list of endpoints was complete at `at`, see `VersionHistory.confirm`. */
@@ -178,6 +182,7 @@
 
   recordDeparted(endpoint: Endpoint): void {
     this.history.recordDeparted(endpoint, this.now());
+    if (this.listsPrompts(endpoint)) this.survey?.recordDeparted(endpoint);
   }
 
   recordRoutes(table: RoutingTable): void {
@@ -197,6 +202,14 @@
     this.history.applyReport(report, this.now());
   }
 
+  private listingEndpoints(): Endpoint[] {
+    return this.options.endpoints().filter((endpoint) => this.listsPrompts(endpoint));
+  }
+
+  private listsPrompts(endpoint: Endpoint): boolean {
+    return this.options.listsPrompts?.(endpoint) ?? true;
+  }
+
   private tell(keys: StreamKeys, origin: StreamOrigin, keepMs: number): void {
     for (const listener of this.listeners) listener(keys, origin, keepMs);
   }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -10,6 +10,7 @@
 export * from './site/site-plan.ts';
 export * from './fault-proxy.ts';
 export * from './free-port.ts';
+export * from './platform/cache-list.ts';
 export * from './platform/platform-engine.ts';
 export * from './platform/platform-store.ts';
 export * from './platform/scripted-platform-engine.ts';
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -6,6 +6,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { answerCacheList, CacheListAnswer } from './cache-list.ts';
 
 /** How the engine treats a request. */
 export enum EngineBehaviour {
@@ -126,6 +127,8 @@
   reportsToClose = 0;
   /** Marks every response with the statement that the engine is about to stop. */
   isLeaving = false;
+  /** Chooses the answer to each `GET /v1/kv-list`; the whole list by default. */
+  chooseListAnswer: () => CacheListAnswer = () => CacheListAnswer.Whole;
   /** Returns the value of `Retry-After` in a refusal; none by default. */
   chooseRetryAfter: () => string | string[] | undefined = () => undefined;
   /** Awaited before each answer without events. */
@@ -195,8 +198,7 @@
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/v1/kv-list') {
       const list = { epoch: 1, next: 1, held: this.listCachedSegments(), born: this.born };
-      response.setHeader('Content-Type', 'application/json');
-      response.end(JSON.stringify(list));
+      answerCacheList(response, this.chooseListAnswer(), list);
       return;
     }
     if (request.url === '/v1/report') {
