An inference from lists waits until the list of endpoints is whole

A confirmation now covers all running endpoints only 2.5 s after a start, a long gap, or the store's return from a copy, and both inferences need one that is later than the caller. Engines that are listed later are asked as well, and lists prove nothing once another router has ended.

--- a/packages/decisions/src/forwarding/cache-survey.test.ts
+++ b/packages/decisions/src/forwarding/cache-survey.test.ts
@@ -33,8 +33,8 @@
     );
   }
 
-  function find(now = 0): CacheFinding {
-    return survey.find({ hash: HASH, horizonMs: HORIZON_MS, now });
+  function find(now = 0, isListWhole = true): CacheFinding {
+    return survey.find({ hash: HASH, horizonMs: HORIZON_MS, isListWhole, now });
   }
 
   function depart(endpoint: Endpoint): void {
@@ -57,6 +57,12 @@
     expect(find().origin).to.deep.equal({ pool: 'p', version: 'v1' });
   });
 
+  it('proves nothing until the list of endpoints is whole', () => {
+    tell(FIRST, HASH);
+    tell(SECOND);
+    expect(find(0, false)).to.deep.equal({ origin: undefined, mayBeFoundLater: true, untold: 0 });
+  });
+
   it('proves nothing where endpoints of two origins have the prompt', () => {
     tell(FIRST, HASH);
     tell(SECOND, HASH);
--- a/packages/decisions/src/forwarding/cache-survey.ts
+++ b/packages/decisions/src/forwarding/cache-survey.ts
@@ -3,7 +3,8 @@
  * An endpoint that lists the last segment of a prompt may have begun the stream. One that has told no list may have
  * begun it as well, whatever the reason: it is silent, its answer failed, it has gone meanwhile, or another process
  * answers in its place. So the endpoints that list the segment tell the origin only if all others that were listed
- * since the start are of that origin, or have told that they don't have it.
+ * since the start are of that origin, or have told that they don't have it. And the list of endpoints must have been
+ * whole since the stream began: an endpoint that isn't listed yet can neither tell nor be missed.
  */
 import { LRUCache } from 'lru-cache';
 import { CachedPrompts } from './cached-prompts.ts';
@@ -46,6 +47,8 @@
   hash: SegmentHash;
   /** Time after which a stream is over for certain, in ms. */
   horizonMs: number;
+  /** The list of endpoints is known to have held all running ones since the stream began. */
+  isListWhole: boolean;
   now: number;
 }
 
@@ -97,7 +100,7 @@
   }
 
   /** What the lists tell of the stream whose prompt ends with a segment. */
-  find({ hash, horizonMs, now }: CacheQuery): CacheFinding {
+  find({ hash, horizonMs, isListWhole, now }: CacheQuery): CacheFinding {
     if (now - this.options.startedAt > horizonMs) return NOTHING_CACHED;
     const segment = this.cachedPrompts.find(hash);
     if (segment !== undefined && segment.origin === undefined) return NOTHING_CACHED;
@@ -107,8 +110,8 @@
     const listed = [...this.options.endpoints()].filter(mayHaveBegun);
     const departed = [...this.departedUntold.values()].filter(mayHaveBegun);
     const untold = listed.length + departed.length;
-    if (untold === 0) return { origin, mayBeFoundLater: false, untold };
-    const isAwaited = listed.some((endpoint) => this.awaits(endpoint));
+    if (untold === 0 && isListWhole) return { origin, mayBeFoundLater: false, untold };
+    const isAwaited = !isListWhole || listed.some((endpoint) => this.awaits(endpoint));
     const isLost = origin !== undefined && departed.length > 0;
     return { origin: undefined, mayBeFoundLater: isAwaited && !isLost, untold };
   }
--- a/packages/forwarder/src/endpoints/list-confirmations.ts
+++ b/packages/forwarder/src/endpoints/list-confirmations.ts
@@ -5,6 +5,12 @@
  */
 import type { Clock } from '@poplarpick/kernel';
 
+/**
+ * Time for which a list that the store gives out may lack entries of running endpoints after it has returned, in ms:
+ * the two seconds within which they register again, and a margin for reading them.
+ */
+export const ENTRY_RETURN_MS = 2_500;
+
 /** Options of `ListConfirmations`. */
 export interface ListConfirmationsOptions {
   clock: Clock;
@@ -22,6 +28,7 @@
   private readonly waiters = new Set<Waiter>();
   private readonly listeners: (() => void)[] = [];
   private latest = Number.NEGATIVE_INFINITY;
+  private completeFrom = Number.NEGATIVE_INFINITY;
 
   constructor({ clock }: ListConfirmationsOptions) {
     this.clock = clock;
@@ -37,6 +44,24 @@
     return this.clock.monotonic() - this.latest;
   }
 
+  /**
+   * Monotonic time from which on a confirmation covers all running endpoints, in ms. One before it may lack those
+   * that haven't registered again.
+   */
+  get wholeFrom(): number {
+    return this.completeFrom;
+  }
+
+  /** Whether the latest confirmation covers all running endpoints. */
+  get isWhole(): boolean {
+    return this.latest >= this.completeFrom;
+  }
+
+  /** Records that the store may have been away until now, so that entries of running endpoints may be missing. */
+  recordReturn(): void {
+    this.completeFrom = this.clock.monotonic() + ENTRY_RETURN_MS;
+  }
+
   /** Calls `listener` when a confirmation is awaited that should not wait for the next regular one. */
   onWanted(listener: () => void): void {
     this.listeners.push(listener);
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -136,12 +136,15 @@
 export class PeerTable {
   private readonly entries = new Map<string, PeerEntry>();
   private readonly usage = new PeerUsage();
+  private hasSenderEnded = false;
 
   /** Stores a report; false if it isn't newer than the one stored for the same subject. */
   accept(report: PeerReport, now: number): boolean {
     const subject = reportSubject(report);
     const latest = this.entries.get(subject)?.report;
     if (latest !== undefined && !isNewer(report, latest)) return false;
+    if (latest?.from === report.from && latest.startedAt !== report.startedAt)
+      this.hasSenderEnded = true;
     const workspaces = report.workspaces ?? latest?.workspaces;
     const pauses = report.pauses ?? latest?.pauses;
     this.entries.set(subject, { report: { ...report, workspaces, pauses }, receivedAt: now });
@@ -155,6 +158,12 @@
     return Array.from(this.entries.values(), ({ report }) => report);
   }
 
+  /** Whether a sender has ever fallen silent, or has been replaced by a new process. */
+  hasLostSender(now: number): boolean {
+    this.dropExpired(now);
+    return this.hasSenderEnded;
+  }
+
   /** Ages in ms of the live reports, apart for the routers of `dataCentre` and for other data centres. */
   reportAges(dataCentre: string, now: number): ReportAges {
     const ages: ReportAges = { local: [], remote: [] };
@@ -209,6 +218,7 @@
     for (const [subject, { receivedAt }] of this.entries) {
       if (now - receivedAt <= PEER_TTL_MS) continue;
       this.entries.delete(subject);
+      this.hasSenderEnded = true;
       this.usage.remove(subject);
     }
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -184,6 +184,7 @@
       endpoints: () => this.endpoints.list(),
       listsPrompts: ({ pool }) =>
         this.routeIndex === undefined || this.routeIndex.findPool(pool)?.batch !== undefined,
+      hasRouterEnded: () => this.peers.hasLostSender(this.clock.monotonic()),
     });
     this.limits = new LimitTracker({
       clock: options.clock,
--- a/packages/forwarder/src/streams/resumption-resolver.test.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.test.ts
@@ -3,6 +3,7 @@
 import type { Prompt } from '@poplarpick/decisions';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import type { RequestError } from '@poplarpick/kernel';
+import { ENTRY_RETURN_MS } from '../endpoints/list-confirmations.ts';
 import type { CallHead } from '../calls/call-protocol.ts';
 import type { KeeperAnswer } from './origin-exchange.ts';
 import { ResumptionResolver } from './resumption-resolver.ts';
@@ -71,6 +72,12 @@
     }
   }
 
+  /** Confirms the list, which the store has given out for long enough that no entry is missing. */
+  function confirmAsWhole(): void {
+    origins.confirmEndpoints(clock.monotonic(), false);
+    origins.confirmEndpoints(clock.monotonic() + ENTRY_RETURN_MS, true);
+  }
+
   // Guards against a router that stood still or was cut off and goes on with a stream of a version it hasn't seen.
   for (const answer of [UNANSWERED, NOBODY_KNOWN]) {
     it(`is unknown by a list from before a standstill, keepers asked: ${answer.wasAsked}`, async () => {
@@ -99,8 +106,27 @@
 
   it('is that of the cached prompt after a start, but not while the others are silent', async () => {
     origins = createOrigins(false);
+    confirmAsWhole();
     origins.recordListing(ENDPOINT, [{ hash: hashSegment('m', 'own'), tokens: 100 }]);
     expect(await resolve(NOTHING_KNOWN)).to.equal('v1');
     expect(await resolve(UNANSWERED)).to.include({ verdict: 'not-run', retryAfterSeconds: 0.5 });
   });
+
+  // Guards against streams of two versions, where the entry of the engine that began them is back late.
+  it('is not that of the cached prompt while entries may be missing from the list', async function () {
+    this.timeout(10_000);
+    origins = createOrigins(false);
+    origins.confirmEndpoints(clock.monotonic(), false);
+    origins.recordListing(ENDPOINT, [{ hash: hashSegment('m', 'own'), tokens: 100 }]);
+    expect(await resolve(NOBODY_KNOWN)).to.include({ verdict: 'not-run', retryAfterSeconds: 0.5 });
+  });
+
+  // Guards against the same where the router was cut off from the store when its caller came.
+  it('is not that of the cached prompt by a list from before the caller came', async function () {
+    this.timeout(10_000);
+    origins = createOrigins(false);
+    origins.confirmEndpoints(clock.monotonic() - STANDSTILL_MS - ENTRY_RETURN_MS, false);
+    origins.recordListing(ENDPOINT, [{ hash: hashSegment('m', 'own'), tokens: 100 }]);
+    expect(await resolve(NOTHING_KNOWN)).to.include({ verdict: 'not-run', retryAfterSeconds: 0.5 });
+  });
 });
--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -3,12 +3,14 @@
  * versions that were listed lately, or from the prompts that endpoints have cached. A stream whose origin can't be
  * proved is refused, since at another version it would be joined from two texts.
  *
- * A router that was cut off or stood still doesn't know what the others have done meanwhile. So the inference counts
- * only if the list of endpoints was complete when the caller had come back: the stream had begun by then. While the
- * store answers nobody, the word of another router that keeps such streams has to do.
+ * A router that was cut off or stood still doesn't know what the others have done meanwhile. So what it infers counts
+ * only if the list of endpoints was complete when the caller had come back: the stream had begun by then. Entries may
+ * be missing for a while after a start and after the return of the store, so the caller waits until they are back.
+ * While the store answers nobody, the word of another router that keeps such streams has to do for the versions that
+ * were listed. It doesn't for cached prompts, since nobody who keeps streams may have outlived the loss of all routers.
  */
 import { toStreamKeys } from '@poplarpick/decisions';
-import type { CacheFinding, Prompt, Route, StreamOrigin } from '@poplarpick/decisions';
+import type { CacheFinding, Route, StreamOrigin } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
@@ -18,8 +20,14 @@
 /** Longest time that a caller waits for a confirmation of the list of endpoints, in ms. */
 const MAX_CONFIRMATION_WAIT_MS = 400;
 
-/** Longest time that a caller waits for the lists of cached prompts that the router has asked for, in ms. */
-const MAX_LISTS_WAIT_MS = 700;
+/**
+ * Time without an event after which callers leave a stream: the longest of a time in ms, and multiples of the objective
+ * and of the longest pause of its route.
+ */
+const CALLER_PATIENCE = { leastMs: 2_000, objectives: 4, pauses: 8 };
+
+/** Part of this time, and of the deadline, that a caller waits for a proof by cached prompts; the rest serves it. */
+const MAX_CACHE_WAIT_FRACTION = 0.6;
 
 /** Longest time that a caller waits until the origin of a stream is proved that this router has begun, in ms. */
 const MAX_PROOF_WAIT_MS = 1_200;
@@ -122,7 +130,7 @@
       return createFinding(inference.origin, OriginProof.OnlyVersion, hasAnswered);
     // Another router that doesn't answer may have begun the stream after the lists were read.
     const isOutOfTouch = wasAsked && !hasAnswered;
-    const cached = isOutOfTouch ? undefined : await this.findCached(prompt, route);
+    const cached = isOutOfTouch ? undefined : await this.findCached(head, route, arrivedAt);
     if (cached?.origin !== undefined)
       return createFinding(cached.origin, OriginProof.CachedPrompt, hasAnswered);
     const mayBeFoundLater =
@@ -145,22 +153,50 @@
     const { origins } = this.options;
     if (origins.findOnlyOrigin(route) === undefined)
       return { origin: undefined, isUnconfirmed: false };
-    const isConfirmed = await origins.confirmations.waitSince(arrivedAt, MAX_CONFIRMATION_WAIT_MS);
+    const { confirmations } = origins;
+    const since = Math.max(arrivedAt, confirmations.wholeFrom);
+    const isConfirmed = await confirmations.waitSince(since, MAX_CONFIRMATION_WAIT_MS);
     const origin = origins.findOnlyOrigin(route);
-    if (isConfirmed || hasKeeperAnswered) return { origin, isUnconfirmed: false };
+    if (isConfirmed || (hasKeeperAnswered && confirmations.isWhole))
+      return { origin, isUnconfirmed: false };
     return { origin: undefined, isUnconfirmed: origin !== undefined };
   }
 
-  /** Looks for the prompt in the lists of cached prompts, and waits for those that could tell another origin. */
-  private async findCached(prompt: Prompt | undefined, route: Route): Promise<CacheFinding> {
+  /**
+   * Looks for the prompt in the lists of cached prompts. Waits for those that could tell another origin, and until the
+   * list of endpoints is known to have been whole when the caller had come.
+   */
+  private async findCached(head: CallHead, route: Route, arrivedAt: number): Promise<CacheFinding> {
     const { clock, origins } = this.options;
-    const waitUntil = clock.monotonic() + MAX_LISTS_WAIT_MS;
+    const { confirmations } = origins;
+    const since = Math.max(arrivedAt, confirmations.wholeFrom);
+    const waitUntil = arrivedAt + maxCacheWaitMs(head, route);
     for (;;) {
-      const finding = origins.findCached(prompt, route);
-      if (!finding.mayBeFoundLater || clock.monotonic() >= waitUntil) return finding;
-      await new Promise<void>((resolve) => clock.after(LISTS_CHECK_PERIOD_MS, resolve));
+      const finding = origins.findCached(head.prompt, route, since);
+      const leftMs = waitUntil - clock.monotonic();
+      if (!finding.mayBeFoundLater || leftMs <= 0) return finding;
+      await this.awaitNews(since, leftMs);
     }
   }
+
+  /** Waits at most `maxWaitMs` until the list of endpoints is confirmed, or until more lists may have come. */
+  private async awaitNews(since: number, maxWaitMs: number): Promise<void> {
+    const { clock, origins } = this.options;
+    const { confirmations } = origins;
+    const canBeConfirmed = confirmations.confirmedAt < since && clock.monotonic() >= since;
+    if (canBeConfirmed) await confirmations.waitSince(since, maxWaitMs);
+    else await new Promise<void>((resolve) => clock.after(LISTS_CHECK_PERIOD_MS, resolve));
+  }
+}
+
+/** Longest time that a caller waits for a proof by cached prompts, in ms. */
+function maxCacheWaitMs(
+  { deadlineMs }: CallHead,
+  { objectiveMs, pauseMs, timeoutMs }: Route,
+): number {
+  const { leastMs, objectives, pauses } = CALLER_PATIENCE;
+  const patienceMs = Math.max(leastMs, objectives * objectiveMs, pauses * pauseMs);
+  return MAX_CACHE_WAIT_FRACTION * Math.min(patienceMs, deadlineMs ?? timeoutMs, timeoutMs);
 }
 
 function createFinding(
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -41,6 +41,9 @@
  */
 export const FRESH_LIST_MS = 3_000;
 
+/** Time between two lists, in ms, in which entries of running endpoints can't have expired. */
+const MAX_GAP_WITHOUT_EXPIRY_MS = 3_000;
+
 /** Called with a stream that has begun and whose origin other routers can't infer; `keepMs` is how long it matters. */
 export type OriginListener = (keys: StreamKeys, origin: StreamOrigin, keepMs: number) => void;
 
@@ -53,6 +56,8 @@
   endpoints: () => Endpoint[];
   /** Whether an endpoint tells what it has cached; by default all do. */
   listsPrompts?: (endpoint: Endpoint) => boolean;
+  /** Whether the process of another router has ended since the start of this one; by default none has. */
+  hasRouterEnded?: () => boolean;
 }
 
 /** Finds the origins of streams. */
@@ -155,13 +160,20 @@
     return this.inferOrigin(route, route.timeoutMs);
   }
 
-  /** What the lists of cached prompts tell of the origin of the stream with a prompt, see `CacheSurvey`. */
-  findCached(prompt: Prompt | undefined, route: Route): CacheFinding {
+  /**
+   * What the lists of cached prompts tell of the origin of the stream with a prompt, see `CacheSurvey`. `since` is the
+   * monotonic time in ms at which the list of endpoints has to have been complete.
+   */
+  findCached(prompt: Prompt | undefined, route: Route, since: number): CacheFinding {
     const last = prompt?.segments.at(-1);
     if (prompt === undefined || last === undefined || this.survey === undefined)
       return NOTHING_CACHED;
+    // That router may have begun the stream after the lists were told.
+    if (this.options.hasRouterEnded?.() === true) return NOTHING_CACHED;
     const hash = hashSegment(prompt.model, last.id);
-    return this.survey.find({ hash, horizonMs: streamHorizonMs(route), now: this.now() });
+    const isListWhole = this.confirmations.confirmedAt >= since;
+    const horizonMs = streamHorizonMs(route);
+    return this.survey.find({ hash, horizonMs, isListWhole, now: this.now() });
   }
 
   /** Records the segments that an endpoint lists as cached. */
@@ -176,6 +188,11 @@
 
   /** Records that the list of endpoints was complete at `at`, see `VersionHistory.confirm`. */
   confirmEndpoints(at: number, isContinuous: boolean): void {
+    const gapMs = at - this.confirmations.confirmedAt;
+    const mayLackEntries = Number.isFinite(gapMs)
+      ? !isContinuous && gapMs > MAX_GAP_WITHOUT_EXPIRY_MS
+      : !this.options.isFirstStart;
+    if (mayLackEntries) this.confirmations.recordReturn();
     this.history.confirm(at, isContinuous);
     this.confirmations.record(at);
   }
