A new entry of an endpoint keeps the requests that its new process has got

The connections that were opened after the start that the entry names are kept, others only if bytes still come over them within 0.3 s. An entry without a start ends nothing. The load goes over to the new incarnation.

--- a/packages/cli/src/explain/log-timeline.ts
+++ b/packages/cli/src/explain/log-timeline.ts
@@ -151,6 +151,7 @@
   'router.ready': () => 'the router takes new connections',
   'endpoint.draining': (f) => `endpoint ${readField(f, 'endpoint')} takes no new work`,
   'endpoint.gone': (f) => `the entry of endpoint ${readField(f, 'endpoint')} is gone`,
+  'endpoint.changed': (f) => `the entry of endpoint ${readField(f, 'endpoint')} changed`,
   'endpoint.restarted': (f) => `endpoint ${readField(f, 'endpoint')} restarted`,
 };
 
--- a/packages/decisions/src/forwarding/endpoint-load.ts
+++ b/packages/decisions/src/forwarding/endpoint-load.ts
@@ -141,6 +141,17 @@
     return now - Math.max(earliestSentAt, this.lastByteAt) > STALL_TIMEOUT_MS;
   }
 
+  /**
+   * Forgets what was seen of the process, and what peers report of it, since another one has taken its place. The
+   * requests that run stay: they are at the new process, or end soon.
+   */
+  recordReplaced(): void {
+    this.recordSuccess();
+    this.failureAverage = 0;
+    this.peerLoads.clear();
+    this.expirePeerLoads(Number.NEGATIVE_INFINITY);
+  }
+
   /** Load from this router's own requests. */
   ownLoad(): LoadTotals {
     return { ...this.ownTotals };
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -11,6 +11,26 @@
 import type { ResponseObserver } from './endpoint-request.ts';
 import { ProcessProof } from './process-proof.ts';
 
+/** Difference that the clocks of this host and of the endpoint may have, in ms, when the times of both are compared. */
+const CLOCK_TOLERANCE_MS = 1_000;
+
+/**
+ * Longest time for which a process that has started again may have served before the first entry of its predecessor was
+ * read here, in ms. A start that is longer ago comes from a clock that is wrong.
+ */
+const MAX_ENTRY_LAG_MS = 60_000;
+
+/** Time in which bytes show that a connection leads to a process that lives, in ms. */
+const SIGN_OF_LIFE_MS = 300;
+
+/** What became of the connections of a process that has been replaced. */
+export interface RetiredConnections {
+  /** Connections with a request that were opened after the start of the new process, so that they lead to it. */
+  kept: number;
+  /** Connections with a request that end unless bytes come over them. */
+  doubtful: number;
+}
+
 /** Options of an `EndpointClient`. */
 export interface EndpointClientOptions {
   /** `IP:port`. */
@@ -33,12 +53,15 @@
   private readonly proof: ProcessProof;
   private readonly idle: EndpointConnection[] = [];
   private readonly connections = new Set<EndpointConnection>();
+  /** Monotonic time at which the entry of the endpoint was first read, in ms. */
+  private readonly createdAt: number;
   private isClosed = false;
 
   constructor(options: EndpointClientOptions) {
     this.options = options;
     const { startedAt = 0, protocol, clock = new SystemClock(), onReplaced } = options;
     this.clock = clock;
+    this.createdAt = clock.monotonic();
     this.proof = new ProcessProof({
       startedAt,
       protocol,
@@ -89,6 +112,30 @@
     for (const connection of this.idle.splice(0)) this.discard(connection);
   }
 
+  /**
+   * Closes the connections that lead to a process which has been replaced by one that started at `startedAt`, in ms
+   * since the Unix epoch; 0 if unknown. The new process serves at the same address before its entry is read, so the
+   * connections that were opened since then lead to it, and their requests go on. As the clocks of hosts differ, one over
+   * which bytes still come is kept as well: a process that has ended sends nothing.
+   */
+  retire(startedAt: number): RetiredConnections {
+    this.close();
+    const openedSince = this.toMonotonic(startedAt) - CLOCK_TOLERANCE_MS;
+    const doubtful = [...this.connections].filter(({ socket }) => socket.openedAt < openedSince);
+    const seen = doubtful.map((connection) => ({
+      connection,
+      socket: connection.socket,
+      bytesRead: connection.bytesRead,
+    }));
+    this.clock.after(SIGN_OF_LIFE_MS, () => {
+      for (const { connection, socket, bytesRead } of seen) {
+        const isSame = connection.socket === socket && connection.bytesRead === bytesRead;
+        if (isSame && this.connections.has(connection)) this.discard(connection);
+      }
+    });
+    return { kept: this.connections.size - doubtful.length, doubtful: doubtful.length };
+  }
+
   /** Closes all connections immediately. */
   destroy(): void {
     this.isClosed = true;
@@ -141,6 +188,13 @@
     return undefined;
   }
 
+  /** Monotonic time of the start of a process, in ms; infinite if that is unknown, or can't be right. */
+  private toMonotonic(startedAt: number): number {
+    const at = this.clock.monotonic() - (this.clock.now() - startedAt);
+    const isPlausible = startedAt > 0 && at >= this.createdAt - MAX_ENTRY_LAG_MS;
+    return isPlausible ? at : Number.POSITIVE_INFINITY;
+  }
+
   private connect(): EndpointConnection {
     const connection = new EndpointConnection({ address: this.options.address, clock: this.clock });
     this.connections.add(connection);
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -60,6 +60,8 @@
   /** Open, and not given to undici yet. */
   private ahead: Socket | undefined;
   private progressGuard: ProgressGuard | undefined;
+  /** The current socket of the operating system, once it is open. */
+  private opened: Socket | undefined;
 
   constructor({ address, clock }: EndpointConnectionOptions) {
     this.address = address;
@@ -101,6 +103,11 @@
     });
   }
 
+  /** Bytes that have come over the current socket. */
+  get bytesRead(): number {
+    return this.opened?.bytesRead ?? 0;
+  }
+
   destroy(): void {
     this.ahead?.destroy();
     this.client?.destroy().catch(() => undefined);
@@ -149,7 +156,10 @@
     this.socket = known;
     connectEndpoint(options, (...result) => {
       const [, socket] = result;
-      if (socket !== null) known.openedAt = this.clock.monotonic();
+      if (socket !== null) {
+        known.openedAt = this.clock.monotonic();
+        this.opened = socket;
+      }
       // Registered before undici's own listener, which treats a reset as the end of an unframed response.
       socket?.on('error', () => {
         this.wasReset = true;
--- a/packages/forwarder/src/endpoints/endpoint-directory.ts
+++ b/packages/forwarder/src/endpoints/endpoint-directory.ts
@@ -1,7 +1,8 @@
 /**
  * The known endpoints with their connections and load. An endpoint that drains gets no new requests but
  * finishes the running ones. An endpoint that restarts under the same id is a new incarnation: its caches
- * are empty, and requests of the old incarnation are lost.
+ * are empty, and requests of the old incarnation are lost. It may have got requests before its entry was read; those
+ * go on, and count in its load.
  */
 import { LRUCache } from 'lru-cache';
 import murmurhash from 'murmurhash';
@@ -94,13 +95,13 @@
       this.refresh(existing, endpoint);
       return;
     }
-    if (existing !== undefined) this.replace(existing);
+    if (existing !== undefined) this.replace(existing, endpoint);
     const record: EndpointRecord = {
       endpoint,
       incarnation,
       incarnationHash: murmurhash.v3(incarnation),
       client: this.options.createClient(endpoint),
-      load: new EndpointLoad(),
+      load: existing?.load ?? new EndpointLoad(),
       ...(this.removed.get(incarnation) ?? this.createNotices()),
     };
     this.records.set(endpoint.id, record);
@@ -222,10 +223,20 @@
     if (endpoint.isDraining) this.drain(record, DrainSource.Store);
   }
 
-  private replace(record: EndpointRecord): void {
-    this.log('endpoint.restarted', record);
+  /** Ends an incarnation whose entry names another start or another address now. */
+  private replace(record: EndpointRecord, next: Endpoint): void {
+    const { startedAt } = next;
+    const wasKnown = this.removed.has(incarnationOf(next));
     this.forget(record);
-    record.client.destroy();
+    if (wasKnown || hasLostStart(record.endpoint, next)) {
+      // Nothing tells that the process has ended: an entry of another writer came in between.
+      record.client.close();
+      this.log('endpoint.changed', record, { started_at: startedAt });
+    } else {
+      const { kept, doubtful } = record.client.retire(startedAt);
+      this.log('endpoint.restarted', record, { started_at: startedAt, kept, doubtful });
+    }
+    record.load.recordReplaced();
     this.options.onRemoved(record);
   }
 
@@ -270,3 +281,8 @@
     });
   }
 }
+
+/** Whether an entry names no start any more, at the same address. */
+function hasLostStart(previous: Endpoint, next: Endpoint): boolean {
+  return previous.startedAt !== 0 && next.startedAt === 0 && previous.address === next.address;
+}
