Answers to a process's own questions are read up to a limit

A faulty engine that answered the question for its cached prompts without end took a router of 350 MB to 2.7 GB: the answer was read whole, whatever its size.

bounded-body.ts is the one way to read an answer whole, and the linter rejects others.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -15,6 +15,20 @@
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
     },
   },
+  {
+    files: ['packages/{cli,decisions,fleet,forwarder,kernel}/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector:
+            'CallExpression[arguments.length=0] > MemberExpression[property.name=/^(text|json|arrayBuffer|blob|bytes)$/]',
+          message: 'An answer may have no end: read it with readBoundedText or readBoundedJson.',
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.test.ts'],
     rules: { '@typescript-eslint/no-unused-expressions': 'off' },
--- a/packages/cli/src/commands/where.ts
+++ b/packages/cli/src/commands/where.ts
@@ -5,6 +5,7 @@
 import { request } from 'undici';
 import { ExitCode } from '../exit-code.ts';
 import { formatExplanation } from '../explain/route-table.ts';
+import { LARGE_ANSWER_BYTES, readBoundedJson } from '@poplarpick/fleet/bounded-body';
 
 const REQUEST_TIMEOUT_MS = 3_000;
 
@@ -78,7 +79,8 @@
       body: JSON.stringify(question),
       signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
     });
-    const answer = (await body.json()) as RouteExplanation & { error?: string };
+    const content = await readBoundedJson(body, LARGE_ANSWER_BYTES);
+    const answer = content as RouteExplanation & { error?: string };
     if (statusCode === 200) return { router, explanation: answer };
     return { router, error: answer.error ?? `status ${statusCode}` };
   } catch (error) {
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -2,6 +2,7 @@
 import { request } from 'undici';
 import type { RequestTrace } from '@poplarpick/decisions';
 import type { ConfigurationDocument, PeerEntry, ServiceLevels } from '@poplarpick/fleet';
+import { LARGE_ANSWER_BYTES, readBoundedJson } from '@poplarpick/fleet/bounded-body';
 
 const REQUEST_TIMEOUT_MS = 3_000;
 const NOT_FOUND = 404;
@@ -156,7 +157,7 @@
     headersTimeout: REQUEST_TIMEOUT_MS,
     bodyTimeout: REQUEST_TIMEOUT_MS,
   });
-  const body = await response.body.json();
+  const body = await readBoundedJson(response.body, LARGE_ANSWER_BYTES);
   if (response.statusCode !== 200) throw new OperatorInterfaceError(response.statusCode);
   return body;
 }
--- a/packages/fleet/src/orders/engine-control-client.ts
+++ b/packages/fleet/src/orders/engine-control-client.ts
@@ -6,6 +6,7 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
 import { ONE_REQUEST_PER_CONNECTION } from '../engine-connections.ts';
+import { readBoundedJson, SMALL_ANSWER_BYTES } from '../bounded-body.ts';
 
 const READ_TIMEOUT_MS = 1_000;
 
@@ -60,8 +61,9 @@
       dispatcher: this.agent,
       headersTimeout: READ_TIMEOUT_MS,
       bodyTimeout: READ_TIMEOUT_MS,
+      signal: AbortSignal.timeout(2 * READ_TIMEOUT_MS),
     });
-    const state = await body.json();
+    const state = await readBoundedJson(body, SMALL_ANSWER_BYTES);
     if (statusCode !== STATUS_OK) throw new UnprovenAnswerError(statusCode);
     return engineStateSchema.parse(state);
   }
@@ -76,7 +78,7 @@
       headersTimeout: LOAD_TIMEOUT_MS,
       bodyTimeout: LOAD_TIMEOUT_MS,
     });
-    const { result } = orderResponseSchema.parse(await body.json());
+    const { result } = orderResponseSchema.parse(await readBoundedJson(body, SMALL_ANSWER_BYTES));
     if (result === OrderOutcome.Done && statusCode !== STATUS_OK)
       throw new UnprovenAnswerError(statusCode);
     return result;
--- a/packages/fleet/src/platform/configuration-client.ts
+++ b/packages/fleet/src/platform/configuration-client.ts
@@ -6,6 +6,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 import type { ConfigurationDocument } from '../messages.ts';
+import { LARGE_ANSWER_BYTES, readBoundedText } from '../bounded-body.ts';
 
 const REQUEST_TIMEOUT_MS = 3_000;
 
@@ -70,7 +71,7 @@
       bodyTimeout: REQUEST_TIMEOUT_MS,
       ...(signal === undefined ? {} : { signal }),
     });
-    const text = await response.body.text();
+    const text = await readBoundedText(response.body, LARGE_ANSWER_BYTES);
     if (response.statusCode === 204) return undefined;
     if (response.statusCode !== 200)
       throw new ConfigurationServiceError(`status ${response.statusCode}`);
--- a/packages/fleet/src/platform/host-list-client.ts
+++ b/packages/fleet/src/platform/host-list-client.ts
@@ -7,6 +7,7 @@
 import { z } from 'zod';
 import { Role } from '@poplarpick/kernel';
 import { isDialable } from '../address.ts';
+import { LARGE_ANSWER_BYTES, readBoundedJson } from '../bounded-body.ts';
 
 const REQUEST_TIMEOUT_MS = 3_000;
 
@@ -43,7 +44,7 @@
     headersTimeout: REQUEST_TIMEOUT_MS,
     bodyTimeout: REQUEST_TIMEOUT_MS,
   });
-  const body = await response.body.json();
+  const body = await readBoundedJson(response.body, LARGE_ANSWER_BYTES);
   if (response.statusCode !== 200) throw new Error(`host list answered ${response.statusCode}`);
   const entries = hostListSchema.parse(body).hosts;
   const hosts = entries.flatMap((entry) => hostSchema.safeParse(entry).data ?? []);
--- a/packages/fleet/src/sidecar/load-poller.ts
+++ b/packages/fleet/src/sidecar/load-poller.ts
@@ -4,12 +4,16 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
 import { ONE_REQUEST_PER_CONNECTION } from '../engine-connections.ts';
+import { readBoundedJson, SMALL_ANSWER_BYTES } from '../bounded-body.ts';
 
 /** Time between two polls. */
 const POLL_INTERVAL_MS = 200;
 
 const POLL_TIMEOUT_MS = 1_000;
 
+/** Time for the whole answer, which may come a little at a time, in ms. */
+const ANSWER_TIMEOUT_MS = 2 * POLL_TIMEOUT_MS;
+
 const loadReport = z.object({
   running: z.number().nonnegative(),
   waiting: z.number().nonnegative(),
@@ -55,8 +59,11 @@
     this.isPolling = true;
     try {
       const url = `${this.options.url.replace(/\/$/, '')}/v1/load`;
-      const { statusCode, body } = await request(url, { dispatcher: this.agent });
-      const report = await body.json();
+      const { statusCode, body } = await request(url, {
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+      });
+      const report = await readBoundedJson(body, SMALL_ANSWER_BYTES);
       if (statusCode !== 200) throw new Error(`the endpoint answered ${statusCode}`);
       this.options.onReport(loadReport.parse(report));
       this.isFailing = false;
--- a/packages/fleet/src/sidecar/stream-run.ts
+++ b/packages/fleet/src/sidecar/stream-run.ts
@@ -10,6 +10,7 @@
 import { ChunkStream } from './chunk-stream.ts';
 import type { Run, RunListener } from './endpoint-client.ts';
 import { toEndpointError } from './endpoint-error.ts';
+import { readBoundedText, SMALL_ANSWER_BYTES } from '../bounded-body.ts';
 
 /** Timeout for the engine to confirm that it has suspended or cancelled a stream. */
 const CONTROL_TIMEOUT_MS = 2_000;
@@ -165,7 +166,7 @@
         dispatcher: this.options.dispatcher,
         signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
       });
-      const text = await response.body.text();
+      const text = await readBoundedText(response.body, SMALL_ANSWER_BYTES);
       return response.statusCode === 200 && stopConfirmation.safeParse(JSON.parse(text)).success;
     } catch {
       return false;
--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -22,6 +22,7 @@
 import { stateSnapshotSchema } from './state-snapshot.ts';
 import type { StateSnapshot } from './state-snapshot.ts';
 import type { PeerReport } from './peer-table.ts';
+import { LARGE_ANSWER_BYTES, readBoundedJson } from '@poplarpick/fleet/bounded-body';
 
 /** Timeout for a peer's complete response, in ms: many round trips. */
 const RESPONSE_TIMEOUT_MS = 500;
@@ -237,7 +238,7 @@
       dispatcher: this.agent,
       signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
     });
-    const content = await body.json();
+    const content = await readBoundedJson(body, LARGE_ANSWER_BYTES);
     if (statusCode !== 200) throw new Error(`status ${statusCode}`);
     const snapshot = stateSnapshotSchema.parse(content);
     const now = clock.monotonic();
