A status that HTTP doesn't know is no answer

They are a fault of the attempt now: 502, or another try where the request may run again; the product's routers take 200 to 599.

--- a/packages/decisions/src/forwarding/answer-check.ts
+++ b/packages/decisions/src/forwarding/answer-check.ts
@@ -17,6 +17,9 @@
  */
 const REQUIRED_EMPTY_ENDS = 2;
 
+/** Largest status of HTTP. The parser takes any three digits; those below 200 never come with an answer. */
+const MAX_STATUS = 599;
+
 /** What the check needs to know of the head of an answer. */
 export interface AnswerHead {
   status: number;
@@ -37,6 +40,7 @@
   Refused = 'the endpoint refused',
   /** The answer may reach the caller all the same if no other endpoint can be asked. */
   ServerError = 'the endpoint failed',
+  UnknownStatus = 'a status that HTTP does not know',
   Unsealed = 'a success without a seal',
   UnprovedRefusal = 'a refusal of a request that may have run',
   NoContinuation = 'an answer that does not go on with the stream',
@@ -117,6 +121,7 @@
   checkHead(head: AnswerHead): AnswerFault | undefined {
     const { status } = head;
     if (head.isNotRun) return AnswerFault.Refused;
+    if (status > MAX_STATUS) return AnswerFault.UnknownStatus;
     if (head.promisesNotRun) return AnswerFault.UnprovedRefusal;
     if (isSuccess(head) && !head.isSealed) return AnswerFault.Unsealed;
     if (this.progress.hasBegun && (status !== STATUS_OK || !head.isEventStream))
--- a/packages/fleet/src/callers/application-call.ts
+++ b/packages/fleet/src/callers/application-call.ts
@@ -43,7 +43,7 @@
 
 /** Schema of the first frame of an application's answer: its status and headers. */
 export const answerHeadSchema = z.object({
-  status: z.int().min(200).max(999),
+  status: z.int().min(200).max(599),
   headers: z.array(z.object({ name: z.string(), value: z.string() })),
 });
 
--- a/packages/fleet/src/callers/broken-answers.test.ts
+++ b/packages/fleet/src/callers/broken-answers.test.ts
@@ -115,4 +115,20 @@
     expect(text).to.match(/^HTTP\/1\.1 502 /);
     expect(text).to.not.match(/content-encoding|set-cookie/i);
   });
+
+  // Guards against bytes that are no answer and get to the caller as one.
+  for (const status of [0, 99, 199, 600, 999]) {
+    it(`is never begun with status ${status}, which no answer has`, async () => {
+      const { text } = await exchange(
+        '1.1',
+        (response) => new ApplicationSink(response, 'id'),
+        (sink) => {
+          const head = Buffer.from(JSON.stringify({ status, headers: [] }));
+          expect(() => sink.deliver(head)).to.throw();
+          sink.fail(FAILURE);
+        },
+      );
+      expect(text).to.match(/^HTTP\/1\.1 502 /);
+    });
+  }
 });
