Answers without end leave room for the small answers of sound endpoints

Callers of a sound service got 503 and 502 ("the router holds as much as it can") beside one whose engines send without end: requests that are served don't yield, so large answers could take the whole budget. They may take nine tenths of it now, also of requests; an answer of up to 64 KiB may have the rest.

--- a/packages/decisions/src/holdings/memory-shares.ts
+++ b/packages/decisions/src/holdings/memory-shares.ts
@@ -22,6 +22,12 @@
 /** An owner may hold so many times what is free, so four fifths of the budget while it is alone. */
 const OWNER_MULTIPLE_OF_FREE = 4;
 
+/** Part of the budget that large answers and requests which are served may take; the rest is for small ones. */
+const SERVED_SHARE = 0.9;
+
+/** Size up to which an answer is small, in bytes. */
+const SMALL_BYTES = 65_536;
+
 /** Bytes held for callers by a process with so much memory, in bytes. */
 export function budgetOfMemory(memoryBytes: number): number {
   return Math.max(MIN_BUDGET_BYTES, Math.floor((memoryBytes - PROCESS_BYTES) * HELD_SHARE));
@@ -67,3 +73,23 @@
 export function fitsBudget({ budgetBytes, heldByOthersBytes, wantedBytes }: MemoryDemand): boolean {
   return heldByOthersBytes + wantedBytes <= budgetBytes;
 }
+
+/** What is held for requests that are served, when one of them wants to hold more, in bytes. */
+export interface ServedDemand {
+  budgetBytes: number;
+  /** Held for the others. */
+  heldForOthersBytes: number;
+  /** What this one would hold. */
+  wantedBytes: number;
+}
+
+/**
+ * Whether a request that is served may hold what it wants beside the others. Nobody makes room for those, so what faulty
+ * endpoints send without end must leave some for small answers, whose endpoints have run the requests.
+ */
+export function fitsServed(demand: ServedDemand): boolean {
+  const { budgetBytes, heldForOthersBytes, wantedBytes } = demand;
+  return (
+    wantedBytes <= SMALL_BYTES || heldForOthersBytes + wantedBytes <= budgetBytes * SERVED_SHARE
+  );
+}
--- a/packages/fleet/src/listening/memory-budget.test.ts
+++ b/packages/fleet/src/listening/memory-budget.test.ts
@@ -111,4 +111,14 @@
     expect(trickle.bytes).to.equal(0);
     expect(upload.bytes).to.equal(12 * 65_536);
   });
+
+  // Guards against answers that sound endpoints have given and that are thrown away beside answers without end.
+  it('has room for small answers beside large ones without end', () => {
+    const { budget } = createBudget();
+    const large = Array.from({ length: 60 }, () => open(budget, HoldingKind.ServedRequest, 'x'));
+    for (let bytes = MIB; bytes <= LARGE; bytes += MIB)
+      for (const answer of large) answer.holdPromised(bytes);
+    for (let count = 0; count < 50; count += 1)
+      expect(open(budget, HoldingKind.ServedRequest, 'y').holdPromised(65_536)).to.equal(true);
+  });
 });
--- a/packages/fleet/src/listening/memory-budget.ts
+++ b/packages/fleet/src/listening/memory-budget.ts
@@ -2,7 +2,13 @@
  * The memory that one process holds for callers, over all of its listeners. Whatever is held is charged here before it is
  * kept; when the budget is full, `pickYielding` says who gives up what is held for it.
  */
-import { fitsBudget, fitsShares, HoldingKind, pickYielding } from '@poplarpick/decisions';
+import {
+  fitsBudget,
+  fitsServed,
+  fitsShares,
+  HoldingKind,
+  pickYielding,
+} from '@poplarpick/decisions';
 import type { HoldingState, MemoryDemand } from '@poplarpick/decisions';
 import type { Clock } from '@poplarpick/kernel';
 import { BlockPool } from './block-pool.ts';
@@ -72,6 +78,10 @@
 
   /** Makes room for what a holding wants; false if nobody who goes before it can yield. For `Holding`. */
   makeRoom(holding: Holding, wantedBytes: number, isPromised: boolean): boolean {
+    if (isPromised && !this.fitsBesideServed(holding, wantedBytes)) {
+      this.report(holding);
+      return false;
+    }
     while (!this.fits(holding, wantedBytes, isPromised)) {
       const first = pickYielding(this.yielding, this.clock.monotonic());
       if (first === undefined || first === holding) {
@@ -111,6 +121,12 @@
     return isPromised ? fitsBudget(demand) : fitsShares(demand);
   }
 
+  private fitsBesideServed({ kind, bytes }: Holding, wantedBytes: number): boolean {
+    if (kind !== HoldingKind.ServedRequest) return true;
+    const { budgetBytes } = this;
+    return fitsServed({ budgetBytes, heldForOthersBytes: this.heldOf(kind) - bytes, wantedBytes });
+  }
+
   private report({ kind, owner, bytes }: Holding): void {
     for (const listener of this.listeners) listener(kind, owner, bytes);
   }
