A call leaves its running attempts and its end to classes of their own

RunningAttempts holds the one or two attempts that run, CallEnding the four ways to end, and what endpoints say of themselves is recorded by one function.

--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -3,23 +3,19 @@
  * endpoints after failures, and writes the response. Stops the running attempt when the caller
  * disconnects, and sends an error when the deadline expires.
  */
-import type { ServerResponse } from 'node:http';
 import {
   AnswerFault,
   decideFailureAction,
-  DrainSource,
   EventAction,
   FailureAction,
 } from '@poplarpick/decisions';
-import type { Route, StreamEvent, StreamOrigin } from '@poplarpick/decisions';
+import type { StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import { AttemptEvidence } from '../poison/attempt-evidence.ts';
 import { hashRequest } from '../poison/request-hash.ts';
 import { sharedSegmentHashes } from '../shared-segments.ts';
-import type { RouterState } from '../router-state.ts';
 import { createFaultError, createStallError, isEndpointFailure } from './attempt-errors.ts';
-import { AttemptHandover } from './attempt-handover.ts';
 import { AttemptPlanner } from './attempt-planner.ts';
 import { AttemptSender } from './attempt-sender.ts';
 import { CallAdmission } from './call-admission.ts';
@@ -30,9 +26,12 @@
 import type { CallAttempt } from './call-attempt.ts';
 import { CallReporter } from './call-reporter.ts';
 import { CallLatencyRecorder } from './call-latency-recorder.ts';
-import type { ResponseHead, CallHead } from './call-protocol.ts';
-import type { CallPlacer } from './call-placer.ts';
+import { CallEnding } from './call-ending.ts';
+import type { CallOptions } from './call-options.ts';
+import type { ResponseHead } from './call-protocol.ts';
 import type { Placement } from './endpoint-evaluator.ts';
+import { recordNotices } from './endpoint-notices.ts';
+import { RunningAttempts } from './running-attempts.ts';
 import { StreamBinding } from './stream-binding.ts';
 
 /** Time after the deadline that an endpoint's own timeout response may take to arrive, in ms. */
@@ -46,31 +45,6 @@
 
 const MIN_REDIRECT_STATUS = 300;
 
-/** A call that has passed the checks of the ingress, and its dependencies. */
-export interface CallOptions {
-  state: RouterState;
-  placer: CallPlacer;
-  head: CallHead;
-  route: Route;
-  pool: string;
-  /** Origin of the stream that the call resumes; undefined if it resumes none. */
-  origin: StreamOrigin | undefined;
-  /** The last event of that stream that the caller has; undefined if it resumes none. */
-  resumedAfter: number | undefined;
-  workspace: string | undefined;
-  body: Buffer | undefined;
-  response: ServerResponse;
-  /** Monotonic time of arrival, in ms. */
-  arrivedAt: number;
-  /** Whether the caller's connection is closed after this response. */
-  shouldCloseConnection: () => boolean;
-  /** Whether the API key still belongs to the workspace; checked again before each retry. */
-  isKeyValid: () => boolean;
-  /** Whether what is left of a planned stop of this router can hold an attempt; asked before each further one. */
-  fitsStop: () => boolean;
-  onEnd: (call: Call) => void;
-}
-
 /** Handles one call from admission to the end of its response. */
 export class Call extends AttemptHandler {
   private readonly options: CallOptions;
@@ -79,19 +53,16 @@
   private readonly admission: CallAdmission;
   private readonly planner: AttemptPlanner;
   private readonly sender: AttemptSender;
-  private readonly handover: AttemptHandover;
+  private readonly running: RunningAttempts;
+  private readonly ending: CallEnding;
   private readonly hedge: CallHedge;
   private readonly evidence: AttemptEvidence;
   private readonly reporter: CallReporter;
   private readonly latencyRecorder: CallLatencyRecorder;
-  private attempt: CallAttempt | undefined;
-  /** The latest placement. */
-  private placement: Placement | undefined;
   private deadlineTimer: Timer | undefined;
   /** An endpoint may have run the request. */
   private mayHaveRun = false;
   private firstEventAt: number | undefined;
-  private isEnded = false;
   /** Monotonic time of the deadline, in ms. */
   private readonly deadlineAt: number;
 
@@ -108,7 +79,7 @@
     const { binding } = this;
     this.admission = new CallAdmission({ ...options, binding, suspectHashes });
     this.planner = new AttemptPlanner({ ...options, binding, suspectHashes });
-    this.handover = new AttemptHandover({
+    this.running = new RunningAttempts({
       clock: options.state.clock,
       onReplaced: (earlier) => this.recordReplaced(earlier),
     });
@@ -132,6 +103,20 @@
     });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
+    const { response, sender, latencyRecorder } = this;
+    this.ending = new CallEnding({
+      response,
+      admission,
+      planner,
+      sender,
+      reporter,
+      latencyRecorder,
+      readProgress: () => ({
+        placement: this.running.placement,
+        firstEventAt: this.firstEventAt,
+      }),
+      onEnded: () => this.close(),
+    });
   }
 
   /** Selects an endpoint and sends the call there, or refuses the call. */
@@ -142,8 +127,9 @@
       this.endNow('the time for the request is over', ErrorCode.DeadlineExceeded),
     );
     const refusal = this.admission.checkPoison() ?? this.place();
-    if (refusal !== undefined) this.refuse(refusal);
-    else if (this.placement !== undefined) this.sendFirst(this.placement);
+    const { placement } = this.running;
+    if (refusal !== undefined) this.ending.refuse(refusal);
+    else if (placement !== undefined) this.sendFirst(placement);
   }
 
   private sendFirst(placement: Placement): void {
@@ -153,26 +139,27 @@
 
   /** Also sends a slow call to a second endpoint, if that is granted; the first good response wins. */
   private sendHedge(): void {
-    const { attempt } = this;
-    if (this.isEnded || attempt === undefined || attempt.hasStarted) return;
+    const attempt = this.running.current;
+    if (this.ending.isEnded || attempt === undefined || attempt.hasStarted) return;
     if (this.sender.sentAttempts > 1) return;
     const placement = this.hedge.acquire(attempt.placement);
     if (placement === undefined) return;
-    this.handover.beginHedge(attempt);
+    this.running.beginHedge(attempt);
     this.send(placement);
   }
 
   /** Selects the first endpoint; the refusal if there is none or its wait is too long. */
   private place(): RequestError | undefined {
     this.admission.recordArrival();
-    this.placement = this.planner.selectEndpoint();
-    if (this.placement === undefined)
+    const selected = this.planner.selectEndpoint();
+    this.running.placement = selected;
+    if (selected === undefined)
       return this.admission.createNoEndpointError('no endpoint takes requests');
-    const admitted = this.admission.admit(this.placement, this.remainingMs(), (maxWaitMs) =>
+    const admitted = this.admission.admit(selected, this.remainingMs(), (maxWaitMs) =>
       this.planner.selectEndpoint({ maxWaitMs }),
     );
     if (admitted instanceof RequestError) return admitted;
-    this.placement = admitted;
+    this.running.placement = admitted;
     return undefined;
   }
 
@@ -181,31 +168,31 @@
    * the other endpoint takes it, since a sound endpoint may be silent for a while.
    */
   checkStall(now: number): void {
-    const { attempt } = this;
+    const attempt = this.running.current;
     this.binding.checkProof();
-    if (attempt === undefined || this.handover.isPending || !this.isStalled(attempt, now)) return;
+    if (attempt === undefined || this.running.areTwo || !this.isStalled(attempt, now)) return;
     this.planner.exclude(attempt.placement.record);
     const placement = this.planner.acquireRetry();
     if (placement === undefined) {
       this.reporter.recordStall(attempt, this.planner.obstacle);
       return;
     }
-    this.handover.begin(attempt);
+    this.running.beginHandover(attempt);
     this.send(placement);
   }
 
   override handleWritten(attempt: CallAttempt): void {
-    if (!this.handover.isEarlier(attempt)) this.handover.limitOverlap();
+    this.running.recordWritten(attempt);
   }
 
   override acceptHead(attempt: CallAttempt, head: ResponseHead): boolean {
     const { record } = attempt.placement;
     const { load } = record;
     this.options.state.limits.recordHead(record, head, attempt.inFlight.sentAt);
-    this.recordNotices(attempt, head);
+    recordNotices(this.options.state.endpoints, attempt.placement.record, head);
     const fault = attempt.check.checkHead(head);
     if (fault !== AnswerFault.Refused) this.mayHaveRun = true;
-    if (fault === AnswerFault.ServerError && !this.handover.isPending) {
+    if (fault === AnswerFault.ServerError && !this.running.areTwo) {
       load.recordFailure(this.now());
       return !this.tryRetryInsteadOf(attempt, head);
     }
@@ -215,12 +202,12 @@
     }
     load.recordSuccess();
     // A stream proves with an event that it is the caller's.
-    if (!head.isEventStream) this.settleHandover(attempt);
+    if (!head.isEventStream) this.running.settle(attempt);
     return true;
   }
 
   override recordForeignHead(attempt: CallAttempt, head: ResponseHead): void {
-    this.recordNotices(attempt, head);
+    recordNotices(this.options.state.endpoints, attempt.placement.record, head);
   }
 
   override handleEvent(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): boolean {
@@ -245,13 +232,13 @@
       this.handleFailure(attempt, createFaultError(head, fault));
       return;
     }
-    this.settleHandover(attempt);
+    this.running.settle(attempt);
     this.response.endStream(head, attempt.takeComments());
     this.binding.recordCompleted();
     this.evidence.recordCompleted(attempt, head.isFramed);
     this.latencyRecorder.recordDuration(attempt);
     this.latencyRecorder.recordStreamEnd();
-    this.finish('ok');
+    this.ending.finish('ok');
   }
 
   override handleResponse(attempt: CallAttempt, head: ResponseHead, body: Buffer): void {
@@ -266,7 +253,7 @@
       this.latencyRecorder.recordDuration(attempt);
     }
     this.response.send(head, body);
-    this.finish(`status_${head.status}`);
+    this.ending.finish(`status_${head.status}`);
   }
 
   override handleFailure(attempt: CallAttempt, error: RequestError): void {
@@ -278,18 +265,20 @@
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
     this.reporter.recordFailedAttempt(attempt, error, this.response.sentEventId);
-    if (this.isEnded || this.goOnWithout(attempt)) return;
+    if (this.ending.isEnded || this.running.goOnWithout(attempt)) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
     this.binding.whenProved(() => {
-      if (!this.isEnded) this.perform(this.decideAction(verdict), error);
+      if (!this.ending.isEnded) this.perform(this.decideAction(verdict), error);
     });
   }
 
   /** Passes on an event that has proved that its attempt serves the caller. */
   private passEvent(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): boolean {
-    this.settleHandover(attempt);
+    this.running.settle(attempt);
     if (!attempt.hasStarted) {
-      this.recordContinuation(attempt, head, event);
+      const { isContinued, lastEventId: previousId } = this.response;
+      if (isContinued)
+        this.reporter.recordContinuation(attempt, { head, eventId: event.id, previousId });
       this.firstEventAt ??= this.now();
       this.binding.recordEvent(attempt);
       this.latencyRecorder.recordFirstEvent(attempt, this.admission.shareUsage.shareUsed < 1);
@@ -300,33 +289,6 @@
     return canContinue;
   }
 
-  /** Ends a pending handover in favour of the attempt whose endpoint has proved that it goes on. */
-  private settleHandover(attempt: CallAttempt): void {
-    if (!this.handover.isEarlier(attempt)) {
-      this.handover.complete();
-      return;
-    }
-    this.attempt?.abort();
-    this.goBack();
-  }
-
-  /** Continues with the other attempt of a pending handover after one has failed; false if there is none. */
-  private goOnWithout(failed: CallAttempt): boolean {
-    if (!this.handover.isPending) {
-      this.attempt = undefined;
-      return false;
-    }
-    if (this.handover.isEarlier(failed)) this.handover.end();
-    else this.goBack();
-    return true;
-  }
-
-  /** Makes the earlier attempt of a pending handover the current one again. */
-  private goBack(): void {
-    this.attempt = this.handover.end();
-    this.placement = this.attempt?.placement;
-  }
-
   private recordReplaced(earlier: CallAttempt): void {
     this.mayHaveRun = true;
     earlier.placement.record.load.recordFailure(this.now());
@@ -350,22 +312,12 @@
     if (!this.options.route.isResumable || silentSince === undefined) return false;
     if (now - silentSince <= STALL_TIMEOUT_MS) return false;
     if (!attempt.placement.record.load.isUnhealthy(now)) return false;
-    const action = this.decideAction(Verdict.MayHaveRun);
-    return action === FailureAction.Retry || action === FailureAction.Resume;
+    return goesElsewhere(this.decideAction(Verdict.MayHaveRun));
   }
 
   private perform(action: FailureAction, error: RequestError): void {
-    switch (action) {
-      case FailureAction.Retry:
-      case FailureAction.Resume:
-        if (this.trySendElsewhere()) return;
-        this.endWithError(error);
-        return;
-      case FailureAction.Refuse:
-      case FailureAction.Fail:
-      case FailureAction.Abort:
-        this.endWithError(error);
-    }
+    if (goesElsewhere(action) && this.trySendElsewhere()) return;
+    this.endWithError(error);
   }
 
   /**
@@ -374,23 +326,23 @@
    */
   private endWithError(error: RequestError): void {
     if (this.response.hasBegun) {
-      this.abortResponse(error.message);
+      this.ending.breakOff(error.message);
       return;
     }
     if (!this.mayHaveRun) {
-      this.refuse(this.admission.createNoEndpointError(error.message));
+      this.ending.refuse(this.admission.createNoEndpointError(error.message));
       return;
     }
-    this.fail(error.message, ErrorCode.EndpointFailed);
+    this.ending.fail(error.message, ErrorCode.EndpointFailed);
   }
 
   private send(placement: Placement): void {
-    this.placement = placement;
+    this.running.placement = placement;
     const { response } = this;
     const { resumeAfter } = response;
     const check = response.createCheck();
     this.sender.send({ placement, check, resumeAfter }, (attempt) => {
-      this.attempt = attempt;
+      this.running.current = attempt;
     });
   }
 
@@ -412,91 +364,29 @@
     return true;
   }
 
-  /** Logs an event with which an attempt goes on with a stream; not the first event of a new stream. */
-  private recordContinuation(attempt: CallAttempt, head: ResponseHead, event: StreamEvent): void {
-    const { lastEventId: previousId, isContinued } = this.response;
-    if (!isContinued) return;
-    this.reporter.recordContinuation(attempt, { head, eventId: event.id, previousId });
-  }
-
   private handleCallerDisconnect(): void {
-    if (this.isEnded) return;
-    this.abortAttempts();
-    this.finish('caller_left');
+    if (this.ending.isEnded) return;
+    this.running.abort();
+    this.ending.finish('caller_left');
   }
 
   /** Ends the call with an honest answer, whatever runs of it. */
   endNow(reason: string, code: ErrorCode): void {
-    if (this.isEnded) return;
-    const mayHaveRun = this.mayHaveRun || this.attempt !== undefined;
-    this.abortAttempts();
-    if (this.response.hasBegun) this.abortResponse(reason);
-    else if (mayHaveRun) this.fail(reason, code);
-    else this.refuse(this.admission.createDeadlineError(reason));
-  }
-
-  private abortAttempts(): void {
-    this.handover.end()?.abort();
-    this.attempt?.abort();
-  }
-
-  /** Records whether an endpoint says in a response that it drains, or that it wants a pause. */
-  private recordNotices({ placement }: CallAttempt, head: ResponseHead): void {
-    const { endpoints } = this.options.state;
-    const { record } = placement;
-    if (head.isDraining) endpoints.drain(record, DrainSource.Endpoint);
-    if (head.pause !== undefined) endpoints.pause(record, head.pause);
-  }
-
-  private refuse(error: RequestError): void {
-    this.admission.recordRefusal(error);
-    this.response.sendError(error);
-    this.recordEnd('refused', error.message);
-    this.close();
-  }
-
-  private fail(reason: string, code: ErrorCode): void {
-    this.response.sendError(new RequestError(reason, { code, verdict: Verdict.MayHaveRun }));
-    this.recordEnd('failed', reason);
-    this.close();
-  }
-
-  private abortResponse(reason: string): void {
-    this.recordEnd('cut', reason);
-    this.close();
-    this.response.abort();
-  }
-
-  private finish(outcome: string): void {
-    this.recordEnd(outcome);
-    this.close();
+    if (this.ending.isEnded) return;
+    const mayHaveRun = this.mayHaveRun || this.running.current !== undefined;
+    this.running.abort();
+    if (this.response.hasBegun) this.ending.breakOff(reason);
+    else if (mayHaveRun) this.ending.fail(reason, code);
+    else this.ending.refuse(this.admission.createDeadlineError(reason));
   }
 
   private close(): void {
-    if (this.isEnded) return;
-    this.isEnded = true;
     this.deadlineTimer?.stop();
     this.hedge.stop();
     this.binding.recordEnded();
     this.options.onEnd(this);
   }
 
-  private recordEnd(outcome: string, reason?: string): void {
-    this.reporter.recordEnd({
-      outcome,
-      reason,
-      placement: this.placement,
-      shareUsage: this.admission.shareUsage,
-      isCallerRetry: this.admission.isCallerRetry,
-      attempts: this.sender.sentAttempts,
-      retryObstacle: this.planner.obstacle,
-      lastEventId: this.response.sentEventId,
-      wasFramed: this.response.wasFramed,
-      firstEventAt: this.firstEventAt,
-      longestPauseMs: this.latencyRecorder.longestPauseMs,
-    });
-  }
-
   private remainingMs(): number {
     return this.deadlineAt - this.now();
   }
@@ -505,3 +395,8 @@
     return this.options.state.clock.monotonic();
   }
 }
+
+/** Whether a further attempt is made. */
+function goesElsewhere(action: FailureAction): boolean {
+  return action === FailureAction.Retry || action === FailureAction.Resume;
+}
