--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -16,7 +16,7 @@
 import { isOriginMessage } from './streams/origin-message.ts';
 import { ResumptionResolver } from './streams/resumption-resolver.ts';
 import type { ProcessLimits } from './process-limits.ts';
-import type { RouterBounds } from './router-state.ts';
+import type { RouterBounds } from './router-options.ts';
 
 /** Time in which callers get the last answers after all calls were ended, in ms. */
 const LAST_ANSWERS_MS = 250;
--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -2,6 +2,7 @@
 export * from './calls/call-protocol.ts';
 export * from './forwarder.ts';
 export { ControlCall } from './router-metrics.ts';
+export * from './router-options.ts';
 export * from './router-state.ts';
 export * from './process-limits.ts';
 export * from './shared-segments.ts';
