--- a/packages/forwarder/src/planned-stop.ts
+++ b/packages/forwarder/src/planned-stop.ts
@@ -33,8 +33,9 @@
     this.clock = clock;
   }
 
-  /** Begins the stop; the process ends in `graceMs`. */
+  /** Begins the stop; the process ends in `graceMs`. What is asked later doesn't move its end. */
   begin(graceMs: number): void {
+    if (this.times !== undefined) return;
     const now = this.clock.monotonic();
     this.times = { cutoffAt: now + CUTOFF_MS, endsAt: now + graceMs - GRACE_PERIOD_MARGIN_MS };
   }
