A connection of an engine that is reset ends no router

Callers of a sound engine lost their payments: while a response without a length was paused, since its caller didn't read, a reset made the HTTP client finish its parser, which asserts that it isn't paused.

The connection hears of the reset first and gives it another code while the response is paused, so that the client fails the request; at an orderly end the response goes on first.

--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -60,6 +60,8 @@
   /** Open, and not given to undici yet. */
   private ahead: Socket | undefined;
   private progressGuard: ProgressGuard | undefined;
+  /** Handles the response that comes over the current socket. */
+  private handler: EndpointHandler | undefined;
   /** The current socket of the operating system, once it is open. */
   private opened: Socket | undefined;
 
@@ -79,6 +81,7 @@
       headers,
       body: body ?? null,
     };
+    this.handler = handler;
     try {
       this.client ??= this.createClient();
       this.client.dispatch(options, handler);
@@ -161,9 +164,11 @@
         this.opened = socket;
       }
       // Registered before undici's own listener, which treats a reset as the end of an unframed response.
-      socket?.on('error', () => {
+      socket?.on('error', (error) => {
         this.wasReset = true;
+        if (this.handler?.isPaused === true) hideReset(error);
       });
+      socket?.on('end', () => this.handler?.onConnectionEnd?.());
       socket?.once('close', () => {
         if (this.socket === known) this.socket = createSocket(Number.POSITIVE_INFINITY);
       });
@@ -171,3 +176,11 @@
     });
   }
 }
+
+/**
+ * Lets undici take a reset for any other error of the connection. It would finish the response otherwise, and its parser
+ * can't while it is paused: it throws from an event of the socket, which ends the process.
+ */
+function hideReset(error: Error & { code?: string }): void {
+  if (error.code === 'ECONNRESET') error.code = 'ECONNABORTED';
+}
--- a/packages/forwarder/src/endpoints/endpoint-request.ts
+++ b/packages/forwarder/src/endpoints/endpoint-request.ts
@@ -67,6 +67,7 @@
   private readonly options: EndpointRequestOptions;
   private controller: Dispatcher.DispatchController | undefined;
   private isEnded = false;
+  private isReadPaused = false;
   /** undici has begun to write the request. */
   private wasWritten = false;
   /** The socket over which the request was sent. */
@@ -90,6 +91,10 @@
     return !this.isEnded && !this.wasWritten;
   }
 
+  get isPaused(): boolean {
+    return this.isReadPaused;
+  }
+
   /** Whether the process that has got the request is proved to be the one that the endpoint's entry names. */
   get isProved(): boolean {
     return this.socket !== undefined && this.options.proof.covers(this.socket);
@@ -152,7 +157,16 @@
   }
 
   resume(): void {
-    if (!this.isEnded) this.controller?.resume();
+    if (this.isEnded) return;
+    this.isReadPaused = false;
+    this.controller?.resume();
+  }
+
+  /** Goes on at the end of the connection, since undici can't finish a response that is paused. Nothing is left to read. */
+  onConnectionEnd(): void {
+    if (!this.isReadPaused) return;
+    this.isReadPaused = false;
+    this.controller?.resume();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -196,7 +210,9 @@
       this.discardBytes(chunk.length);
       return;
     }
-    if (!this.options.observer.onBytes(chunk) && !this.isEnded) controller.pause();
+    if (this.options.observer.onBytes(chunk) || this.isEnded) return;
+    this.isReadPaused = true;
+    controller.pause();
   }
 
   onResponseEnd(): void {
--- a/packages/forwarder/src/endpoints/endpoint-socket.ts
+++ b/packages/forwarder/src/endpoints/endpoint-socket.ts
@@ -18,6 +18,10 @@
 export interface EndpointHandler extends Dispatcher.DispatchHandler {
   /** Called when the request has failed before undici has taken it. */
   onDispatchError: (error: Error) => void;
+  /** Whether undici was told to pause, and hasn't been told to go on since; never by default. */
+  readonly isPaused?: boolean;
+  /** Called when the connection ends in an orderly way, before undici learns of it. */
+  onConnectionEnd?: () => void;
 }
 
 /** What is known of a socket before it is open; `openingAt` is the monotonic time at which it was asked for, in ms. */
