A caller is told at once when the list of endpoints can be whole

A resumption that came before the first list was read took that list for whole, since the time from which it is was computed once; it is computed anew now. A caller that would leave before a proof is possible was held in vain; it is refused at once, with a Retry-After that says when to come back.

--- a/packages/forwarder/src/streams/resumption-resolver.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.ts
@@ -27,7 +27,7 @@
 const CALLER_PATIENCE = { leastMs: 2_000, objectives: 4, pauses: 8 };
 
 /** Part of this time, and of the deadline, that a caller waits for a proof by cached prompts; the rest serves it. */
-const MAX_CACHE_WAIT_FRACTION = 0.6;
+const MAX_CACHE_WAIT_FRACTION = 0.65;
 
 /** Longest time that a caller waits until the origin of a stream is proved that this router has begun, in ms. */
 const MAX_PROOF_WAIT_MS = 1_200;
@@ -35,9 +35,11 @@
 /** Period of the check whether they have arrived, in ms. */
 const LISTS_CHECK_PERIOD_MS = 50;
 
-/** Value of `Retry-After` while they, or the confirmation, may still arrive, in seconds. */
+/** Least value of `Retry-After` while they, or the confirmation, may still arrive, in seconds. */
 const RETRY_AFTER_S = 0.5;
 
+const MS_PER_SECOND = 1_000;
+
 /** How an origin was found. */
 export enum OriginProof {
   /** This router has begun the stream, or was told. */
@@ -64,6 +66,8 @@
   hasKeeperAnswered: boolean | undefined;
   /** The origin wasn't found, and may be found when the caller comes again. */
   mayBeFoundLater: boolean;
+  /** Time until the list of endpoints can be whole, where a proof waits for that, in ms. */
+  untilWholeMs?: number | undefined;
   /** Endpoints whose lists of cached prompts are missing in the proof; undefined if the lists weren't consulted. */
   untold?: number | undefined;
 }
@@ -95,8 +99,8 @@
   async resolve(resumption: Resumption): Promise<StreamOrigin> {
     const { log, origins } = this.options;
     const { head, route } = resumption;
-    const { origin, proof, hasKeeperAnswered, mayBeFoundLater, untold } =
-      await this.find(resumption);
+    const finding = await this.find(resumption);
+    const { origin, proof, hasKeeperAnswered, untold } = finding;
     log.info({
       event: 'stream.resumed',
       request: head.requestId,
@@ -108,7 +112,7 @@
       lists_untold: untold,
       endpoints_age_ms: Math.round(origins.confirmations.ageMs),
     });
-    if (origin === undefined) throw createUnknownOriginError(mayBeFoundLater);
+    if (origin === undefined) throw createUnknownOriginError(finding);
     const isInRoute = route.targets.some(({ pool }) => pool === origin.pool);
     if (!isInRoute) throw createRefusal('the route has left the pool of the stream');
     return origin;
@@ -140,6 +144,10 @@
       proof: undefined,
       hasKeeperAnswered: hasAnswered,
       mayBeFoundLater,
+      untilWholeMs:
+        cached?.mayBeFoundLater === true
+          ? origins.confirmations.wholeFrom - clock.monotonic()
+          : undefined,
       untold: cached?.untold,
     };
   }
@@ -157,23 +165,23 @@
     const since = Math.max(arrivedAt, confirmations.wholeFrom);
     const isConfirmed = await confirmations.waitSince(since, MAX_CONFIRMATION_WAIT_MS);
     const origin = origins.findOnlyOrigin(route);
-    if (isConfirmed || (hasKeeperAnswered && confirmations.isWhole))
+    if ((isConfirmed || hasKeeperAnswered) && confirmations.isWhole)
       return { origin, isUnconfirmed: false };
     return { origin: undefined, isUnconfirmed: origin !== undefined };
   }
 
   /**
    * Looks for the prompt in the lists of cached prompts. Waits for those that could tell another origin, and until the
-   * list of endpoints is known to have been whole when the caller had come.
+   * list of endpoints is known to have been whole when the caller had come, unless that takes longer than it waits.
    */
   private async findCached(head: CallHead, route: Route, arrivedAt: number): Promise<CacheFinding> {
     const { clock, origins } = this.options;
     const { confirmations } = origins;
-    const since = Math.max(arrivedAt, confirmations.wholeFrom);
     const waitUntil = arrivedAt + maxCacheWaitMs(head, route);
     for (;;) {
+      const since = Math.max(arrivedAt, confirmations.wholeFrom);
       const finding = origins.findCached(head.prompt, route, since);
-      const leftMs = waitUntil - clock.monotonic();
+      const leftMs = since > waitUntil ? 0 : waitUntil - clock.monotonic();
       if (!finding.mayBeFoundLater || leftMs <= 0) return finding;
       await this.awaitNews(since, leftMs);
     }
@@ -207,10 +215,19 @@
   return { origin, proof, hasKeeperAnswered, mayBeFoundLater: false };
 }
 
-/** The refusal of a stream whose origin isn't known. Coming again helps only where it may be found later. */
-function createUnknownOriginError(mayBeFoundLater: boolean): RequestError {
-  const retryAfterSeconds = mayBeFoundLater ? RETRY_AFTER_S : undefined;
-  return createRefusal('the version that began the stream is unknown', retryAfterSeconds);
+/**
+ * The refusal of a stream whose origin isn't known. Coming again helps only where it may be found later, and not before
+ * the list of endpoints can be whole.
+ */
+function createUnknownOriginError({
+  mayBeFoundLater,
+  untilWholeMs = 0,
+}: OriginFinding): RequestError {
+  const retryAfterSeconds = Math.max(RETRY_AFTER_S, untilWholeMs / MS_PER_SECOND);
+  return createRefusal(
+    'the version that began the stream is unknown',
+    mayBeFoundLater ? retryAfterSeconds : undefined,
+  );
 }
 
 function createRefusal(reason: string, retryAfterSeconds?: number): RequestError {
