--- a/packages/fleet/src/sidecar/admission.ts
+++ b/packages/fleet/src/sidecar/admission.ts
@@ -6,15 +6,15 @@
 import { EXECUTION_RETENTION_MS } from '@poplarpick/decisions';
 import type { FleetConfiguration } from '@poplarpick/decisions';
 import { Metric, Task, Verdict } from '@poplarpick/kernel';
-import type { Clock, Logger, Metrics, RequestError, Timer } from '@poplarpick/kernel';
+import type { RequestError, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { CallMethod, NotificationMethod } from '../messages.ts';
 import type { AttemptReference, Grant, ResumeResult } from '../messages.ts';
 import { AdmissionMessageKind } from './admission-messages.ts';
 import type { AdmissionMessage, AdmissionStatus } from './admission-messages.ts';
+import type { AdmissionOptions } from './admission-options.ts';
 import { Claimer, describeClaim } from './claimer.ts';
 import type { AnsweredClaim } from './claimer.ts';
-import type { EndpointClient } from './endpoint-client.ts';
 import { Execution } from './execution.ts';
 import { ExecutionRegistry } from './execution-registry.ts';
 import { KeyedRequests } from './keyed-requests.ts';
@@ -22,7 +22,6 @@
 import { createAnswerTooLargeError, findRefusalReason } from './refusals.ts';
 import type { RefusalReason } from './refusals.ts';
 import { AnswerSender } from './answer-sender.ts';
-import type { ServiceMeter } from './service-meter.ts';
 import { SuspendedRuns } from './suspended-runs.ts';
 
 /** Time after the deadline at which a repeatable run is cancelled if its router has stayed away. */
@@ -34,22 +33,6 @@
 /** Interval at which deadlines and retention times are checked. */
 const TICK_INTERVAL_MS = 100;
 
-/** Options of an `Admission`. */
-export interface AdmissionOptions {
-  endpoint: string;
-  host: string;
-  client: EndpointClient;
-  meter: ServiceMeter;
-  /**
-   * Whether the fleet's totals are fresh enough to choose a workspace. If not, requests them;
-   * `TotalsReady` is posted once the choice can be retried.
-   */
-  ensureFreshTotals: () => boolean;
-  clock: Clock;
-  log: Logger;
-  metrics: Metrics;
-}
-
 /** Admits requests to one endpoint. */
 export class Admission extends Task<AdmissionMessage> {
   private readonly options: AdmissionOptions;
