One place each for gaps in the list, look-ups of cached prompts, and the largest status

Read again, the change of this issue held things twice: whether a list of endpoints begins anew was decided by the history of versions and, with a bound of its own, by the origins of streams; cached prompts had two look-ups, of which only tests used the older; a paused request went on in two ways; the collector had a method that only called another; the largest status stood in two packages.

The history says whether it begins with a list, the survey asks with the age of lists, and the rest has one piece each. Imports are in order. The assertions on the removed look-up are on the one that stays, as they were.

--- a/packages/cli/src/commands/where.ts
+++ b/packages/cli/src/commands/where.ts
@@ -1,11 +1,11 @@
 /** `poplarpick where`: explains where routers would send a request now and why, without sending it. */
 import { Command, Flags } from '@oclif/core';
+import { LARGE_ANSWER_BYTES, readBoundedJson } from '@poplarpick/fleet/bounded-body';
 import { describeError } from '@poplarpick/kernel';
 import type { RouteExplanation, RouteQuestion } from '@poplarpick/forwarder';
 import { request } from 'undici';
 import { ExitCode } from '../exit-code.ts';
 import { formatExplanation } from '../explain/route-table.ts';
-import { LARGE_ANSWER_BYTES, readBoundedJson } from '@poplarpick/fleet/bounded-body';
 
 const REQUEST_TIMEOUT_MS = 3_000;
 
--- a/packages/decisions/src/forwarding/answer-check.ts
+++ b/packages/decisions/src/forwarding/answer-check.ts
@@ -18,7 +18,7 @@
 const REQUIRED_EMPTY_ENDS = 2;
 
 /** Largest status of HTTP. The parser takes any three digits; those below 200 never come with an answer. */
-const MAX_STATUS = 599;
+export const MAX_HTTP_STATUS = 599;
 
 /** What the check needs to know of the head of an answer. */
 export interface AnswerHead {
@@ -121,7 +121,7 @@
   checkHead(head: AnswerHead): AnswerFault | undefined {
     const { status } = head;
     if (head.isNotRun) return AnswerFault.Refused;
-    if (status > MAX_STATUS) return AnswerFault.UnknownStatus;
+    if (status > MAX_HTTP_STATUS) return AnswerFault.UnknownStatus;
     if (head.promisesNotRun) return AnswerFault.UnprovedRefusal;
     if (isSuccess(head) && !head.isSealed) return AnswerFault.Unsealed;
     if (this.progress.hasBegun && (status !== STATUS_OK || !head.isEventStream))
--- a/packages/decisions/src/forwarding/cache-survey.ts
+++ b/packages/decisions/src/forwarding/cache-survey.ts
@@ -102,7 +102,7 @@
   /** What the lists tell of the stream whose prompt ends with a segment. */
   find({ hash, horizonMs, isListWhole, now }: CacheQuery): CacheFinding {
     if (now - this.options.startedAt > horizonMs) return NOTHING_CACHED;
-    const segment = this.cachedPrompts.find(hash);
+    const segment = this.cachedPrompts.find(hash, horizonMs, now);
     if (segment !== undefined && segment.origin === undefined) return NOTHING_CACHED;
     const origin = segment?.origin;
     const mayHaveBegun = (endpoint: Endpoint): boolean =>
--- a/packages/decisions/src/forwarding/cached-prompts.ts
+++ b/packages/decisions/src/forwarding/cached-prompts.ts
@@ -12,7 +12,7 @@
 const MAX_SEGMENTS = 200_000;
 
 /** What is known of a segment. */
-interface CachedSegment {
+export interface CachedSegment {
   /** Undefined if endpoints of several origins list the segment, or one whose version isn't known. */
   origin: StreamOrigin | undefined;
   /** Monotonic time of the latest list with the segment, in ms. */
@@ -33,17 +33,12 @@
   }
 
   /**
-   * The only origin that has a segment cached, by a list that is no older than `maxAgeMs`; undefined if there is
-   * none, or more than one. An older list tells nothing of the streams that have begun since.
+   * What the lists tell of a segment, if one that is no older than `maxAgeMs` has it. An older list tells nothing of the
+   * streams that have begun since.
    */
-  findOrigin(hash: SegmentHash, maxAgeMs: number, now: number): StreamOrigin | undefined {
+  find(hash: SegmentHash, maxAgeMs: number, now: number): CachedSegment | undefined {
     const entry = this.entries.get(hash);
-    return entry !== undefined && now - entry.listedAt <= maxAgeMs ? entry.origin : undefined;
-  }
-
-  /** What the lists tell of a segment; undefined if none has it. */
-  find(hash: SegmentHash): CachedSegment | undefined {
-    return this.entries.get(hash);
+    return entry !== undefined && now - entry.listedAt <= maxAgeMs ? entry : undefined;
   }
 
   private recordListed(
--- a/packages/decisions/src/forwarding/stream-origin.test.ts
+++ b/packages/decisions/src/forwarding/stream-origin.test.ts
@@ -79,9 +79,9 @@
     const prompts = new CachedPrompts();
     prompts.recordListing(V1, [{ hash: 1 }, { hash: 2 }], 0);
     prompts.recordListing(V1, [{ hash: 1 }], 100);
-    expect(prompts.findOrigin(1, KEEP_MS, 1_100)).to.deep.equal(V1);
-    expect(prompts.findOrigin(2, KEEP_MS, 1_001)).to.equal(undefined);
-    expect(prompts.findOrigin(3, KEEP_MS, 0)).to.equal(undefined);
+    expect(prompts.find(1, KEEP_MS, 1_100)?.origin).to.deep.equal(V1);
+    expect(prompts.find(2, KEEP_MS, 1_001)?.origin).to.equal(undefined);
+    expect(prompts.find(3, KEEP_MS, 0)?.origin).to.equal(undefined);
   });
 
   it('prove nothing where endpoints of two versions list a segment, or one without a version', () => {
@@ -90,6 +90,7 @@
     prompts.recordListing(V2, [{ hash: 1 }], 0);
     prompts.recordListing(V1, [{ hash: 1 }], 0);
     prompts.recordListing(undefined, [{ hash: 2 }, { hash: 3 }], 0);
-    for (const hash of [1, 2, 3]) expect(prompts.findOrigin(hash, KEEP_MS, 0)).to.equal(undefined);
+    for (const hash of [1, 2, 3])
+      expect(prompts.find(hash, KEEP_MS, 0)?.origin).to.equal(undefined);
   });
 });
--- a/packages/decisions/src/forwarding/version-history.ts
+++ b/packages/decisions/src/forwarding/version-history.ts
@@ -77,13 +77,19 @@
 
   /**
    * Records that the list of endpoints was complete at monotonic time `at`. `isContinuous` tells that all changes
-   * since the previous confirmation were applied one by one.
+   * since the previous confirmation were applied one by one. Returns whether the history begins with this list: nothing
+   * is known of what was listed before.
    */
-  confirm(at: number, isContinuous: boolean): void {
+  confirm(at: number, isContinuous: boolean): boolean {
     const { confirmedAt } = this;
-    if (confirmedAt === undefined) this.knownSince = this.isFirstStart ? -Infinity : at;
-    else if (!isContinuous && at - confirmedAt > MAX_GAP_MS) this.knownSince = at;
+    const isBegin =
+      confirmedAt === undefined
+        ? !this.isFirstStart
+        : !isContinuous && at - confirmedAt > MAX_GAP_MS;
+    if (isBegin) this.knownSince = at;
+    else if (confirmedAt === undefined) this.knownSince = -Infinity;
     this.confirmedAt = Math.max(confirmedAt ?? at, at);
+    return isBegin;
   }
 
   /** Records that an endpoint is no longer listed. */
--- a/packages/fleet/src/callers/application-call.ts
+++ b/packages/fleet/src/callers/application-call.ts
@@ -5,7 +5,7 @@
 import { validateHeaderName, validateHeaderValue } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import { z } from 'zod';
-import { EndpointKind, isNonIdempotentCall } from '@poplarpick/decisions';
+import { EndpointKind, isNonIdempotentCall, MAX_HTTP_STATUS } from '@poplarpick/decisions';
 import type { ServiceConfiguration } from '@poplarpick/decisions';
 import type { RequestError } from '@poplarpick/kernel';
 import type { GatewayRequest } from '../http-gateway.ts';
@@ -43,7 +43,7 @@
 
 /** Schema of the first frame of an application's answer: its status and headers. */
 export const answerHeadSchema = z.object({
-  status: z.int().min(200).max(599),
+  status: z.int().min(200).max(MAX_HTTP_STATUS),
   headers: z.array(z.object({ name: z.string(), value: z.string() })),
 });
 
--- a/packages/fleet/src/listening/garbage-collector.ts
+++ b/packages/fleet/src/listening/garbage-collector.ts
@@ -88,7 +88,7 @@
     this.readBytes += bytes;
     if (this.readBytes < READ_BYTES) return;
     this.readBytes = 0;
-    this.look();
+    this.check();
   }
 
   /** Called with the number of bytes that were held and are given up. */
@@ -101,13 +101,11 @@
     if (this.isBusy(residentBytes)) setImmediate(() => this.collectAll());
   }
 
-  /** Called from time to time: V8 lets garbage of small objects grow up to the limit of its heap. */
+  /**
+   * Collects what is worth it, and looks again soon as long as there may be more. Called from time to time as well: V8
+   * lets garbage of small objects grow up to the limit of its heap.
+   */
   check(): void {
-    this.look();
-  }
-
-  /** Collects what is worth it, and looks again soon as long as there may be more. */
-  private look(): void {
     const { readMemory, heldBytes } = this.options;
     const { residentBytes, bufferBytes } = readMemory();
     if (!this.isBusy(residentBytes)) return;
@@ -125,7 +123,7 @@
     this.isWatching = true;
     setTimeout(() => {
       this.isWatching = false;
-      this.look();
+      this.check();
     }, WATCH_PERIOD_MS).unref();
   }
 
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -189,7 +189,7 @@
     const { record } = attempt.placement;
     const { load } = record;
     this.options.state.limits.recordHead(record, head, attempt.inFlight.sentAt);
-    recordNotices(this.options.state.endpoints, attempt.placement.record, head);
+    recordNotices(this.options.state.endpoints, record, head);
     const fault = attempt.check.checkHead(head);
     if (fault !== AnswerFault.Refused) this.mayHaveRun = true;
     if (fault === AnswerFault.ServerError && !this.running.areTwo) {
--- a/packages/forwarder/src/endpoints/endpoint-request.ts
+++ b/packages/forwarder/src/endpoints/endpoint-request.ts
@@ -67,7 +67,8 @@
   private readonly options: EndpointRequestOptions;
   private controller: Dispatcher.DispatchController | undefined;
   private isEnded = false;
-  private isReadPaused = false;
+  /** undici was told to pause, and hasn't been told to go on since. */
+  isPaused = false;
   /** undici has begun to write the request. */
   private wasWritten = false;
   /** The socket over which the request was sent. */
@@ -91,10 +92,6 @@
     return !this.isEnded && !this.wasWritten;
   }
 
-  get isPaused(): boolean {
-    return this.isReadPaused;
-  }
-
   /** Whether the process that has got the request is proved to be the one that the endpoint's entry names. */
   get isProved(): boolean {
     return this.socket !== undefined && this.options.proof.covers(this.socket);
@@ -157,16 +154,12 @@
   }
 
   resume(): void {
-    if (this.isEnded) return;
-    this.isReadPaused = false;
-    this.controller?.resume();
+    if (!this.isEnded) this.goOn();
   }
 
   /** Goes on at the end of the connection, since undici can't finish a response that is paused. Nothing is left to read. */
   onConnectionEnd(): void {
-    if (!this.isReadPaused) return;
-    this.isReadPaused = false;
-    this.controller?.resume();
+    if (this.isPaused) this.goOn();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -211,7 +204,7 @@
       return;
     }
     if (this.options.observer.onBytes(chunk) || this.isEnded) return;
-    this.isReadPaused = true;
+    this.isPaused = true;
     controller.pause();
   }
 
@@ -261,6 +254,11 @@
     this.options.observer.onEnd();
   }
 
+  private goOn(): void {
+    this.isPaused = false;
+    this.controller?.resume();
+  }
+
   private discardBytes(count: number): void {
     this.discardedBytes += count;
     if (this.discardedBytes > MAX_DISCARDED_BYTES) this.closeConnection();
--- a/packages/forwarder/src/peers/state-follower.ts
+++ b/packages/forwarder/src/peers/state-follower.ts
@@ -14,6 +14,7 @@
   SUSPENSION_THRESHOLD_MS,
 } from '@poplarpick/decisions';
 import type { AcceptedPeerState, StoreAccess, StoreStateAge } from '@poplarpick/decisions';
+import { LARGE_ANSWER_BYTES, readBoundedJson } from '@poplarpick/fleet/bounded-body';
 import { describeError } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
 import { ControlCall } from '../router-metrics.ts';
@@ -22,7 +23,6 @@
 import { stateSnapshotSchema } from './state-snapshot.ts';
 import type { StateSnapshot } from './state-snapshot.ts';
 import type { PeerReport } from './peer-table.ts';
-import { LARGE_ANSWER_BYTES, readBoundedJson } from '@poplarpick/fleet/bounded-body';
 
 /** Timeout for a peer's complete response, in ms: many round trips. */
 const RESPONSE_TIMEOUT_MS = 500;
--- a/packages/forwarder/src/streams/stream-origins.ts
+++ b/packages/forwarder/src/streams/stream-origins.ts
@@ -41,9 +41,6 @@
  */
 export const FRESH_LIST_MS = 3_000;
 
-/** Time between two lists, in ms, in which entries of running endpoints can't have expired. */
-const MAX_GAP_WITHOUT_EXPIRY_MS = 3_000;
-
 /** Called with a stream that has begun and whose origin other routers can't infer; `keepMs` is how long it matters. */
 export type OriginListener = (keys: StreamKeys, origin: StreamOrigin, keepMs: number) => void;
 
@@ -188,12 +185,8 @@
 
   /** Records that the list of endpoints was complete at `at`, see `VersionHistory.confirm`. */
   confirmEndpoints(at: number, isContinuous: boolean): void {
-    const gapMs = at - this.confirmations.confirmedAt;
-    const mayLackEntries = Number.isFinite(gapMs)
-      ? !isContinuous && gapMs > MAX_GAP_WITHOUT_EXPIRY_MS
-      : !this.options.isFirstStart;
-    if (mayLackEntries) this.confirmations.recordReturn();
-    this.history.confirm(at, isContinuous);
+    const isBegin = this.history.confirm(at, isContinuous);
+    if (isBegin) this.confirmations.recordReturn();
     this.confirmations.record(at);
   }
 
