Engines on raw connections share their server and their entry

RawPlatformEngine has them once; each engine says what it does with a connection. Slots of the entries are as before.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -13,4 +13,5 @@
 export * from './platform/cache-list.ts';
 export * from './platform/platform-engine.ts';
 export * from './platform/platform-store.ts';
+export * from './platform/raw-platform-engine.ts';
 export * from './platform/scripted-platform-engine.ts';
--- a/packages/stand-ins/src/platform/scripted-platform-engine.ts
+++ b/packages/stand-ins/src/platform/scripted-platform-engine.ts
@@ -2,11 +2,14 @@
  * Stand-in for an engine of the users' platform that answers with the bytes of a script, on raw connections. It plays
  * what an HTTP server can't: heads that stop at any byte, bodies that end early, and answers in any packets.
  */
-import { createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import { RawPlatformEngine } from './raw-platform-engine.ts';
 
 const HEAD_END = '\r\n\r\n';
 
+/** Requests that it runs at once. */
+const SLOTS = 64;
+
 /** Time after the last byte at which a connection is reset, so that the bytes are read before, in ms. */
 const RESET_DELAY_MS = 15;
 
@@ -39,45 +42,20 @@
 }
 
 /** A TCP server that answers requests as `answer` chooses. */
-export class ScriptedPlatformEngine {
+export class ScriptedPlatformEngine extends RawPlatformEngine {
   private readonly answer: (request: PlatformRequest) => PlatformAnswer;
-  private readonly sockets = new Set<Socket>();
-  private readonly server: Server = createServer((socket) => this.accept(socket));
 
   constructor(answer: (request: PlatformRequest) => PlatformAnswer) {
+    super();
     this.answer = answer;
   }
 
-  async start(): Promise<this> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
-    return this;
-  }
-
-  async stop(): Promise<void> {
-    for (const socket of this.sockets) socket.destroy();
-    await new Promise((resolve) => this.server.close(resolve));
-  }
-
-  /** Builds this engine's entry in the metadata store. */
-  createStoreEntry(service: string): Record<string, unknown> {
-    const { address, port } = this.server.address() as AddressInfo;
-    return {
-      service,
-      address: `${address}:${port}`,
-      zone: 'z',
-      version: 'v1',
-      slots: 64,
-      state: 'ready',
-      coldRemainingMs: 0,
-      seq: 1,
-    };
+  override createStoreEntry(service: string): Record<string, unknown> {
+    return super.createStoreEntry(service, { slots: SLOTS });
   }
 
-  private accept(socket: Socket): void {
-    this.sockets.add(socket);
+  protected override serve(socket: Socket): void {
     socket.setNoDelay(true);
-    socket.on('error', () => undefined);
-    socket.on('close', () => this.sockets.delete(socket));
     let received = '';
     socket.on('data', (bytes) => {
       received += bytes.toString('latin1');
