Logs and metrics tell who is refused for what, and against which sums

A call that is refused tells the sums and levels of its workspace and their age; shares.contended tells once a second what all demand and get, who is served least and most, and how busy the router is. Reports that leave out a part are counted and logged.

--- a/packages/decisions/src/forwarding/fair-share-ledger.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.ts
@@ -35,6 +35,23 @@
   now: number;
 }
 
+/** The sums over all routers from which one workspace's shares follow, in tokens of the window. */
+export interface ShareSums {
+  demanded: number;
+  granted: number;
+  /** Level of the nominal capacity; infinite if all demands fit. */
+  level: number;
+  /** Level of the capacity in use. */
+  levelInUse: number;
+}
+
+/** Demand and grants of one workspace within the window, in tokens, over all routers. */
+export interface WorkspaceService {
+  workspace: string;
+  demanded: number;
+  granted: number;
+}
+
 /** Sums over all routers and the fair levels that follow from them, at one time. */
 interface FleetUsageSnapshot {
   usage: FleetUsage;
@@ -96,6 +113,21 @@
     };
   }
 
+  /** What the latest measurement was based on; undefined before the first one. */
+  describeSums(workspace: string): ShareSums | undefined {
+    if (this.fleet === undefined) return undefined;
+    const { usage, levels } = this.fleet;
+    const { demanded, granted } = describeService(usage, workspace);
+    return { demanded, granted, level: levels.nominal, levelInUse: levels.inUse };
+  }
+
+  /** Demand and grants of all workspaces, as of the latest measurement. */
+  listServices(): WorkspaceService[] {
+    if (this.fleet === undefined) return [];
+    const { usage } = this.fleet;
+    return Array.from(usage.demanded.keys(), (workspace) => describeService(usage, workspace));
+  }
+
   private currentFleetUsage(measurement: ShareMeasurement): FleetUsageSnapshot {
     const { now, readTokensPerMs, readPeerUsage } = measurement;
     if (this.fleet !== undefined && now - this.fleet.takenAt < FLEET_USAGE_TTL_MS)
@@ -119,6 +151,12 @@
   }
 }
 
+function describeService(usage: FleetUsage, workspace: string): WorkspaceService {
+  const { demanded, withinShare, overShare } = usage;
+  const granted = (withinShare.get(workspace) ?? 0) + (overShare.get(workspace) ?? 0);
+  return { workspace, demanded: demanded.get(workspace) ?? 0, granted };
+}
+
 function addTokens(totals: Map<string, number>, workspace: string, tokens: number): void {
   totals.set(workspace, (totals.get(workspace) ?? 0) + tokens);
 }
--- a/packages/forwarder/src/calls/call-reporter.ts
+++ b/packages/forwarder/src/calls/call-reporter.ts
@@ -152,6 +152,8 @@
     const isSuccess = outcome === 'ok' || SUCCESS_OUTCOME.test(outcome);
     if (isSuccess && !state.logRateLimiter.tryAcquire(now)) return;
     const suppressedLines = isSuccess ? state.logRateLimiter.takeSuppressedCount() : 0;
+    const isRefused = outcome === 'refused' && workspace !== undefined;
+    const sums = isRefused ? state.shares.describeSums(workspace) : undefined;
     state.log.info({
       event: 'call.ended',
       request: head.requestId,
@@ -162,6 +164,12 @@
       endpoint: placement?.record.endpoint.id,
       share_used: Number(shareUsage.shareUsed.toFixed(2)),
       surplus_used: Number(shareUsage.surplusUsed.toFixed(2)),
+      share_level: roundFinite(sums?.level),
+      surplus_level: roundFinite(sums?.levelInUse),
+      share_demanded: roundFinite(sums?.demanded),
+      share_granted: roundFinite(sums?.granted),
+      usage_age_ms: roundFinite(sums?.usageAgeMs),
+      loop_used: Number(state.eventLoop.utilization.toFixed(2)),
       returning: isCallerRetry,
       deadline_ms: head.deadlineMs,
       resumed_request: head.resumedRequestId,
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -136,6 +136,7 @@
       buildReport: (includesWorkspaces) => this.state.buildReport(includesWorkspaces),
       onReport: (report) => this.state.applyReport(report),
       onRejected: () => this.state.metrics.recordRejectedReport(),
+      onShortened: (leftOut) => this.state.metrics.recordShortenedReport(leftOut),
       onBytes: (direction, bytes) => this.state.metrics.recordReportBytes(direction, bytes),
       acceptMessage: (message, sender) => this.acceptOriginMessage(message, sender),
     });
--- a/packages/forwarder/src/metrics-source.ts
+++ b/packages/forwarder/src/metrics-source.ts
@@ -11,6 +11,7 @@
 import type { PoisonGuard } from './poison/poison-guard.ts';
 import type { PoolStates } from './pool-states.ts';
 import type { MetricsSource } from './router-gauges.ts';
+import type { WorkspaceShares } from './workspace-shares.ts';
 
 /** The parts of a router's state that have gauges. */
 export interface MeasuredRouter {
@@ -27,6 +28,7 @@
   poison: PoisonGuard;
   pools: PoolStates;
   routes: RouteIndex | undefined;
+  shares: WorkspaceShares;
   warmUps: WarmUpTracker;
   countRouters(): number;
 }
@@ -48,6 +50,8 @@
     coldEndpoints: () => router.warmUps.coldCount,
     evacuatedDataCentres: () => router.evacuations.count,
     reportAges: () => router.peers.reportAges(router.dataCentre, router.clock.monotonic()),
+    usageAgeMs: () => router.peers.usageAgeMs(router.clock.monotonic()),
+    shareTokens: () => router.shares.sumTokens(),
     heldBytes: (kind) => router.listeners.budget.heldOf(kind),
     heldBudgetBytes: () => router.listeners.budget.budgetBytes,
     connections: () =>
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -130,6 +130,8 @@
 interface PeerEntry {
   report: PeerReport;
   receivedAt: number;
+  /** Time at which the usage of workspaces was last received. */
+  usageReceivedAt: number;
 }
 
 /** Stores the latest report of each subject. */
@@ -141,13 +143,20 @@
   /** Stores a report; false if it isn't newer than the one stored for the same subject. */
   accept(report: PeerReport, now: number): boolean {
     const subject = reportSubject(report);
-    const latest = this.entries.get(subject)?.report;
+    const previous = this.entries.get(subject);
+    const latest = previous?.report;
     if (latest !== undefined && !isNewer(report, latest)) return false;
     if (latest?.from === report.from && latest.startedAt !== report.startedAt)
       this.hasSenderEnded = true;
     const workspaces = report.workspaces ?? latest?.workspaces;
     const pauses = report.pauses ?? latest?.pauses;
-    this.entries.set(subject, { report: { ...report, workspaces, pauses }, receivedAt: now });
+    const usageReceivedAt =
+      report.workspaces === undefined ? (previous?.usageReceivedAt ?? now) : now;
+    this.entries.set(subject, {
+      report: { ...report, workspaces, pauses },
+      receivedAt: now,
+      usageReceivedAt,
+    });
     if (report.workspaces !== undefined) this.usage.replace(subject, report.workspaces);
     return true;
   }
@@ -181,6 +190,15 @@
     return this.usage.totals();
   }
 
+  /** Time since the oldest usage of workspaces that counts was received, in ms; 0 without any. */
+  usageAgeMs(now: number): number {
+    this.dropExpired(now);
+    let oldestAt = now;
+    for (const { usageReceivedAt } of this.entries.values())
+      oldestAt = Math.min(oldestAt, usageReceivedAt);
+    return now - oldestAt;
+  }
+
   /** Addresses of the live senders whose routes are newer than `version`. */
   findAhead(version: number, now: number): string[] {
     return this.live(now)
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -31,6 +31,14 @@
 /** Largest count in a report, in requests or tokens: far above any real one, and exact in sums over all routers. */
 const MAX_COUNT = 1_000_000_000_000;
 
+/** Parts that a report which is too large leaves out, in this order. */
+export enum ReportPart {
+  Refused = 'refused',
+  Cached = 'cached',
+  Workspaces = 'workspaces',
+  Versions = 'versions',
+}
+
 /** Most routers that one group report may stand for. */
 const MAX_ROUTERS = 10_000;
 
@@ -116,20 +124,28 @@
 /**
  * Encodes a report as a datagram of at most `MAX_DATAGRAM_BYTES`. If it is too large, it leaves out first the
  * refused requests, then the cached segments, then the workspaces, then the versions: a receiver that gets none of
- * them concludes nothing. Undefined if it is too large even then.
+ * them concludes nothing. Undefined if it is too large even then. `onShortened` gets the last part that was left out.
  */
-export function encodeReport(report: PeerReport): Buffer | undefined {
+export function encodeReport(
+  report: PeerReport,
+  onShortened?: (leftOut: ReportPart) => void,
+): Buffer | undefined {
   const withoutWorkspaces = { ...report, refused: [], kept: [], workspaces: undefined };
-  const shortened: PeerReport[] = [
-    report,
-    { ...report, refused: [] },
-    { ...report, refused: [], kept: [] },
-    withoutWorkspaces,
-    { ...withoutWorkspaces, versionsKnownMs: undefined, departedVersions: undefined },
+  const shortened: [leftOut: ReportPart | undefined, shorter: PeerReport][] = [
+    [undefined, report],
+    [ReportPart.Refused, { ...report, refused: [] }],
+    [ReportPart.Cached, { ...report, refused: [], kept: [] }],
+    [ReportPart.Workspaces, withoutWorkspaces],
+    [
+      ReportPart.Versions,
+      { ...withoutWorkspaces, versionsKnownMs: undefined, departedVersions: undefined },
+    ],
   ];
-  for (const candidate of shortened) {
+  for (const [leftOut, candidate] of shortened) {
     const message = packr.pack(candidate);
-    if (message.length <= MAX_DATAGRAM_BYTES) return message;
+    if (message.length > MAX_DATAGRAM_BYTES) continue;
+    if (leftOut !== undefined) onShortened?.(leftOut);
+    return message;
   }
   return undefined;
 }
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -21,6 +21,7 @@
 import { isGroupReport } from './peer-table.ts';
 import type { PeerReport, PeerTable } from './peer-table.ts';
 import { decodeReport, encodeReport } from './report-codec.ts';
+import type { ReportPart } from './report-codec.ts';
 
 /** Period of the reports, in ms; several are sent within the usual time to a first event. */
 export const REPORT_PERIOD_MS = 100;
@@ -75,6 +76,8 @@
   onReport: (report: PeerReport) => void;
   /** Called for each datagram that is no valid report. */
   onRejected: () => void;
+  /** Called for each report that was too large and left out a part. */
+  onShortened?: (leftOut: ReportPart) => void;
   /** Sends a datagram. */
   transmit: (target: string, message: Buffer) => void;
 }
@@ -335,7 +338,7 @@
   }
 
   private transmit(report: PeerReport, targets: ReadonlySet<string>): void {
-    const message = encodeReport(report);
+    const message = encodeReport(report, (leftOut) => this.recordShortened(leftOut));
     if (message === undefined) {
       this.logFailure('peers.report_too_large', new Error(`${report.loads.length} loads`));
       return;
@@ -343,6 +346,11 @@
     for (const target of targets) this.options.transmit(target, message);
   }
 
+  private recordShortened(leftOut: ReportPart): void {
+    this.options.onShortened?.(leftOut);
+    this.logFailure('peers.report_shortened', new Error(`left out: ${leftOut}`));
+  }
+
   private decode(message: Buffer): PeerReport | undefined {
     try {
       return decodeReport(message);
--- a/packages/forwarder/src/router-gauges.ts
+++ b/packages/forwarder/src/router-gauges.ts
@@ -29,6 +29,10 @@
   /** Data centres that are evacuated. */
   evacuatedDataCentres: () => number;
   reportAges: () => ReportAges;
+  /** Age of the oldest usage of workspaces that counts. */
+  usageAgeMs: () => number;
+  /** Tokens that all workspaces demanded and were granted within the window, over all routers. */
+  shareTokens: () => Record<'demanded' | 'granted', number>;
   /** Bytes of one kind that are held for callers. */
   heldBytes: (kind: HoldingKind) => number;
   /** Bytes that may be held for callers. */
@@ -140,6 +144,19 @@
     source.connections,
   );
   addReportAges(registry, source.reportAges);
+  addGauge(
+    registry,
+    'poplarpick_usage_age_seconds',
+    'Age of the oldest usage of workspaces of another router that counts',
+    () => source.usageAgeMs() / MS_PER_SECOND,
+  );
+  addLabelledGauge(
+    registry,
+    'poplarpick_share_tokens',
+    'Tokens that all workspaces demanded and were granted within the window of the shares',
+    'kind',
+    source.shareTokens,
+  );
 }
 
 function addReportAges(registry: Registry, read: () => ReportAges): void {
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -22,6 +22,8 @@
     coldEndpoints: () => 0,
     evacuatedDataCentres: () => 0,
     reportAges: () => ({ local: [30, 10, 20], remote: [] }),
+    usageAgeMs: () => 400,
+    shareTokens: () => ({ demanded: 900, granted: 300 }),
     heldBytes: () => 0,
     heldBudgetBytes: () => 0,
     connections: () => ({}),
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -7,6 +7,7 @@
 import type { ClosingReason, ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
 import type { DrainSource, HoldingKind } from '@poplarpick/decisions';
 import { Verdict } from '@poplarpick/kernel';
+import type { ReportPart } from './peers/report-codec.ts';
 import { addGauges } from './router-gauges.ts';
 import type { MetricsSource } from './router-gauges.ts';
 
@@ -129,6 +130,12 @@
     help: 'Datagrams from other hosts that were no valid report',
     registers: [this.registry],
   });
+  private readonly shortenedReports = new Counter({
+    name: 'poplarpick_reports_shortened_total',
+    help: 'Reports to other routers that were too large, by the last part that was left out',
+    labelNames: ['left_out'],
+    registers: [this.registry],
+  });
   private readonly yields = new Counter({
     name: 'poplarpick_yields_total',
     help: 'Requests, answers and connections that were given up for lack of memory, by what was held',
@@ -215,6 +222,10 @@
     this.unplacedCalls.inc({ code });
   }
 
+  recordShortenedReport(leftOut: ReportPart): void {
+    this.shortenedReports.inc({ left_out: leftOut });
+  }
+
   recordYield(kind: HoldingKind): void {
     this.yields.inc({ kind });
   }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -178,7 +178,10 @@
       windowMs: options.bounds.shareWindowMs,
       endpoints: this.endpoints,
       routes: () => this.routeIndex,
+      log: options.log,
       readPeerUsage: (now) => this.peers.workspaceUsage(now),
+      readUsageAgeMs: (now) => this.peers.usageAgeMs(now),
+      readLoopUtilization: () => this.eventLoop.utilization,
       isHeldBack: (record) =>
         this.evacuations.has(record.endpoint.dataCentre) || this.warmUps.isCold(record),
       onRefused: (fingerprint) => this.reports.announceRefusal(fingerprint),
--- a/packages/forwarder/src/workspace-shares.ts
+++ b/packages/forwarder/src/workspace-shares.ts
@@ -12,11 +12,13 @@
   Prompt,
   RequestFingerprint,
   RouteIndex,
+  ShareSums,
   ShareUsage,
   WorkspaceUsage,
 } from '@poplarpick/decisions';
-import type { Clock } from '@poplarpick/kernel';
+import type { Clock, Logger } from '@poplarpick/kernel';
 import type { EndpointDirectory, EndpointRecord } from './endpoints/endpoint-directory.ts';
+import { ShareContentionLog } from './share-contention-log.ts';
 
 const MS_PER_SECOND = 1_000;
 
@@ -34,6 +36,11 @@
   readPeerUsage: (now: number) => Iterable<WorkspaceUsage>;
   /** Whether an endpoint is evacuated or cold. */
   isHeldBack: (record: EndpointRecord) => boolean;
+  log: Logger;
+  /** Age of the oldest usage that the other routers report, in ms. */
+  readUsageAgeMs: (now: number) => number;
+  /** Fraction of time in which this router's event loop has work. */
+  readLoopUtilization: () => number;
   /** Called with each refused request, so that peers recognize its retry. */
   onRefused: (fingerprint: RequestFingerprint) => void;
 }
@@ -43,10 +50,20 @@
   readonly ledger: FairShareLedger;
   readonly refusedRequests = new RefusedRequests();
   private readonly options: WorkspaceSharesOptions;
+  private readonly contentionLog: ShareContentionLog;
 
   constructor(options: WorkspaceSharesOptions) {
     this.options = options;
     this.ledger = new FairShareLedger(options.windowMs);
+    this.contentionLog = new ShareContentionLog({
+      log: options.log,
+      listServices: () => this.ledger.listServices(),
+      readState: () => ({
+        nominalTokens: this.nominalTokensPerMs() * options.windowMs,
+        usageAgeMs: options.readUsageAgeMs(this.now()),
+        loopUtilization: options.readLoopUtilization(),
+      }),
+    });
   }
 
   /**
@@ -62,6 +79,7 @@
 
   /** Records that a request was refused, so that this router and its peers recognize its retry. */
   recordRefusal(workspace: string, prompt: Prompt): void {
+    this.contentionLog.recordRefusal(this.now());
     const fingerprint = fingerprintRequest(workspace, prompt);
     if (fingerprint === undefined) return;
     this.refusedRequests.record(fingerprint, this.now());
@@ -77,16 +95,37 @@
   measureUsage(workspace: string): ShareUsage {
     const { routes, readPeerUsage } = this.options;
     const now = this.now();
-    const tokensPerSecond = routes()?.table.tokensPerSecond ?? 0;
-    if (tokensPerSecond === 0) return NO_USAGE;
+    if ((routes()?.table.tokensPerSecond ?? 0) === 0) return NO_USAGE;
     return this.ledger.measureUsage({
       workspace,
       readPeerUsage: () => readPeerUsage(now),
-      readTokensPerMs: () => (tokensPerSecond / MS_PER_SECOND) * this.availableFraction(),
+      readTokensPerMs: () => this.nominalTokensPerMs(),
       now,
     });
   }
 
+  /** What the latest measurement of a workspace was based on, and how old the usage of other routers was. */
+  describeSums(workspace: string): (ShareSums & { usageAgeMs: number }) | undefined {
+    const sums = this.ledger.describeSums(workspace);
+    return sums && { ...sums, usageAgeMs: this.options.readUsageAgeMs(this.now()) };
+  }
+
+  /** Tokens that all workspaces demanded and were granted, as of the latest measurement. */
+  sumTokens(): Record<'demanded' | 'granted', number> {
+    const total = { demanded: 0, granted: 0 };
+    for (const { demanded, granted } of this.ledger.listServices()) {
+      total.demanded += demanded;
+      total.granted += granted;
+    }
+    return total;
+  }
+
+  /** What the endpoints that take requests now are expected to produce. */
+  private nominalTokensPerMs(): number {
+    const tokensPerSecond = this.options.routes()?.table.tokensPerSecond ?? 0;
+    return (tokensPerSecond / MS_PER_SECOND) * this.availableFraction();
+  }
+
   /**
    * Part of the slots of the model endpoints that aren't held back, see `isHeldBack`. Draining ones leave for good
    * and aren't part of the fleet any more.
