--- a/packages/bench/src/admission/app.ts
+++ b/packages/bench/src/admission/app.ts
@@ -15,7 +15,7 @@
 
 const SECOND_MS = 1_000;
 
-const ENGINE_PARAMETERS: EngineParameters = {
+export const ENGINE_PARAMETERS: EngineParameters = {
   slots: 64,
   baseStepMs: 3.6,
   stepMsPerRequest: 0.08,
@@ -25,7 +25,7 @@
 };
 
 /** A mix of long reviews, short answers and classifications, sized for engines of `ENGINE_PARAMETERS`. */
-const WORKLOAD: Workload = {
+export const WORKLOAD: Workload = {
   workspaces: 16,
   floods: { rateFactor: 7, durationMs: 7_000, intervalMs: 4_000 },
   kinds: [
--- a/packages/bench/src/admission/credit.ts
+++ b/packages/bench/src/admission/credit.ts
@@ -28,6 +28,10 @@
 export interface FinishedRequest {
   arrival: Arrival;
   outcome: RequestOutcome;
+  /** Time of its first token, in ms; undefined if it had none. */
+  firstTokenAt?: number | undefined;
+  /** Times at which it was refused, in ms. */
+  refusedAt?: readonly number[] | undefined;
 }
 
 /** Ratios of earned to owed credit. */
--- a/packages/bench/src/admission/replay.ts
+++ b/packages/bench/src/admission/replay.ts
@@ -50,6 +50,7 @@
   private readonly engines: EngineModel[];
   private readonly activeRequests = new Map<number, ActiveRequest>();
   private readonly finished: FinishedRequest[] = [];
+  private readonly refusals = new Map<number, number[]>();
   private pendingRetries: { at: number; arrival: Arrival }[] = [];
 
   constructor(options: ReplayOptions) {
@@ -104,8 +105,10 @@
       this.activeRequests.set(arrival.id, request);
       return;
     }
+    const refusedAt = [...(this.refusals.get(arrival.id) ?? []), now];
+    this.refusals.set(arrival.id, refusedAt);
     if (isRetry) {
-      this.finished.push({ arrival, outcome: RequestOutcome.Refused });
+      this.finished.push({ arrival, outcome: RequestOutcome.Refused, refusedAt });
       return;
     }
     const at = now + Math.min(decision.retryAfterMs, remainingMs * MAX_RETRY_WAIT_SHARE);
@@ -147,9 +150,11 @@
     }
   }
 
-  private finish({ arrival }: ActiveRequest, outcome: RequestOutcome, now: number): void {
+  private finish(request: ActiveRequest, outcome: RequestOutcome, now: number): void {
+    const { arrival, firstTokenAt } = request;
     this.activeRequests.delete(arrival.id);
-    this.finished.push({ arrival, outcome });
+    const refusedAt = this.refusals.get(arrival.id);
+    this.finished.push({ arrival, outcome, firstTokenAt, refusedAt });
     this.options.policy.recordEnded(arrival, now);
   }
 
--- a/packages/bench/src/admission/router-policy.ts
+++ b/packages/bench/src/admission/router-policy.ts
@@ -75,16 +75,20 @@
     }
     const request = { route, pool: POOL, prompt, bodyBytes: 0, excluded: new Set<string>() };
     const isCallerRetry = state.shares.recordArrival(workspace, prompt);
-    const placement = placer.place(request);
-    if (placement === undefined) return { engineIndex: undefined, retryAfterMs: 500 };
+    const best = placer.place(request);
+    if (best === undefined) return { engineIndex: undefined, retryAfterMs: 500 };
     const { remainingMs } = attempt;
     const shareUsage = state.shares.measureUsage(workspace);
-    const admission = placer.admit({ route, remainingMs, shareUsage, isCallerRetry }, placement);
-    if (!admission.isAccepted) {
+    const { placement, decision } = placer.admitAtBest(
+      { route, remainingMs, shareUsage, isCallerRetry },
+      best,
+      (maxWaitMs) => placer.place({ ...request, maxWaitMs }),
+    );
+    if (placement === undefined) {
       state.shares.recordRefusal(workspace, prompt);
-      return { engineIndex: undefined, retryAfterMs: admission.retryAfterMs };
+      return { engineIndex: undefined, retryAfterMs: decision.retryAfterMs };
     }
-    state.shares.recordGrant(workspace, prompt, admission.isOverShare);
+    state.shares.recordGrant(workspace, prompt, decision.isOverShare);
     state.recordCached(placement.record, sharedSegments(prompt));
     const kvCacheTokens = prompt.inputTokens + prompt.outputTokens;
     const inFlight = placement.record.load.recordSent(
--- a/packages/bench/src/admission/workload.ts
+++ b/packages/bench/src/admission/workload.ts
@@ -42,6 +42,8 @@
   floods: FloodSchedule;
   /** Largest deviation of a caller's deadline from that of the request's kind, as a fraction; 0 by default. */
   deadlineSpread?: number;
+  /** Whether a workspace, named by its index, sends requests of a kind; by default each sends all kinds. */
+  sends?: (workspace: number, kind: RequestKind) => boolean;
 }
 
 /** The first attempt of a request. */
@@ -75,6 +77,7 @@
   const arrivals: Omit<Arrival, 'id'>[] = [];
   for (const kind of workload.kinds) {
     for (const [index, workspace] of names.entries()) {
+      if (workload.sends?.(index, kind) === false) continue;
       const requestsPerSecond = kind.requestsPerSecond * workspaceShare(index, names.length);
       const peakPerSecond = requestsPerSecond * workload.floods.rateFactor;
       for (let atMs = 0; ;) {
