Shares follow what is granted while requests within them are refused or late

Callers saw a workspace get a third of its due while another got many times as much (FAIR). Cause: shares were measured against the configured rate, or what was granted if that was more, never less. Where engines are gone or slow, or routers are, all demands fit into the configured rate, no share is used up, and who asks most gets most.

As far as requests within their share are refused or late, over all routers (the rate from which the wait of the surplus follows already), the capacity is now what was granted, with the usual headroom. It returns to the configured one as they are on time again, so it doesn't swing with the load.

--- a/packages/decisions/src/forwarding/fair-share-ledger.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.ts
@@ -32,6 +32,8 @@
   readPeerUsage: () => Iterable<WorkspaceUsage>;
   /** Returns the nominal capacity of the endpoints that take requests now, in tokens per ms. */
   readTokensPerMs: () => number;
+  /** Returns how far requests within their share are refused or late, in 0..1; by default they aren't. */
+  readContention?: () => number;
   now: number;
 }
 
@@ -129,11 +131,12 @@
   }
 
   private currentFleetUsage(measurement: ShareMeasurement): FleetUsageSnapshot {
-    const { now, readTokensPerMs, readPeerUsage } = measurement;
+    const { now, readTokensPerMs, readPeerUsage, readContention = () => 0 } = measurement;
     if (this.fleet !== undefined && now - this.fleet.takenAt < FLEET_USAGE_TTL_MS)
       return this.fleet;
     const usage = this.sumUsage(readPeerUsage(), now);
-    const levels = findFairLevels(usage, readTokensPerMs() * this.windowMs);
+    const nominalTokens = readTokensPerMs() * this.windowMs;
+    const levels = findFairLevels(usage, nominalTokens, readContention());
     this.fleet = { usage, levels, takenAt: now };
     return this.fleet;
   }
--- a/packages/decisions/src/forwarding/max-min-share.test.ts
+++ b/packages/decisions/src/forwarding/max-min-share.test.ts
@@ -32,6 +32,26 @@
     expect(350 / levels.inUse).to.be.lessThan(1);
   });
 
+  it('follow the grants where requests within their share are refused, whatever is configured', () => {
+    const demanded = new Map([
+      ['flood', 3_000],
+      ['small', 600],
+    ]);
+    const withinShare = new Map([
+      ['flood', 1_400],
+      ['small', 200],
+    ]);
+    const usage = { demanded, withinShare, overShare: new Map<string, number>() };
+    const calm = findFairLevels(usage, 5_000);
+    expect([calm.nominal, calm.inUse]).to.deep.equal([Infinity, Infinity]);
+    const contended = findFairLevels(usage, 5_000, 1);
+    expect(contended.nominal).to.equal(contended.inUse);
+    expect(1_400 / contended.nominal).to.be.greaterThan(1);
+    expect(200 / contended.nominal).to.be.lessThan(0.2);
+    const part = findFairLevels(usage, 5_000, 0.5).nominal;
+    expect(part).to.be.greaterThan(contended.nominal);
+  });
+
   it('reports no surplus usage if all demand is granted', () => {
     const all = new Map([['a', 900]]);
     const usage = { demanded: all, withinShare: all, overShare: new Map<string, number>() };
--- a/packages/decisions/src/forwarding/max-min-share.ts
+++ b/packages/decisions/src/forwarding/max-min-share.ts
@@ -84,11 +84,11 @@
 
 /** Max-min fair levels within the window, in tokens; infinite if all demands fit. */
 export interface FairLevels {
-  /** Level of the nominal capacity. */
+  /** Level of the nominal capacity, or of the capacity in use where that is less. */
   nominal: number;
   /**
-   * Level of the capacity in use, which exceeds the nominal one when the endpoints produce more than
-   * expected, so that the surplus is shared fairly too.
+   * Level of the capacity in use. It exceeds the nominal one when the endpoints produce more than expected, so
+   * that the surplus is shared fairly too. It is less when they, or the routers before them, produce less.
    */
   inUse: number;
 }
@@ -98,22 +98,30 @@
  * up. A fraction is 0 if all demands fit into the capacity that it refers to.
  */
 export interface ShareUsage {
-  /** Fraction of its share of the nominal capacity, counting grants within the share only. */
+  /** Fraction of its share of the nominal capacity or less, see `FairLevels`, counting grants within the share only. */
   shareUsed: number;
   /** Fraction of its share of the capacity in use, counting all grants. */
   surplusUsed: number;
 }
 
 /**
- * Finds the fair levels. `nominalTokens` is what the endpoints are expected to produce within the window.
+ * Finds the fair levels. `nominalTokens` is what the endpoints are expected to produce within the window. They may
+ * produce less, and so may the routers before them: then the demands fit into the nominal capacity, no share would be
+ * used up, and whoever asks most would get most. As far as requests within their share are refused or late
+ * (`contention`, in 0..1), the capacity is therefore what was granted, if that is less.
  */
-export function findFairLevels(usage: FleetUsage, nominalTokens: number): FairLevels {
+export function findFairLevels(
+  usage: FleetUsage,
+  nominalTokens: number,
+  contention = 0,
+): FairLevels {
   const { demanded, withinShare, overShare } = usage;
   const totalGranted = sumTokens(withinShare) + sumTokens(overShare);
-  const capacity = Math.max(nominalTokens, totalGranted * CAPACITY_HEADROOM);
+  const tokensInUse = totalGranted * CAPACITY_HEADROOM;
+  const shortfall = Math.max(0, nominalTokens - tokensInUse) * contention;
   return {
-    nominal: findMaxMinLevel(demanded.values(), nominalTokens),
-    inUse: findMaxMinLevel(demanded.values(), capacity),
+    nominal: findMaxMinLevel(demanded.values(), nominalTokens - shortfall),
+    inUse: findMaxMinLevel(demanded.values(), Math.max(nominalTokens, tokensInUse) - shortfall),
   };
 }
 
--- a/packages/decisions/src/forwarding/surplus-limiter.ts
+++ b/packages/decisions/src/forwarding/surplus-limiter.ts
@@ -38,6 +38,8 @@
   routers: number;
 }
 
+const NO_PEERS: PeerLateRate = { rate: 0, routers: 0 };
+
 /** Derives the surplus wait limit of one pool from the lateness of requests within their fair share. */
 export class SurplusLimiter {
   private smoothedLateRate = 0;
@@ -61,12 +63,17 @@
    * Longest wait of a request over its fair share, as a multiple of the objective. `peers` has the mean late
    * rate that the other routers report for this pool, and their number.
    */
-  waitLimit(peers: PeerLateRate = { rate: 0, routers: 0 }): number {
+  waitLimit(peers: PeerLateRate = NO_PEERS): number {
+    const { max, min } = WAIT_LIMIT_RANGE;
+    return max + (min - max) * this.contention(peers);
+  }
+
+  /** How far requests within their share are late, over all routers: 0 if almost none are, 1 if too many. */
+  contention(peers: PeerLateRate = NO_PEERS): number {
     const { low, high } = LATE_RATE_RANGE;
     const rateSum = this.smoothedLateRate + peers.rate * peers.routers;
     const meanRate = rateSum / (peers.routers + 1);
-    const overload = Math.min(1, Math.max(0, (meanRate - low) / (high - low)));
-    return WAIT_LIMIT_RANGE.max + (WAIT_LIMIT_RANGE.min - WAIT_LIMIT_RANGE.max) * overload;
+    return Math.min(1, Math.max(0, (meanRate - low) / (high - low)));
   }
 
   private recordOutcome(isLate: boolean): void {
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -18,6 +18,7 @@
   ConnectionLimits,
   Endpoint,
   HashedSegment,
+  PeerLateRate,
   StoreStateAge,
   Route,
   RoutingTable,
@@ -181,6 +182,7 @@
       log: options.log,
       readPeerUsage: (now) => this.peers.workspaceUsage(now),
       readUsageAgeMs: (now) => this.peers.usageAgeMs(now),
+      readContention: () => this.contention(),
       readLoopUtilization: () => this.eventLoop.utilization,
       isHeldBack: (record) =>
         this.evacuations.has(record.endpoint.dataCentre) || this.warmUps.isCold(record),
@@ -272,8 +274,20 @@
 
   /** Longest wait of a request over its workspace's share, as a multiple of the objective. */
   surplusWaitLimit(pool: string): number {
-    const peers = this.peers.meanLateRate(murmurhash.v3(pool), this.clock.monotonic());
-    return this.pools.surplusLimiter(pool).waitLimit(peers);
+    return this.pools.surplusLimiter(pool).waitLimit(this.peerLateRate(pool));
+  }
+
+  /** How far requests within their share are late in the pool of model endpoints that has most of them, in 0..1. */
+  private contention(): number {
+    const pools = this.routeIndex?.table.pools ?? [];
+    const contentions = pools
+      .filter(({ batch }) => batch !== undefined)
+      .map(({ name }) => this.pools.surplusLimiter(name).contention(this.peerLateRate(name)));
+    return Math.max(0, ...contentions);
+  }
+
+  private peerLateRate(pool: string): PeerLateRate {
+    return this.peers.meanLateRate(murmurhash.v3(pool), this.clock.monotonic());
   }
 
   /** Number of live routers, including this one. */
--- a/packages/forwarder/src/workspace-shares.ts
+++ b/packages/forwarder/src/workspace-shares.ts
@@ -34,6 +34,8 @@
   routes: () => RouteIndex | undefined;
   /** Usage of workspaces that the other routers report. */
   readPeerUsage: (now: number) => Iterable<WorkspaceUsage>;
+  /** How far requests within their share are refused or late at the model endpoints, in 0..1. */
+  readContention: () => number;
   /** Whether an endpoint is evacuated or cold. */
   isHeldBack: (record: EndpointRecord) => boolean;
   log: Logger;
@@ -93,13 +95,14 @@
 
   /** Usage of a workspace's fair shares in the window, over all routers. */
   measureUsage(workspace: string): ShareUsage {
-    const { routes, readPeerUsage } = this.options;
+    const { routes, readPeerUsage, readContention } = this.options;
     const now = this.now();
     if ((routes()?.table.tokensPerSecond ?? 0) === 0) return NO_USAGE;
     return this.ledger.measureUsage({
       workspace,
       readPeerUsage: () => readPeerUsage(now),
       readTokensPerMs: () => this.nominalTokensPerMs(),
+      readContention,
       now,
     });
   }
