A router that reads events late learns nothing of the endpoints from them

While the event loop is busy (mean utilization above 0.9) or late, its times of events are not learned: neither as latencies and durations of endpoints, nor as lateness that lowers the surplus and the levels of all routers. Paces of streams did so already for late timers, which don't show a busy loop.

--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -1,11 +1,12 @@
-/** Feeds the latencies of one call to the latency estimator and the surplus limiter of its pool. */
+/**
+ * Feeds the latencies of one call to the latency estimator and the surplus limiter of its pool. A router without
+ * processor time reads events late, which says nothing of the endpoints: it learns nothing then. Otherwise it would
+ * take the endpoints for slow and refuse its callers for waits that they don't have there.
+ */
 import type { Route } from '@poplarpick/decisions';
 import type { RouterState } from '../router-state.ts';
 import type { CallAttempt } from './call-attempt.ts';
 
-/** Delay of the event loop up to which the times of events are those of the endpoints, in ms. */
-const MAX_LOOP_DELAY_MS = 25;
-
 /** The properties of an attempt that its measurements need. */
 type MeasuredAttempt = Pick<CallAttempt, 'placement' | 'inFlight'>;
 
@@ -41,6 +42,7 @@
     const { record, tokensAhead, prefillTokens, hasFreeSlot } = attempt.placement;
     const { state, pool } = this.options;
     record.load.recordStarted(attempt.inFlight);
+    if (state.eventLoop.readsLate) return;
     if (isWithinShare) this.recordServed(attempt);
     if (!hasFreeSlot) return;
     const elapsedMs = this.elapsedSince(attempt.inFlight.sentAt);
@@ -59,8 +61,7 @@
     if (this.events > 1) this.longestPause = Math.max(this.longestPause, elapsedMs);
     if (outputTokens === undefined) return;
     const pace = state.pools.streamPace(pool);
-    // A router without processor time reads events late, which says nothing of the endpoint.
-    if (state.eventLoop.meanDelayMs > MAX_LOOP_DELAY_MS) return;
+    if (state.eventLoop.readsLate) return;
     if (this.events > 1) pace.recordEvent(attempt.placement.record.incarnation, elapsedMs, now);
     else pace.recordNeed({ remainingMs, outputTokens, pauseMs: route.pauseMs });
   }
@@ -80,7 +81,7 @@
   /** Records a successful response without events. */
   recordPlainResponse(attempt: MeasuredAttempt): void {
     const { record, hasFreeSlot } = attempt.placement;
-    if (!hasFreeSlot) return;
+    if (!hasFreeSlot || this.options.state.eventLoop.readsLate) return;
     const estimator = this.options.state.pools.latencyEstimator(this.options.pool);
     estimator.recordFirstEvent(record.incarnation, 0, this.elapsedSince(attempt.inFlight.sentAt));
   }
@@ -89,7 +90,7 @@
   recordDuration(attempt: MeasuredAttempt): void {
     const { state, pool, route } = this.options;
     const elapsedMs = this.elapsedSince(attempt.inFlight.sentAt);
-    state.pools.latencyEstimator(pool).recordDuration(elapsedMs);
+    if (!state.eventLoop.readsLate) state.pools.latencyEstimator(pool).recordDuration(elapsedMs);
     state.stop.recordDuration(route.name, elapsedMs);
   }
 
--- a/packages/forwarder/src/event-loop-monitor.ts
+++ b/packages/forwarder/src/event-loop-monitor.ts
@@ -13,6 +13,12 @@
 /** Smoothing factor of the mean delay, which spans about half a second. */
 const SMOOTHING_FACTOR = 0.2;
 
+/**
+ * Mean delay and mean utilization up to which the times at which events are read are those at which the endpoints
+ * sent them. At a higher utilization, events wait in the sockets, which timers don't show.
+ */
+const PUNCTUAL_LIMITS = { delayMs: 25, utilization: 0.9 };
+
 /** Longest delay that one sample counts, in ms, as a suspension of the host isn't a lack of processor time. */
 const MAX_SAMPLE_MS = 500;
 
@@ -58,6 +64,12 @@
     return this.detector.utilization;
   }
 
+  /** True while events are read late, so that their times tell more of this router than of the endpoints. */
+  get readsLate(): boolean {
+    const { delayMs, utilization } = PUNCTUAL_LIMITS;
+    return this.smoothedDelayMs > delayMs || this.utilization > utilization;
+  }
+
   /** True while the router has too little processor time and should get no new connections. */
   get isOverloaded(): boolean {
     return this.detector.isOverloaded;
