A grant whose request no endpoint has run is given back

An attempt that fails before it has run gives its grant back now. Also, a stream of which any event was read late doesn't teach how long requests hold a slot.

--- a/packages/decisions/src/forwarding/fair-share-ledger.test.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.test.ts
@@ -33,6 +33,16 @@
     expect(usage.surplusUsed).to.be.greaterThan(1);
   });
 
+  it('does not count a grant whose request no endpoint has run', () => {
+    const ledger = new FairShareLedger(WINDOW_MS);
+    ledger.recordDemand('a', 2_000_000, 0);
+    ledger.recordGrant('a', 500_000, false, 0);
+    ledger.returnGrant('a', 500_000, false, 700);
+    expect(measure(ledger, 'a', [], 800)).to.deep.equal({ shareUsed: 0, surplusUsed: 0 });
+    ledger.recordDemand('a', 100, 4_500);
+    expect(ledger.snapshot(4_600)).to.deep.equal([['a', 100, 0, 0]]);
+  });
+
   it('counts the grants of other routers', () => {
     const ledger = new FairShareLedger(WINDOW_MS);
     ledger.recordDemand('a', 1_000_000, 0);
--- a/packages/decisions/src/forwarding/fair-share-ledger.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.ts
@@ -91,6 +91,11 @@
     addTokens(isOverShare ? usage.overShare : usage.withinShare, workspace, tokens);
   }
 
+  /** Takes a grant back whose request no endpoint has run. */
+  returnGrant(workspace: string, tokens: number, isOverShare: boolean, now: number): void {
+    this.recordGrant(workspace, -tokens, isOverShare, now);
+  }
+
   /** This router's usage by workspace, for its reports to peers. Token counts are rounded. */
   snapshot(now: number): WorkspaceUsage[] {
     const withinShare = this.withinShare.totals(now);
@@ -98,8 +103,8 @@
     return [...this.demanded.totals(now)].map(([workspace, demanded]) => [
       workspace,
       Math.round(demanded),
-      Math.round(withinShare.get(workspace) ?? 0),
-      Math.round(overShare.get(workspace) ?? 0),
+      roundCount(withinShare.get(workspace)),
+      roundCount(overShare.get(workspace)),
     ]);
   }
 
@@ -154,6 +159,11 @@
   }
 }
 
+/** A grant that is returned leaves the window later than it came, so that a sum may be below 0 in between. */
+function roundCount(tokens = 0): number {
+  return Math.max(0, Math.round(tokens));
+}
+
 function describeService(usage: FleetUsage, workspace: string): WorkspaceService {
   const { demanded, withinShare, overShare } = usage;
   const granted = (withinShare.get(workspace) ?? 0) + (overShare.get(workspace) ?? 0);
--- a/packages/forwarder/src/calls/attempt-sender.ts
+++ b/packages/forwarder/src/calls/attempt-sender.ts
@@ -108,6 +108,13 @@
     });
   }
 
+  /** Takes back what the workspace was granted for an attempt that no endpoint has run. */
+  returnGrant(): void {
+    const { state, head, workspace, admission } = this.options;
+    if (workspace !== undefined && head.prompt !== undefined)
+      state.shares.returnGrant(workspace, head.prompt, admission.isOverShare);
+  }
+
   private remainingMs(): number {
     const { deadlineAt, state } = this.options;
     return deadlineAt - state.clock.monotonic();
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -29,6 +29,8 @@
   private eventAt = 0;
   /** Longest time between two events, in ms. */
   private longestPause = 0;
+  /** An event of the call may have been read late. */
+  private hasReadLate = false;
 
   constructor(options: CallLatencyRecorderOptions) {
     this.options = options;
@@ -42,7 +44,7 @@
     const { record, tokensAhead, prefillTokens, hasFreeSlot } = attempt.placement;
     const { state, pool } = this.options;
     record.load.recordStarted(attempt.inFlight);
-    if (state.eventLoop.readsLate) return;
+    if (this.checkLate()) return;
     if (isWithinShare) this.recordServed(attempt);
     if (!hasFreeSlot) return;
     const elapsedMs = this.elapsedSince(attempt.inFlight.sentAt);
@@ -59,9 +61,8 @@
     this.eventAt = now;
     this.events += 1;
     if (this.events > 1) this.longestPause = Math.max(this.longestPause, elapsedMs);
-    if (outputTokens === undefined) return;
+    if (this.checkLate() || outputTokens === undefined) return;
     const pace = state.pools.streamPace(pool);
-    if (state.eventLoop.readsLate) return;
     if (this.events > 1) pace.recordEvent(attempt.placement.record.incarnation, elapsedMs, now);
     else pace.recordNeed({ remainingMs, outputTokens, pauseMs: route.pauseMs });
   }
@@ -81,7 +82,7 @@
   /** Records a successful response without events. */
   recordPlainResponse(attempt: MeasuredAttempt): void {
     const { record, hasFreeSlot } = attempt.placement;
-    if (!hasFreeSlot || this.options.state.eventLoop.readsLate) return;
+    if (!hasFreeSlot || this.checkLate()) return;
     const estimator = this.options.state.pools.latencyEstimator(this.options.pool);
     estimator.recordFirstEvent(record.incarnation, 0, this.elapsedSince(attempt.inFlight.sentAt));
   }
@@ -90,10 +91,19 @@
   recordDuration(attempt: MeasuredAttempt): void {
     const { state, pool, route } = this.options;
     const elapsedMs = this.elapsedSince(attempt.inFlight.sentAt);
-    if (!state.eventLoop.readsLate) state.pools.latencyEstimator(pool).recordDuration(elapsedMs);
+    // A stream that was read late at any time may have been held up at its endpoint by that.
+    if (!this.checkLate() && !this.hasReadLate)
+      state.pools.latencyEstimator(pool).recordDuration(elapsedMs);
     state.stop.recordDuration(route.name, elapsedMs);
   }
 
+  /** Whether this router reads events late now, so that times that end now aren't those of the endpoint. */
+  private checkLate(): boolean {
+    const { readsLate } = this.options.state.eventLoop;
+    this.hasReadLate ||= readsLate;
+    return readsLate;
+  }
+
   private recordServed(attempt: MeasuredAttempt): void {
     const { state, pool, route, arrivedAt } = this.options;
     state.pools.surplusLimiter(pool).recordServed({
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -261,6 +261,7 @@
     const wasRefused = error.code === ErrorCode.QueueFull;
     if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
     else if (!wasRefused) this.sender.uncount();
+    if (error.verdict === Verdict.NotRun) this.sender.returnGrant();
     if (isEndpointFailure(error)) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
--- a/packages/forwarder/src/workspace-shares.ts
+++ b/packages/forwarder/src/workspace-shares.ts
@@ -93,6 +93,11 @@
     this.ledger.recordGrant(workspace, fairShareCost(prompt), isOverShare, this.now());
   }
 
+  /** Takes back the grant of a request that no endpoint has run: its workspace got nothing for it. */
+  returnGrant(workspace: string, prompt: Prompt, isOverShare: boolean): void {
+    this.ledger.returnGrant(workspace, fairShareCost(prompt), isOverShare, this.now());
+  }
+
   /** Usage of a workspace's fair shares in the window, over all routers. */
   measureUsage(workspace: string): ShareUsage {
     const { routes, readPeerUsage, readContention } = this.options;
