Waits within the share are bounded by the shortest objective at the engine

Engines serve in order of arrival: the shortest objective of the routes to a pool bounds the wait now. The new unit tests failed before (no such input).

--- a/packages/decisions/src/forwarding/admission.test.ts
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -26,6 +26,16 @@
     expect(refused.retryAfterMs).to.be.greaterThan(0);
   });
 
+  it('accepts no long wait for a long objective at an engine whose queue short objectives share', () => {
+    const long = input({ objectiveMs: 800, queueObjectiveMs: 400 });
+    expect(decideAdmission({ ...long, waitMs: 300 }, HALF).isAccepted).to.equal(true);
+    expect(decideAdmission({ ...long, waitMs: 500 }, HALF).isAccepted).to.equal(false);
+    const retry = { ...long, waitMs: 700, isCallerRetry: true };
+    expect(decideAdmission(retry, HALF).isAccepted).to.equal(false);
+    const short = input({ objectiveMs: 400, queueObjectiveMs: 300, waitMs: 260 });
+    expect(decideAdmission(short, HALF).isAccepted).to.equal(true);
+  });
+
   it('does not count the prefill time of the request itself as wait', () => {
     expect(decideAdmission(input({ serviceMs: 900 }), HALF).isAccepted).to.equal(true);
   });
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -5,8 +5,9 @@
  * Under overload, accepting every request would make every request late. Admission therefore bounds the
  * queueing time ahead of a request, and the bound depends on the max-min fair share of its workspace:
  *
- * - Within the fair share, a new request may wait for somewhat less than its latency objective, so that
- *   it can still be on time. Caller retries may wait longer and so take precedence over new requests.
+ * - Within the fair share, a new request may wait for somewhat less than the shortest latency objective at its
+ *   endpoint, so that it and those behind it can still be on time. Caller retries may wait longer and so take
+ *   precedence over new requests.
  * - Over the fair share, a request may only use surplus capacity. Its wait limit comes from the
  *   `SurplusLimiter` and is raised for workspaces that have received little of the surplus.
  * - Under contention, the fair share is reserved for requests that can still be on time. Caller retries
@@ -31,6 +32,8 @@
   serviceMs: number;
   /** Latency objective for the first event, in ms. */
   objectiveMs: number;
+  /** Shortest latency objective of the requests that share the endpoint's queue, in ms; by default `objectiveMs`. */
+  queueObjectiveMs?: number | undefined;
   /** Time left until the request's deadline, in ms. */
   remainingMs: number;
   /** Usage of the workspace's fair shares within the sliding window. */
@@ -104,7 +107,7 @@
   const isOverShare =
     !isResumption &&
     input.shareUsage.shareUsed >= (input.isCallerRetry ? CALLER_RETRY_SHARE_LIMIT : 1);
-  const waitLimitMs = waitLimit(input, isOverShare) * input.objectiveMs;
+  const waitLimitMs = waitLimit(input, isOverShare) * waitObjectiveMs(input, isOverShare);
   const meetsDeadline =
     input.waitMs + input.serviceMs < input.remainingMs * FIRST_EVENT_DEADLINE_FRACTION;
   const isOverSurplusShare =
@@ -134,6 +137,15 @@
   return Math.min(RETRY_AFTER_BOUNDS_MS.max, Math.max(RETRY_AFTER_BOUNDS_MS.min, delayMs));
 }
 
+/**
+ * Objective that bounds the wait of a request, in ms. Engines serve in order of arrival, so a queue that is short
+ * enough for long objectives makes every request with a short one late or refused, whatever its workspace is due.
+ */
+function waitObjectiveMs(input: AdmissionInput, isOverShare: boolean): number {
+  const { objectiveMs, queueObjectiveMs = objectiveMs } = input;
+  return isOverShare ? objectiveMs : Math.min(objectiveMs, queueObjectiveMs);
+}
+
 /** Longest wait for a request, as a multiple of the objective. */
 function waitLimit(input: AdmissionInput, isOverShare: boolean): number {
   if (isOverShare)
--- a/packages/decisions/src/forwarding/routing-table.test.ts
+++ b/packages/decisions/src/forwarding/routing-table.test.ts
@@ -25,6 +25,18 @@
 }
 
 describe('routing table', () => {
+  it('knows the shortest objective of the routes to each pool', () => {
+    const routes = [
+      route({ objectiveMs: 800, targets: [{ pool: 'llm', weight: 1 }] }),
+      route({ objectiveMs: 400, targets: [{ pool: 'llm', weight: 1 }] }),
+      route({ objectiveMs: 90, targets: [{ pool: 'api', weight: 1 }] }),
+    ];
+    const index = new RouteIndex(table({ routes }));
+    expect(index.shortestObjectiveMs('llm')).to.equal(400);
+    expect(index.shortestObjectiveMs('api')).to.equal(90);
+    expect(index.shortestObjectiveMs('none')).to.equal(undefined);
+  });
+
   it('finds the longest prefix of the host, regardless of the case and port of its name', () => {
     const routes = [
       route({ name: 'all' }),
--- a/packages/decisions/src/forwarding/routing-table.ts
+++ b/packages/decisions/src/forwarding/routing-table.ts
@@ -102,6 +102,7 @@
   readonly table: RoutingTable;
   private readonly routesByHost = new Map<string, Route[]>();
   private readonly poolsByName = new Map<string, Pool>();
+  private readonly shortestObjectives = new Map<string, number>();
   private readonly workspacesByKey = new Map<string, string>();
   private readonly regionsByWorkspace = new Map<string, AllowedRegions>();
 
@@ -114,6 +115,12 @@
     for (const routes of this.routesByHost.values()) {
       routes.sort((a, b) => b.prefix.length - a.prefix.length);
     }
+    for (const { objectiveMs, targets } of table.routes) {
+      for (const { pool } of targets) {
+        const shortest = this.shortestObjectives.get(pool) ?? Number.POSITIVE_INFINITY;
+        this.shortestObjectives.set(pool, Math.min(shortest, objectiveMs));
+      }
+    }
     for (const pool of table.pools) this.poolsByName.set(pool.name, pool);
     for (const { name, keys, regions } of table.workspaces ?? []) {
       if (regions !== undefined) this.regionsByWorkspace.set(name, regions);
@@ -132,6 +139,11 @@
     return routes.find((route) => path.startsWith(route.prefix));
   }
 
+  /** Shortest latency objective of the routes to a pool, in ms; undefined if there are none. */
+  shortestObjectiveMs(pool: string): number | undefined {
+    return this.shortestObjectives.get(pool);
+  }
+
   findPool(name: string): Pool | undefined {
     return this.poolsByName.get(name);
   }
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -84,6 +84,7 @@
         waitMs,
         serviceMs,
         objectiveMs: route.objectiveMs,
+        queueObjectiveMs: this.state.routes?.shortestObjectiveMs(pool),
         remainingMs,
         shareUsage,
         surplusWaitLimit: this.state.surplusWaitLimit(pool),
