--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,6 +12,8 @@
 export * from './free-port.ts';
 export * from './platform/cache-list.ts';
 export * from './platform/platform-engine.ts';
+export * from './platform/engine-behaviour.ts';
+export * from './platform/platform-engine-options.ts';
 export * from './platform/platform-store.ts';
 export * from './platform/raw-platform-engine.ts';
 export * from './platform/scripted-platform-engine.ts';
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -7,49 +7,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { answerCacheList, CacheListAnswer } from './cache-list.ts';
-
-/** How the engine treats a request. */
-export enum EngineBehaviour {
-  /** Sends a complete answer. */
-  CompleteAnswer = 'whole',
-  /** Executes the request and resets the connection before answering. */
-  ResetBeforeAnswer = 'reset-before-answer',
-  /** Resets the connection in the middle of the answer. */
-  ResetWithinAnswer = 'reset-within-answer',
-  /** Answers without `Content-Length` and resets the connection before the end. */
-  UnframedReset = 'unframed-reset',
-  /** Answers without `Content-Length` and closes the connection normally. */
-  Unframed = 'unframed',
-  /** Sends a part of an answer without `Content-Length`, then ends as a killed process does. */
-  UnframedEnd = 'unframed-end',
-  /** Sends a stream without `Content-Length` or chunks, and closes the connection normally after it. */
-  UnframedStream = 'unframed-stream',
-  /** Executes the request and answers with status 500. */
-  Error = 'error',
-  /** Refuses the request with status 503 without executing it. */
-  Refuse = 'refuse',
-  /** Refuses the request with the attempt id of another request. */
-  RefuseWithOtherId = 'refuse-with-other-id',
-  /** Refuses the request without an attempt id. */
-  RefuseWithoutId = 'refuse-without-id',
-  /** Refuses the request without `Content-Length`, and closes the connection normally after a while. */
-  UnframedRefusal = 'unframed-refusal',
-  /** Refuses the request without `Content-Length`, and resets the connection after a while. */
-  UnframedRefusalReset = 'unframed-refusal-reset',
-  /**
-   * Writes the latest refusal on the connection once more, then executes the request and answers it. Sends a
-   * complete answer alone on a connection without a refusal.
-   */
-  RepeatedRefusal = 'repeated-refusal',
-  /** Answers with the attempt id of another request. */
-  WrongAttemptId = 'foreign',
-  /** Sends bytes that are not an HTTP response. */
-  Garbage = 'garbage',
-  /** Sends a second, unsolicited answer after the first. */
-  ExtraAnswer = 'extra',
-  /** Never answers. */
-  NoAnswer = 'mute',
-}
+import { sendAnswer, sendUnframedRefusal } from './engine-answers.ts';
+import { EngineBehaviour, REFUSALS, STREAMS, UNFRAMED_REFUSALS } from './engine-behaviour.ts';
+import type { EngineSilence, PlatformEngineOptions } from './platform-engine-options.ts';
 
 /** A request that the engine began to execute. */
 export interface ExecutedRequest {
@@ -62,43 +22,6 @@
   wasLeft: boolean;
 }
 
-/** A pause within a stream. */
-export interface EngineSilence {
-  afterEvent: number;
-  durationMs: number;
-  /** Ends the pause early; it is not ended early by default. */
-  endedBy?: Promise<void>;
-}
-
-/** Options of a `PlatformEngine`. */
-export interface PlatformEngineOptions {
-  id: string;
-  /** Body of an answer without events; `body` by default. */
-  answer?: string;
-  /** Number of events of a stream. */
-  events?: number;
-  /** Pause between two events, in milliseconds. */
-  eventPauseMs?: number;
-  /** Bytes by which each event is padded; none by default. */
-  eventBytes?: number;
-  /** Events after which a stream read from the start is reset, within the next event; never by default. */
-  resetAfterEvent?: number;
-  /** Event after which a stream read from the start pauses once, and for how long; never by default. */
-  silence?: EngineSilence;
-  /** Prompt segment that crashes the engine shortly after it has begun to answer; none by default. */
-  poisonSegment?: string;
-  /** Body of requests that crash the engine in the same way; none by default. */
-  poisonBody?: string;
-  /** Called with each request that is to be run, and whether it crashes the engine. */
-  onRequest?: (isPoison: boolean) => void;
-  /** Called when the engine has crashed. */
-  onCrash?: () => void;
-  /** Initial value of `PlatformEngine.born`; none by default. */
-  born?: number;
-  /** Entries of the list of cached prompts that `GET /v1/kv-list` returns, besides those of the runs. */
-  cachedPrompts?: unknown[];
-}
-
 /** Request targets that are answered with an event stream. */
 const STREAM_TARGET = /^\/(stream|long)\//;
 
@@ -248,7 +171,9 @@
       return;
     }
     await this.awaitAnswer();
-    if (!response.destroyed) this.sendAnswer(behaviour, requestId, response);
+    if (response.destroyed) return;
+    const { id: engineId, answer = 'body' } = this.options;
+    sendAnswer(behaviour, response, { requestId, engineId, answer, onEnd: () => void this.stop() });
   }
 
   private refuse(behaviour: EngineBehaviour, requestId: string, response: ServerResponse): void {
@@ -327,95 +252,6 @@
     }
     response.end();
   }
-
-  private sendAnswer(
-    behaviour: EngineBehaviour,
-    requestId: string,
-    response: ServerResponse,
-  ): void {
-    const socket = response.socket as Socket;
-    const buildHead = (extra: string): string =>
-      `HTTP/1.1 200 OK\r\nAttempt-Id: ${requestId}\r\nResponse-Seal: ${this.options.id}\r\n${extra}\r\n`;
-    const buildCompleteAnswer = (id: string): string =>
-      `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: ${this.options.id}\r\nContent-Length: 4\r\n\r\nbody`;
-    switch (behaviour) {
-      case EngineBehaviour.ResetBeforeAnswer:
-        socket.resetAndDestroy();
-        return;
-      case EngineBehaviour.ResetWithinAnswer:
-        socket.write(`${buildHead('Content-Length: 100\r\n')}some`, () => resetAfterDelay(socket));
-        return;
-      case EngineBehaviour.UnframedReset:
-        socket.write(`${buildHead('Connection: close\r\n')}some`, () => resetAfterDelay(socket));
-        return;
-      case EngineBehaviour.Unframed:
-        socket.end(`${buildHead('Connection: close\r\n')}body`);
-        return;
-      case EngineBehaviour.UnframedEnd:
-        socket.write(`${buildHead('Connection: close\r\n')}some`);
-        setTimeout(() => void this.stop(), RESET_DELAY_MS);
-        return;
-      case EngineBehaviour.Error:
-        response.writeHead(500, { 'Attempt-Id': requestId, 'Response-Seal': this.options.id });
-        response.end('failed');
-        return;
-      case EngineBehaviour.WrongAttemptId:
-        socket.write(buildCompleteAnswer('another'));
-        return;
-      case EngineBehaviour.Garbage:
-        socket.write('this is no answer\r\n\r\n');
-        return;
-      case EngineBehaviour.ExtraAnswer:
-        socket.write(buildCompleteAnswer(requestId) + buildCompleteAnswer('late'));
-        return;
-      case EngineBehaviour.NoAnswer:
-        return;
-      case EngineBehaviour.CompleteAnswer:
-      case EngineBehaviour.UnframedStream:
-      case EngineBehaviour.Refuse:
-      case EngineBehaviour.RefuseWithOtherId:
-      case EngineBehaviour.RefuseWithoutId:
-      case EngineBehaviour.RepeatedRefusal:
-      case EngineBehaviour.UnframedRefusal:
-      case EngineBehaviour.UnframedRefusalReset:
-        response.writeHead(200, { 'Attempt-Id': requestId, 'Response-Seal': this.options.id });
-        response.end(this.options.answer ?? 'body');
-    }
-  }
-}
-
-/** Delay before a reset, so that the bytes already written are sent. */
-const RESET_DELAY_MS = 30;
-
-/** Time for which an unframed refusal leaves its connection open, in milliseconds. */
-const REFUSAL_END_DELAY_MS = 150;
-
-/** Behaviours that send a whole stream. */
-const STREAMS = new Set([EngineBehaviour.CompleteAnswer, EngineBehaviour.UnframedStream]);
-
-const REFUSALS = new Set([
-  EngineBehaviour.Refuse,
-  EngineBehaviour.RefuseWithOtherId,
-  EngineBehaviour.RefuseWithoutId,
-]);
-
-const UNFRAMED_REFUSALS = new Set([
-  EngineBehaviour.UnframedRefusal,
-  EngineBehaviour.UnframedRefusalReset,
-]);
-
-function sendUnframedRefusal(socket: Socket, requestId: string, behaviour: EngineBehaviour): void {
-  socket.write(
-    `HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${requestId}\r\nNot-Executed: 1\r\n\r\nfull`,
-  );
-  setTimeout(() => {
-    if (behaviour === EngineBehaviour.UnframedRefusal) socket.end();
-    else socket.resetAndDestroy();
-  }, REFUSAL_END_DELAY_MS);
-}
-
-function resetAfterDelay(socket: Socket): void {
-  setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
 }
 
 async function waitForEnd({ durationMs, endedBy }: EngineSilence): Promise<void> {
