--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -8,12 +8,8 @@
   classifyMissingAttempt,
   endRequest,
   combineVerdicts,
-  LossAction,
-  computeRetryDelayMs,
   RequestPhase,
   RequestQueues,
-  RetryBudget,
-  settleLostAttempt,
   findStopSource,
   NO_STOP_MARKS,
 } from '@poplarpick/decisions';
@@ -21,6 +17,7 @@
 import { ErrorCode, RequestError, Task, Verdict } from '@poplarpick/kernel';
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
+import { frameBytes } from './answer-sink.ts';
 import { BacklogAnnouncer } from './backlog-announcer.ts';
 import { NotificationMethod } from '../messages.ts';
 import type {
@@ -35,12 +32,13 @@
 import { QueueAdmission } from './queue-admission.ts';
 import { DispatcherMessageKind } from './dispatcher-messages.ts';
 import type { DispatcherMessage } from './dispatcher-messages.ts';
+import { LostAttempts } from './lost-attempts.ts';
 import { OpenRequests } from './open-requests.ts';
+import type { RequestCounts } from './open-requests.ts';
 import { PinnedEndpointMonitor } from './pinned-endpoint-monitor.ts';
 import {
   createIncompleteAnswerError,
   createUndeliverableAnswerError,
-  createConnectionLostError,
   createDeadlineError,
   createPinnedEndpointError,
 } from './dispatch-errors.ts';
@@ -59,13 +57,6 @@
   metrics: Metrics;
 }
 
-/** Numbers of requests since the process started. */
-export interface RequestCounts {
-  submitted: number;
-  finished: number;
-  failed: number;
-}
-
 /** Queues requests, grants them to sidecars and decides how lost attempts are handled. */
 export class Dispatcher extends Task<DispatcherMessage> {
   private readonly clock: Clock;
@@ -75,7 +66,7 @@
   private readonly sidecars = new SidecarRegistry();
   private readonly backlog: BacklogAnnouncer;
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
-  private readonly retryBudget = new RetryBudget();
+  private readonly lostAttempts: LostAttempts;
   private readonly pinnedEndpoints = new PinnedEndpointMonitor();
   private readonly ticker: Timer;
   private stopMarks = NO_STOP_MARKS;
@@ -86,6 +77,11 @@
     super('dispatcher', options.log);
     this.clock = options.clock;
     this.telemetry = new RequestTelemetry(options);
+    this.lostAttempts = new LostAttempts({
+      clock: this.clock,
+      telemetry: this.telemetry,
+      onRetryDue: (request) => this.post({ kind: DispatcherMessageKind.Retry, request }),
+    });
     this.backlog = new BacklogAnnouncer({
       clock: this.clock,
       getQueueLength: (queueKey) => this.queues.getQueueLength(queueKey),
@@ -168,7 +164,7 @@
   private submit(submission: Submission): void {
     const request = new RoutedRequest(submission, this.clock.monotonic());
     this.counts.submitted += 1;
-    this.retryBudget.recordRequest();
+    this.lostAttempts.recordRequest();
     const { workspace } = request.queueKey;
     const now = this.clock.monotonic();
     const queuedRequests = this.queues.countByWorkspace(workspace);
@@ -286,7 +282,7 @@
   /** Forwards a frame to the caller. A frame that the sink rejects fails only its own request. */
   private deliver(request: RoutedRequest, frame: AnswerFrame): void {
     try {
-      request.sink.deliver(toBuffer(frame.data));
+      request.sink.deliver(frameBytes(frame));
     } catch (error) {
       this.withdraw(request);
       this.fail(request, createUndeliverableAnswerError(error));
@@ -301,7 +297,7 @@
       const { message, ...failure } = end.failure;
       if (
         failure.code === ErrorCode.EndpointFailed &&
-        this.tryScheduleRetry(request, failure.verdict)
+        this.lostAttempts.tryScheduleRetry(request, failure.verdict)
       )
         return;
       const verdict = combineVerdicts(request.state, failure.verdict);
@@ -334,23 +330,6 @@
     this.fail(request, new RequestError(message, { code, verdict, retryAfterSeconds }));
   }
 
-  /**
-   * Schedules a retry of a request whose endpoint failed. Returns false if the request must not run
-   * again, has used all its attempts, would miss its deadline, or if the retry budget is exhausted.
-   */
-  private tryScheduleRetry(request: RoutedRequest, verdict: Verdict): boolean {
-    if (verdict === Verdict.Ran) return false;
-    const loss = verdict === Verdict.NotRun ? AttemptLoss.NeverStarted : AttemptLoss.EndpointFailed;
-    if (settleLostAttempt(request.state, loss).decision.action === LossAction.Fail) return false;
-    const delayMs = computeRetryDelayMs(request.attempt, Math.random());
-    if (this.clock.monotonic() + delayMs >= request.deadlineAt || !this.retryBudget.tryAcquire())
-      return false;
-    request.state = settleLostAttempt(request.state, loss).state;
-    this.telemetry.recordRetry(request, loss);
-    this.clock.after(delayMs, () => this.post({ kind: DispatcherMessageKind.Retry, request }));
-    return true;
-  }
-
   private requeueForRetry(request: RoutedRequest): void {
     if (request.state.phase !== RequestPhase.Queued) return;
     this.queues.push(request);
@@ -358,20 +337,11 @@
   }
 
   private handleLostAttempt(request: RoutedRequest, loss: AttemptLoss): void {
-    const { decision } = settleLostAttempt(request.state, loss);
-    const needsRetryBudget =
-      decision.verdict !== Verdict.NotRun && decision.action === LossAction.Requeue;
-    const settled = settleLostAttempt(
-      request.state,
-      loss,
-      !needsRetryBudget || this.retryBudget.tryAcquire(),
-    );
-    request.state = settled.state;
-    if (settled.decision.action === LossAction.Fail) {
-      this.fail(request, createConnectionLostError(settled.decision));
+    const failure = this.lostAttempts.settle(request, loss);
+    if (failure !== undefined) {
+      this.fail(request, failure);
       return;
     }
-    this.telemetry.recordRequeue(request, loss);
     this.queues.pushFront(request);
     this.backlog.recordChange(request.queueKey);
   }
@@ -423,7 +393,3 @@
     this.onIdle = undefined;
   }
 }
-
-function toBuffer(data: Uint8Array): Buffer {
-  return Buffer.isBuffer(data) ? data : Buffer.from(data.buffer, data.byteOffset, data.byteLength);
-}
--- a/packages/fleet/src/router/open-requests.ts
+++ b/packages/fleet/src/router/open-requests.ts
@@ -3,6 +3,13 @@
 import type { AttemptReference } from '../messages.ts';
 import type { RoutedRequest } from './routed-request.ts';
 
+/** Numbers of requests since the process started. */
+export interface RequestCounts {
+  submitted: number;
+  finished: number;
+  failed: number;
+}
+
 /** Index of open requests by id. */
 export class OpenRequests {
   private readonly byId = new Map<string, RoutedRequest>();
