Nothing behind a head without a host is parsed

That crowd sends no Host, so no explanation is ever begun: the guard answers 400.

Cause: the guard refused the head and the parser still got the rest of what had been read, a block of up to 64 KiB. Each chunk of a body of one byte became an object in the buffer of a request that nobody reads; such garbage is small objects, which the collector doesn't count, and lives long enough to wait for a full collection.

Change: the pacer gives up the connection's input before the refusal is written.

--- a/packages/bench/src/crowd/crowds.serial.test.ts
+++ b/packages/bench/src/crowd/crowds.serial.test.ts
@@ -88,6 +88,10 @@
     listener: RouterListener.Readiness,
     crowd: ahead(ready, 8 * MIB, 200),
   },
+  'bodies in chunks of one byte behind heads without a host': onCallers({
+    connections: 300,
+    write: () => openChunkedBody({ target: '/once/a' }, ONE_BYTE),
+  }),
   'bodies with a length that stop short of their end': onCallers({
     connections: 60,
     write: () => openDeclaredBody(once, LARGE_BODY),
--- a/packages/fleet/src/listening/listener-guard.ts
+++ b/packages/fleet/src/listening/listener-guard.ts
@@ -9,6 +9,7 @@
   RequestListener,
   Server as HttpServer,
   ServerOptions,
+  ServerResponse,
 } from 'node:http';
 import type { Server, Socket } from 'node:net';
 import { HoldingKind, pickClosing } from '@poplarpick/decisions';
@@ -102,7 +103,7 @@
       this.connections.get(request.socket)?.add(request, response, this.options.clock);
     });
     server.on('request', (request, response) => {
-      if (lacksHost(request)) response.writeHead(400, { Connection: 'close' }).end();
+      if (lacksHost(request)) this.refuseHead(request, response);
       else listener(request, response);
     });
     // The parser can't go on after an error; a listener of the server decides what the caller is told.
@@ -175,6 +176,12 @@
     socket.once('finish', () => setTimeout(() => socket.destroy(), LAST_READ_MS).unref());
   }
 
+  /** Refuses a request that isn't HTTP, with nothing after its head parsed: each chunk of a body costs an object. */
+  private refuseHead({ socket }: IncomingMessage, response: ServerResponse): void {
+    this.pacers.get(socket)?.giveUp();
+    response.writeHead(400, { Connection: 'close' }).end();
+  }
+
   private refuseInput(socket: Socket): void {
     const { onInputRefused } = this.options;
     if (onInputRefused === undefined) {
