A question where a request would go is charged to the memory of the process

Cause: StateServer collected a body as the list of its chunks, an object for each, up to 65,536, and charged nothing.

Change: it reads the question as other bodies are read: into blocks that are charged to the process's budget, refused with 503 when there is no room and with 413 above the limit.

--- a/packages/bench/src/crowd/crowds.serial.test.ts
+++ b/packages/bench/src/crowd/crowds.serial.test.ts
@@ -53,6 +53,7 @@
 const once = callHead('/once/a');
 const held = callHead(`/once/${HELD}`);
 const unknown = { target: '/unknown/', headers: { Host: 'h.example' } };
+const question = { target: '/where', headers: { Host: 'h.example' } };
 const bare = { method: 'GET', target: '/' };
 
 function onCallers(crowd: Crowd, options: Partial<RouterSiteOptions> = {}): RouterCase {
@@ -151,6 +152,13 @@
       write: () => openChunkedBody({ target: '/where' }, { bodyBytes: 60_000, chunkBytes: 1 }),
     },
   },
+  'explanations with a host that stop short of their end': {
+    listener: RouterListener.Peers,
+    crowd: {
+      connections: 600,
+      write: () => openChunkedBody(question, { bodyBytes: 60_000, chunkBytes: 1 }),
+    },
+  },
   'requests sent ahead at the metrics, their answers unread': {
     listener: RouterListener.Metrics,
     crowd: ahead({ method: 'GET', target: '/metrics' }, 2 * MIB, 200),
--- a/packages/forwarder/src/peers/state-server.ts
+++ b/packages/forwarder/src/peers/state-server.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { listenOn } from '@poplarpick/fleet/address';
+import { readBody } from '@poplarpick/fleet/callers/read-body';
 import { SHORT_EXCHANGES } from '@poplarpick/fleet/listening/listener-guard';
 import type { ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
 import { describeError, RequestError } from '@poplarpick/kernel';
@@ -89,14 +90,27 @@
   private async explain(request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.setHeader('Content-Type', 'application/json');
     try {
-      const question = routeQuestionSchema.parse(JSON.parse(await readText(request)));
+      const text = await this.readQuestion(request, response);
+      const question = routeQuestionSchema.parse(JSON.parse(text));
       response.end(JSON.stringify(this.options.explainer.explain(question)));
     } catch (error) {
       const message = error instanceof RequestError ? error.message : describeError(error);
-      response.writeHead(400).end(JSON.stringify({ error: message.split('\n')[0] }));
+      const status = error instanceof RequestError ? error.status : 400;
+      response.writeHead(status).end(JSON.stringify({ error: message.split('\n')[0] }));
     }
   }
 
+  /** Reads a body as text. Rejects if it is too large, or if there is no memory for it. */
+  private async readQuestion(request: IncomingMessage, response: ServerResponse): Promise<string> {
+    const body = await readBody(request, {
+      response,
+      limitBytes: MAX_QUESTION_BYTES,
+      budget: this.options.state.listeners.budget,
+      owner: request.socket.remoteAddress ?? '',
+    });
+    return body.toString('utf8');
+  }
+
   private buildSnapshot(query: URLSearchParams): StateSnapshot {
     const { state, onSuspension } = this.options;
     const { clock, freshness } = state;
@@ -116,15 +130,3 @@
     };
   }
 }
-
-/** Reads a body as text. Rejects if it is too large. */
-async function readText(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > MAX_QUESTION_BYTES) throw new Error('the description of the request is too large');
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks, size).toString('utf8');
-}
