The replays of admission and of shares set up their fleet in one place

replayFairness and compareAdmission each scaled the kinds, generated the arrivals and built the policy, and the former imported the command's app.ts for its constants. prepareReplay does it for both. No decision changes: the tests of admission, shares, routes and the log pass (16).

--- a/packages/bench/src/admission/app.ts
+++ b/packages/bench/src/admission/app.ts
@@ -3,76 +3,13 @@
  * the routers' own policy with simpler ones and with an upper bound on the credit of any schedule.
  */
 import { parseArgs } from 'node:util';
-import { Random } from '@poplarpick/load';
 import { RequestOutcome, computeCreditBound, computeCreditReport } from './credit.ts';
-import type { EngineParameters } from './engine-model.ts';
-import { RouterPolicy } from './router-policy.ts';
 import { AffinityOnlyPolicy, LeastInFlightPolicy } from './routing-policy.ts';
 import type { RoutingPolicy } from './routing-policy.ts';
 import { replay } from './replay.ts';
-import { generateArrivals } from './workload.ts';
-import type { Arrival, Workload } from './workload.ts';
-
-const SECOND_MS = 1_000;
-
-export const ENGINE_PARAMETERS: EngineParameters = {
-  slots: 64,
-  baseStepMs: 3.6,
-  stepMsPerRequest: 0.08,
-  prefillTokensPerMs: 120,
-  maxPrefillChunkTokens: 4_096,
-  kvCacheTokens: 900_000,
-};
-
-/** A mix of long reviews, short answers and classifications, sized for engines of `ENGINE_PARAMETERS`. */
-export const WORKLOAD: Workload = {
-  workspaces: 16,
-  floods: { rateFactor: 7, durationMs: 7_000, intervalMs: 4_000 },
-  kinds: [
-    {
-      name: 'review',
-      requestsPerSecond: 30,
-      prefixLevels: [
-        { prefixes: 1, tokens: 500 },
-        { prefixes: 280, tokens: 4_900 },
-      ],
-      uniqueTokens: 6_600,
-      outputTokens: 350,
-      objectiveMs: 600,
-      deadlineMs: 15_000,
-      credit: 4,
-      lateCreditShare: 0.3,
-    },
-    {
-      name: 'answer',
-      requestsPerSecond: 40,
-      prefixLevels: [
-        { prefixes: 20, tokens: 120 },
-        { prefixes: 150, tokens: 80 },
-      ],
-      uniqueTokens: 620,
-      outputTokens: 280,
-      objectiveMs: 350,
-      deadlineMs: 12_000,
-      credit: 2.1,
-      lateCreditShare: 0.3,
-    },
-    {
-      name: 'label',
-      requestsPerSecond: 55,
-      prefixLevels: [
-        { prefixes: 40, tokens: 340 },
-        { prefixes: 480, tokens: 230 },
-      ],
-      uniqueTokens: 1_800,
-      outputTokens: 22,
-      objectiveMs: 400,
-      deadlineMs: 3_000,
-      credit: 0.4,
-      lateCreditShare: 0.3,
-    },
-  ],
-};
+import { ENGINE_PARAMETERS, prepareReplay } from './simulated-fleet.ts';
+import type { LoadOptions } from './simulated-fleet.ts';
+import type { Arrival } from './workload.ts';
 
 /** Entry of the `admission` command. */
 export const admissionCommand = {
@@ -127,17 +64,10 @@
 }
 
 /** Options of `compareAdmission`. */
-export interface AdmissionComparisonOptions {
-  seed: number;
-  seconds: number;
-  /** Factor on the request rates of the workload. */
-  load: number;
+export interface AdmissionComparisonOptions extends LoadOptions {
   engines: number;
   /** Assumed throughput of one engine, from which the fair shares are computed. */
   tokensPerEngine: number;
-  routers: number;
-  /** Largest deviation of callers' deadlines from those of their kind, as a fraction. */
-  deadlineSpread?: number;
 }
 
 /** Replays the same arrivals under each policy. */
@@ -145,34 +75,15 @@
   rows: PolicyResult[];
   limit: number;
 } {
-  const { seed, seconds, engines, tokensPerEngine, routers, deadlineSpread = 0 } = options;
-  const kinds = WORKLOAD.kinds.map((kind) => ({
-    ...kind,
-    requestsPerSecond: kind.requestsPerSecond * options.load,
-  }));
-  const arrivals = generateArrivals(
-    { ...WORKLOAD, kinds, deadlineSpread },
-    { random: new Random(seed), routers, durationMs: seconds * SECOND_MS },
-  );
+  const { engines, tokensPerEngine } = options;
   const tokensPerSecond = tokensPerEngine * engines;
+  const { arrivals, policy } = prepareReplay({ ...options, tokensPerSecond });
   const limit = computeCreditBound(arrivals, {
     engines,
     engineParameters: ENGINE_PARAMETERS,
     tokensPerSecond,
   });
-  const random = new Random(seed + 1);
-  const policies: RoutingPolicy[] = [
-    new LeastInFlightPolicy(),
-    new AffinityOnlyPolicy(),
-    new RouterPolicy({
-      routers,
-      engines,
-      engineParameters: ENGINE_PARAMETERS,
-      kinds,
-      tokensPerSecond,
-      random,
-    }),
-  ];
+  const policies: RoutingPolicy[] = [new LeastInFlightPolicy(), new AffinityOnlyPolicy(), policy];
   const rows = policies.map((policy) =>
     runPolicy(policy, { arrivals, engines, tokensPerSecond, limit }),
   );
--- a/packages/bench/src/admission/credit.ts
+++ b/packages/bench/src/admission/credit.ts
@@ -25,13 +25,17 @@
 }
 
 /** A request and its outcome. */
-export interface FinishedRequest {
+export interface RequestResult {
   arrival: Arrival;
   outcome: RequestOutcome;
+}
+
+/** What became of a request in a replay. */
+export interface FinishedRequest extends RequestResult {
   /** Time of its first token, in ms; undefined if it had none. */
-  firstTokenAt?: number | undefined;
+  firstTokenAt: number | undefined;
   /** Times at which it was refused, in ms. */
-  refusedAt?: readonly number[] | undefined;
+  refusedAt: readonly number[];
 }
 
 /** Ratios of earned to owed credit. */
@@ -99,11 +103,11 @@
 
 /** Computes the owed and the earned credit of all requests of a run. */
 class CreditCalculator {
-  private readonly finished: readonly FinishedRequest[];
+  private readonly finished: readonly RequestResult[];
   private readonly meanSizes = new Map<string, number>();
   private readonly owedFractions = new Map<string, number>();
 
-  constructor(finished: readonly FinishedRequest[], tokensPerSecond: number) {
+  constructor(finished: readonly RequestResult[], tokensPerSecond: number) {
     this.finished = finished;
     this.computeMeanSizes();
     this.computeOwedFractions(tokensPerSecond);
--- a/packages/bench/src/admission/fairness.ts
+++ b/packages/bench/src/admission/fairness.ts
@@ -73,7 +73,7 @@
 ): Map<string, WorkspaceRecord> {
   const records = new Map<string, WorkspaceRecord>();
   for (const request of finished) {
-    const { arrival, firstTokenAt, refusedAt = [] } = request;
+    const { arrival, firstTokenAt, refusedAt } = request;
     const record = records.get(arrival.workspace) ?? createRecord(seconds);
     records.set(arrival.workspace, record);
     const cost = fairShareCost(arrival.prompt);
--- a/packages/bench/src/admission/replay.ts
+++ b/packages/bench/src/admission/replay.ts
@@ -108,7 +108,8 @@
     const refusedAt = [...(this.refusals.get(arrival.id) ?? []), now];
     this.refusals.set(arrival.id, refusedAt);
     if (isRetry) {
-      this.finished.push({ arrival, outcome: RequestOutcome.Refused, refusedAt });
+      const outcome = RequestOutcome.Refused;
+      this.finished.push({ arrival, outcome, firstTokenAt: undefined, refusedAt });
       return;
     }
     const at = now + Math.min(decision.retryAfterMs, remainingMs * MAX_RETRY_WAIT_SHARE);
@@ -153,7 +154,7 @@
   private finish(request: ActiveRequest, outcome: RequestOutcome, now: number): void {
     const { arrival, firstTokenAt } = request;
     this.activeRequests.delete(arrival.id);
-    const refusedAt = this.refusals.get(arrival.id);
+    const refusedAt = this.refusals.get(arrival.id) ?? [];
     this.finished.push({ arrival, outcome, firstTokenAt, refusedAt });
     this.options.policy.recordEnded(arrival, now);
   }
--- a/packages/decisions/src/forwarding/routing-table.ts
+++ b/packages/decisions/src/forwarding/routing-table.ts
@@ -100,6 +100,8 @@
 /** Indexes one routing table for lookups. */
 export class RouteIndex {
   readonly table: RoutingTable;
+  /** Names of the pools of model endpoints, whose requests have prompts. */
+  readonly modelPools: readonly string[];
   private readonly routesByHost = new Map<string, Route[]>();
   private readonly poolsByName = new Map<string, Pool>();
   private readonly shortestObjectives = new Map<string, number>();
@@ -108,6 +110,9 @@
 
   constructor(table: RoutingTable) {
     this.table = table;
+    this.modelPools = table.pools
+      .filter(({ batch }) => batch !== undefined)
+      .map(({ name }) => name);
     for (const route of table.routes) {
       const host = route.host.toLowerCase();
       this.routesByHost.set(host, [...(this.routesByHost.get(host) ?? []), route]);
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -75,23 +75,20 @@
     const requestHash = hashRequest({ ...head, workspace, body });
     const segmentHashes = sharedSegmentHashes(head.prompt);
     const suspectHashes = [requestHash, ...segmentHashes];
-    this.binding = new StreamBinding(options);
-    const { binding } = this;
+    const binding = new StreamBinding(options);
+    this.binding = binding;
     this.admission = new CallAdmission({ ...options, binding, suspectHashes });
     this.planner = new AttemptPlanner({ ...options, binding, suspectHashes });
     this.running = new RunningAttempts({
       clock: options.state.clock,
       onReplaced: (earlier) => this.recordReplaced(earlier),
     });
-    this.hedge = new CallHedge({
-      ...options,
-      planner: this.planner,
-      onSlow: () => this.sendHedge(),
-    });
-    this.evidence = new AttemptEvidence({ state: options.state, suspectHashes });
+    const { planner } = this;
+    this.hedge = new CallHedge({ ...options, planner, onSlow: () => this.sendHedge() });
+    this.evidence = new AttemptEvidence({ state, suspectHashes });
     this.reporter = new CallReporter({ ...options, segmentHashes, requestHash });
     this.deadlineAt = callDeadlineAt(head, options.route, options.arrivedAt);
-    const { admission, planner, reporter, deadlineAt } = this;
+    const { admission, reporter, deadlineAt } = this;
     this.sender = new AttemptSender({
       ...options,
       binding,
@@ -103,18 +100,17 @@
     });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
-    const { response, sender, latencyRecorder } = this;
     this.ending = new CallEnding({
-      response,
+      response: this.response,
       admission,
       planner,
-      sender,
+      sender: this.sender,
       reporter,
-      latencyRecorder,
-      readProgress: () => ({
-        placement: this.running.placement,
-        firstEventAt: this.firstEventAt,
-      }),
+      latencyRecorder: this.latencyRecorder,
+      readProgress: () => {
+        const { running, firstEventAt } = this;
+        return { placement: running.placement, firstEventAt };
+      },
       onEnded: () => this.close(),
     });
   }
@@ -259,9 +255,10 @@
   override handleFailure(attempt: CallAttempt, error: RequestError): void {
     const { record } = attempt.placement;
     const wasRefused = error.code === ErrorCode.QueueFull;
-    if (error.verdict !== Verdict.NotRun) this.mayHaveRun = true;
-    else if (!wasRefused) this.sender.uncount();
-    if (error.verdict === Verdict.NotRun) this.sender.returnGrant();
+    if (error.verdict === Verdict.NotRun) {
+      if (!wasRefused) this.sender.uncount();
+      this.sender.returnGrant();
+    } else this.mayHaveRun = true;
     if (isEndpointFailure(error)) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -279,10 +279,9 @@
 
   /** How far requests within their share are late in the pool of model endpoints that has most of them, in 0..1. */
   private contention(): number {
-    const pools = this.routeIndex?.table.pools ?? [];
-    const contentions = pools
-      .filter(({ batch }) => batch !== undefined)
-      .map(({ name }) => this.pools.surplusLimiter(name).contention(this.peerLateRate(name)));
+    const contentions = (this.routeIndex?.modelPools ?? []).map((name) =>
+      this.pools.surplusLimiter(name).contention(this.peerLateRate(name)),
+    );
     return Math.max(0, ...contentions);
   }
 
--- a/packages/forwarder/src/share-contention-log.ts
+++ b/packages/forwarder/src/share-contention-log.ts
@@ -11,6 +11,9 @@
 
 /** What a line tells beside the workspaces. */
 export interface ContentionState {
+  /** Tokens that all workspaces demanded and were granted within the window. */
+  demanded: number;
+  granted: number;
   /** Tokens that the endpoints are expected to produce within the window. */
   nominalTokens: number;
   /** Age of the oldest usage of another router that counts, in ms. */
@@ -48,14 +51,14 @@
   private write(): void {
     const { log, listServices, readState } = this.options;
     const services = listServices();
-    const least = minBy(services, ({ demanded, granted }) => granted / Math.max(1, demanded));
-    const most = minBy(services, ({ granted }) => -granted);
-    const { nominalTokens, usageAgeMs, loopUtilization } = readState();
+    const least = minBy(services, (service) => service.granted / Math.max(1, service.demanded));
+    const most = minBy(services, (service) => -service.granted);
+    const { demanded, granted, nominalTokens, usageAgeMs, loopUtilization } = readState();
     log.info({
       event: 'shares.contended',
       refused: this.refused,
-      demanded: Math.round(sum(services.map(({ demanded }) => demanded))),
-      granted: Math.round(sum(services.map(({ granted }) => granted))),
+      demanded: Math.round(demanded),
+      granted: Math.round(granted),
       nominal: Math.round(nominalTokens),
       least: least?.workspace,
       least_demanded: least && Math.round(least.demanded),
@@ -73,7 +76,3 @@
   for (const item of items) if (best === undefined || keyOf(item) < keyOf(best)) best = item;
   return best;
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/forwarder/src/workspace-shares.ts
+++ b/packages/forwarder/src/workspace-shares.ts
@@ -61,6 +61,7 @@
       log: options.log,
       listServices: () => this.ledger.listServices(),
       readState: () => ({
+        ...this.sumTokens(),
         nominalTokens: this.nominalTokensPerMs() * options.windowMs,
         usageAgeMs: options.readUsageAgeMs(this.now()),
         loopUtilization: options.readLoopUtilization(),
