An objective that no endpoint can meet doesn't close the queue to other routes

A single route with an objective of 20 ms, by mistake or by wish, would so refuse every other route of the service as soon as anything is running: the bound of one, applied to all, in the other direction.

The shortest objective now bounds the wait of another route to no less than half of that route's own. Where objectives are within a factor of two of each other, as on all deployments whose examples of configuration were looked at (400 and 800, 300 and 500, 600 and 800, 800 and 1,000 ms), nothing changes.

The new test failed before (a request with 800 ms was refused at a wait of 300 ms).

--- a/packages/decisions/src/forwarding/admission.test.ts
+++ b/packages/decisions/src/forwarding/admission.test.ts
@@ -36,6 +36,12 @@
     expect(decideAdmission(short, HALF).isAccepted).to.equal(true);
   });
 
+  it('still serves a long objective beside one that no engine can meet', () => {
+    const long = input({ objectiveMs: 800, queueObjectiveMs: 20 });
+    expect(decideAdmission({ ...long, waitMs: 300 }, HALF).isAccepted).to.equal(true);
+    expect(decideAdmission({ ...long, waitMs: 500 }, HALF).isAccepted).to.equal(false);
+  });
+
   it('does not count the prefill time of the request itself as wait', () => {
     expect(decideAdmission(input({ serviceMs: 900 }), HALF).isAccepted).to.equal(true);
   });
--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -92,6 +92,9 @@
 /** Pace used of an endpoint (see `StreamPace`) from which on it has no surplus. */
 const SURPLUS_PACE_LIMIT = 0.8;
 
+/** Part of its own objective that a shorter one at the same endpoint leaves to a request within its fair share. */
+const MIN_QUEUE_OBJECTIVE_SHARE = 0.5;
+
 /** Bounds of the retry-after time of a refused request within its fair share, in ms. */
 const RETRY_AFTER_BOUNDS_MS = { min: 150, max: 2_000 };
 
@@ -140,10 +143,12 @@
 /**
  * Objective that bounds the wait of a request, in ms. Engines serve in order of arrival, so a queue that is short
  * enough for long objectives makes every request with a short one late or refused, whatever its workspace is due.
+ * An objective that no endpoint can meet would close the queue to all others, so it counts up to a part only.
  */
 function waitObjectiveMs(input: AdmissionInput, isOverShare: boolean): number {
   const { objectiveMs, queueObjectiveMs = objectiveMs } = input;
-  return isOverShare ? objectiveMs : Math.min(objectiveMs, queueObjectiveMs);
+  if (isOverShare) return objectiveMs;
+  return Math.min(objectiveMs, Math.max(queueObjectiveMs, objectiveMs * MIN_QUEUE_OBJECTIVE_SHARE));
 }
 
 /** Longest wait for a request, as a multiple of the objective. */
