The replays and the meter of control traffic add up with the load tool's sum

fairness.ts wrote the function again that statistics.ts has and control-traffic-meter.ts copied. It is exported now and serves all three. Behaviour stays as it is. The tests of admission and of shares in the replay pass.

--- a/packages/bench/src/admission/fairness.ts
+++ b/packages/bench/src/admission/fairness.ts
@@ -4,6 +4,7 @@
  * less, second by second, less three of the largest requests.
  */
 import { fairShareCost } from '@poplarpick/decisions';
+import { sum } from '@poplarpick/load';
 import type { FinishedRequest } from './credit.ts';
 
 const SECOND_MS = 1_000;
@@ -100,7 +101,3 @@
 function sumAt(tokens: readonly number[], seconds: readonly number[]): number {
   return sum(seconds.map((second) => tokens[second] ?? 0));
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/bench/src/fairness/control-traffic-meter.ts
+++ b/packages/bench/src/fairness/control-traffic-meter.ts
@@ -3,6 +3,7 @@
  * node sends is received by another, so the mean traffic of a node in both directions is twice the mean
  * of what the nodes send.
  */
+import { sum } from '@poplarpick/load';
 import type { ProcessFleet } from '../process-fleet/process-fleet.ts';
 
 /** Control traffic per second. */
@@ -64,7 +65,3 @@
     );
   }
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/load/src/statistics.ts
+++ b/packages/load/src/statistics.ts
@@ -54,6 +54,7 @@
   return sum(values) / values.length;
 }
 
-function sum(values: readonly number[]): number {
+/** Sum of the values; 0 without any. */
+export function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
