--- a/packages/decisions/src/forwarding/fair-share-ledger.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.ts
@@ -159,6 +159,18 @@
   }
 }
 
+/** Demand and grants of all these workspaces together, in tokens. */
+export function sumServices(
+  services: readonly WorkspaceService[],
+): Pick<WorkspaceService, 'demanded' | 'granted'> {
+  const total = { demanded: 0, granted: 0 };
+  for (const { demanded, granted } of services) {
+    total.demanded += demanded;
+    total.granted += granted;
+  }
+  return total;
+}
+
 /** A grant that is returned leaves the window later than it came, so that a sum may be below 0 in between. */
 function roundCount(tokens = 0): number {
   return Math.max(0, Math.round(tokens));
--- a/packages/forwarder/src/share-contention-log.test.ts
+++ b/packages/forwarder/src/share-contention-log.test.ts
@@ -11,13 +11,7 @@
         { workspace: 'flood', demanded: 5_000, granted: 3_000 },
         { workspace: 'starved', demanded: 600, granted: 100 },
       ],
-      readState: () => ({
-        demanded: 5_600,
-        granted: 3_100,
-        nominalTokens: 7_000,
-        usageAgeMs: 420,
-        loopUtilization: 0.95,
-      }),
+      readState: () => ({ nominalTokens: 7_000, usageAgeMs: 420, loopUtilization: 0.95 }),
     });
     for (const now of [0, 400, 900, 1_000, 1_100]) contention.recordRefusal(now);
     expect(lines).to.have.length(2);
--- a/packages/forwarder/src/share-contention-log.ts
+++ b/packages/forwarder/src/share-contention-log.ts
@@ -3,17 +3,15 @@
  * served least of what it demands, who is granted most, and how old the sums are. With the lines of the calls it tells
  * a workspace that is refused for its share from one that finds no room, and from one whose calls aren't read.
  */
-import type { Logger } from '@poplarpick/kernel';
+import { sumServices } from '@poplarpick/decisions';
 import type { WorkspaceService } from '@poplarpick/decisions';
+import type { Logger } from '@poplarpick/kernel';
 
 /** Shortest time between two lines, in ms. */
 const LOG_PERIOD_MS = 1_000;
 
 /** What a line tells beside the workspaces. */
 export interface ContentionState {
-  /** Tokens that all workspaces demanded and were granted within the window. */
-  demanded: number;
-  granted: number;
   /** Tokens that the endpoints are expected to produce within the window. */
   nominalTokens: number;
   /** Age of the oldest usage of another router that counts, in ms. */
@@ -53,7 +51,8 @@
     const services = listServices();
     const least = minBy(services, (service) => service.granted / Math.max(1, service.demanded));
     const most = minBy(services, (service) => -service.granted);
-    const { demanded, granted, nominalTokens, usageAgeMs, loopUtilization } = readState();
+    const { demanded, granted } = sumServices(services);
+    const { nominalTokens, usageAgeMs, loopUtilization } = readState();
     log.info({
       event: 'shares.contended',
       refused: this.refused,
--- a/packages/forwarder/src/workspace-shares.ts
+++ b/packages/forwarder/src/workspace-shares.ts
@@ -7,6 +7,7 @@
   FairShareLedger,
   fingerprintRequest,
   RefusedRequests,
+  sumServices,
 } from '@poplarpick/decisions';
 import type {
   Prompt,
@@ -61,7 +62,6 @@
       log: options.log,
       listServices: () => this.ledger.listServices(),
       readState: () => ({
-        ...this.sumTokens(),
         nominalTokens: this.nominalTokensPerMs() * options.windowMs,
         usageAgeMs: options.readUsageAgeMs(this.now()),
         loopUtilization: options.readLoopUtilization(),
@@ -121,12 +121,7 @@
 
   /** Tokens that all workspaces demanded and were granted, as of the latest measurement. */
   sumTokens(): Record<'demanded' | 'granted', number> {
-    const total = { demanded: 0, granted: 0 };
-    for (const { demanded, granted } of this.ledger.listServices()) {
-      total.demanded += demanded;
-      total.granted += granted;
-    }
-    return total;
+    return sumServices(this.ledger.listServices());
   }
 
   /** What the endpoints that take requests now are expected to produce. */
