Four tests share one clock that stands still until they let time pass

The tests of the event loop monitor, of the poison guard, of the latency recorder and of the backlog announcer each had a clock of their own. ManualClock in packages/kernel/src/testing serves them: advance fires timers at their times, stall fires them late, as a blocked process does.

--- a/packages/fleet/src/router/backlog-announcer.test.ts
+++ b/packages/fleet/src/router/backlog-announcer.test.ts
@@ -1,50 +1,17 @@
 import { expect } from 'chai';
 import type { QueueLength, QueueKey } from '@poplarpick/decisions';
-import { Clock, Role } from '@poplarpick/kernel';
-import type { Timer } from '@poplarpick/kernel';
+import { Role } from '@poplarpick/kernel';
+import { ManualClock } from '@poplarpick/kernel/testing/manual-clock';
 import type { Peer } from '../link/link-hub.ts';
 import type { BacklogUpdate } from '../messages.ts';
 import { BacklogAnnouncer } from './backlog-announcer.ts';
 
-/** Clock with manually advanced time. */
-class TestClock extends Clock {
-  private time = 0;
-  private timers: { at: number; action: () => void }[] = [];
-
-  override now(): number {
-    return this.time;
-  }
-
-  override monotonic(): number {
-    return this.time;
-  }
-
-  override after(delayMs: number, action: () => void): Timer {
-    const entry = { at: this.time + delayMs, action };
-    this.timers.push(entry);
-    return { stop: () => (this.timers = this.timers.filter((other) => other !== entry)) };
-  }
-
-  override every(): Timer {
-    throw new Error('not used');
-  }
-
-  advance(ms: number): void {
-    for (let left = ms; left > 0; left -= 1) {
-      this.time += 1;
-      const due = this.timers.filter(({ at }) => at <= this.time);
-      this.timers = this.timers.filter(({ at }) => at > this.time);
-      due.forEach(({ action }) => action());
-    }
-  }
-}
-
 const QUEUE_KEY: QueueKey = { pool: 'assistant', workspace: 'a', pin: undefined };
 const SIDECAR_COUNT = 6;
 
 /** An announcer with one queue of `count` requests, and the count last reported to each sidecar. */
 class Setup {
-  readonly clock = new TestClock();
+  readonly clock = new ManualClock();
   readonly reportedCounts: number[] = [];
   notifications = 0;
   private count = 0;
--- a/packages/forwarder/src/calls/call-latency-recorder.test.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { CallKind } from '@poplarpick/decisions';
 import type { Route } from '@poplarpick/decisions';
-import { SystemClock } from '@poplarpick/kernel';
+import { ManualClock } from '@poplarpick/kernel/testing/manual-clock';
 import { PoolStates } from '../pool-states.ts';
 import type { RouterState } from '../router-state.ts';
 import { CallLatencyRecorder } from './call-latency-recorder.ts';
@@ -26,17 +26,9 @@
   isResumable: false,
 };
 
-class TestClock extends SystemClock {
-  nowMs = 0;
-
-  override monotonic(): number {
-    return this.nowMs;
-  }
-}
-
 /** Serves some calls at a router, and returns what it has learned of its pool. */
 function learn(readsLate: boolean): PoolStates {
-  const clock = new TestClock();
+  const clock = new ManualClock();
   const pools = new PoolStates({ retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000 });
   const state = {
     clock,
--- a/packages/forwarder/src/event-loop-monitor.test.ts
+++ b/packages/forwarder/src/event-loop-monitor.test.ts
@@ -1,36 +1,8 @@
 import { expect } from 'chai';
-import { Clock, createLogger, LogLevel } from '@poplarpick/kernel';
-import type { Timer } from '@poplarpick/kernel';
+import { createLogger, LogLevel } from '@poplarpick/kernel';
+import { ManualClock } from '@poplarpick/kernel/testing/manual-clock';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
 
-/** A clock with one periodic timer, which fires when the test says so. */
-class ManualClock extends Clock {
-  nowMs = 0;
-  private fire: (() => void) | undefined;
-
-  override now(): number {
-    return this.nowMs;
-  }
-
-  override monotonic(): number {
-    return this.nowMs;
-  }
-
-  override after(): Timer {
-    return { stop: () => undefined };
-  }
-
-  override every(_periodMs: number, run: () => void): Timer {
-    this.fire = run;
-    return { stop: () => undefined };
-  }
-
-  fireAfter(elapsedMs: number): void {
-    this.nowMs += elapsedMs;
-    this.fire?.();
-  }
-}
-
 describe('EventLoopMonitor', () => {
   it('logs once when the router is overloaded and once when it is relieved', () => {
     const lines: string[] = [];
@@ -39,14 +11,14 @@
     let utilization = 0.3;
     const monitor = new EventLoopMonitor({ clock, log, readUtilization: () => utilization });
     monitor.start();
-    for (let sample = 0; sample < 100; sample += 1) clock.fireAfter(52);
+    for (let sample = 0; sample < 100; sample += 1) clock.stall(52);
     expect(monitor.isOverloaded).to.equal(false);
     utilization = 1;
-    for (let sample = 0; sample < 20; sample += 1) clock.fireAfter(250);
+    for (let sample = 0; sample < 20; sample += 1) clock.stall(250);
     expect(monitor.isOverloaded).to.equal(true);
     expect(monitor.meanDelayMs).to.be.within(150, 200);
     utilization = 0.1;
-    for (let sample = 0; sample < 100; sample += 1) clock.fireAfter(50);
+    for (let sample = 0; sample < 100; sample += 1) clock.stall(50);
     expect(monitor.isOverloaded).to.equal(false);
     expect(lines.filter((line) => line.includes('event=router.overloaded'))).to.have.length(1);
     expect(lines.filter((line) => line.includes('event=router.relieved'))).to.have.length(1);
@@ -57,8 +29,8 @@
     const log = createLogger({ level: LogLevel.Silent });
     const monitor = new EventLoopMonitor({ clock, log, readUtilization: () => 0 });
     monitor.start();
-    clock.fireAfter(6_000);
-    clock.fireAfter(50);
+    clock.stall(6_000);
+    clock.stall(50);
     expect(monitor.meanDelayMs).to.be.lessThan(100);
     expect(monitor.isOverloaded).to.equal(false);
   });
@@ -68,10 +40,10 @@
     const log = createLogger({ level: LogLevel.Silent });
     const monitor = new EventLoopMonitor({ clock, log });
     monitor.start();
-    clock.fireAfter(1_000);
+    clock.stall(1_000);
     const endsAt = performance.now() + 50;
     while (performance.now() < endsAt) await new Promise(setImmediate);
-    clock.fireAfter(1_000);
+    clock.stall(1_000);
     expect(monitor.utilization).to.be.within(0.8, 1);
   });
 });
--- a/packages/forwarder/src/poison/poison-guard.test.ts
+++ b/packages/forwarder/src/poison/poison-guard.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { EndpointLoad } from '@poplarpick/decisions';
 import { createLogger, LogLevel } from '@poplarpick/kernel';
-import type { Clock, Timer } from '@poplarpick/kernel';
+import { ManualClock } from '@poplarpick/kernel/testing/manual-clock';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { PoisonGuard } from './poison-guard.ts';
 
@@ -11,36 +11,6 @@
 const OTHER = 3;
 const STEP_MS = 50;
 
-/** Simulated time with timers. */
-class ManualClock {
-  nowMs = 0;
-  private timers: { at: number; action: () => void }[] = [];
-
-  now(): number {
-    return this.nowMs;
-  }
-
-  monotonic(): number {
-    return this.nowMs;
-  }
-
-  after(delayMs: number, action: () => void): Timer {
-    this.timers.push({ at: this.nowMs + delayMs, action });
-    return { stop: () => undefined };
-  }
-
-  every(): Timer {
-    return { stop: () => undefined };
-  }
-
-  advance(durationMs: number): void {
-    this.nowMs += durationMs;
-    const due = this.timers.filter(({ at }) => at <= this.nowMs);
-    this.timers = this.timers.filter(({ at }) => at > this.nowMs);
-    for (const { action } of due) action();
-  }
-}
-
 describe('the guard against poison segments', () => {
   let clock: ManualClock;
   let endpoints: Map<number, EndpointRecord>;
@@ -62,7 +32,7 @@
 
   function makeGuard(): PoisonGuard {
     return new PoisonGuard({
-      clock: clock as Clock,
+      clock,
       log: createLogger({ level: LogLevel.Silent }),
       findEndpoint: (hash) => endpoints.get(hash),
     });
