Whether a call goes on at another endpoint is decided in a module of its own

The tests of packages/forwarder and those of the platform for hedges, silent engines, answers of engines, retries and calls pass (171).

--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -3,12 +3,7 @@
  * endpoints after failures, and writes the response. Stops the running attempt when the caller
  * disconnects, and sends an error when the deadline expires.
  */
-import {
-  AnswerFault,
-  decideFailureAction,
-  EventAction,
-  FailureAction,
-} from '@poplarpick/decisions';
+import { AnswerFault, EventAction, FailureAction } from '@poplarpick/decisions';
 import type { StreamEvent } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
@@ -19,6 +14,7 @@
 import { AttemptPlanner } from './attempt-planner.ts';
 import { AttemptSender } from './attempt-sender.ts';
 import { CallAdmission } from './call-admission.ts';
+import { CallContinuation, goesElsewhere } from './call-continuation.ts';
 import { CallHedge } from './call-hedge.ts';
 import { callDeadlineAt } from './call-deadline.ts';
 import { CallResponse } from './call-response.ts';
@@ -37,12 +33,6 @@
 /** Time after the deadline that an endpoint's own timeout response may take to arrive, in ms. */
 const DEADLINE_GRACE_MS = 80;
 
-/**
- * Time without bytes after which a resumable stream is resumed elsewhere if its endpoint is unhealthy,
- * in ms.
- */
-const STALL_TIMEOUT_MS = 1_000;
-
 const MIN_REDIRECT_STATUS = 300;
 
 /** Handles one call from admission to the end of its response. */
@@ -53,6 +43,7 @@
   private readonly admission: CallAdmission;
   private readonly planner: AttemptPlanner;
   private readonly sender: AttemptSender;
+  private readonly continuation: CallContinuation;
   private readonly running: RunningAttempts;
   private readonly ending: CallEnding;
   private readonly hedge: CallHedge;
@@ -98,6 +89,12 @@
       reporter,
       deadlineAt,
     });
+    this.continuation = new CallContinuation({
+      route: options.route,
+      response: this.response,
+      sender: this.sender,
+      remainingMs: () => this.remainingMs(),
+    });
     const outputTokens = head.prompt?.outputTokens;
     this.latencyRecorder = new CallLatencyRecorder({ ...options, outputTokens });
     this.ending = new CallEnding({
@@ -166,7 +163,8 @@
   checkStall(now: number): void {
     const attempt = this.running.current;
     this.binding.checkProof();
-    if (attempt === undefined || this.running.areTwo || !this.isStalled(attempt, now)) return;
+    if (attempt === undefined || this.running.areTwo || !this.continuation.isStalled(attempt, now))
+      return;
     this.planner.exclude(attempt.placement.record);
     const placement = this.planner.acquireRetry();
     if (placement === undefined) {
@@ -266,7 +264,7 @@
     if (this.ending.isEnded || this.running.goOnWithout(attempt)) return;
     const verdict = this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
     this.binding.whenProved(() => {
-      if (!this.ending.isEnded) this.perform(this.decideAction(verdict), error);
+      if (!this.ending.isEnded) this.perform(this.continuation.decide(verdict), error);
     });
   }
 
@@ -293,26 +291,6 @@
     this.reporter.recordFailedAttempt(earlier, createStallError(), this.response.sentEventId);
   }
 
-  private decideAction(verdict: Verdict): FailureAction {
-    return decideFailureAction({
-      route: this.options.route,
-      verdict,
-      attempts: this.sender.sentAttempts,
-      hasResponseBegun: this.response.hasBegun,
-      canGoOn: this.response.canGoOn,
-      remainingMs: this.remainingMs(),
-    });
-  }
-
-  /** Whether the attempt is a stream that has received nothing for long and could go on elsewhere. */
-  private isStalled(attempt: CallAttempt, now: number): boolean {
-    const { silentSince } = attempt;
-    if (!this.options.route.isResumable || silentSince === undefined) return false;
-    if (now - silentSince <= STALL_TIMEOUT_MS) return false;
-    if (!attempt.placement.record.load.isUnhealthy(now)) return false;
-    return goesElsewhere(this.decideAction(Verdict.MayHaveRun));
-  }
-
   private perform(action: FailureAction, error: RequestError): void {
     if (goesElsewhere(action) && this.trySendElsewhere()) return;
     this.endWithError(error);
@@ -354,7 +332,7 @@
 
   /** Retries a call elsewhere after a server error, if it may be retried; true if it was sent again. */
   private tryRetryInsteadOf(attempt: CallAttempt, head: ResponseHead): boolean {
-    if (this.decideAction(Verdict.MayHaveRun) !== FailureAction.Retry) return false;
+    if (this.continuation.decide(Verdict.MayHaveRun) !== FailureAction.Retry) return false;
     this.planner.exclude(attempt.placement.record);
     if (!this.trySendElsewhere()) return false;
     const error = createFaultError(head, AnswerFault.ServerError);
@@ -393,8 +371,3 @@
     return this.options.state.clock.monotonic();
   }
 }
-
-/** Whether a further attempt is made. */
-function goesElsewhere(action: FailureAction): boolean {
-  return action === FailureAction.Retry || action === FailureAction.Resume;
-}
