--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -10,6 +10,7 @@
 import { sendAnswer, sendUnframedRefusal } from './engine-answers.ts';
 import { EngineBehaviour, REFUSALS, STREAMS, UNFRAMED_REFUSALS } from './engine-behaviour.ts';
 import type { EngineSilence, PlatformEngineOptions } from './platform-engine-options.ts';
+import { createStoreEntry } from './store-entry.ts';
 
 /** A request that the engine began to execute. */
 export interface ExecutedRequest {
@@ -105,17 +106,7 @@
     service: string,
     overrides: Record<string, unknown> = {},
   ): Record<string, unknown> {
-    return {
-      service,
-      address: this.address,
-      zone: 'z',
-      version: 'v1',
-      slots: 8,
-      state: 'ready',
-      coldRemainingMs: 0,
-      seq: 1,
-      ...overrides,
-    };
+    return createStoreEntry({ service, address: this.address }, overrides);
   }
 
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/stand-ins/src/platform/raw-platform-engine.ts
+++ b/packages/stand-ins/src/platform/raw-platform-engine.ts
@@ -1,6 +1,7 @@
 /** Stand-in for an engine of the users' platform on raw connections, for what an HTTP server can't play. */
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { createStoreEntry } from './store-entry.ts';
 
 /** A TCP server with the entry of an engine; what it does with its connections is its own. */
 export abstract class RawPlatformEngine {
@@ -29,17 +30,7 @@
     overrides: Record<string, unknown> = {},
   ): Record<string, unknown> {
     const { address, port } = this.server.address() as AddressInfo;
-    return {
-      service,
-      address: `${address}:${port}`,
-      zone: 'z',
-      version: 'v1',
-      slots: 8,
-      state: 'ready',
-      coldRemainingMs: 0,
-      seq: 1,
-      ...overrides,
-    };
+    return createStoreEntry({ service, address: `${address}:${port}` }, overrides);
   }
 
   /** Serves a connection that was opened. */
