The command line, the demo and the benches add up with the load tool's sum

Decisions and the forwarder don't depend on the load tool and keep theirs. The tests of packages/cli, load and stand-ins, of the command line and of the replay of shares pass; the bench commands control, flood, forwarding and soak were type-checked and not run.

--- a/packages/bench/src/control/control-fleet.ts
+++ b/packages/bench/src/control/control-fleet.ts
@@ -1,5 +1,6 @@
 /** Starts fleets with a given number of processes and measures their control traffic without load. */
 import { EndpointKind } from '@poplarpick/decisions';
+import { sum } from '@poplarpick/load';
 import { planSite } from '@poplarpick/stand-ins';
 import type { SitePlan } from '@poplarpick/stand-ins';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
@@ -103,7 +104,7 @@
 }
 
 function computeMean(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+  return sum(values) / Math.max(1, values.length);
 }
 
 function planSidecars(count: number): SitePlan {
--- a/packages/bench/src/flood/app.ts
+++ b/packages/bench/src/flood/app.ts
@@ -2,7 +2,7 @@
  * `flood`: one workspace sends fifty times its share while the others send less than theirs. Measures
  * the time to the first token of the others and counts starved workspaces.
  */
-import { CallOutcome } from '@poplarpick/load';
+import { CallOutcome, sum } from '@poplarpick/load';
 import { Demand, planArrivals } from '../fairness/arrivals.ts';
 import type { Arrival } from '../fairness/arrivals.ts';
 import { parseRunOptions } from '../fairness/app.ts';
@@ -30,7 +30,7 @@
   const options = parseRunOptions(args);
   const { size, routers, seed, durationMs } = options;
   const plan = planRunSite(size, QUEUE_LIMIT);
-  const slots = [...computeModelSlotBudgets(plan).values()].reduce((sum, count) => sum + count, 0);
+  const slots = sum([...computeModelSlotBudgets(plan).values()]);
   const arrivals = planArrivals({
     plan,
     seed,
@@ -82,10 +82,9 @@
   span: { fromMs: number; toMs: number },
 ): number {
   const service = measureWeightedService(live.trace, span);
-  const totalWeight = [...live.trace.weights.values()].reduce((sum, weight) => sum + weight, 0);
-  const totalService = [...live.trace.weights].reduce(
-    (sum, [name, weight]) => sum + (service.get(name) ?? 0) * weight,
-    0,
+  const totalWeight = sum([...live.trace.weights.values()]);
+  const totalService = sum(
+    [...live.trace.weights].map(([name, weight]) => (service.get(name) ?? 0) * weight),
   );
   return [...live.trace.weights].filter(([name, weight]) => {
     const demanded = arrivals
--- a/packages/bench/src/forwarding/app.ts
+++ b/packages/bench/src/forwarding/app.ts
@@ -5,7 +5,7 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
-import { Random, runOpenLoop } from '@poplarpick/load';
+import { Random, runOpenLoop, sum } from '@poplarpick/load';
 import { listHotFunctions } from '../profile/cpu-profile.ts';
 import type { CpuProfile } from '../profile/cpu-profile.ts';
 import { readProcessUsage } from '../capacity/process-usage.ts';
@@ -74,7 +74,7 @@
   const cpuSecondsByRouter = site.routerPids.map(
     (pid, index) => readProcessUsage(pid).cpuSeconds - (before[index] ?? 0),
   );
-  const cpuSeconds = cpuSecondsByRouter.reduce((sum, value) => sum + value, 0);
+  const cpuSeconds = sum(cpuSecondsByRouter);
   console.log(
     JSON.stringify({
       ...totals,
--- a/packages/bench/src/soak/app.ts
+++ b/packages/bench/src/soak/app.ts
@@ -5,7 +5,7 @@
  * growth of memory, which must stay flat but does not affect the exit code.
  */
 import { parseArgs } from 'node:util';
-import { FaultKind, fitLine, Random, runLoad, scenarioSchema, sleep } from '@poplarpick/load';
+import { FaultKind, fitLine, Random, runLoad, scenarioSchema, sleep, sum } from '@poplarpick/load';
 import type { LineFit, LoadResult, ScenarioFault } from '@poplarpick/load';
 import { planSite, SiteSize } from '@poplarpick/stand-ins';
 import { readProcessUsage } from '../capacity/process-usage.ts';
@@ -141,7 +141,7 @@
   const [sidecar] = fleet.sidecars;
   const neverReplaced = [...fleet.routers, ...(sidecar === undefined ? [] : [sidecar])];
   const bytes = neverReplaced.map(({ process }) => readProcessUsage(process.pid).anonBytes);
-  const mean = bytes.reduce((sum, value) => sum + value, 0) / bytes.length;
+  const mean = sum(bytes) / bytes.length;
   return { at: performance.now(), mib: mean / MIB };
 }
 
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,5 +1,6 @@
 /** `poplarpick explain`: explains how a request was handled and why. */
 import { Args, Command, Flags } from '@oclif/core';
+import { sum } from '@poplarpick/load';
 import { ExitCode } from '../exit-code.ts';
 import { readLogFile } from '../explain/log-record.ts';
 import type { LogRecord } from '../explain/log-record.ts';
@@ -108,7 +109,7 @@
       workspace:
         foundTraces.find(({ trace }) => trace.workspace !== undefined)?.trace.workspace ?? null,
       timeline: buildTraceTimeline(foundTraces),
-      forgotten: foundTraces.reduce((sum, { trace }) => sum + trace.forgotten, 0),
+      forgotten: sum(foundTraces.map(({ trace }) => trace.forgotten)),
       unreachable,
     };
   }
--- a/packages/cli/src/demo/demo-fleet.ts
+++ b/packages/cli/src/demo/demo-fleet.ts
@@ -13,6 +13,7 @@
 } from '@poplarpick/fleet';
 import { createLogger, LogLevel, Role } from '@poplarpick/kernel';
 import type { Kernel } from '@poplarpick/kernel';
+import { sum } from '@poplarpick/load';
 import { planSite, Site } from '@poplarpick/stand-ins';
 import { stringify } from 'smol-toml';
 
@@ -95,26 +96,23 @@
       .filter((sidecar) => this.site.modelEngines.has(sidecar.host.replace('host-of-', '')))
       .map((sidecar) => sidecar.resolve(admissionKey).readStatus());
     return {
-      busy: statuses.reduce((sum, status) => sum + status.running, 0),
-      available: statuses.reduce((sum, status) => sum + status.slots, 0),
+      busy: sum(statuses.map(({ running }) => running)),
+      available: sum(statuses.map(({ slots }) => slots)),
     };
   }
 
   /** Counts the requests for the model in the queues of all routers. */
   countQueuedRequests(): number {
     const { model } = this.site.plan;
-    return this.routers
+    const queues = this.routers
       .flatMap((router) => router.resolve(dispatcherKey).readStatus().backlog)
-      .filter(({ line }) => line.pool === model)
-      .reduce((sum, { count }) => sum + count, 0);
+      .filter(({ line }) => line.pool === model);
+    return sum(queues.map(({ count }) => count));
   }
 
   /** Sums the control bytes that all processes have sent so far. */
   sumControlBytes(): number {
-    return this.listKernels().reduce(
-      (sum, kernel) => sum + kernel.resolve(linkTrafficKey).controlBytes,
-      0,
-    );
+    return sum(this.listKernels().map((kernel) => kernel.resolve(linkTrafficKey).controlBytes));
   }
 
   listKernels(): Kernel[] {
--- a/packages/cli/src/demo/demo-load.ts
+++ b/packages/cli/src/demo/demo-load.ts
@@ -9,6 +9,7 @@
   buildChatBody,
   FairnessMeter,
   Random,
+  sum,
 } from '@poplarpick/load';
 import { expectedAnswer } from '@poplarpick/stand-ins';
 import type { PlannedWorkspace } from '@poplarpick/stand-ins';
@@ -93,7 +94,7 @@
   formatProgress(): string {
     const seconds = Math.round((performance.now() - this.startedAt) / 1_000);
     const { busy, available } = this.fleet.countModelSlots();
-    const waiting = this.loads.reduce((sum, load) => sum + load.waiting, 0);
+    const waiting = sum(this.loads.map((load) => load.waiting));
     return `${seconds}s  requests ${this.requestCount}  waiting ${waiting}  slots ${busy}/${available}`;
   }
 
--- a/packages/cli/src/fleet-view/fleet-table.ts
+++ b/packages/cli/src/fleet-view/fleet-table.ts
@@ -1,4 +1,5 @@
 /** Formats the view of the fleet as tables for a terminal. */
+import { sum } from '@poplarpick/load';
 import Table from 'cli-table3';
 import type { FleetView, HostView, WorkspaceView } from './fleet-view.ts';
 
@@ -24,8 +25,7 @@
   const controlRates = view.hosts.flatMap(
     ({ controlBytesPerSecond }) => controlBytesPerSecond ?? [],
   );
-  const meanControlRate =
-    controlRates.reduce((sum, value) => sum + value, 0) / Math.max(1, controlRates.length);
+  const meanControlRate = sum(controlRates) / Math.max(1, controlRates.length);
   const mismatchNote =
     view.revisions.length > 1 || view.presets.length > 1 ? '  (not the same everywhere)' : '';
   return [
--- a/packages/cli/src/fleet-view/fleet-view.ts
+++ b/packages/cli/src/fleet-view/fleet-view.ts
@@ -1,6 +1,7 @@
 /** View of the whole fleet, aggregated from the status of its processes. */
 import { EndpointKind, findWeight } from '@poplarpick/decisions';
 import type { FleetConfiguration } from '@poplarpick/decisions';
+import { sum } from '@poplarpick/load';
 import type { FleetSnapshot, ProcessStatus } from '../operator-client.ts';
 
 /** View of one process. */
@@ -226,7 +227,3 @@
 function distinct<Value extends string | number>(values: readonly Value[]): Value[] {
   return [...new Set(values)].sort();
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/load/src/scenario/load-run.ts
+++ b/packages/load/src/scenario/load-run.ts
@@ -8,6 +8,7 @@
 import { callChat, CallOutcome } from '../chat-caller.ts';
 import type { ChatCall, ChatResult } from '../chat-caller.ts';
 import { sleep } from '../open-loop.ts';
+import { sum } from '../statistics.ts';
 import { RequestKind, planRequests } from './request-plan.ts';
 import type { PlannedRequest } from './request-plan.ts';
 import type { ScenarioLoad } from './scenario.ts';
@@ -119,7 +120,7 @@
 
   buildResult(seconds: number): LoadResult {
     const { sent, whole, refused, failed, lost, wrong } = this;
-    const tokens = [...this.tokens.values()].reduce((sum, count) => sum + count, 0);
+    const tokens = sum([...this.tokens.values()]);
     return {
       sent,
       whole,
--- a/packages/load/src/scenario/request-plan.ts
+++ b/packages/load/src/scenario/request-plan.ts
@@ -2,6 +2,7 @@
 import type { Arrival } from '../open-loop.ts';
 import { planArrivals } from '../open-loop.ts';
 import { Random } from '../random.ts';
+import { sum } from '../statistics.ts';
 import type { ScenarioLoad } from './scenario.ts';
 
 const SECOND_MS = 1_000;
@@ -65,7 +66,7 @@
 /** Computes shares of the rate by a Zipf distribution with exponent `skew`; they add up to 1. */
 export function computeZipfShares(count: number, skew: number): number[] {
   const raw = Array.from({ length: count }, (_, index) => (index + 1) ** -skew);
-  const total = raw.reduce((sum, value) => sum + value, 0);
+  const total = sum(raw);
   return raw.map((value) => value / total);
 }
 
