--- a/packages/bench/src/integration/fair-share.test.ts
+++ b/packages/bench/src/integration/fair-share.test.ts
@@ -6,6 +6,10 @@
 import { computeModelSlotBudgets } from '../fairness/live-run.ts';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
 import type { RouterNode } from '../process-fleet/process-fleet.ts';
+import { pollUntil } from './poll-until.ts';
+
+/** Time between two questions for a status, in ms. */
+const STATUS_POLL_INTERVAL_MS = 50;
 
 /** Indexes of two small workspaces of the plan, both of weight 1. */
 const FLOODING = 4;
@@ -101,7 +105,9 @@
 
   it('accounts for what the engines produced within 1.5 output tokens, once nothing runs', async () => {
     const expected = 20 * (OUTPUT_TOKENS + PROMPT_SERVICE);
-    await waitUntil(async () => Math.abs((await readMaxService(MODEST)) - expected) < 1.5);
+    await pollUntil(async () => Math.abs((await readMaxService(MODEST)) - expected) < 1.5, {
+      intervalMs: STATUS_POLL_INTERVAL_MS,
+    });
   });
 
   it('rebuilds the ledger of a restarted router, and keeps serving', async () => {
@@ -113,13 +119,10 @@
       await fleet.restartRouter(router);
       await router.process.waitFor('configuration.in_force');
       if (serviceByRouter[index] === 0) continue;
-      await waitUntil(async () => (await readService(router, FLOODING)) >= before - 1);
+      await pollUntil(async () => (await readService(router, FLOODING)) >= before - 1, {
+        intervalMs: STATUS_POLL_INTERVAL_MS,
+      });
     }
     expect((await chat(MODEST, 0, 1_000)).outcome).to.equal(CallOutcome.Complete);
   });
 });
-
-/** Waits until a condition holds; the timeout of the test ends the wait otherwise. */
-async function waitUntil(condition: () => Promise<boolean>): Promise<void> {
-  while (!(await condition())) await new Promise((resolve) => setTimeout(resolve, 50));
-}
