Benches and stand-ins sleep with the functions that others use

Four modules wrote a sleep of their own. Those of the benches take the load tool's, a stand-in engine and the test of the exchange of origins take that of node:timers. Tests of packages/stand-ins, of the exchange of origins and of configuration pass; the bench commands config, membership, drain and faults were type-checked and not run.

--- a/packages/bench/src/config/app.ts
+++ b/packages/bench/src/config/app.ts
@@ -4,12 +4,11 @@
  * configuration service and the control traffic.
  */
 import { parseFleetOptions } from '../fleet-options.ts';
-import { Random } from '@poplarpick/load';
+import { Random, sleep } from '@poplarpick/load';
 import { Fault, ServiceCondition, SitePreset } from '@poplarpick/stand-ins';
 import {
   measureControlTraffic,
   listNodes,
-  sleep,
   percentile,
   startControlFleet,
   waitUntil,
--- a/packages/bench/src/control/control-fleet.ts
+++ b/packages/bench/src/control/control-fleet.ts
@@ -1,6 +1,6 @@
 /** Starts fleets with a given number of processes and measures their control traffic without load. */
 import { EndpointKind } from '@poplarpick/decisions';
-import { sum } from '@poplarpick/load';
+import { sleep, sum } from '@poplarpick/load';
 import { planSite } from '@poplarpick/stand-ins';
 import type { SitePlan } from '@poplarpick/stand-ins';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
@@ -91,11 +91,6 @@
   return sorted[Math.max(0, index)] ?? 0;
 }
 
-/** Waits for `delayMs` milliseconds. */
-export async function sleep(delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 async function readLinkCounters(fleet: ProcessFleet): Promise<LinkCounters[]> {
   const statuses = await Promise.all(
     listNodes(fleet).map((node) => fleet.fetchStatus(node.operatorsAddress)),
--- a/packages/bench/src/drain/app.ts
+++ b/packages/bench/src/drain/app.ts
@@ -3,10 +3,9 @@
  * the calls that did not complete.
  */
 import { parseArgs } from 'node:util';
-import { callChat, CallOutcome, Random } from '@poplarpick/load';
+import { callChat, CallOutcome, Random, sleep } from '@poplarpick/load';
 import type { ChatResult } from '@poplarpick/load';
 import { Fault, ServiceCondition } from '@poplarpick/stand-ins';
-import { sleep } from '../control/control-fleet.ts';
 import { sidecarHostOf, ProcessFleet } from '../process-fleet/process-fleet.ts';
 
 const MS_PER_SECOND = 1_000;
--- a/packages/bench/src/faults/fault-injector.ts
+++ b/packages/bench/src/faults/fault-injector.ts
@@ -1,4 +1,5 @@
 /** Injects faults into a fleet of real processes and ends them again. */
+import { sleep } from '@poplarpick/load';
 import { Fault, ServiceCondition } from '@poplarpick/stand-ins';
 import type { FaultProxy } from '@poplarpick/stand-ins';
 import type { ProcessFleet, RouterNode, SidecarNode } from '../process-fleet/process-fleet.ts';
@@ -155,8 +156,3 @@
   if (item === undefined) throw new Error('the fleet is empty');
   return item;
 }
-
-/** Waits for `delayMs` milliseconds. */
-export async function sleep(delayMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/bench/src/faults/schedule-run.ts
+++ b/packages/bench/src/faults/schedule-run.ts
@@ -1,11 +1,11 @@
 /** Runs fault schedules one after the other on a dedicated fleet. */
 import { KEY_GUARD_INTERVAL_MS } from '@poplarpick/decisions';
-import { Random } from '@poplarpick/load';
+import { Random, sleep } from '@poplarpick/load';
 import { planSite } from '@poplarpick/stand-ins';
 import type { SitePlan } from '@poplarpick/stand-ins';
 import { v7 as makeUuid } from 'uuid';
 import { ProcessFleet } from '../process-fleet/process-fleet.ts';
-import { FaultInjector, clearProxyFaults, sleep } from './fault-injector.ts';
+import { FaultInjector, clearProxyFaults } from './fault-injector.ts';
 import { FaultKind, deriveSeed, planFaultSchedule } from './fault-kind.ts';
 import type { FaultSchedule } from './fault-kind.ts';
 import { CallKind, performCall } from './schedule-caller.ts';
--- a/packages/bench/src/membership/app.ts
+++ b/packages/bench/src/membership/app.ts
@@ -4,12 +4,11 @@
  * traffic.
  */
 import { parseFleetOptions } from '../fleet-options.ts';
-import { Random } from '@poplarpick/load';
+import { Random, sleep } from '@poplarpick/load';
 import { Fault } from '@poplarpick/stand-ins';
 import {
   measureControlTraffic,
   listNodes,
-  sleep,
   percentile,
   startControlFleet,
   waitUntil,
--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
@@ -72,10 +73,6 @@
   }
 }
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 describe('the exchange of origins', () => {
   let network: Network;
 
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -6,6 +6,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { answerCacheList, CacheListAnswer } from './cache-list.ts';
 import { sendAnswer, sendUnframedRefusal } from './engine-answers.ts';
 import { EngineBehaviour, REFUSALS, STREAMS, UNFRAMED_REFUSALS } from './engine-behaviour.ts';
@@ -249,10 +250,6 @@
   await Promise.race(endedBy === undefined ? [sleep(durationMs)] : [sleep(durationMs), endedBy]);
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function readBody(request: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
