--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -133,7 +133,7 @@
     const listed = [createEndpoint('v1')];
     const clock = new SystemClock();
     const origins = new StreamOrigins({ clock, isFirstStart: true, endpoints: () => listed });
-    origins.recordRoutes(createTable(ROUTE));
+    origins.recordRoutes(createTable([ROUTE]));
     origins.confirmEndpoints(clock.monotonic(), false);
     const records: OriginMessage[] = [];
     const exchange = new OriginExchange({
--- a/packages/forwarder/src/streams/resumption-resolver.test.ts
+++ b/packages/forwarder/src/streams/resumption-resolver.test.ts
@@ -52,7 +52,7 @@
 
   function createOrigins(isFirstStart: boolean): StreamOrigins {
     const created = new StreamOrigins({ clock, isFirstStart, endpoints: () => [ENDPOINT] });
-    created.recordRoutes(createTable(ROUTE));
+    created.recordRoutes(createTable([ROUTE]));
     return created;
   }
 
--- a/packages/forwarder/src/streams/testing/resumable-route.ts
+++ b/packages/forwarder/src/streams/testing/resumable-route.ts
@@ -4,8 +4,8 @@
 
 const POOL = 'p';
 
-/** Creates a route; its timeout is 10 s. */
-export function createRoute(name = 'r'): Route {
+/** Creates a route to some pools; its timeout is 10 s. */
+export function createRoute(name = 'r', pools = [POOL]): Route {
   return {
     name,
     host: 'h',
@@ -14,18 +14,18 @@
     timeoutMs: 10_000,
     objectiveMs: 500,
     pauseMs: 500,
-    targets: [{ pool: POOL, weight: 1 }],
+    targets: pools.map((pool) => ({ pool, weight: 1 })),
     maxAttempts: 2,
     isPublic: false,
     isResumable: true,
   };
 }
 
-/** Creates a routing table that consists of one route. */
-export function createTable(route: Route): RoutingTable {
+/** Creates a routing table. */
+export function createTable(routes: Route[], version = 1): RoutingTable {
   return {
-    version: 1,
-    routes: [route],
+    version,
+    routes,
     pools: [],
     limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     tokensPerSecond: 0,
