--- a/packages/fleet/src/router/dispatcher.ts
+++ b/packages/fleet/src/router/dispatcher.ts
@@ -9,6 +9,7 @@
   endRequest,
   combineVerdicts,
   RequestPhase,
+  RequestQueues,
   findStopSource,
   NO_STOP_MARKS,
 } from '@poplarpick/decisions';
@@ -17,6 +18,7 @@
 import type { Clock, Logger, Metrics, Timer } from '@poplarpick/kernel';
 import type { Peer } from '../link/link-hub.ts';
 import { frameBytes } from './answer-sink.ts';
+import { BacklogAnnouncer } from './backlog-announcer.ts';
 import { NotificationMethod } from '../messages.ts';
 import type {
   Claim,
@@ -27,6 +29,7 @@
   ResumeRequest,
   ResumeResult,
 } from '../messages.ts';
+import { QueueAdmission } from './queue-admission.ts';
 import { DispatcherMessageKind } from './dispatcher-messages.ts';
 import type { DispatcherMessage } from './dispatcher-messages.ts';
 import { LostAttempts } from './lost-attempts.ts';
@@ -39,7 +42,6 @@
   createDeadlineError,
   createPinnedEndpointError,
 } from './dispatch-errors.ts';
-import { QueuedRequests } from './queued-requests.ts';
 import { RequestTelemetry } from './request-telemetry.ts';
 import { AnswerIntegrity, RoutedRequest } from './routed-request.ts';
 import type { Submission } from './routed-request.ts';
@@ -59,14 +61,16 @@
 export class Dispatcher extends Task<DispatcherMessage> {
   private readonly clock: Clock;
   private readonly telemetry: RequestTelemetry;
-  private readonly queued: QueuedRequests;
+  private readonly queues = new RequestQueues<RoutedRequest>();
   private readonly requests = new OpenRequests();
   private readonly sidecars = new SidecarRegistry();
+  private readonly backlog: BacklogAnnouncer;
   private readonly counts: RequestCounts = { submitted: 0, finished: 0, failed: 0 };
   private readonly lostAttempts: LostAttempts;
   private readonly pinnedEndpoints = new PinnedEndpointMonitor();
   private readonly ticker: Timer;
   private stopMarks = NO_STOP_MARKS;
+  private readonly queueAdmission = new QueueAdmission();
   private onIdle: (() => void) | undefined;
 
   constructor(options: DispatcherOptions) {
@@ -78,9 +82,11 @@
       telemetry: this.telemetry,
       onRetryDue: (request) => this.post({ kind: DispatcherMessageKind.Retry, request }),
     });
-    this.queued = new QueuedRequests({
+    this.backlog = new BacklogAnnouncer({
       clock: this.clock,
-      onAnnouncementDue: () => this.post({ kind: DispatcherMessageKind.AnnounceBacklog }),
+      getQueueLength: (queueKey) => this.queues.getQueueLength(queueKey),
+      listQueueLengths: () => this.queues.listQueueLengths(),
+      onDue: () => this.post({ kind: DispatcherMessageKind.AnnounceBacklog }),
     });
     this.ticker = this.clock.every(TICK_INTERVAL_MS, () =>
       this.post({ kind: DispatcherMessageKind.Tick }),
@@ -92,7 +98,7 @@
     return {
       counts: { ...this.counts },
       open: this.requests.size,
-      backlog: this.queued.listLengths(),
+      backlog: this.queues.listQueueLengths(),
     };
   }
 
@@ -105,19 +111,20 @@
   override stop(): void {
     super.stop();
     this.ticker.stop();
-    this.queued.backlog.stop();
+    this.backlog.stop();
   }
 
   protected override handle(message: DispatcherMessage): void {
     switch (message.kind) {
       case DispatcherMessageKind.Configure:
-        this.queued.configure(message.configuration);
+        this.queueAdmission.configure(message.configuration);
+        this.backlog.configure(message.configuration);
         return;
       case DispatcherMessageKind.PlannedStops:
         this.stopMarks = message.marks;
         // Claims of a marked sidecar were answered as if the queues were empty. A sidecar whose mark
         // was removed needs the actual counts.
-        this.queued.backlog.sendFullBacklogToAll();
+        this.backlog.sendFullBacklogToAll();
         return;
       case DispatcherMessageKind.Submit:
         this.submit(message.submission);
@@ -150,7 +157,7 @@
         this.requeueForRetry(message.request);
         return;
       case DispatcherMessageKind.AnnounceBacklog:
-        this.queued.backlog.announce();
+        this.backlog.announce();
     }
   }
 
@@ -158,9 +165,19 @@
     const request = new RoutedRequest(submission, this.clock.monotonic());
     this.counts.submitted += 1;
     this.lostAttempts.recordRequest();
-    const rejection = this.queued.enter(request, submission.deadlineMs, this.clock.monotonic());
-    if (rejection === undefined) this.requests.add(request);
-    else this.fail(request, rejection);
+    const { workspace } = request.queueKey;
+    const now = this.clock.monotonic();
+    const queuedRequests = this.queues.countByWorkspace(workspace);
+    const { deadlineMs } = submission;
+    const rejection = this.queueAdmission.check({ workspace, queuedRequests, deadlineMs, now });
+    if (rejection !== undefined) {
+      this.fail(request, rejection);
+      return;
+    }
+    this.requests.add(request);
+    this.queues.push(request);
+    this.queueAdmission.recordQueued(workspace, now);
+    this.backlog.recordChange(request.queueKey);
   }
 
   private abandon(id: string): void {
@@ -174,7 +191,10 @@
 
   /** Removes a request from its queue, or cancels it at the sidecar to which it is granted. */
   private withdraw(request: RoutedRequest): void {
-    if (this.queued.remove(request)) return;
+    if (this.queues.remove(request)) {
+      this.backlog.recordChange(request.queueKey);
+      return;
+    }
     const { id, attempt, sidecar } = request;
     if (sidecar === undefined) return;
     this.sidecars.sendCancel(sidecar.host, { request: id, attempt });
@@ -197,7 +217,7 @@
       answer.resume.push({ ...reference, from: request.receivedFrames });
     }
     this.handleMissingAttempts(peer, resumedIds);
-    this.queued.backlog.addPeer(peer);
+    this.backlog.addPeer(peer);
     return answer;
   }
 
@@ -213,26 +233,44 @@
   }
 
   private handleLinkLoss(peer: Peer): void {
-    if (this.sidecars.markLost(peer, this.clock.monotonic())) this.queued.backlog.removePeer(peer);
+    if (this.sidecars.markLost(peer, this.clock.monotonic())) this.backlog.removePeer(peer);
   }
 
   private claim(peer: Peer, claim: Claim): ClaimResult {
     if (!this.sidecars.isCurrent(peer)) return {};
     // A marked sidecar stops claiming by itself, but it may not know of its mark yet.
     if (findStopSource(this.stopMarks, peer) !== undefined) return {};
+    const request = this.dequeueForClaim(peer, claim);
+    if (request === undefined) return { sequence: this.backlog.nextSequence() };
+    this.backlog.recordChange(request.queueKey);
     const now = this.clock.monotonic();
-    const taken = this.queued.take(peer, claim, now);
-    const sequence = this.queued.backlog.nextSequence();
-    if (taken === undefined) return { sequence };
-    const { request, left } = taken;
     request.grantTo({ host: peer.host, incarnation: peer.incarnation }, now);
     this.telemetry.recordGrant(request, peer.host, now);
     const deadlineMs = Math.max(0, request.deadlineAt - now);
     const { id, attempt, job, queueKey } = request;
+    const left = this.queues.getQueueLength(queueKey);
+    const { workspace } = queueKey;
+    this.queueAdmission.recordGranted(workspace, this.queues.countByWorkspace(workspace), now);
+    this.backlog.recordReported(peer, queueKey, left);
     const pinned = queueKey.pin !== undefined;
+    const sequence = this.backlog.nextSequence();
     return { grant: { request: id, attempt, deadlineMs, pinned, job }, left, sequence };
   }
 
+  /**
+   * Removes and returns the oldest request of the first non-empty queue that the claim lists. Records
+   * the empty queues before it as reported, since the sidecar infers their length from the answer.
+   */
+  private dequeueForClaim(peer: Peer, claim: Claim): RoutedRequest | undefined {
+    for (const { pool, workspace, pinned } of claim.lines) {
+      const queueKey = { pool, workspace, pin: pinned ? peer.endpoint : undefined };
+      const request = this.queues.shift(queueKey);
+      if (request !== undefined) return request;
+      this.backlog.recordReported(peer, queueKey, 0);
+    }
+    return undefined;
+  }
+
   private handleFrame(peer: Peer, frame: AnswerFrame): void {
     const request = this.requests.findAttempt(peer, frame);
     if (request?.acceptFrame(frame) !== true) return;
@@ -294,7 +332,8 @@
 
   private requeueForRetry(request: RoutedRequest): void {
     if (request.state.phase !== RequestPhase.Queued) return;
-    this.queued.push(request);
+    this.queues.push(request);
+    this.backlog.recordChange(request.queueKey);
   }
 
   private handleLostAttempt(request: RoutedRequest, loss: AttemptLoss): void {
@@ -303,7 +342,8 @@
       this.fail(request, failure);
       return;
     }
-    this.queued.pushFront(request);
+    this.queues.pushFront(request);
+    this.backlog.recordChange(request.queueKey);
   }
 
   /**
