A router whose keys are out of date closes its callers' connections

Only a planned stop and an overload of the event loop moved callers.

Rotation holds why a router is out of the load balancer's rotation and whether its callers should move. With keys out of date they do, with Retry-After 0.05, unless all peers that report can't confirm keys either: then nobody could serve them, and they stay.

--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -11,6 +11,7 @@
 import { PeerExchange } from './peers/peer-exchange.ts';
 import { StateFollower } from './peers/state-follower.ts';
 import { StateServer } from './peers/state-server.ts';
+import { Rotation } from './rotation.ts';
 import { RouterState } from './router-state.ts';
 import { OriginExchange } from './streams/origin-exchange.ts';
 import { isOriginMessage } from './streams/origin-message.ts';
@@ -61,6 +62,7 @@
   override readonly name = 'forwarder';
   override readonly roles = [Role.Router];
   readonly state: RouterState;
+  private readonly rotation: Rotation;
   private readonly options: ForwarderOptions;
   private readonly clock: Clock;
   private readonly log: Logger;
@@ -109,9 +111,11 @@
       routers: () => this.peers.routerAddresses(),
       transmit: (target, message) => this.peers.transmit(target, message),
     });
+    this.rotation = new Rotation(this.state);
     this.ingress = new CallIngress({
       address: options.callersAddress,
       state: this.state,
+      rotation: this.rotation,
       resumptions: new ResumptionResolver({
         clock,
         log,
@@ -236,7 +240,7 @@
 
   /** Whether the router accepts new connections; logs each change. */
   private checkReadiness(): boolean {
-    const reason = this.notReadyReason();
+    const reason = this.rotation.obstacle;
     const isReady = reason === undefined;
     if (isReady !== this.wasReady) {
       this.log.info({ event: isReady ? 'router.ready' : 'router.not_ready', reason });
@@ -244,12 +248,4 @@
     this.wasReady = isReady;
     return isReady;
   }
-
-  private notReadyReason(): string | undefined {
-    if (this.state.stop.hasBegun) return 'the router is stopping';
-    if (this.state.routes === undefined) return 'no routes are known yet';
-    if (this.state.eventLoop.isOverloaded) return 'the router has too little processor time';
-    const areKeysFresh = this.state.freshness.isFresh(this.clock.monotonic());
-    return areKeysFresh ? undefined : 'the keys may be out of date';
-  }
 }
--- a/packages/forwarder/src/ingress/call-checks.ts
+++ b/packages/forwarder/src/ingress/call-checks.ts
@@ -17,8 +17,8 @@
 /** Value of `Retry-After` when the routes or keys are missing or may be stale, in seconds. */
 const STALE_RETRY_AFTER_S = 0.3;
 
-/** Value of `Retry-After` during a planned stop, in seconds. */
-const STOP_RETRY_AFTER_S = 0.05;
+/** Value of `Retry-After` where other routers can serve the caller now, in seconds. */
+const ELSEWHERE_RETRY_AFTER_S = 0.05;
 
 /** Result of the checks: where the call goes and which workspace sent it. */
 export interface CheckedCall {
@@ -70,7 +70,19 @@
   return new RequestError('the router is stopping', {
     code: ErrorCode.Draining,
     verdict: Verdict.NotRun,
-    retryAfterSeconds: STOP_RETRY_AFTER_S,
+    retryAfterSeconds: ELSEWHERE_RETRY_AFTER_S,
+  });
+}
+
+/** The same refusal for a caller that other routers can serve now, if its call would be served later here. */
+export function sendElsewhere(error: RequestError): RequestError {
+  const { message, code, verdict, retryAfterSeconds } = error;
+  if (code !== ErrorCode.NoEndpoint || retryAfterSeconds === undefined) return error;
+  return new RequestError(message, {
+    code,
+    verdict,
+    retryAfterSeconds: ELSEWHERE_RETRY_AFTER_S,
+    cause: error,
   });
 }
 
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -13,9 +13,16 @@
 import { Call } from '../calls/call.ts';
 import { CallPlacer } from '../calls/call-placer.ts';
 import type { RouterState } from '../router-state.ts';
+import type { Rotation } from '../rotation.ts';
 import type { ResumptionResolver } from '../streams/resumption-resolver.ts';
 import { AwaitedBodies } from './awaited-bodies.ts';
-import { checkCall, createStopError, readResumedEvent, toStopCandidate } from './call-checks.ts';
+import {
+  checkCall,
+  createStopError,
+  readResumedEvent,
+  sendElsewhere,
+  toStopCandidate,
+} from './call-checks.ts';
 import type { CheckedCall } from './call-checks.ts';
 import { CallerConnections } from './caller-connection.ts';
 import { CallerListener } from './caller-listener.ts';
@@ -55,6 +62,7 @@
 export interface CallIngressOptions {
   address: string;
   state: RouterState;
+  rotation: Rotation;
   resumptions: ResumptionResolver;
   /** Called when a comparison of the clocks shows that the host may have been suspended. */
   onSuspension: () => void;
@@ -170,13 +178,13 @@
       this.logRefusal(request, failure, arrivedAt);
       // What still comes of a body that there is no room for isn't worth reading.
       closes = failure.code === ErrorCode.Overloaded || failure.code === ErrorCode.ReceiveTimeout;
-      writer.sendError(failure, request);
+      const isMoved = this.shouldCloseConnections();
+      writer.sendError(isMoved ? sendElsewhere(failure) : failure, request);
     }
   }
 
   private shouldCloseConnections(): boolean {
-    const { stop, eventLoop } = this.options.state;
-    return stop.hasBegun || eventLoop.shouldMoveCallers;
+    return this.options.rotation.shouldMoveCallers;
   }
 
   /** Counts a request as open until its response closes; true if it began after the cutoff. */
