--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -60,6 +60,7 @@
 export * from './forwarding/prompt.ts';
 export * from './forwarding/prompt-transfer.ts';
 export * from './forwarding/peer-state.ts';
+export * from './forwarding/response-timeout.ts';
 export * from './forwarding/peer-usage.ts';
 export * from './forwarding/recent-failures.ts';
 export * from './forwarding/report-relays.ts';
