A router knows when its link is congested

A router judged itself by its event loop alone.

LinkMonitor watches how long connections to endpoints take to open, be they opened, refused or timed out. Then a connection that doesn't open in time says nothing against its endpoint, and latencies aren't learned.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -59,6 +59,7 @@
 export * from './forwarding/prefix-cache-index.ts';
 export * from './forwarding/prompt.ts';
 export * from './forwarding/prompt-transfer.ts';
+export * from './forwarding/opening-times.ts';
 export * from './forwarding/peer-state.ts';
 export * from './forwarding/response-timeout.ts';
 export * from './forwarding/peer-usage.ts';
--- a/packages/forwarder/src/calls/attempt-errors.ts
+++ b/packages/forwarder/src/calls/attempt-errors.ts
@@ -1,6 +1,7 @@
 /** Errors of attempts that have failed without a failure of their connection, and what errors say of endpoints. */
 import { AnswerFault } from '@poplarpick/decisions';
 import { ErrorCode, RequestError, Verdict } from '@poplarpick/kernel';
+import { ConnectError } from '../endpoints/endpoint-connector.ts';
 import type { ResponseHead } from './call-protocol.ts';
 
 /** Codes of failed attempts that say nothing against their endpoints. */
@@ -36,8 +37,12 @@
   return new RequestError(message, { code: ErrorCode.Cancelled, verdict: Verdict.NotRun });
 }
 
-/** Whether an error tells against the endpoint of its attempt: not if that refused it, or if it wasn't to get it. */
-export function isEndpointFailure({ code }: RequestError): boolean {
+/**
+ * Whether an error tells against the endpoint of its attempt: not if that refused it, if it wasn't to get it, or if this
+ * router gets what endpoints send late.
+ */
+export function isEndpointFailure({ code, cause }: RequestError, isLate: boolean): boolean {
+  if (isLate && cause instanceof ConnectError && cause.isTimeout) return false;
   return !SOUND_CODES.has(code);
 }
 
--- a/packages/forwarder/src/calls/call-latency-recorder.test.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.test.ts
@@ -41,7 +41,7 @@
   const state = {
     clock,
     pools,
-    eventLoop: { readsLate },
+    link: { isLate: readsLate },
     stop: { recordDuration: () => undefined },
   };
   const load = { recordStarted: () => undefined };
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -99,9 +99,9 @@
 
   /** Whether this router reads events late now, so that times that end now aren't those of the endpoint. */
   private checkLate(): boolean {
-    const { readsLate } = this.options.state.eventLoop;
-    this.hasReadLate ||= readsLate;
-    return readsLate;
+    const { isLate } = this.options.state.link;
+    this.hasReadLate ||= isLate;
+    return isLate;
   }
 
   private recordServed(attempt: MeasuredAttempt): void {
--- a/packages/forwarder/src/calls/call.ts
+++ b/packages/forwarder/src/calls/call.ts
@@ -254,12 +254,12 @@
 
   override handleFailure(attempt: CallAttempt, error: RequestError): void {
     const { record } = attempt.placement;
-    const wasRefused = error.code === ErrorCode.QueueFull;
     if (error.verdict === Verdict.NotRun) {
-      if (!wasRefused) this.sender.uncount();
+      if (error.code !== ErrorCode.QueueFull) this.sender.uncount();
       this.sender.returnGrant();
     } else this.mayHaveRun = true;
-    if (isEndpointFailure(error)) record.load.recordFailure(this.now());
+    const { isLate } = this.options.state.link;
+    if (isEndpointFailure(error, isLate)) record.load.recordFailure(this.now());
     this.planner.exclude(record);
     this.evidence.recordFailed(attempt, error);
     this.reporter.recordFailedAttempt(attempt, error, this.response.sentEventId);
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -42,6 +42,8 @@
   startedAt?: number;
   /** The clock of this host by default. */
   clock?: Clock;
+  /** Called with the time that a connection took to open, to be refused or to time out, in ms. */
+  onOpening?: (elapsedMs: number) => void;
   /** Called when it turns out that another process has taken the place of that one. */
   onReplaced?: () => void;
 }
@@ -196,7 +198,8 @@
   }
 
   private connect(): EndpointConnection {
-    const connection = new EndpointConnection({ address: this.options.address, clock: this.clock });
+    const { address, onOpening } = this.options;
+    const connection = new EndpointConnection({ address, clock: this.clock, onOpening });
     this.connections.add(connection);
     return connection;
   }
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -43,6 +43,8 @@
   /** `IP:port`. */
   address: string;
   clock: Clock;
+  /** Called with the time that a connection took to open, to be refused or to time out, in ms. */
+  onOpening?: ((elapsedMs: number) => void) | undefined;
 }
 
 /** One connection; undici reopens it after it was closed. */
@@ -55,6 +57,7 @@
   socket: EndpointSocket = createSocket(Number.POSITIVE_INFINITY);
   private readonly address: string;
   private readonly clock: Clock;
+  private readonly onOpening: EndpointConnectionOptions['onOpening'];
   /** Undefined before the first request. */
   private client: Client | undefined;
   /** Open, and not given to undici yet. */
@@ -65,9 +68,10 @@
   /** The current socket of the operating system, once it is open. */
   private opened: Socket | undefined;
 
-  constructor({ address, clock }: EndpointConnectionOptions) {
+  constructor({ address, clock, onOpening }: EndpointConnectionOptions) {
     this.address = address;
     this.clock = clock;
+    this.onOpening = onOpening;
   }
 
   /**
@@ -159,6 +163,7 @@
     this.socket = known;
     connectEndpoint(options, (...result) => {
       const [, socket] = result;
+      this.onOpening?.(this.clock.monotonic() - known.openingAt);
       if (socket !== null) {
         known.openedAt = this.clock.monotonic();
         this.opened = socket;
--- a/packages/forwarder/src/endpoints/endpoint-connector.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connector.ts
@@ -12,10 +12,21 @@
 /** Thrown when a connection can't be opened. */
 export class ConnectError extends Error {
   readonly code = 'CONNECT_FAILED';
+  /** The connection wasn't open in time. */
+  readonly isTimeout: boolean;
 
   constructor(address: string, cause: unknown) {
     super(`no connection to ${address}: ${cause instanceof Error ? cause.message : String(cause)}`);
     this.name = 'ConnectError';
+    this.isTimeout = cause instanceof OpeningTimeoutError;
+  }
+}
+
+/** A connection wasn't open in time. */
+class OpeningTimeoutError extends Error {
+  constructor() {
+    super(`not open after ${CONNECT_TIMEOUT_MS} ms`);
+    this.name = 'OpeningTimeoutError';
   }
 }
 
@@ -33,7 +44,7 @@
     keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
   });
   const timer = setTimeout(() => {
-    socket.destroy(new Error(`not open after ${CONNECT_TIMEOUT_MS} ms`));
+    socket.destroy(new OpeningTimeoutError());
   }, CONNECT_TIMEOUT_MS);
   const fail = (error: Error): void => {
     clearTimeout(timer);
--- a/packages/forwarder/src/endpoints/endpoint-request.ts
+++ b/packages/forwarder/src/endpoints/endpoint-request.ts
@@ -234,7 +234,8 @@
     this.release();
     if (this.isUnproved) this.refuse(ProcessFinding.Unnamed);
     const wasUnsent = !this.wasWritten || error instanceof ConnectError;
-    this.fail(error.message, wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun);
+    const verdict = wasUnsent ? Verdict.NotRun : Verdict.MayHaveRun;
+    this.fail(error.message, verdict, failureCode(verdict), error);
   }
 
   /**
@@ -273,17 +274,17 @@
     this.options.onReleased();
   }
 
-  private fail(
-    reason: string,
-    verdict: Verdict,
-    code = verdict === Verdict.NotRun ? ErrorCode.NoEndpoint : ErrorCode.ConnectionLost,
-  ): void {
+  private fail(reason: string, verdict: Verdict, code = failureCode(verdict), cause?: Error): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    this.options.observer.onFailure(new RequestError(reason, { code, verdict }));
+    this.options.observer.onFailure(new RequestError(reason, { code, verdict, cause }));
   }
 }
 
+function failureCode(verdict: Verdict): ErrorCode {
+  return verdict === Verdict.NotRun ? ErrorCode.NoEndpoint : ErrorCode.ConnectionLost;
+}
+
 function readRawHeaders(controller: Dispatcher.DispatchController): string[] {
   const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
   return raw.map((value) => value.toString('latin1'));
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -176,6 +176,7 @@
 
   override async open(): Promise<void> {
     this.state.eventLoop.start();
+    this.state.link.start();
     this.state.listeners.open();
     await this.peers.open();
     await this.stateServer.open();
@@ -208,6 +209,7 @@
 
   override async stop(): Promise<void> {
     this.state.eventLoop.stop();
+    this.state.link.stop();
     this.state.listeners.close();
     this.ingress.stopListening();
     this.readiness.close();
--- /dev/null
+++ b/packages/forwarder/src/link-monitor.ts
@@ -0,0 +1,74 @@
+/**
+ * Watches the link of a router by the time that its connections to endpoints take to open. Over a congested link calls,
+ * reports and confirmations of keys are late or lost, though the event loop is idle.
+ */
+import { OpeningTimes, OverloadDetector } from '@poplarpick/decisions';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import type { EventLoopMonitor } from './event-loop-monitor.ts';
+
+/** Period of the samples, in ms. */
+const SAMPLE_PERIOD_MS = 50;
+
+/** Options of a `LinkMonitor`. */
+export interface LinkMonitorOptions {
+  clock: Clock;
+  log: Logger;
+  /** A late event loop makes openings look slow, which says nothing of the link. */
+  eventLoop: Pick<EventLoopMonitor, 'readsLate'>;
+}
+
+/** Samples the opening times and logs congestions. */
+export class LinkMonitor {
+  private readonly options: LinkMonitorOptions;
+  private readonly times = new OpeningTimes();
+  private readonly detector = new OverloadDetector();
+  private timer: Timer | undefined;
+
+  constructor(options: LinkMonitorOptions) {
+    this.options = options;
+  }
+
+  start(): void {
+    this.timer = this.options.clock.every(SAMPLE_PERIOD_MS, () => this.sample());
+  }
+
+  stop(): void {
+    this.timer?.stop();
+  }
+
+  /** Records that a connection to an endpoint took `elapsedMs` to open, to be refused or to time out. */
+  recordOpening(address: string, elapsedMs: number): void {
+    this.times.record(address, elapsedMs, this.options.clock.monotonic());
+  }
+
+  /** True while this router gets what endpoints send late, be it for its link or for its event loop. */
+  get isLate(): boolean {
+    return this.options.eventLoop.readsLate || this.times.areSlow(this.options.clock.monotonic());
+  }
+
+  /** Median time that connections have taken to open lately, in ms; undefined without any. */
+  get openingMs(): number | undefined {
+    return this.times.medianMs(this.options.clock.monotonic());
+  }
+
+  /** True while the router should get no new connections since its link is congested. */
+  get isCongested(): boolean {
+    return this.detector.isOverloaded;
+  }
+
+  /** True if connections should be closed after their response, so that callers move to other routers. */
+  get shouldMoveCallers(): boolean {
+    return this.detector.shouldMoveCallers(this.options.clock.monotonic());
+  }
+
+  private sample(): void {
+    const { clock, log, eventLoop } = this.options;
+    const wasCongested = this.isCongested;
+    const now = clock.monotonic();
+    const isLinkSlow = !eventLoop.readsLate && this.times.areSlow(now);
+    this.detector.record(isLinkSlow ? 1 : 0, now);
+    if (this.isCongested === wasCongested) return;
+    if (wasCongested) log.info({ event: 'router.link_free' });
+    else log.warn({ event: 'router.link_congested', opening_ms: Math.round(this.openingMs ?? 0) });
+  }
+}
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -38,6 +38,7 @@
 import { RouterReports } from './peers/router-reports.ts';
 import type { ReportHead } from './peers/router-reports.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
+import { LinkMonitor } from './link-monitor.ts';
 import { PlannedStop } from './planned-stop.ts';
 import { createListeners } from './process-limits.ts';
 import { PoolStates } from './pool-states.ts';
@@ -79,6 +80,7 @@
   readonly prefixCacheIndex = new PrefixCacheIndex();
   readonly logRateLimiter = new LogRateLimiter();
   readonly eventLoop: EventLoopMonitor;
+  readonly link: LinkMonitor;
   readonly poison: PoisonGuard;
   readonly limits: LimitTracker;
   readonly hedges: HedgeBudgets;
@@ -112,7 +114,9 @@
     this.pools = new PoolStates(options.bounds);
     this.stop = new PlannedStop(options.clock);
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
-    this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
+    const { clock, log } = options;
+    this.eventLoop = new EventLoopMonitor({ clock, log });
+    this.link = new LinkMonitor({ clock, log, eventLoop: this.eventLoop });
     const { listeners, connectionLimits } = createListeners(options);
     this.listeners = listeners;
     this.connectionLimits = connectionLimits;
@@ -136,6 +140,7 @@
           protocol: options.protocol,
           startedAt: endpoint.startedAt,
           clock: options.clock,
+          onOpening: (elapsedMs) => this.link.recordOpening(endpoint.address, elapsedMs),
           onReplaced: () => this.logReplaced(endpoint),
         }),
       isEvacuated: (dataCentre) => this.evacuations.has(dataCentre),
