Logs and metrics tell what a router's link does

What filled a router's link couldn't be told from its logs: 898 attempts not open in time, and nothing of bytes or opening times. router.ready, router.not_ready and router.link_congested now say the median time to open a connection, the bytes a second of callers in each direction, their connections and the age of the usage of other routers; two gauges tell the same.

--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -240,12 +240,23 @@
     return this.ingress.openRequests === 0 || leftMs <= -LAST_ANSWERS_MS;
   }
 
+  /** What a log line about readiness says of callers and peers. */
+  private describeLoad(): Record<string, number> {
+    const { listeners, peers } = this.state;
+    const callers = listeners.guards.find(({ name }) => name === 'callers');
+    return {
+      callers: callers?.connectionCount ?? 0,
+      usage_age_ms: Math.round(peers.usageAgeMs(this.clock.monotonic())),
+    };
+  }
+
   /** Whether the router accepts new connections; logs each change. */
   private checkReadiness(): boolean {
     const reason = this.rotation.obstacle;
     const isReady = reason === undefined;
     if (isReady !== this.wasReady) {
-      this.log.info({ event: isReady ? 'router.ready' : 'router.not_ready', reason });
+      const event = isReady ? 'router.ready' : 'router.not_ready';
+      this.log.info({ event, reason, ...this.state.link.describe(), ...this.describeLoad() });
     }
     this.wasReady = isReady;
     return isReady;
--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -168,7 +168,9 @@
     const { state } = this.options;
     const arrivedAt = state.clock.monotonic();
     const isAfterCutoff = this.trackRequest(response);
-    const turn = this.connections.of(request.socket).add({ request, response });
+    const connection = this.connections.of(request.socket);
+    const turn = connection.add({ request, response });
+    response.once('close', () => state.link.recordCallerBytes(connection.takeBytes()));
     let closes = false;
     const writer = new ResponseWriter(response, () => closes || this.shouldCloseConnections());
     try {
--- a/packages/forwarder/src/ingress/caller-connection.ts
+++ b/packages/forwarder/src/ingress/caller-connection.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { LinkBytes } from '../byte-rates.ts';
 
 /** Open connections that have had a request, by their sockets. */
 export class CallerConnections {
@@ -45,6 +46,8 @@
   private readonly socket: Socket;
   /** Last bytes to send, once the responses that are still due have ended. */
   private rejection: string | undefined;
+  /** Bytes of the socket that were counted before. */
+  private counted: LinkBytes = { received: 0, sent: 0 };
 
   constructor(socket: Socket) {
     this.socket = socket;
@@ -55,6 +58,14 @@
     return this.exchanges.length === 0;
   }
 
+  /** Bytes that were received and sent since the previous call. */
+  takeBytes(): LinkBytes {
+    const { counted } = this;
+    const { bytesRead: received, bytesWritten: sent } = this.socket;
+    this.counted = { received, sent };
+    return { received: received - counted.received, sent: sent - counted.sent };
+  }
+
   /** Adds a request. Resolves when the responses to all earlier ones have ended. */
   async add(exchange: OpenExchange): Promise<void> {
     const previous = this.exchanges.at(-1);
--- a/packages/forwarder/src/link-monitor.ts
+++ b/packages/forwarder/src/link-monitor.ts
@@ -4,6 +4,8 @@
  */
 import { OpeningTimes, OverloadDetector } from '@poplarpick/decisions';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
+import { ByteRates } from './byte-rates.ts';
+import type { LinkBytes } from './byte-rates.ts';
 import type { EventLoopMonitor } from './event-loop-monitor.ts';
 
 /** Period of the samples, in ms. */
@@ -22,10 +24,12 @@
   private readonly options: LinkMonitorOptions;
   private readonly times = new OpeningTimes();
   private readonly detector = new OverloadDetector();
+  private readonly rates: ByteRates;
   private timer: Timer | undefined;
 
   constructor(options: LinkMonitorOptions) {
     this.options = options;
+    this.rates = new ByteRates(options.clock.monotonic());
   }
 
   start(): void {
@@ -41,6 +45,16 @@
     this.times.record(address, elapsedMs, this.options.clock.monotonic());
   }
 
+  /** Records bytes that callers have sent and got. */
+  recordCallerBytes(bytes: LinkBytes): void {
+    this.rates.record(bytes, this.options.clock.monotonic());
+  }
+
+  /** Bytes a second that callers send and get. */
+  get callerBytes(): LinkBytes {
+    return this.rates.read(this.options.clock.monotonic());
+  }
+
   /** True while this router gets what endpoints send late, be it for its link or for its event loop. */
   get isLate(): boolean {
     return this.options.eventLoop.readsLate || this.times.areSlow(this.options.clock.monotonic());
@@ -61,6 +75,16 @@
     return this.detector.shouldMoveCallers(this.options.clock.monotonic());
   }
 
+  /** What a log line says of the link. */
+  describe(): Record<string, number | undefined> {
+    const { openingMs, callerBytes } = this;
+    return {
+      opening_ms: openingMs === undefined ? undefined : Math.round(openingMs),
+      caller_bytes_in_s: callerBytes.received,
+      caller_bytes_out_s: callerBytes.sent,
+    };
+  }
+
   private sample(): void {
     const { clock, log, eventLoop } = this.options;
     const wasCongested = this.isCongested;
@@ -69,6 +93,6 @@
     this.detector.record(isLinkSlow ? 1 : 0, now);
     if (this.isCongested === wasCongested) return;
     if (wasCongested) log.info({ event: 'router.link_free' });
-    else log.warn({ event: 'router.link_congested', opening_ms: Math.round(this.openingMs ?? 0) });
+    else log.warn({ event: 'router.link_congested', ...this.describe() });
   }
 }
--- a/packages/forwarder/src/metrics-source.ts
+++ b/packages/forwarder/src/metrics-source.ts
@@ -7,6 +7,7 @@
 import type { LimitTracker } from './endpoints/limit-tracker.ts';
 import type { WarmUpTracker } from './endpoints/warm-up-tracker.ts';
 import type { EventLoopMonitor } from './event-loop-monitor.ts';
+import type { LinkMonitor } from './link-monitor.ts';
 import type { PeerTable } from './peers/peer-table.ts';
 import type { PoisonGuard } from './poison/poison-guard.ts';
 import type { PoolStates } from './pool-states.ts';
@@ -20,6 +21,7 @@
   endpoints: EndpointDirectory;
   evacuations: Evacuations;
   eventLoop: EventLoopMonitor;
+  link: LinkMonitor;
   freshness: KeyFreshness;
   limits: LimitTracker;
   listeners: ProcessListeners;
@@ -44,6 +46,8 @@
     remainingRetries: () => router.pools.remainingRetries,
     eventLoopDelayMs: () => router.eventLoop.meanDelayMs,
     eventLoopUtilization: () => router.eventLoop.utilization,
+    openingMs: () => router.link.openingMs,
+    callerBytes: () => ({ ...router.link.callerBytes }),
     blockedSegments: () => router.poison.countBlocked().segments,
     blockedRequests: () => router.poison.countBlocked().requests,
     limitedEndpoints: () => router.limits.limitedCount,
--- a/packages/forwarder/src/router-gauges.ts
+++ b/packages/forwarder/src/router-gauges.ts
@@ -18,6 +18,10 @@
   eventLoopDelayMs: () => number;
   /** Mean fraction of time in which the event loop has work. */
   eventLoopUtilization: () => number;
+  /** Median time that connections to endpoints take to open; undefined without any lately. */
+  openingMs: () => number | undefined;
+  /** Bytes a second that callers send and get. */
+  callerBytes: () => Record<'received' | 'sent', number>;
   /** Prompt segments that this router blocks. */
   blockedSegments: () => number;
   /** Requests that this router blocks. */
@@ -86,6 +90,19 @@
     'Mean fraction of time in which the event loop has work',
     source.eventLoopUtilization,
   );
+  addGauge(
+    registry,
+    'poplarpick_endpoint_opening_seconds',
+    'Median time that connections to endpoints took to open in the last second',
+    () => (source.openingMs() ?? 0) / MS_PER_SECOND,
+  );
+  addLabelledGauge(
+    registry,
+    'poplarpick_caller_bytes_per_second',
+    'Bytes that callers send and get, by direction as the router sees it',
+    'direction',
+    source.callerBytes,
+  );
   addGauge(
     registry,
     'poplarpick_prompt_segments_blocked',
--- a/packages/forwarder/src/router-metrics.test.ts
+++ b/packages/forwarder/src/router-metrics.test.ts
@@ -16,6 +16,8 @@
     remainingRetries: () => 7,
     eventLoopDelayMs: () => 20,
     eventLoopUtilization: () => 0.5,
+    openingMs: () => undefined,
+    callerBytes: () => ({ received: 0, sent: 0 }),
     blockedSegments: () => 0,
     blockedRequests: () => 0,
     limitedEndpoints: () => 0,
