--- a/packages/forwarder/src/link-monitor.ts
+++ b/packages/forwarder/src/link-monitor.ts
@@ -25,6 +25,8 @@
   private readonly times = new OpeningTimes();
   private readonly detector = new OverloadDetector();
   private readonly rates: ByteRates;
+  /** At the latest sample, connections opened late wherever they lead. */
+  private areOpeningsSlow = false;
   private timer: Timer | undefined;
 
   constructor(options: LinkMonitorOptions) {
@@ -57,7 +59,7 @@
 
   /** True while this router gets what endpoints send late, be it for its link or for its event loop. */
   get isLate(): boolean {
-    return this.options.eventLoop.readsLate || this.times.areSlow(this.options.clock.monotonic());
+    return this.options.eventLoop.readsLate || this.areOpeningsSlow;
   }
 
   /** Median time that connections have taken to open lately, in ms; undefined without any. */
@@ -89,7 +91,8 @@
     const { clock, log, eventLoop } = this.options;
     const wasCongested = this.isCongested;
     const now = clock.monotonic();
-    const isLinkSlow = !eventLoop.readsLate && this.times.areSlow(now);
+    this.areOpeningsSlow = this.times.areSlow(now);
+    const isLinkSlow = this.areOpeningsSlow && !eventLoop.readsLate;
     this.detector.record(isLinkSlow ? 1 : 0, now);
     if (this.isCongested === wasCongested) return;
     if (wasCongested) log.info({ event: 'router.link_free' });
