Connections get longer to open while all open late

Over a congested link a connection to an endpoint took longer than 450 ms to open. It was closed then and another one asked for, so none was ever open and each request needed a new one. A dark endpoint is still given up after 450 ms; where connections open late wherever they lead, be it for the link or for the event loop, they get 1.5 s, and the next requests find them open.

--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -44,6 +44,8 @@
   clock?: Clock;
   /** Called with the time that a connection took to open, to be refused or to time out, in ms. */
   onOpening?: (elapsedMs: number) => void;
+  /** Whether connections open late wherever they lead; never by default. */
+  isLate?: () => boolean;
   /** Called when it turns out that another process has taken the place of that one. */
   onReplaced?: () => void;
 }
@@ -198,8 +200,9 @@
   }
 
   private connect(): EndpointConnection {
-    const { address, onOpening } = this.options;
-    const connection = new EndpointConnection({ address, clock: this.clock, onOpening });
+    const { address, onOpening, isLate } = this.options;
+    const { clock } = this;
+    const connection = new EndpointConnection({ address, clock, onOpening, isLate });
     this.connections.add(connection);
     return connection;
   }
--- a/packages/forwarder/src/endpoints/endpoint-connection.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connection.ts
@@ -45,6 +45,8 @@
   clock: Clock;
   /** Called with the time that a connection took to open, to be refused or to time out, in ms. */
   onOpening?: ((elapsedMs: number) => void) | undefined;
+  /** Whether connections open late wherever they lead; never by default. */
+  isLate?: (() => boolean) | undefined;
 }
 
 /** One connection; undici reopens it after it was closed. */
@@ -57,7 +59,7 @@
   socket: EndpointSocket = createSocket(Number.POSITIVE_INFINITY);
   private readonly address: string;
   private readonly clock: Clock;
-  private readonly onOpening: EndpointConnectionOptions['onOpening'];
+  private readonly options: EndpointConnectionOptions;
   /** Undefined before the first request. */
   private client: Client | undefined;
   /** Open, and not given to undici yet. */
@@ -68,10 +70,10 @@
   /** The current socket of the operating system, once it is open. */
   private opened: Socket | undefined;
 
-  constructor({ address, clock, onOpening }: EndpointConnectionOptions) {
-    this.address = address;
-    this.clock = clock;
-    this.onOpening = onOpening;
+  constructor(options: EndpointConnectionOptions) {
+    this.options = options;
+    this.address = options.address;
+    this.clock = options.clock;
   }
 
   /**
@@ -161,9 +163,15 @@
     this.refusedIds.clear();
     const known = createSocket(this.clock.monotonic());
     this.socket = known;
-    connectEndpoint(options, (...result) => {
+    const recordOpening = (): void =>
+      this.options.onOpening?.(this.clock.monotonic() - known.openingAt);
+    const isLate = (): boolean => {
+      recordOpening();
+      return this.options.isLate?.() ?? false;
+    };
+    connectEndpoint({ ...options, isLate }, (...result) => {
       const [, socket] = result;
-      this.onOpening?.(this.clock.monotonic() - known.openingAt);
+      recordOpening();
       if (socket !== null) {
         known.openedAt = this.clock.monotonic();
         this.opened = socket;
--- a/packages/forwarder/src/endpoints/endpoint-connector.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connector.ts
@@ -6,6 +6,12 @@
 /** Timeout for opening a connection within a region, in ms; a lost SYN then leads to a new attempt. */
 const CONNECT_TIMEOUT_MS = 450;
 
+/**
+ * Timeout where connections open late wherever they lead, in ms. A new attempt would be as late, and as long as none is
+ * open, each request needs one.
+ */
+const LATE_CONNECT_TIMEOUT_MS = 1_500;
+
 /** Idle time after which the kernel sends TCP keep-alive probes, in ms. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
@@ -24,17 +30,20 @@
 
 /** A connection wasn't open in time. */
 class OpeningTimeoutError extends Error {
-  constructor() {
-    super(`not open after ${CONNECT_TIMEOUT_MS} ms`);
+  constructor(timeoutMs: number) {
+    super(`not open after ${timeoutMs} ms`);
     this.name = 'OpeningTimeoutError';
   }
 }
 
-/** Opens a connection; implements undici's connector interface. */
-export function connectEndpoint(
-  options: Pick<buildConnector.Options, 'hostname' | 'port'>,
-  callback: buildConnector.Callback,
-): void {
+/** What to open. */
+export interface OpeningOptions extends Pick<buildConnector.Options, 'hostname' | 'port'> {
+  /** Called when the connection isn't open in time: whether others don't open either, so that it gets longer. */
+  isLate: () => boolean;
+}
+
+/** Opens a connection. */
+export function connectEndpoint(options: OpeningOptions, callback: buildConnector.Callback): void {
   const address = `${options.hostname}:${options.port}`;
   const socket: Socket = connect({
     host: options.hostname,
@@ -43,8 +52,16 @@
     keepAlive: true,
     keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
   });
-  const timer = setTimeout(() => {
-    socket.destroy(new OpeningTimeoutError());
+  const giveUpAfter = (timeoutMs: number): void => {
+    socket.destroy(new OpeningTimeoutError(timeoutMs));
+  };
+  let timer = setTimeout(() => {
+    if (!options.isLate()) {
+      giveUpAfter(CONNECT_TIMEOUT_MS);
+      return;
+    }
+    const leftMs = LATE_CONNECT_TIMEOUT_MS - CONNECT_TIMEOUT_MS;
+    timer = setTimeout(() => giveUpAfter(LATE_CONNECT_TIMEOUT_MS), leftMs);
   }, CONNECT_TIMEOUT_MS);
   const fail = (error: Error): void => {
     clearTimeout(timer);
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -141,6 +141,7 @@
           startedAt: endpoint.startedAt,
           clock: options.clock,
           onOpening: (elapsedMs) => this.link.recordOpening(endpoint.address, elapsedMs),
+          isLate: () => this.link.isLate,
           onReplaced: () => this.logReplaced(endpoint),
         }),
       isEvacuated: (dataCentre) => this.evacuations.has(dataCentre),
