--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -11,6 +11,7 @@
 import { PeerExchange } from './peers/peer-exchange.ts';
 import { StateFollower } from './peers/state-follower.ts';
 import { StateServer } from './peers/state-server.ts';
+import { Rotation } from './rotation.ts';
 import { RouterState } from './router-state.ts';
 import { OriginExchange } from './streams/origin-exchange.ts';
 import { isOriginMessage } from './streams/origin-message.ts';
@@ -61,6 +62,7 @@
   override readonly name = 'forwarder';
   override readonly roles = [Role.Router];
   readonly state: RouterState;
+  private readonly rotation: Rotation;
   private readonly options: ForwarderOptions;
   private readonly clock: Clock;
   private readonly log: Logger;
@@ -109,9 +111,11 @@
       routers: () => this.peers.routerAddresses(),
       transmit: (target, message) => this.peers.transmit(target, message),
     });
+    this.rotation = new Rotation(this.state);
     this.ingress = new CallIngress({
       address: options.callersAddress,
       state: this.state,
+      rotation: this.rotation,
       resumptions: new ResumptionResolver({
         clock,
         log,
@@ -172,6 +176,7 @@
 
   override async open(): Promise<void> {
     this.state.eventLoop.start();
+    this.state.link.start();
     this.state.listeners.open();
     await this.peers.open();
     await this.stateServer.open();
@@ -204,6 +209,7 @@
 
   override async stop(): Promise<void> {
     this.state.eventLoop.stop();
+    this.state.link.stop();
     this.state.listeners.close();
     this.ingress.stopListening();
     this.readiness.close();
@@ -234,22 +240,25 @@
     return this.ingress.openRequests === 0 || leftMs <= -LAST_ANSWERS_MS;
   }
 
+  /** What a log line about readiness says of callers and peers. */
+  private describeLoad(): Record<string, number> {
+    const { listeners, peers } = this.state;
+    const callers = listeners.guards.find(({ name }) => name === 'callers');
+    return {
+      callers: callers?.connectionCount ?? 0,
+      usage_age_ms: Math.round(peers.usageAgeMs(this.clock.monotonic())),
+    };
+  }
+
   /** Whether the router accepts new connections; logs each change. */
   private checkReadiness(): boolean {
-    const reason = this.notReadyReason();
+    const reason = this.rotation.obstacle;
     const isReady = reason === undefined;
     if (isReady !== this.wasReady) {
-      this.log.info({ event: isReady ? 'router.ready' : 'router.not_ready', reason });
+      const event = isReady ? 'router.ready' : 'router.not_ready';
+      this.log.info({ event, reason, ...this.state.link.describe(), ...this.describeLoad() });
     }
     this.wasReady = isReady;
     return isReady;
   }
-
-  private notReadyReason(): string | undefined {
-    if (this.state.stop.hasBegun) return 'the router is stopping';
-    if (this.state.routes === undefined) return 'no routes are known yet';
-    if (this.state.eventLoop.isOverloaded) return 'the router has too little processor time';
-    const areKeysFresh = this.state.freshness.isFresh(this.clock.monotonic());
-    return areKeysFresh ? undefined : 'the keys may be out of date';
-  }
 }
