A burst of callers on a small host isn't taken for silent connections

On a host of 160 MB a router keeps 32 connections over which no whole head has come. When 40 callers connected at once and sent their heads a moment later, the oldest eight were reset on the spot, with requests that the router had not read: each costs the caller its one retry.

A newcomer beyond the limit is now closed only once it has had 100 ms for its head and the sockets have been polled after that (new `Clock.afterPoll`); time in which the event loop stands still costs nobody a connection. The memory stays bounded: at most 96 newcomers more may be open for that time; beyond these the oldest is closed at once, as before.

--- a/packages/fleet/src/listening/guarded-connection.ts
+++ b/packages/fleet/src/listening/guarded-connection.ts
@@ -17,6 +17,8 @@
 /** A connection. */
 export class GuardedConnection {
   readonly socket: Socket;
+  /** Monotonic time of the accept, in ms. */
+  readonly acceptedAt: number;
   private readonly exchanges: OpenExchange[] = [];
   private hadRequest = false;
   private isKept = false;
@@ -26,6 +28,7 @@
 
   constructor(socket: Socket, now: number) {
     this.socket = socket;
+    this.acceptedAt = now;
     this.idleSince = now;
   }
 
--- a/packages/fleet/src/listening/listener-guard.ts
+++ b/packages/fleet/src/listening/listener-guard.ts
@@ -14,7 +14,7 @@
 import type { Server, Socket } from 'node:net';
 import { HoldingKind, pickClosing } from '@poplarpick/decisions';
 import { describeError } from '@poplarpick/kernel';
-import type { Clock, Logger } from '@poplarpick/kernel';
+import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import { GuardedConnection } from './guarded-connection.ts';
 import type { MemoryBudget } from './memory-budget.ts';
 import { RequestPacer } from './request-pacer.ts';
@@ -23,6 +23,12 @@
 /** Time that a request without a body, or with a short one, may take to arrive, in ms. */
 const SHORT_RECEIVE_MS = 5_000;
 
+/** Time with its socket read in which an ordinary caller sends the head of its first request, in ms. */
+const HEAD_PATIENCE_MS = 100;
+
+/** Connections beyond the most newcomers that may be open for that time. */
+const MAX_AWAITED_NEWCOMERS = 96;
+
 /** Options of servers whose requests and responses are short. */
 export const SHORT_EXCHANGES: ServerOptions = {
   headersTimeout: SHORT_RECEIVE_MS,
@@ -46,7 +52,10 @@
   /** Name of the listener in logs and metrics. */
   name: string;
   maxConnections: number;
-  /** Most connections over which no whole head has come; as many as there may be connections by default. */
+  /**
+   * Most connections over which no whole head has come, besides some that are new; as many as there may be connections by
+   * default.
+   */
   maxNewcomers?: number;
   /** Largest head of a request, in bytes, at the moment; by default only the parser limits it. */
   maxHeadBytes?: () => number;
@@ -71,6 +80,8 @@
   private readonly connections = new Map<Socket, GuardedConnection>();
   /** Connections over which no whole head has come, the oldest first. */
   private readonly newcomers = new Set<Socket>();
+  /** Waits until the oldest newcomers have had time for their heads; undefined unless there are too many. */
+  private newcomerTimer: Timer | undefined;
   private readonly pacers = new WeakMap<Socket, RequestPacer>();
   private readonly closingListeners: ((reason: ClosingReason) => void)[] = [];
 
@@ -136,7 +147,7 @@
     this.connections.set(socket, new GuardedConnection(socket, now));
     this.newcomers.add(socket);
     socket.once('close', () => this.forget(socket));
-    this.closeOldestNewcomer();
+    this.limitNewcomers();
     return true;
   }
 
@@ -205,9 +216,35 @@
     return true;
   }
 
-  private closeOldestNewcomer(): void {
+  /** Newcomers beyond those that there is room for. */
+  private get surplusNewcomers(): number {
     const { maxNewcomers = Number.POSITIVE_INFINITY } = this.options;
-    if (this.newcomers.size <= maxNewcomers) return;
+    return this.newcomers.size - maxNewcomers;
+  }
+
+  /** Sees to it that there are too many newcomers only for a moment, and never many more. */
+  private limitNewcomers(): void {
+    if (this.surplusNewcomers <= 0) return;
+    if (this.surplusNewcomers > MAX_AWAITED_NEWCOMERS) this.closeOldestNewcomer();
+    this.newcomerTimer ??= this.options.clock.afterPoll(HEAD_PATIENCE_MS, () => {
+      this.newcomerTimer = undefined;
+      this.closeLateNewcomers();
+      this.limitNewcomers();
+    });
+  }
+
+  /** Closes surplus newcomers that have had time for their heads. */
+  private closeLateNewcomers(): void {
+    const acceptedBefore = this.options.clock.monotonic() - HEAD_PATIENCE_MS;
+    for (const socket of this.newcomers) {
+      const connection = this.connections.get(socket);
+      if (this.surplusNewcomers <= 0 || connection === undefined) return;
+      if (connection.acceptedAt > acceptedBefore) return;
+      this.close(socket);
+    }
+  }
+
+  private closeOldestNewcomer(): void {
     const [oldest] = this.newcomers;
     if (oldest !== undefined) this.close(oldest);
   }
--- a/packages/forwarder/src/poison/poison-guard.test.ts
+++ b/packages/forwarder/src/poison/poison-guard.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { EndpointLoad } from '@poplarpick/decisions';
-import { createLogger, LogLevel } from '@poplarpick/kernel';
-import type { Clock, Timer } from '@poplarpick/kernel';
+import { Clock, createLogger, LogLevel } from '@poplarpick/kernel';
+import type { Timer } from '@poplarpick/kernel';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { PoisonGuard } from './poison-guard.ts';
 
@@ -12,24 +12,24 @@
 const STEP_MS = 50;
 
 /** Simulated time with timers. */
-class ManualClock {
+class ManualClock extends Clock {
   nowMs = 0;
   private timers: { at: number; action: () => void }[] = [];
 
-  now(): number {
+  override now(): number {
     return this.nowMs;
   }
 
-  monotonic(): number {
+  override monotonic(): number {
     return this.nowMs;
   }
 
-  after(delayMs: number, action: () => void): Timer {
+  override after(delayMs: number, action: () => void): Timer {
     this.timers.push({ at: this.nowMs + delayMs, action });
     return { stop: () => undefined };
   }
 
-  every(): Timer {
+  override every(): Timer {
     return { stop: () => undefined };
   }
 
@@ -62,7 +62,7 @@
 
   function makeGuard(): PoisonGuard {
     return new PoisonGuard({
-      clock: clock as Clock,
+      clock,
       log: createLogger({ level: LogLevel.Silent }),
       findEndpoint: (hash) => endpoints.get(hash),
     });
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -18,6 +18,15 @@
   abstract after(delayMs: number, action: () => void): Timer;
   /** Calls `action` every `periodMs` until stopped. */
   abstract every(periodMs: number, action: () => void): Timer;
+
+  /**
+   * Calls `action` once after `delayMs` and after the sockets have been read. Use it to conclude that something hasn't
+   * come: after a stall, the event loop runs its timers before it reads what has come meanwhile. By default, for clocks
+   * without sockets, the same as `after`.
+   */
+  afterPoll(delayMs: number, action: () => void): Timer {
+    return this.after(delayMs, action);
+  }
 }
 
 /** The clock of the operating system. */
@@ -35,8 +44,32 @@
     return { stop: () => clearTimeout(handle) };
   }
 
+  override afterPoll(delayMs: number, action: () => void): Timer {
+    let isStopped = false;
+    const timer = this.after(delayMs, () => {
+      void pollSockets().then(() => {
+        if (!isStopped) action();
+      });
+    });
+    return {
+      stop: () => {
+        isStopped = true;
+        timer.stop();
+      },
+    };
+  }
+
   override every(periodMs: number, action: () => void): Timer {
     const handle = setInterval(action, periodMs);
     return { stop: () => clearInterval(handle) };
   }
 }
+
+/**
+ * Lets the event loop poll its sockets. It polls twice, since what it has read last may be followed by what it reads one
+ * iteration later.
+ */
+export async function pollSockets(): Promise<void> {
+  await new Promise(setImmediate);
+  await new Promise(setImmediate);
+}
