A router that stood still doesn't take its peers for gone

After a stall of over 1.5 s the event loop ran its timers first, and all peers expired though their reports lay in the socket: for a moment the router shared by its own sums, refilled its retries as if it were alone, and took it for good that a router had ended (resumed streams by cached prompts).

The table now expires reports only up to the time at which all that had come was read. The exchange finds that time with each turn: libuv reads 32 datagrams a poll, so it polls until one brings fewer. The loads of peers at endpoints and the live members use the same time.

--- a/packages/forwarder/src/peers/peer-exchange.test.ts
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -13,6 +13,9 @@
 /** Period of the reports that go to all known addresses, in ms. */
 const FULL_LIST_PERIOD_MS = 1_100;
 
+/** Reports that wait in a socket, more than are read at once. */
+const WAITING_REPORTS = 100;
+
 /** The system's clock, which a test can advance. */
 class AdvancingClock extends SystemClock {
   advancedMs = 0;
@@ -40,6 +43,18 @@
   return socket;
 }
 
+/** A socket whose first datagram in a turn goes to a port at once, even if the event loop stands still then. */
+async function connectTo(port: number): Promise<Socket> {
+  const socket = await bind(0);
+  await new Promise<void>((resolve) => socket.connect(port, '127.0.0.1', resolve));
+  return socket;
+}
+
+function blockLoop(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
+
 describe('peer table', () => {
   it('ignores duplicate and late reports, and accepts those of a restarted process', () => {
     const table = new PeerTable();
@@ -141,4 +156,32 @@
     expect(received).to.equal(afterTtl);
     silent.close();
   });
+
+  it('drops no peer after a stall whose reports lie in the socket, and drops silent ones', async () => {
+    const port = await findFreePort();
+    const table = await start(`127.0.0.1:${port}`, []);
+    const senders = await Promise.all(
+      Array.from({ length: WAITING_REPORTS }, async () => connectTo(port)),
+    );
+    const sendReports = (sequence: number): void => {
+      for (const sender of senders) {
+        const from = `127.0.0.1:${sender.address().port}`;
+        sender.send(pack(makeReport({ from, dataCentre: 'z', sequence })));
+      }
+    };
+    const count = (): number => table.countRouters(performance.now());
+    sendReports(1);
+    await waitFor(() => count() === WAITING_REPORTS + 1);
+    const counts: number[] = [];
+    const sampling = setInterval(() => counts.push(count()), 1);
+    await sleep(10);
+    sendReports(2);
+    blockLoop(PEER_TTL_MS + 100);
+    await sleep(300);
+    clearInterval(sampling);
+    expect(Math.min(...counts)).to.equal(WAITING_REPORTS + 1);
+    expect(table.hasLostSender(performance.now())).to.equal(false);
+    await waitFor(() => count() === 1);
+    for (const sender of senders) sender.close();
+  });
 });
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -7,6 +7,12 @@
 import { REPORT_PERIOD_MS, ReportExchange } from './report-exchange.ts';
 import type { ReportExchangeOptions } from './report-exchange.ts';
 
+/** Datagrams that libuv reads from a socket at most each time that the event loop polls. */
+const DATAGRAMS_PER_POLL = 32;
+
+/** Polls after which all has been read that lay in the socket at the first one: its buffer holds fewer datagrams. */
+const MAX_POLLS = 16;
+
 /** Options of a `PeerExchange`. */
 export interface PeerExchangeOptions extends Omit<ReportExchangeOptions, 'transmit'> {
   /** Called with the size of each datagram in bytes. */
@@ -22,6 +28,9 @@
   private readonly socket: Socket = createSocket('udp4');
   private timer: Timer | undefined;
   private isClosed = false;
+  /** Datagrams that were read. */
+  private readCount = 0;
+  private isReading = false;
 
   constructor(options: PeerExchangeOptions) {
     this.options = options;
@@ -47,12 +56,17 @@
     });
     this.socket.on('error', (error) => this.exchange.logFailure('peers.socket_failed', error));
     this.socket.on('message', (message, { address, port: senderPort }) => {
+      this.readCount += 1;
       this.options.onBytes('received', message.length);
       const sender = `${address}:${senderPort}`;
       if (this.options.acceptMessage?.(message, sender) !== true)
         this.exchange.receive(message, sender);
     });
-    this.timer = this.options.clock.every(REPORT_PERIOD_MS, () => this.exchange.send());
+    this.options.table.recordRead(this.options.clock.monotonic());
+    this.timer = this.options.clock.every(REPORT_PERIOD_MS, () => {
+      void this.awaitRead();
+      this.exchange.send();
+    });
   }
 
   close(): void {
@@ -90,4 +104,18 @@
       if (error !== null) this.exchange.logFailure('peers.send_failed', error);
     });
   }
+
+  /** Tells the table once all has been read that had come until now. After a stall that takes several polls. */
+  private async awaitRead(): Promise<void> {
+    if (this.isReading) return;
+    this.isReading = true;
+    const beganAt = this.options.clock.monotonic();
+    for (let polls = 0; polls < MAX_POLLS; polls += 1) {
+      const countBefore = this.readCount;
+      await new Promise(setImmediate);
+      if (this.readCount - countBefore < DATAGRAMS_PER_POLL) break;
+    }
+    this.options.table.recordRead(beganAt);
+    this.isReading = false;
+  }
 }
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -139,6 +139,18 @@
   private readonly entries = new Map<string, PeerEntry>();
   private readonly usage = new PeerUsage();
   private hasSenderEnded = false;
+  /** Monotonic time before which all has been read that had come, in ms; undefined where reports don't wait in a socket. */
+  private readAt: number | undefined;
+
+  /** Records that what had come by monotonic time `at`, in ms, has been read. Before that, no report expires. */
+  recordRead(at: number): void {
+    this.readAt = at;
+  }
+
+  /** The latest time for which it is known which reports had come. While they wait in the socket, nobody is silent. */
+  lastRead(now: number): number {
+    return Math.min(now, this.readAt ?? now);
+  }
 
   /** Stores a report; false if it isn't newer than the one stored for the same subject. */
   accept(report: PeerReport, now: number): boolean {
@@ -233,8 +245,9 @@
   }
 
   private dropExpired(now: number): void {
+    const readAt = this.lastRead(now);
     for (const [subject, { receivedAt }] of this.entries) {
-      if (now - receivedAt <= PEER_TTL_MS) continue;
+      if (readAt - receivedAt <= PEER_TTL_MS) continue;
       this.entries.delete(subject);
       this.hasSenderEnded = true;
       this.usage.remove(subject);
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -122,8 +122,9 @@
 
   /** Addresses of all other live routers. */
   routerAddresses(): string[] {
-    const now = this.options.clock.monotonic();
-    return this.members.listLive(now).map(([address]) => address);
+    const { clock, table } = this.options;
+    const readAt = table.lastRead(clock.monotonic());
+    return this.members.listLive(readAt).map(([address]) => address);
   }
 
   /** Addresses of the known routers of a data centre, this one and silent ones included; all if it is undefined. */
--- a/packages/kernel/src/clock.test.ts
+++ b/packages/kernel/src/clock.test.ts
@@ -16,13 +16,15 @@
     const receiver = createSocket('udp4').bind(0, '127.0.0.1');
     const sender = createSocket('udp4').bind(0, '127.0.0.1');
     await Promise.all([once(receiver, 'listening'), once(sender, 'listening')]);
+    sender.connect(receiver.address().port, '127.0.0.1');
+    await once(sender, 'connect');
     try {
       let received = 0;
       receiver.on('message', () => (received += 1));
       const seen = new Promise<number>((resolve) => {
         clock.afterPoll(LIMIT_MS, () => resolve(received));
       });
-      sender.send('answer', receiver.address().port, '127.0.0.1');
+      sender.send('answer');
       blockLoop(LIMIT_MS + 100);
       expect(await seen).to.equal(1);
     } finally {
