An endpoint whose bytes are still unread isn't taken for crashed

A router whose event loop stood still for over 250 ms after a lost attempt judged the endpoint's silence before it read its sockets: it recorded a crash, told its peers, and three of those block a sound part of prompts for 30 s. The judgement now comes after the sockets were polled.

Before, the new test (loop blocked for 350 ms, the endpoint's bytes in the socket) failed: the part of the prompt was a suspect.

--- a/packages/forwarder/src/peers/peer-exchange.test.ts
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { pack } from 'msgpackr';
-import { findFreePort } from '@poplarpick/stand-ins';
+import { blockLoop, findFreePort } from '@poplarpick/stand-ins';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import { PeerExchange } from './peer-exchange.ts';
 import { PEER_TTL_MS, PeerTable } from './peer-table.ts';
@@ -50,11 +50,6 @@
   return socket;
 }
 
-function blockLoop(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
-
 describe('peer table', () => {
   it('ignores duplicate and late reports, and accepts those of a restarted process', () => {
     const table = new PeerTable();
--- a/packages/forwarder/src/poison/poison-guard.test.ts
+++ b/packages/forwarder/src/poison/poison-guard.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { EndpointLoad } from '@poplarpick/decisions';
-import { Clock, createLogger, LogLevel } from '@poplarpick/kernel';
+import { Clock, createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import type { Timer } from '@poplarpick/kernel';
+import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { PoisonGuard } from './poison-guard.ts';
 
@@ -10,6 +11,8 @@
 const SHARED = 2;
 const OTHER = 3;
 const STEP_MS = 50;
+/** Longer than the time after which the silence of an endpoint is judged, in ms. */
+const STALL_MS = 350;
 
 /** Simulated time with timers. */
 class ManualClock extends Clock {
@@ -60,9 +63,9 @@
     return record;
   }
 
-  function makeGuard(): PoisonGuard {
+  function makeGuard(guardClock: Clock = clock): PoisonGuard {
     return new PoisonGuard({
-      clock,
+      clock: guardClock,
       log: createLogger({ level: LogLevel.Silent }),
       findEndpoint: (hash) => endpoints.get(hash),
     });
@@ -124,6 +127,21 @@
     expect(guard.isSuspect([SHARED])).to.equal(false);
   });
 
+  it('does not take an endpoint for crashed whose bytes lie in the socket after a stall', async () => {
+    const guard = makeGuard(new SystemClock());
+    const record = addEndpoint(6);
+    const pair = await DatagramPair.open(() => record.load.recordBytes(performance.now()));
+    try {
+      guard.recordLoss(record, [POISON]);
+      pair.send('event');
+      blockLoop(STALL_MS);
+      await new Promise((resolve) => setTimeout(resolve, STALL_MS));
+      expect(guard.isSuspect([POISON])).to.equal(false);
+    } finally {
+      pair.close();
+    }
+  });
+
   it('ignores the crash that a peer reports of an endpoint that goes on', () => {
     const guard = makeGuard();
     const record = addEndpoint(5);
--- a/packages/forwarder/src/poison/poison-guard.ts
+++ b/packages/forwarder/src/poison/poison-guard.ts
@@ -104,7 +104,7 @@
     if (suspects.length === 0) return;
     const lostAt = this.now();
     this.latestLosses.set(record.incarnationHash, lostAt);
-    this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
+    this.options.clock.afterPoll(JUDGEMENT_DELAY_MS, () => {
       if (!hasSpokenSince(record, lostAt)) this.recordCrash(record, suspects, lostAt);
     });
   }
@@ -115,7 +115,7 @@
    */
   recordUnframedEnd(record: WatchedEndpoint, suspects: readonly SuspectHash[]): void {
     const endedAt = this.now();
-    this.options.clock.after(JUDGEMENT_DELAY_MS, () => {
+    this.options.clock.afterPoll(JUDGEMENT_DELAY_MS, () => {
       if (hasSpokenSince(record, endedAt)) this.recordSurvival(suspects, endedAt);
       else if (this.hasLostOthers(record, endedAt)) this.recordCrash(record, suspects, endedAt);
     });
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -17,3 +17,4 @@
 export * from './platform/platform-store.ts';
 export * from './platform/raw-platform-engine.ts';
 export * from './platform/scripted-platform-engine.ts';
+export * from './stalls.ts';
