What proves a resumed stream counts though the router has not read it yet

A router whose event loop stood still took answers that lay in its sockets for missing: those of the keepers of a stream (180 ms), the confirmation of the list of endpoints (400 ms) and the proof of a stream that it had begun itself (1.2 s). So it refused the caller: "the version that began the stream is unknown". These waits now end after the sockets were read. The keepers' answers share a socket with the reports of all routers, of which a poll reads 32, so that wait ends once the socket is empty.

Before, the new tests (loop blocked for the limit + 100 ms, the answer in the socket) failed: no origin, not confirmed, not settled.

--- a/packages/forwarder/src/endpoints/list-confirmations.test.ts
+++ b/packages/forwarder/src/endpoints/list-confirmations.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { SystemClock } from '@poplarpick/kernel';
+import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
 import { ListConfirmations } from './list-confirmations.ts';
 
 const LONG_MS = 10_000;
@@ -34,4 +35,16 @@
     confirmations.record(9);
     expect(await isConfirmed).to.equal(false);
   });
+
+  it('count if they lie in the socket after a stall', async () => {
+    const pair = await DatagramPair.open(() => confirmations.record(10));
+    try {
+      const isConfirmed = confirmations.waitSince(10, SHORT_MS);
+      pair.send('confirmed');
+      blockLoop(SHORT_MS + 100);
+      expect(await isConfirmed).to.equal(true);
+    } finally {
+      pair.close();
+    }
+  });
 });
--- a/packages/forwarder/src/endpoints/list-confirmations.ts
+++ b/packages/forwarder/src/endpoints/list-confirmations.ts
@@ -80,7 +80,7 @@
     if (since <= this.latest) return true;
     const isConfirmed = new Promise<boolean>((resolve) => {
       const waiter: Waiter = { since, resolve: (result) => finish(result) };
-      const timer = this.clock.after(maxWaitMs, () => finish(false));
+      const timer = this.clock.afterPoll(maxWaitMs, () => finish(false));
       const finish = (result: boolean): void => {
         timer.stop();
         this.waiters.delete(waiter);
--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -108,6 +108,7 @@
       origins: this.state.streams,
       routers: () => this.peers.routerAddresses(),
       transmit: (target, message) => this.peers.transmit(target, message),
+      awaitRead: () => this.peers.awaitRead(),
     });
     this.ingress = new CallIngress({
       address: options.callersAddress,
--- a/packages/forwarder/src/peers/peer-exchange.ts
+++ b/packages/forwarder/src/peers/peer-exchange.ts
@@ -64,7 +64,7 @@
     });
     this.options.table.recordRead(this.options.clock.monotonic());
     this.timer = this.options.clock.every(REPORT_PERIOD_MS, () => {
-      void this.awaitRead();
+      void this.recordRead();
       this.exchange.send();
     });
   }
@@ -105,16 +105,24 @@
     });
   }
 
-  /** Tells the table once all has been read that had come until now. After a stall that takes several polls. */
-  private async awaitRead(): Promise<void> {
-    if (this.isReading) return;
-    this.isReading = true;
-    const beganAt = this.options.clock.monotonic();
+  /**
+   * Resolves once all has been read that had come when it was called. After a stall that takes several polls, since
+   * much more than one poll reads may lie in the socket.
+   */
+  async awaitRead(): Promise<void> {
     for (let polls = 0; polls < MAX_POLLS; polls += 1) {
       const countBefore = this.readCount;
       await new Promise(setImmediate);
-      if (this.readCount - countBefore < DATAGRAMS_PER_POLL) break;
+      if (this.readCount - countBefore < DATAGRAMS_PER_POLL) return;
     }
+  }
+
+  /** Tells the table once all has been read that had come until now. */
+  private async recordRead(): Promise<void> {
+    if (this.isReading) return;
+    this.isReading = true;
+    const beganAt = this.options.clock.monotonic();
+    await this.awaitRead();
     this.options.table.recordRead(beganAt);
     this.isReading = false;
   }
--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -1,9 +1,15 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
+import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
 import type { StreamKeys } from '@poplarpick/decisions';
 import { OriginExchange } from './origin-exchange.ts';
-import { decodeOriginMessage, isOriginMessage, OriginMessageKind } from './origin-message.ts';
+import {
+  decodeOriginMessage,
+  encodeOriginMessage,
+  isOriginMessage,
+  OriginMessageKind,
+} from './origin-message.ts';
 import type { OriginMessage } from './origin-message.ts';
 import { StreamOrigins } from './stream-origins.ts';
 import { createEndpoint, createRoute, createTable } from './testing/resumable-route.ts';
@@ -14,6 +20,9 @@
 const KEYS: StreamKeys = { byRequest: 1, byPrompt: 2 };
 const ROUTERS = 8;
 
+/** Longer than a question for an origin waits for its answer, in ms. */
+const STALL_MS = 280;
+
 /** Time after which records have certainly been sent, in ms. */
 const SENT_AFTER_MS = 100;
 
@@ -131,6 +140,29 @@
     expect(unanswered).to.deep.equal({ origin: undefined, hasAnswered: false, wasAsked: true });
   });
 
+  it('counts the answer of a keeper that lies in the socket after a stall', async () => {
+    const keeper = '10.0.0.1:7000';
+    const clock = new SystemClock();
+    const pair = await DatagramPair.open((message) => exchange.receive(message, keeper));
+    const exchange: OriginExchange = new OriginExchange({
+      address: '10.0.0.9:7000',
+      clock,
+      log: createLogger({ level: LogLevel.Silent }),
+      origins: new StreamOrigins({ clock, isFirstStart: false, endpoints: () => [] }),
+      routers: () => [keeper],
+      transmit: () =>
+        pair.send(encodeOriginMessage({ kind: OriginMessageKind.Answer, key: 1, origin: V1 })),
+    });
+    try {
+      const answer = exchange.ask(KEYS);
+      blockLoop(STALL_MS);
+      expect(await answer).to.deep.include({ origin: V1, hasAnswered: true });
+    } finally {
+      exchange.close();
+      pair.close();
+    }
+  });
+
   // Guards against a burst of datagrams when a second version is listed while streams run.
   it('tells the streams in hand in few datagrams once a second version is listed', async () => {
     const listed = [createEndpoint('v1')];
--- a/packages/forwarder/src/streams/origin-exchange.ts
+++ b/packages/forwarder/src/streams/origin-exchange.ts
@@ -6,7 +6,7 @@
  */
 import { rankByRendezvous } from '@poplarpick/decisions';
 import type { StreamKey, StreamKeys, StreamOrigin } from '@poplarpick/decisions';
-import { describeError } from '@poplarpick/kernel';
+import { describeError, pollSockets } from '@poplarpick/kernel';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import { ByteBudget } from './byte-budget.ts';
 import {
@@ -102,6 +102,8 @@
   routers: () => string[];
   /** Sends a datagram. */
   transmit: (target: string, message: Buffer) => void;
+  /** Resolves once the datagrams that have come have been read. By default, the sockets are polled. */
+  awaitRead?: () => Promise<void>;
 }
 
 /** Tells and asks keepers. */
@@ -168,11 +170,11 @@
   }
 
   private createQuery(key: StreamKey, targets: readonly string[]): PendingQuery {
-    const { clock } = this.options;
+    const { clock, awaitRead = pollSockets } = this.options;
     const query = new PendingQuery(targets);
     const timers = [
       clock.after(QUERY_REPEAT_MS, () => this.sendQuery(key, query)),
-      clock.after(QUERY_TIMEOUT_MS, () => query.finish(undefined)),
+      clock.after(QUERY_TIMEOUT_MS, () => void awaitRead().then(() => query.finish(undefined))),
     ];
     void query.result.then(() => {
       for (const timer of timers) timer.stop();
--- a/packages/forwarder/src/streams/pending-origins.ts
+++ b/packages/forwarder/src/streams/pending-origins.ts
@@ -32,7 +32,7 @@
     if (settled === undefined) return true;
     const isInTime = settled.then(() => true);
     const timeout = new Promise<boolean>((resolve) => {
-      const timer = this.clock.after(maxWaitMs, () => resolve(false));
+      const timer = this.clock.afterPoll(maxWaitMs, () => resolve(false));
       void isInTime.then(() => timer.stop());
     });
     return Promise.race([isInTime, timeout]);
