Sound connections to a replaced endpoint are kept after a stall

When an endpoint's entry is replaced, connections with requests are kept if bytes come over them within 300 ms. A router whose event loop stood still looked before it read its sockets, and closed sound connections with requests at work. It now looks after the sockets were polled.

Before, the new test (loop blocked for 400 ms, the body in the socket) failed: the request ended with "The client is destroyed" in place of its body.

--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -3,12 +3,16 @@
 import { expect } from 'chai';
 import { Verdict } from '@poplarpick/kernel';
 import type { RequestError } from '@poplarpick/kernel';
+import { blockLoop } from '@poplarpick/stand-ins';
 import { CallProtocol } from '../calls/call-protocol.ts';
 import type { CallHead, ProcessQuestionHead, ResponseHead } from '../calls/call-protocol.ts';
 import { EndpointClient } from './endpoint-client.ts';
 import { ResponseObserver } from './endpoint-request.ts';
+import { LateAnswer } from './testing-late-answer.ts';
 
 const REQUEST_ID = 'id';
+/** Longer than a connection to a replaced process may be without a byte, in ms. */
+const STALL_MS = 400;
 const ROUNDS = 20;
 /** Delay before a reset, so that the bytes already written are sent. */
 const RESET_DELAY_MS = 20;
@@ -173,6 +177,26 @@
     });
   }
 
+  it('keeps a connection to a replaced endpoint whose bytes lie in the socket after a stall', async () => {
+    const endpoint = await LateAnswer.open();
+    const { address } = endpoint;
+    const protocol = new FramingProtocol();
+    const replaced = new EndpointClient({ address, connectionLimit: 1, protocol });
+    const request = { method: 'GET', target: '/', requestId: REQUEST_ID, headers: [] };
+    try {
+      const result = new Promise<string | RequestError>((resolve) => {
+        replaced.send({ ...request, body: undefined }, new ResultObserver(resolve));
+      });
+      await endpoint.awaitHead();
+      expect(replaced.retire(0).doubtful).to.equal(1);
+      blockLoop(STALL_MS);
+      expect(await result).to.equal('5');
+    } finally {
+      replaced.destroy();
+      await endpoint.close();
+    }
+  });
+
   it('says of a request whose connection is still being opened that it has not run', () => {
     answer = answerWhole;
     const results: (string | RequestError)[] = [];
--- a/packages/forwarder/src/endpoints/endpoint-client.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.ts
@@ -127,7 +127,7 @@
       socket: connection.socket,
       bytesRead: connection.bytesRead,
     }));
-    this.clock.after(SIGN_OF_LIFE_MS, () => {
+    this.clock.afterPoll(SIGN_OF_LIFE_MS, () => {
       for (const { connection, socket, bytesRead } of seen) {
         const isSame = connection.socket === socket && connection.bytesRead === bytesRead;
         if (isSame && this.connections.has(connection)) this.discard(connection);
