The answer of an endpoint's process counts though the router has not read it yet

The question when a process started has its answer within 600 ms, else the endpoint counts as silent and resumed streams are refused. A router whose event loop stood still gave up before it read its sockets; it now gives up after they were polled.

Before, the new test (loop blocked for 700 ms, the answer in the socket) failed with "no answer in time".

--- a/packages/forwarder/src/endpoints/process-question.test.ts
+++ b/packages/forwarder/src/endpoints/process-question.test.ts
@@ -2,12 +2,16 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { expect } from 'chai';
 import { SystemClock } from '@poplarpick/kernel';
+import { blockLoop } from '@poplarpick/stand-ins';
 import { EndpointConnection } from './endpoint-connection.ts';
 import { ProcessQuestion } from './process-question.ts';
 import type { ProcessAnswer } from './process-question.ts';
+import { LateAnswer } from './testing-late-answer.ts';
 
 const STARTED_AT = 5;
 const MAX_WAIT_MS = 900;
+/** Longer than the answer may take, in ms. */
+const STALL_MS = 700;
 const MAX_BYTES = 16_777_216;
 const FILLER = 'x'.repeat(65_536);
 const QUESTION = { method: 'GET', target: '/process', headers: [] };
@@ -31,6 +35,18 @@
   'a head without end': [[`${HEAD}Name: ${FILLER}`, 'repeat'], undefined],
 };
 
+/** Asks the process behind a connection. */
+function ask(connection: EndpointConnection): Promise<ProcessAnswer | Error> {
+  return new Promise((resolve) => {
+    const question = new ProcessQuestion({
+      protocol: { decodeProcessStart: (body) => Number(body.toString()) || undefined },
+      onProgress: () => connection.recordProgress(),
+      onResult: resolve,
+    });
+    connection.dispatch(QUESTION, question);
+  });
+}
+
 describe('the question when a process started', () => {
   let server: Server;
   let connection: EndpointConnection;
@@ -67,18 +83,26 @@
     socket.write(FILLER, () => setImmediate(() => repeat(socket)));
   }
 
+  it('has the answer that lies in the socket after a stall', async () => {
+    const endpoint = await LateAnswer.open();
+    const { address } = endpoint;
+    const behind = new EndpointConnection({ address, clock: new SystemClock() });
+    try {
+      const result = ask(behind);
+      await endpoint.awaitHead();
+      blockLoop(STALL_MS);
+      expect(await result).to.deep.equal({ startedAt: STARTED_AT });
+    } finally {
+      behind.destroy();
+      await endpoint.close();
+    }
+  });
+
   for (const [name, [given, expected]] of Object.entries(PLAYS)) {
     it(`${expected === undefined ? 'has no answer' : 'is answered'} after ${name}`, async () => {
       play = given;
       const startedAt = performance.now();
-      const result = await new Promise<ProcessAnswer | Error>((resolve) => {
-        const question = new ProcessQuestion({
-          protocol: { decodeProcessStart: (body) => Number(body.toString()) || undefined },
-          onProgress: () => connection.recordProgress(),
-          onResult: resolve,
-        });
-        connection.dispatch(QUESTION, question);
-      });
+      const result = await ask(connection);
       expect(performance.now() - startedAt).to.be.lessThan(MAX_WAIT_MS);
       expect(sentBytes).to.be.lessThan(MAX_BYTES);
       if (expected === undefined) expect(result).to.be.instanceOf(Error);
--- a/packages/forwarder/src/endpoints/process-question.ts
+++ b/packages/forwarder/src/endpoints/process-question.ts
@@ -3,6 +3,8 @@
  * is complete, since a process that ends may break it off.
  */
 import { ByteAccumulator } from '@poplarpick/decisions';
+import { SystemClock } from '@poplarpick/kernel';
+import type { Clock, Timer } from '@poplarpick/kernel';
 import type { Dispatcher } from 'undici';
 import type { CallProtocol } from '../calls/call-protocol.ts';
 import type { EndpointHandler } from './endpoint-socket.ts';
@@ -24,6 +26,8 @@
 /** Options of a `ProcessQuestion`. */
 export interface ProcessQuestionOptions {
   protocol: Pick<CallProtocol, 'decodeProcessStart'>;
+  /** The clock of this host by default. */
+  clock?: Clock;
   /** Called with each part of the answer. */
   onProgress: () => void;
   /** Called once, with the answer or with the reason why there is none. */
@@ -34,14 +38,15 @@
 export class ProcessQuestion implements EndpointHandler {
   private readonly options: ProcessQuestionOptions;
   private readonly body = new ByteAccumulator();
-  private readonly timer: NodeJS.Timeout;
+  private readonly timer: Timer;
   private controller: Dispatcher.DispatchController | undefined;
   private timeoutError: Error | undefined;
   private isEnded = false;
 
   constructor(options: ProcessQuestionOptions) {
     this.options = options;
-    this.timer = setTimeout(() => this.giveUp('no answer in time'), ANSWER_TIMEOUT_MS);
+    const { clock = new SystemClock() } = options;
+    this.timer = clock.afterPoll(ANSWER_TIMEOUT_MS, () => this.giveUp('no answer in time'));
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -83,7 +88,7 @@
   private end(result: ProcessAnswer | Error): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    clearTimeout(this.timer);
+    this.timer.stop();
     this.options.onResult(result);
   }
 }
