--- a/packages/forwarder/src/forwarder.ts
+++ b/packages/forwarder/src/forwarder.ts
@@ -110,6 +110,7 @@
       origins: this.state.streams,
       routers: () => this.peers.routerAddresses(),
       transmit: (target, message) => this.peers.transmit(target, message),
+      awaitRead: () => this.peers.awaitRead(),
     });
     this.rotation = new Rotation(this.state);
     this.ingress = new CallIngress({
