A late router no longer takes the surplus from callers everywhere

Seen: one router of 28 without processor time refused 60 requests within their share, and all others went on as if their engines were full: workspaces over their share were refused for it at idle engines.

Cause: the rate of late requests. A late reader counted its refusals and none of its servings, nothing let the rate fall with time, and the mean over the routers weighed a router with few requests like one with many.

Now each router tells how many of the requests of the last three seconds were late, and how many there were; the counts are added up, so each request weighs alike wherever it was served, and a router without requests soon counts none.

Reports carry the counts in a new field, without which those of older versions are accepted.

--- a/packages/bench/src/decision-cost/placement-time.ts
+++ b/packages/bench/src/decision-cost/placement-time.ts
@@ -185,7 +185,6 @@
       0,
     ]),
     kept: [],
-    lateRates: [],
     refused: [],
   };
 }
--- a/packages/bench/src/poison/replay-router.ts
+++ b/packages/bench/src/poison/replay-router.ts
@@ -59,7 +59,6 @@
         version: 1,
         loads: [],
         kept: [],
-        lateRates: [],
         ...this.guard.buildReport(),
       }),
       onReport: (report) => this.guard.applyReport(report),
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -106,11 +106,12 @@
 
   private recordServed(attempt: MeasuredAttempt): void {
     const { state, pool, route, arrivedAt } = this.options;
-    state.pools.surplusLimiter(pool).recordServed({
+    const served = {
       objectiveMs: route.objectiveMs,
       firstEventMs: this.elapsedSince(arrivedAt),
       serviceMs: attempt.placement.serviceMs,
-    });
+    };
+    state.pools.surplusLimiter(pool).recordServed(served, state.clock.monotonic());
   }
 
   private elapsedSince(startedAt: number): number {
--- a/packages/forwarder/src/peers/peer-exchange.test.ts
+++ b/packages/forwarder/src/peers/peer-exchange.test.ts
@@ -75,7 +75,7 @@
       clock,
       log: createLogger({ level: LogLevel.Silent }),
       table,
-      buildReport: () => ({ version: 1, loads: [], kept: [], lateRates: [] }),
+      buildReport: () => ({ version: 1, loads: [], kept: [] }),
       onReport: () => undefined,
       onRejected: () => undefined,
       onBytes: () => undefined,
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -47,7 +47,7 @@
   | 'loads'
   | 'workspaces'
   | 'kept'
-  | 'lateRates'
+  | 'lateness'
   | 'refused'
   | 'draining'
   | 'crashes'
@@ -61,7 +61,7 @@
 >;
 
 /** Body of a report that only tells about members. */
-const EMPTY_BODY: ReportBody = { version: 0, loads: [], kept: [], lateRates: [] };
+const EMPTY_BODY: ReportBody = { version: 0, loads: [], kept: [] };
 
 /** Options of a `ReportExchange`. */
 export interface ReportExchangeOptions {
--- a/packages/forwarder/src/peers/router-reports.ts
+++ b/packages/forwarder/src/peers/router-reports.ts
@@ -24,6 +24,7 @@
   CachedSegmentEntry,
   EndpointLoadEntry,
   EndpointPauseEntry,
+  LatenessEntry,
   PeerReport,
 } from './peer-table.ts';
 import type { ReportBody } from './report-exchange.ts';
@@ -85,7 +86,7 @@
 
   /** Builds the report to this router's peers. */
   build(includesWorkspaces: boolean): ReportBody {
-    const { limits, poison, streams, fairShareLedger, surplusLimiters } = this.options;
+    const { limits, poison, streams, fairShareLedger } = this.options;
     limits.refresh();
     return {
       ...this.options.describeState(),
@@ -94,10 +95,7 @@
         ? { workspaces: fairShareLedger.snapshot(this.now()), pauses: this.listPauses() }
         : {}),
       kept: this.cacheAnnouncements.take(MAX_SEGMENTS_PER_REPORT).map(({ entry }) => entry),
-      lateRates: [...surplusLimiters].map(([pool, limiter]) => [
-        murmurhash.v3(pool),
-        limiter.lateRate,
-      ]),
+      lateness: this.listLateness(),
       refused: this.takeRefusals(),
       ...poison.buildReport(),
       ...limits.buildReport(),
@@ -122,6 +120,13 @@
     streams.applyReport(report);
   }
 
+  private listLateness(): LatenessEntry[] {
+    return Array.from(this.options.surplusLimiters, ([pool, limiter]) => {
+      const { late, total } = limiter.counts(this.now());
+      return [murmurhash.v3(pool), late, total];
+    });
+  }
+
   private listPauses(): EndpointPauseEntry[] {
     const pauses: EndpointPauseEntry[] = [];
     for (const { endpoint, incarnation, incarnationHash } of this.options.endpoints.all()) {
--- a/packages/forwarder/src/peers/testing-reports.ts
+++ b/packages/forwarder/src/peers/testing-reports.ts
@@ -10,7 +10,6 @@
     version: 1,
     loads: [],
     kept: [],
-    lateRates: [],
     ...overrides,
   };
 }
