A late router's unread answers aren't told as the engines' load

Seen: routers with time refused calls because the wait was too long at engines without a queue. Others had sent these engines prompts and hadn't read the answers yet.

Cause: a prompt counts as one to prefill until the router that sent it reads its first event, and every router takes these counts for work at the engine.

Now a router that reads late counts each prompt without a first event down by what was expected when it was sent: in full during its wait, then evenly until its first event is due, from when on it counts as running. A punctual router still counts each prompt until its first event.

Ends of requests that are read late still keep their slots.

--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -244,7 +244,7 @@
     now: number,
   ): Placement {
     const estimator = this.state.pools.latencyEstimator(record.endpoint.pool);
-    const load = record.load.totalLoad(now);
+    const load = record.load.totalLoad(now, this.state.eventLoop.readsLate);
     const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(record.incarnation, segments);
     const prefillTokens =
       Math.max(0, prompt.inputTokens - sharedPrefixTokens(prompt)) + uncachedTokens;
@@ -270,7 +270,7 @@
   private evaluatePlainEndpoint(record: EndpointRecord): Placement {
     const now = this.state.clock.monotonic();
     const estimator = this.state.pools.latencyEstimator(record.endpoint.pool);
-    const load = record.load.totalLoad(now);
+    const load = record.load.totalLoad(now, this.state.eventLoop.readsLate);
     const requestsAhead = load.pending + load.running;
     const waitMs = this.estimateSlotWaitMs(record, requestsAhead, false);
     const serviceMs = estimator.estimateFirstEventMs(record.incarnation, 0);
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -199,6 +199,7 @@
       surplusLimiters: this.pools.surplusLimiters,
       streamPace: (pool) => this.pools.streamPace(pool),
       describeState: () => this.describeState(),
+      readsLate: () => this.eventLoop.readsLate,
       onCachedSegment: (entry) => this.applyCachedSegment(entry),
     });
   }
