--- a/packages/forwarder/src/peers/group-report.ts
+++ b/packages/forwarder/src/peers/group-report.ts
@@ -8,11 +8,11 @@
   CachedSegmentEntry,
   EndpointLimitEntry,
   EndpointPauseEntry,
-  LateRateEntry,
   PeerReport,
   SuspectCrashEntry,
   SuspectSurvivalEntry,
 } from './peer-table.ts';
+import { medianEntries } from './pool-latency-report.ts';
 import type { ReportBody } from './report-exchange.ts';
 
 /** Most cached segments in one group report, so that it fits into a datagram; the others follow. */
@@ -70,19 +70,20 @@
   | 'loads'
   | 'workspaces'
   | 'pauses'
-  | 'lateRates'
+  | 'lateness'
+  | 'latencies'
   | 'draining'
   | 'blocked'
   | 'limits'
   | 'needs'
 >;
 
-/** Adds up the reports of a data centre's routers. Workspaces and pauses are left out unless `includesWorkspaces`. */
+/** Adds up the reports of a data centre's routers. What changes slowly is left out unless `includesWorkspaces`. */
 export function sumReports(reports: readonly ReportBody[], includesWorkspaces: boolean): GroupSums {
   const sums: GroupSums = {
     routers: reports.length,
     loads: sumEntries(reports.flatMap(({ loads }) => loads)),
-    lateRates: meanLateRates(reports),
+    lateness: sumEntries(reports.flatMap(({ lateness }) => lateness ?? [])),
     draining: [...new Set(reports.flatMap(({ draining }) => draining ?? []))],
     blocked: mergeBlocked(reports.flatMap(({ blocked }) => blocked ?? [])),
     limits: mergeLimits(reports.flatMap(({ limits }) => limits ?? [])),
@@ -91,7 +92,8 @@
   if (!includesWorkspaces) return sums;
   const workspaces = sumEntries(reports.flatMap((report) => report.workspaces ?? []));
   const pauses = meanPauses(reports.flatMap((report) => report.pauses ?? []));
-  return { ...sums, workspaces, pauses };
+  const latencies = medianEntries(reports.flatMap((report) => report.latencies ?? []));
+  return { ...sums, workspaces, pauses, latencies };
 }
 
 /** Adds up the numbers of the entries with the same first field. */
@@ -145,15 +147,3 @@
   );
   return counted.map(([endpoint, sumMs, count]) => [endpoint, Math.round(sumMs / count)]);
 }
-
-/** Mean late rate of each pool over the routers that report one. */
-function meanLateRates(reports: readonly ReportBody[]): LateRateEntry[] {
-  const rates = new Map<number, number[]>();
-  for (const { lateRates } of reports) {
-    for (const [pool, rate] of lateRates) rates.set(pool, [...(rates.get(pool) ?? []), rate]);
-  }
-  return [...rates].map(([pool, values]) => [
-    pool,
-    values.reduce((sum, rate) => sum + rate, 0) / values.length,
-  ]);
-}
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -6,11 +6,11 @@
  * Routers of the own data centre report for themselves. Of each other data centre there is one group report
  * with the sums over its routers, whichever of its relays has sent it.
  */
-import { PeerUsage } from '@poplarpick/decisions';
+import { PeerUsage, sumLateness } from '@poplarpick/decisions';
 import type {
   DepartedVersionEntry,
+  LatenessCounts,
   PeerGroup,
-  PeerLateRate,
   RequestFingerprint,
   WorkspaceUsage,
 } from '@poplarpick/decisions';
@@ -53,8 +53,19 @@
 /** The longest pause of streams lately at an endpoint: the hash of its incarnation, and the pause in ms. */
 export type EndpointPauseEntry = [endpoint: number, pauseMs: number];
 
-/** Rate of late requests in a pool, which is named by its hash. */
-export type LateRateEntry = [pool: number, rate: number];
+/** Requests within their share in a pool, which is named by its hash: the late ones, and all of the last seconds. */
+export type LatenessEntry = [pool: number, late: number, total: number];
+
+/**
+ * What the sender has learned of the latencies of a pool: the hash of the pool, the time to the first event of an
+ * empty prompt in us, the prefill time per token in ns, and the mean duration of a request in ms.
+ */
+export type PoolLatencyEntry = [
+  pool: number,
+  baseUs: number,
+  nsPerToken: number,
+  durationMs: number,
+];
 
 /** Report of one router, or of all routers of a data centre; sent in MessagePack under these field names. */
 export interface PeerReport {
@@ -88,8 +99,8 @@
   workspaces?: WorkspaceUsage[] | undefined;
   /** Newly cached prompt segments. */
   kept: CachedSegmentEntry[];
-  /** Late rates, in a group report the means over its routers. */
-  lateRates: LateRateEntry[];
+  /** Late requests and all; missing in reports of older versions. */
+  lateness?: LatenessEntry[] | undefined;
   /** Fingerprints of newly refused requests; missing in reports of older versions. */
   refused?: RequestFingerprint[] | undefined;
   /**
@@ -109,6 +120,8 @@
   needs?: EndpointNeedEntry[] | undefined;
   /** Long pauses that the sender has seen, in a group report the means over its routers; only in some reports. */
   pauses?: EndpointPauseEntry[] | undefined;
+  /** Latencies of pools that the sender has learned, in a group report the medians; only in some reports. */
+  latencies?: PoolLatencyEntry[] | undefined;
   /** How far back the sender knows which versions were listed, see `VersionHistoryReport`. */
   versionsKnownMs?: number | undefined;
   /** Versions that were listed in that time and are no longer. */
@@ -162,10 +175,11 @@
       this.hasSenderEnded = true;
     const workspaces = report.workspaces ?? latest?.workspaces;
     const pauses = report.pauses ?? latest?.pauses;
+    const latencies = report.latencies ?? latest?.latencies;
     const usageReceivedAt =
       report.workspaces === undefined ? (previous?.usageReceivedAt ?? now) : now;
     this.entries.set(subject, {
-      report: { ...report, workspaces, pauses },
+      report: { ...report, workspaces, pauses, latencies },
       receivedAt: now,
       usageReceivedAt,
     });
@@ -231,17 +245,17 @@
     return this.live(now).reduce((count, { routers = 1 }) => count + routers, 1);
   }
 
-  /** Mean rate of late requests in a pool over the live peers, and their number. */
-  meanLateRate(poolHash: number, now: number): PeerLateRate {
-    let sum = 0;
-    let counted = 0;
-    for (const { lateRates, routers = 1 } of this.live(now)) {
-      const entry = lateRates.find(([hash]) => hash === poolHash);
-      if (entry === undefined) continue;
-      sum += entry[1] * routers;
-      counted += routers;
-    }
-    return { rate: counted === 0 ? 0 : sum / counted, routers: counted };
+  /** Requests within their share in a pool, added up over the live peers. */
+  lateness(poolHash: number, now: number): LatenessCounts {
+    const entries = this.live(now)
+      .flatMap(({ lateness = [] }) => lateness)
+      .filter(([hash]) => hash === poolHash);
+    return sumLateness(entries.map(([, late, total]) => ({ late, total })));
+  }
+
+  /** What the live peers have learned of the latencies of pools. */
+  latencies(now: number): PoolLatencyEntry[] {
+    return this.live(now).flatMap(({ latencies = [] }) => latencies);
   }
 
   private dropExpired(now: number): void {
--- a/packages/forwarder/src/peers/router-reports.ts
+++ b/packages/forwarder/src/peers/router-reports.ts
@@ -24,8 +24,12 @@
   CachedSegmentEntry,
   EndpointLoadEntry,
   EndpointPauseEntry,
+  LatenessEntry,
   PeerReport,
+  PoolLatencyEntry,
 } from './peer-table.ts';
+import { applyLatencies, listLatencies } from './pool-latency-report.ts';
+import type { PoolEstimators } from './pool-latency-report.ts';
 import type { ReportBody } from './report-exchange.ts';
 
 /** Most cached prompt segments in one report, so that it fits into a datagram. */
@@ -47,12 +51,17 @@
   clock: Clock;
   endpoints: EndpointDirectory;
   fairShareLedger: FairShareLedger;
+  latencyEstimators: PoolEstimators;
   limits: LimitTracker;
   poison: PoisonGuard;
   refusedRequests: RefusedRequests;
   streams: StreamOrigins;
   surplusLimiters: ReadonlyMap<string, SurplusLimiter>;
   describeState: () => ReportHead;
+  /** What live peers have learned of the latencies of pools. */
+  readPeerLatencies: () => readonly PoolLatencyEntry[];
+  /** Whether this router reads its sockets late. */
+  readsLate: () => boolean;
   /** The pace of the streams of a pool. */
   streamPace: (pool: string) => StreamPace;
   /** Called with each segment that a peer has announced as cached. */
@@ -85,19 +94,20 @@
 
   /** Builds the report to this router's peers. */
   build(includesWorkspaces: boolean): ReportBody {
-    const { limits, poison, streams, fairShareLedger, surplusLimiters } = this.options;
+    const { limits, poison, streams, fairShareLedger, latencyEstimators } = this.options;
     limits.refresh();
     return {
       ...this.options.describeState(),
       ...this.listEndpoints(),
       ...(includesWorkspaces
-        ? { workspaces: fairShareLedger.snapshot(this.now()), pauses: this.listPauses() }
+        ? {
+            workspaces: fairShareLedger.snapshot(this.now()),
+            pauses: this.listPauses(),
+            latencies: listLatencies(latencyEstimators),
+          }
         : {}),
       kept: this.cacheAnnouncements.take(MAX_SEGMENTS_PER_REPORT).map(({ entry }) => entry),
-      lateRates: [...surplusLimiters].map(([pool, limiter]) => [
-        murmurhash.v3(pool),
-        limiter.lateRate,
-      ]),
+      lateness: this.listLateness(),
       refused: this.takeRefusals(),
       ...poison.buildReport(),
       ...limits.buildReport(),
@@ -108,8 +118,10 @@
   /** Applies a peer's report. */
   apply(report: PeerReport): void {
     const { endpoints, limits, onCachedSegment, poison, refusedRequests, streams } = this.options;
+    const { latencyEstimators, readPeerLatencies } = this.options;
     const now = this.now();
     this.applyLoads(reportSubject(report), report.loads, now);
+    if (report.latencies !== undefined) applyLatencies(latencyEstimators, readPeerLatencies);
     this.applyPauses(reportSubject(report), report.pauses ?? [], now);
     for (const fingerprint of report.refused ?? []) refusedRequests.record(fingerprint, now);
     for (const hash of report.draining ?? []) {
@@ -122,6 +134,13 @@
     streams.applyReport(report);
   }
 
+  private listLateness(): LatenessEntry[] {
+    return Array.from(this.options.surplusLimiters, ([pool, limiter]) => {
+      const { late, total } = limiter.counts(this.now());
+      return [murmurhash.v3(pool), late, total];
+    });
+  }
+
   private listPauses(): EndpointPauseEntry[] {
     const pauses: EndpointPauseEntry[] = [];
     for (const { endpoint, incarnation, incarnationHash } of this.options.endpoints.all()) {
@@ -145,9 +164,10 @@
   private listEndpoints(): Pick<ReportBody, 'loads' | 'draining'> {
     const loads: EndpointLoadEntry[] = [];
     const draining: number[] = [];
+    const readsLate = this.options.readsLate();
     for (const { incarnationHash, load, availability } of this.options.endpoints.all()) {
       if (availability.hasAnnouncedDrain) draining.push(incarnationHash);
-      const ownLoad = load.ownLoad();
+      const ownLoad = load.ownLoad(this.now(), readsLate);
       if (ownLoad.pending + ownLoad.running === 0) continue;
       const { pending, prefillTokens, running, kvCacheTokens } = ownLoad;
       loads.push([
