A refusal for the share of a workspace is no longer counted as contention

Calls of a workspace that had used less than its share of the configured rate, but all of that of the capacity in use, were refused at endpoints without a wait, logged as "the wait is too long", and counted as requests within their share that would be late.

Admission now says whether it refused for the share; only refusals for the wait count as contention.

--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -53,6 +53,8 @@
   isAccepted: boolean;
   /** The request counts as over its workspace's fair share and may only use the surplus. */
   isOverShare: boolean;
+  /** A refused request would have been accepted if its workspace had used less of its shares. */
+  isForShare: boolean;
   /** Longest wait with which the request is accepted, in ms. */
   waitLimitMs: number;
   /** Time after which the caller of a refused request may retry, in ms; 0 when accepted. */
@@ -119,12 +121,14 @@
     input.surplusWaitLimit < CONTENDED_SURPLUS_WAIT_LIMIT;
   const paceLimit = SURPLUS_PACE_LIMIT * (1 + surplusBoost(input.shareUsage.surplusUsed));
   const hasSurplus = !isOverShare || paceUsed < paceLimit;
-  if (input.waitMs <= waitLimitMs && meetsDeadline && hasSurplus && !isOverSurplusShare)
-    return { isAccepted: true, isOverShare, waitLimitMs, retryAfterMs: 0 };
+  const isInTime = input.waitMs <= waitLimitMs && meetsDeadline;
+  if (isInTime && hasSurplus && !isOverSurplusShare)
+    return { isAccepted: true, isOverShare, isForShare: false, waitLimitMs, retryAfterMs: 0 };
   const retryAfterMs = isOverShare
     ? OVER_SHARE_RETRY_AFTER_MS.base + OVER_SHARE_RETRY_AFTER_MS.jitter * random
     : retryAfterExcessWaitMs(input, waitLimitMs, random);
-  return { isAccepted: false, isOverShare, waitLimitMs, retryAfterMs };
+  const isForShare = isOverShare || isInTime;
+  return { isAccepted: false, isOverShare, isForShare, waitLimitMs, retryAfterMs };
 }
 
 /**
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -103,7 +103,7 @@
     const { placement, decision } = placer.admitAtBest(request, best, selectWithin);
     this.isBeyondShare = decision.isOverShare;
     if (placement !== undefined) return placement;
-    if (!decision.isOverShare) state.pools.surplusLimiter(pool).recordRefused();
+    if (!decision.isForShare) state.pools.surplusLimiter(pool).recordRefused();
     return createRefusal(refusalReason(decision), ErrorCode.QueueFull, decision.retryAfterMs);
   }
 
--- a/packages/forwarder/src/calls/call-placer.ts
+++ b/packages/forwarder/src/calls/call-placer.ts
@@ -35,8 +35,8 @@
 }
 
 /** Why a request is refused. */
-export function refusalReason({ isOverShare }: AdmissionDecision): string {
-  return isOverShare ? 'the workspace has had its share' : 'the wait is too long';
+export function refusalReason({ isForShare }: AdmissionDecision): string {
+  return isForShare ? 'the workspace has had its share' : 'the wait is too long';
 }
 
 /** Selects endpoints for requests and admits them. */
@@ -98,7 +98,8 @@
 
   /**
    * Admits a request at the best endpoint or, if it is within its share and its wait there is too long, at the best
-   * one that `selectWithin` finds with a wait that isn't. Over its share, it would take what others are due there.
+   * one that `selectWithin` finds with a wait that isn't. Refused for its share, it would take what others are due
+   * there.
    */
   admitAtBest(
     request: AdmissionRequest,
@@ -107,7 +108,7 @@
   ): AdmissionResult {
     const decision = this.admit(request, best);
     if (decision.isAccepted) return { placement: best, decision };
-    const other = decision.isOverShare ? undefined : selectWithin(decision.waitLimitMs);
+    const other = decision.isForShare ? undefined : selectWithin(decision.waitLimitMs);
     const isAccepted = other !== undefined && this.admit(request, other).isAccepted;
     return { placement: isAccepted ? other : undefined, decision };
   }
