Calls are no longer refused for their share while endpoints have nothing to do

Under contention the capacity that is shared was 1.1 times what was granted. In calm, too, the surplus beyond the configured rate grew by a tenth a window at most.

Grants tell the capacity only while the endpoints are in use. A router now averages over half a second which part of the model endpoints is idle: no prompt waits, a slot is free, streams aren't slow, and the endpoint neither fails nor is limited. What was granted is divided by the part in use; a fifth that seems idle is usual in a full fleet, as reports are late.

The property in workspace-shares.test.ts failed before.

--- a/packages/decisions/src/forwarding/admission.ts
+++ b/packages/decisions/src/forwarding/admission.ts
@@ -92,7 +92,7 @@
 const CONTENDED_SURPLUS_WAIT_LIMIT = 0.3;
 
 /** Pace used of an endpoint (see `StreamPace`) from which on it has no surplus. */
-const SURPLUS_PACE_LIMIT = 0.8;
+export const SURPLUS_PACE_LIMIT = 0.8;
 
 /** Part of its own objective that a shorter one at the same endpoint leaves to a request within its fair share. */
 const MIN_QUEUE_OBJECTIVE_SHARE = 0.5;
--- a/packages/decisions/src/forwarding/fair-share-ledger.ts
+++ b/packages/decisions/src/forwarding/fair-share-ledger.ts
@@ -34,6 +34,8 @@
   readTokensPerMs: () => number;
   /** Returns how far requests within their share are refused or late, in 0..1; by default they aren't. */
   readContention?: () => number;
+  /** Returns which part of the endpoints is in use, in 0..1; by default all of them are. */
+  readUsedFraction?: () => number;
   now: number;
 }
 
@@ -136,12 +138,15 @@
   }
 
   private currentFleetUsage(measurement: ShareMeasurement): FleetUsageSnapshot {
-    const { now, readTokensPerMs, readPeerUsage, readContention = () => 0 } = measurement;
+    const { now, readTokensPerMs, readPeerUsage } = measurement;
     if (this.fleet !== undefined && now - this.fleet.takenAt < FLEET_USAGE_TTL_MS)
       return this.fleet;
     const usage = this.sumUsage(readPeerUsage(), now);
-    const nominalTokens = readTokensPerMs() * this.windowMs;
-    const levels = findFairLevels(usage, nominalTokens, readContention());
+    const levels = findFairLevels(usage, {
+      nominalTokens: readTokensPerMs() * this.windowMs,
+      contention: measurement.readContention?.() ?? 0,
+      usedFraction: measurement.readUsedFraction?.() ?? 1,
+    });
     this.fleet = { usage, levels, takenAt: now };
     return this.fleet;
   }
--- a/packages/decisions/src/forwarding/max-min-share.test.ts
+++ b/packages/decisions/src/forwarding/max-min-share.test.ts
@@ -26,7 +26,10 @@
       ['near', 1_500],
       ['far', 350],
     ]);
-    const levels = findFairLevels({ demanded, withinShare, overShare: new Map() }, 350);
+    const levels = findFairLevels(
+      { demanded, withinShare, overShare: new Map() },
+      { nominalTokens: 350 },
+    );
     expect(1_500 / levels.nominal).to.be.greaterThan(1);
     expect(1_500 / levels.inUse).to.be.greaterThan(1.15);
     expect(350 / levels.inUse).to.be.lessThan(1);
@@ -42,20 +45,40 @@
       ['small', 200],
     ]);
     const usage = { demanded, withinShare, overShare: new Map<string, number>() };
-    const calm = findFairLevels(usage, 5_000);
+    const calm = findFairLevels(usage, { nominalTokens: 5_000 });
     expect([calm.nominal, calm.inUse]).to.deep.equal([Infinity, Infinity]);
-    const contended = findFairLevels(usage, 5_000, 1);
+    const contended = findFairLevels(usage, { nominalTokens: 5_000, contention: 1 });
     expect(contended.nominal).to.equal(contended.inUse);
     expect(1_400 / contended.nominal).to.be.greaterThan(1);
     expect(200 / contended.nominal).to.be.lessThan(0.2);
-    const part = findFairLevels(usage, 5_000, 0.5).nominal;
+    const part = findFairLevels(usage, { nominalTokens: 5_000, contention: 0.5 }).nominal;
     expect(part).to.be.greaterThan(contended.nominal);
   });
 
+  it('rise above the grants as far as endpoints have nothing to do', () => {
+    const demanded = new Map([
+      ['flood', 900],
+      ['small', 100],
+    ]);
+    const withinShare = new Map([
+      ['flood', 300],
+      ['small', 100],
+    ]);
+    const usage = { demanded, withinShare, overShare: new Map<string, number>() };
+    const contended = { nominalTokens: 5_000, contention: 1 };
+    expect(findFairLevels(usage, contended).nominal).to.be.closeTo(340, 1);
+    const halfUsed = findFairLevels(usage, { ...contended, usedFraction: 0.5 });
+    expect(halfUsed.nominal).to.equal(700);
+    const hardlyUsed = findFairLevels(usage, { ...contended, usedFraction: 0.1 });
+    expect([hardlyUsed.nominal, hardlyUsed.inUse]).to.deep.equal([Infinity, Infinity]);
+    const beyondNominal = findFairLevels(usage, { nominalTokens: 200, usedFraction: 0.5 });
+    expect(beyondNominal).to.deep.equal({ nominal: 100, inUse: 700 });
+  });
+
   it('reports no surplus usage if all demand is granted', () => {
     const all = new Map([['a', 900]]);
     const usage = { demanded: all, withinShare: all, overShare: new Map<string, number>() };
-    expect(900 / findFairLevels(usage, 350).inUse).to.equal(0);
+    expect(900 / findFairLevels(usage, { nominalTokens: 350 }).inUse).to.equal(0);
   });
 
   it('drops counts that are older than the window', () => {
--- a/packages/decisions/src/forwarding/max-min-share.ts
+++ b/packages/decisions/src/forwarding/max-min-share.ts
@@ -104,20 +104,27 @@
   surplusUsed: number;
 }
 
+/** The capacity from which fair levels follow. */
+export interface SharedCapacity {
+  /** What the endpoints are expected to produce within the window, in tokens. */
+  nominalTokens: number;
+  /** How far requests within their share are refused or late, in 0..1; by default they aren't. */
+  contention?: number;
+  /** Part of the endpoints that is in use, in 0..1; by default all of them are. */
+  usedFraction?: number;
+}
+
 /**
- * Finds the fair levels. `nominalTokens` is what the endpoints are expected to produce within the window. They may
- * produce less, and so may the routers before them: then the demands fit into the nominal capacity, no share would be
- * used up, and whoever asks most would get most. As far as requests within their share are refused or late
- * (`contention`, in 0..1), the capacity is therefore what was granted, if that is less.
+ * Finds the fair levels. The endpoints may produce less than is expected of them, and so may the routers before them:
+ * then the demands fit into the nominal capacity, no share would be used up, and whoever asks most would get most. As
+ * far as requests within their share are refused or late, the capacity is therefore what was granted, if that is less.
+ * Where part of the endpoints has nothing to do, they could have served as much more.
  */
-export function findFairLevels(
-  usage: FleetUsage,
-  nominalTokens: number,
-  contention = 0,
-): FairLevels {
+export function findFairLevels(usage: FleetUsage, capacity: SharedCapacity): FairLevels {
+  const { nominalTokens, contention = 0, usedFraction = 1 } = capacity;
   const { demanded, withinShare, overShare } = usage;
   const totalGranted = sumTokens(withinShare) + sumTokens(overShare);
-  const tokensInUse = totalGranted * CAPACITY_HEADROOM;
+  const tokensInUse = totalGranted * Math.max(CAPACITY_HEADROOM, 1 / usedFraction);
   const shortfall = Math.max(0, nominalTokens - tokensInUse) * contention;
   return {
     nominal: findMaxMinLevel(demanded.values(), nominalTokens - shortfall),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -66,6 +66,7 @@
 export * from './forwarding/region-policy.ts';
 export * from './forwarding/routing-table.ts';
 export * from './forwarding/fair-share-ledger.ts';
+export * from './forwarding/idle-capacity.ts';
 export * from './forwarding/max-min-share.ts';
 export * from './forwarding/latency-estimator.ts';
 export * from './forwarding/store-reader-policy.ts';
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -27,6 +27,7 @@
 import type { Clock, Logger, LogOutput } from '@poplarpick/kernel';
 import { EndpointClient } from './endpoints/endpoint-client.ts';
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
+import { isIdle } from './endpoints/endpoint-idleness.ts';
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
 import { Evacuations } from './endpoints/evacuations.ts';
 import { LimitTracker } from './endpoints/limit-tracker.ts';
@@ -186,6 +187,12 @@
       readLoopUtilization: () => this.eventLoop.utilization,
       isHeldBack: (record) =>
         this.evacuations.has(record.endpoint.dataCentre) || this.warmUps.isCold(record),
+      isIdle: (record) =>
+        isIdle(record, {
+          streamPace: this.pools.streamPace(record.endpoint.pool),
+          isExhausted: this.limits.isExhausted(record),
+          now: options.clock.monotonic(),
+        }),
       onRefused: (fingerprint) => this.reports.announceRefusal(fingerprint),
     });
     this.reports = new RouterReports({
--- a/packages/forwarder/src/share-contention-log.ts
+++ b/packages/forwarder/src/share-contention-log.ts
@@ -16,6 +16,8 @@
   nominalTokens: number;
   /** Age of the oldest usage of another router that counts, in ms. */
   usageAgeMs: number;
+  /** Part of the model endpoints that is in use. */
+  usedFraction: number;
   /** Fraction of time in which the event loop has work. */
   loopUtilization: number;
 }
@@ -52,7 +54,7 @@
     const least = minBy(services, (service) => service.granted / Math.max(1, service.demanded));
     const most = minBy(services, (service) => -service.granted);
     const { demanded, granted } = sumServices(services);
-    const { nominalTokens, usageAgeMs, loopUtilization } = readState();
+    const { nominalTokens, usageAgeMs, usedFraction, loopUtilization } = readState();
     log.info({
       event: 'shares.contended',
       refused: this.refused,
@@ -65,6 +67,7 @@
       most: most?.workspace,
       most_granted: most && Math.round(most.granted),
       usage_age_ms: Math.round(usageAgeMs),
+      endpoints_used: Number(usedFraction.toFixed(2)),
       loop_used: Number(loopUtilization.toFixed(2)),
     });
   }
--- a/packages/forwarder/src/workspace-shares.test.ts
+++ b/packages/forwarder/src/workspace-shares.test.ts
@@ -1,9 +1,10 @@
-import { EndpointAvailability, EndpointLoad } from '@poplarpick/decisions';
+import { EndpointAvailability, EndpointLoad, StreamPace } from '@poplarpick/decisions';
 import type { Prompt, RouteIndex } from '@poplarpick/decisions';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
+import { isIdle } from './endpoints/endpoint-idleness.ts';
 import { WorkspaceShares } from './workspace-shares.ts';
 
 const WINDOW_MS = 4_000;
@@ -38,8 +39,10 @@
   constructor() {
     const table = { tokensPerSecond: TOKENS_PER_SECOND };
     const routes = { table, findPool: () => ({ batch: { cacheTokens: 800_000 } }) };
+    const streamPace = new StreamPace();
     const records = this.loads.map((load) => ({
       endpoint: { pool: 'pool', slots: SLOTS },
+      incarnation: 'endpoint@1',
       availability: new EndpointAvailability(),
       load,
     }));
@@ -51,6 +54,7 @@
       readPeerUsage: () => [],
       readContention: () => 1,
       isHeldBack: () => false,
+      isIdle: (record) => isIdle(record, { streamPace, isExhausted: false, now: this.clock.nowMs }),
       log: createLogger({ level: LogLevel.Silent }),
       readUsageAgeMs: () => 0,
       readLoopUtilization: () => 0,
--- a/packages/forwarder/src/workspace-shares.ts
+++ b/packages/forwarder/src/workspace-shares.ts
@@ -6,6 +6,7 @@
   fairShareCost,
   FairShareLedger,
   fingerprintRequest,
+  IdleCapacity,
   RefusedRequests,
   sumServices,
 } from '@poplarpick/decisions';
@@ -39,6 +40,8 @@
   readContention: () => number;
   /** Whether an endpoint is evacuated or cold. */
   isHeldBack: (record: EndpointRecord) => boolean;
+  /** Whether an endpoint could take more than it gets. */
+  isIdle: (record: EndpointRecord) => boolean;
   log: Logger;
   /** Age of the oldest usage that the other routers report, in ms. */
   readUsageAgeMs: (now: number) => number;
@@ -54,6 +57,7 @@
   readonly refusedRequests = new RefusedRequests();
   private readonly options: WorkspaceSharesOptions;
   private readonly contentionLog: ShareContentionLog;
+  private readonly idleCapacity = new IdleCapacity();
 
   constructor(options: WorkspaceSharesOptions) {
     this.options = options;
@@ -64,6 +68,7 @@
       readState: () => ({
         nominalTokens: this.nominalTokensPerMs() * options.windowMs,
         usageAgeMs: options.readUsageAgeMs(this.now()),
+        usedFraction: this.idleCapacity.usedFraction,
         loopUtilization: options.readLoopUtilization(),
       }),
     });
@@ -109,6 +114,7 @@
       readPeerUsage: () => readPeerUsage(now),
       readTokensPerMs: () => this.nominalTokensPerMs(),
       readContention,
+      readUsedFraction: () => this.measureUsedFraction(now),
       now,
     });
   }
@@ -135,20 +141,37 @@
    * and aren't part of the fleet any more.
    */
   private availableFraction(): number {
-    const { endpoints, routes, isHeldBack } = this.options;
     let slots = 0;
     let availableSlots = 0;
-    for (const record of endpoints.all()) {
-      const { endpoint, availability } = record;
-      if (availability.isDraining) continue;
-      if (routes()?.findPool(endpoint.pool)?.batch === undefined) continue;
-      slots += endpoint.slots;
-      if (!isHeldBack(record)) availableSlots += endpoint.slots;
+    for (const record of this.listModelEndpoints()) {
+      slots += record.endpoint.slots;
+      if (!this.options.isHeldBack(record)) availableSlots += record.endpoint.slots;
     }
     // Where no endpoint takes requests, no call is admitted and no share matters.
     return availableSlots === 0 ? 1 : availableSlots / slots;
   }
 
+  /** Part of the model endpoints that is in use, over the last moment. */
+  private measureUsedFraction(now: number): number {
+    let idle = 0;
+    let total = 0;
+    for (const record of this.listModelEndpoints()) {
+      if (!record.availability.takesRequests(now) || this.options.isHeldBack(record)) continue;
+      total += 1;
+      if (this.options.isIdle(record)) idle += 1;
+    }
+    this.idleCapacity.record(idle, total, now);
+    return this.idleCapacity.usedFraction;
+  }
+
+  private *listModelEndpoints(): Iterable<EndpointRecord> {
+    const { endpoints, routes } = this.options;
+    for (const record of endpoints.all()) {
+      if (record.availability.isDraining) continue;
+      if (routes()?.findPool(record.endpoint.pool)?.batch !== undefined) yield record;
+    }
+  }
+
   private now(): number {
     return this.options.clock.monotonic();
   }
