--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -103,7 +103,7 @@
     const { placement, decision } = placer.admitAtBest(request, best, selectWithin);
     this.isBeyondShare = decision.isOverShare;
     if (placement !== undefined) return placement;
-    if (!decision.isOverShare) this.recordLate();
+    if (!decision.isForShare) this.recordLate();
     return createRefusal(refusalReason(decision), ErrorCode.QueueFull, decision.retryAfterMs);
   }
 
