A router that stood still doesn't take all endpoints for stalled

After a stall of over 1 s no endpoint with running streams had sent a byte for that long as far as the router had read, so placement took all of them for unhealthy at once until their bytes were read. It now judges by the time up to which the sockets have been read (PeerTable.lastRead).

Before, the new test of EndpointLoad failed: unhealthy at 6.5 s though only what had come by 5 s was read.

--- a/packages/decisions/src/forwarding/endpoint-load.test.ts
+++ b/packages/decisions/src/forwarding/endpoint-load.test.ts
@@ -53,6 +53,15 @@
     expect(load.isStalled(5_000)).to.equal(false);
     expect(load.isStalled(6_500)).to.equal(true);
   });
+
+  it('is not unhealthy because the router has not read for a while', () => {
+    const load = new EndpointLoad();
+    const request = load.recordSent(100, 100, 0);
+    load.recordStarted(request);
+    load.recordBytes(4_900);
+    expect(load.isUnhealthy(6_500, 5_000)).to.equal(false);
+    expect(load.isUnhealthy(6_500, 6_400)).to.equal(true);
+  });
 });
 
 describe('LatencyEstimator', () => {
--- a/packages/decisions/src/forwarding/endpoint-load.ts
+++ b/packages/decisions/src/forwarding/endpoint-load.ts
@@ -125,10 +125,13 @@
     return this.failureAverage;
   }
 
-  /** True after several consecutive failures, or while the endpoint's streams are stalled. */
-  isUnhealthy(now: number): boolean {
+  /**
+   * True after several consecutive failures, or while the endpoint's streams are stalled, as far as that is known from
+   * what had come by `readAt`: after a stall of this router, their bytes wait in the sockets.
+   */
+  isUnhealthy(now: number, readAt = now): boolean {
     if (now < this.unhealthyUntil) return true;
-    return this.isStalled(now);
+    return this.isStalled(readAt);
   }
 
   /** True if requests have started here and none has received a byte within the stall timeout. */
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -183,11 +183,12 @@
     const sharedTokens = segments.reduce((sum, { tokens }) => sum + tokens, 0);
     if (transfer === undefined || sharedTokens < MIN_TRANSFER_TOKENS) return undefined;
     const now = this.state.clock.monotonic();
+    const readAt = this.state.peers.lastRead(now);
     const sources: PromptSource[] = [];
     for (const { incarnation, endpoint, load, availability } of this.state.endpoints.all()) {
       if (endpoint.pool !== pool || availability.isDraining) continue;
       const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(incarnation, segments, now);
-      if (uncachedTokens === sharedTokens || load.isUnhealthy(now)) continue;
+      if (uncachedTokens === sharedTokens || load.isUnhealthy(now, readAt)) continue;
       const { address, dataCentre, version } = endpoint;
       sources.push({ address, dataCentre, version, uncachedTokens });
     }
@@ -294,7 +295,7 @@
       incarnation: record.incarnation,
       isLocal: record.endpoint.dataCentre === this.state.dataCentre,
       failureRate: record.load.failureRate,
-      isUnhealthy: record.load.isUnhealthy(now),
+      isUnhealthy: record.load.isUnhealthy(now, this.state.peers.lastRead(now)),
       limitCostTokens: record.limit.priceTokens,
     };
   }
