A connection that opened during a stall is not given up

The timeout for opening a connection to an endpoint (450 ms) was judged before the event loop looked whether it is open, so a router that stood still closed sound new connections and the attempts failed. It is now judged after the sockets were polled.

Before, the new test (loop blocked for 550 ms while the kernel opens the connection) failed with CONNECT_FAILED.

--- a/packages/forwarder/src/endpoints/endpoint-connector.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connector.ts
@@ -1,8 +1,11 @@
 /** Opens TCP connections to endpoints, with a short timeout and keep-alive probes. */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { SystemClock } from '@poplarpick/kernel';
 import type { buildConnector } from 'undici';
 
+const CLOCK = new SystemClock();
+
 /** Timeout for opening a connection within a region, in ms; a lost SYN then leads to a new attempt. */
 const CONNECT_TIMEOUT_MS = 450;
 
@@ -32,16 +35,16 @@
     keepAlive: true,
     keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
   });
-  const timer = setTimeout(() => {
+  const timer = CLOCK.afterPoll(CONNECT_TIMEOUT_MS, () => {
     socket.destroy(new Error(`not open after ${CONNECT_TIMEOUT_MS} ms`));
-  }, CONNECT_TIMEOUT_MS);
+  });
   const fail = (error: Error): void => {
-    clearTimeout(timer);
+    timer.stop();
     callback(new ConnectError(address, error), null);
   };
   socket.once('error', fail);
   socket.once('connect', () => {
-    clearTimeout(timer);
+    timer.stop();
     socket.off('error', fail);
     callback(null, socket);
   });
