--- a/packages/forwarder/src/endpoints/endpoint-connector.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connector.ts
@@ -1,8 +1,11 @@
 /** Opens TCP connections to endpoints, with a short timeout and keep-alive probes. */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { SystemClock } from '@poplarpick/kernel';
 import type { buildConnector } from 'undici';
 
+const CLOCK = new SystemClock();
+
 /** Timeout for opening a connection within a region, in ms; a lost SYN then leads to a new attempt. */
 const CONNECT_TIMEOUT_MS = 450;
 
@@ -55,21 +58,21 @@
   const giveUpAfter = (timeoutMs: number): void => {
     socket.destroy(new OpeningTimeoutError(timeoutMs));
   };
-  let timer = setTimeout(() => {
+  let timer = CLOCK.afterPoll(CONNECT_TIMEOUT_MS, () => {
     if (!options.isLate()) {
       giveUpAfter(CONNECT_TIMEOUT_MS);
       return;
     }
     const leftMs = LATE_CONNECT_TIMEOUT_MS - CONNECT_TIMEOUT_MS;
-    timer = setTimeout(() => giveUpAfter(LATE_CONNECT_TIMEOUT_MS), leftMs);
-  }, CONNECT_TIMEOUT_MS);
+    timer = CLOCK.afterPoll(leftMs, () => giveUpAfter(LATE_CONNECT_TIMEOUT_MS));
+  });
   const fail = (error: Error): void => {
-    clearTimeout(timer);
+    timer.stop();
     callback(new ConnectError(address, error), null);
   };
   socket.once('error', fail);
   socket.once('connect', () => {
-    clearTimeout(timer);
+    timer.stop();
     socket.off('error', fail);
     callback(null, socket);
   });
