--- a/packages/forwarder/src/endpoints/endpoint-connector.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connector.test.ts
@@ -15,10 +15,13 @@
     const { port } = server.address() as AddressInfo;
     try {
       const error = await new Promise<Error | null>((resolve) => {
-        connectEndpoint({ hostname: '127.0.0.1', port: String(port) }, (...[failure, socket]) => {
-          socket?.destroy();
-          resolve(failure);
-        });
+        connectEndpoint(
+          { hostname: '127.0.0.1', port: String(port), isLate: () => false },
+          (...[failure, socket]) => {
+            socket?.destroy();
+            resolve(failure);
+          },
+        );
         // The SYN leaves in the next tick.
         process.nextTick(() => blockLoop(STALL_MS));
       });
