--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -99,18 +99,19 @@
 
   /** Whether this router reads events late now, so that times that end now aren't those of the endpoint. */
   private checkLate(): boolean {
-    const { readsLate } = this.options.state.eventLoop;
-    this.hasReadLate ||= readsLate;
-    return readsLate;
+    const { isLate } = this.options.state.link;
+    this.hasReadLate ||= isLate;
+    return isLate;
   }
 
   private recordServed(attempt: MeasuredAttempt): void {
     const { state, pool, route, arrivedAt } = this.options;
-    state.pools.surplusLimiter(pool).recordServed({
+    const served = {
       objectiveMs: route.objectiveMs,
       firstEventMs: this.elapsedSince(arrivedAt),
       serviceMs: attempt.placement.serviceMs,
-    });
+    };
+    state.pools.surplusLimiter(pool).recordServed(served, state.clock.monotonic());
   }
 
   private elapsedSince(startedAt: number): number {
--- a/packages/forwarder/src/peers/group-report.test.ts
+++ b/packages/forwarder/src/peers/group-report.test.ts
@@ -33,4 +33,33 @@
       [2, 700, 1],
     ]);
   });
+
+  it('have the median of the latencies that routers have learned, now and then', () => {
+    const latencies = [20_000, 21_000, 900_000].map((baseUs) =>
+      makeReport({ latencies: [[1, baseUs, 6_400, 300]] }),
+    );
+    const reports = [...latencies, makeReport({})];
+    expect(sumReports(reports, true).latencies).to.deep.equal([[1, 21_000, 6_400, 300]]);
+    expect(sumReports(reports, false).latencies).to.equal(undefined);
+  });
+
+  it('count each late request once, whichever router served it', () => {
+    const { lateness } = sumReports(
+      [
+        makeReport({ lateness: [[1, 6, 10]] }),
+        makeReport({
+          lateness: [
+            [1, 0, 500],
+            [2, 1, 3],
+          ],
+        }),
+        makeReport({}),
+      ],
+      false,
+    );
+    expect(lateness).to.deep.equal([
+      [1, 6, 510],
+      [2, 1, 3],
+    ]);
+  });
 });
--- a/packages/forwarder/src/poison/poison-guard.test.ts
+++ b/packages/forwarder/src/poison/poison-guard.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { EndpointLoad } from '@poplarpick/decisions';
-import { Clock, createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
-import type { Timer } from '@poplarpick/kernel';
+import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
+import type { Clock } from '@poplarpick/kernel';
+import { ManualClock } from '@poplarpick/kernel/testing/manual-clock';
 import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { PoisonGuard } from './poison-guard.ts';
@@ -14,36 +15,6 @@
 /** Longer than the time after which the silence of an endpoint is judged, in ms. */
 const STALL_MS = 350;
 
-/** Simulated time with timers. */
-class ManualClock extends Clock {
-  nowMs = 0;
-  private timers: { at: number; action: () => void }[] = [];
-
-  override now(): number {
-    return this.nowMs;
-  }
-
-  override monotonic(): number {
-    return this.nowMs;
-  }
-
-  override after(delayMs: number, action: () => void): Timer {
-    this.timers.push({ at: this.nowMs + delayMs, action });
-    return { stop: () => undefined };
-  }
-
-  override every(): Timer {
-    return { stop: () => undefined };
-  }
-
-  advance(durationMs: number): void {
-    this.nowMs += durationMs;
-    const due = this.timers.filter(({ at }) => at <= this.nowMs);
-    this.timers = this.timers.filter(({ at }) => at > this.nowMs);
-    for (const { action } of due) action();
-  }
-}
-
 describe('the guard against poison segments', () => {
   let clock: ManualClock;
   let endpoints: Map<number, EndpointRecord>;
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -18,7 +18,7 @@
   ConnectionLimits,
   Endpoint,
   HashedSegment,
-  PeerLateRate,
+  LatenessCounts,
   StoreStateAge,
   Route,
   RoutingTable,
@@ -27,6 +27,7 @@
 import type { Clock, Logger, LogOutput } from '@poplarpick/kernel';
 import { EndpointClient } from './endpoints/endpoint-client.ts';
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
+import { isIdle } from './endpoints/endpoint-idleness.ts';
 import type { EndpointRecord } from './endpoints/endpoint-directory.ts';
 import { Evacuations } from './endpoints/evacuations.ts';
 import { LimitTracker } from './endpoints/limit-tracker.ts';
@@ -38,6 +39,7 @@
 import { RouterReports } from './peers/router-reports.ts';
 import type { ReportHead } from './peers/router-reports.ts';
 import { EventLoopMonitor } from './event-loop-monitor.ts';
+import { LinkMonitor } from './link-monitor.ts';
 import { PlannedStop } from './planned-stop.ts';
 import { createListeners } from './process-limits.ts';
 import { PoolStates } from './pool-states.ts';
@@ -79,6 +81,7 @@
   readonly prefixCacheIndex = new PrefixCacheIndex();
   readonly logRateLimiter = new LogRateLimiter();
   readonly eventLoop: EventLoopMonitor;
+  readonly link: LinkMonitor;
   readonly poison: PoisonGuard;
   readonly limits: LimitTracker;
   readonly hedges: HedgeBudgets;
@@ -112,7 +115,9 @@
     this.pools = new PoolStates(options.bounds);
     this.stop = new PlannedStop(options.clock);
     this.freshness = new KeyFreshness({ revocationMs: options.bounds.revocationMs });
-    this.eventLoop = new EventLoopMonitor({ clock: options.clock, log: options.log });
+    const { clock, log } = options;
+    this.eventLoop = new EventLoopMonitor({ clock, log });
+    this.link = new LinkMonitor({ clock, log, eventLoop: this.eventLoop });
     const { listeners, connectionLimits } = createListeners(options);
     this.listeners = listeners;
     this.connectionLimits = connectionLimits;
@@ -136,6 +141,8 @@
           protocol: options.protocol,
           startedAt: endpoint.startedAt,
           clock: options.clock,
+          onOpening: (elapsedMs) => this.link.recordOpening(endpoint.address, elapsedMs),
+          isLate: () => this.link.isLate,
           onReplaced: () => this.logReplaced(endpoint),
         }),
       isEvacuated: (dataCentre) => this.evacuations.has(dataCentre),
@@ -186,12 +193,19 @@
       readLoopUtilization: () => this.eventLoop.utilization,
       isHeldBack: (record) =>
         this.evacuations.has(record.endpoint.dataCentre) || this.warmUps.isCold(record),
+      isIdle: (record) =>
+        isIdle(record, {
+          streamPace: this.pools.streamPace(record.endpoint.pool),
+          isExhausted: this.limits.isExhausted(record),
+          now: options.clock.monotonic(),
+        }),
       onRefused: (fingerprint) => this.reports.announceRefusal(fingerprint),
     });
     this.reports = new RouterReports({
       clock: options.clock,
       endpoints: this.endpoints,
       fairShareLedger: this.shares.ledger,
+      latencyEstimators: this.pools.latencyEstimators,
       limits: this.limits,
       poison: this.poison,
       refusedRequests: this.shares.refusedRequests,
@@ -199,6 +213,8 @@
       surplusLimiters: this.pools.surplusLimiters,
       streamPace: (pool) => this.pools.streamPace(pool),
       describeState: () => this.describeState(),
+      readPeerLatencies: () => this.peers.latencies(this.clock.monotonic()),
+      readsLate: () => this.eventLoop.readsLate,
       onCachedSegment: (entry) => this.applyCachedSegment(entry),
     });
   }
@@ -274,19 +290,22 @@
 
   /** Longest wait of a request over its workspace's share, as a multiple of the objective. */
   surplusWaitLimit(pool: string): number {
-    return this.pools.surplusLimiter(pool).waitLimit(this.peerLateRate(pool));
+    return this.pools
+      .surplusLimiter(pool)
+      .waitLimit(this.clock.monotonic(), this.peerLateness(pool));
   }
 
   /** How far requests within their share are late in the pool of model endpoints that has most of them, in 0..1. */
   private contention(): number {
+    const now = this.clock.monotonic();
     const contentions = (this.routeIndex?.modelPools ?? []).map((name) =>
-      this.pools.surplusLimiter(name).contention(this.peerLateRate(name)),
+      this.pools.surplusLimiter(name).contention(now, this.peerLateness(name)),
     );
     return Math.max(0, ...contentions);
   }
 
-  private peerLateRate(pool: string): PeerLateRate {
-    return this.peers.meanLateRate(murmurhash.v3(pool), this.clock.monotonic());
+  private peerLateness(pool: string): LatenessCounts {
+    return this.peers.lateness(murmurhash.v3(pool), this.clock.monotonic());
   }
 
   /** Number of live routers, including this one. */
--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
@@ -81,10 +82,6 @@
   }
 }
 
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 describe('the exchange of origins', () => {
   let network: Network;
 
@@ -168,7 +165,7 @@
     const listed = [createEndpoint('v1')];
     const clock = new SystemClock();
     const origins = new StreamOrigins({ clock, isFirstStart: true, endpoints: () => listed });
-    origins.recordRoutes(createTable(ROUTE));
+    origins.recordRoutes(createTable([ROUTE]));
     origins.confirmEndpoints(clock.monotonic(), false);
     const records: OriginMessage[] = [];
     const exchange = new OriginExchange({
--- a/packages/stand-ins/src/platform/platform-engine.ts
+++ b/packages/stand-ins/src/platform/platform-engine.ts
@@ -6,10 +6,12 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { answerCacheList, CacheListAnswer } from './cache-list.ts';
 import { sendAnswer, sendUnframedRefusal } from './engine-answers.ts';
 import { EngineBehaviour, REFUSALS, STREAMS, UNFRAMED_REFUSALS } from './engine-behaviour.ts';
 import type { EngineSilence, PlatformEngineOptions } from './platform-engine-options.ts';
+import { createStoreEntry } from './store-entry.ts';
 
 /** A request that the engine began to execute. */
 export interface ExecutedRequest {
@@ -105,17 +107,7 @@
     service: string,
     overrides: Record<string, unknown> = {},
   ): Record<string, unknown> {
-    return {
-      service,
-      address: this.address,
-      zone: 'z',
-      version: 'v1',
-      slots: 8,
-      state: 'ready',
-      coldRemainingMs: 0,
-      seq: 1,
-      ...overrides,
-    };
+    return createStoreEntry({ service, address: this.address }, overrides);
   }
 
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -258,10 +250,6 @@
   await Promise.race(endedBy === undefined ? [sleep(durationMs)] : [sleep(durationMs), endedBy]);
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function readBody(request: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
