A router that is merely busy on a small host doesn't stand still to collect garbage

Cause: V8's limit of old objects begins small, whatever the most is; and over 0.85 of the host's memory all garbage was collected at once, though a busy router is at 0.85 of 160 MB without a crowd. Over 0.85 of the memory V8 is asked for a collection in steps, by its trigger for incremental marking, which it reads whenever it decides. At once is collected over 0.9, with 16 MiB of unused buffers, or if the process grows by 16 MiB within 5 s.

--- a/packages/fleet/src/listening/garbage-collector.ts
+++ b/packages/fleet/src/listening/garbage-collector.ts
@@ -2,10 +2,9 @@
  * Collects the buffers of a process that aren't used any more, while the process is about to fill the memory of its host. V8
  * decides when to collect from the size of its objects, and a buffer is a small object whatever it refers to: a crowd that
  * sends much makes garbage of more than the process may have before V8 looks. Where there is little such garbage, V8 knows
- * best, however much of its host's memory the process takes.
+ * best, however much of its host's memory the process takes; once that is nearly all, V8 is asked to collect in steps.
  */
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
+import { CollectionKind, collectNow } from './v8-collections.ts';
 
 const MIB = 1_048_576;
 
@@ -18,9 +17,17 @@
 /** Part of the host's memory up to which garbage is left to V8. */
 const BUSY_SHARE = 0.6;
 
-/** Part of the host's memory from which on all garbage is collected, whatever it is. */
+/** Part of the host's memory from which on all garbage is collected: in steps, or at once if the process grows fast. */
 const FULL_SHARE = 0.85;
 
+/** Part of the host's memory from which on there is no time for steps. */
+const OVERFULL_SHARE = 0.9;
+
+/** Growth of the process within the period below that is fast, in bytes. */
+const FAST_GROWTH_BYTES = 16 * MIB;
+
+const GROWTH_PERIOD_MS = 5_000;
+
 /** Buffers that aren't held for anybody, in bytes, from which on those that were made lately are collected. */
 const BUFFER_GARBAGE_BYTES = 16 * MIB;
 
@@ -33,14 +40,10 @@
 /** Shortest time between two collections of all garbage, in ms. */
 const MIN_PAUSE_MS = 60;
 
-const WATCH_PERIOD_MS = 30;
+/** A process that grows as much again within this time fills its memory before steps come to their end, in ms. */
+const STEPS_MS = 2_000;
 
-/** Which objects are collected. */
-export enum Generation {
-  /** Those that were made lately. */
-  Young = 'minor',
-  All = 'major',
-}
+const WATCH_PERIOD_MS = 30;
 
 /** Memory of the process at one moment, in bytes. */
 export interface MemoryReading {
@@ -58,10 +61,10 @@
   heldBytes: () => number;
   /** Reads the memory of the process; asks the operating system and V8 by default. */
   readMemory?: () => MemoryReading;
-  /** Collects garbage at once; V8 does by default. */
-  collect?: (generation: Generation) => void;
+  /** Collects garbage, or begins to; V8 does by default. */
+  collect?: (kind: CollectionKind) => void;
   /** Called with each collection, for metrics. */
-  onCollected?: (generation: Generation) => void;
+  onCollected?: (kind: CollectionKind) => void;
 }
 
 /** Counts what becomes garbage, and collects it in time. */
@@ -73,6 +76,8 @@
   private collectedAllAt = Number.NEGATIVE_INFINITY;
   /** Memory of the process after that, in bytes. */
   private residentAfterBytes = 0;
+  /** Memory of the process some time ago, in bytes, and when that was. */
+  private earlier: { at: number; residentBytes: number } | undefined;
 
   constructor(options: GarbageCollectorOptions) {
     this.options = {
@@ -98,7 +103,7 @@
     this.yieldedBytes = 0;
     const { residentBytes } = this.options.readMemory();
     // What is given up becomes garbage once its connection is closed.
-    if (this.isBusy(residentBytes)) setImmediate(() => this.collectAll());
+    if (this.isBusy(residentBytes)) setImmediate(() => this.collectAll(CollectionKind.All));
   }
 
   /**
@@ -108,14 +113,24 @@
   check(): void {
     const { readMemory, heldBytes } = this.options;
     const { residentBytes, bufferBytes } = readMemory();
+    const growsFast = this.growsFast(residentBytes);
     if (!this.isBusy(residentBytes)) return;
     const garbageBytes = bufferBytes - heldBytes();
-    const isFull = residentBytes > FULL_SHARE * this.options.memoryBytes;
-    const hasBuffers = garbageBytes > BUFFER_GARBAGE_BYTES;
-    if (!isFull && !hasBuffers) return;
-    if (isFull || garbageBytes > OLD_BUFFER_GARBAGE_BYTES) this.collectAllIfUseful(residentBytes);
-    else this.collect(Generation.Young);
-    if (hasBuffers) this.watch();
+    if (garbageBytes > BUFFER_GARBAGE_BYTES) {
+      this.collectBuffers(residentBytes, garbageBytes);
+      this.watch();
+    } else if (this.isOver(FULL_SHARE, residentBytes)) {
+      const isLate = this.isOver(OVERFULL_SHARE, residentBytes) || this.pausedMs < STEPS_MS;
+      const kind = growsFast || isLate ? CollectionKind.All : CollectionKind.AllInSteps;
+      this.collectIfUseful(kind, residentBytes);
+    }
+  }
+
+  private collectBuffers(residentBytes: number, garbageBytes: number): void {
+    const areOld = garbageBytes > OLD_BUFFER_GARBAGE_BYTES;
+    if (areOld || this.isOver(FULL_SHARE, residentBytes))
+      this.collectIfUseful(CollectionKind.All, residentBytes);
+    else this.collect(CollectionKind.Young);
   }
 
   private watch(): void {
@@ -127,25 +142,44 @@
     }, WATCH_PERIOD_MS).unref();
   }
 
-  private collectAllIfUseful(residentBytes: number): void {
-    const pausedMs = this.options.clock.monotonic() - this.collectedAllAt;
+  /** Time since all garbage was collected, in ms. */
+  private get pausedMs(): number {
+    return this.options.clock.monotonic() - this.collectedAllAt;
+  }
+
+  private collectIfUseful(
+    kind: CollectionKind.All | CollectionKind.AllInSteps,
+    residentBytes: number,
+  ): void {
     const hasGrown = residentBytes > this.residentAfterBytes + GROWTH_BYTES;
-    if (pausedMs >= MIN_PAUSE_MS && hasGrown) this.collectAll();
+    if (this.pausedMs >= MIN_PAUSE_MS && hasGrown) this.collectAll(kind);
   }
 
-  private collectAll(): void {
-    this.collect(Generation.All);
+  private collectAll(kind: CollectionKind): void {
+    this.collect(kind);
     this.collectedAllAt = this.options.clock.monotonic();
     this.residentAfterBytes = this.options.readMemory().residentBytes;
   }
 
-  private collect(generation: Generation): void {
-    this.options.collect(generation);
-    this.options.onCollected(generation);
+  private collect(kind: CollectionKind): void {
+    this.options.collect(kind);
+    this.options.onCollected(kind);
+  }
+
+  private growsFast(residentBytes: number): boolean {
+    const at = this.options.clock.monotonic();
+    const earlier = this.earlier ?? { at, residentBytes };
+    const isOutdated = at - earlier.at >= GROWTH_PERIOD_MS;
+    this.earlier = isOutdated ? { at, residentBytes } : earlier;
+    return residentBytes - earlier.residentBytes > FAST_GROWTH_BYTES;
   }
 
   private isBusy(residentBytes: number): boolean {
-    return residentBytes > BUSY_SHARE * this.options.memoryBytes;
+    return this.isOver(BUSY_SHARE, residentBytes);
+  }
+
+  private isOver(share: number, residentBytes: number): boolean {
+    return residentBytes > share * this.options.memoryBytes;
   }
 }
 
@@ -154,16 +188,3 @@
   const { rss, arrayBuffers } = process.memoryUsage();
   return { residentBytes: rss, bufferBytes: arrayBuffers };
 }
-
-type CollectFunction = (options: { type: Generation }) => void;
-
-let v8Collect: CollectFunction | undefined;
-
-/** V8's own function, which it only hands out to contexts that are made after it was asked for. */
-function collectNow(generation: Generation): void {
-  if (v8Collect === undefined) {
-    setFlagsFromString('--expose-gc');
-    v8Collect = runInNewContext('gc') as CollectFunction;
-  }
-  v8Collect({ type: generation });
-}
--- a/packages/fleet/src/listening/pressure-metrics.ts
+++ b/packages/fleet/src/listening/pressure-metrics.ts
@@ -2,7 +2,7 @@
 import type { HoldingKind } from '@poplarpick/decisions';
 import { Metric } from '@poplarpick/kernel';
 import type { Metrics } from '@poplarpick/kernel';
-import type { Generation } from './garbage-collector.ts';
+import type { CollectionKind } from './v8-collections.ts';
 import type { ClosingReason } from './listener-guard.ts';
 import type { PressureRecorder } from './process-listeners.ts';
 
@@ -22,7 +22,7 @@
     this.metrics.increment(Metric.ConnectionsClosed, 1, { listener, reason });
   }
 
-  recordCollection(generation: Generation): void {
+  recordCollection(generation: CollectionKind): void {
     this.metrics.increment(Metric.Collections, 1, { generation });
   }
 }
--- a/packages/fleet/src/listening/process-listeners.ts
+++ b/packages/fleet/src/listening/process-listeners.ts
@@ -5,7 +5,7 @@
 import type { HoldingKind } from '@poplarpick/decisions';
 import type { Clock, Logger, Timer } from '@poplarpick/kernel';
 import { GarbageCollector } from './garbage-collector.ts';
-import type { Generation } from './garbage-collector.ts';
+import type { CollectionKind } from './v8-collections.ts';
 import { ListenerGuard } from './listener-guard.ts';
 import type { ClosingReason, ListenerGuardOptions, ListenerResources } from './listener-guard.ts';
 import { MemoryBudget } from './memory-budget.ts';
@@ -30,7 +30,7 @@
 export interface PressureRecorder {
   recordYield(kind: HoldingKind): void;
   recordClosing(listener: string, reason: ClosingReason): void;
-  recordCollection(generation: Generation): void;
+  recordCollection(generation: CollectionKind): void;
 }
 
 /** All listeners of a process. */
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { Counter, Histogram, Registry } from 'prom-client';
 import { listenOn } from '@poplarpick/fleet/address';
-import type { Generation } from '@poplarpick/fleet/listening/garbage-collector';
+import type { CollectionKind } from '@poplarpick/fleet/listening/v8-collections';
 import { SHORT_EXCHANGES } from '@poplarpick/fleet/listening/listener-guard';
 import type { ClosingReason, ListenerGuard } from '@poplarpick/fleet/listening/listener-guard';
 import type { DrainSource, HoldingKind } from '@poplarpick/decisions';
@@ -234,7 +234,7 @@
     this.closings.inc({ listener, reason });
   }
 
-  recordCollection(generation: Generation): void {
+  recordCollection(generation: CollectionKind): void {
     this.collections.inc({ generation });
   }
 
