Revert "A router that is late from its start learns latencies from its peers"

A late router's false lateness was a brake: without it, callers wait there until their deadline. It needs the router's own wait in admission first.

--- a/packages/decisions/src/forwarding/latency-estimator.ts
+++ b/packages/decisions/src/forwarding/latency-estimator.ts
@@ -1,10 +1,8 @@
 /**
  * Latency estimates for the endpoints of one pool, learned from served requests. A linear regression with
  * exponential decay models the time to the first event as a function of the prompt tokens prefilled until
- * then. Each endpoint has a latency ratio that scales this model. A router that has served few requests, or that
- * reads events too late to learn from them, uses what other routers have learned.
+ * then. Each endpoint has a latency ratio that scales this model.
  */
-import type { PoolLatencies } from './pool-latencies.ts';
 
 /** Factor by which each new observation reduces the weight of the earlier ones. */
 const REGRESSION_DECAY = 0.99;
@@ -12,18 +10,12 @@
 /** Total weight of the observations from which the regression replaces the initial line. */
 const MIN_WEIGHT = 10;
 
-/** Number of durations from which their average replaces what other routers tell. */
-const MIN_DURATIONS = 10;
-
-/** Line that is used before there are enough observations, unless other routers tell theirs. */
+/** Line that is used before there are enough observations. */
 const INITIAL_LINE = { baseMs: 30, msPerToken: 0.02 };
 
 /** Plausible range of the prefill time per token, in ms. A slope outside it reflects other effects. */
 const MS_PER_TOKEN_BOUNDS = { min: 0.002, max: 0.1 };
 
-/** Longest times that are taken over from other routers, in ms. */
-const MAX_TOLD_MS = { base: 10_000, duration: 600_000 };
-
 /** Weight of the previous value in the moving averages of latency ratios and request durations. */
 const AVERAGE_DECAY = 0.9;
 
@@ -40,8 +32,6 @@
   private sumXY = 0;
   private readonly ratios = new Map<string, number>();
   private averageDurationMs = 1_000;
-  private durations = 0;
-  private initialLine = INITIAL_LINE;
   /** The fitted line; undefined after an observation. Placement reads it for every endpoint. */
   private line: { baseMs: number; msPerToken: number } | undefined;
 
@@ -61,31 +51,10 @@
 
   /** Records the total duration of a request. */
   recordDuration(elapsedMs: number): void {
-    this.durations += 1;
     this.averageDurationMs =
       this.averageDurationMs * AVERAGE_DECAY + elapsedMs * (1 - AVERAGE_DECAY);
   }
 
-  /** What this router itself has learned; undefined after few observations. */
-  get learned(): PoolLatencies | undefined {
-    return this.isLearned ? { ...this.fitLine(), durationMs: this.averageDurationMs } : undefined;
-  }
-
-  /** Whether this router itself has observed enough, so that it needs nothing of others. */
-  get isLearned(): boolean {
-    return this.observationWeight >= MIN_WEIGHT && this.durations >= MIN_DURATIONS;
-  }
-
-  /** Takes over what other routers have learned, in place of what this one has few observations of. */
-  applyTold({ baseMs, msPerToken, durationMs }: PoolLatencies): void {
-    this.initialLine = {
-      baseMs: clamp(baseMs, 1, MAX_TOLD_MS.base),
-      msPerToken: clamp(msPerToken, MS_PER_TOKEN_BOUNDS.min, MS_PER_TOKEN_BOUNDS.max),
-    };
-    if (this.durations < MIN_DURATIONS)
-      this.averageDurationMs = clamp(durationMs, 1, MAX_TOLD_MS.duration);
-  }
-
   /** Moving average of the time for which a request occupies a slot, in ms. */
   get meanDurationMs(): number {
     return this.averageDurationMs;
@@ -113,7 +82,7 @@
   /** Slope of the regression line, in ms per token. */
   private fitMsPerToken(): number {
     const denominator = this.observationWeight * this.sumXX - this.sumX * this.sumX;
-    if (denominator <= 0) return this.initialLine.msPerToken;
+    if (denominator <= 0) return INITIAL_LINE.msPerToken;
     const slope = (this.observationWeight * this.sumXY - this.sumX * this.sumY) / denominator;
     return clamp(slope, MS_PER_TOKEN_BOUNDS.min, MS_PER_TOKEN_BOUNDS.max);
   }
@@ -125,7 +94,7 @@
   }
 
   private fitLine(): { baseMs: number; msPerToken: number } {
-    if (this.observationWeight < MIN_WEIGHT) return this.initialLine;
+    if (this.observationWeight < MIN_WEIGHT) return INITIAL_LINE;
     if (this.line !== undefined) return this.line;
     const msPerToken = this.fitMsPerToken();
     const baseMs = Math.max(1, (this.sumY - msPerToken * this.sumX) / this.observationWeight);
--- a/packages/forwarder/src/calls/late-router.test.ts
+++ b/packages/forwarder/src/calls/late-router.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { CallKind } from '@poplarpick/decisions';
-import type { Endpoint, PoolLatencies, Prompt, Route } from '@poplarpick/decisions';
+import type { Endpoint, Prompt, Route } from '@poplarpick/decisions';
 import { createLogger, LogLevel, RequestError, SystemClock } from '@poplarpick/kernel';
 import { decodeReport, encodeReport } from '../peers/report-codec.ts';
 import { RouterState } from '../router-state.ts';
@@ -39,8 +39,6 @@
   isDraining: false,
 };
 
-const ENGINE: PoolLatencies = { baseMs: 20, msPerToken: 0.0064, durationMs: 300 };
-
 const LONG_PROMPT_TOKENS = 6_610;
 
 const PROMPT: Prompt = {
@@ -129,16 +127,6 @@
     this.clock.nowMs += waitMs;
   }
 
-  /** Observes calls at an endpoint with these latencies. */
-  observe(calls: number, { baseMs, msPerToken, durationMs }: PoolLatencies): void {
-    const estimator = this.state.pools.latencyEstimator(POOL);
-    for (let call = 0; call < calls; call += 1) {
-      const tokens = 500 + 300 * (call % 20);
-      estimator.recordFirstEvent('other', tokens, baseMs + msPerToken * tokens);
-      estimator.recordDuration(durationMs);
-    }
-  }
-
   /** Whether a call of a workspace that has used up its share and its part of the surplus is accepted. */
   acceptsOverShare(): boolean {
     const shareUsage = { shareUsed: 1.5, surplusUsed: 1.5 };
@@ -192,39 +180,6 @@
   });
 });
 
-describe('a router that reads late from its start', () => {
-  it('expects of endpoints what the median of its peers has learned of them', () => {
-    const late = new TestRouter(true);
-    const estimator = late.state.pools.latencyEstimator(POOL);
-    const wrong = { baseMs: 3_000, msPerToken: 0.1, durationMs: 60_000 };
-    for (const [index, latencies] of [ENGINE, ENGINE, wrong].entries()) {
-      const peer = new TestRouter();
-      peer.observe(40, latencies);
-      late.receiveFrom(peer, `10.0.0.${index}:1`);
-    }
-    const expectedMs = ENGINE.baseMs + ENGINE.msPerToken * LONG_PROMPT_TOKENS;
-    const estimateMs = estimator.estimateFirstEventMs('engine', LONG_PROMPT_TOKENS);
-    expect(estimateMs / expectedMs, 'first event').to.be.within(0.9, 1.1);
-    expect(estimator.meanDurationMs / ENGINE.durationMs).to.be.within(0.9, 1.1);
-  });
-
-  it('tells nobody what it was told, and goes by its own observations as soon as it has them', () => {
-    const [late, learnt, listener] = [new TestRouter(true), new TestRouter(), new TestRouter()];
-    const estimator = late.state.pools.latencyEstimator(POOL);
-    learnt.observe(40, ENGINE);
-    late.receiveFrom(learnt, '10.0.0.1:1');
-    expect(late.state.buildReport(true).latencies).to.deep.equal([]);
-    const own = { baseMs: 100, msPerToken: 0.05, durationMs: 2_000 };
-    late.observe(60, own);
-    listener.state.pools.latencyEstimator(POOL);
-    listener.receiveFrom(late, '10.0.0.2:1');
-    late.receiveFrom(learnt, '10.0.0.1:1');
-    expect(estimator.meanDurationMs).to.be.greaterThan(1_900);
-    const told = listener.state.pools.latencyEstimator(POOL);
-    expect(told.estimateFirstEventMs('engine', 1_000)).to.be.closeTo(150, 5);
-  });
-});
-
 describe('a punctual router', () => {
   it('takes the surplus back when the callers of another one are refused for the load of endpoints', () => {
     const busy = new TestRouter();
--- a/packages/forwarder/src/peers/group-report.test.ts
+++ b/packages/forwarder/src/peers/group-report.test.ts
@@ -34,15 +34,6 @@
     ]);
   });
 
-  it('have the median of the latencies that routers have learned, now and then', () => {
-    const latencies = [20_000, 21_000, 900_000].map((baseUs) =>
-      makeReport({ latencies: [[1, baseUs, 6_400, 300]] }),
-    );
-    const reports = [...latencies, makeReport({})];
-    expect(sumReports(reports, true).latencies).to.deep.equal([[1, 21_000, 6_400, 300]]);
-    expect(sumReports(reports, false).latencies).to.equal(undefined);
-  });
-
   it('count each late request once, whichever router served it', () => {
     const { lateness } = sumReports(
       [
--- a/packages/forwarder/src/peers/group-report.ts
+++ b/packages/forwarder/src/peers/group-report.ts
@@ -12,7 +12,6 @@
   SuspectCrashEntry,
   SuspectSurvivalEntry,
 } from './peer-table.ts';
-import { medianEntries } from './pool-latency-report.ts';
 import type { ReportBody } from './report-exchange.ts';
 
 /** Most cached segments in one group report, so that it fits into a datagram; the others follow. */
@@ -71,14 +70,13 @@
   | 'workspaces'
   | 'pauses'
   | 'lateness'
-  | 'latencies'
   | 'draining'
   | 'blocked'
   | 'limits'
   | 'needs'
 >;
 
-/** Adds up the reports of a data centre's routers. What changes slowly is left out unless `includesWorkspaces`. */
+/** Adds up the reports of a data centre's routers. Workspaces and pauses are left out unless `includesWorkspaces`. */
 export function sumReports(reports: readonly ReportBody[], includesWorkspaces: boolean): GroupSums {
   const sums: GroupSums = {
     routers: reports.length,
@@ -92,8 +90,7 @@
   if (!includesWorkspaces) return sums;
   const workspaces = sumEntries(reports.flatMap((report) => report.workspaces ?? []));
   const pauses = meanPauses(reports.flatMap((report) => report.pauses ?? []));
-  const latencies = medianEntries(reports.flatMap((report) => report.latencies ?? []));
-  return { ...sums, workspaces, pauses, latencies };
+  return { ...sums, workspaces, pauses };
 }
 
 /** Adds up the numbers of the entries with the same first field. */
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -56,17 +56,6 @@
 /** Requests within their share in a pool, which is named by its hash: the late ones, and all of the last seconds. */
 export type LatenessEntry = [pool: number, late: number, total: number];
 
-/**
- * What the sender has learned of the latencies of a pool: the hash of the pool, the time to the first event of an
- * empty prompt in us, the prefill time per token in ns, and the mean duration of a request in ms.
- */
-export type PoolLatencyEntry = [
-  pool: number,
-  baseUs: number,
-  nsPerToken: number,
-  durationMs: number,
-];
-
 /** Report of one router, or of all routers of a data centre; sent in MessagePack under these field names. */
 export interface PeerReport {
   /** `IP:port` at which the sender listens. */
@@ -120,8 +109,6 @@
   needs?: EndpointNeedEntry[] | undefined;
   /** Long pauses that the sender has seen, in a group report the means over its routers; only in some reports. */
   pauses?: EndpointPauseEntry[] | undefined;
-  /** Latencies of pools that the sender has learned, in a group report the medians; only in some reports. */
-  latencies?: PoolLatencyEntry[] | undefined;
   /** How far back the sender knows which versions were listed, see `VersionHistoryReport`. */
   versionsKnownMs?: number | undefined;
   /** Versions that were listed in that time and are no longer. */
@@ -175,11 +162,10 @@
       this.hasSenderEnded = true;
     const workspaces = report.workspaces ?? latest?.workspaces;
     const pauses = report.pauses ?? latest?.pauses;
-    const latencies = report.latencies ?? latest?.latencies;
     const usageReceivedAt =
       report.workspaces === undefined ? (previous?.usageReceivedAt ?? now) : now;
     this.entries.set(subject, {
-      report: { ...report, workspaces, pauses, latencies },
+      report: { ...report, workspaces, pauses },
       receivedAt: now,
       usageReceivedAt,
     });
@@ -253,11 +239,6 @@
     return sumLateness(entries.map(([, late, total]) => ({ late, total })));
   }
 
-  /** What the live peers have learned of the latencies of pools. */
-  latencies(now: number): PoolLatencyEntry[] {
-    return this.live(now).flatMap(({ latencies = [] }) => latencies);
-  }
-
   private dropExpired(now: number): void {
     const readAt = this.lastRead(now);
     for (const [subject, { receivedAt }] of this.entries) {
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -18,7 +18,6 @@
   EndpointPauseEntry,
   LatenessEntry,
   PeerReport,
-  PoolLatencyEntry,
   SuspectCrashEntry,
   SuspectSurvivalEntry,
 } from './peer-table.ts';
@@ -73,7 +72,6 @@
   limits: listOf<EndpointLimitEntry>((entry) => isCounts(entry, 3)).optional(),
   needs: listOf<EndpointNeedEntry>((entry) => isCounts(entry, 3)).optional(),
   pauses: listOf<EndpointPauseEntry>((entry) => isCounts(entry, 2)).optional(),
-  latencies: listOf<PoolLatencyEntry>((entry) => isCounts(entry, 4)).optional(),
   versionsKnownMs: z.number().nonnegative().optional(),
   departedVersions: listOf<DepartedVersionEntry>(isDepartedVersion).optional(),
 }) satisfies z.ZodType<PeerReport>;
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -48,7 +48,6 @@
   | 'workspaces'
   | 'kept'
   | 'lateness'
-  | 'latencies'
   | 'refused'
   | 'draining'
   | 'crashes'
@@ -96,8 +95,6 @@
   private ownWorkspaces: ReportBody['workspaces'];
   /** The latest long pauses that this router has seen. */
   private ownPauses: ReportBody['pauses'];
-  /** The latest latencies of pools that this router has told. */
-  private ownLatencies: ReportBody['latencies'];
   /** Addresses of the routers of this data centre whose reports arrive, as of the latest turn. */
   private localPeers: string[] = [];
   /** Relays of this data centre, as of the latest turn. */
@@ -154,7 +151,6 @@
     const body = this.options.buildReport(includesWorkspaces);
     this.ownWorkspaces = body.workspaces ?? this.ownWorkspaces;
     this.ownPauses = body.pauses ?? this.ownPauses;
-    this.ownLatencies = body.latencies ?? this.ownLatencies;
     this.sendOwnReport(body, includesMembers, now);
     this.sendGroupReport(body, now);
   }
@@ -232,12 +228,7 @@
 
   private buildGroupReport(body: ReportBody, now: number): PeerReport {
     const { address, dataCentre } = this.options;
-    const own = {
-      ...body,
-      workspaces: this.ownWorkspaces,
-      pauses: this.ownPauses,
-      latencies: this.ownLatencies,
-    };
+    const own = { ...body, workspaces: this.ownWorkspaces, pauses: this.ownPauses };
     const turn = Math.floor(this.sequence / this.relays.length);
     const includesMembers = turn % GROUP_REPORTS_PER_MEMBER_LIST === 0;
     const includesWorkspaces = turn % REPORTS_PER_WORKSPACE_LIST === 0;
--- a/packages/forwarder/src/peers/router-reports.ts
+++ b/packages/forwarder/src/peers/router-reports.ts
@@ -26,10 +26,7 @@
   EndpointPauseEntry,
   LatenessEntry,
   PeerReport,
-  PoolLatencyEntry,
 } from './peer-table.ts';
-import { applyLatencies, listLatencies } from './pool-latency-report.ts';
-import type { PoolEstimators } from './pool-latency-report.ts';
 import type { ReportBody } from './report-exchange.ts';
 
 /** Most cached prompt segments in one report, so that it fits into a datagram. */
@@ -51,15 +48,12 @@
   clock: Clock;
   endpoints: EndpointDirectory;
   fairShareLedger: FairShareLedger;
-  latencyEstimators: PoolEstimators;
   limits: LimitTracker;
   poison: PoisonGuard;
   refusedRequests: RefusedRequests;
   streams: StreamOrigins;
   surplusLimiters: ReadonlyMap<string, SurplusLimiter>;
   describeState: () => ReportHead;
-  /** What live peers have learned of the latencies of pools. */
-  readPeerLatencies: () => readonly PoolLatencyEntry[];
   /** Whether this router reads its sockets late. */
   readsLate: () => boolean;
   /** The pace of the streams of a pool. */
@@ -94,17 +88,13 @@
 
   /** Builds the report to this router's peers. */
   build(includesWorkspaces: boolean): ReportBody {
-    const { limits, poison, streams, fairShareLedger, latencyEstimators } = this.options;
+    const { limits, poison, streams, fairShareLedger } = this.options;
     limits.refresh();
     return {
       ...this.options.describeState(),
       ...this.listEndpoints(),
       ...(includesWorkspaces
-        ? {
-            workspaces: fairShareLedger.snapshot(this.now()),
-            pauses: this.listPauses(),
-            latencies: listLatencies(latencyEstimators),
-          }
+        ? { workspaces: fairShareLedger.snapshot(this.now()), pauses: this.listPauses() }
         : {}),
       kept: this.cacheAnnouncements.take(MAX_SEGMENTS_PER_REPORT).map(({ entry }) => entry),
       lateness: this.listLateness(),
@@ -118,10 +108,8 @@
   /** Applies a peer's report. */
   apply(report: PeerReport): void {
     const { endpoints, limits, onCachedSegment, poison, refusedRequests, streams } = this.options;
-    const { latencyEstimators, readPeerLatencies } = this.options;
     const now = this.now();
     this.applyLoads(reportSubject(report), report.loads, now);
-    if (report.latencies !== undefined) applyLatencies(latencyEstimators, readPeerLatencies);
     this.applyPauses(reportSubject(report), report.pauses ?? [], now);
     for (const fingerprint of report.refused ?? []) refusedRequests.record(fingerprint, now);
     for (const hash of report.draining ?? []) {
--- a/packages/forwarder/src/pool-states.ts
+++ b/packages/forwarder/src/pool-states.ts
@@ -19,9 +19,9 @@
 
 /** The states of the pools by name, each created when it is first asked for. */
 export class PoolStates {
-  readonly latencyEstimators = new Map<string, LatencyEstimator>();
   readonly surplusLimiters = new Map<string, SurplusLimiter>();
   private readonly options: PoolStatesOptions;
+  private readonly latencyEstimators = new Map<string, LatencyEstimator>();
   private readonly streamPaces = new Map<string, StreamPace>();
   private readonly retryBudgets = new Map<string, SharedRetryBudget>();
 
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -205,7 +205,6 @@
       clock: options.clock,
       endpoints: this.endpoints,
       fairShareLedger: this.shares.ledger,
-      latencyEstimators: this.pools.latencyEstimators,
       limits: this.limits,
       poison: this.poison,
       refusedRequests: this.shares.refusedRequests,
@@ -213,7 +212,6 @@
       surplusLimiters: this.pools.surplusLimiters,
       streamPace: (pool) => this.pools.streamPace(pool),
       describeState: () => this.describeState(),
-      readPeerLatencies: () => this.peers.latencies(this.clock.monotonic()),
       readsLate: () => this.eventLoop.readsLate,
       onCachedSegment: (entry) => this.applyCachedSegment(entry),
     });
