--- a/packages/decisions/src/forwarding/endpoint-load.ts
+++ b/packages/decisions/src/forwarding/endpoint-load.ts
@@ -5,10 +5,6 @@
  * that await prefill and from the slots in use. Load reports of the engines themselves aren't used, since
  * they are stale on arrival. Both sums are kept up to date with each change, because placement reads them
  * for every endpoint at every request.
- *
- * A router that reads its sockets late doesn't know which of its prompts have been prefilled. It then counts each of
- * them down by the time that was expected when it was sent, since all routers take what it reports for the
- * endpoint's work.
  */
 
 /** Totals of the in-flight requests at an endpoint. */
@@ -23,14 +19,6 @@
   kvCacheTokens: number;
 }
 
-/** What a request was expected to take when it was sent. */
-export interface ExpectedTimes {
-  /** Time in the endpoint's queue, in ms. */
-  waitMs: number;
-  /** Time from the end of the wait to the first event, in ms. */
-  serviceMs: number;
-}
-
 /** A request that has been sent to the endpoint and hasn't ended. */
 export interface InFlightRequest {
   /** Monotonic time of sending, in ms. */
@@ -39,8 +27,6 @@
   prefillTokens: number;
   /** Tokens of the prompt and the expected output in the endpoint's KV cache. */
   kvCacheTokens: number;
-  /** Unknown unless it was told. */
-  expected?: ExpectedTimes | undefined;
   /** The first event, or the response head of a plain request, has arrived. */
   hasStarted: boolean;
 }
@@ -69,8 +55,6 @@
 /** Tracks the load and health of one endpoint. */
 export class EndpointLoad {
   private readonly inFlight = new Set<InFlightRequest>();
-  /** Those in flight that have no first event yet. */
-  private readonly unstarted = new Set<InFlightRequest>();
   /** Sum of `inFlight`. */
   private readonly ownTotals = createTotals();
   private readonly peerLoads = new Map<string, PeerLoad>();
@@ -84,15 +68,9 @@
   private lastByteAt = Number.NEGATIVE_INFINITY;
 
   /** Records a request that is being sent. Pass the result to `recordStarted` and `recordEnded`. */
-  recordSent(
-    prefillTokens: number,
-    kvCacheTokens: number,
-    now: number,
-    expected?: ExpectedTimes,
-  ): InFlightRequest {
-    const request = { sentAt: now, prefillTokens, kvCacheTokens, expected, hasStarted: false };
+  recordSent(prefillTokens: number, kvCacheTokens: number, now: number): InFlightRequest {
+    const request = { sentAt: now, prefillTokens, kvCacheTokens, hasStarted: false };
     this.inFlight.add(request);
-    this.unstarted.add(request);
     addTotals(this.ownTotals, toTotals(request), 1);
     return request;
   }
@@ -102,12 +80,10 @@
     const isInFlight = this.inFlight.has(request);
     if (isInFlight) addTotals(this.ownTotals, toTotals(request), -1);
     request.hasStarted = true;
-    this.unstarted.delete(request);
     if (isInFlight) addTotals(this.ownTotals, toTotals(request), 1);
   }
 
   recordEnded(request: InFlightRequest): void {
-    this.unstarted.delete(request);
     if (this.inFlight.delete(request)) addTotals(this.ownTotals, toTotals(request), -1);
   }
 
@@ -179,24 +155,15 @@
     this.expirePeerLoads(Number.NEGATIVE_INFINITY);
   }
 
-  /** Load from this router's own requests; `readsLate` tells that first events may wait unread. */
-  ownLoad(now: number, readsLate = false): LoadTotals {
-    const own = { ...this.ownTotals };
-    if (!readsLate) return own;
-    for (const request of this.unstarted) {
-      addTotals(own, toTotals(request), -1);
-      addTotals(own, toExpectedTotals(request, now), 1);
-    }
-    return own;
+  /** Load from this router's own requests. */
+  ownLoad(): LoadTotals {
+    return { ...this.ownTotals };
   }
 
-  /**
-   * Load from all routers; `readsLate` tells that first events for this one may wait unread, and `peersReadAt` the time up
-   * to which reports of the others were read.
-   */
-  totalLoad(now: number, readsLate = false, peersReadAt = now): LoadTotals {
+  /** Load from all routers; `peersReadAt` is the time up to which reports of the others were read. */
+  totalLoad(peersReadAt: number): LoadTotals {
     if (peersReadAt > this.nextExpiryAt) this.expirePeerLoads(peersReadAt);
-    const total = this.ownLoad(now, readsLate);
+    const total = { ...this.ownTotals };
     addTotals(total, this.peerTotals, 1);
     return total;
   }
@@ -235,17 +202,6 @@
     : { pending: 1, prefillTokens, running: 0, kvCacheTokens };
 }
 
-/** The part in the totals that one request without a first event is expected to have by now. */
-function toExpectedTotals(request: InFlightRequest, now: number): LoadTotals {
-  const { expected, sentAt, prefillTokens } = request;
-  if (expected === undefined) return toTotals(request);
-  const { waitMs, serviceMs } = expected;
-  const remainingMs = sentAt + waitMs + serviceMs - now;
-  if (remainingMs <= 0) return toTotals({ ...request, hasStarted: true });
-  const remainingPart = Math.min(1, remainingMs / serviceMs);
-  return toTotals({ ...request, prefillTokens: prefillTokens * remainingPart });
-}
-
 function addTotals(totals: LoadTotals, load: LoadTotals, factor: 1 | -1): void {
   totals.pending += factor * load.pending;
   totals.prefillTokens += factor * load.prefillTokens;
--- a/packages/forwarder/src/calls/call-attempt.ts
+++ b/packages/forwarder/src/calls/call-attempt.ts
@@ -104,9 +104,8 @@
     });
     const now = options.clock.monotonic();
     this.lastByteAt = now;
-    const { placement, kvCacheTokens } = options;
-    const { load } = placement.record;
-    this.inFlight = load.recordSent(placement.prefillTokens, kvCacheTokens, now, placement);
+    const { load } = options.placement.record;
+    this.inFlight = load.recordSent(options.placement.prefillTokens, options.kvCacheTokens, now);
   }
 
   /** Whether the first event, or the head of a response without events, has arrived. */
--- a/packages/forwarder/src/calls/endpoint-evaluator.ts
+++ b/packages/forwarder/src/calls/endpoint-evaluator.ts
@@ -14,7 +14,6 @@
   Endpoint,
   PlacementCandidate,
   HashedSegment,
-  LoadTotals,
   Prompt,
   PromptTransfer,
   Route,
@@ -246,7 +245,7 @@
     now: number,
   ): Placement {
     const estimator = this.state.pools.latencyEstimator(record.endpoint.pool);
-    const load = this.totalLoad(record, now);
+    const load = record.load.totalLoad(this.state.peers.lastRead(now));
     const uncachedTokens = this.state.prefixCacheIndex.uncachedTokens(record.incarnation, segments);
     const prefillTokens =
       Math.max(0, prompt.inputTokens - sharedPrefixTokens(prompt)) + uncachedTokens;
@@ -269,16 +268,10 @@
     };
   }
 
-  /** Load of an endpoint from all routers. */
-  private totalLoad({ load }: EndpointRecord, now: number): LoadTotals {
-    const { eventLoop, peers } = this.state;
-    return load.totalLoad(now, eventLoop.readsLate, peers.lastRead(now));
-  }
-
   private evaluatePlainEndpoint(record: EndpointRecord): Placement {
     const now = this.state.clock.monotonic();
     const estimator = this.state.pools.latencyEstimator(record.endpoint.pool);
-    const load = this.totalLoad(record, now);
+    const load = record.load.totalLoad(this.state.peers.lastRead(now));
     const requestsAhead = load.pending + load.running;
     const waitMs = this.estimateSlotWaitMs(record, requestsAhead, false);
     const serviceMs = estimator.estimateFirstEventMs(record.incarnation, 0);
--- a/packages/forwarder/src/peers/router-reports.ts
+++ b/packages/forwarder/src/peers/router-reports.ts
@@ -54,8 +54,6 @@
   streams: StreamOrigins;
   surplusLimiters: ReadonlyMap<string, SurplusLimiter>;
   describeState: () => ReportHead;
-  /** Whether this router reads its sockets late. */
-  readsLate: () => boolean;
   /** The pace of the streams of a pool. */
   streamPace: (pool: string) => StreamPace;
   /** Called with each segment that a peer has announced as cached. */
@@ -152,10 +150,9 @@
   private listEndpoints(): Pick<ReportBody, 'loads' | 'draining'> {
     const loads: EndpointLoadEntry[] = [];
     const draining: number[] = [];
-    const readsLate = this.options.readsLate();
     for (const { incarnationHash, load, availability } of this.options.endpoints.all()) {
       if (availability.hasAnnouncedDrain) draining.push(incarnationHash);
-      const ownLoad = load.ownLoad(this.now(), readsLate);
+      const ownLoad = load.ownLoad();
       if (ownLoad.pending + ownLoad.running === 0) continue;
       const { pending, prefillTokens, running, kvCacheTokens } = ownLoad;
       loads.push([
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -212,7 +212,6 @@
       surplusLimiters: this.pools.surplusLimiters,
       streamPace: (pool) => this.pools.streamPace(pool),
       describeState: () => this.describeState(),
-      readsLate: () => this.eventLoop.readsLate,
       onCachedSegment: (entry) => this.applyCachedSegment(entry),
     });
   }
