--- a/packages/bench/src/decision-cost/placement-time.ts
+++ b/packages/bench/src/decision-cost/placement-time.ts
@@ -185,6 +185,7 @@
       0,
     ]),
     kept: [],
+    lateRates: [],
     refused: [],
   };
 }
--- a/packages/bench/src/exchange/exchange-replay.ts
+++ b/packages/bench/src/exchange/exchange-replay.ts
@@ -104,6 +104,7 @@
         loads: [[ENDPOINT_HASH, 1, this.clock.nowMs, 0, 0]],
         workspaces: [['workspace', 1, 0, 0]],
         kept: [],
+        lateRates: [],
         refused: [],
         draining: [],
       }),
--- a/packages/bench/src/poison/replay-router.ts
+++ b/packages/bench/src/poison/replay-router.ts
@@ -59,6 +59,7 @@
         version: 1,
         loads: [],
         kept: [],
+        lateRates: [],
         ...this.guard.buildReport(),
       }),
       onReport: (report) => this.guard.applyReport(report),
--- a/packages/decisions/src/forwarding/surplus-limiter.ts
+++ b/packages/decisions/src/forwarding/surplus-limiter.ts
@@ -1,14 +1,12 @@
 /**
  * Limits how long requests over their workspace's fair share may queue at the endpoints of one pool.
  * At low load there is surplus capacity for them, and refusing them helps no one. Under overload, each of
- * them makes a request within its share late. The limit is therefore derived from the part of the requests within
- * their share that were late in the last seconds, over all routers.
+ * them makes a request within its share late. The limit is therefore derived from the recent rate of late
+ * requests within their share, averaged over all routers.
  */
-import { LatenessWindow, sumLateness } from './lateness-window.ts';
-import type { LatenessCounts } from './lateness-window.ts';
 
-/** Fewest requests of which the late ones are taken for a part, so that one alone doesn't count for many. */
-const MIN_REQUESTS = 50;
+/** Smoothing factor of the moving average of the late rate, which spans about 30 requests. */
+const SMOOTHING_FACTOR = 0.03;
 
 /** Late rates at or below which the wait limit is largest, and at or above which it is smallest. */
 const LATE_RATE_RANGE = { low: 0.004, high: 0.025 };
@@ -32,42 +30,53 @@
   serviceMs: number;
 }
 
-const NO_REQUESTS: LatenessCounts = { late: 0, total: 0 };
+/** Late requests in a pool as the other routers report them. */
+export interface PeerLateRate {
+  /** Mean fraction of late requests, in 0..1. */
+  rate: number;
+  /** Routers that report one. */
+  routers: number;
+}
+
+const NO_PEERS: PeerLateRate = { rate: 0, routers: 0 };
 
 /** Derives the surplus wait limit of one pool from the lateness of requests within their fair share. */
 export class SurplusLimiter {
-  private readonly window = new LatenessWindow();
+  private smoothedLateRate = 0;
 
-  /** Records a request within its fair share at the monotonic time `now`, in ms. */
-  recordServed(request: ServedRequest, now: number): void {
+  recordServed(request: ServedRequest): void {
     if (request.serviceMs > request.objectiveMs * MAX_SERVICE_FRACTION) return;
-    this.window.record(request.firstEventMs > request.objectiveMs, now);
+    this.recordOutcome(request.firstEventMs > request.objectiveMs);
   }
 
   /** Records a request within its fair share that was refused because it would have been late. */
-  recordRefused(now: number): void {
-    this.window.record(true, now);
+  recordRefused(): void {
+    this.recordOutcome(true);
   }
 
-  /** The requests within their fair share at this router in the last seconds. */
-  counts(now: number): LatenessCounts {
-    return this.window.counts(now);
+  /** Moving average of the fraction of late requests at this router, in 0..1. */
+  get lateRate(): number {
+    return this.smoothedLateRate;
   }
 
   /**
-   * Longest wait of a request over its fair share, as a multiple of the objective. `peers` has the sum of what the
-   * other routers count in this pool.
+   * Longest wait of a request over its fair share, as a multiple of the objective. `peers` has the mean late
+   * rate that the other routers report for this pool, and their number.
    */
-  waitLimit(now: number, peers = NO_REQUESTS): number {
+  waitLimit(peers: PeerLateRate = NO_PEERS): number {
     const { max, min } = WAIT_LIMIT_RANGE;
-    return max + (min - max) * this.contention(now, peers);
+    return max + (min - max) * this.contention(peers);
   }
 
   /** How far requests within their share are late, over all routers: 0 if almost none are, 1 if too many. */
-  contention(now: number, peers = NO_REQUESTS): number {
+  contention(peers: PeerLateRate = NO_PEERS): number {
     const { low, high } = LATE_RATE_RANGE;
-    const { late, total } = sumLateness([this.counts(now), peers]);
-    const lateRate = late / Math.max(MIN_REQUESTS, total);
-    return Math.min(1, Math.max(0, (lateRate - low) / (high - low)));
+    const rateSum = this.smoothedLateRate + peers.rate * peers.routers;
+    const meanRate = rateSum / (peers.routers + 1);
+    return Math.min(1, Math.max(0, (meanRate - low) / (high - low)));
+  }
+
+  private recordOutcome(isLate: boolean): void {
+    this.smoothedLateRate += SMOOTHING_FACTOR * ((isLate ? 1 : 0) - this.smoothedLateRate);
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -75,7 +75,6 @@
 export * from './forwarding/stream-origin.ts';
 export * from './forwarding/stream-origin-table.ts';
 export * from './forwarding/stream-pace.ts';
-export * from './forwarding/lateness-window.ts';
 export * from './forwarding/surplus-limiter.ts';
 export * from './forwarding/refused-requests.ts';
 export * from './forwarding/overload-detector.ts';
--- a/packages/forwarder/src/calls/call-admission.ts
+++ b/packages/forwarder/src/calls/call-admission.ts
@@ -96,24 +96,17 @@
     remainingMs: number,
     selectWithin: (maxWaitMs: number) => Placement | undefined,
   ): Placement | RequestError {
-    const { route, placer, binding } = this.options;
+    const { state, pool, route, placer, binding } = this.options;
     const { usage: shareUsage, isRetry: isCallerRetry } = this;
     const { isResumption } = binding;
     const request = { route, remainingMs, shareUsage, isCallerRetry, isResumption };
     const { placement, decision } = placer.admitAtBest(request, best, selectWithin);
     this.isBeyondShare = decision.isOverShare;
     if (placement !== undefined) return placement;
-    if (!decision.isForShare) this.recordLate();
+    if (!decision.isForShare) state.pools.surplusLimiter(pool).recordRefused();
     return createRefusal(refusalReason(decision), ErrorCode.QueueFull, decision.retryAfterMs);
   }
 
-  /** Counts a refusal within the share as late, unless this router reads late: it may be for its own lateness. */
-  private recordLate(): void {
-    const { state, pool } = this.options;
-    if (state.eventLoop.readsLate) return;
-    state.pools.surplusLimiter(pool).recordRefused(state.clock.monotonic());
-  }
-
   /**
    * The refusal of a call for which no endpoint is left; if all are paused, until the first pause ends, and if
    * all have got what they take, until one takes another request.
--- a/packages/forwarder/src/calls/call-latency-recorder.ts
+++ b/packages/forwarder/src/calls/call-latency-recorder.ts
@@ -106,12 +106,11 @@
 
   private recordServed(attempt: MeasuredAttempt): void {
     const { state, pool, route, arrivedAt } = this.options;
-    const served = {
+    state.pools.surplusLimiter(pool).recordServed({
       objectiveMs: route.objectiveMs,
       firstEventMs: this.elapsedSince(arrivedAt),
       serviceMs: attempt.placement.serviceMs,
-    };
-    state.pools.surplusLimiter(pool).recordServed(served, state.clock.monotonic());
+    });
   }
 
   private elapsedSince(startedAt: number): number {
--- a/packages/forwarder/src/peers/group-report.ts
+++ b/packages/forwarder/src/peers/group-report.ts
@@ -8,6 +8,7 @@
   CachedSegmentEntry,
   EndpointLimitEntry,
   EndpointPauseEntry,
+  LateRateEntry,
   PeerReport,
   SuspectCrashEntry,
   SuspectSurvivalEntry,
@@ -69,7 +70,7 @@
   | 'loads'
   | 'workspaces'
   | 'pauses'
-  | 'lateness'
+  | 'lateRates'
   | 'draining'
   | 'blocked'
   | 'limits'
@@ -81,7 +82,7 @@
   const sums: GroupSums = {
     routers: reports.length,
     loads: sumEntries(reports.flatMap(({ loads }) => loads)),
-    lateness: sumEntries(reports.flatMap(({ lateness }) => lateness ?? [])),
+    lateRates: meanLateRates(reports),
     draining: [...new Set(reports.flatMap(({ draining }) => draining ?? []))],
     blocked: mergeBlocked(reports.flatMap(({ blocked }) => blocked ?? [])),
     limits: mergeLimits(reports.flatMap(({ limits }) => limits ?? [])),
@@ -144,3 +145,15 @@
   );
   return counted.map(([endpoint, sumMs, count]) => [endpoint, Math.round(sumMs / count)]);
 }
+
+/** Mean late rate of each pool over the routers that report one. */
+function meanLateRates(reports: readonly ReportBody[]): LateRateEntry[] {
+  const rates = new Map<number, number[]>();
+  for (const { lateRates } of reports) {
+    for (const [pool, rate] of lateRates) rates.set(pool, [...(rates.get(pool) ?? []), rate]);
+  }
+  return [...rates].map(([pool, values]) => [
+    pool,
+    values.reduce((sum, rate) => sum + rate, 0) / values.length,
+  ]);
+}
--- a/packages/forwarder/src/peers/peer-table.ts
+++ b/packages/forwarder/src/peers/peer-table.ts
@@ -6,11 +6,11 @@
  * Routers of the own data centre report for themselves. Of each other data centre there is one group report
  * with the sums over its routers, whichever of its relays has sent it.
  */
-import { PeerUsage, sumLateness } from '@poplarpick/decisions';
+import { PeerUsage } from '@poplarpick/decisions';
 import type {
   DepartedVersionEntry,
-  LatenessCounts,
   PeerGroup,
+  PeerLateRate,
   RequestFingerprint,
   WorkspaceUsage,
 } from '@poplarpick/decisions';
@@ -53,8 +53,8 @@
 /** The longest pause of streams lately at an endpoint: the hash of its incarnation, and the pause in ms. */
 export type EndpointPauseEntry = [endpoint: number, pauseMs: number];
 
-/** Requests within their share in a pool, which is named by its hash: the late ones, and all of the last seconds. */
-export type LatenessEntry = [pool: number, late: number, total: number];
+/** Rate of late requests in a pool, which is named by its hash. */
+export type LateRateEntry = [pool: number, rate: number];
 
 /** Report of one router, or of all routers of a data centre; sent in MessagePack under these field names. */
 export interface PeerReport {
@@ -88,8 +88,8 @@
   workspaces?: WorkspaceUsage[] | undefined;
   /** Newly cached prompt segments. */
   kept: CachedSegmentEntry[];
-  /** Late requests and all; missing in reports of older versions. */
-  lateness?: LatenessEntry[] | undefined;
+  /** Late rates, in a group report the means over its routers. */
+  lateRates: LateRateEntry[];
   /** Fingerprints of newly refused requests; missing in reports of older versions. */
   refused?: RequestFingerprint[] | undefined;
   /**
@@ -231,12 +231,17 @@
     return this.live(now).reduce((count, { routers = 1 }) => count + routers, 1);
   }
 
-  /** Requests within their share in a pool, added up over the live peers. */
-  lateness(poolHash: number, now: number): LatenessCounts {
-    const entries = this.live(now)
-      .flatMap(({ lateness = [] }) => lateness)
-      .filter(([hash]) => hash === poolHash);
-    return sumLateness(entries.map(([, late, total]) => ({ late, total })));
+  /** Mean rate of late requests in a pool over the live peers, and their number. */
+  meanLateRate(poolHash: number, now: number): PeerLateRate {
+    let sum = 0;
+    let counted = 0;
+    for (const { lateRates, routers = 1 } of this.live(now)) {
+      const entry = lateRates.find(([hash]) => hash === poolHash);
+      if (entry === undefined) continue;
+      sum += entry[1] * routers;
+      counted += routers;
+    }
+    return { rate: counted === 0 ? 0 : sum / counted, routers: counted };
   }
 
   private dropExpired(now: number): void {
--- a/packages/forwarder/src/peers/report-codec.ts
+++ b/packages/forwarder/src/peers/report-codec.ts
@@ -16,7 +16,7 @@
   EndpointLoadEntry,
   EndpointNeedEntry,
   EndpointPauseEntry,
-  LatenessEntry,
+  LateRateEntry,
   PeerReport,
   SuspectCrashEntry,
   SuspectSurvivalEntry,
@@ -42,9 +42,6 @@
 /** Most routers that one group report may stand for. */
 const MAX_ROUTERS = 10_000;
 
-/** Fields without which routers of older versions reject a report. */
-const OLDER_FIELDS = { lateRates: [] };
-
 const packr = new Packr({ useRecords: false });
 
 /** Validates a decoded datagram. */
@@ -63,7 +60,7 @@
   loads: listOf<EndpointLoadEntry>((entry) => isCounts(entry, 5)),
   workspaces: listOf<WorkspaceUsage>(isWorkspaceUsage).optional(),
   kept: listOf<CachedSegmentEntry>((entry) => isCounts(entry, 3)),
-  lateness: listOf<LatenessEntry>(isLateness).optional(),
+  lateRates: listOf<LateRateEntry>(isLateRate),
   refused: listOf<number>(Number.isFinite).optional(),
   draining: listOf<number>(Number.isFinite).optional(),
   crashes: listOf<SuspectCrashEntry>((entry) => isCounts(entry, 3)).optional(),
@@ -97,10 +94,10 @@
   return isCounts(entry.slice(1), 3);
 }
 
-function isLateness(entry: unknown): boolean {
-  if (!isCounts(entry, 3)) return false;
-  const [, late, total] = entry as LatenessEntry;
-  return late <= total;
+function isLateRate(entry: unknown): boolean {
+  if (!Array.isArray(entry) || entry.length !== 2) return false;
+  const [pool, rate] = entry as unknown[];
+  return isCount(pool) && typeof rate === 'number' && rate >= 0 && rate <= 1;
 }
 
 function isBlockedSuspect(entry: unknown): boolean {
@@ -145,7 +142,7 @@
     ],
   ];
   for (const [leftOut, candidate] of shortened) {
-    const message = packr.pack({ ...candidate, ...OLDER_FIELDS });
+    const message = packr.pack(candidate);
     if (message.length > MAX_DATAGRAM_BYTES) continue;
     if (leftOut !== undefined) onShortened?.(leftOut);
     return message;
--- a/packages/forwarder/src/peers/report-exchange.ts
+++ b/packages/forwarder/src/peers/report-exchange.ts
@@ -47,7 +47,7 @@
   | 'loads'
   | 'workspaces'
   | 'kept'
-  | 'lateness'
+  | 'lateRates'
   | 'refused'
   | 'draining'
   | 'crashes'
@@ -61,7 +61,7 @@
 >;
 
 /** Body of a report that only tells about members. */
-const EMPTY_BODY: ReportBody = { version: 0, loads: [], kept: [] };
+const EMPTY_BODY: ReportBody = { version: 0, loads: [], kept: [], lateRates: [] };
 
 /** Options of a `ReportExchange`. */
 export interface ReportExchangeOptions {
--- a/packages/forwarder/src/peers/router-reports.ts
+++ b/packages/forwarder/src/peers/router-reports.ts
@@ -24,7 +24,6 @@
   CachedSegmentEntry,
   EndpointLoadEntry,
   EndpointPauseEntry,
-  LatenessEntry,
   PeerReport,
 } from './peer-table.ts';
 import type { ReportBody } from './report-exchange.ts';
@@ -86,7 +85,7 @@
 
   /** Builds the report to this router's peers. */
   build(includesWorkspaces: boolean): ReportBody {
-    const { limits, poison, streams, fairShareLedger } = this.options;
+    const { limits, poison, streams, fairShareLedger, surplusLimiters } = this.options;
     limits.refresh();
     return {
       ...this.options.describeState(),
@@ -95,7 +94,10 @@
         ? { workspaces: fairShareLedger.snapshot(this.now()), pauses: this.listPauses() }
         : {}),
       kept: this.cacheAnnouncements.take(MAX_SEGMENTS_PER_REPORT).map(({ entry }) => entry),
-      lateness: this.listLateness(),
+      lateRates: [...surplusLimiters].map(([pool, limiter]) => [
+        murmurhash.v3(pool),
+        limiter.lateRate,
+      ]),
       refused: this.takeRefusals(),
       ...poison.buildReport(),
       ...limits.buildReport(),
@@ -120,13 +122,6 @@
     streams.applyReport(report);
   }
 
-  private listLateness(): LatenessEntry[] {
-    return Array.from(this.options.surplusLimiters, ([pool, limiter]) => {
-      const { late, total } = limiter.counts(this.now());
-      return [murmurhash.v3(pool), late, total];
-    });
-  }
-
   private listPauses(): EndpointPauseEntry[] {
     const pauses: EndpointPauseEntry[] = [];
     for (const { endpoint, incarnation, incarnationHash } of this.options.endpoints.all()) {
--- a/packages/forwarder/src/peers/testing-reports.ts
+++ b/packages/forwarder/src/peers/testing-reports.ts
@@ -10,6 +10,7 @@
     version: 1,
     loads: [],
     kept: [],
+    lateRates: [],
     ...overrides,
   };
 }
--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -18,7 +18,7 @@
   ConnectionLimits,
   Endpoint,
   HashedSegment,
-  LatenessCounts,
+  PeerLateRate,
   StoreStateAge,
   Route,
   RoutingTable,
@@ -287,22 +287,19 @@
 
   /** Longest wait of a request over its workspace's share, as a multiple of the objective. */
   surplusWaitLimit(pool: string): number {
-    return this.pools
-      .surplusLimiter(pool)
-      .waitLimit(this.clock.monotonic(), this.peerLateness(pool));
+    return this.pools.surplusLimiter(pool).waitLimit(this.peerLateRate(pool));
   }
 
   /** How far requests within their share are late in the pool of model endpoints that has most of them, in 0..1. */
   private contention(): number {
-    const now = this.clock.monotonic();
     const contentions = (this.routeIndex?.modelPools ?? []).map((name) =>
-      this.pools.surplusLimiter(name).contention(now, this.peerLateness(name)),
+      this.pools.surplusLimiter(name).contention(this.peerLateRate(name)),
     );
     return Math.max(0, ...contentions);
   }
 
-  private peerLateness(pool: string): LatenessCounts {
-    return this.peers.lateness(murmurhash.v3(pool), this.clock.monotonic());
+  private peerLateRate(pool: string): PeerLateRate {
+    return this.peers.meanLateRate(murmurhash.v3(pool), this.clock.monotonic());
   }
 
   /** Number of live routers, including this one. */
