--- a/packages/forwarder/src/router-state.ts
+++ b/packages/forwarder/src/router-state.ts
@@ -25,6 +25,7 @@
 } from '@poplarpick/decisions';
 import type { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
 import type { Clock, Logger, LogOutput } from '@poplarpick/kernel';
+import { connectionShare } from './endpoints/connection-share.ts';
 import { EndpointClient } from './endpoints/endpoint-client.ts';
 import { EndpointDirectory } from './endpoints/endpoint-directory.ts';
 import { isIdle } from './endpoints/endpoint-idleness.ts';
@@ -52,9 +53,6 @@
 import { hashEndpoints } from './peers/state-snapshot.ts';
 import type { ReportBody } from './peers/report-exchange.ts';
 
-/** Fraction of an endpoint's connection limit that one router may use, since other routers connect too. */
-const CONNECTION_FRACTION = 0.5;
-
 /** Limits for callers until the first routing table arrives with the site's own. */
 const INITIAL_CALLER_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -63,9 +61,6 @@
   idleTimeoutMs: 15_000,
 };
 
-/** Connection limit of an endpoint whose pool isn't in the routing table. */
-const DEFAULT_CONNECTION_LIMIT = 64;
-
 /** In-memory state of one router. */
 export class RouterState {
   readonly clock: Clock;
@@ -137,7 +132,7 @@
       createClient: (endpoint) =>
         new EndpointClient({
           address: endpoint.address,
-          connectionLimit: this.connectionLimit(endpoint.pool),
+          connectionLimit: connectionShare(this.routeIndex?.findPool(endpoint.pool)),
           protocol: options.protocol,
           startedAt: endpoint.startedAt,
           clock: options.clock,
@@ -388,11 +383,6 @@
     });
   }
 
-  private connectionLimit(pool: string): number {
-    const limit = this.routeIndex?.findPool(pool)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT;
-    return Math.max(1, Math.floor(limit * CONNECTION_FRACTION));
-  }
-
   private removeEndpointState(record: EndpointRecord): void {
     this.limits.remove(record);
     this.warmUps.remove(record);
