--- a/packages/forwarder/src/ingress/call-ingress.ts
+++ b/packages/forwarder/src/ingress/call-ingress.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net';
 import { HoldingKind, LogRateLimiter } from '@poplarpick/decisions';
 import type { StreamOrigin } from '@poplarpick/decisions';
-import { ErrorCode, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
+import { ErrorCode, pollSockets, RequestError, toRequestError, Verdict } from '@poplarpick/kernel';
 import type { CallHead } from '../calls/call-protocol.ts';
 import { ResponseWriter } from '../calls/response-writer.ts';
 import { Call } from '../calls/call.ts';
@@ -327,15 +327,6 @@
   }
 }
 
-/**
- * Lets the event loop poll its sockets once more. After the process was stalled, a request and the end
- * of its connection may both be pending; the event loop reads the end one iteration after the request.
- */
-async function pollSockets(): Promise<void> {
-  await new Promise(setImmediate);
-  await new Promise(setImmediate);
-}
-
 /**
  * Closes a connection whose idle time is over. After the process was stalled, a request may be pending on it;
  * the event loop runs its timers before it reads that request.
