--- a/packages/fleet/src/listening/listener-guard.test.ts
+++ b/packages/fleet/src/listening/listener-guard.test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { Worker } from 'node:worker_threads';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
 import type { ListenerGuard } from './listener-guard.ts';
 import { ProcessListeners } from './process-listeners.ts';
 
@@ -66,11 +67,6 @@
   return { guard, callers, close };
 }
 
-function blockLoop(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
-
 describe('a guarded HTTP server', () => {
   it('answers all callers of a burst whose heads come while the event loop stands still', async () => {
     const count = MAX_NEWCOMERS + 8;
--- a/packages/fleet/src/listening/work-turns.test.ts
+++ b/packages/fleet/src/listening/work-turns.test.ts
@@ -1,13 +1,9 @@
 import { expect } from 'chai';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
 import { WorkTurns } from './work-turns.ts';
 
 const BUSY_MS = 12;
 
-function block(durationMs: number): void {
-  const endsAt = performance.now() + durationMs;
-  while (performance.now() < endsAt);
-}
-
 describe('the turns of the event loop', () => {
   it('give each connection that has much to parse its time, in the order in which they came', async () => {
     const turns = new WorkTurns();
@@ -22,7 +18,7 @@
         turns.wait(() => queueMicrotask(() => work(name)), { hadNoTime: true });
         return;
       }
-      block(BUSY_MS);
+      blockLoop(BUSY_MS);
       served.push(name);
       const rest = (left.get(name) ?? 0) - 1;
       left.set(name, rest);
--- a/packages/forwarder/src/endpoints/endpoint-client.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-client.test.ts
@@ -3,7 +3,8 @@
 import { expect } from 'chai';
 import { Verdict } from '@poplarpick/kernel';
 import type { RequestError } from '@poplarpick/kernel';
-import { blockLoop } from '@poplarpick/stand-ins';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
+
 import { CallProtocol } from '../calls/call-protocol.ts';
 import type { CallHead, ProcessQuestionHead, ResponseHead } from '../calls/call-protocol.ts';
 import { EndpointClient } from './endpoint-client.ts';
--- a/packages/forwarder/src/endpoints/endpoint-connector.test.ts
+++ b/packages/forwarder/src/endpoints/endpoint-connector.test.ts
@@ -2,7 +2,8 @@
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
-import { blockLoop } from '@poplarpick/stand-ins';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
+
 import { connectEndpoint } from './endpoint-connector.ts';
 
 /** Longer than a connection may take to open, in ms. */
--- a/packages/forwarder/src/endpoints/list-confirmations.test.ts
+++ b/packages/forwarder/src/endpoints/list-confirmations.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { SystemClock } from '@poplarpick/kernel';
-import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
+import { DatagramPair } from '@poplarpick/stand-ins';
 import { ListConfirmations } from './list-confirmations.ts';
 
 const LONG_MS = 10_000;
--- a/packages/forwarder/src/endpoints/process-question.test.ts
+++ b/packages/forwarder/src/endpoints/process-question.test.ts
@@ -2,7 +2,8 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { expect } from 'chai';
 import { SystemClock } from '@poplarpick/kernel';
-import { blockLoop } from '@poplarpick/stand-ins';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
+
 import { EndpointConnection } from './endpoint-connection.ts';
 import { ProcessQuestion } from './process-question.ts';
 import type { ProcessAnswer } from './process-question.ts';
--- a/packages/forwarder/src/ingress/caller-listener.test.ts
+++ b/packages/forwarder/src/ingress/caller-listener.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { ProcessListeners } from '@poplarpick/fleet/listening/process-listeners';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
 import { CallerListener } from './caller-listener.ts';
 
 const CONNECTIONS = 200;
@@ -17,11 +18,6 @@
   }
 `;
 
-function block(durationMs: number): void {
-  const endsAt = performance.now() + durationMs;
-  while (performance.now() < endsAt);
-}
-
 describe('a listener for callers', () => {
   it('accepts waiting connections in few iterations of a busy event loop', async () => {
     const log = createLogger({ level: LogLevel.Silent });
@@ -34,13 +30,13 @@
     let accepted = 0;
     server.on('connection', () => (accepted += 1));
     const client = new Worker(CLIENT_SOURCE.replace('PORT', String(port)), { eval: true });
-    block(CONNECT_TIME_MS);
+    blockLoop(CONNECT_TIME_MS);
     let iterations = 0;
     const endsAt = performance.now() + TIMEOUT_MS;
     while (accepted < CONNECTIONS && performance.now() < endsAt) {
       await new Promise(setImmediate);
       iterations += 1;
-      block(ITERATION_MS);
+      blockLoop(ITERATION_MS);
     }
     listener.close();
     server.closeAllConnections();
--- a/packages/forwarder/src/poison/poison-guard.test.ts
+++ b/packages/forwarder/src/poison/poison-guard.test.ts
@@ -4,7 +4,8 @@
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
 import type { Clock } from '@poplarpick/kernel';
 import { ManualClock } from '@poplarpick/kernel/testing/manual-clock';
-import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
+import { DatagramPair } from '@poplarpick/stand-ins';
 import type { EndpointRecord } from '../endpoints/endpoint-directory.ts';
 import { PoisonGuard } from './poison-guard.ts';
 
--- a/packages/forwarder/src/streams/origin-exchange.test.ts
+++ b/packages/forwarder/src/streams/origin-exchange.test.ts
@@ -2,7 +2,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createLogger, LogLevel, SystemClock } from '@poplarpick/kernel';
-import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
+import { DatagramPair } from '@poplarpick/stand-ins';
 import type { StreamKeys } from '@poplarpick/decisions';
 import { OriginExchange } from './origin-exchange.ts';
 import {
--- a/packages/forwarder/src/streams/pending-origins.test.ts
+++ b/packages/forwarder/src/streams/pending-origins.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { SystemClock } from '@poplarpick/kernel';
-import { blockLoop, DatagramPair } from '@poplarpick/stand-ins';
+import { blockLoop } from '@poplarpick/kernel/testing/block-loop';
+import { DatagramPair } from '@poplarpick/stand-ins';
 import { PendingOrigins } from './pending-origins.ts';
 
 const LIMIT_MS = 50;
--- a/packages/kernel/src/clock.test.ts
+++ b/packages/kernel/src/clock.test.ts
@@ -1,15 +1,11 @@
 import { expect } from 'chai';
+import { blockLoop } from './testing/block-loop.ts';
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
 import { SystemClock } from './clock.ts';
 
 const LIMIT_MS = 50;
 
-function blockLoop(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
-
 describe('SystemClock', () => {
   it('reads what has come during a stall before it concludes that nothing has', async () => {
     const clock = new SystemClock();
--- a/packages/stand-ins/src/stalls.ts
+++ b/packages/stand-ins/src/stalls.ts
@@ -2,12 +2,6 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 
-/** Keeps the event loop from doing anything for so many ms. */
-export function blockLoop(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
-
 /** A pair of sockets: what is sent lies in the other one at once, even if the event loop stands still. */
 export class DatagramPair {
   private readonly receiver: Socket;
