Names of what is collected, and no names of simulated routers

The kind of a collection was still passed as its generation, and nothing read the names in the replay of the rotation.

--- a/packages/bench/src/rotation/load-balancer.ts
+++ b/packages/bench/src/rotation/load-balancer.ts
@@ -5,7 +5,6 @@
 
 /** A router behind the load balancer. */
 export interface BalancedRouter {
-  readonly name: string;
   readonly dataCentre: string;
   isReady(): boolean;
 }
--- a/packages/bench/src/rotation/rotation-replay.ts
+++ b/packages/bench/src/rotation/rotation-replay.ts
@@ -73,8 +73,8 @@
   }
 
   private addRouters(dataCentre: string): void {
-    for (let index = 1; index <= this.options.routersPerDataCentre; index += 1) {
-      this.routers.push(new SimulatedRouter({ name: `${dataCentre}-${index}`, dataCentre }));
+    for (let index = 0; index < this.options.routersPerDataCentre; index += 1) {
+      this.routers.push(new SimulatedRouter(dataCentre));
     }
   }
 
--- a/packages/bench/src/rotation/simulated-router.ts
+++ b/packages/bench/src/rotation/simulated-router.ts
@@ -22,7 +22,6 @@
 
 /** One router. */
 export class SimulatedRouter implements BalancedRouter {
-  readonly name: string;
   readonly dataCentre: string;
   private readonly detector = new OverloadDetector();
   private readonly waiting: WaitingCall[] = [];
@@ -31,8 +30,7 @@
   private busyMs = 0;
   private sampledAt = 0;
 
-  constructor({ name, dataCentre }: { name: string; dataCentre: string }) {
-    this.name = name;
+  constructor(dataCentre: string) {
     this.dataCentre = dataCentre;
   }
 
--- a/packages/fleet/src/listening/pressure-metrics.ts
+++ b/packages/fleet/src/listening/pressure-metrics.ts
@@ -22,7 +22,7 @@
     this.metrics.increment(Metric.ConnectionsClosed, 1, { listener, reason });
   }
 
-  recordCollection(generation: CollectionKind): void {
-    this.metrics.increment(Metric.Collections, 1, { generation });
+  recordCollection(kind: CollectionKind): void {
+    this.metrics.increment(Metric.Collections, 1, { generation: kind });
   }
 }
--- a/packages/fleet/src/listening/process-listeners.ts
+++ b/packages/fleet/src/listening/process-listeners.ts
@@ -30,7 +30,7 @@
 export interface PressureRecorder {
   recordYield(kind: HoldingKind): void;
   recordClosing(listener: string, reason: ClosingReason): void;
-  recordCollection(generation: CollectionKind): void;
+  recordCollection(kind: CollectionKind): void;
 }
 
 /** All listeners of a process. */
@@ -53,8 +53,8 @@
       memoryBytes,
       clock,
       heldBytes: () => this.budget.heldBytes,
-      onCollected: (generation) => {
-        for (const recorder of this.recorders) recorder.recordCollection(generation);
+      onCollected: (kind) => {
+        for (const recorder of this.recorders) recorder.recordCollection(kind);
       },
     });
     this.budget = new MemoryBudget({ budgetBytes, clock, garbage: this.garbage });
--- a/packages/forwarder/src/router-metrics.ts
+++ b/packages/forwarder/src/router-metrics.ts
@@ -234,8 +234,8 @@
     this.closings.inc({ listener, reason });
   }
 
-  recordCollection(generation: CollectionKind): void {
-    this.collections.inc({ generation });
+  recordCollection(kind: CollectionKind): void {
+    this.collections.inc({ generation: kind });
   }
 
   /** The metrics in the Prometheus text format. */
